Serve a chat request and an action through separate processes

Cause: an empty repository; nothing ran. Change: packages from the inner protocol to the executable, with a first version of each part: a log with one fixed leader, a zone lease with acceptors, groups formed from reports, grants, dispatch, action records, HTTP surfaces, stand-ins and a quickstart.

--- /dev/null
+++ b/packages/actions/src/index.ts
@@ -0,0 +1,2 @@
+export * from "./records.ts";
+export * from "./service.ts";
--- /dev/null
+++ b/packages/base/src/errors.ts
@@ -0,0 +1,55 @@
+/** Says whether a request may have run at a backend server. */
+export const Verdict = {
+    NotRun: "notRun",
+    MayHaveRun: "mayHaveRun",
+    Ran: "ran",
+} as const;
+
+export type Verdict = typeof Verdict[keyof typeof Verdict];
+
+/** Stable, documented identifiers of the errors that callers and operators can meet. */
+export const ErrorCode = {
+    BadRequest: "bad-request",
+    Unauthorized: "unauthorized",
+    NotFound: "not-found",
+    TooLarge: "too-large",
+    Conflict: "conflict",
+    Invalid: "invalid",
+    LimitReached: "limit-reached",
+    NoCapacity: "no-capacity",
+    Timeout: "timeout",
+    Unavailable: "unavailable",
+    BackendFailed: "backend-failed",
+    OutcomeUnknown: "outcome-unknown",
+    KeyReused: "key-reused",
+    Cancelled: "cancelled",
+    Internal: "internal",
+} as const;
+
+export type ErrorCode = typeof ErrorCode[keyof typeof ErrorCode];
+
+export interface GreengageErrorOptions {
+    code: ErrorCode;
+    verdict: Verdict;
+    /** When the caller should retry, for errors that pass by themselves. */
+    retryAfterMs?: number;
+    cause?: unknown;
+}
+
+/** Base class of the project's errors: every error states whether the request may have run. */
+export class GreengageError extends Error {
+    readonly code: ErrorCode;
+    readonly verdict: Verdict;
+    readonly retryAfterMs: number | undefined;
+
+    constructor(message: string, options: GreengageErrorOptions) {
+        super(message, { cause: options.cause });
+        this.name = new.target.name;
+        this.code = options.code;
+        this.verdict = options.verdict;
+        this.retryAfterMs = options.retryAfterMs;
+    }
+}
+
+/** Text of any thrown value, for log lines. */
+export const messageOf = (error: unknown): string => error instanceof Error ? error.message : String(error);
--- /dev/null
+++ b/packages/bench/src/index.ts
@@ -0,0 +1,2 @@
+export * from "./cluster.ts";
+export * from "./requests.ts";
--- /dev/null
+++ b/packages/bench/src/requests.ts
@@ -0,0 +1,105 @@
+import { waitFor } from "@greengage/faults";
+import type { StandinOptions } from "@greengage/standins";
+import { request } from "undici";
+import { CALLER_KEY, callerKeyHash, type Cluster, type DaemonHandle } from "./cluster.ts";
+
+export interface ChatAnswer {
+    status: number;
+    tokens: string[];
+    /** Whether the end marker arrived. */
+    isWhole: boolean;
+    text: string;
+}
+
+export interface ActionAnswer {
+    status: number;
+    body: unknown;
+}
+
+const headersOf = (extra: Record<string, string> = {}): Record<string, string> => ({
+    authorization: `Bearer ${CALLER_KEY}`,
+    "content-type": "application/json",
+    ...extra,
+});
+
+/** Default table of tests and measurements: one model of two VMs, one organisation and one ledger service. */
+export const seedChanges = (): object[] => [
+    { kind: "model", name: "assistant", baseVersion: 0, columns: { vmsPerReplica: 2, replicas: 1 } },
+    {
+        kind: "organisation",
+        name: "umbrella-corner",
+        baseVersion: 0,
+        columns: { apiKeyHashes: [callerKeyHash()] },
+    },
+    { kind: "service", name: "ledger", baseVersion: 0, columns: { pathPrefix: "/" } },
+];
+
+/** Fills the table with `seedChanges`. */
+export const seedTable = async (cluster: Cluster, changes: object[] = seedChanges()): Promise<void> => {
+    const daemon = cluster.daemons[0] as DaemonHandle;
+    await cluster.operate(daemon, "POST", "table", { editId: "seed", operator: "bench", changes });
+};
+
+/** Starts model VMs of one fabric domain in a zone. */
+export const startZoneBackends = (
+    cluster: Cluster,
+    zone: string,
+    options: { modelVms: number; } & Partial<StandinOptions>,
+): void => {
+    const { modelVms, ...rest } = options;
+    for (let index = 1; index <= modelVms; index += 1) {
+        cluster.startBackend("model", {
+            vmId: `${zone}-vm-${index}`,
+            zone,
+            fabricDomain: `${zone}-rack-1`,
+            ...rest,
+        });
+    }
+};
+
+/** Waits until the first daemon sees `count` serving groups. */
+export const waitForServingGroups = async (cluster: Cluster, count: number): Promise<void> => {
+    await waitFor(`${count} serving replica groups`, async () => {
+        const daemon = cluster.daemons[0] as DaemonHandle;
+        const status = await cluster.operate(daemon, "GET", "status") as { groups: { state: string; }[]; };
+        return status.groups.filter((group) => group.state === "serving").length >= count ? true : undefined;
+    });
+};
+
+/** Sends a streamed chat request and reads the whole answer. */
+export const postChat = async (daemon: { url: string; }, body: object = {}): Promise<ChatAnswer> => {
+    const chat = {
+        model: "assistant",
+        stream: true,
+        messages: [{ role: "user", content: "Umbrellas left?" }],
+        ...body,
+    };
+    const response = await request(`${daemon.url}/v1/chat/completions`, {
+        method: "POST",
+        headers: headersOf(),
+        body: JSON.stringify(chat),
+    });
+    const text = await response.body.text();
+    const events = text.split("\n\n").filter((event) => event.startsWith("data: {"));
+    const tokens = events.map((event) => contentOf(event.slice("data: ".length)));
+    return { status: response.statusCode, tokens, isWhole: text.endsWith("data: [DONE]\n\n"), text };
+};
+
+/** Sends a non-idempotent call to the ledger service. */
+export const postAction = async (
+    daemon: { url: string; },
+    key: string,
+    body: object,
+): Promise<ActionAnswer> => {
+    const response = await request(`${daemon.url}/v1/services/ledger/sales`, {
+        method: "POST",
+        headers: headersOf({ "idempotency-key": key }),
+        body: JSON.stringify(body),
+    });
+    return { status: response.statusCode, body: await response.body.json() };
+};
+
+const contentOf = (json: string): string => {
+    const chunk = JSON.parse(json) as { choices?: { delta?: { content?: string; }; }[]; };
+    return chunk.choices?.[0]?.delta?.content ?? "";
+};
--- /dev/null
+++ b/packages/consensus/src/index.ts
@@ -0,0 +1,4 @@
+export * from "./composite.ts";
+export * from "./fixed.ts";
+export * from "./log.ts";
+export * from "./memory.ts";
--- /dev/null
+++ b/packages/consensus/src/memory.ts
@@ -0,0 +1,39 @@
+import type { Command, LogStatus, ReplicatedLog, StateMachine } from "./log.ts";
+
+/** A log of one process without storage, for tests of the parts above. */
+export class MemoryLog implements ReplicatedLog {
+    readonly #machine: StateMachine;
+    #appliedIndex = 0;
+
+    constructor(machine: StateMachine) {
+        this.#machine = machine;
+    }
+
+    get appliedIndex(): number {
+        return this.#appliedIndex;
+    }
+
+    async propose(command: Command): Promise<{ index: number; result: unknown; }> {
+        this.#appliedIndex += 1;
+        return { index: this.#appliedIndex, result: this.#machine.apply(this.#appliedIndex, command) };
+    }
+
+    async readBarrier(): Promise<number> {
+        return this.#appliedIndex;
+    }
+
+    async waitForApplied(): Promise<void> {
+        return;
+    }
+
+    status(): LogStatus {
+        return {
+            role: "leader",
+            leaderId: undefined,
+            term: 1,
+            commitIndex: this.#appliedIndex,
+            appliedIndex: this.#appliedIndex,
+            firstLogIndex: 1,
+        };
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,2 @@
+export * from "./daemon.ts";
+export * from "./settings.ts";
--- /dev/null
+++ b/packages/faults/src/index.ts
@@ -0,0 +1,2 @@
+export * from "./process.ts";
+export * from "./wait.ts";
--- /dev/null
+++ b/packages/http/src/index.ts
@@ -0,0 +1,1 @@
+export * from "./server.ts";
--- /dev/null
+++ b/packages/membership/src/directory.ts
@@ -0,0 +1,244 @@
+import { type Context, Lifecycle, monotonicMs } from "@greengage/base";
+import {
+    type Grant,
+    GroupState,
+    type GroupView,
+    type OrganisationDemand,
+    type OrganisationShare,
+    type Peers,
+    type ServiceView,
+} from "@greengage/protocol";
+import type { MembershipTiming } from "./timing.ts";
+
+interface ZoneEntry {
+    fence: number;
+    viewVersion: number;
+    validUntilMs: number;
+    controllerId: string | undefined;
+    groups: Map<string, GroupView>;
+    services: Map<string, ServiceView>;
+    daemonCount: number;
+    tableFloor: number;
+    shares: Map<string, OrganisationShare>;
+}
+
+export interface GroupDirectoryOptions {
+    context: Context;
+    peers: Peers;
+    timing: MembershipTiming;
+    zones: string[];
+    /** Daemons that can hold the lease of a zone, to ask for the holder. */
+    acceptorsOf: (zone: string) => string[];
+    tableVersion: () => number;
+}
+
+/** What this daemon may dispatch to: the groups and services named by grants that are valid now. */
+export class GroupDirectory {
+    readonly #options: GroupDirectoryOptions;
+    readonly #lifecycle = new Lifecycle();
+    readonly #zones = new Map<string, ZoneEntry>();
+    readonly #listeners = new Set<() => void>();
+    readonly #suspects = new Map<string, number>();
+    #demandSource: () => OrganisationDemand[] = () => [];
+
+    constructor(options: GroupDirectoryOptions) {
+        this.#options = options;
+        for (const zone of options.zones) {
+            this.#zones.set(zone, emptyZone());
+        }
+        options.peers.handleNotice("grant.push", ({ grant }) => this.#push(grant));
+    }
+
+    /** Sets where the demand by organisation comes from that renewals carry. */
+    setDemandSource(source: () => OrganisationDemand[]): void {
+        this.#demandSource = source;
+    }
+
+    start(): void {
+        for (const zone of this.#zones.keys()) {
+            this.#lifecycle.every(
+                this.#options.timing.grantRenewMs,
+                () => this.#renew(zone),
+                () => undefined,
+            );
+        }
+    }
+
+    close(): Promise<void> {
+        return this.#lifecycle.close();
+    }
+
+    /** Calls `listener` after each change of groups or services. Returns a function that ends this. */
+    onChange(listener: () => void): () => void {
+        this.#listeners.add(listener);
+        return () => this.#listeners.delete(listener);
+    }
+
+    /** Groups of a model that serve under a valid grant, those of the daemon's own zone first. */
+    servingGroups(model: string): GroupView[] {
+        return this.#validZones().flatMap((entry) =>
+            [...entry.groups.values()].filter((group) =>
+                group.model === model && group.state === GroupState.Serving && !this.#isSuspect(group)
+            )
+        );
+    }
+
+    /** Backend servers of a service that take new work, those of the daemon's own zone first. */
+    services(name: string): ServiceView[] {
+        return this.#validZones().flatMap((entry) =>
+            [...entry.services.values()].filter((service) => service.service === name && service.available)
+        );
+    }
+
+    /** Whether a valid grant says that this generation serves. Check it in the same step as the write. */
+    isServing(zone: string, groupId: string, generation: number): boolean {
+        const entry = this.#zones.get(zone);
+        if (entry === undefined || entry.validUntilMs <= monotonicMs()) {
+            return false;
+        }
+        const group = entry.groups.get(groupId);
+        return group?.state === GroupState.Serving && group.generation === generation;
+    }
+
+    /** Keeps a group out of `servingGroups` until its generation changes or `durationMs` has passed. */
+    suspect(group: GroupView, durationMs: number): void {
+        this.#suspects.set(`${group.groupId}/${group.generation}`, monotonicMs() + durationMs);
+    }
+
+    /** All groups that this daemon knows, also without a valid grant; for status pages. */
+    allGroups(): GroupView[] {
+        return [...this.#zones.values()].flatMap((entry) => [...entry.groups.values()]);
+    }
+
+    allServices(): ServiceView[] {
+        return [...this.#zones.values()].flatMap((entry) => [...entry.services.values()]);
+    }
+
+    /** Zones whose grant is valid now. */
+    reachableZones(): string[] {
+        return [...this.#zones].filter(([, entry]) => entry.validUntilMs > monotonicMs()).map(([zone]) =>
+            zone
+        );
+    }
+
+    controllerOf(zone: string): string | undefined {
+        return this.#zones.get(zone)?.controllerId;
+    }
+
+    daemonCount(zone: string): number {
+        return Math.max(1, this.#zones.get(zone)?.daemonCount ?? 1);
+    }
+
+    tableFloor(): number {
+        return this.#zones.get(this.#options.context.zone)?.tableFloor ?? 0;
+    }
+
+    /** Share of an organisation's limits for this daemon, from its own zone's grant. */
+    share(organisation: string): OrganisationShare | undefined {
+        return this.#zones.get(this.#options.context.zone)?.shares.get(organisation);
+    }
+
+    #validZones(): ZoneEntry[] {
+        const ownZone = this.#options.context.zone;
+        const entries = [...this.#zones].filter(([, entry]) => entry.validUntilMs > monotonicMs());
+        return entries.sort(([a], [b]) => Number(b === ownZone) - Number(a === ownZone)).map(([, entry]) =>
+            entry
+        );
+    }
+
+    #isSuspect(group: GroupView): boolean {
+        const untilMs = this.#suspects.get(`${group.groupId}/${group.generation}`);
+        return untilMs !== undefined && untilMs > monotonicMs();
+    }
+
+    async #renew(zone: string): Promise<void> {
+        const { context, peers, timing } = this.#options;
+        const entry = this.#zones.get(zone) ?? emptyZone();
+        const controllerId = entry.controllerId ?? await this.#findController(zone);
+        if (controllerId === undefined) {
+            return;
+        }
+        const sentAtMs = monotonicMs();
+        const request = {
+            daemonId: peers.daemonId,
+            daemonZone: context.zone,
+            zone,
+            fence: entry.fence,
+            viewVersion: entry.viewVersion,
+            tableVersion: this.#options.tableVersion(),
+            demand: this.#demandSource(),
+        };
+        const response = await peers.call(controllerId, "grant.renew", request, { timeoutMs: timing.grantMs })
+            .catch(() => undefined);
+        if (response?.grant === undefined) {
+            entry.controllerId = response?.holderId === controllerId ? undefined : response?.holderId;
+            return;
+        }
+        entry.controllerId = controllerId;
+        this.#apply(entry, response.grant, sentAtMs + response.grant.validForMs);
+    }
+
+    async #findController(zone: string): Promise<string | undefined> {
+        for (const acceptorId of this.#options.acceptorsOf(zone)) {
+            const response = await this.#options.peers.call(acceptorId, "zone.holder", { zone }, {
+                timeoutMs: 300,
+            })
+                .catch(() => undefined);
+            if (response?.holderId !== undefined) {
+                return response.holderId;
+            }
+        }
+        return undefined;
+    }
+
+    #push(grant: Grant): void {
+        const entry = this.#zones.get(grant.zone);
+        if (entry === undefined || grant.fence !== entry.fence) {
+            return;
+        }
+        this.#apply(entry, grant, entry.validUntilMs);
+    }
+
+    #apply(entry: ZoneEntry, grant: Grant, validUntilMs: number): void {
+        if (grant.fence < entry.fence) {
+            return;
+        }
+        if (grant.full) {
+            entry.groups.clear();
+            entry.services.clear();
+        }
+        for (const group of grant.groups) {
+            entry.groups.set(group.groupId, group);
+        }
+        for (const service of grant.services) {
+            entry.services.set(service.vmId, service);
+        }
+        for (const groupId of grant.removedGroupIds) {
+            entry.groups.delete(groupId);
+        }
+        for (const vmId of grant.removedServiceVmIds) {
+            entry.services.delete(vmId);
+        }
+        entry.fence = grant.fence;
+        entry.viewVersion = grant.viewVersion;
+        entry.validUntilMs = validUntilMs;
+        entry.daemonCount = grant.daemonCount;
+        entry.tableFloor = grant.tableFloor;
+        entry.shares = new Map(grant.shares.map((share) => [share.organisation, share]));
+        for (const listener of this.#listeners) {
+            listener();
+        }
+    }
+}
+
+const emptyZone = (): ZoneEntry => ({
+    fence: 0,
+    viewVersion: 0,
+    validUntilMs: 0,
+    controllerId: undefined,
+    groups: new Map(),
+    services: new Map(),
+    daemonCount: 1,
+    tableFloor: 0,
+    shares: new Map(),
+});
--- /dev/null
+++ b/packages/protocol/src/connection.ts
@@ -0,0 +1,142 @@
+import type { Timeline } from "@greengage/base";
+import { createHmac, randomBytes, timingSafeEqual } from "node:crypto";
+import type { WebSocket } from "ws";
+import { decode, encode } from "./codec.ts";
+import { PeerCallError, PeerTimeoutError, PeerUnreachableError } from "./errors.ts";
+import type { CallType, Frame, Hello, NoticeType } from "./messages.ts";
+
+const NONCE_BYTES = 16;
+
+/** Callbacks of a connection into the daemon that owns it. */
+export interface FrameHandlers {
+    call(type: CallType, request: unknown, from: string): Promise<unknown>;
+    notice(type: NoticeType, notice: unknown, from: string): void;
+}
+
+interface PendingCall {
+    type: CallType;
+    resolve(body: unknown): void;
+    reject(error: Error): void;
+    timer: NodeJS.Timeout;
+}
+
+/** One authenticated connection to a peer. Both sides can call over it. */
+export class PeerConnection {
+    readonly peerId: string;
+    readonly #socket: WebSocket;
+    readonly #handlers: FrameHandlers;
+    readonly #timeline: Timeline;
+    readonly #pending = new Map<number, PendingCall>();
+    #nextCallId = 1;
+
+    constructor(peerId: string, socket: WebSocket, handlers: FrameHandlers, timeline: Timeline) {
+        this.peerId = peerId;
+        this.#socket = socket;
+        this.#handlers = handlers;
+        this.#timeline = timeline;
+        socket.on("message", (data: Buffer) => this.#receive(data));
+        socket.on("close", () => this.#failPending());
+    }
+
+    get isOpen(): boolean {
+        return this.#socket.readyState === this.#socket.OPEN;
+    }
+
+    call(type: CallType, body: unknown, timeoutMs: number): Promise<unknown> {
+        if (!this.isOpen) {
+            return Promise.reject(new PeerUnreachableError(this.peerId));
+        }
+        const callId = this.#nextCallId++;
+        return new Promise((resolve, reject) => {
+            const timer = setTimeout(() => {
+                this.#pending.delete(callId);
+                reject(new PeerTimeoutError(this.peerId, type, timeoutMs));
+            }, timeoutMs);
+            this.#pending.set(callId, { type, resolve, reject, timer });
+            this.#send({ kind: "call", callId, type, at: this.#timeline.tick(), body });
+        });
+    }
+
+    notify(type: NoticeType, body: unknown): void {
+        this.#send({ kind: "notice", type, at: this.#timeline.tick(), body });
+    }
+
+    close(): void {
+        this.#socket.terminate();
+    }
+
+    #send(frame: Frame): void {
+        if (this.isOpen) {
+            this.#socket.send(encode(frame));
+        }
+    }
+
+    #receive(data: Buffer): void {
+        let frame: Frame;
+        try {
+            frame = decode(data) as Frame;
+        }
+        catch {
+            this.close();
+            return;
+        }
+        this.#timeline.observe(frame.at);
+        if (frame.kind === "call") {
+            void this.#answer(frame.callId, frame.type, frame.body);
+            return;
+        }
+        if (frame.kind === "notice") {
+            this.#handlers.notice(frame.type, frame.body, this.peerId);
+            return;
+        }
+        this.#settle(frame);
+    }
+
+    async #answer(callId: number, type: CallType, request: unknown): Promise<void> {
+        try {
+            const body = await this.#handlers.call(type, request, this.peerId);
+            this.#send({ kind: "result", callId, at: this.#timeline.tick(), body });
+        }
+        catch (error) {
+            const message = error instanceof Error ? error.message : String(error);
+            this.#send({ kind: "failure", callId, at: this.#timeline.tick(), message });
+        }
+    }
+
+    #settle(frame: Extract<Frame, { kind: "result" | "failure"; }>): void {
+        const pending = this.#pending.get(frame.callId);
+        if (pending === undefined) {
+            // The call has timed out.
+            return;
+        }
+        this.#pending.delete(frame.callId);
+        clearTimeout(pending.timer);
+        if (frame.kind === "result") {
+            pending.resolve(frame.body);
+            return;
+        }
+        pending.reject(new PeerCallError(this.peerId, pending.type, frame.message));
+    }
+
+    #failPending(): void {
+        for (const pending of this.#pending.values()) {
+            clearTimeout(pending.timer);
+            // The call was sent, so the peer may have handled it.
+            pending.reject(new PeerTimeoutError(this.peerId, pending.type, 0));
+        }
+        this.#pending.clear();
+    }
+}
+
+/** Random bytes that the accepting side sends first, so that a proof can't be replayed. */
+export const newNonce = (): Uint8Array => randomBytes(NONCE_BYTES);
+
+/** Proof of the peers' key for one connection attempt. */
+export const proofOf = (key: string, nonce: Uint8Array, daemonId: string, targetId: string): Uint8Array =>
+    createHmac("sha256", key).update(nonce).update(`${daemonId}\n${targetId}`).digest();
+
+/** Whether a hello frame proves the peers' key. */
+export const isProofValid = (key: string, nonce: Uint8Array, hello: Hello): boolean => {
+    const expected = proofOf(key, nonce, hello.daemonId, hello.targetId);
+    return hello.proof.length === expected.length && timingSafeEqual(hello.proof, expected);
+};
--- /dev/null
+++ b/packages/protocol/src/errors.ts
@@ -0,0 +1,32 @@
+import { ErrorCode, GreengageError, Verdict } from "@greengage/base";
+
+/** The call was never sent. */
+export class PeerUnreachableError extends GreengageError {
+    constructor(daemonId: string, cause?: unknown) {
+        super(`no connection to daemon ${daemonId}`, {
+            code: ErrorCode.Unavailable,
+            verdict: Verdict.NotRun,
+            cause,
+        });
+    }
+}
+
+/** The call was sent, and no answer came in time. */
+export class PeerTimeoutError extends GreengageError {
+    constructor(daemonId: string, type: string, timeoutMs: number) {
+        super(`daemon ${daemonId} did not answer ${type} within ${timeoutMs} ms`, {
+            code: ErrorCode.Timeout,
+            verdict: Verdict.MayHaveRun,
+        });
+    }
+}
+
+/** The peer reported that its handler failed. */
+export class PeerCallError extends GreengageError {
+    constructor(daemonId: string, type: string, message: string) {
+        super(`daemon ${daemonId} failed to handle ${type}: ${message}`, {
+            code: ErrorCode.Internal,
+            verdict: Verdict.MayHaveRun,
+        });
+    }
+}
--- /dev/null
+++ b/packages/protocol/src/messages.ts
@@ -0,0 +1,178 @@
+import type { HlcTimestamp } from "@greengage/base";
+import type { Grant, OrganisationDemand, VmReport } from "./views.ts";
+
+/** One entry of the replicated log. `payload` is a command in msgpack, or a configuration of members. */
+export interface LogEntry {
+    index: number;
+    term: number;
+    kind: "command" | "configuration" | "noop";
+    payload: Uint8Array;
+}
+
+/** A voter or learner of the replicated log. A daemon whose disk was lost gets a new `memberId`. */
+export interface Member {
+    daemonId: string;
+    memberId: string;
+    voter: boolean;
+}
+
+export interface VoteRequest {
+    term: number;
+    candidateId: string;
+    memberId: string;
+    lastLogIndex: number;
+    lastLogTerm: number;
+}
+
+export interface VoteResponse {
+    term: number;
+    granted: boolean;
+}
+
+export interface AppendRequest {
+    term: number;
+    leaderId: string;
+    leaderMemberId: string;
+    prevLogIndex: number;
+    prevLogTerm: number;
+    entries: LogEntry[];
+    commitIndex: number;
+}
+
+export interface AppendResponse {
+    term: number;
+    memberId: string;
+    success: boolean;
+    /** Last index that is known to match, or a hint where the leader should try next. */
+    matchIndex: number;
+}
+
+export interface SnapshotRequest {
+    term: number;
+    leaderId: string;
+    lastIndex: number;
+    lastTerm: number;
+    members: Member[];
+    /** Position of `chunk` in the snapshot. */
+    offsetBytes: number;
+    chunk: Uint8Array;
+    done: boolean;
+}
+
+export interface LearnerFetchResponse {
+    commitIndex: number;
+    /** Set when the entries that the learner needs are no longer in the log. */
+    snapshot?: { lastIndex: number; lastTerm: number; data: Uint8Array; };
+    entries: LogEntry[];
+}
+
+/** Result of a proposal on the leader. */
+export type ProposeResponse =
+    | { ok: true; index: number; result: unknown; }
+    | { ok: false; leaderId?: string; };
+
+export type ZoneAcquireResponse =
+    | { granted: true; tableFloor: number; }
+    | { granted: false; highestFence: number; holderId?: string; };
+
+/** All requests of the inner protocol with their responses, by `type`. */
+export interface Calls {
+    "raft.preVote": { request: VoteRequest; response: VoteResponse; };
+    "raft.vote": { request: VoteRequest; response: VoteResponse; };
+    "raft.append": { request: AppendRequest; response: AppendResponse; };
+    "raft.snapshot": { request: SnapshotRequest; response: AppendResponse; };
+    "raft.propose": { request: { command: Uint8Array; timeoutMs: number; }; response: ProposeResponse; };
+    "raft.readIndex": {
+        request: Record<string, never>;
+        response: { ok: true; index: number; } | { ok: false; leaderId?: string; };
+    };
+    "raft.joinAs": { request: Member; response: { ok: boolean; leaderId?: string; reason?: string; }; };
+    "raft.status": {
+        request: Record<string, never>;
+        response: {
+            clusterExists: boolean;
+            memberId: string;
+            term: number;
+            lastLogIndex: number;
+            leaderId?: string;
+        };
+    };
+    "learner.fetch": {
+        request: { fromIndex: number; waitMs: number; };
+        response: LearnerFetchResponse;
+    };
+    "zone.acquire": {
+        request: { zone: string; fence: number; holderId: string; leaseMs: number; tableFloor: number; };
+        response: ZoneAcquireResponse;
+    };
+    "zone.release": {
+        request: { zone: string; fence: number; holderId: string; };
+        response: Record<string, never>;
+    };
+    "zone.holder": {
+        request: { zone: string; };
+        response: { holderId?: string; highestFence: number; };
+    };
+    /** A successor asks a former controller whether it has stopped and has no order in flight. */
+    "zone.confirmStopped": { request: { zone: string; fence: number; }; response: { stopped: boolean; }; };
+    "report.batch": {
+        request: {
+            daemonId: string;
+            changed: VmReport[];
+            /** Reports that differ from the last full one by their sequence number alone. */
+            unchanged: { vmId: string; incarnationId: string; sequence: number; ageMs: number; }[];
+        };
+        /** `needFull`: VM ids whose full report the controller lacks. */
+        response: { accepted: boolean; needFull: string[]; releasedVmIds: string[]; };
+    };
+    "report.held": {
+        request: { zone: string; };
+        response: { reports: { report: VmReport; ageMs: number; }[]; tableVersion: number; };
+    };
+    "grant.renew": {
+        request: {
+            daemonId: string;
+            daemonZone: string;
+            zone: string;
+            fence: number;
+            viewVersion: number;
+            tableVersion: number;
+            demand: OrganisationDemand[];
+        };
+        response: { grant?: Grant; holderId?: string; };
+    };
+    "operator.forward": {
+        request: { method: string; path: string; body?: unknown; };
+        response: { status: number; body: unknown; };
+    };
+}
+
+export type CallType = keyof Calls;
+
+/** One-way messages, by `type`. */
+export interface Notices {
+    /** A change that must not wait for the next renewal. It does not lengthen the grant. */
+    "grant.push": { grant: Grant; };
+}
+
+export type NoticeType = keyof Notices;
+
+/** First frame of a connection, sent by the side that opened it. */
+export interface Hello {
+    protocolVersion: number;
+    daemonId: string;
+    zone: string;
+    /** Daemon that the connection is meant for. */
+    targetId: string;
+    /** HMAC-SHA-256 of the nonce of the accepting side with the peers' key. */
+    proof: Uint8Array;
+}
+
+/** Frames of the inner protocol after the handshake. */
+export type Frame =
+    | { kind: "call"; callId: number; type: CallType; at: HlcTimestamp; body: unknown; }
+    | { kind: "result"; callId: number; at: HlcTimestamp; body: unknown; }
+    | { kind: "failure"; callId: number; at: HlcTimestamp; message: string; }
+    | { kind: "notice"; type: NoticeType; at: HlcTimestamp; body: unknown; };
+
+export const PROTOCOL_VERSION = 1;
--- /dev/null
+++ b/packages/routing/src/index.ts
@@ -0,0 +1,2 @@
+export * from "./dispatcher.ts";
+export * from "./types.ts";
--- /dev/null
+++ b/packages/standins/src/backend.ts
@@ -0,0 +1,140 @@
+import { monotonicMs, newId, sleep } from "@greengage/base";
+import type { VmReport } from "@greengage/protocol";
+import { appendFileSync } from "node:fs";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import { request } from "undici";
+import type { StandinOptions } from "./options.ts";
+
+/** What the stand-ins share: an HTTP server, records of what it got, and reports to the daemons. */
+export abstract class Backend {
+    readonly options: StandinOptions;
+    readonly incarnationId = newId();
+    readonly #server: Server;
+    #sequence = 0;
+    #nextDaemon = 0;
+    protected highestFence = 0;
+    protected runningRequests = 0;
+    protected isLeaving = false;
+
+    constructor(options: StandinOptions) {
+        this.options = options;
+        this.#server = createServer((incoming, response) => {
+            this.handle(incoming, response).catch(() => response.destroy());
+        });
+    }
+
+    get url(): string {
+        return `http://127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+    }
+
+    async start(): Promise<void> {
+        await new Promise<void>((resolve) =>
+            this.#server.listen(this.options.port ?? 0, "127.0.0.1", resolve)
+        );
+        void this.#reportForever();
+    }
+
+    /** Reports that it leaves, and resolves when the system has released it. */
+    async leave(): Promise<void> {
+        this.isLeaving = true;
+        while (!await this.#report() || this.runningRequests > 0) {
+            await sleep(100);
+        }
+    }
+
+    protected abstract handle(incoming: IncomingMessage, response: ServerResponse): Promise<void>;
+
+    /** What the report says beside the common fields. */
+    protected abstract reportFields(): Pick<VmReport, "kind" | "cachedModels"> & Partial<VmReport>;
+
+    protected record(kind: string, fields: object): void {
+        if (this.options.recordPath !== undefined) {
+            const line = {
+                atMs: Date.now(),
+                vmId: this.options.vmId,
+                incarnationId: this.incarnationId,
+                kind,
+                ...fields,
+            };
+            appendFileSync(this.options.recordPath, JSON.stringify(line) + "\n");
+        }
+    }
+
+    async #reportForever(): Promise<void> {
+        for (;;) {
+            const startedAtMs = monotonicMs();
+            await this.#report();
+            await sleep(Math.max(0, (this.options.reportMs ?? 1_000) - (monotonicMs() - startedAtMs)));
+        }
+    }
+
+    async #report(): Promise<boolean> {
+        const { options } = this;
+        this.#sequence += 1;
+        const report: VmReport = {
+            vmId: options.vmId,
+            incarnationId: this.incarnationId,
+            sequence: this.#sequence,
+            zone: options.zone,
+            fabricDomain: options.fabricDomain,
+            url: this.url,
+            accelerators: options.accelerators ?? 8,
+            checksFencing: options.checksFencing ?? true,
+            highestFence: this.highestFence,
+            leaving: this.isLeaving,
+            maxConcurrent: options.maxConcurrent ?? 32,
+            load: {
+                runningRequests: this.runningRequests,
+                waitingRequests: 0,
+                kvUsedShare: 0,
+                tokenGapMs: options.tokenGapMs ?? 10,
+            },
+            ...this.reportFields(),
+        };
+        for (let tries = 0; tries < options.daemonUrls.length; tries += 1) {
+            const daemonUrl = options.daemonUrls[this.#nextDaemon % options.daemonUrls.length];
+            try {
+                const response = await request(`${daemonUrl}/backend/v1/report`, {
+                    method: "POST",
+                    headers: { "content-type": "application/json", authorization: `Bearer ${options.key}` },
+                    body: JSON.stringify(report),
+                    headersTimeout: 1_000,
+                    bodyTimeout: 1_000,
+                });
+                const answer = await response.body.json() as { released?: boolean; };
+                if (response.statusCode === 200) {
+                    return answer.released === true;
+                }
+            }
+            catch {
+                // The next daemon is tried.
+            }
+            this.#nextDaemon += 1;
+        }
+        return false;
+    }
+}
+
+/** Reads a request body as text. */
+export const readText = async (incoming: IncomingMessage): Promise<string> => {
+    const chunks: Buffer[] = [];
+    for await (const chunk of incoming as AsyncIterable<Buffer>) {
+        chunks.push(chunk);
+    }
+    return Buffer.concat(chunks).toString("utf8");
+};
+
+export const answerJson = (
+    response: ServerResponse,
+    status: number,
+    body: object,
+    requestId?: string,
+): void => {
+    const headers: Record<string, string> = { "content-type": "application/json" };
+    if (requestId !== undefined) {
+        headers["x-request-id"] = requestId;
+    }
+    response.writeHead(status, headers);
+    response.end(JSON.stringify(body));
+};
--- /dev/null
+++ b/packages/standins/src/index.ts
@@ -0,0 +1,3 @@
+export * from "./engine.ts";
+export * from "./ledger.ts";
+export * from "./options.ts";
--- /dev/null
+++ b/packages/standins/src/ledger.ts
@@ -0,0 +1,20 @@
+import type { VmReport } from "@greengage/protocol";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { answerJson, Backend, readText } from "./backend.ts";
+
+/** Stand-in for a ledger engine: a plain service that books each call it gets. */
+export class LedgerEngine extends Backend {
+    #bookings = 0;
+
+    protected override async handle(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
+        const requestId = String(incoming.headers["x-request-id"]);
+        const body = await readText(incoming);
+        this.#bookings += 1;
+        this.record("action", { requestId, method: incoming.method, path: incoming.url, body });
+        answerJson(response, 200, { booked: this.#bookings, by: this.options.vmId }, requestId);
+    }
+
+    protected override reportFields(): Pick<VmReport, "kind" | "cachedModels"> & Partial<VmReport> {
+        return { kind: "service", cachedModels: [], service: this.options.service ?? "ledger" };
+    }
+}
--- /dev/null
+++ b/packages/table/src/index.ts
@@ -0,0 +1,3 @@
+export * from "./edits.ts";
+export * from "./rows.ts";
+export * from "./state.ts";
--- /dev/null
+++ b/packages/table/src/state.ts
@@ -0,0 +1,232 @@
+import type { Command, StateMachine } from "@greengage/consensus";
+import { decode, encode } from "@greengage/protocol";
+import {
+    type CellError,
+    type EditCommand,
+    type EditOutcome,
+    type HistoryEntry,
+    type RowChange,
+    rowKey,
+} from "./edits.ts";
+import {
+    columnsByKind,
+    type ModelColumns,
+    type ModelRow,
+    type OrganisationColumns,
+    type OrganisationRow,
+    RowKind,
+    type ServiceColumns,
+    type ServiceRow,
+    type SettingColumns,
+    settingColumns,
+    type StoredRow,
+} from "./rows.ts";
+
+const NAME_PATTERN = /^[a-z0-9][a-z0-9._-]{0,62}$/i;
+const KEPT_OUTCOMES = 10_000;
+const KEPT_HISTORY = 10_000;
+
+interface TableSnapshot {
+    version: number;
+    rows: StoredRow[];
+    outcomes: [string, EditOutcome][];
+    history: HistoryEntry[];
+}
+
+/** The operators' table as every daemon holds it. Changes come from the replicated log alone. */
+export class TableState implements StateMachine {
+    #version = 0;
+    #rows = new Map<string, StoredRow>();
+    #outcomes = new Map<string, EditOutcome>();
+    #history: HistoryEntry[] = [];
+    readonly #listeners = new Set<() => void>();
+
+    /** Log index of the last accepted edit; 0 for an empty table. */
+    get version(): number {
+        return this.#version;
+    }
+
+    apply(index: number, command: Command): EditOutcome {
+        const edit = command as EditCommand;
+        const earlier = this.#outcomes.get(edit.editId);
+        if (earlier !== undefined) {
+            return earlier;
+        }
+        const outcome = this.#applyEdit(index, edit);
+        this.#outcomes.set(edit.editId, outcome);
+        if (this.#outcomes.size > KEPT_OUTCOMES) {
+            const [oldest] = this.#outcomes.keys();
+            this.#outcomes.delete(oldest as string);
+        }
+        return outcome;
+    }
+
+    snapshot(): Uint8Array {
+        const snapshot: TableSnapshot = {
+            version: this.#version,
+            rows: [...this.#rows.values()],
+            outcomes: [...this.#outcomes],
+            history: this.#history,
+        };
+        return encode(snapshot);
+    }
+
+    restore(bytes: Uint8Array): void {
+        const snapshot = decode(bytes) as TableSnapshot;
+        this.#version = snapshot.version;
+        this.#rows = new Map(snapshot.rows.map((row) => [rowKey(row.kind, row.name), row]));
+        this.#outcomes = new Map(snapshot.outcomes);
+        this.#history = snapshot.history;
+        this.#notify();
+    }
+
+    /** Calls `listener` after each accepted edit. Returns a function that ends this. */
+    onChange(listener: () => void): () => void {
+        this.#listeners.add(listener);
+        return () => this.#listeners.delete(listener);
+    }
+
+    rows(kind?: RowKind): StoredRow[] {
+        const rows = [...this.#rows.values()];
+        return kind === undefined ? rows : rows.filter((row) => row.kind === kind);
+    }
+
+    row(kind: RowKind, name: string): StoredRow | undefined {
+        return this.#rows.get(rowKey(kind, name));
+    }
+
+    models(): ModelRow[] {
+        return this.rows(RowKind.Model).map((row) => flatten<ModelColumns>(row));
+    }
+
+    model(name: string): ModelRow | undefined {
+        const row = this.row(RowKind.Model, name);
+        return row && flatten<ModelColumns>(row);
+    }
+
+    organisations(): OrganisationRow[] {
+        return this.rows(RowKind.Organisation).map((row) => flatten<OrganisationColumns>(row));
+    }
+
+    organisation(name: string): OrganisationRow | undefined {
+        const row = this.row(RowKind.Organisation, name);
+        return row && flatten<OrganisationColumns>(row);
+    }
+
+    service(name: string): ServiceRow | undefined {
+        const row = this.row(RowKind.Service, name);
+        return row && flatten<ServiceColumns>(row);
+    }
+
+    /** The row `setting/fleet`, or its defaults. */
+    fleet(): SettingColumns {
+        return settingColumns.parse(this.row(RowKind.Setting, "fleet")?.columns ?? {});
+    }
+
+    /** Newest entries first. */
+    history(limit = 100): HistoryEntry[] {
+        return this.#history.slice(-limit).reverse();
+    }
+
+    #applyEdit(index: number, edit: EditCommand): EditOutcome {
+        const checked = edit.changes.map((change) => this.#checkChange(change));
+        const errors = checked.flatMap((result) => result.errors);
+        if (errors.length > 0) {
+            return { status: "invalid", errors };
+        }
+        const conflicts = edit.changes.filter((change) => this.#versionOf(change) !== change.baseVersion);
+        if (conflicts.length > 0) {
+            return {
+                status: "conflict",
+                conflicts: conflicts.map((change) => ({
+                    row: rowKey(change.kind, change.name),
+                    baseVersion: change.baseVersion,
+                    present: this.row(change.kind, change.name),
+                })),
+            };
+        }
+        const rows = edit.changes.map((change, position) =>
+            this.#store(index, edit, change, checked[position]?.columns)
+        );
+        this.#version = index;
+        this.#notify();
+        return { status: "accepted", tableVersion: index, rows: rows.filter((row) => row !== undefined) };
+    }
+
+    #versionOf(change: RowChange): number {
+        return this.row(change.kind, change.name)?.version ?? 0;
+    }
+
+    #checkChange(change: RowChange): { columns?: Record<string, unknown>; errors: CellError[]; } {
+        const key = rowKey(change.kind, change.name);
+        const schema = columnsByKind[change.kind];
+        if (schema === undefined) {
+            const allowed = Object.values(RowKind).join(", ");
+            return { errors: [{ row: key, column: "kind", reason: `unknown kind, allowed are ${allowed}` }] };
+        }
+        if (!NAME_PATTERN.test(change.name)) {
+            return { errors: [{ row: key, column: "name", reason: `must match ${NAME_PATTERN.source}` }] };
+        }
+        if (change.columns === undefined) {
+            return { errors: [] };
+        }
+        const result = schema.safeParse({
+            ...this.row(change.kind, change.name)?.columns,
+            ...change.columns,
+        });
+        if (result.success) {
+            return { columns: result.data, errors: [] };
+        }
+        return {
+            errors: result.error.issues.map((issue) => ({
+                row: key,
+                column: issue.path.join(".") || "columns",
+                reason: issue.message,
+            })),
+        };
+    }
+
+    #store(
+        index: number,
+        edit: EditCommand,
+        change: RowChange,
+        columns: Record<string, unknown> | undefined,
+    ): StoredRow | undefined {
+        const key = rowKey(change.kind, change.name);
+        const before = this.#rows.get(key);
+        this.#history.push({
+            tableVersion: index,
+            editId: edit.editId,
+            operator: edit.operator,
+            atMs: edit.atMs,
+            row: key,
+            before: before?.columns,
+            after: columns,
+        });
+        this.#history = this.#history.slice(-KEPT_HISTORY);
+        if (columns === undefined) {
+            this.#rows.delete(key);
+            return undefined;
+        }
+        const row: StoredRow = {
+            kind: change.kind,
+            name: change.name,
+            version: change.baseVersion + 1,
+            columns,
+        };
+        this.#rows.set(key, row);
+        return row;
+    }
+
+    #notify(): void {
+        for (const listener of this.#listeners) {
+            listener();
+        }
+    }
+}
+
+const flatten = <Columns>(row: StoredRow): { name: string; version: number; } & Columns => ({
+    ...(row.columns as Columns),
+    name: row.name,
+    version: row.version,
+});
--- /dev/null
+++ b/scripts/build.ts
@@ -0,0 +1,58 @@
+/** Builds `dist/greengage`: one bundle, turned into a Node.js single executable application. */
+import { build } from "esbuild";
+import { execFileSync } from "node:child_process";
+import { chmodSync, copyFileSync, mkdirSync, writeFileSync } from "node:fs";
+import { inject } from "postject";
+
+const SENTINEL_FUSE = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
+const BUNDLE_PATH = "dist/greengage.cjs";
+const CONFIG_PATH = "dist/sea-config.json";
+const BLOB_PATH = "dist/greengage.blob";
+const EXECUTABLE_PATH = "dist/greengage";
+
+// Libraries try to load these native add-ons and go on without them. Inside the executable a failed `require`
+// prints a warning, so the bundle gets a module that throws in place of each.
+const optionalAddons: Plugin = {
+    name: "optional-addons",
+    setup: (build) => {
+        const filter = /^(unix-dgram|msgpackr-extract|bufferutil|utf-8-validate)$/;
+        build.onResolve({ filter }, ({ path }) => ({ path, namespace: "optional-addon" }));
+        build.onLoad({ filter: /.*/, namespace: "optional-addon" }, ({ path }) => ({
+            contents: `throw new Error("${path} is not part of the executable");`,
+        }));
+    },
+};
+
+mkdirSync("dist", { recursive: true });
+await build({
+    entryPoints: ["packages/cli/src/main.ts"],
+    outfile: BUNDLE_PATH,
+    bundle: true,
+    platform: "node",
+    format: "cjs",
+    target: "node20",
+    // jsonc-parser's default entry point hides its requires from the bundler.
+    mainFields: ["module", "main"],
+    plugins: [optionalAddons],
+    logLevel: "error",
+});
+writeFileSync(
+    CONFIG_PATH,
+    JSON.stringify({ main: BUNDLE_PATH, output: BLOB_PATH, disableExperimentalSEAWarning: true }),
+);
+execFileSync(process.execPath, ["--experimental-sea-config", CONFIG_PATH], { stdio: "ignore" });
+copyFileSync(process.execPath, EXECUTABLE_PATH);
+chmodSync(EXECUTABLE_PATH, 0o755);
+// postject warns about sections of the Node.js executable that it does not touch.
+execFileSync(
+    process.execPath,
+    [
+        "node_modules/postject/dist/cli.js",
+        EXECUTABLE_PATH,
+        "NODE_SEA_BLOB",
+        BLOB_PATH,
+        "--sentinel-fuse",
+        SENTINEL_FUSE,
+    ],
+    { stdio: "ignore" },
+);
