--- a/eslint.config.js
+++ b/eslint.config.js
@@ -67,6 +67,7 @@
             "@typescript-eslint/no-unused-vars": ["error", {
                 argsIgnorePattern: "^_$",
                 caughtErrors: "none",
+                varsIgnorePattern: "^_$",
             }],
             "no-restricted-syntax": [
                 "error",
--- /dev/null
+++ b/packages/bench/src/measure.ts
@@ -0,0 +1,22 @@
+/** Runs one measurement: `npm run measure -- NAME`. The last line is JSON with the figures. */
+
+interface Measurement {
+    description: string;
+    run: () => Promise<object>;
+}
+
+const measurements: Record<string, Measurement> = {};
+
+const run = async (name: string | undefined): Promise<void> => {
+    const measurement = measurements[name ?? ""];
+    if (measurement === undefined) {
+        for (const [known, { description }] of Object.entries(measurements)) {
+            console.log(`${known}: ${description}`);
+        }
+        process.exitCode = name === undefined ? 0 : 2;
+        return;
+    }
+    console.log(JSON.stringify(await measurement.run()));
+};
+
+await run(process.argv[2]);
--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -1,8 +1,7 @@
 /** Builds `dist/greengage`: one bundle, turned into a Node.js single executable application. */
-import { build } from "esbuild";
+import { build, type Plugin } from "esbuild";
 import { execFileSync } from "node:child_process";
 import { chmodSync, copyFileSync, mkdirSync, writeFileSync } from "node:fs";
-import { inject } from "postject";
 
 const SENTINEL_FUSE = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
 const BUNDLE_PATH = "dist/greengage.cjs";
