Make the measurement runner a module

Cause: tsc refuses a top-level await in a file without imports or exports (TS1375). Change: the runner exports the type that measurements implement.

--- a/packages/bench/src/measure.ts
+++ b/packages/bench/src/measure.ts
@@ -1,6 +1,6 @@
 /** Runs one measurement: `npm run measure -- NAME`. The last line is JSON with the figures. */
 
-interface Measurement {
+export interface Measurement {
     description: string;
     run: () => Promise<object>;
 }
