Rebuild dispatch, group choice, limits and queue in small modules

Cause: the first version chose groups in turn, had no retries, no time limits, no resumption and no limits. Change: exchanges are written through undici's dispatch handlers, so that the grant is checked in the step of the write; events are found by scanning bytes; a broken stream resumes from the events delivered; groups are chosen by a table of strategies with affinity and stragglers; requests wait in a fair queue.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -64,6 +64,7 @@
             directory: this.#membership.directory,
             table: this.#table,
             backendKey: keys.backendServers,
+            knownDaemonCount: daemons.filter((daemon) => !daemon.controlOnly).length,
         });
         this.#surface = new HttpSurface({
             context,
--- a/packages/routing/src/dispatcher.ts
+++ b/packages/routing/src/dispatcher.ts
@@ -1,143 +1,148 @@
-import { type Context, ErrorCode, GreengageError, Invariant, monotonicMs, Verdict } from "@greengage/base";
+import { type Context, ErrorCode, GreengageError, Lifecycle, monotonicMs, Verdict } from "@greengage/base";
 import type { GroupDirectory } from "@greengage/membership";
-import type { GroupView, ServiceView } from "@greengage/protocol";
 import type { TableState } from "@greengage/table";
-import { Agent, type Dispatcher as HttpDispatcher, request } from "undici";
+import { Admission, DEFAULT_QUEUE_LIMITS, type QueueLimits } from "./admission.ts";
+import { RetryBudget } from "./budget.ts";
+import { Cancellation } from "./cancellation.ts";
+import { Chooser } from "./chooser.ts";
+import { Generation } from "./generation.ts";
+import { OrganisationLimits } from "./limits.ts";
+import { GroupLoads } from "./loads.ts";
+import { Pools } from "./pools.ts";
+import { ServiceCalls } from "./servicecalls.ts";
+import { StallWatch } from "./stall.ts";
+import type { StrategyName } from "./strategies.ts";
+import { DEFAULT_STREAM_LIMITS, type StreamLimits } from "./stream.ts";
 import type { Dispatcher, EventSink, GenerateRequest, ServiceCall, ServiceResponse } from "./types.ts";
 
-const RETRY_AFTER_MS = 1_000;
-const END_MARKER = "data: [DONE]\n\n";
+const IDLE_CHECK_MS = 10_000;
+const METRICS_MS = 1_000;
 
-export interface HttpDispatcherOptions {
+export interface BackendDispatcherOptions {
     context: Context;
     directory: GroupDirectory;
-    table: TableState;
+    table: Pick<TableState, "organisation">;
     /** Key that backend servers expect with requests. */
     backendKey: string;
+    /** Daemons that take requests, for limits without shares. Default: those that hold grants of the own zone. */
+    knownDaemonCount?: number;
+    /** Default: `twoChoices`. */
+    strategy?: StrategyName;
+    /** Default: true. */
+    affinity?: boolean;
+    /** False serves requests in the order of arrival. Default: true. */
+    isFair?: boolean;
+    streamLimits?: Partial<StreamLimits>;
+    queueLimits?: Partial<QueueLimits>;
 }
 
 /** Sends requests to backend servers over HTTP. */
 export class BackendDispatcher implements Dispatcher {
-    readonly #options: HttpDispatcherOptions;
-    readonly #agent: HttpDispatcher = new Agent({ pipelining: 1, connections: 512 });
-    #next = 0;
+    readonly #options: BackendDispatcherOptions;
+    readonly #lifecycle = new Lifecycle();
+    readonly #pools = new Pools();
+    readonly #budget = new RetryBudget();
+    readonly #loads = new GroupLoads();
+    readonly #watch = new StallWatch(this.#lifecycle);
+    readonly #streamLimits: StreamLimits;
+    readonly #limits: OrganisationLimits;
+    readonly #chooser: Chooser;
+    readonly #admission: Admission;
+    readonly #services: ServiceCalls;
 
-    constructor(options: HttpDispatcherOptions) {
+    constructor(options: BackendDispatcherOptions) {
         this.#options = options;
+        const { context, directory, table, backendKey } = options;
+        const { strategy, affinity, isFair, knownDaemonCount } = options;
+        this.#streamLimits = { ...DEFAULT_STREAM_LIMITS, ...options.streamLimits };
+        this.#limits = new OrganisationLimits({
+            share: (organisation) => directory.share(organisation),
+            limit: (organisation) => table.organisation(organisation),
+            daemonCount: () => knownDaemonCount ?? directory.daemonCount(context.zone),
+        });
+        directory.setDemandSource(() => this.#limits.demand());
+        this.#chooser = new Chooser({ loads: this.#loads, zone: context.zone, strategy, affinity });
+        const limits = { ...DEFAULT_QUEUE_LIMITS, ...options.queueLimits };
+        this.#admission = new Admission({
+            directory,
+            loads: this.#loads,
+            chooser: this.#chooser,
+            limits,
+            isFair,
+        });
+        this.#services = new ServiceCalls({
+            context,
+            directory,
+            budget: this.#budget,
+            pools: this.#pools,
+            backendKey,
+        });
+        this.#lifecycle.onClose(() => this.#pools.close());
+        this.#lifecycle.onClose(() => this.#admission.close());
+        this.#lifecycle.every(IDLE_CHECK_MS, () => this.#pools.closeIdle(monotonicMs()), () => undefined);
+        this.#lifecycle.every(METRICS_MS, () => this.#report(), () => undefined);
     }
 
     close(): Promise<void> {
-        return this.#agent.close();
+        return this.#lifecycle.close();
     }
 
-    async generate(call: GenerateRequest, sink: EventSink, signal: AbortSignal): Promise<void> {
-        const group = this.#chooseGroup(call.model);
-        const { context, directory } = this.#options;
-        const isAllowed = directory.isServing(group.zone, group.groupId, group.generation);
-        context.invariants.check(
-            Invariant.WholeGroupServes,
-            isAllowed,
-            () => `dispatch to group ${group.groupId}`,
-        );
-        const response = await request(`${group.leaderUrl}/v1/chat/completions`, {
-            method: "POST",
-            dispatcher: this.#agent,
-            signal,
-            headers: {
-                "content-type": "application/json",
-                authorization: `Bearer ${this.#options.backendKey}`,
-                "x-request-id": call.requestId,
-                "x-deadline-ms": String(Math.max(0, Math.round(call.deadlineAtMs - monotonicMs()))),
-                "x-group-id": group.groupId,
-                "x-group-generation": String(group.generation),
-            },
-            body: JSON.stringify({ ...call.body, stream: true }),
-        });
-        if (response.statusCode !== 200 || response.headers["x-request-id"] !== call.requestId) {
-            response.body.destroy();
-            throw backendFailed(
-                `group ${group.groupId} answered with status ${response.statusCode}`,
-                Verdict.NotRun,
-            );
-        }
-        await this.#relay(response.body, sink, group);
+    admit(organisation: string): () => void {
+        return this.#limits.admit(organisation);
     }
 
-    async callService(call: ServiceCall, signal: AbortSignal): Promise<ServiceResponse> {
-        const server = this.#chooseServer(call.service);
-        if (call.mayStillSend?.() === false) {
-            throw new GreengageError("the time to send the call has passed", {
-                code: ErrorCode.Timeout,
-                verdict: Verdict.NotRun,
-            });
+    async generate(request: GenerateRequest, sink: EventSink, signal: AbortSignal): Promise<void> {
+        const release = this.admit(request.organisation);
+        this.#budget.countRequest(monotonicMs());
+        const cancellation = new Cancellation(signal, request.deadlineAtMs);
+        try {
+            const row = this.#options.table.organisation(request.organisation);
+            const party = {
+                organisation: request.organisation,
+                weight: row?.weight ?? 1,
+                priority: row?.priority ?? 5,
+            };
+            const parts = {
+                context: this.#options.context,
+                directory: this.#options.directory,
+                admission: this.#admission,
+                chooser: this.#chooser,
+                loads: this.#loads,
+                budget: this.#budget,
+                pools: this.#pools,
+                watch: this.#watch,
+                limits: this.#streamLimits,
+                backendKey: this.#options.backendKey,
+            };
+            await new Generation(parts, request, party, sink, cancellation).run();
         }
-        const response = await request(server.url + call.path, {
-            method: call.method as HttpDispatcher.HttpMethod,
-            dispatcher: this.#agent,
-            signal,
-            headers: {
-                ...call.headers,
-                authorization: `Bearer ${this.#options.backendKey}`,
-                "x-request-id": call.requestId,
-            },
-            body: call.body.length > 0 ? call.body : undefined,
-        }).catch((error: unknown) => {
-            throw backendFailed(`call to service ${call.service} failed`, Verdict.MayHaveRun, error);
-        });
-        const body = new Uint8Array(await response.body.arrayBuffer());
-        if (response.headers["x-request-id"] !== call.requestId) {
-            throw backendFailed("the backend server answered another request", Verdict.MayHaveRun);
+        finally {
+            cancellation.close();
+            release();
         }
-        const headers = {
-            "content-type": String(response.headers["content-type"] ?? "application/octet-stream"),
-        };
-        return { status: response.statusCode, headers, body, verdict: Verdict.Ran };
     }
 
-    #chooseGroup(model: string): GroupView {
-        const groups = this.#options.directory.servingGroups(model);
-        const group = groups[this.#next++ % Math.max(1, groups.length)];
-        if (group === undefined) {
-            throw noCapacity(`no replica group serves model ${model}`);
+    async callService(call: ServiceCall, signal: AbortSignal): Promise<ServiceResponse> {
+        // The caller of a non-idempotent call has admitted it before it recorded the intent.
+        const release = call.nonIdempotent ? () => undefined : this.admit(call.organisation);
+        this.#budget.countRequest(monotonicMs());
+        const cancellation = new Cancellation(signal, call.deadlineAtMs);
+        try {
+            if (cancellation.kind !== undefined) {
+                throw new GreengageError("the call ended before it was sent", {
+                    code: ErrorCode.Timeout,
+                    verdict: Verdict.NotRun,
+                });
+            }
+            return await this.#services.run(call, cancellation);
         }
-        return group;
-    }
-
-    #chooseServer(service: string): ServiceView {
-        const servers = this.#options.directory.services(service);
-        const server = servers[this.#next++ % Math.max(1, servers.length)];
-        if (server === undefined) {
-            throw noCapacity(`no backend server offers service ${service}`);
+        finally {
+            cancellation.close();
+            release();
         }
-        return server;
     }
 
-    async #relay(body: AsyncIterable<Uint8Array>, sink: EventSink, group: GroupView): Promise<void> {
-        let tail = "";
-        for await (const chunk of body) {
-            tail = (tail + Buffer.from(chunk).toString("latin1")).slice(-END_MARKER.length);
-            const isEnd = tail === END_MARKER;
-            const events = isEnd ? chunk.subarray(0, chunk.length - END_MARKER.length) : chunk;
-            if (events.length > 0 && !sink.write(events)) {
-                await sink.drained();
-            }
-            if (isEnd) {
-                return;
-            }
-        }
-        throw backendFailed(
-            `group ${group.groupId} ended its stream without the end marker`,
-            Verdict.MayHaveRun,
-        );
+    #report(): void {
+        this.#options.context.metrics.gauge("generation.waiting", this.#admission.waitingCount);
     }
 }
-
-const backendFailed = (message: string, verdict: Verdict, cause?: unknown): GreengageError =>
-    new GreengageError(message, { code: ErrorCode.BackendFailed, verdict, cause });
-
-const noCapacity = (message: string): GreengageError =>
-    new GreengageError(message, {
-        code: ErrorCode.NoCapacity,
-        verdict: Verdict.NotRun,
-        retryAfterMs: RETRY_AFTER_MS,
-    });
--- a/packages/routing/src/types.ts
+++ b/packages/routing/src/types.ts
@@ -47,6 +47,12 @@
 
 /** Runs requests of callers on backend servers. */
 export interface Dispatcher {
+    /**
+     * Counts a request against the limits of its organisation and returns the function that ends it.
+     * Throws `limit-reached` with verdict `notRun`. `generate` and idempotent `callService` do this themselves.
+     */
+    admit(organisation: string): () => void;
+
     /** Resolves when the whole answer has been written. Throws a GreengageError otherwise. */
     generate(request: GenerateRequest, sink: EventSink, signal: AbortSignal): Promise<void>;
 
