Rebuild action records with bounds, voided attempts and a background recorder

Cause: records grew without bound, a copied intent of a finished attempt was accepted again, and an outcome was dropped when the leader was lost.

--- a/packages/actions/src/index.ts
+++ b/packages/actions/src/index.ts
@@ -1,2 +1,3 @@
+export * from "./commands.ts";
 export * from "./records.ts";
 export * from "./service.ts";
--- a/packages/actions/src/records.ts
+++ b/packages/actions/src/records.ts
@@ -1,78 +1,71 @@
 import type { Command, StateMachine } from "@greengage/consensus";
 import { decode, encode } from "@greengage/protocol";
-
-export const ActionOutcome = {
-    Ran: "ran",
-    NotRun: "notRun",
-    SettledRan: "settledRan",
-    SettledNotRun: "settledNotRun",
-} as const;
-
-export type ActionOutcome = typeof ActionOutcome[keyof typeof ActionOutcome];
-
-/** The one attempt at a non-idempotent call that may be sent. */
-export interface ActionRecord {
-    organisation: string;
-    /** The caller's idempotency key. */
-    key: string;
-    /** SHA-256 of method, path and body. */
-    bodyHash: string;
-    service: string;
-    attemptId: string;
-    daemonId: string;
-    /** Wall clock of the daemon, for operators only. */
-    atMs: number;
-    /** Missing while the outcome is unknown. */
-    outcome?: ActionOutcome;
-    status?: number;
-    contentType?: string;
-    body?: Uint8Array;
-    settledBy?: string;
-    reason?: string;
-}
-
-export type IntentCommand = { type: "action.intent"; } & Omit<ActionRecord, "outcome" | "status" | "body">;
-
-export interface OutcomeCommand {
-    type: "action.outcome";
-    organisation: string;
-    key: string;
-    attemptId: string;
-    outcome: "ran" | "notRun";
-    status?: number;
-    contentType?: string;
-    body?: Uint8Array;
+import {
+    type ActionCommand,
+    ActionOutcome,
+    type ActionRecord,
+    type IntentCommand,
+    type IntentResult,
+    type OutcomeCommand,
+    type OutcomeResult,
+    type SettleCommand,
+    type SettleResult,
+} from "./commands.ts";
+import { SpentKeys } from "./spent.ts";
+
+/** Bounds of the records. All daemons use the same ones, because the records are replicated. */
+export interface RecordBounds {
+    /** Records with an outcome that are kept in full. Default: 20000. */
+    finished: number;
+    /** Records without an outcome; beyond it new actions are refused as not run. Default: 10000. */
+    unknown: number;
+    /** Bodies of answers, over all records. Default: 32 MiB. */
+    bodyBytes: number;
+    /** Attempts that were given up. Default: 10000. */
+    voided: number;
+    /** Keys of dropped records; beyond it new actions are refused as not run. Default: 12000000. */
+    spent?: number;
 }
 
-export interface SettleCommand {
-    type: "action.settle";
-    organisation: string;
-    key: string;
-    outcome: "settledRan" | "settledNotRun";
-    operator: string;
-    reason: string;
-}
-
-export type IntentResult =
-    | { kind: "accepted"; }
-    | { kind: "refused"; }
-    | { kind: "exists"; record: ActionRecord; };
-
-type ActionCommand = IntentCommand | OutcomeCommand | SettleCommand;
+export const DEFAULT_BOUNDS: RecordBounds = {
+    finished: 20_000,
+    unknown: 10_000,
+    bodyBytes: 32 * 1024 * 1024,
+    voided: 10_000,
+};
 
 const recordKey = (organisation: string, key: string): string => `${organisation}\n${key}`;
 
-/** Records of non-idempotent calls as every daemon holds them. Changes come from the replicated log alone. */
+/**
+ * Records of non-idempotent calls as every daemon holds them. Changes come from the replicated log alone.
+ *
+ * A record without an outcome is kept until it gets one. Of the records with one, the newest are kept in full;
+ * of an older one that ran or was settled, 64 bits of its key remain for ever, so that the key never runs again;
+ * an older one that was not run is dropped, because its key is free. When all bounds are reached, new keys are
+ * refused as not run.
+ */
 export class ActionRecords implements StateMachine {
-    #records = new Map<string, ActionRecord>();
+    readonly #bounds: RecordBounds;
+    /** In the order in which they were recorded or finished. */
+    #unknown = new Map<string, ActionRecord>();
+    #finished = new Map<string, ActionRecord>();
+    /** Records in `#finished` that have a body, oldest first. */
+    #withBody = new Map<string, number>();
+    #bodyBytes = 0;
     #voidedAttempts = new Set<string>();
+    readonly #spent: SpentKeys;
 
     readonly #handlers = {
         "action.intent": (command: IntentCommand): IntentResult => this.#intent(command),
-        "action.outcome": (command: OutcomeCommand): boolean => this.#outcome(command),
-        "action.settle": (command: SettleCommand): boolean => this.#settle(command),
+        "action.outcome": (command: OutcomeCommand): OutcomeResult => this.#outcome(command),
+        "action.settle": (command: SettleCommand): SettleResult => this.#settle(command),
     };
 
+    constructor(bounds: Partial<RecordBounds> = {}) {
+        this.#bounds = { ...DEFAULT_BOUNDS, ...bounds };
+        this.#spent = new SpentKeys(this.#bounds.spent);
+    }
+
     apply(_: number, command: Command): unknown {
         const action = command as ActionCommand;
         const handler = this.#handlers[action.type] as (command: ActionCommand) => unknown;
@@ -80,66 +73,174 @@
     }
 
     snapshot(): Uint8Array {
-        return encode({ records: [...this.#records.values()], voidedAttempts: [...this.#voidedAttempts] });
+        return encode({
+            unknown: [...this.#unknown.values()],
+            finished: [...this.#finished.values()],
+            voidedAttempts: [...this.#voidedAttempts],
+            spent: this.#spent.toBytes(),
+        });
     }
 
     restore(bytes: Uint8Array): void {
-        const snapshot = decode(bytes) as { records: ActionRecord[]; voidedAttempts: string[]; };
-        this.#records = new Map(
-            snapshot.records.map((record) => [recordKey(record.organisation, record.key), record]),
-        );
+        const snapshot = decode(bytes) as {
+            unknown: ActionRecord[];
+            finished: ActionRecord[];
+            voidedAttempts: string[];
+            spent: Uint8Array;
+        };
+        this.#unknown = new Map(snapshot.unknown.map((record) => [keyOf(record), record]));
+        this.#finished = new Map();
+        this.#withBody = new Map();
+        this.#bodyBytes = 0;
+        for (const record of snapshot.finished) {
+            this.#keep(record);
+        }
         this.#voidedAttempts = new Set(snapshot.voidedAttempts);
+        this.#spent.restore(snapshot.spent);
     }
 
     get(organisation: string, key: string): ActionRecord | undefined {
-        return this.#records.get(recordKey(organisation, key));
+        const id = recordKey(organisation, key);
+        return this.#unknown.get(id) ?? this.#finished.get(id);
+    }
+
+    /** Whether the key was used and its record has been dropped. */
+    isSpent(organisation: string, key: string): boolean {
+        return this.#spent.has(organisation, key);
     }
 
     /** Records without an outcome, oldest first. */
     unknownOutcomes(): ActionRecord[] {
-        return [...this.#records.values()].filter((record) => record.outcome === undefined);
+        return [...this.#unknown.values()];
+    }
+
+    /** Numbers of records by kind, for status and metrics. */
+    counts(): { unknown: number; finished: number; spent: number; voided: number; bodyBytes: number; } {
+        return {
+            unknown: this.#unknown.size,
+            finished: this.#finished.size,
+            spent: this.#spent.size,
+            voided: this.#voidedAttempts.size,
+            bodyBytes: this.#bodyBytes,
+        };
     }
 
     #intent(command: IntentCommand): IntentResult {
-        const key = recordKey(command.organisation, command.key);
-        const existing = this.#records.get(key);
-        if (this.#voidedAttempts.has(command.attemptId)) {
+        const { type: _, ...record } = command;
+        const { organisation, key, attemptId } = record;
+        const existing = this.get(organisation, key);
+        if (this.#voidedAttempts.has(attemptId)) {
             return { kind: "refused" };
         }
-        if (existing?.attemptId === command.attemptId) {
-            return { kind: "accepted" };
+        if (existing?.attemptId === attemptId) {
+            // The same intent again. An attempt with an outcome must not send a second time.
+            return existing.outcome === undefined ? { kind: "accepted" } : { kind: "refused" };
         }
         if (existing !== undefined && existing.outcome !== ActionOutcome.NotRun) {
             return { kind: "exists", record: existing };
         }
-        const { type: _, ...record } = command;
-        this.#records.set(key, record);
+        if (this.#spent.has(organisation, key)) {
+            return { kind: "spent" };
+        }
+        if (this.#unknown.size >= this.#bounds.unknown || this.#spent.isFull) {
+            return { kind: "full" };
+        }
+        this.#drop(recordKey(organisation, key));
+        this.#unknown.set(recordKey(organisation, key), record);
         return { kind: "accepted" };
     }
 
-    #outcome(command: OutcomeCommand): boolean {
-        const key = recordKey(command.organisation, command.key);
-        const record = this.#records.get(key);
-        if (record?.attemptId !== command.attemptId) {
-            this.#voidedAttempts.add(command.attemptId);
-            return false;
+    #outcome(command: OutcomeCommand): OutcomeResult {
+        const { organisation, key, attemptId, outcome, status, contentType, body } = command;
+        if (outcome === ActionOutcome.NotRun) {
+            // A copy of the intent that commits later finds the attempt voided.
+            this.#void(attemptId);
+        }
+        const record = this.get(organisation, key);
+        if (record?.attemptId !== attemptId) {
+            return { kind: "voided", record };
         }
         if (record.outcome !== undefined) {
-            return false;
+            return { kind: "known", record };
         }
-        const { outcome, status, contentType, body } = command;
-        this.#records.set(key, { ...record, outcome, status, contentType, body });
-        return true;
+        this.#finish({ ...record, outcome, status, contentType, body });
+        return { kind: "recorded" };
     }
 
-    #settle(command: SettleCommand): boolean {
-        const key = recordKey(command.organisation, command.key);
-        const record = this.#records.get(key);
-        if (record === undefined || record.outcome !== undefined) {
-            return false;
+    #settle(command: SettleCommand): SettleResult {
+        const { organisation, key, attemptId, outcome, operator, reason } = command;
+        const record = this.get(organisation, key);
+        if (record === undefined || record.attemptId !== attemptId) {
+            return { kind: "missing" };
         }
-        const { outcome, operator, reason } = command;
-        this.#records.set(key, { ...record, outcome, settledBy: operator, reason });
-        return true;
+        if (record.outcome !== undefined) {
+            return { kind: "known", record };
+        }
+        this.#finish({ ...record, outcome, settledBy: operator, reason });
+        return { kind: "settled" };
+    }
+
+    #void(attemptId: string): void {
+        this.#voidedAttempts.add(attemptId);
+        if (this.#voidedAttempts.size > this.#bounds.voided) {
+            // Without its tombstone, a very late intent leaves a record without outcome, which blocks its key.
+            const [oldest] = this.#voidedAttempts;
+            this.#voidedAttempts.delete(oldest as string);
+        }
+    }
+
+    #finish(record: ActionRecord): void {
+        this.#unknown.delete(keyOf(record));
+        this.#keep(record);
+        if (this.#finished.size > this.#bounds.finished) {
+            this.#dropOldest();
+        }
+        this.#dropOldBodies();
+    }
+
+    #keep(record: ActionRecord): void {
+        const id = keyOf(record);
+        this.#finished.set(id, record);
+        if (record.body !== undefined) {
+            this.#withBody.set(id, record.body.length);
+            this.#bodyBytes += record.body.length;
+        }
+    }
+
+    #dropOldest(): void {
+        const [oldest] = this.#finished;
+        if (oldest === undefined) {
+            return;
+        }
+        const [id, record] = oldest;
+        this.#drop(id);
+        if (record.outcome !== ActionOutcome.NotRun) {
+            this.#spent.add(record.organisation, record.key);
+        }
+    }
+
+    #dropOldBodies(): void {
+        for (const id of this.#withBody.keys()) {
+            if (this.#bodyBytes <= this.#bounds.bodyBytes) {
+                return;
+            }
+            const record = this.#finished.get(id);
+            this.#forgetBody(id);
+            if (record !== undefined) {
+                this.#finished.set(id, { ...record, body: undefined });
+            }
+        }
+    }
+
+    #drop(id: string): void {
+        this.#finished.delete(id);
+        this.#forgetBody(id);
+    }
+
+    #forgetBody(id: string): void {
+        this.#bodyBytes -= this.#withBody.get(id) ?? 0;
+        this.#withBody.delete(id);
     }
 }
+
+const keyOf = (record: ActionRecord): string => recordKey(record.organisation, record.key);
--- a/packages/actions/src/service.ts
+++ b/packages/actions/src/service.ts
@@ -2,8 +2,7 @@
     type Context,
     ErrorCode,
     GreengageError,
-    LogPart,
-    messageOf,
+    Invariant,
     monotonicMs,
     newId,
     Verdict,
@@ -11,50 +10,129 @@
 import type { ReplicatedLog } from "@greengage/consensus";
 import type { Dispatcher, ServiceCall, ServiceResponse } from "@greengage/routing";
 import { createHash } from "node:crypto";
-import { ActionOutcome, type ActionRecord, type IntentResult, type OutcomeCommand } from "./records.ts";
+import {
+    ActionOutcome,
+    type ActionRecord,
+    type IntentResult,
+    type OutcomeCommand,
+    type SettleCommand,
+    type SettleResult,
+} from "./commands.ts";
+import { OutcomeRecorder } from "./outcomes.ts";
+import type { ActionRecords } from "./records.ts";
+import { answerForSpentKey, answerFromRecord } from "./replay.ts";
 
 /** A call is sent within this time after its intent was proposed, or never. */
 const SEND_WINDOW_MS = 2_000;
 const INTENT_TIMEOUT_MS = 1_500;
-const OUTCOME_TIMEOUT_MS = 5_000;
+/** The caller waits this long for its outcome to be recorded; then the recording goes on without it. */
+const OUTCOME_WAIT_MS = 2_000;
+const SETTLE_TIMEOUT_MS = 5_000;
+/** Larger answers are passed on, and not kept for replays. */
+const KEPT_BODY_BYTES = 16 * 1024;
+const RETRY_AFTER_MS = 1_000;
 
 export interface ActionServiceOptions {
     context: Context;
     log: ReplicatedLog;
-    dispatcher: Dispatcher;
+    /** This daemon's copy of the records. */
+    records: ActionRecords;
+    dispatcher: Pick<Dispatcher, "admit" | "callService">;
+}
+
+interface Attempt {
+    call: ServiceCall;
+    key: string;
+    attemptId: string;
+    proposedAtMs: number;
 }
 
+/** What an operator decides about an action whose outcome is unknown. */
+export type Settlement = Omit<SettleCommand, "type">;
+
 /** Runs non-idempotent calls at most once per idempotency key. */
 export class ActionService {
     readonly #options: ActionServiceOptions;
+    readonly #outcomes: OutcomeRecorder;
 
     constructor(options: ActionServiceOptions) {
         this.#options = options;
+        this.#outcomes = new OutcomeRecorder(options.context, options.log);
+    }
+
+    /** Waits a limited time until pending outcomes are recorded. Close it before the replicated log. */
+    close(): Promise<void> {
+        return this.#outcomes.close();
     }
 
     /** Runs the call, or returns the answer of the earlier call with the same key. Throws a GreengageError. */
     async run(call: ServiceCall, key: string, signal: AbortSignal): Promise<ServiceResponse> {
         const bodyHash = createHash("sha256").update(`${call.method} ${call.path}\n`).update(call.body)
             .digest("hex");
-        const attemptId = newId();
-        const proposedAtMs = monotonicMs();
-        const intent = await this.#recordIntent(call, key, bodyHash, attemptId);
-        if (intent.kind === "exists") {
-            return answerFromRecord(intent.record, bodyHash);
+        const known = this.#options.records.get(call.organisation, key);
+        if (known?.outcome !== undefined && known.outcome !== ActionOutcome.NotRun) {
+            // An outcome is final. A refusal for another reason would tell the caller that its action was not run.
+            return answerFromRecord(known, bodyHash);
         }
-        if (intent.kind === "refused") {
-            throw notRun("the attempt was given up");
+        const release = this.#options.dispatcher.admit(call.organisation);
+        try {
+            const attempt = { call, key, attemptId: newId(), proposedAtMs: monotonicMs() };
+            const intent = await this.#recordIntent(attempt, bodyHash);
+            return intent.kind === "accepted"
+                ? await this.#send(attempt, signal)
+                : this.#withoutSending(intent, bodyHash);
+        }
+        finally {
+            release();
         }
-        return await this.#send(call, key, attemptId, proposedAtMs, signal);
     }
 
-    async #recordIntent(
-        call: ServiceCall,
-        key: string,
-        bodyHash: string,
-        attemptId: string,
-    ): Promise<IntentResult> {
+    /** Actions without an outcome that this daemon knows of, oldest first. */
+    listUnknown(): ActionRecord[] {
+        return this.#options.records.unknownOutcomes();
+    }
+
+    /** Settles an action whose outcome is unknown. Its key is never sent again. Repeating it is harmless. */
+    async settle(settlement: Settlement): Promise<SettleResult> {
+        if (settlement.reason.trim() === "" || settlement.operator.trim() === "") {
+            throw new GreengageError("a settlement needs an operator and a reason", {
+                code: ErrorCode.Invalid,
+                verdict: Verdict.NotRun,
+            });
+        }
+        const command: SettleCommand = { type: "action.settle", ...settlement };
+        const { result } = await this.#options.log.propose(command, { timeoutMs: SETTLE_TIMEOUT_MS });
+        const settled = result as SettleResult;
+        const { organisation, key, outcome, operator, reason } = settlement;
+        this.#options.context.timeline.record("actions", `action.settle.${settled.kind}`, {
+            organisation,
+            key,
+            outcome,
+            operator,
+            reason,
+        });
+        return settled;
+    }
+
+    #withoutSending(intent: IntentResult, bodyHash: string): ServiceResponse {
+        const handlers = {
+            accepted: () => answerForSpentKey(),
+            refused: () => {
+                throw notRun("the attempt was given up");
+            },
+            spent: () => answerForSpentKey(),
+            full: () => {
+                throw notRun("there is no room for the record of a new action; settle unknown outcomes");
+            },
+        };
+        return intent.kind === "exists"
+            ? answerFromRecord(intent.record, bodyHash)
+            : handlers[intent.kind]();
+    }
+
+    async #recordIntent(attempt: Attempt, bodyHash: string): Promise<IntentResult> {
         const { context, log } = this.#options;
+        const { call, key, attemptId } = attempt;
         const command = {
             type: "action.intent",
             organisation: call.organisation,
@@ -70,90 +148,94 @@
             return result as IntentResult;
         }
         catch (error) {
-            // Nothing was sent, and nothing will be under this attempt id.
-            await this.#recordOutcome(call, key, attemptId, { outcome: ActionOutcome.NotRun });
-            throw notRun("the action could not be recorded", error);
+            if (error instanceof GreengageError && error.verdict === Verdict.NotRun) {
+                throw notRun("the action could not be recorded", error);
+            }
+            return await this.#voidIntent(attempt, error);
         }
     }
 
-    async #send(
-        call: ServiceCall,
-        key: string,
-        attemptId: string,
-        proposedAtMs: number,
-        signal: AbortSignal,
-    ): Promise<ServiceResponse> {
-        const mayStillSend = (): boolean => monotonicMs() - proposedAtMs < SEND_WINDOW_MS;
+    /** The intent may have been committed. It is never sent; the key is free only once that is recorded. */
+    async #voidIntent(attempt: Attempt, cause: unknown): Promise<IntentResult> {
+        const result = await this.#outcomes.record(
+            this.#outcome(attempt, { outcome: ActionOutcome.NotRun }),
+            OUTCOME_WAIT_MS,
+        );
+        if (result === undefined) {
+            throw new GreengageError("the action could not be recorded, and its key is not free yet", {
+                code: ErrorCode.OutcomeUnknown,
+                verdict: Verdict.MayHaveRun,
+                retryAfterMs: RETRY_AFTER_MS,
+                cause,
+            });
+        }
+        const holder = result.kind === "voided" ? result.record : undefined;
+        if (holder !== undefined && holder.outcome !== ActionOutcome.NotRun) {
+            return { kind: "exists", record: holder };
+        }
+        throw notRun("the action could not be recorded", cause);
+    }
+
+    async #send(attempt: Attempt, signal: AbortSignal): Promise<ServiceResponse> {
+        const { call } = attempt;
+        const mayStillSend = (): boolean => this.#mayStillSend(attempt);
         let response: ServiceResponse;
         try {
             response = await this.#options.dispatcher.callService({ ...call, mayStillSend }, signal);
         }
         catch (error) {
             if (error instanceof GreengageError && error.verdict === Verdict.NotRun) {
-                await this.#recordOutcome(call, key, attemptId, { outcome: ActionOutcome.NotRun });
+                const outcome = this.#outcome(attempt, { outcome: ActionOutcome.NotRun });
+                await this.#outcomes.record(outcome, OUTCOME_WAIT_MS);
             }
             throw error;
         }
-        await this.#recordOutcome(call, key, attemptId, {
+        const isKept = response.body.length <= KEPT_BODY_BYTES;
+        const outcome = this.#outcome(attempt, {
             outcome: ActionOutcome.Ran,
             status: response.status,
             contentType: response.headers["content-type"],
-            body: response.body,
+            body: isKept ? response.body : undefined,
         });
+        const result = await this.#outcomes.record(outcome, OUTCOME_WAIT_MS);
+        this.#checkRan(attempt, result?.kind === "known" ? result.record : undefined);
         return response;
     }
 
-    async #recordOutcome(
-        call: ServiceCall,
-        key: string,
-        attemptId: string,
-        outcome: Pick<OutcomeCommand, "outcome" | "status" | "contentType" | "body">,
-    ): Promise<void> {
-        const { context, log } = this.#options;
-        const command = {
-            type: "action.outcome",
-            organisation: call.organisation,
-            key,
-            attemptId,
-            ...outcome,
-        };
-        try {
-            await log.propose(command, { timeoutMs: OUTCOME_TIMEOUT_MS });
-        }
-        catch (error) {
-            context.logs(LogPart.Actions).warn("could not record the outcome of an action", {
-                key,
-                reason: messageOf(error),
-            });
+    /** Checked in the same step as the write. */
+    #mayStillSend(attempt: Attempt): boolean {
+        if (monotonicMs() - attempt.proposedAtMs >= SEND_WINDOW_MS) {
+            return false;
         }
+        const record = this.#options.records.get(attempt.call.organisation, attempt.key);
+        const isSettled = record?.attemptId === attempt.attemptId && record.outcome !== undefined;
+        return !isSettled;
     }
-}
 
-const answerFromRecord = (record: ActionRecord, bodyHash: string): ServiceResponse => {
-    if (record.bodyHash !== bodyHash) {
-        throw new GreengageError("the idempotency key was used with another request", {
-            code: ErrorCode.KeyReused,
-            verdict: Verdict.NotRun,
-        });
+    #checkRan(attempt: Attempt, known: ActionRecord | undefined): void {
+        this.#options.context.invariants.check(
+            Invariant.NotRunIsTrue,
+            known?.outcome !== ActionOutcome.NotRun,
+            () => `action ${attempt.key} ran and is recorded as not run`,
+        );
+        if (known?.outcome === ActionOutcome.SettledNotRun) {
+            const { key, attemptId } = attempt;
+            this.#options.context.timeline.record("actions", "action.ranAfterSettlement", { key, attemptId });
+        }
     }
-    if (record.outcome !== ActionOutcome.Ran) {
-        throw new GreengageError("an earlier attempt with this idempotency key may have run", {
-            code: ErrorCode.OutcomeUnknown,
-            verdict: Verdict.MayHaveRun,
-        });
+
+    #outcome(
+        { call, key, attemptId }: Attempt,
+        fields: Pick<OutcomeCommand, "outcome" | "status" | "contentType" | "body">,
+    ): OutcomeCommand {
+        return { type: "action.outcome", organisation: call.organisation, key, attemptId, ...fields };
     }
-    return {
-        status: record.status ?? 200,
-        headers: { "content-type": record.contentType ?? "application/octet-stream" },
-        body: record.body ?? new Uint8Array(),
-        verdict: Verdict.Ran,
-    };
-};
+}
 
 const notRun = (message: string, cause?: unknown): GreengageError =>
     new GreengageError(message, {
         code: ErrorCode.Unavailable,
         verdict: Verdict.NotRun,
-        retryAfterMs: 1_000,
+        retryAfterMs: RETRY_AFTER_MS,
         cause,
     });
--- /dev/null
+++ b/packages/actions/src/spent.ts
@@ -0,0 +1,83 @@
+import { createHash } from "node:crypto";
+
+/** 8 bytes a key at up to 3/4 full: at most 128 MiB. */
+const DEFAULT_CAPACITY = 12_000_000;
+const FIRST_SLOTS = 1_024;
+
+/** 64 bits of SHA-256. Two keys with equal bits only make the later one be refused. */
+const digestOf = (organisation: string, key: string): bigint => {
+    const digest = createHash("sha256").update(`${organisation}\n${key}`).digest();
+    // 0 marks a free slot.
+    return digest.readBigUInt64LE(0) || 1n;
+};
+
+/** Keys whose records were dropped. They are never sent again. Holds 8 bytes a key. */
+export class SpentKeys {
+    readonly #capacity: number;
+    #slots = new BigUint64Array(FIRST_SLOTS);
+    #size = 0;
+
+    constructor(capacity: number = DEFAULT_CAPACITY) {
+        this.#capacity = capacity;
+    }
+
+    get size(): number {
+        return this.#size;
+    }
+
+    get isFull(): boolean {
+        return this.#size >= this.#capacity;
+    }
+
+    has(organisation: string, key: string): boolean {
+        const digest = digestOf(organisation, key);
+        return this.#slots[this.#slotOf(digest)] === digest;
+    }
+
+    add(organisation: string, key: string): void {
+        this.#insert(digestOf(organisation, key));
+    }
+
+    /** Digests in ascending order, so that equal sets give equal snapshots. */
+    toBytes(): Uint8Array {
+        const digests = this.#slots.filter((digest) => digest !== 0n).sort();
+        return new Uint8Array(digests.buffer);
+    }
+
+    restore(bytes: Uint8Array): void {
+        this.#slots = new BigUint64Array(FIRST_SLOTS);
+        this.#size = 0;
+        // The bytes of a decoded message may start anywhere in a larger buffer.
+        for (const digest of new BigUint64Array(Uint8Array.from(bytes).buffer)) {
+            this.#insert(digest);
+        }
+    }
+
+    #insert(digest: bigint): void {
+        if (this.#size * 4 >= this.#slots.length * 3) {
+            this.#grow();
+        }
+        const slot = this.#slotOf(digest);
+        this.#size += this.#slots[slot] === 0n ? 1 : 0;
+        this.#slots[slot] = digest;
+    }
+
+    #slotOf(digest: bigint): number {
+        const mask = this.#slots.length - 1;
+        let slot = Number(digest & BigInt(mask));
+        while (this.#slots[slot] !== 0n && this.#slots[slot] !== digest) {
+            slot = (slot + 1) & mask;
+        }
+        return slot;
+    }
+
+    #grow(): void {
+        const earlier = this.#slots;
+        this.#slots = new BigUint64Array(earlier.length * 2);
+        for (const digest of earlier) {
+            if (digest !== 0n) {
+                this.#slots[this.#slotOf(digest)] = digest;
+            }
+        }
+    }
+}
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -28,6 +28,7 @@
     readonly #peers: PeerNetwork;
     readonly #log: FixedLeaderLog;
     readonly #membership: Membership;
+    readonly #actions: ActionService;
     readonly #surface: HttpSurface;
 
     constructor(settings: Settings) {
@@ -66,13 +67,19 @@
             backendKey: keys.backendServers,
             knownDaemonCount: daemons.filter((daemon) => !daemon.controlOnly).length,
         });
+        this.#actions = new ActionService({
+            context,
+            log: this.#log,
+            records: this.#actionRecords,
+            dispatcher,
+        });
         this.#surface = new HttpSurface({
             context,
             listen: settings.http,
             keys,
             table: this.#table,
             dispatcher,
-            actions: new ActionService({ context, log: this.#log, dispatcher }),
+            actions: this.#actions,
             acceptReport: (report) => this.#membership.intake.accept(report),
             operators: { status: () => this.status(), edit: (edit) => this.#edit(edit) },
             isReady: () => this.#membership.directory.reachableZones().includes(zone),
@@ -87,6 +94,7 @@
         this.#lifecycle.onClose(() => this.#log.close());
         this.#membership.start();
         this.#lifecycle.onClose(() => this.#membership.close());
+        this.#lifecycle.onClose(() => this.#actions.close());
         await this.#surface.start();
         this.#lifecycle.onClose(() => this.#surface.close());
         const { daemonId, zone, http } = this.#settings;
--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission.ts
@@ -39,7 +39,7 @@
     party: Party;
     model: string;
     prefixKey: number | undefined;
-    /** `groupId/generation` of groups that failed for this request. */
+    /** `groupId/generation` of groups that failed for this request; chosen only when no other group serves. */
     excluded: ReadonlySet<string>;
     /** Goes before the organisation's other requests: its caller waits in the middle of an answer. */
     isResumed: boolean;
@@ -186,7 +186,8 @@
         const { directory, chooser, loads } = this.#options;
         const { request } = waiter;
         const serving = directory.servingGroups(model);
-        const suited = serving.filter((group) => !request.excluded.has(generationKey(group)));
+        const untried = serving.filter((group) => !request.excluded.has(generationKey(group)));
+        const suited = untried.length > 0 ? untried : serving;
         const free = suited.filter((group) => this.#room(group) > 0);
         if (free.length === 0) {
             return false;
--- /dev/null
+++ b/test/actions/records.test.ts
@@ -0,0 +1,124 @@
+import {
+    ActionRecords,
+    type IntentCommand,
+    type OutcomeCommand,
+    type SettleCommand,
+} from "@greengage/actions";
+import test from "ava";
+import fc from "fast-check";
+
+const intentOf = (fields: Partial<IntentCommand> = {}): IntentCommand => ({
+    type: "action.intent",
+    organisation: "umbrella-corner",
+    key: "sale-1",
+    bodyHash: "hash",
+    service: "ledger",
+    attemptId: "attempt-1",
+    daemonId: "daemon-1",
+    atMs: 0,
+    ...fields,
+});
+
+const outcomeOf = (fields: Partial<OutcomeCommand> = {}): OutcomeCommand => ({
+    type: "action.outcome",
+    organisation: "umbrella-corner",
+    key: "sale-1",
+    attemptId: "attempt-1",
+    outcome: "ran",
+    ...fields,
+});
+
+const settleOf = (fields: Partial<SettleCommand> = {}): SettleCommand => ({
+    type: "action.settle",
+    organisation: "umbrella-corner",
+    key: "sale-1",
+    attemptId: "attempt-1",
+    outcome: "settledNotRun",
+    operator: "ada",
+    reason: "the ledger has no entry",
+    ...fields,
+});
+
+const kindOf = (result: unknown): string => (result as { kind: string; }).kind;
+
+// Guards P5: of all orders in which copies of intents and outcomes can commit, none lets a key run twice.
+test("no order of copied and late commands accepts a second attempt after one may have run", (t) => {
+    const attempt = fc.constantFrom("a", "b", "c");
+    const command = fc.oneof(
+        attempt.map((attemptId) => intentOf({ attemptId })),
+        attempt.map((attemptId) => outcomeOf({ attemptId, outcome: "notRun" })),
+        attempt.map((attemptId) => outcomeOf({ attemptId, outcome: "ran" })),
+        attempt.map((attemptId) => settleOf({ attemptId })),
+    );
+    fc.assert(fc.property(fc.array(command, { maxLength: 30 }), (commands) => {
+        const records = new ActionRecords();
+        // An accepted attempt may have run until its own outcome says that it has not.
+        const mayHaveRun = new Set<string>();
+        const ended = new Set<string>();
+        for (const [index, next] of commands.entries()) {
+            // A daemon reports `ran` only for an attempt that was accepted, and one outcome for an attempt.
+            const isPossible = next.type !== "action.outcome" || !ended.has(next.attemptId)
+                    && (next.outcome === "notRun" || mayHaveRun.has(next.attemptId));
+            if (!isPossible) {
+                continue;
+            }
+            const kind = kindOf(records.apply(index, next));
+            if (next.type === "action.intent" && kind === "accepted") {
+                t.false(ended.has(next.attemptId));
+                mayHaveRun.add(next.attemptId);
+                t.deepEqual([...mayHaveRun], [next.attemptId]);
+            }
+            if (next.type === "action.outcome") {
+                ended.add(next.attemptId);
+                if (next.outcome === "notRun" && kind !== "known") {
+                    mayHaveRun.delete(next.attemptId);
+                }
+            }
+        }
+    }));
+});
+
+test("an intent that commits after its attempt was voided is refused, and the key is free for another", (t) => {
+    const records = new ActionRecords();
+    t.is(kindOf(records.apply(1, outcomeOf({ outcome: "notRun" }))), "voided");
+    t.is(kindOf(records.apply(2, intentOf())), "refused");
+    t.is(kindOf(records.apply(3, intentOf({ attemptId: "attempt-2" }))), "accepted");
+    t.is(kindOf(records.apply(4, intentOf())), "refused");
+});
+
+test("a settled key is never sent again", (t) => {
+    const records = new ActionRecords();
+    records.apply(1, intentOf());
+    t.is(kindOf(records.apply(2, settleOf())), "settled");
+    t.is(kindOf(records.apply(3, intentOf({ attemptId: "attempt-2" }))), "exists");
+    t.is(kindOf(records.apply(4, settleOf({ outcome: "settledRan" }))), "known");
+    t.is(records.get("umbrella-corner", "sale-1")?.outcome, "settledNotRun");
+});
+
+// Guards the bounds: memory must not grow with the number of actions, and a dropped record must not free its key.
+test("old records and bodies are dropped, and their keys never run again, also after a snapshot", (t) => {
+    const records = new ActionRecords({ finished: 10, bodyBytes: 300, voided: 5 });
+    for (let index = 0; index < 2_000; index += 1) {
+        const fields = { key: `sale-${index}`, attemptId: `attempt-${index}` };
+        records.apply(index, intentOf(fields));
+        records.apply(index, outcomeOf({ ...fields, status: 200, body: new Uint8Array(100) }));
+        records.apply(index, outcomeOf({ attemptId: `void-${index}`, outcome: "notRun" }));
+    }
+    t.deepEqual(records.counts(), { unknown: 0, finished: 10, spent: 1_990, voided: 5, bodyBytes: 300 });
+    const restored = new ActionRecords({ finished: 10, bodyBytes: 300, voided: 5 });
+    restored.restore(records.snapshot());
+    t.deepEqual(restored.counts(), records.counts());
+    t.deepEqual(restored.snapshot(), records.snapshot());
+    for (let index = 0; index < 1_990; index += 1) {
+        t.is(kindOf(restored.apply(index, intentOf({ key: `sale-${index}`, attemptId: "again" }))), "spent");
+    }
+    t.is(kindOf(restored.apply(1, intentOf({ key: "sale-1999", attemptId: "again" }))), "exists");
+});
+
+test("a new action is refused when the records without outcome reach their bound", (t) => {
+    const records = new ActionRecords({ unknown: 1 });
+    records.apply(1, intentOf());
+    t.is(kindOf(records.apply(2, intentOf({ key: "sale-2", attemptId: "attempt-2" }))), "full");
+    records.apply(3, outcomeOf());
+    t.is(kindOf(records.apply(4, intentOf({ key: "sale-2", attemptId: "attempt-2" }))), "accepted");
+});
--- /dev/null
+++ b/test/actions/service.test.ts
@@ -0,0 +1,209 @@
+import { ActionRecords, ActionService } from "@greengage/actions";
+import { createContext, ErrorCode, GreengageError, monotonicMs, Verdict } from "@greengage/base";
+import { type Command, MemoryLog } from "@greengage/consensus";
+import { waitFor } from "@greengage/faults";
+import type { ServiceCall, ServiceResponse } from "@greengage/routing";
+import test, { type ExecutionContext } from "ava";
+
+const errorOf = (verdict: Verdict): GreengageError =>
+    new GreengageError("fault of the test", { code: ErrorCode.Unavailable, verdict });
+
+/** A log that a test can make fail: before the commit, or after it, so that the answer is lost. */
+class FaultyLog extends MemoryLog {
+    faults: Partial<Record<string, "notRun" | "lost" | "down">> = {};
+    /** Runs before a command is committed; a frozen daemon stands still here. */
+    beforeCommit: () => Promise<void> = () => Promise.resolve();
+
+    override async propose(command: Command): Promise<{ index: number; result: unknown; }> {
+        const fault = this.faults[command.type];
+        if (fault === "notRun") {
+            throw errorOf(Verdict.NotRun);
+        }
+        if (fault === "down") {
+            throw errorOf(Verdict.MayHaveRun);
+        }
+        await this.beforeCommit();
+        const committed = await super.propose(command);
+        if (fault === "lost") {
+            throw errorOf(Verdict.MayHaveRun);
+        }
+        return committed;
+    }
+}
+
+interface Fixture {
+    records: ActionRecords;
+    log: FaultyLog;
+    /** A service of another daemon on the same log. */
+    service: () => ActionService;
+    bookings: ServiceCall[];
+    answer: { status: number; body: Uint8Array; } | Verdict;
+    violations: () => number;
+}
+
+const fixtureOf = (): Fixture => {
+    const records = new ActionRecords();
+    const context = createContext({ daemonId: "daemon-1", zone: "zone-a" });
+    const fixture: Fixture = {
+        records,
+        log: new FaultyLog(records),
+        bookings: [],
+        answer: { status: 200, body: Buffer.from("booked") },
+        violations: () => context.invariants.violationCount,
+        service: () => new ActionService({ context, log: fixture.log, records, dispatcher }),
+    };
+    const dispatcher = {
+        admit: () => () => undefined,
+        callService: async (call: ServiceCall): Promise<ServiceResponse> => {
+            if (call.mayStillSend?.() === false) {
+                throw errorOf(Verdict.NotRun);
+            }
+            if (typeof fixture.answer !== "string") {
+                fixture.bookings.push(call);
+                const { status, body } = fixture.answer;
+                return { status, headers: { "content-type": "text/plain" }, body, verdict: Verdict.Ran };
+            }
+            if (fixture.answer !== Verdict.NotRun) {
+                fixture.bookings.push(call);
+            }
+            throw errorOf(fixture.answer);
+        },
+    };
+    return fixture;
+};
+
+const callOf = (body = "{}"): ServiceCall => ({
+    requestId: "request-1",
+    organisation: "umbrella-corner",
+    service: "ledger",
+    method: "POST",
+    path: "/sales",
+    headers: {},
+    body: Buffer.from(body),
+    deadlineAtMs: monotonicMs() + 10_000,
+    nonIdempotent: true,
+});
+
+const run = (service: ActionService, body?: string): Promise<ServiceResponse> =>
+    service.run(callOf(body), "sale-1", new AbortController().signal);
+
+const verdictOf = async (t: ExecutionContext, promise: Promise<unknown>): Promise<Verdict> =>
+    (await t.throwsAsync(promise, { instanceOf: GreengageError }) as GreengageError).verdict;
+
+test("the answer of an action that ran is repeated with status and body, whatever the status", async (t) => {
+    const fixture = fixtureOf();
+    fixture.answer = { status: 503, body: Buffer.from("out of paper") };
+    const first = await run(fixture.service());
+    const again = await run(fixture.service());
+    t.is(first.status, 503);
+    t.is(again.status, 503);
+    t.is(Buffer.from(again.body).toString(), "out of paper");
+    t.is(again.verdict, Verdict.Ran);
+    t.is(fixture.bookings.length, 1);
+});
+
+test("a lost answer leaves the outcome unknown; resends through other daemons send nothing", async (t) => {
+    const fixture = fixtureOf();
+    fixture.answer = Verdict.MayHaveRun;
+    t.is(await verdictOf(t, run(fixture.service())), Verdict.MayHaveRun);
+    fixture.answer = { status: 200, body: Buffer.from("booked") };
+    t.is(await verdictOf(t, run(fixture.service())), Verdict.MayHaveRun);
+    t.is(fixture.bookings.length, 1);
+    const [unknown] = fixture.service().listUnknown();
+    t.is(unknown?.key, "sale-1");
+});
+
+test("a call that was not run frees its key", async (t) => {
+    const fixture = fixtureOf();
+    fixture.answer = Verdict.NotRun;
+    t.is(await verdictOf(t, run(fixture.service())), Verdict.NotRun);
+    fixture.answer = { status: 200, body: Buffer.from("booked") };
+    t.is((await run(fixture.service())).status, 200);
+    t.is(fixture.bookings.length, 1);
+});
+
+// Guards hard case 2: a daemon that stood still after its intent sends when it goes on.
+test("an attempt that is past its send window is not sent", async (t) => {
+    const fixture = fixtureOf();
+    let thaw = (): void => undefined;
+    const frozen = new Promise<void>((resolve) => {
+        thaw = resolve;
+    });
+    fixture.log.beforeCommit = () => frozen;
+    const startedAtMs = monotonicMs();
+    const running = run(fixture.service());
+    fixture.log.beforeCommit = () => Promise.resolve();
+    await waitFor("the end of the send window", () => monotonicMs() - startedAtMs > 2_000 || undefined);
+    thaw();
+    t.is(await verdictOf(t, running), Verdict.NotRun);
+    t.is(fixture.bookings.length, 0);
+});
+
+test("an intent whose commit is uncertain is voided and not sent", async (t) => {
+    const fixture = fixtureOf();
+    fixture.log.faults["action.intent"] = "lost";
+    t.is(await verdictOf(t, run(fixture.service())), Verdict.NotRun);
+    fixture.log.faults = {};
+    t.is((await run(fixture.service())).status, 200);
+    t.is(fixture.bookings.length, 1);
+});
+
+// Guards P4: notRun for a key that another attempt holds would make its caller pay again under a new key.
+test("an uncertain intent under a key that has run gets the answer of that run", async (t) => {
+    const fixture = fixtureOf();
+    fixture.log.faults["action.outcome"] = "down";
+    const service = fixture.service();
+    await run(service);
+    fixture.log.faults = { "action.intent": "lost" };
+    t.is(await verdictOf(t, run(fixture.service())), Verdict.MayHaveRun);
+    t.is(fixture.bookings.length, 1);
+    await service.close();
+});
+
+// Guards against records that stay without outcome after a leader was lost.
+test("an outcome that can't be recorded is tried again, also while the daemon stops", async (t) => {
+    const fixture = fixtureOf();
+    fixture.log.faults["action.outcome"] = "down";
+    const service = fixture.service();
+    t.is((await run(service)).status, 200);
+    t.is(fixture.records.unknownOutcomes().length, 1);
+    const closing = service.close();
+    fixture.log.faults = {};
+    await closing;
+    t.is(fixture.records.get("umbrella-corner", "sale-1")?.outcome, "ran");
+    t.is(Buffer.from((await run(fixture.service())).body).toString(), "booked");
+    t.is(fixture.bookings.length, 1);
+});
+
+test("another body under the same key is refused, and a large answer is repeated without its body", async (t) => {
+    const fixture = fixtureOf();
+    fixture.answer = { status: 200, body: new Uint8Array(100_000) };
+    t.is((await run(fixture.service())).body.length, 100_000);
+    const again = await run(fixture.service());
+    t.is(again.body.length, 0);
+    t.is(again.headers["idempotency-body"], "dropped");
+    const error = await t.throwsAsync(run(fixture.service(), "{\"other\":1}")) as GreengageError;
+    t.is(error.code, ErrorCode.KeyReused);
+    t.is(error.verdict, Verdict.NotRun);
+});
+
+test("an operator settles an unknown outcome with a reason; the key is not sent again", async (t) => {
+    const fixture = fixtureOf();
+    fixture.answer = Verdict.MayHaveRun;
+    const service = fixture.service();
+    await verdictOf(t, run(service));
+    const [unknown] = service.listUnknown();
+    const settlement = {
+        organisation: "umbrella-corner",
+        key: "sale-1",
+        attemptId: unknown?.attemptId ?? "",
+        outcome: "settledNotRun" as const,
+        operator: "ada",
+        reason: "the ledger has no entry",
+    };
+    t.is(await verdictOf(t, service.settle({ ...settlement, reason: " " })), Verdict.NotRun);
+    t.deepEqual(await service.settle(settlement), { kind: "settled" });
+    t.is(await verdictOf(t, run(service)), Verdict.NotRun);
+    t.is(fixture.bookings.length, 1);
+    t.is(fixture.violations(), 0);
+});
--- /dev/null
+++ b/test/routing/fixtures.ts
@@ -0,0 +1,239 @@
+import { type Context, createContext, monotonicMs, newId } from "@greengage/base";
+import type { GroupDirectory } from "@greengage/membership";
+import type { GroupView, OrganisationDemand, OrganisationShare, ServiceView } from "@greengage/protocol";
+import {
+    BackendDispatcher,
+    type BackendDispatcherOptions,
+    type EventSink,
+    type GenerateRequest,
+    type ServiceCall,
+} from "@greengage/routing";
+import type { ExecutionContext } from "ava";
+import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+
+export const groupOf = (fields: Partial<GroupView> = {}): GroupView => ({
+    groupId: "group-1",
+    generation: 1,
+    model: "assistant",
+    zone: "zone-a",
+    fabricDomain: "rack-1",
+    state: "serving",
+    memberVmIds: ["vm-1"],
+    leaderUrl: "http://127.0.0.1:1",
+    maxConcurrent: 8,
+    load: { runningRequests: 0, waitingRequests: 0, kvUsedShare: 0, tokenGapMs: 0 },
+    ...fields,
+});
+
+export const serviceOf = (fields: Partial<ServiceView> = {}): ServiceView => ({
+    vmId: "ledger-1",
+    incarnationId: "1",
+    service: "ledger",
+    zone: "zone-a",
+    url: "http://127.0.0.1:1",
+    maxConcurrent: 8,
+    available: true,
+    ...fields,
+});
+
+/** A directory whose groups a test sets by hand. */
+export class FakeDirectory {
+    groups: GroupView[] = [];
+    serviceViews: ServiceView[] = [];
+    shares = new Map<string, OrganisationShare>();
+    isGrantValid = true;
+    demandSource: () => OrganisationDemand[] = () => [];
+    readonly suspected = new Set<string>();
+    readonly #listeners = new Set<() => void>();
+
+    change(groups: GroupView[]): void {
+        this.groups = groups;
+        this.#listeners.forEach((listener) => listener());
+    }
+
+    servingGroups(model: string): GroupView[] {
+        return this.groups.filter((group) =>
+            group.model === model && group.state === "serving" && this.isGrantValid
+            && !this.suspected.has(group.groupId)
+        );
+    }
+
+    isServing(_: string, groupId: string, generation: number): boolean {
+        return this.isGrantValid
+            && this.groups.some((group) =>
+                group.groupId === groupId && group.generation === generation && group.state === "serving"
+            );
+    }
+
+    allGroups = (): GroupView[] => this.groups;
+    services = (): ServiceView[] => this.serviceViews;
+    daemonCount = (): number => 1;
+    share = (organisation: string): OrganisationShare | undefined => this.shares.get(organisation);
+
+    suspect(group: GroupView): void {
+        this.suspected.add(group.groupId);
+    }
+
+    setDemandSource(source: () => OrganisationDemand[]): void {
+        this.demandSource = source;
+    }
+
+    onChange(listener: () => void): () => void {
+        this.#listeners.add(listener);
+        return () => this.#listeners.delete(listener);
+    }
+}
+
+export interface ReceivedRequest {
+    requestId: string;
+    headers: IncomingMessage["headers"];
+    body: {
+        max_tokens?: number;
+        greengage?: { resume_text: string; resume_tokens: number; };
+    };
+    /** Connection that the request came on, counted from 0. */
+    connection: number;
+    isClosed: boolean;
+}
+
+type Answer = (request: ReceivedRequest, response: ServerResponse) => void | Promise<void>;
+
+/** An HTTP server that answers as a test says, and what it received. */
+export interface FakeEngine {
+    url: string;
+    received: ReceivedRequest[];
+    answer: Answer;
+}
+
+export const engineOf = async (t: ExecutionContext, answer: Answer): Promise<FakeEngine> => {
+    const sockets = new Map<Socket, number>();
+    const engine: FakeEngine = { url: "", received: [], answer };
+    const server = createServer((incoming, response) => {
+        const chunks: Buffer[] = [];
+        incoming.on("data", (chunk: Buffer) => chunks.push(chunk));
+        incoming.on("end", () => {
+            const text = Buffer.concat(chunks).toString();
+            const request: ReceivedRequest = {
+                requestId: String(incoming.headers["x-request-id"]),
+                headers: incoming.headers,
+                body: text === "" ? {} : JSON.parse(text),
+                connection: sockets.get(incoming.socket) ?? -1,
+                isClosed: false,
+            };
+            response.once("close", () => request.isClosed = true);
+            engine.received.push(request);
+            void engine.answer(request, response);
+        });
+    });
+    server.on("connection", (socket) => sockets.set(socket, sockets.size));
+    await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+    engine.url = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+    t.teardown(() => {
+        server.close();
+        server.closeAllConnections();
+    });
+    return engine;
+};
+
+export const eventOf = (token: string): string =>
+    `data: ${JSON.stringify({ choices: [{ index: 0, delta: { content: token } }] })}\n\n`;
+
+export const END_MARKER = "data: [DONE]\n\n";
+
+export const head = (request: ReceivedRequest, response: ServerResponse): void => {
+    response.writeHead(200, { "content-type": "text/event-stream", "x-request-id": request.requestId });
+};
+
+/** Answers with tokens `t0 t1 ...`, from where a resumed request goes on. */
+export const tokens = (count: number): Answer => (request, response) => {
+    head(request, response);
+    for (let index = request.body.greengage?.resume_tokens ?? 0; index < count; index += 1) {
+        response.write(eventOf(`t${index} `));
+    }
+    response.end(END_MARKER);
+};
+
+export const status = (code: number): Answer => (request, response) => {
+    response.writeHead(code, { "x-request-id": request.requestId });
+    response.end();
+};
+
+/** Collects what a caller receives. */
+export class TextSink implements EventSink {
+    text = "";
+
+    write(events: Uint8Array): boolean {
+        this.text += Buffer.from(events).toString();
+        return true;
+    }
+
+    drained = (): Promise<void> => Promise.resolve();
+
+    get tokens(): string {
+        return this.text.split("\n\n").filter((event) => event !== "")
+            .map((event) => JSON.parse(event.slice("data: ".length)).choices[0].delta.content as string)
+            .join("");
+    }
+}
+
+export interface Fixture {
+    context: Context;
+    directory: FakeDirectory;
+    dispatcher: BackendDispatcher;
+    request: (fields?: Partial<GenerateRequest>) => GenerateRequest;
+    call: (fields?: Partial<ServiceCall>) => ServiceCall;
+}
+
+/** A dispatcher with a directory that the test sets. */
+export const dispatcherOf = (
+    t: ExecutionContext,
+    options: Partial<BackendDispatcherOptions> = {},
+): Fixture => {
+    const context = createContext({ daemonId: "daemon-1", zone: "zone-a" });
+    const directory = new FakeDirectory();
+    const dispatcher = new BackendDispatcher({
+        context,
+        directory: directory as unknown as GroupDirectory,
+        table: { organisation: () => organisationRow },
+        backendKey: "key",
+        knownDaemonCount: 1,
+        strategy: "leastInFlight",
+        ...options,
+    });
+    t.teardown(() => dispatcher.close());
+    const request = (fields: Partial<GenerateRequest> = {}): GenerateRequest => ({
+        requestId: newId(),
+        organisation: "umbrella-corner",
+        model: "assistant",
+        body: { messages: [{ role: "user", content: "Umbrellas left?" }] },
+        deadlineAtMs: monotonicMs() + 30_000,
+        ...fields,
+    });
+    const call = (fields: Partial<ServiceCall> = {}): ServiceCall => ({
+        requestId: newId(),
+        organisation: "umbrella-corner",
+        service: "ledger",
+        method: "POST",
+        path: "/sales",
+        headers: { "content-type": "application/json" },
+        body: Buffer.from("{}"),
+        deadlineAtMs: monotonicMs() + 30_000,
+        nonIdempotent: true,
+        ...fields,
+    });
+    return { context, directory, dispatcher, request, call };
+};
+
+const organisationRow = {
+    name: "umbrella-corner",
+    version: 1,
+    apiKeyHashes: [],
+    weight: 1,
+    priority: 5,
+    requestsPerS: 1_000,
+    maxConcurrent: 1_000,
+    enabled: true,
+};
+
+export const never = (): AbortSignal => new AbortController().signal;
