--- /dev/null
+++ b/test/routing/choice.test.ts
@@ -0,0 +1,81 @@
+import { Random } from "@greengage/base";
+import { waitFor } from "@greengage/faults";
+import type { GroupView } from "@greengage/protocol";
+import { Chooser, GroupLoads, strategies } from "@greengage/routing";
+import test from "ava";
+import { groupOf } from "./fixtures.ts";
+
+const groupsOf = (count: number, fields: Partial<GroupView> = {}): GroupView[] =>
+    Array.from({ length: count }, (_, index) => groupOf({ groupId: `group-${index}`, ...fields }));
+
+const longBody = (text: string): Record<string, unknown> => ({
+    messages: [{ role: "system", content: text.repeat(200) }, { role: "user", content: "Umbrellas left?" }],
+});
+
+const chooserOf = (loads: GroupLoads): Chooser =>
+    new Chooser({ loads, zone: "zone-a", random: new Random(1) });
+
+test("every strategy chooses one of the groups, and the informed ones avoid the loaded group", (t) => {
+    const groups = groupsOf(2);
+    for (const [name, strategy] of Object.entries(strategies)) {
+        const random = new Random(1);
+        const score = (group: GroupView): number => group.groupId === "group-0" ? 1 : 0;
+        const picks = Array.from({ length: 50 }, (_, turn) => strategy(groups, { score, random, turn }));
+        const isInformed = name === "leastInFlight" || name === "twoChoices";
+        t.is(picks.filter((group) => group.groupId === "group-0").length === 0, isInformed, name);
+    }
+});
+
+test("the own zone is preferred while it has room", (t) => {
+    const groups = [groupOf({ groupId: "near" }), groupOf({ groupId: "far", zone: "zone-b" })];
+    const chooser = chooserOf(new GroupLoads());
+    t.is(chooser.choose(groups, groups, undefined).groupId, "near");
+    t.is(chooser.choose(groups, groups.slice(1), undefined).groupId, "far");
+});
+
+// Guards against a hot prefix that overloads its group, and against prefixes that move without cause.
+test("a prefix stays with its group until the group is above the bound", async (t) => {
+    const loads = new GroupLoads();
+    const chooser = chooserOf(loads);
+    const groups = groupsOf(8);
+    const key = await waitFor("the hash module", () => chooser.keyOf(longBody("kiosk ")));
+    t.is(chooser.keyOf({ messages: [{ role: "user", content: "short" }] }), undefined);
+    const first = chooser.choose(groups, groups, key);
+    const others = groups.filter((group) => group !== first);
+    t.is(chooser.choose(groups, groups, key), first);
+    t.is(chooser.choose([first, ...others.slice(3)], [first, ...others.slice(3)], key), first);
+    loads.begin(first.groupId);
+    loads.begin(first.groupId);
+    t.not(chooser.choose(groups, groups, key), first);
+});
+
+// Guards hard case 9: a straggler that answers its reports must not get its part of the requests.
+test("a straggler is avoided, and gets requests again when its estimate has expired", (t) => {
+    let nowMs = 0;
+    const loads = new GroupLoads(() => nowMs);
+    const groups = groupsOf(4);
+    for (const group of groups) {
+        for (let sample = 0; sample < 5; sample += 1) {
+            loads.recordFirstToken(group.groupId, group.groupId === "group-3" ? 900 : 100);
+        }
+    }
+    t.deepEqual(loads.withoutStragglers(groups).map((group) => group.groupId), [
+        "group-0",
+        "group-1",
+        "group-2",
+    ]);
+    t.is(loads.withoutStragglers(groups.slice(3), groups).length, 1);
+    nowMs = 30_000;
+    t.is(loads.withoutStragglers(groups).length, 4);
+});
+
+test("a report of other daemons' requests loses weight with its age", (t) => {
+    let nowMs = 0;
+    const loads = new GroupLoads(() => nowMs);
+    const load = { runningRequests: 5, waitingRequests: 0, kvUsedShare: 0, tokenGapMs: 0 };
+    const group = groupOf({ load, maxConcurrent: 10 });
+    loads.begin(group.groupId);
+    t.is(loads.score(group), 0.5);
+    nowMs = 60_000;
+    t.true(Math.abs(loads.score(group) - 0.1) < 1e-6);
+});
--- a/test/routing/dispatch.test.ts
+++ b/test/routing/dispatch.test.ts
@@ -152,7 +152,9 @@
     const fixture = dispatcherOf(t, { queueLimits: { noGroupMs: 400 } });
     const engine = await engineOf(t, tokens(4));
     const sink = new TextSink();
+    const startedAtMs = monotonicMs();
     const running = fixture.dispatcher.generate(fixture.request(), sink, never());
+    await waitFor("a request that has waited", () => monotonicMs() - startedAtMs > 100 || undefined);
     fixture.directory.change([groupOf({ leaderUrl: engine.url })]);
     await running;
     t.is(sink.tokens, WHOLE);
--- /dev/null
+++ b/test/routing/stream.test.ts
@@ -0,0 +1,65 @@
+import test from "ava";
+import fc from "fast-check";
+import { DeliveredEvents } from "../../packages/routing/src/delivered.ts";
+import { EventScanner } from "../../packages/routing/src/scanner.ts";
+
+const eventText = fc.constantFrom(
+    "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"é[DONE]\"}}]}",
+    ": comment",
+    "event: note\r\ndata: {}",
+    "data: x",
+);
+
+// Guards against events cut or joined wrongly when the network splits the stream anywhere.
+test("every split of a stream gives the same events and the end marker", (t) => {
+    const streams = fc.record({
+        events: fc.array(eventText, { maxLength: 8 }),
+        lineEnd: fc.constantFrom("\n", "\r\n"),
+        cuts: fc.array(fc.nat(600), { maxLength: 12 }),
+    });
+    fc.assert(fc.property(streams, ({ events, lineEnd, cuts }) => {
+        const whole = Buffer.from(events.map((event) => event + lineEnd + lineEnd).join(""));
+        const bytes = Buffer.concat([whole, Buffer.from(`data: [DONE]${lineEnd}${lineEnd}`)]);
+        const positions = [
+            0,
+            ...cuts.filter((cut) => cut < bytes.length).sort((a, b) => a - b),
+            bytes.length,
+        ];
+        const scanner = new EventScanner();
+        const relayed: Buffer[] = [];
+        let count = 0;
+        for (const [index, start] of positions.slice(0, -1).entries()) {
+            scanner.push(bytes.subarray(start, positions[index + 1]));
+            relayed.push(Buffer.from(scanner.events));
+            count += scanner.count;
+        }
+        t.true(scanner.isEnd);
+        t.is(count, events.length);
+        t.deepEqual(Buffer.concat(relayed), whole);
+    }));
+});
+
+test("an event that grows beyond 1 MiB is refused", (t) => {
+    const scanner = new EventScanner();
+    t.true(scanner.push(Buffer.alloc(1024 * 1024, "x")));
+    t.false(scanner.push(Buffer.from("x")));
+});
+
+test("a summary of delivered events has the text, the tokens and whether the answer can go on", (t) => {
+    const event = (choice: object): Buffer =>
+        Buffer.from(`data: ${JSON.stringify({ choices: [choice] })}\n\n`);
+    const long = new DeliveredEvents();
+    for (let index = 0; index < 3_000; index += 1) {
+        long.add(event({ index: 0, delta: { content: "ab" } }));
+    }
+    const summary = long.summary();
+    t.is(summary.tokens, 3_000);
+    t.is(summary.text.length, 6_000);
+    t.true(summary.isResumable);
+    t.false(summary.isFinished);
+    long.add(event({ index: 0, delta: {}, finish_reason: "stop" }));
+    t.true(long.summary().isFinished);
+    const choices = new DeliveredEvents();
+    choices.add(event({ index: 1, delta: { content: "ab" } }));
+    t.false(choices.summary().isResumable);
+});
