Check settings with file, line, key, found and allowed value

Cause: a settings error named no line, and nothing checked that entries fit each other. Conclusion: every refused file says where and what to change.

--- a/packages/bench/src/cluster.ts
+++ b/packages/bench/src/cluster.ts
@@ -65,6 +65,7 @@
                 daemonId,
                 zone,
                 http: { host: "127.0.0.1", port: httpPort },
+                dataFolder: join(this.folder, `${daemonId}-data`),
                 daemons,
                 keys: {
                     peers: "peer-key-of-the-bench",
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -1,8 +1,9 @@
-import { parse, type ParseError, printParseErrorCode } from "jsonc-parser";
-import { readFileSync } from "node:fs";
+import { LogPart } from "@greengage/base";
 import { z } from "zod";
 
-const address = z.strictObject({ host: z.string(), port: z.number().int().min(0).max(65535) });
+const host = z.string().min(1);
+const key = z.string().min(8);
+const level = z.enum(["debug", "info", "warn", "error"]);
 
 const timing = z.strictObject({
     leaseMs: z.number().int().min(200).max(60_000),
@@ -14,63 +15,64 @@
     unfencedHandoverMs: z.number().int().min(0).max(3_600_000),
 }).partial();
 
+/** Limits of the HTTP surfaces. The defaults are in `@greengage/http`. */
+const limits = z.strictObject({
+    bodyBytes: z.number().int().min(1_024).max(64 * 1024 * 1024),
+    reportBytes: z.number().int().min(1_024).max(1024 * 1024),
+    headerBytes: z.number().int().min(1_024).max(256 * 1024),
+    headersMs: z.number().int().min(100).max(600_000),
+    bodyMs: z.number().int().min(100).max(600_000),
+    concurrentRequests: z.number().int().min(1).max(100_000),
+    concurrentPerConnection: z.number().int().min(1).max(1_000),
+    connections: z.number().int().min(1).max(100_000),
+    deadlineMs: z.number().int().min(100).max(3_600_000),
+    maxDeadlineMs: z.number().int().min(100).max(3_600_000),
+}).partial();
+
+const daemon = z.strictObject({
+    daemonId: z.string().min(1).max(64),
+    zone: z.string().min(1).max(64),
+    host,
+    port: z.number().int().min(1).max(65_535),
+    voter: z.boolean().default(false),
+    controlOnly: z.boolean().default(false),
+});
+
 /** Schema of the settings file of a daemon. */
 export const settingsSchema = z.strictObject({
-    daemonId: z.string().min(1),
-    zone: z.string().min(1),
-    /** HTTP surfaces. */
-    http: address,
-    /** Folder for the replicated log. Needed by voters. */
-    dataFolder: z.string().optional(),
+    daemonId: z.string().min(1).max(64),
+    zone: z.string().min(1).max(64),
+    /** Address of the HTTP surfaces. Port 0 takes any free port. */
+    http: z.strictObject({ host, port: z.number().int().min(0).max(65_535) }),
+    /** Folder for the replicated log. Voters need one. */
+    dataFolder: z.string().min(1).optional(),
+    /** First start of the whole system: a voter with an empty folder may found the cluster. */
+    bootstrap: z.boolean().default(false),
     /** All daemons, this one included. The same list in every settings file. */
-    daemons: z.array(z.strictObject({
-        daemonId: z.string().min(1),
-        zone: z.string().min(1),
-        host: z.string(),
-        port: z.number().int().min(1).max(65535),
-        voter: z.boolean().default(false),
-        controlOnly: z.boolean().default(false),
-    })).min(1),
+    daemons: z.array(daemon).min(1),
     keys: z.strictObject({
-        peers: z.string().min(8),
-        backendServers: z.string().min(8),
-        operators: z.string().min(8),
-        platform: z.string().min(8).optional(),
+        peers: key,
+        backendServers: key,
+        operators: key,
+        /** Key of the platform's health checks. Without one they need no key. */
+        platform: key.optional(),
     }),
+    limits: limits.default({}),
+    /** Time during which a draining daemon accepts requests that a load balancer still sends. */
+    drainGraceMs: z.number().int().min(0).max(600_000).default(5_000),
+    /** Time after which requests that still run are cut off when a daemon stops. */
+    drainLimitMs: z.number().int().min(0).max(3_600_000).default(120_000),
     log: z.strictObject({
         format: z.enum(["json", "pretty", "hidden"]).default("json"),
-        level: z.enum(["debug", "info", "warn", "error"]).default("info"),
-    }).default({ format: "json", level: "info" }),
-    metrics: z.strictObject({ host: z.string(), port: z.number().int().default(8125) }).optional(),
+        level: level.default("info"),
+        /** Levels of single parts that differ from `level`. */
+        levels: z.partialRecord(z.enum(LogPart), level).default({}),
+    }).default({ format: "json", level: "info", levels: {} }),
+    metrics: z.strictObject({
+        host,
+        port: z.number().int().min(1).max(65_535).default(8_125),
+    }).optional(),
     timing: timing.default({}),
 });
 
 export type Settings = z.infer<typeof settingsSchema>;
-
-/** The settings file can't be used. */
-export class SettingsError extends Error {
-    constructor(message: string) {
-        super(message);
-        this.name = "SettingsError";
-    }
-}
-
-/** Reads and checks a settings file in JSON with comments. Throws SettingsError. */
-export const readSettings = (path: string): Settings => {
-    const text = readFileSync(path, "utf8");
-    const errors: ParseError[] = [];
-    const value: unknown = parse(text, errors, { allowTrailingComma: true });
-    const first = errors[0];
-    if (first !== undefined) {
-        const line = text.slice(0, first.offset).split("\n").length;
-        throw new SettingsError(`${path}:${line}: ${printParseErrorCode(first.error)}`);
-    }
-    const result = settingsSchema.safeParse(value);
-    if (!result.success) {
-        const issues = result.error.issues.map((issue) =>
-            `${path}: ${issue.path.join(".")}: ${issue.message}`
-        );
-        throw new SettingsError(issues.join("\n"));
-    }
-    return result.data;
-};
--- /dev/null
+++ b/packages/daemon/src/settings/issues.ts
@@ -0,0 +1,67 @@
+import type { z } from "zod";
+import { settingsSchema } from "../settings.ts";
+import { nearestWord } from "./nearest.ts";
+import type { KeyPath, SettingsSource } from "./source.ts";
+
+type Issue = z.core.$ZodIssue;
+type IssueOf<Code extends Issue["code"]> = Extract<Issue, { code: Code; }>;
+
+const unitByOrigin: Record<string, string> = { string: " characters", array: " entries" };
+
+const unitOf = (issue: { origin: string; }): string => unitByOrigin[issue.origin] ?? "";
+
+/** Says what is allowed where an issue was found, by kind of issue. */
+const allowedByCode: { [Code in Issue["code"]]?: (issue: IssueOf<Code>) => string; } = {
+    invalid_type: (issue) => `a value of type ${issue.expected}`,
+    invalid_value: (issue) => `one of ${issue.values.map((value) => JSON.stringify(value)).join(", ")}`,
+    too_small: (issue) => `at least ${issue.minimum}${unitOf(issue)}`,
+    too_big: (issue) => `at most ${issue.maximum}${unitOf(issue)}`,
+    invalid_format: (issue) => `a text of the form ${issue.pattern ?? issue.format}`,
+};
+
+const allowedOf = (issue: Issue): string => {
+    const handler = allowedByCode[issue.code] as ((issue: Issue) => string) | undefined;
+    return handler?.(issue) ?? issue.message;
+};
+
+/** Keys that the schema knows at a path. */
+const knownKeys = (keyPath: KeyPath): string[] => {
+    let schema: unknown = settingsSchema;
+    for (const step of keyPath) {
+        const inner = unwrapped(schema);
+        schema = typeof step === "number"
+            ? (inner as z.ZodArray).element
+            : (inner as z.ZodObject).shape[step];
+    }
+    const inner = unwrapped(schema) as Partial<z.ZodObject> & { keyType?: { options: string[]; }; };
+    return inner.shape === undefined ? inner.keyType?.options ?? [] : Object.keys(inner.shape);
+};
+
+const unwrapped = (schema: unknown): unknown => {
+    let inner = schema as { unwrap?: () => unknown; element?: unknown; };
+    while (inner.unwrap !== undefined && inner.element === undefined) {
+        inner = inner.unwrap() as typeof inner;
+    }
+    return inner;
+};
+
+const describeUnknownKeys = (issue: IssueOf<"unrecognized_keys">, source: SettingsSource): string[] => {
+    const keyPath = issue.path as KeyPath;
+    const known = knownKeys(keyPath);
+    return issue.keys.map((key) => {
+        const nearest = nearestWord(key, known);
+        const allowed = nearest === undefined
+            ? `one of ${known.join(", ")}`
+            : `"${nearest}" (the nearest known key)`;
+        return source.describe([...keyPath, key], "an unknown key", allowed);
+    });
+};
+
+/** Error lines of one schema issue. */
+export const describeIssue = (issue: Issue, source: SettingsSource): string[] => {
+    if (issue.code === "unrecognized_keys") {
+        return describeUnknownKeys(issue, source);
+    }
+    const keyPath = issue.path as KeyPath;
+    return [source.describe(keyPath, source.shown(keyPath), allowedOf(issue))];
+};
--- /dev/null
+++ b/packages/daemon/src/settings/nearest.ts
@@ -0,0 +1,28 @@
+/** Number of single-character changes between two words, where a swap of neighbours counts as two. */
+const editDistance = (from: string, to: string): number => {
+    let previous = Array.from({ length: to.length + 1 }, (_, index) => index);
+    for (let row = 1; row <= from.length; row += 1) {
+        const current = [row];
+        for (let column = 1; column <= to.length; column += 1) {
+            const change = from[row - 1] === to[column - 1] ? 0 : 1;
+            const replaced = (previous[column - 1] ?? 0) + change;
+            const shifted = Math.min(previous[column] ?? 0, current[column - 1] ?? 0) + 1;
+            current.push(Math.min(replaced, shifted));
+        }
+        previous = current;
+    }
+    return previous[to.length] ?? 0;
+};
+
+/** The known word that a mistyped one most likely meant, or `undefined` when none is close. */
+export const nearestWord = (word: string, known: readonly string[]): string | undefined => {
+    const ranked = known.map((candidate) => ({
+        candidate,
+        distance: editDistance(word.toLowerCase(), candidate.toLowerCase()),
+    })).sort((a, b) => a.distance - b.distance);
+    const best = ranked[0];
+    if (best === undefined || best.distance > Math.max(2, word.length / 2)) {
+        return undefined;
+    }
+    return best.candidate;
+};
--- /dev/null
+++ b/packages/daemon/src/settings/read.ts
@@ -0,0 +1,36 @@
+import { messageOf } from "@greengage/base";
+import { parse } from "jsonc-parser";
+import { readFileSync } from "node:fs";
+import { type Settings, settingsSchema } from "../settings.ts";
+import { settingsChecks } from "./checks.ts";
+import { SettingsError } from "./error.ts";
+import { describeIssue } from "./issues.ts";
+import { SettingsSource } from "./source.ts";
+
+const readText = (path: string): string => {
+    try {
+        return readFileSync(path, "utf8");
+    }
+    catch (error) {
+        throw new SettingsError([`${path}: the file can't be read: ${messageOf(error)}`]);
+    }
+};
+
+/** Checks the text of a settings file in JSON with comments. Throws SettingsError with every problem found. */
+export const parseSettings = (path: string, text: string): Settings => {
+    const source = new SettingsSource(path, text);
+    const result = settingsSchema.safeParse(parse(text, [], { allowTrailingComma: true }));
+    if (!result.success) {
+        throw new SettingsError(result.error.issues.flatMap((issue) => describeIssue(issue, source)));
+    }
+    const problems = settingsChecks.flatMap((check) => check(result.data));
+    if (problems.length > 0) {
+        throw new SettingsError(
+            problems.map(({ keyPath, found, allowed }) => source.describe(keyPath, found, allowed)),
+        );
+    }
+    return result.data;
+};
+
+/** Reads and checks a settings file. Throws SettingsError. */
+export const readSettings = (path: string): Settings => parseSettings(path, readText(path));
--- /dev/null
+++ b/packages/daemon/src/settings/source.ts
@@ -0,0 +1,79 @@
+import {
+    findNodeAtLocation,
+    type Node,
+    type ParseError,
+    type ParseOptions,
+    parseTree,
+    printParseErrorCode,
+} from "jsonc-parser";
+import { SettingsError } from "./error.ts";
+
+export type KeyPath = (string | number)[];
+
+const PARSE_OPTIONS: ParseOptions = { allowTrailingComma: true, disallowComments: false };
+const MAX_SHOWN_LENGTH = 60;
+const SECRET_PATH = /^keys\./;
+
+/** Text of a settings file with the positions of its keys. */
+export class SettingsSource {
+    readonly path: string;
+    readonly #text: string;
+    readonly #root: Node | undefined;
+
+    /** Throws SettingsError when the text is not JSON with comments. */
+    constructor(path: string, text: string) {
+        this.path = path;
+        this.#text = text;
+        const errors: ParseError[] = [];
+        this.#root = parseTree(text, errors, PARSE_OPTIONS);
+        if (errors.length > 0) {
+            throw new SettingsError(
+                errors.map((error) =>
+                    `${path}:${this.#lineAt(error.offset)}: not valid JSON: ${
+                        printParseErrorCode(error.error)
+                    }`
+                ),
+            );
+        }
+    }
+
+    /** Line of a key, or of the closest parent that is in the file. */
+    lineOf(keyPath: KeyPath): number {
+        for (let length = keyPath.length; length > 0; length -= 1) {
+            const node = this.#find(keyPath.slice(0, length));
+            if (node !== undefined) {
+                return this.#lineAt((node.parent?.type === "property" ? node.parent : node).offset);
+            }
+        }
+        return this.#lineAt(this.#root?.offset ?? 0);
+    }
+
+    /** What the file has at a key, shortened, for error messages. Keys of callers and peers are not shown. */
+    shown(keyPath: KeyPath): string {
+        const node = this.#find(keyPath);
+        if (node === undefined) {
+            return "nothing";
+        }
+        const text = this.#text.slice(node.offset, node.offset + node.length).replace(/\s+/g, " ");
+        if (SECRET_PATH.test(nameOf(keyPath))) {
+            return `a ${node.type} of ${text.length - 2} characters`;
+        }
+        return text.length > MAX_SHOWN_LENGTH ? `${text.slice(0, MAX_SHOWN_LENGTH)}...` : text;
+    }
+
+    /** One line of an error message: file, line, key, what was found and what is allowed. */
+    describe(keyPath: KeyPath, found: string, allowed: string): string {
+        const name = nameOf(keyPath) || "(top level)";
+        return `${this.path}:${this.lineOf(keyPath)}: ${name}: found ${found}; allowed: ${allowed}`;
+    }
+
+    #find(keyPath: KeyPath): Node | undefined {
+        return this.#root === undefined ? undefined : findNodeAtLocation(this.#root, keyPath);
+    }
+
+    #lineAt(offset: number): number {
+        return this.#text.slice(0, offset).split("\n").length;
+    }
+}
+
+const nameOf = (keyPath: KeyPath): string => keyPath.join(".");
