Count skipped tests neither as passed nor as failed

Cause: AVA's TAP report marks a skipped test as ok, so the last line would have counted it as passed. Change: results with a SKIP or TODO directive are left out of the tally. Conclusion: the last line states only what ran.

--- a/scripts/test.ts
+++ b/scripts/test.ts
@@ -37,6 +37,10 @@
     if (!result) {
         return;
     }
+    if (result[3] !== undefined) {
+        // Skipped tests prove nothing.
+        return;
+    }
     const title = result[2] ?? "";
     if (!result[1]) {
         tally.passed += 1;
