--- /dev/null
+++ b/packages/cli/src/client.ts
@@ -0,0 +1,112 @@
+import { messageOf } from "@greengage/base";
+import { readFileSync } from "node:fs";
+import { request } from "undici";
+import { CommandError, ExitCode, usageError } from "./exit.ts";
+
+const DEFAULT_URL = "http://127.0.0.1:8080";
+// Above the daemon's own limits for an edit and for reaching the other daemons.
+const TIMEOUT_MS = 20_000;
+
+/** Error codes of Node.js and undici for requests that never reached the daemon. */
+const NOT_SENT = ["ECONNREFUSED", "ENOTFOUND", "EHOSTUNREACH", "ENETUNREACH", "UND_ERR_CONNECT_TIMEOUT"];
+
+/** Problem titles of writes that were refused without an effect. */
+const REFUSED = ["conflict", "unsafe", "key-reused"];
+
+interface Problem {
+    title?: string;
+    detail?: string;
+    verdict?: string;
+}
+
+export interface ClientArgs {
+    url?: string;
+    "key-file"?: string;
+}
+
+/** Talks to the operators' surface of a daemon. Errors end the command with its exit code. */
+export class OperatorClient {
+    readonly #url: string;
+    readonly #key: string;
+
+    constructor(args: ClientArgs) {
+        this.#url = (args.url ?? process.env["GREENGAGE_URL"] ?? DEFAULT_URL).replace(/\/$/, "");
+        this.#key = readKey(args["key-file"]);
+        if (!URL.canParse(this.#url)) {
+            throw usageError(`"${this.#url}" is not a URL`);
+        }
+    }
+
+    async get<T>(path: string): Promise<T> {
+        return await this.#send("GET", path) as T;
+    }
+
+    async post<T>(path: string, body: object): Promise<T> {
+        return await this.#send("POST", path, body) as T;
+    }
+
+    async #send(method: "GET" | "POST", path: string, body?: object): Promise<unknown> {
+        let status: number;
+        let json: unknown;
+        try {
+            const response = await request(`${this.#url}/operator/v1/${path}`, {
+                method,
+                headers: { authorization: `Bearer ${this.#key}`, "content-type": "application/json" },
+                body: body === undefined ? undefined : JSON.stringify(body),
+                headersTimeout: TIMEOUT_MS,
+                bodyTimeout: TIMEOUT_MS,
+            });
+            status = response.statusCode;
+            json = await response.body.json();
+        }
+        catch (error) {
+            throw this.#connectionError(error, method);
+        }
+        if (status >= 400) {
+            throw responseError(json as Problem, method);
+        }
+        return json;
+    }
+
+    #connectionError(error: unknown, method: "GET" | "POST"): CommandError {
+        const code = (error as { code?: string; }).code ?? "";
+        const reason = messageOf(error) || code;
+        if (method === "GET" || NOT_SENT.includes(code)) {
+            return new CommandError(`no answer from ${this.#url}: ${reason}`, ExitCode.Failed);
+        }
+        const message =
+            `no answer from ${this.#url}: ${reason}. The outcome is unknown: send it again with the same id`;
+        return new CommandError(message, ExitCode.Unknown);
+    }
+}
+
+const responseError = (problem: Problem, method: "GET" | "POST"): CommandError => {
+    const message = problem.detail ?? "the daemon answered with an error";
+    if (REFUSED.includes(problem.title ?? "")) {
+        return new CommandError(message, ExitCode.Refused);
+    }
+    if (method === "POST" && problem.verdict !== "notRun") {
+        const advice = "The outcome is unknown: send it again with the same id";
+        return new CommandError(`${message}. ${advice}`, ExitCode.Unknown);
+    }
+    return new CommandError(message, ExitCode.Failed);
+};
+
+const readKey = (argument: string | undefined): string => {
+    const path = argument ?? process.env["GREENGAGE_KEY_FILE"];
+    const key = path === undefined ? process.env["GREENGAGE_KEY"] : readFile(path);
+    if (key === undefined || key.trim() === "") {
+        throw usageError("no operators' key: set --key-file, GREENGAGE_KEY_FILE or GREENGAGE_KEY");
+    }
+    return key.trim();
+};
+
+/** Text of a file. Throws a usage error when it can't be read. */
+export const readFile = (path: string): string => {
+    try {
+        return readFileSync(path, "utf8");
+    }
+    catch (error) {
+        throw usageError(`${path} can't be read: ${messageOf(error)}`);
+    }
+};
--- /dev/null
+++ b/packages/cli/src/commands/status.ts
@@ -0,0 +1,59 @@
+import type { DaemonStatus } from "@greengage/daemon";
+import { defineCommand } from "citty";
+import { connectionArgs, jsonArg } from "../args.ts";
+import { OperatorClient } from "../client.ts";
+import { printFields, printJson, printTable } from "../output.ts";
+
+const summaryOf = (status: DaemonStatus): Record<string, string | number | boolean | undefined> => ({
+    daemon: status.daemonId,
+    zone: status.zone,
+    version:
+        `${status.versions.greengage} (protocol ${status.versions.protocol}, Node.js ${status.versions.node})`,
+    state: status.ready ? `${status.state}, ready` : `${status.state}, not ready: ${status.notReadyReason}`,
+    roles: [
+        status.voter ? "voter" : "learner",
+        ...(status.controlOnly ? ["control-only"] : []),
+        ...(status.isController ? ["controller of its zone"] : []),
+    ].join(", "),
+    leader: status.log.leaderId,
+    "table version": status.tableVersion,
+    "zones reachable": status.reachableZones.join(", "),
+    "zones unreachable": status.unreachableZones.join(", ") || "none",
+    "requests in flight": status.inFlight,
+    "invariants violated": status.violationCount,
+    process:
+        `up ${status.process.uptimeS} s, ${status.process.rssMb} MB, ${status.process.cpuMs} ms of CPU time`,
+});
+
+export const statusCommand = defineCommand({
+    meta: { name: "status", description: "Show the status of a daemon and the groups it knows" },
+    args: {
+        daemon: { type: "string", description: "Id of another daemon. Default: the one that is asked" },
+        ...connectionArgs,
+        ...jsonArg,
+    },
+    run: async ({ args }) => {
+        const query = args.daemon === undefined ? "" : `?daemon=${encodeURIComponent(args.daemon)}`;
+        const status = await new OperatorClient(args).get<DaemonStatus>(`status${query}`);
+        if (args.json) {
+            printJson(status);
+            return;
+        }
+        printFields(summaryOf(status));
+        console.log("");
+        printTable(
+            ["group", "model", "zone", "state", "VMs"],
+            status.groups.map((group) => [
+                group.groupId,
+                group.model,
+                group.zone,
+                group.state,
+                group.memberVmIds.join(" "),
+            ]),
+        );
+        if (status.measures !== undefined) {
+            console.log("");
+            printJson({ measures: status.measures });
+        }
+    },
+});
--- /dev/null
+++ b/packages/cli/src/commands/timeline.ts
@@ -0,0 +1,57 @@
+import type { TimelineEvent } from "@greengage/base";
+import { defineCommand } from "citty";
+import { connectionArgs, jsonArg, numberOf } from "../args.ts";
+import { OperatorClient } from "../client.ts";
+import { printJson, printTable, say } from "../output.ts";
+
+interface TimelineAnswer {
+    events: TimelineEvent[];
+    unreachable: string[];
+}
+
+export const timelineCommand = defineCommand({
+    meta: {
+        name: "timeline",
+        description: "Show the events of all daemons in one line, cause before effect",
+    },
+    args: {
+        limit: { type: "string", description: "Number of events, the newest ones", default: "50" },
+        part: { type: "string", description: "Only events of this part, for example groups" },
+        kind: { type: "string", description: "Only events whose kind starts like this, for example group.s" },
+        "since-s": { type: "string", description: "Only events of the last seconds" },
+        ...connectionArgs,
+        ...jsonArg,
+    },
+    run: async ({ args }) => {
+        const query = new URLSearchParams({ limit: String(numberOf("limit", args.limit)) });
+        const sinceS = args["since-s"];
+        const filters = {
+            part: args.part,
+            kind: args.kind,
+            sinceMs: sinceS && String(Date.now() - numberOf("since-s", sinceS) * 1_000),
+        };
+        for (const [name, value] of Object.entries(filters)) {
+            if (value !== undefined) {
+                query.set(name, value);
+            }
+        }
+        const answer = await new OperatorClient(args).get<TimelineAnswer>(`timeline?${query}`);
+        if (args.json) {
+            printJson(answer);
+            return;
+        }
+        printTable(
+            ["when", "daemon", "part", "event", "details"],
+            answer.events.map((event) => [
+                `${new Date(event.at.wallMs).toISOString()}+${event.at.counter}`,
+                event.daemonId,
+                event.part,
+                event.kind,
+                JSON.stringify(event.details),
+            ]),
+        );
+        if (answer.unreachable.length > 0) {
+            say(`events of these daemons are missing: ${answer.unreachable.join(", ")}`);
+        }
+    },
+});
--- /dev/null
+++ b/packages/cli/src/edit.ts
@@ -0,0 +1,96 @@
+import type { EditAnswer, Hazard } from "@greengage/http";
+import type { EditOutcome } from "@greengage/table";
+import { type ClientArgs, OperatorClient } from "./client.ts";
+import { CommandError, ExitCode } from "./exit.ts";
+import { printHazards, printJson, say } from "./output.ts";
+import { waitWithProgress } from "./wait.ts";
+
+/** Longest wait for an edit to be in effect in all zones that can be reached. */
+const EFFECT_LIMIT_S = 10;
+
+interface DryRun {
+    dryRun: true;
+    outcome: EditOutcome;
+    hazards: Hazard[];
+}
+
+export interface EditOptions {
+    path: "table" | "table/import";
+    body: { editId: string; dryRun: boolean; };
+    json: boolean;
+    wait: boolean;
+}
+
+/** Sends an edit, says its id, and waits until it is in effect in every zone. */
+export const sendEdit = async (args: ClientArgs, options: EditOptions): Promise<ExitCode> => {
+    const client = new OperatorClient(args);
+    if (options.body.dryRun) {
+        const plan = await client.post<DryRun>(options.path, options.body);
+        return showPlan(plan, options.json);
+    }
+    const { editId } = options.body;
+    say(`edit id: ${editId}`);
+    const answer = await client.post<EditAnswer>(options.path, options.body);
+    const pendingZones = options.wait
+        ? await waitForZones(client, answer)
+        : answer.pendingZones;
+    if (options.json) {
+        printJson({ editId, ...answer, pendingZones });
+        return ExitCode.Done;
+    }
+    const version = answer.outcome.status === "accepted" ? answer.outcome.tableVersion : undefined;
+    console.log(`accepted as table version ${version}`);
+    console.log(
+        pendingZones.length === 0
+            ? "in effect in all zones"
+            : `not yet in effect in ${pendingZones.join(", ")}; these zones follow by themselves`,
+    );
+    return ExitCode.Done;
+};
+
+const showPlan = (plan: DryRun, json: boolean): ExitCode => {
+    if (json) {
+        printJson(plan);
+        return ExitCode.Done;
+    }
+    console.log(`would be ${plan.outcome.status}`);
+    if (plan.outcome.status !== "accepted") {
+        printJson(plan.outcome);
+    }
+    printHazards(plan.hazards);
+    return ExitCode.Done;
+};
+
+interface Daemons {
+    daemons: { daemonId: string; zone: string; tableVersion: number; }[];
+    unreachable: string[];
+}
+
+const waitForZones = async (client: OperatorClient, answer: EditAnswer): Promise<string[]> => {
+    if (answer.outcome.status !== "accepted" || answer.pendingZones.length === 0) {
+        return answer.pendingZones;
+    }
+    const { tableVersion } = answer.outcome;
+    let pending = answer.pendingZones;
+    await waitWithProgress({
+        limitS: EFFECT_LIMIT_S,
+        probe: async () => {
+            const { daemons, unreachable } = await client.get<Daemons>("daemons");
+            const behind = daemons.filter((daemon) => daemon.tableVersion < tableVersion);
+            if (behind.length === 0 && unreachable.length === 0) {
+                pending = [];
+                return undefined;
+            }
+            const names = [...behind.map(({ daemonId }) => daemonId), ...unreachable];
+            return `waiting for ${names.join(", ")}`;
+        },
+    });
+    return pending;
+};
+
+/** Throws a failed command for a wait that ended too early. */
+export const requireEnd = (isDone: boolean, message: string): void => {
+    if (!isDone) {
+        throw new CommandError(message, ExitCode.Failed);
+    }
+};
--- /dev/null
+++ b/packages/cli/src/output.ts
@@ -0,0 +1,52 @@
+type Cell = string | number | boolean | undefined;
+
+/** Prints rows below their headings, in aligned columns. */
+export const printTable = (headings: readonly string[], rows: readonly Cell[][]): void => {
+    const texts = rows.map((row) => row.map((cell) => cell === undefined ? "-" : String(cell)));
+    const widths = headings.map((heading, column) =>
+        Math.max(heading.length, ...texts.map((row) => row[column]?.length ?? 0))
+    );
+    for (const row of [headings, ...texts]) {
+        console.log(row.map((text, column) => text.padEnd(widths[column] ?? 0)).join("  ").trimEnd());
+    }
+};
+
+/** Prints names with their values, one a line. */
+export const printFields = (fields: Record<string, Cell>): void => {
+    const shown = Object.entries(fields).filter(([, value]) => value !== undefined);
+    const width = Math.max(...shown.map(([name]) => name.length));
+    for (const [name, value] of shown) {
+        console.log(`${name.padEnd(width)}  ${value}`);
+    }
+};
+
+export const printJson = (value: unknown): void => console.log(JSON.stringify(value, undefined, 2));
+
+/** Says something about a command's progress. It goes to standard error, so that output stays clean. */
+export const say = (message: string): void => console.error(message);
+
+/** Shows a changing line on a terminal, and each new text once elsewhere. */
+export class Progress {
+    readonly #isTerminal = process.stderr.isTTY === true;
+    #shown = "";
+
+    show(text: string): void {
+        if (text === this.#shown) {
+            return;
+        }
+        this.#shown = text;
+        process.stderr.write(this.#isTerminal ? `\r\u001B[K${text}` : `${text}\n`);
+    }
+
+    end(): void {
+        if (this.#isTerminal && this.#shown !== "") {
+            process.stderr.write("\n");
+        }
+    }
+}
+
+export const printHazards = (hazards: readonly { hazard: string; detail: string; }[]): void => {
+    for (const { hazard, detail } of hazards) {
+        console.log(`unsafe (${hazard}): ${detail}`);
+    }
+};
--- /dev/null
+++ b/packages/cli/src/program.ts
@@ -0,0 +1,89 @@
+import { messageOf } from "@greengage/base";
+import { type ArgsDef, type CommandDef, renderUsage, runCommand } from "citty";
+import { stripVTControlCharacters } from "node:util";
+import { CommandError, ExitCode, usageError } from "./exit.ts";
+import { checkArguments } from "./flags.ts";
+
+/** A command of any arguments. */
+// eslint-disable-next-line @typescript-eslint/no-explicit-any -- citty types commands by their arguments.
+export type AnyCommand = CommandDef<any>;
+
+interface Resolved {
+    command: AnyCommand;
+    /** Names of the parent commands, for the usage text. */
+    parentName: string;
+    rawArgs: string[];
+}
+
+const HELP_FLAGS = ["--help", "-h"];
+
+const subCommandsOf = (command: AnyCommand): Record<string, AnyCommand> =>
+    (command.subCommands ?? {}) as Record<string, AnyCommand>;
+
+const nameOf = (command: AnyCommand): string => (command.meta as { name?: string; } | undefined)?.name ?? "";
+
+/** Finds the command that the arguments name. Stops at the last one that is known. */
+const resolve = (root: AnyCommand, rawArgs: string[]): Resolved => {
+    let resolved: Resolved = { command: root, parentName: "", rawArgs };
+    for (;;) {
+        const [name = "", ...rest] = resolved.rawArgs;
+        const subCommands = subCommandsOf(resolved.command);
+        const next = Object.hasOwn(subCommands, name) ? subCommands[name] : undefined;
+        if (next === undefined) {
+            return resolved;
+        }
+        const parentName = `${resolved.parentName} ${nameOf(resolved.command)}`.trim();
+        resolved = { command: next, parentName, rawArgs: rest };
+    }
+};
+
+const usageOf = async ({ command, parentName }: Resolved): Promise<string> => {
+    const parent = parentName === "" ? undefined : { meta: { name: parentName } };
+    const usage = await renderUsage(command, parent);
+    return process.stdout.isTTY ? usage : stripVTControlCharacters(usage);
+};
+
+const requireLeaf = ({ command, rawArgs }: Resolved): void => {
+    const names = Object.keys(subCommandsOf(command));
+    if (names.length === 0) {
+        return;
+    }
+    const found = rawArgs[0] === undefined ? "no command" : `unknown command "${rawArgs[0]}"`;
+    throw usageError(`${found}; commands of ${nameOf(command)}: ${names.join(", ")}`);
+};
+
+/** Runs the command that the arguments name and returns the exit code. */
+export const runProgram = async (root: AnyCommand, rawArgs: string[]): Promise<ExitCode> => {
+    const resolved = resolve(root, rawArgs);
+    if (resolved.rawArgs.some((argument) => HELP_FLAGS.includes(argument))) {
+        console.log(await usageOf(resolved));
+        return ExitCode.Done;
+    }
+    try {
+        requireLeaf(resolved);
+        checkArguments((resolved.command.args ?? {}) as ArgsDef, resolved.rawArgs);
+        const { result } = await runCommand(resolved.command, { rawArgs: resolved.rawArgs });
+        return (result as ExitCode | undefined) ?? ExitCode.Done;
+    }
+    catch (error) {
+        return await fail(error, resolved);
+    }
+};
+
+const exitCodeOf = (error: unknown): ExitCode => {
+    if (error instanceof CommandError) {
+        return error.exitCode;
+    }
+    // citty reports missing and wrong arguments with its own class, which it does not export.
+    return error instanceof Error && error.name === "CLIError" ? ExitCode.Usage : ExitCode.Failed;
+};
+
+const fail = async (error: unknown, resolved: Resolved): Promise<ExitCode> => {
+    const exitCode = exitCodeOf(error);
+    console.error(`greengage: ${stripVTControlCharacters(messageOf(error))}`);
+    if (exitCode === ExitCode.Usage) {
+        const command = `${resolved.parentName} ${nameOf(resolved.command)}`.trim();
+        console.error(`Run \`${command} --help\` for the arguments.`);
+    }
+    return exitCode;
+};
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -5,29 +5,45 @@
     createLogFactory,
     Lifecycle,
     LogPart,
+    messageOf,
     Metrics,
-    newId,
 } from "@greengage/base";
 import { CompositeStateMachine, FixedLeaderLog } from "@greengage/consensus";
-import { type EditAnswer, HttpSurface } from "@greengage/http";
+import {
+    Admission,
+    DEFAULT_LIMITS,
+    DrainState,
+    HttpSurface,
+    OperatorSurface,
+    type Readiness,
+} from "@greengage/http";
 import { Membership } from "@greengage/membership";
 import { PeerNetwork } from "@greengage/protocol";
 import { BackendDispatcher } from "@greengage/routing";
-import { type EditOutcome, type RowChange, TableState } from "@greengage/table";
+import { TableState } from "@greengage/table";
+import { DaemonDrain } from "./drain.ts";
+import { processFigures, startGauges } from "./figures.ts";
+import { DaemonOperators, unsupportedVmDrains } from "./operators.ts";
+import { type Part, startInOrder } from "./parts.ts";
 import type { Settings } from "./settings.ts";
-
-const EDIT_TIMEOUT_MS = 5_000;
+import { LoggedSettlement } from "./settlement.ts";
+import { type DaemonStatus, versions } from "./status.ts";
 
 /** One daemon: all parts of the system on one entry VM. */
 export class Daemon {
     readonly #settings: Settings;
+    readonly #self: Settings["daemons"][number];
     readonly #context: Context;
     readonly #lifecycle = new Lifecycle();
     readonly #table = new TableState();
     readonly #actionRecords = new ActionRecords();
+    readonly #admission: Admission;
+    readonly #drain: DaemonDrain;
     readonly #peers: PeerNetwork;
     readonly #log: FixedLeaderLog;
     readonly #membership: Membership;
+    readonly #dispatcher: BackendDispatcher;
+    readonly #operators: OperatorSurface;
     readonly #surface: HttpSurface;
 
     constructor(settings: Settings) {
@@ -40,6 +56,7 @@
         if (self === undefined) {
             throw new Error(`daemon ${daemonId} is not in the list of daemons`);
         }
+        this.#self = self;
         this.#peers = new PeerNetwork({
             context,
             listen: { host: self.host, port: self.port },
@@ -59,63 +76,162 @@
             orderKey: keys.backendServers,
             timing: settings.timing,
         });
-        const dispatcher = new BackendDispatcher({
+        this.#dispatcher = new BackendDispatcher({
             context,
             directory: this.#membership.directory,
             table: this.#table,
             backendKey: keys.backendServers,
         });
+        const limits = { ...DEFAULT_LIMITS, ...settings.limits };
+        this.#admission = new Admission(limits);
+        this.#drain = new DaemonDrain({
+            context,
+            admission: this.#admission,
+            graceMs: settings.drainGraceMs,
+            limitMs: settings.drainLimitMs,
+        });
+        this.#operators = this.#createOperators();
         this.#surface = new HttpSurface({
             context,
             listen: settings.http,
             keys,
+            limits,
+            admission: this.#admission,
             table: this.#table,
-            dispatcher,
-            actions: new ActionService({ context, log: this.#log, dispatcher }),
+            dispatcher: this.#dispatcher,
+            actions: new ActionService({ context, log: this.#log, dispatcher: this.#dispatcher }),
             acceptReport: (report) => this.#membership.intake.accept(report),
-            operators: { status: () => this.status(), edit: (edit) => this.#edit(edit) },
-            isReady: () => this.#membership.directory.reachableZones().includes(zone),
+            operators: this.#operators,
+            readiness: () => this.readiness(),
+            servesCallers: !self.controlOnly,
         });
-        this.#lifecycle.onClose(() => dispatcher.close());
     }
 
+    /** Starts all parts. Throws StartError with the part that failed, after closing those that had started. */
     async start(): Promise<void> {
-        await this.#peers.start();
-        this.#lifecycle.onClose(() => this.#peers.close());
-        this.#log.start();
-        this.#lifecycle.onClose(() => this.#log.close());
-        this.#membership.start();
-        this.#lifecycle.onClose(() => this.#membership.close());
-        await this.#surface.start();
-        this.#lifecycle.onClose(() => this.#surface.close());
+        const log = this.#context.logs(LogPart.Daemon);
+        try {
+            await startInOrder(this.#parts(), this.#lifecycle);
+        }
+        catch (error) {
+            log.error("start failed", { reason: messageOf(error) });
+            await this.close();
+            throw error;
+        }
         const { daemonId, zone, http } = this.#settings;
-        this.#context.logs(LogPart.Daemon).info(`daemon ${daemonId} of zone ${zone} takes requests`, http);
+        this.#context.timeline.record("daemon", "daemon.started", { version: versions().greengage });
+        log.info(`daemon ${daemonId} of zone ${zone} takes requests`, { ...http, port: this.#surface.port });
+    }
+
+    /** Drains and closes. Returns whether every request in flight was finished. */
+    async stop(): Promise<boolean> {
+        const isFinished = await this.#drain.finish();
+        await this.close();
+        return isFinished;
     }
 
+    /** Closes at once. Requests in flight are cut off. */
     async close(): Promise<void> {
         await this.#lifecycle.close();
+        this.#context.logs(LogPart.Daemon).info("daemon is stopped");
         await this.#context.metrics.close();
     }
 
-    status(): object {
+    /** Whether a load balancer should send callers' requests to this daemon. */
+    readiness(): Readiness {
+        const reasons: [boolean, string][] = [
+            [this.#drain.state !== DrainState.Serving, `the daemon is ${this.#drain.state}`],
+            [this.#self.controlOnly, "the daemon is control-only"],
+            [
+                !this.#membership.directory.reachableZones().includes(this.#settings.zone),
+                "the daemon holds no grant of its own zone",
+            ],
+        ];
+        const reason = reasons.find(([applies]) => applies)?.[1];
+        return reason === undefined ? { ready: true } : { ready: false, reason };
+    }
+
+    status(): DaemonStatus {
         const { directory, lease } = this.#membership;
+        const { daemonId, zone, daemons } = this.#settings;
+        const reachableZones = directory.reachableZones();
+        const zones = [...new Set(daemons.map((daemon) => daemon.zone))];
+        const { ready, reason } = this.readiness();
         return {
-            daemonId: this.#settings.daemonId,
-            zone: this.#settings.zone,
+            daemonId,
+            zone,
+            versions: versions(),
+            state: this.#drain.state,
+            ready,
+            notReadyReason: reason,
+            voter: this.#self.voter,
+            controlOnly: this.#self.controlOnly,
+            isController: lease.isValid,
             tableVersion: this.#table.version,
             log: this.#log.status(),
-            isController: lease.isValid,
-            reachableZones: directory.reachableZones(),
+            reachableZones,
+            unreachableZones: zones.filter((name) => !reachableZones.includes(name)),
             groups: directory.allGroups(),
             services: directory.allServices(),
             invariants: this.#context.invariants.counts(),
+            violationCount: this.#context.invariants.violationCount,
+            inFlight: this.#admission.inFlight,
+            inFlightByRow: this.#admission.counts(),
+            process: processFigures(),
+            peerTraffic: this.#peers.traffic,
         };
     }
 
-    async #edit(edit: { editId: string; operator: string; changes: RowChange[]; }): Promise<EditAnswer> {
-        const command = { type: "table.edit", atMs: Date.now(), ...edit, editId: edit.editId ?? newId() };
-        const { result } = await this.#log.propose(command, { timeoutMs: EDIT_TIMEOUT_MS });
-        const zones = this.#membership.directory.reachableZones();
-        return { outcome: result as EditOutcome, inForceZones: zones, pendingZones: [] };
+    /** Parts in start order: a part uses only parts before it. They close in reverse order. */
+    #parts(): Part[] {
+        const dispatcher = this.#dispatcher;
+        return [
+            { name: "dispatcher", start: () => undefined, close: () => dispatcher.close() },
+            { name: "peers", start: () => this.#peers.start(), close: () => this.#peers.close() },
+            { name: "log", start: () => this.#log.start(), close: () => this.#log.close() },
+            { name: "table", ...this.#tableEvents() },
+            {
+                name: "membership",
+                start: () => this.#membership.start(),
+                close: () => this.#membership.close(),
+            },
+            { name: "gauges", ...this.#gauges() },
+            { name: "http", start: () => this.#surface.start(), close: () => this.#surface.close() },
+        ];
+    }
+
+    /** Records each change of the table in the time line. */
+    #tableEvents(): Omit<Part, "name"> {
+        let stop: () => void = () => undefined;
+        const record = (): void => {
+            this.#context.timeline.record("table", "table.changed", { tableVersion: this.#table.version });
+        };
+        return { start: () => void (stop = this.#table.onChange(record)), close: () => stop() };
+    }
+
+    #gauges(): Omit<Part, "name"> {
+        let gauges: Lifecycle | undefined;
+        const options = { context: this.#context, admission: this.#admission, table: this.#table };
+        return { start: () => void (gauges = startGauges(options)), close: () => gauges?.close() };
+    }
+
+    #createOperators(): OperatorSurface {
+        const operators = new OperatorSurface(
+            new DaemonOperators({
+                context: this.#context,
+                settings: this.#settings,
+                peers: this.#peers,
+                log: this.#log,
+                table: this.#table,
+                membership: this.#membership,
+                admission: this.#admission,
+                vmDrains: unsupportedVmDrains,
+                daemonDrains: this.#drain,
+                actions: new LoggedSettlement(this.#log, this.#actionRecords),
+                status: () => this.status(),
+            }),
+        );
+        this.#peers.handle("operator.forward", (request) => operators.handle(request));
+        return operators;
     }
 }
--- /dev/null
+++ b/packages/daemon/src/drain.ts
@@ -0,0 +1,81 @@
+import { type Context, Invariant, type Log, LogPart, sleep } from "@greengage/base";
+import { type Admission, type DaemonDrains, DrainState } from "@greengage/http";
+
+export interface DaemonDrainOptions {
+    context: Context;
+    admission: Admission;
+    graceMs: number;
+    limitMs: number;
+}
+
+/** Takes a daemon out of service without interrupting a request. */
+export class DaemonDrain implements DaemonDrains {
+    readonly #options: DaemonDrainOptions;
+    readonly #log: Log;
+    #state: DrainState = DrainState.Serving;
+    #undo = new AbortController();
+    #drained: Promise<void> = Promise.resolve();
+
+    constructor(options: DaemonDrainOptions) {
+        this.#options = options;
+        this.#log = options.context.logs(LogPart.Daemon);
+    }
+
+    get state(): DrainState {
+        return this.#state;
+    }
+
+    /** Reports not ready at once, and refuses new requests after the grace time. */
+    drain(): void {
+        if (this.#state !== DrainState.Serving) {
+            return;
+        }
+        this.#undo = new AbortController();
+        this.#enter(DrainState.Draining);
+        this.#drained = this.#run(this.#undo.signal);
+    }
+
+    undrain(): void {
+        if (this.#state === DrainState.Serving) {
+            return;
+        }
+        this.#undo.abort();
+        this.#options.admission.open();
+        this.#enter(DrainState.Serving);
+    }
+
+    /** Drains and waits until no request is in flight. Returns whether that was reached within the limit. */
+    async finish(): Promise<boolean> {
+        const { admission, context, graceMs, limitMs } = this.#options;
+        this.drain();
+        const stop = new AbortController();
+        await Promise.race([this.#drained, sleep(graceMs + limitMs, stop.signal)]);
+        stop.abort();
+        const inFlight = admission.inFlight;
+        context.invariants.check(
+            Invariant.ShutdownCutsNothing,
+            inFlight === 0,
+            () => `the daemon stops while ${inFlight} requests still run after ${limitMs} ms`,
+        );
+        return inFlight === 0;
+    }
+
+    async #run(undone: AbortSignal): Promise<void> {
+        await sleep(this.#options.graceMs, undone);
+        if (undone.aborted) {
+            return;
+        }
+        this.#options.admission.close();
+        await this.#options.admission.idle();
+        if (!undone.aborted) {
+            this.#enter(DrainState.Drained);
+        }
+    }
+
+    #enter(state: DrainState): void {
+        this.#state = state;
+        const inFlight = this.#options.admission.inFlight;
+        this.#log.info(`daemon is ${state}`, { inFlight });
+        this.#options.context.timeline.record("daemon", `daemon.${state}`, { inFlight });
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/effect.ts
@@ -0,0 +1,36 @@
+import { monotonicMs, sleep } from "@greengage/base";
+import type { DaemonSummary } from "@greengage/http";
+
+const POLL_MS = 50;
+
+export interface EffectOptions {
+    tableVersion: number;
+    zones: string[];
+    /** How long to wait for zones in which the edit is not in effect yet. */
+    waitMs: number;
+    /** Summaries of the daemons that can be reached. */
+    summaries: () => Promise<{ answers: DaemonSummary[]; unreachable: string[]; }>;
+    zoneOf: (daemonId: string) => string | undefined;
+}
+
+/** Zones in which every daemon has applied a version of the table, and the other zones. */
+export const waitForEffect = async (
+    options: EffectOptions,
+): Promise<{ inForceZones: string[]; pendingZones: string[]; }> => {
+    const untilMs = monotonicMs() + options.waitMs;
+    for (;;) {
+        const pending = await pendingZones(options);
+        if (pending.size === 0 || monotonicMs() >= untilMs) {
+            const inForceZones = options.zones.filter((zone) => !pending.has(zone));
+            return { inForceZones, pendingZones: [...pending] };
+        }
+        await sleep(POLL_MS);
+    }
+};
+
+const pendingZones = async (options: EffectOptions): Promise<Set<string>> => {
+    const { answers, unreachable } = await options.summaries();
+    const behind = answers.filter((answer) => answer.tableVersion < options.tableVersion);
+    const zones = [...behind.map((answer) => answer.zone), ...unreachable.map(options.zoneOf)];
+    return new Set(zones.filter((zone) => zone !== undefined));
+};
--- /dev/null
+++ b/packages/daemon/src/figures.ts
@@ -0,0 +1,40 @@
+import { type Context, Lifecycle } from "@greengage/base";
+import type { Admission } from "@greengage/http";
+import type { TableState } from "@greengage/table";
+
+const PERIOD_MS = 10_000;
+const BYTES_PER_MB = 1024 * 1024;
+
+/** What the process uses. */
+export interface ProcessFigures {
+    uptimeS: number;
+    rssMb: number;
+    /** CPU time since the start, user and system. */
+    cpuMs: number;
+}
+
+export const processFigures = (): ProcessFigures => {
+    const { user, system } = process.cpuUsage();
+    return {
+        uptimeS: Math.round(process.uptime()),
+        rssMb: Math.round(process.memoryUsage.rss() / BYTES_PER_MB),
+        cpuMs: Math.round((user + system) / 1000),
+    };
+};
+
+/** Sends the gauges of a daemon at a fixed period. */
+export const startGauges = (
+    options: { context: Context; admission: Admission; table: TableState; },
+): Lifecycle => {
+    const lifecycle = new Lifecycle();
+    const { metrics } = options.context;
+    const send = (): void => {
+        const { rssMb, cpuMs } = processFigures();
+        metrics.gauge("process.rss_mb", rssMb);
+        metrics.gauge("process.cpu_ms", cpuMs);
+        metrics.gauge("http.in_flight", options.admission.inFlight);
+        metrics.gauge("table.version", options.table.version);
+    };
+    lifecycle.every(PERIOD_MS, send, () => undefined);
+    return lifecycle;
+};
--- /dev/null
+++ b/packages/daemon/src/operators.ts
@@ -0,0 +1,127 @@
+import { type Context, ErrorCode, GreengageError, Verdict } from "@greengage/base";
+import type { ReplicatedLog } from "@greengage/consensus";
+import {
+    type ActionSettlement,
+    type Admission,
+    type DaemonDrains,
+    type DaemonSummary,
+    type EditAnswer,
+    fleetSummaries,
+    type OperatorApi,
+    type OperatorRequest,
+    type OperatorResponse,
+    type TableEdit,
+    type VmDrains,
+} from "@greengage/http";
+import type { Membership } from "@greengage/membership";
+import type { Peers } from "@greengage/protocol";
+import type { EditOutcome, TableState } from "@greengage/table";
+import { waitForEffect } from "./effect.ts";
+import type { Settings } from "./settings.ts";
+import type { DaemonStatus } from "./status.ts";
+
+const EDIT_TIMEOUT_MS = 5_000;
+const CATCH_UP_TIMEOUT_MS = 2_000;
+const FORWARD_TIMEOUT_MS = 1_500;
+/** The response to an edit waits this long for the zones; our bound for an edit to be in effect is 3 s. */
+const EFFECT_WAIT_MS = 3_000;
+
+export interface DaemonOperatorsOptions {
+    context: Context;
+    settings: Settings;
+    peers: Peers;
+    log: ReplicatedLog;
+    table: TableState;
+    membership: Membership;
+    admission: Admission;
+    vmDrains: VmDrains;
+    daemonDrains: DaemonDrains;
+    actions: ActionSettlement;
+    status: () => DaemonStatus;
+}
+
+/** What operators can see and do at this daemon. */
+export class DaemonOperators implements OperatorApi {
+    readonly daemonId: string;
+    readonly daemons: Settings["daemons"];
+    readonly table: TableState;
+    readonly admission: Admission;
+    readonly vmDrains: VmDrains;
+    readonly daemonDrains: DaemonDrains;
+    readonly actions: ActionSettlement;
+    readonly status: () => DaemonStatus;
+    readonly #options: DaemonOperatorsOptions;
+
+    constructor(options: DaemonOperatorsOptions) {
+        this.#options = options;
+        this.daemonId = options.settings.daemonId;
+        this.daemons = options.settings.daemons;
+        this.table = options.table;
+        this.admission = options.admission;
+        this.vmDrains = options.vmDrains;
+        this.daemonDrains = options.daemonDrains;
+        this.actions = options.actions;
+        this.status = options.status;
+    }
+
+    summary(): DaemonSummary {
+        const { daemonId, zone, voter, controlOnly, state, ready, inFlight, tableVersion } = this.status();
+        return { daemonId, zone, voter, controlOnly, state, ready, inFlight, tableVersion };
+    }
+
+    groups(): ReturnType<OperatorApi["groups"]> {
+        return this.#options.membership.directory.allGroups();
+    }
+
+    services(): ReturnType<OperatorApi["services"]> {
+        return this.#options.membership.directory.allServices();
+    }
+
+    timeline(): ReturnType<OperatorApi["timeline"]> {
+        return this.#options.context.timeline.events();
+    }
+
+    record(kind: string, details: Parameters<OperatorApi["record"]>[1]): void {
+        this.#options.context.timeline.record("operators", kind, details);
+    }
+
+    async edit(edit: TableEdit): Promise<EditAnswer> {
+        const command = { type: "table.edit", atMs: Date.now(), ...edit };
+        const { result } = await this.#options.log.propose(command, { timeoutMs: EDIT_TIMEOUT_MS });
+        const outcome = result as EditOutcome;
+        if (outcome.status !== "accepted") {
+            return { outcome, inForceZones: [], pendingZones: [] };
+        }
+        const zones = await waitForEffect({
+            tableVersion: outcome.tableVersion,
+            zones: [...new Set(this.daemons.map((daemon) => daemon.zone))],
+            waitMs: EFFECT_WAIT_MS,
+            summaries: () => fleetSummaries(this),
+            zoneOf: (daemonId) => this.daemons.find((daemon) => daemon.daemonId === daemonId)?.zone,
+        });
+        return { outcome, ...zones };
+    }
+
+    async catchUp(): Promise<void> {
+        const { log } = this.#options;
+        const index = await log.readBarrier({ timeoutMs: CATCH_UP_TIMEOUT_MS });
+        await log.waitForApplied(index, { timeoutMs: CATCH_UP_TIMEOUT_MS });
+    }
+
+    forward(daemonId: string, request: OperatorRequest): Promise<OperatorResponse> {
+        const options = { timeoutMs: FORWARD_TIMEOUT_MS };
+        return this.#options.peers.call(daemonId, "operator.forward", request, options);
+    }
+}
+
+/** VM drains of a daemon whose membership offers none. */
+export const unsupportedVmDrains: VmDrains = {
+    drainVm: () => Promise.reject(unsupported()),
+    undrainVm: () => Promise.reject(unsupported()),
+};
+
+const unsupported = (): GreengageError =>
+    new GreengageError("this version can't drain single VMs", {
+        code: ErrorCode.Unavailable,
+        verdict: Verdict.NotRun,
+    });
--- /dev/null
+++ b/packages/daemon/src/status.ts
@@ -0,0 +1,52 @@
+import type { Invariant, InvariantCounts } from "@greengage/base";
+import type { LogStatus } from "@greengage/consensus";
+import type { DrainState, InFlightCounts } from "@greengage/http";
+import { type GroupView, PROTOCOL_VERSION, type ServiceView } from "@greengage/protocol";
+import type { ProcessFigures } from "./figures.ts";
+
+export const VERSION = "0.1.0";
+
+/** Versions of the running programs. */
+export interface Versions {
+    greengage: string;
+    /** Version of the protocol between daemons. */
+    protocol: number;
+    node: string;
+}
+
+export const versions = (): Versions => ({
+    greengage: VERSION,
+    protocol: PROTOCOL_VERSION,
+    node: process.versions.node,
+});
+
+/** Status document of a daemon: `GET /operator/v1/status`. */
+export interface DaemonStatus {
+    daemonId: string;
+    zone: string;
+    versions: Versions;
+    state: DrainState;
+    ready: boolean;
+    /** Why the daemon is not ready. */
+    notReadyReason?: string;
+    voter: boolean;
+    controlOnly: boolean;
+    /** Whether this daemon holds the lease of its zone. */
+    isController: boolean;
+    tableVersion: number;
+    log: LogStatus;
+    /** Zones whose grant is valid now. */
+    reachableZones: string[];
+    unreachableZones: string[];
+    groups: GroupView[];
+    services: ServiceView[];
+    /** Group downtime and stranded accelerators with their causes, when this daemon is a controller. */
+    measures?: object;
+    invariants: Partial<Record<Invariant, InvariantCounts>>;
+    violationCount: number;
+    inFlight: number;
+    inFlightByRow: InFlightCounts;
+    process: ProcessFigures;
+    /** Traffic with the other daemons since the start. */
+    peerTraffic: object;
+}
--- /dev/null
+++ b/packages/http/src/admission.ts
@@ -0,0 +1,130 @@
+import { ErrorCode, GreengageError, Verdict } from "@greengage/base";
+import type { Socket } from "node:net";
+import { notRunError } from "./errors.ts";
+import type { HttpLimits } from "./limits.ts";
+
+const RETRY_AFTER_MS = 1_000;
+
+/** What a request works for, to count requests in flight. */
+export interface WorkSubject {
+    organisation: string;
+    /** Key of the table's row: `model/NAME` or `service/NAME`. */
+    row: string;
+}
+
+/** Requests in flight by row of the table. */
+export type InFlightCounts = Record<string, number>;
+
+/** Admits requests of callers within the limits and counts those in flight. */
+export class Admission {
+    readonly #limits: HttpLimits;
+    readonly #byRow = new Map<string, number>();
+    readonly #byConnection = new WeakMap<Socket, number>();
+    #idleWaiters: (() => void)[] = [];
+    #inFlight = 0;
+    #isClosed = false;
+
+    constructor(limits: HttpLimits) {
+        this.#limits = limits;
+    }
+
+    /** Requests of callers that are not finished. */
+    get inFlight(): number {
+        return this.#inFlight;
+    }
+
+    counts(): InFlightCounts {
+        return Object.fromEntries(this.#byRow);
+    }
+
+    /** Refuses new requests from now on, because the daemon stops. */
+    close(): void {
+        this.#isClosed = true;
+    }
+
+    /** Takes new requests again. */
+    open(): void {
+        this.#isClosed = false;
+    }
+
+    /** Runs one request within the limits. Throws before the work starts when there is no room. */
+    async run(socket: Socket, work: () => Promise<void>): Promise<void> {
+        this.#requireRoom(socket);
+        this.#inFlight += 1;
+        this.#byConnection.set(socket, (this.#byConnection.get(socket) ?? 0) + 1);
+        try {
+            await work();
+        }
+        finally {
+            this.#inFlight -= 1;
+            this.#byConnection.set(socket, (this.#byConnection.get(socket) ?? 1) - 1);
+            this.#wakeIfIdle();
+        }
+    }
+
+    /** Counts work for an organisation and a row of the table. */
+    async count<T>(subject: WorkSubject, work: () => Promise<T>): Promise<T> {
+        const keys = [`organisation/${subject.organisation}`, subject.row];
+        for (const key of keys) {
+            this.#add(key, 1);
+        }
+        try {
+            return await work();
+        }
+        finally {
+            for (const key of keys) {
+                this.#add(key, -1);
+            }
+        }
+    }
+
+    /** Resolves when no request is in flight. */
+    idle(): Promise<void> {
+        if (this.#inFlight === 0) {
+            return Promise.resolve();
+        }
+        return new Promise((resolve) => this.#idleWaiters.push(resolve));
+    }
+
+    #requireRoom(socket: Socket): void {
+        if (this.#isClosed) {
+            throw retryElsewhere(ErrorCode.Draining, "this daemon stops and takes no new requests");
+        }
+        if (this.#inFlight >= this.#limits.concurrentRequests) {
+            throw retryElsewhere(
+                ErrorCode.NoCapacity,
+                `this daemon already handles ${this.#limits.concurrentRequests} requests`,
+            );
+        }
+        const limit = this.#limits.concurrentPerConnection;
+        if ((this.#byConnection.get(socket) ?? 0) >= limit) {
+            throw notRunError(
+                ErrorCode.LimitReached,
+                `more than ${limit} requests at once on one connection`,
+            );
+        }
+    }
+
+    #add(key: string, change: number): void {
+        const count = (this.#byRow.get(key) ?? 0) + change;
+        if (count === 0) {
+            this.#byRow.delete(key);
+            return;
+        }
+        this.#byRow.set(key, count);
+    }
+
+    #wakeIfIdle(): void {
+        if (this.#inFlight > 0) {
+            return;
+        }
+        const waiters = this.#idleWaiters;
+        this.#idleWaiters = [];
+        for (const resolve of waiters) {
+            resolve();
+        }
+    }
+}
+
+const retryElsewhere = (code: ErrorCode, message: string): GreengageError =>
+    new GreengageError(message, { code, verdict: Verdict.NotRun, retryAfterMs: RETRY_AFTER_MS });
--- a/packages/http/src/body.ts
+++ b/packages/http/src/body.ts
@@ -1,40 +1,68 @@
-import { ErrorCode, GreengageError, Verdict } from "@greengage/base";
+import { ErrorCode } from "@greengage/base";
 import type { IncomingMessage } from "node:http";
+import { notRunError } from "./errors.ts";
+import type { Exchange } from "./exchange.ts";
 
-/** Reads a whole request body. Throws `too-large` beyond `limitBytes`. */
-export const readBody = async (request: IncomingMessage, limitBytes: number): Promise<Buffer> => {
-    const chunks: Buffer[] = [];
-    let sizeBytes = 0;
-    for await (const chunk of request as AsyncIterable<Buffer>) {
-        sizeBytes += chunk.length;
-        if (sizeBytes > limitBytes) {
-            throw new GreengageError(`the body is larger than ${limitBytes} bytes`, {
-                code: ErrorCode.TooLarge,
-                verdict: Verdict.NotRun,
-            });
-        }
-        chunks.push(chunk);
+export interface BodyLimits {
+    limitBytes: number;
+    limitMs: number;
+}
+
+const tooLarge = (limitBytes: number): Error =>
+    notRunError(ErrorCode.TooLarge, `the body is larger than ${limitBytes} bytes`);
+
+/** Reads a whole request body. Throws `too-large` or `slow-request`. */
+export const readBody = ({ request }: Exchange, limits: BodyLimits): Promise<Buffer> => {
+    if (Number(request.headers["content-length"] ?? 0) > limits.limitBytes) {
+        return Promise.reject(tooLarge(limits.limitBytes));
     }
-    return Buffer.concat(chunks);
+    return collect(request, limits);
 };
 
-/** Reads a JSON object. Throws `bad-request` for anything else. */
-export const readJson = async (
-    request: IncomingMessage,
-    limitBytes: number,
-): Promise<Record<string, unknown>> => {
-    const body = await readBody(request, limitBytes);
+const collect = (request: IncomingMessage, limits: BodyLimits): Promise<Buffer> =>
+    new Promise((resolve, reject) => {
+        const chunks: Buffer[] = [];
+        let sizeBytes = 0;
+        const finish = (settle: () => void): void => {
+            clearTimeout(timer);
+            request.off("data", take).off("end", end).off("close", lose);
+            settle();
+        };
+        const take = (chunk: Buffer): void => {
+            sizeBytes += chunk.length;
+            chunks.push(chunk);
+            if (sizeBytes > limits.limitBytes) {
+                finish(() => reject(tooLarge(limits.limitBytes)));
+            }
+        };
+        const end = (): void => finish(() => resolve(Buffer.concat(chunks)));
+        const lose = (): void =>
+            finish(() => reject(notRunError(ErrorCode.Cancelled, "the connection was closed")));
+        const timer = setTimeout(() => {
+            const message = `the body did not arrive within ${limits.limitMs} ms`;
+            finish(() => reject(notRunError(ErrorCode.SlowRequest, message)));
+        }, limits.limitMs);
+        request.on("data", take).on("end", end).on("close", lose);
+    });
+
+/** Reads a JSON object. Throws `unsupported-media-type` or `bad-request` for anything else. */
+export const readJson = async (exchange: Exchange, limits: BodyLimits): Promise<Record<string, unknown>> => {
+    const mediaType = (exchange.request.headers["content-type"] ?? "").split(";", 1)[0]?.trim().toLowerCase();
+    if (mediaType !== "application/json") {
+        const found = mediaType === "" ? "missing" : `"${mediaType}"`;
+        const message = `the content-type must be application/json, it is ${found}`;
+        throw notRunError(ErrorCode.UnsupportedMediaType, message);
+    }
+    const body = await readBody(exchange, limits);
+    let value: unknown;
     try {
-        const value: unknown = JSON.parse(body.toString("utf8"));
-        if (typeof value === "object" && !Array.isArray(value) && value) {
-            return value as Record<string, unknown>;
-        }
+        value = JSON.parse(body.toString("utf8"));
     }
-    catch {
-        // Reported below.
+    catch (error) {
+        throw notRunError(ErrorCode.BadRequest, `the body is not JSON: ${(error as Error).message}`);
     }
-    throw new GreengageError("the body is not a JSON object", {
-        code: ErrorCode.BadRequest,
-        verdict: Verdict.NotRun,
-    });
+    if (typeof value !== "object" || Array.isArray(value) || !value) {
+        throw notRunError(ErrorCode.BadRequest, "the body is not a JSON object");
+    }
+    return value as Record<string, unknown>;
 };
--- /dev/null
+++ b/packages/http/src/chat.ts
@@ -0,0 +1,122 @@
+import { ErrorCode, GreengageError } from "@greengage/base";
+import type { Dispatcher, GenerateRequest } from "@greengage/routing";
+import type { OrganisationRow, TableState } from "@greengage/table";
+import { z } from "zod";
+import type { Admission } from "./admission.ts";
+import { readJson } from "./body.ts";
+import { CollectingSink } from "./completion.ts";
+import { deadlineMsOf, runUntil } from "./deadline.ts";
+import { checkFields, notRunError } from "./errors.ts";
+import { disconnectSignal, type Exchange, type ExchangeHandler, sendJson } from "./exchange.ts";
+import type { ApiKeys } from "./keys.ts";
+import type { HttpLimits } from "./limits.ts";
+import { toGreengageError } from "./problem.ts";
+import { ResponseSink } from "./sse.ts";
+
+export interface ChatOptions {
+    table: TableState;
+    dispatcher: Dispatcher;
+    keys: ApiKeys;
+    admission: Admission;
+    limits: HttpLimits;
+}
+
+// Fields that this surface relies on. All other fields go to the engine as they are.
+const chatBody = z.looseObject({
+    model: z.string().min(1),
+    messages: z.array(z.looseObject({ role: z.string() })).min(1),
+    stream: z.boolean().nullish(),
+    max_tokens: z.number().int().min(1).nullish(),
+    n: z.number().int().min(1).max(16).nullish(),
+});
+
+type ChatBody = z.infer<typeof chatBody>;
+type Work = (signal: AbortSignal, deadlineAtMs: number) => Promise<void>;
+
+/** Handles `POST /v1/chat/completions`, streamed and whole. */
+export const chatHandler = (options: ChatOptions): ExchangeHandler => {
+    const { admission, keys, limits, table } = options;
+    return async (exchange) => {
+        const organisation = keys.organisationOf(exchange.request);
+        const deadlineMs = deadlineMsOf(exchange, limits);
+        const json = await readJson(exchange, { limitBytes: limits.bodyBytes, limitMs: limits.bodyMs });
+        const body = checkFields(chatBody, json, ErrorCode.BadRequest);
+        requireModel(table, body.model);
+        const work = workOf(options, exchange, organisation, body);
+        const subject = { organisation: organisation.name, row: `model/${body.model}` };
+        const disconnected = disconnectSignal(exchange.response);
+        await admission.count(subject, () => runUntil({ deadlineMs, disconnected }, work));
+    };
+};
+
+const requireModel = (table: TableState, name: string): void => {
+    const model = table.model(name);
+    if (model === undefined) {
+        throw notRunError(ErrorCode.NotFound, `unknown model "${name}"`);
+    }
+    if (!model.enabled) {
+        throw notRunError(ErrorCode.NotFound, `model "${name}" is disabled`);
+    }
+};
+
+const workOf = (
+    options: ChatOptions,
+    exchange: Exchange,
+    organisation: OrganisationRow,
+    body: ChatBody,
+): Work => {
+    const callOf = (deadlineAtMs: number, extraBody: object = {}): GenerateRequest => ({
+        requestId: exchange.requestId,
+        organisation: organisation.name,
+        model: body.model,
+        body: { ...body, ...extraBody },
+        deadlineAtMs,
+    });
+    return body.stream === true
+        ? (signal, deadlineAtMs) => stream(options.dispatcher, exchange, callOf(deadlineAtMs), signal)
+        : (signal, deadlineAtMs) => {
+            // Engines report the usage of a stream only when asked.
+            const call = callOf(deadlineAtMs, { stream_options: { include_usage: true } });
+            return collect(options.dispatcher, exchange, call, signal);
+        };
+};
+
+const stream = async (
+    dispatcher: Dispatcher,
+    exchange: Exchange,
+    call: GenerateRequest,
+    signal: AbortSignal,
+): Promise<void> => {
+    const sink = new ResponseSink(exchange);
+    try {
+        await dispatcher.generate(call, sink, signal);
+    }
+    catch (error) {
+        if (!sink.hasStarted) {
+            throw error;
+        }
+        sink.fail(error instanceof GreengageError ? error : toGreengageError(error));
+        return;
+    }
+    sink.end();
+};
+
+const collect = async (
+    dispatcher: Dispatcher,
+    exchange: Exchange,
+    call: GenerateRequest,
+    signal: AbortSignal,
+): Promise<void> => {
+    const sink = new CollectingSink();
+    const createdS = Math.floor(Date.now() / 1000);
+    await dispatcher.generate(call, sink, signal);
+    sendJson(exchange, 200, sink.completion({ model: call.model, requestId: call.requestId, createdS }));
+};
+
+/** Handles `GET /v1/models`. */
+export const modelsHandler = ({ keys, table }: ChatOptions): ExchangeHandler => async (exchange) => {
+    keys.organisationOf(exchange.request);
+    const data = table.models().filter((model) => model.enabled)
+        .map((model) => ({ id: model.name, object: "model", created: 0, owned_by: "greengage" }));
+    sendJson(exchange, 200, { object: "list", data });
+};
--- /dev/null
+++ b/packages/http/src/completion.ts
@@ -0,0 +1,109 @@
+import type { EventSink } from "@greengage/routing";
+
+interface ToolCallDelta {
+    index?: number;
+    id?: string;
+    type?: string;
+    function?: { name?: string; arguments?: string; };
+}
+
+interface ChunkChoice {
+    index?: number;
+    delta?: { content?: string; refusal?: string; tool_calls?: ToolCallDelta[]; };
+    finish_reason?: string;
+}
+
+interface ChatChunk {
+    id?: string;
+    created?: number;
+    system_fingerprint?: string;
+    usage?: object;
+    choices?: ChunkChoice[];
+}
+
+interface ToolCall {
+    id: string;
+    type: string;
+    function: { name: string; arguments: string; };
+}
+
+interface Choice {
+    content: string;
+    refusal: string;
+    toolCalls: ToolCall[];
+    finishReason: string | undefined;
+}
+
+const DATA_PREFIX = "data:";
+
+const chunkOf = (event: string): ChatChunk | undefined => {
+    const lines = event.split("\n").filter((line) => line.startsWith(DATA_PREFIX));
+    const data = lines.map((line) => line.slice(DATA_PREFIX.length).trim()).join("\n");
+    return data === "" ? undefined : JSON.parse(data) as ChatChunk;
+};
+
+/** Collects a stream and builds the response that a caller without streaming gets. */
+export class CollectingSink implements EventSink {
+    readonly #parts: Uint8Array[] = [];
+
+    write(events: Uint8Array): boolean {
+        this.#parts.push(events);
+        return true;
+    }
+
+    async drained(): Promise<void> {
+        return;
+    }
+
+    /** Chat completion object in the OpenAI format. `usage` is there when the engine reported it. */
+    completion(options: { model: string; requestId: string; createdS: number; }): object {
+        const text = Buffer.concat(this.#parts).toString("utf8");
+        const chunks = text.split(/\r?\n\r?\n/).map(chunkOf).filter((chunk) => chunk !== undefined);
+        const choices = new Map<number, Choice>();
+        for (const choice of chunks.flatMap((chunk) => chunk.choices ?? [])) {
+            addDelta(choices, choice);
+        }
+        return {
+            id: chunks.find((chunk) => chunk.id)?.id ?? options.requestId,
+            object: "chat.completion",
+            created: chunks.find((chunk) => chunk.created)?.created ?? options.createdS,
+            model: options.model,
+            choices: [...choices].sort(([a], [b]) => a - b).map(([index, choice]) =>
+                choiceBody(index, choice)
+            ),
+            usage: chunks.findLast((chunk) => chunk.usage)?.usage,
+            system_fingerprint: chunks.find((chunk) => chunk.system_fingerprint)?.system_fingerprint,
+        };
+    }
+}
+
+const addDelta = (choices: Map<number, Choice>, { index = 0, delta, finish_reason }: ChunkChoice): void => {
+    const choice = choices.get(index) ?? { content: "", refusal: "", toolCalls: [], finishReason: undefined };
+    choices.set(index, choice);
+    choice.content += delta?.content ?? "";
+    choice.refusal += delta?.refusal ?? "";
+    choice.finishReason = finish_reason ?? choice.finishReason;
+    for (const call of delta?.tool_calls ?? []) {
+        addToolCall(choice.toolCalls, call);
+    }
+};
+
+const addToolCall = (calls: ToolCall[], { index = 0, id, type, function: part }: ToolCallDelta): void => {
+    const call = calls[index] ?? { id: "", type: "function", function: { name: "", arguments: "" } };
+    calls[index] = call;
+    call.id += id ?? "";
+    call.type = type ?? call.type;
+    call.function.name += part?.name ?? "";
+    call.function.arguments += part?.arguments ?? "";
+};
+
+const choiceBody = (index: number, choice: Choice): object => ({
+    index,
+    message: {
+        role: "assistant",
+        content: choice.content,
+        refusal: choice.refusal || undefined,
+        tool_calls: choice.toolCalls.length > 0 ? choice.toolCalls : undefined,
+    },
+    finish_reason: choice.finishReason ?? "stop",
+});
--- /dev/null
+++ b/packages/http/src/deadline.ts
@@ -0,0 +1,42 @@
+import { ErrorCode, GreengageError, monotonicMs, Verdict } from "@greengage/base";
+import { notRunError } from "./errors.ts";
+import type { Exchange } from "./exchange.ts";
+import type { HttpLimits } from "./limits.ts";
+
+const WHOLE_NUMBER = /^\d{1,9}$/;
+
+/** Time that the caller gives the request: `x-deadline-ms`, or the default. Throws `bad-request` out of range. */
+export const deadlineMsOf = (exchange: Exchange, limits: HttpLimits): number => {
+    const header = exchange.request.headers["x-deadline-ms"];
+    if (header === undefined) {
+        return limits.deadlineMs;
+    }
+    const deadlineMs = WHOLE_NUMBER.test(String(header)) ? Number(header) : 0;
+    if (deadlineMs < 1 || deadlineMs > limits.maxDeadlineMs) {
+        const message = `x-deadline-ms must be a whole number from 1 to ${limits.maxDeadlineMs}`;
+        throw notRunError(ErrorCode.BadRequest, message);
+    }
+    return deadlineMs;
+};
+
+/** Runs work that must end by a deadline or when the client has gone. */
+export const runUntil = async <T>(
+    options: { deadlineMs: number; disconnected?: AbortSignal; },
+    work: (signal: AbortSignal, deadlineAtMs: number) => Promise<T>,
+): Promise<T> => {
+    const expired = AbortSignal.timeout(options.deadlineMs);
+    const signals = options.disconnected === undefined ? [expired] : [expired, options.disconnected];
+    try {
+        return await work(AbortSignal.any(signals), monotonicMs() + options.deadlineMs);
+    }
+    catch (error) {
+        if (error instanceof GreengageError || !expired.aborted) {
+            throw error;
+        }
+        throw new GreengageError(`no complete response within ${options.deadlineMs} ms`, {
+            code: ErrorCode.Timeout,
+            verdict: Verdict.MayHaveRun,
+            cause: error,
+        });
+    }
+};
--- /dev/null
+++ b/packages/http/src/errors.ts
@@ -0,0 +1,33 @@
+import { type ErrorCode, GreengageError, type GreengageErrorOptions, Verdict } from "@greengage/base";
+import type { z } from "zod";
+
+/** An error whose problem document has members of its own, for example the hazards of a refused edit. */
+export class DetailedError extends GreengageError {
+    readonly members: Record<string, unknown>;
+
+    constructor(message: string, options: GreengageErrorOptions, members: Record<string, unknown>) {
+        super(message, options);
+        this.members = members;
+    }
+}
+
+/** An error of a request that did nothing. */
+export const notRunError = (
+    code: ErrorCode,
+    message: string,
+    members: Record<string, unknown> = {},
+): DetailedError => new DetailedError(message, { code, verdict: Verdict.NotRun }, members);
+
+/** The value in the shape that the schema asks for. Throws an error that names every wrong field. */
+export const checkFields = <T>(schema: z.ZodType<T>, value: unknown, code: ErrorCode): T => {
+    const result = schema.safeParse(value);
+    if (result.success) {
+        return result.data;
+    }
+    const fields = result.error.issues.map((issue) => ({
+        field: issue.path.join(".") || "(body)",
+        reason: issue.message,
+    }));
+    const message = fields.map(({ field, reason }) => `${field}: ${reason}`).join("; ");
+    throw notRunError(code, message, { fields });
+};
--- /dev/null
+++ b/packages/http/src/exchange.ts
@@ -0,0 +1,51 @@
+import { newId } from "@greengage/base";
+import type { IncomingMessage, ServerResponse } from "node:http";
+
+/** One request with its response. */
+export interface Exchange {
+    request: IncomingMessage;
+    response: ServerResponse;
+    /** Parameters of the route. */
+    params: Record<string, string | undefined>;
+    /** Sent to backend servers and returned to the client as `x-request-id`. */
+    requestId: string;
+    /** Headers of every response, also of errors. */
+    extraHeaders: Record<string, string>;
+}
+
+export type ExchangeHandler = (exchange: Exchange) => Promise<void>;
+
+export const newExchange = (
+    request: IncomingMessage,
+    response: ServerResponse,
+    params: Exchange["params"],
+): Exchange => {
+    const requestId = newId();
+    return { request, response, params, requestId, extraHeaders: { "x-request-id": requestId } };
+};
+
+export const sendJson = (
+    exchange: Exchange,
+    status: number,
+    body: unknown,
+    contentType = "application/json",
+): void => {
+    const bytes = Buffer.from(JSON.stringify(body));
+    exchange.response.writeHead(status, {
+        "content-type": contentType,
+        "content-length": String(bytes.length),
+        ...exchange.extraHeaders,
+    });
+    exchange.response.end(bytes);
+};
+
+/** Aborts when the client closes its connection before the response is complete. */
+export const disconnectSignal = (response: ServerResponse): AbortSignal => {
+    const controller = new AbortController();
+    response.once("close", () => {
+        if (!response.writableFinished) {
+            controller.abort();
+        }
+    });
+    return controller.signal;
+};
--- a/packages/http/src/index.ts
+++ b/packages/http/src/index.ts
@@ -1,1 +1,7 @@
-export * from "./server.ts";
+export * from "./admission.ts";
+export * from "./health.ts";
+export * from "./limits.ts";
+export * from "./operators/api.ts";
+export { fleetSummaries } from "./operators/fleet.ts";
+export * from "./operators/surface.ts";
+export * from "./surface.ts";
--- /dev/null
+++ b/packages/http/src/keys.ts
@@ -0,0 +1,65 @@
+import { ErrorCode } from "@greengage/base";
+import type { OrganisationRow, TableState } from "@greengage/table";
+import { createHash, timingSafeEqual } from "node:crypto";
+import type { IncomingMessage } from "node:http";
+import { notRunError } from "./errors.ts";
+
+const BEARER = /^Bearer +(\S+)$/i;
+
+const hashOf = (key: string): Buffer => createHash("sha256").update(key).digest();
+
+const bearerOf = (request: IncomingMessage): string => {
+    const header = request.headers.authorization;
+    if (header === undefined) {
+        throw notRunError(ErrorCode.Unauthorized, "the authorization header is missing");
+    }
+    const key = BEARER.exec(header)?.[1];
+    if (key === undefined) {
+        throw notRunError(ErrorCode.Unauthorized, "the authorization header is not of the form `Bearer KEY`");
+    }
+    return key;
+};
+
+/** Finds the organisation of an API key. The map is built again after a change of the table. */
+export class ApiKeys {
+    readonly #table: TableState;
+    #byHash: Map<string, OrganisationRow> | undefined;
+
+    constructor(table: TableState) {
+        this.#table = table;
+    }
+
+    /** Follows changes of the table until the returned function is called. */
+    start(): () => void {
+        return this.#table.onChange(() => {
+            this.#byHash = undefined;
+        });
+    }
+
+    /** Throws `unauthorized` unless the request carries the key of an enabled organisation. */
+    organisationOf(request: IncomingMessage): OrganisationRow {
+        this.#byHash ??= this.#build();
+        const organisation = this.#byHash.get(hashOf(bearerOf(request)).toString("hex"));
+        if (organisation === undefined) {
+            throw notRunError(ErrorCode.Unauthorized, "the API key is unknown");
+        }
+        if (!organisation.enabled) {
+            throw notRunError(ErrorCode.Unauthorized, `organisation ${organisation.name} is disabled`);
+        }
+        return organisation;
+    }
+
+    #build(): Map<string, OrganisationRow> {
+        const pairs = this.#table.organisations().flatMap((row) =>
+            row.apiKeyHashes.map((hash): [string, OrganisationRow] => [hash, row])
+        );
+        return new Map(pairs);
+    }
+}
+
+/** Throws `unauthorized` unless the request carries this key. */
+export const requireKey = (request: IncomingMessage, key: string): void => {
+    if (!timingSafeEqual(hashOf(bearerOf(request)), hashOf(key))) {
+        throw notRunError(ErrorCode.Unauthorized, "the key is not valid for this surface");
+    }
+};
--- /dev/null
+++ b/packages/http/src/listener.ts
@@ -0,0 +1,56 @@
+import { ErrorCode, type GreengageError } from "@greengage/base";
+import { createServer, type RequestListener, type Server } from "node:http";
+import type { Socket } from "node:net";
+import { notRunError } from "./errors.ts";
+import type { HttpLimits } from "./limits.ts";
+import { problemResponse } from "./problem.ts";
+
+const CHECK_INTERVAL_MS = 500;
+// The body's own limit ends a slow body with its own error; this one only catches bodies that nobody reads.
+const BODY_MARGIN_MS = 5_000;
+
+interface SocketError extends Error {
+    code?: string;
+}
+
+/** Errors of connections before a request reaches a handler, by Node.js error code. */
+const errorsByCode: Record<string, (limits: HttpLimits) => GreengageError> = {
+    ERR_HTTP_REQUEST_TIMEOUT: ({ headersMs }) =>
+        notRunError(
+            ErrorCode.SlowRequest,
+            `the request did not arrive in time (headers within ${headersMs} ms)`,
+        ),
+    HPE_HEADER_OVERFLOW: ({ headerBytes }) =>
+        notRunError(ErrorCode.HeadersTooLarge, `the headers are larger than ${headerBytes} bytes`),
+};
+
+const badRequest = (): GreengageError =>
+    notRunError(ErrorCode.BadRequest, "the request is not valid HTTP/1.1");
+
+/** Creates the HTTP server with its limits. Broken and slow requests get an error and lose their connection. */
+export const createListener = (limits: HttpLimits, onRequest: RequestListener): Server => {
+    const server = createServer({
+        maxHeaderSize: limits.headerBytes,
+        headersTimeout: limits.headersMs,
+        requestTimeout: limits.headersMs + limits.bodyMs + BODY_MARGIN_MS,
+        connectionsCheckingInterval: Math.min(CHECK_INTERVAL_MS, limits.headersMs),
+        keepAliveTimeout: 65_000,
+    }, onRequest);
+    server.maxConnections = limits.connections;
+    server.on("clientError", (error: SocketError, socket: Socket) => refuse(error, socket, limits));
+    return server;
+};
+
+const refuse = (error: SocketError, socket: Socket, limits: HttpLimits): void => {
+    // Part of a response may be on its way on this connection; nothing can be added to it.
+    const hasResponse = (socket as Socket & { _httpMessage?: { headersSent: boolean; }; })
+        ._httpMessage?.headersSent === true;
+    if (error.code === "ECONNRESET" || !socket.writable || hasResponse) {
+        socket.destroy();
+        return;
+    }
+    const problem = problemResponse((errorsByCode[error.code ?? ""] ?? badRequest)(limits));
+    const headers = Object.entries({ ...problem.headers, connection: "close" });
+    const head = headers.map(([name, value]) => `${name}: ${value}\r\n`).join("");
+    socket.end(`HTTP/1.1 ${problem.status} Error\r\n${head}\r\n${problem.body.toString("utf8")}`);
+};
--- /dev/null
+++ b/packages/http/src/operators/drains.ts
@@ -0,0 +1,94 @@
+import { ErrorCode } from "@greengage/base";
+import { notRunError } from "../errors.ts";
+import type { Hazard, OperatorApi, OperatorResponse } from "./api.ts";
+import { daemonDrainHazards } from "./hazards.ts";
+import {
+    bodyOf,
+    type DrainRequest,
+    drainRequest,
+    ok,
+    requireSafe,
+    type UndrainRequest,
+    undrainRequest,
+} from "./requests.ts";
+import type { OperatorHandler } from "./surface.ts";
+
+interface DrainTarget {
+    drain(api: OperatorApi, request: DrainRequest): Promise<OperatorResponse>;
+    undrain(api: OperatorApi, request: UndrainRequest): Promise<OperatorResponse>;
+}
+
+const vmTarget: DrainTarget = {
+    drain: async (api, { id, dryRun, force, reason, operator }) => {
+        const plan = await api.vmDrains.drainVm(id, { dryRun: true });
+        const hazards = vmHazards(plan);
+        if (dryRun) {
+            return ok({ dryRun: true, vm: plan, hazards });
+        }
+        requireSafe(hazards, { force, reason });
+        const vm = await api.vmDrains.drainVm(id, { dryRun: false });
+        api.record("vm.drain", { vmId: id, operator, reason });
+        return ok({ vm, hazards });
+    },
+    undrain: async (api, { id, operator }) => {
+        await api.vmDrains.undrainVm(id);
+        api.record("vm.undrain", { vmId: id, operator });
+        return ok({ vmId: id });
+    },
+};
+
+const vmHazards = (plan: { vmId: string; groupId?: string; hasReplacement: boolean; }): Hazard[] => {
+    if (plan.groupId === undefined || plan.hasReplacement) {
+        return [];
+    }
+    const detail = `no VMs can replace ${plan.vmId} in group ${plan.groupId}, which would stop`;
+    return [{ hazard: "no-replacement", detail }];
+};
+
+const requireDaemon = (api: OperatorApi, daemonId: string): void => {
+    if (!api.daemons.some((daemon) => daemon.daemonId === daemonId)) {
+        throw notRunError(ErrorCode.NotFound, `no daemon "${daemonId}" in the settings`);
+    }
+};
+
+const daemonTarget: DrainTarget = {
+    drain: async (api, request) => {
+        const { id, dryRun, force, reason, operator } = request;
+        requireDaemon(api, id);
+        if (id !== api.daemonId) {
+            return await api.forward(id, { method: "POST", path: "drain", body: request });
+        }
+        const isDone = api.summary().state !== "serving";
+        const hazards = isDone ? [] : await daemonDrainHazards(api, id);
+        if (dryRun) {
+            return ok({ dryRun: true, daemon: api.summary(), hazards });
+        }
+        requireSafe(hazards, { force, reason });
+        api.daemonDrains.drain();
+        api.record("daemon.drain", { daemonId: id, operator, reason });
+        return ok({ daemon: api.summary(), hazards });
+    },
+    undrain: async (api, request) => {
+        requireDaemon(api, request.id);
+        if (request.id !== api.daemonId) {
+            return await api.forward(request.id, { method: "POST", path: "undrain", body: request });
+        }
+        api.daemonDrains.undrain();
+        api.record("daemon.undrain", { daemonId: request.id, operator: request.operator });
+        return ok({ daemon: api.summary() });
+    },
+};
+
+const targets: Record<DrainRequest["target"], DrainTarget> = { vm: vmTarget, daemon: daemonTarget };
+
+/** `POST drain` of a VM or a daemon. */
+export const drainHandler: OperatorHandler = async (api, request) => {
+    const body = bodyOf(drainRequest, request);
+    return await targets[body.target].drain(api, body);
+};
+
+/** `POST undrain` of a VM or a daemon. */
+export const undrainHandler: OperatorHandler = async (api, request) => {
+    const body = bodyOf(undrainRequest, request);
+    return await targets[body.target].undrain(api, body);
+};
--- /dev/null
+++ b/packages/http/src/operators/fleet.ts
@@ -0,0 +1,75 @@
+import { mergeTimelines, type TimelineEvent } from "@greengage/base";
+import type { InFlightCounts } from "../admission.ts";
+import type { DaemonSummary, OperatorApi, OperatorResponse } from "./api.ts";
+import { numberOf, ok, queryOf } from "./requests.ts";
+import type { OperatorHandler } from "./surface.ts";
+
+/** What every daemon answered, and those that could not be reached. */
+export interface FleetAnswers<T> {
+    answers: T[];
+    unreachable: string[];
+}
+
+/** Asks every daemon, this one included, for a path of the operators' surface. */
+export const askAll = async <T>(
+    api: OperatorApi,
+    path: string,
+    own: () => T,
+): Promise<FleetAnswers<T>> => {
+    const unreachable: string[] = [];
+    const others = api.daemons.filter((daemon) => daemon.daemonId !== api.daemonId);
+    const answers = await Promise.all(others.map(async ({ daemonId }) => {
+        const response = await api.forward(daemonId, { method: "GET", path }).catch(() => undefined);
+        if (response?.status !== 200) {
+            unreachable.push(daemonId);
+            return undefined;
+        }
+        return response.body as T;
+    }));
+    return { answers: [own(), ...answers.filter((answer) => answer !== undefined)], unreachable };
+};
+
+/** Requests in flight over all daemons, by row of the table. */
+export const fleetInFlight = async (
+    api: OperatorApi,
+): Promise<{ counts: InFlightCounts; unreachable: string[]; }> => {
+    const { answers, unreachable } = await askAll(api, "in-flight", () => api.admission.counts());
+    const counts: InFlightCounts = {};
+    for (const [row, count] of answers.flatMap((answer) => Object.entries(answer))) {
+        counts[row] = (counts[row] ?? 0) + count;
+    }
+    return { counts, unreachable };
+};
+
+export const fleetSummaries = (api: OperatorApi): Promise<FleetAnswers<DaemonSummary>> =>
+    askAll(api, "daemon", () => api.summary());
+
+export const daemonsHandler: OperatorHandler = async (api) => {
+    const { answers, unreachable } = await fleetSummaries(api);
+    return ok({ daemons: answers.sort((a, b) => a.daemonId.localeCompare(b.daemonId)), unreachable });
+};
+
+/** `GET timeline`: events of all daemons, cause before effect. Query: `limit`, `part`, `kind`, `sinceMs`. */
+export const timelineHandler: OperatorHandler = async (api, request) => {
+    const query = queryOf(request);
+    const limit = numberOf(query, "limit", 200);
+    const sinceMs = numberOf(query, "sinceMs", 0);
+    const part = query.get("part") ?? undefined;
+    const kind = query.get("kind") ?? undefined;
+    const isWanted = (event: TimelineEvent): boolean =>
+        event.at.wallMs >= sinceMs
+        && (part === undefined || event.part === part)
+        && (kind === undefined || event.kind.startsWith(kind));
+    const { answers, unreachable } = await askAll(api, "timeline/own", () => api.timeline());
+    const events = mergeTimelines(answers).filter(isWanted);
+    return ok({ events: events.slice(Math.max(0, events.length - limit)), unreachable });
+};
+
+/** `GET status`: of this daemon, or with `?daemon=ID` of another. */
+export const statusHandler: OperatorHandler = async (api, request): Promise<OperatorResponse> => {
+    const daemonId = queryOf(request).get("daemon") ?? api.daemonId;
+    if (daemonId === api.daemonId) {
+        return ok(api.status());
+    }
+    return await api.forward(daemonId, { method: "GET", path: "status" });
+};
--- /dev/null
+++ b/packages/http/src/operators/hazards.ts
@@ -0,0 +1,109 @@
+import { GroupState } from "@greengage/protocol";
+import { type RowChange, rowKey, RowKind } from "@greengage/table";
+import type { InFlightCounts } from "../admission.ts";
+import type { Hazard, OperatorApi } from "./api.ts";
+import { fleetInFlight, fleetSummaries } from "./fleet.ts";
+
+interface Facts {
+    api: OperatorApi;
+    inFlight: InFlightCounts;
+    /** Daemons whose requests in flight are not known. */
+    unreachable: string[];
+}
+
+type ChangeHazards = (change: RowChange, facts: Facts) => Hazard[];
+
+const isTakenAway = (change: RowChange): boolean =>
+    change.columns === undefined || change.columns["enabled"] === false;
+
+const servingCount = (api: OperatorApi, model: string): number =>
+    api.groups().filter((group) => group.model === model && group.state === GroupState.Serving).length;
+
+/** A number that an edit lowers, with its value before. */
+const lowered = (
+    change: RowChange,
+    facts: Facts,
+    column: string,
+): { from: number; to: number; } | undefined => {
+    const from = facts.api.table.row(change.kind, change.name)?.columns[column];
+    const to = change.columns?.[column];
+    return typeof from === "number" && typeof to === "number" && to < from ? { from, to } : undefined;
+};
+
+const modelHazards: ChangeHazards = (change, facts) => {
+    const count = servingCount(facts.api, change.name);
+    if (count === 0) {
+        return [];
+    }
+    if (isTakenAway(change)) {
+        const detail = `${count} replica groups of model ${change.name} serve and would stop`;
+        return [{ hazard: "model-serves", detail }];
+    }
+    const before = facts.api.table.row(change.kind, change.name)?.columns["vmsPerReplica"];
+    const after = change.columns?.["vmsPerReplica"] ?? before;
+    const hazards: Hazard[] = [];
+    if (before !== after) {
+        const detail = `all ${count} serving groups of model ${change.name} would be formed again`;
+        hazards.push({ hazard: "groups-form-again", detail });
+    }
+    const replicas = lowered(change, facts, "replicas");
+    if (replicas !== undefined) {
+        const detail =
+            `groups of model ${change.name} per zone would fall from ${replicas.from} to ${replicas.to}`;
+        hazards.push({ hazard: "fewer-groups", detail });
+    }
+    return hazards;
+};
+
+const inFlightHazards: ChangeHazards = (change, facts) => {
+    if (!isTakenAway(change)) {
+        return [];
+    }
+    const row = rowKey(change.kind, change.name);
+    const count = facts.inFlight[row] ?? 0;
+    const hazards: Hazard[] = [];
+    if (count > 0) {
+        hazards.push({ hazard: "requests-in-flight", detail: `${row} has ${count} requests in flight` });
+    }
+    if (facts.unreachable.length > 0) {
+        const detail = `requests of ${row} in flight at ${facts.unreachable.join(", ")} are not known`;
+        hazards.push({ hazard: "requests-not-known", detail });
+    }
+    return hazards;
+};
+
+const hazardsByKind: Partial<Record<RowKind, ChangeHazards>> = {
+    [RowKind.Model]: modelHazards,
+    [RowKind.Organisation]: inFlightHazards,
+    [RowKind.Service]: inFlightHazards,
+};
+
+/** What an edit would harm at this moment. */
+export const editHazards = async (api: OperatorApi, changes: readonly RowChange[]): Promise<Hazard[]> => {
+    const present = changes.filter((change) => api.table.row(change.kind, change.name) !== undefined);
+    const needsCounts = present.some((change) => change.kind !== RowKind.Model && isTakenAway(change));
+    const { counts, unreachable } = needsCounts
+        ? await fleetInFlight(api)
+        : { counts: {}, unreachable: [] };
+    const facts: Facts = { api, inFlight: counts, unreachable };
+    return present.flatMap((change) => hazardsByKind[change.kind]?.(change, facts) ?? []);
+};
+
+/** What draining a daemon would harm: its zone without a ready daemon, or voters without a majority. */
+export const daemonDrainHazards = async (api: OperatorApi, daemonId: string): Promise<Hazard[]> => {
+    const { answers } = await fleetSummaries(api);
+    const target = api.daemons.find((daemon) => daemon.daemonId === daemonId);
+    const others = answers.filter((answer) => answer.daemonId !== daemonId && answer.state === "serving");
+    const hazards: Hazard[] = [];
+    if (!others.some((other) => other.zone === target?.zone && other.ready)) {
+        const detail = `no other daemon of zone ${target?.zone} is ready`;
+        hazards.push({ hazard: "last-daemon-of-zone", detail });
+    }
+    const voterCount = api.daemons.filter((daemon) => daemon.voter).length;
+    const remaining = others.filter((other) => other.voter).length;
+    if (target?.voter === true && remaining <= voterCount / 2) {
+        const detail = `without ${daemonId} only ${remaining} of ${voterCount} voters are in service`;
+        hazards.push({ hazard: "no-majority-of-voters", detail });
+    }
+    return hazards;
+};
--- /dev/null
+++ b/packages/http/src/operators/requests.ts
@@ -0,0 +1,110 @@
+import { ErrorCode } from "@greengage/base";
+import { z } from "zod";
+import { checkFields, notRunError } from "../errors.ts";
+import type { Hazard, OperatorRequest, OperatorResponse } from "./api.ts";
+
+const editId = z.string().min(1).max(128);
+const operator = z.string().min(1).max(64);
+const reason = z.string().min(3).max(500);
+
+/** Fields of each write that can harm. */
+const safety = {
+    /** Only says what the write would do. */
+    dryRun: z.boolean().default(false),
+    /** Goes on in spite of hazards. Needs a reason. */
+    force: z.boolean().default(false),
+    reason: reason.optional(),
+};
+
+const columns = z.record(z.string(), z.unknown());
+
+export const editRequest = z.strictObject({
+    editId,
+    operator,
+    changes: z.array(z.strictObject({
+        kind: z.string(),
+        name: z.string(),
+        baseVersion: z.number().int().min(0),
+        columns: columns.optional(),
+    })).min(1).max(10_000),
+    ...safety,
+});
+
+export const importRequest = z.strictObject({
+    editId,
+    operator,
+    /** Rows as `table/export` returns them. Without a version, the present version is taken. */
+    rows: z.array(z.strictObject({
+        kind: z.string(),
+        name: z.string(),
+        version: z.number().int().min(0).optional(),
+        columns,
+    })).max(10_000),
+    /** Whether rows that are not in the import are deleted. */
+    replace: z.boolean().default(false),
+    ...safety,
+});
+
+export const drainRequest = z.strictObject({
+    target: z.enum(["vm", "daemon"]),
+    id: z.string().min(1).max(200),
+    operator,
+    ...safety,
+});
+
+export const undrainRequest = z.strictObject({
+    target: z.enum(["vm", "daemon"]),
+    id: z.string().min(1).max(200),
+    operator,
+});
+
+export const settleRequest = z.strictObject({
+    organisation: z.string().min(1),
+    key: z.string().min(1),
+    outcome: z.enum(["ran", "notRun"]),
+    operator,
+    dryRun: safety.dryRun,
+    force: safety.force,
+    reason,
+});
+
+export type EditRequest = z.infer<typeof editRequest>;
+export type ImportRequest = z.infer<typeof importRequest>;
+export type DrainRequest = z.infer<typeof drainRequest>;
+export type UndrainRequest = z.infer<typeof undrainRequest>;
+
+/** The body of an operator's request in the shape of its schema. Throws `bad-request`. */
+export const bodyOf = <T>(schema: z.ZodType<T>, request: OperatorRequest): T =>
+    checkFields(schema, request.body, ErrorCode.BadRequest);
+
+export const queryOf = (request: OperatorRequest): URLSearchParams =>
+    new URLSearchParams(request.path.split("?", 2)[1] ?? "");
+
+/** A whole number from the query. Throws `bad-request` when it is not one. */
+export const numberOf = (query: URLSearchParams, name: string, defaultValue: number): number => {
+    const text = query.get(name) ?? String(defaultValue);
+    if (!/^\d{1,15}$/.test(text)) {
+        throw notRunError(ErrorCode.BadRequest, `${name} must be a whole number, it is "${text}"`);
+    }
+    return Number(text);
+};
+
+export const ok = (body: unknown): OperatorResponse => ({ status: 200, body });
+
+/** Throws `unsafe` when the write has hazards and is not forced with a reason. */
+export const requireSafe = (
+    hazards: Hazard[],
+    options: { force: boolean; reason?: string; },
+): void => {
+    if (hazards.length === 0) {
+        return;
+    }
+    const details = hazards.map(({ detail }) => detail).join("; ");
+    if (!options.force) {
+        const message = `refused as unsafe: ${details}. Send force with a reason to go on`;
+        throw notRunError(ErrorCode.Unsafe, message, { hazards });
+    }
+    if (options.reason === undefined) {
+        throw notRunError(ErrorCode.BadRequest, `force needs a reason: ${details}`, { hazards });
+    }
+};
--- a/packages/http/src/problem.ts
+++ b/packages/http/src/problem.ts
@@ -1,31 +1,43 @@
 import { ErrorCode, GreengageError, Verdict } from "@greengage/base";
-import type { ServerResponse } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { DetailedError } from "./errors.ts";
 
 const statusByCode: Record<ErrorCode, number> = {
     [ErrorCode.BadRequest]: 400,
     [ErrorCode.Unauthorized]: 401,
     [ErrorCode.NotFound]: 404,
-    [ErrorCode.TooLarge]: 413,
+    [ErrorCode.MethodNotAllowed]: 405,
+    [ErrorCode.SlowRequest]: 408,
     [ErrorCode.Conflict]: 409,
-    [ErrorCode.Invalid]: 422,
-    [ErrorCode.LimitReached]: 429,
-    [ErrorCode.NoCapacity]: 503,
-    [ErrorCode.Timeout]: 504,
-    [ErrorCode.Unavailable]: 503,
-    [ErrorCode.BackendFailed]: 502,
+    [ErrorCode.Unsafe]: 409,
     [ErrorCode.OutcomeUnknown]: 409,
+    [ErrorCode.TooLarge]: 413,
+    [ErrorCode.UnsupportedMediaType]: 415,
+    [ErrorCode.Invalid]: 422,
     [ErrorCode.KeyReused]: 422,
+    [ErrorCode.LimitReached]: 429,
+    [ErrorCode.HeadersTooLarge]: 431,
     [ErrorCode.Cancelled]: 499,
     [ErrorCode.Internal]: 500,
+    [ErrorCode.BackendFailed]: 502,
+    [ErrorCode.NoCapacity]: 503,
+    [ErrorCode.Unavailable]: 503,
+    [ErrorCode.Draining]: 503,
+    [ErrorCode.Timeout]: 504,
 };
 
-/** Body of an error answer: problem details of RFC 9457, with the verdict. */
+/** How long the rest of a body is read and dropped after an early error, so that the client can read it. */
+const LINGER_MS = 1_000;
+
+/** Body of an error response: problem details of RFC 9457, with the verdict. */
 export interface Problem {
     type: string;
     title: string;
     status: number;
     detail: string;
     verdict: Verdict;
+    /** Members of single errors, for example `fields` or `hazards`. */
+    [member: string]: unknown;
 }
 
 /** Any thrown value as a GreengageError. */
@@ -41,6 +53,7 @@
 };
 
 export const problemOf = (error: GreengageError): Problem => ({
+    ...(error instanceof DetailedError ? error.members : {}),
     type: `urn:greengage:error:${error.code}`,
     title: error.code,
     status: statusByCode[error.code],
@@ -48,18 +61,44 @@
     verdict: error.verdict,
 });
 
-/** Answers with a problem document. Does nothing when the headers were sent. */
-export const sendProblem = (response: ServerResponse, thrown: unknown): void => {
-    const error = toGreengageError(thrown);
-    if (response.headersSent) {
-        response.destroy();
-        return;
-    }
+/** Headers and body of an error response. */
+export const problemResponse = (
+    error: GreengageError,
+): { status: number; headers: Record<string, string>; body: Buffer; } => {
     const problem = problemOf(error);
-    const headers: Record<string, string> = { "content-type": "application/problem+json" };
+    const body = Buffer.from(JSON.stringify(problem));
+    const headers: Record<string, string> = {
+        "content-type": "application/problem+json",
+        "content-length": String(body.length),
+    };
     if (error.retryAfterMs !== undefined) {
         headers["retry-after"] = String(Math.max(1, Math.ceil(error.retryAfterMs / 1000)));
     }
-    response.writeHead(problem.status, headers);
-    response.end(JSON.stringify(problem));
+    return { status: problem.status, headers, body };
+};
+
+/** Sends a problem document. The headers must not have been sent. */
+export const sendProblem = (
+    request: IncomingMessage,
+    response: ServerResponse,
+    error: GreengageError,
+    extraHeaders: Record<string, string> = {},
+): void => {
+    const { status, headers, body } = problemResponse(error);
+    if (request.complete) {
+        response.writeHead(status, { ...headers, ...extraHeaders });
+        response.end(body);
+        return;
+    }
+    response.writeHead(status, { ...headers, ...extraHeaders, connection: "close" });
+    // Closing a connection with unread data resets it, and the client would lose the response.
+    response.write(body);
+    request.resume();
+    const end = (): void => {
+        clearTimeout(timer);
+        response.end();
+    };
+    const timer = setTimeout(end, LINGER_MS);
+    request.once("end", end);
+    request.once("close", end);
 };
--- /dev/null
+++ b/packages/http/src/routes.ts
@@ -0,0 +1,22 @@
+import type { ExchangeHandler } from "./exchange.ts";
+
+/** Who uses a route. */
+export const Surface = {
+    Callers: "callers",
+    BackendServers: "backendServers",
+    Platform: "platform",
+    Operators: "operators",
+} as const;
+
+export type Surface = typeof Surface[keyof typeof Surface];
+
+export type Method = "GET" | "POST" | "PUT" | "PATCH" | "DELETE" | "HEAD";
+
+export const METHODS: readonly Method[] = ["GET", "POST", "PUT", "PATCH", "DELETE", "HEAD"];
+
+export interface Route {
+    surface: Surface;
+    methods: readonly Method[];
+    path: string;
+    handler: ExchangeHandler;
+}
--- /dev/null
+++ b/packages/http/src/services.ts
@@ -0,0 +1,132 @@
+import type { ActionService } from "@greengage/actions";
+import { ErrorCode } from "@greengage/base";
+import type { Dispatcher, ServiceCall, ServiceResponse } from "@greengage/routing";
+import type { OrganisationRow, ServiceRow, TableState } from "@greengage/table";
+import type { Admission } from "./admission.ts";
+import { readBody } from "./body.ts";
+import { deadlineMsOf, runUntil } from "./deadline.ts";
+import { notRunError } from "./errors.ts";
+import { disconnectSignal, type Exchange, type ExchangeHandler } from "./exchange.ts";
+import type { ApiKeys } from "./keys.ts";
+import type { HttpLimits } from "./limits.ts";
+
+export interface ServicesOptions {
+    table: TableState;
+    dispatcher: Dispatcher;
+    actions: Pick<ActionService, "run">;
+    keys: ApiKeys;
+    admission: Admission;
+    limits: HttpLimits;
+}
+
+const MAX_KEY_LENGTH = 200;
+const FORWARDED_HEADERS = ["content-type", "accept"] as const;
+
+/** Handles `/v1/services/{service}/*` for all methods of plain services. */
+export const servicesHandler = (options: ServicesOptions): ExchangeHandler => async (exchange) => {
+    const { admission, keys, limits, table } = options;
+    const organisation = keys.organisationOf(exchange.request);
+    const service = requireService(table, exchange.params["service"] ?? "");
+    const callerDeadlineMs = deadlineMsOf(exchange, { ...limits, deadlineMs: service.timeoutMs });
+    const deadlineMs = Math.min(callerDeadlineMs, service.timeoutMs);
+    const path = pathBelow(exchange, service);
+    const body = await readBody(exchange, { limitBytes: limits.bodyBytes, limitMs: limits.bodyMs });
+    const callOf = (deadlineAtMs: number): ServiceCall => ({
+        ...callParts(exchange, organisation, service),
+        path,
+        body,
+        deadlineAtMs,
+    });
+    const subject = { organisation: organisation.name, row: `service/${service.name}` };
+    const response = await admission.count(
+        subject,
+        () => call(options, exchange, service, deadlineMs, callOf),
+    );
+    exchange.response.writeHead(response.status, {
+        ...response.headers,
+        ...exchange.extraHeaders,
+        "content-length": String(response.body.length),
+        "x-verdict": response.verdict,
+    });
+    exchange.response.end(response.body);
+};
+
+const requireService = (table: TableState, name: string): ServiceRow => {
+    const service = table.service(name);
+    if (service === undefined) {
+        throw notRunError(ErrorCode.NotFound, `unknown service "${name}"`);
+    }
+    if (!service.enabled) {
+        throw notRunError(ErrorCode.NotFound, `service "${name}" is disabled`);
+    }
+    return service;
+};
+
+const isNonIdempotent = (service: ServiceRow, method: string): boolean =>
+    (service.nonIdempotent as string[]).includes(method);
+
+const callParts = (
+    { request, requestId }: Exchange,
+    organisation: OrganisationRow,
+    service: ServiceRow,
+): Omit<ServiceCall, "path" | "body" | "deadlineAtMs"> => {
+    const method = request.method ?? "GET";
+    const sent = FORWARDED_HEADERS.flatMap((name): [string, string][] => {
+        const value = request.headers[name];
+        return value === undefined ? [] : [[name, value]];
+    });
+    return {
+        requestId,
+        organisation: organisation.name,
+        service: service.name,
+        method,
+        headers: Object.fromEntries(sent),
+        nonIdempotent: isNonIdempotent(service, method),
+    };
+};
+
+/** Path and query at the backend server. A path that could leave the service's prefix is refused. */
+const pathBelow = ({ request }: Exchange, service: ServiceRow): string => {
+    const [path = "", ...query] = (request.url ?? "").split("?");
+    const below = path.split("/").slice(4);
+    const leaves = below.some((segment) => /^\.{1,2}$/.test(segment.replace(/%2e/gi, ".")));
+    if (leaves || /%2f|%5c|\\/i.test(path)) {
+        throw notRunError(ErrorCode.BadRequest, "the path must not contain `.`, `..` or encoded slashes");
+    }
+    const suffix = query.length > 0 ? `?${query.join("?")}` : "";
+    return `${service.pathPrefix.replace(/\/$/, "")}/${below.join("/")}${suffix}`;
+};
+
+const call = (
+    options: ServicesOptions,
+    exchange: Exchange,
+    service: ServiceRow,
+    deadlineMs: number,
+    callOf: (deadlineAtMs: number) => ServiceCall,
+): Promise<ServiceResponse> => {
+    if (!isNonIdempotent(service, exchange.request.method ?? "GET")) {
+        const disconnected = disconnectSignal(exchange.response);
+        return runUntil(
+            { deadlineMs, disconnected },
+            (signal, deadlineAtMs) => options.dispatcher.callService(callOf(deadlineAtMs), signal),
+        );
+    }
+    const key = idempotencyKeyOf(exchange);
+    // A caller that disconnects does not abort an action: an aborted action has an unknown outcome.
+    return runUntil(
+        { deadlineMs },
+        (signal, deadlineAtMs) => options.actions.run(callOf(deadlineAtMs), key, signal),
+    );
+};
+
+const idempotencyKeyOf = ({ request }: Exchange): string => {
+    const key = request.headers["idempotency-key"];
+    if (typeof key !== "string" || key === "") {
+        throw notRunError(ErrorCode.BadRequest, "this call needs an Idempotency-Key header");
+    }
+    if (key.length > MAX_KEY_LENGTH) {
+        const message = `the Idempotency-Key is longer than ${MAX_KEY_LENGTH} characters`;
+        throw notRunError(ErrorCode.BadRequest, message);
+    }
+    return key;
+};
--- a/packages/http/src/sse.ts
+++ b/packages/http/src/sse.ts
@@ -1,68 +1,58 @@
+import type { GreengageError } from "@greengage/base";
 import type { EventSink } from "@greengage/routing";
-import type { ServerResponse } from "node:http";
+import { once } from "node:events";
+import type { Exchange } from "./exchange.ts";
+import { problemOf } from "./problem.ts";
 
 /** Writes events of a stream to a caller. The headers go out with the first event. */
 export class ResponseSink implements EventSink {
-    readonly #response: ServerResponse;
-    readonly #requestId: string;
+    readonly #exchange: Exchange;
 
-    constructor(response: ServerResponse, requestId: string) {
-        this.#response = response;
-        this.#requestId = requestId;
+    constructor(exchange: Exchange) {
+        this.#exchange = exchange;
     }
 
-    write(events: Uint8Array): boolean {
-        if (!this.#response.headersSent) {
-            this.#response.writeHead(200, {
-                "content-type": "text/event-stream",
-                "cache-control": "no-cache",
-                "x-request-id": this.#requestId,
-            });
-        }
-        return this.#response.write(events);
+    get hasStarted(): boolean {
+        return this.#exchange.response.headersSent;
     }
 
-    drained(): Promise<void> {
-        return new Promise((resolve) => {
-            this.#response.once("drain", resolve);
-            this.#response.once("close", resolve);
-        });
+    write(events: Uint8Array): boolean {
+        this.#writeHead();
+        return this.#exchange.response.write(events);
     }
 
-    end(): void {
-        this.#response.end("data: [DONE]\n\n");
+    async drained(): Promise<void> {
+        const { response } = this.#exchange;
+        if (response.destroyed || !response.writableNeedDrain) {
+            return;
+        }
+        const stop = new AbortController();
+        const options = { signal: stop.signal };
+        await Promise.race([once(response, "drain", options), once(response, "close", options)])
+            .finally(() => stop.abort());
     }
-}
 
-/** Collects a stream and builds the answer that a caller without streaming gets. */
-export class CollectingSink implements EventSink {
-    readonly #chunks: Uint8Array[] = [];
-
-    write(events: Uint8Array): boolean {
-        this.#chunks.push(events);
-        return true;
+    /** Ends a complete stream with its end marker. */
+    end(): void {
+        this.#writeHead();
+        this.#exchange.response.end("data: [DONE]\n\n");
     }
 
-    async drained(): Promise<void> {
-        return;
+    /** Ends a broken stream: an error event in place of the end marker, then the connection closes. */
+    fail(error: GreengageError): void {
+        const { response } = this.#exchange;
+        const event = `event: error\ndata: ${JSON.stringify(problemOf(error))}\n\n`;
+        response.end(event, () => response.socket?.destroySoon());
     }
 
-    /** Chat completion object in the OpenAI format. */
-    completion(model: string, requestId: string): object {
-        const text = Buffer.concat(this.#chunks).toString("utf8");
-        const deltas = text.split("\n\n").filter((event) => event.startsWith("data: "))
-            .map((event) => JSON.parse(event.slice("data: ".length)) as ChatChunk);
-        const content = deltas.map((delta) => delta.choices?.[0]?.delta?.content ?? "").join("");
-        const finishReason = deltas.map((delta) => delta.choices?.[0]?.finish_reason).find(Boolean) ?? "stop";
-        return {
-            id: requestId,
-            object: "chat.completion",
-            model,
-            choices: [{ index: 0, message: { role: "assistant", content }, finish_reason: finishReason }],
-        };
+    #writeHead(): void {
+        const { response, extraHeaders } = this.#exchange;
+        if (!response.headersSent) {
+            response.writeHead(200, {
+                "content-type": "text/event-stream",
+                "cache-control": "no-cache",
+                ...extraHeaders,
+            });
+        }
     }
 }
-
-interface ChatChunk {
-    choices?: { delta?: { content?: string; }; finish_reason?: string; }[];
-}
--- /dev/null
+++ b/packages/http/src/surface.ts
@@ -0,0 +1,228 @@
+import type { ActionService } from "@greengage/actions";
+import {
+    type Context,
+    ErrorCode,
+    GreengageError,
+    type Log,
+    LogPart,
+    messageOf,
+    monotonicMs,
+} from "@greengage/base";
+import type { ReportAnswer } from "@greengage/membership";
+import type { VmReport } from "@greengage/protocol";
+import type { Dispatcher } from "@greengage/routing";
+import type { TableState } from "@greengage/table";
+import findMyWay, { type HTTPMethod } from "find-my-way";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import type { Admission } from "./admission.ts";
+import { readJson } from "./body.ts";
+import { chatHandler, modelsHandler } from "./chat.ts";
+import { notRunError } from "./errors.ts";
+import { type Exchange, newExchange, sendJson } from "./exchange.ts";
+import { liveHandler, type Readiness, readyHandler } from "./health.ts";
+import { ApiKeys, requireKey } from "./keys.ts";
+import type { HttpLimits } from "./limits.ts";
+import { createListener } from "./listener.ts";
+import type { OperatorSurface } from "./operators/surface.ts";
+import { sendProblem, toGreengageError } from "./problem.ts";
+import { reportHandler } from "./reports.ts";
+import { METHODS, type Route, Surface } from "./routes.ts";
+import { servicesHandler } from "./services.ts";
+
+const OPERATOR_PREFIX = "/operator/v1/";
+
+export interface HttpSurfaceOptions {
+    context: Context;
+    listen: { host: string; port: number; };
+    keys: { backendServers: string; operators: string; platform?: string; };
+    limits: HttpLimits;
+    admission: Admission;
+    table: TableState;
+    dispatcher: Dispatcher;
+    actions: Pick<ActionService, "run">;
+    acceptReport: (report: VmReport) => ReportAnswer;
+    operators: OperatorSurface;
+    readiness: () => Readiness;
+    /** Whether requests of callers are served. A control-only daemon serves none. */
+    servesCallers: boolean;
+}
+
+/** The HTTP surfaces of a daemon: callers, backend servers, platform and operators. */
+export class HttpSurface {
+    readonly #options: HttpSurfaceOptions;
+    readonly #log: Log;
+    readonly #keys: ApiKeys;
+    readonly #server: Server;
+    readonly #router = findMyWay({
+        defaultRoute: (request, response) => this.#noRoute(request, response as ServerResponse),
+    });
+    #stopKeys: () => void = () => undefined;
+
+    constructor(options: HttpSurfaceOptions) {
+        this.#options = options;
+        this.#log = options.context.logs(LogPart.Http);
+        this.#keys = new ApiKeys(options.table);
+        for (const route of this.#routes()) {
+            this.#router.on(route.methods as HTTPMethod[], route.path, (request, response, params) => {
+                void this.#serve(route, newExchange(request, response as ServerResponse, params));
+            });
+        }
+        this.#server = createListener(
+            options.limits,
+            (request, response) => this.#router.lookup(request, response),
+        );
+    }
+
+    /** Port at which the surfaces listen. */
+    get port(): number {
+        return (this.#server.address() as AddressInfo).port;
+    }
+
+    /** Starts to accept connections. Throws when the address is taken. */
+    async start(): Promise<void> {
+        this.#stopKeys = this.#keys.start();
+        await new Promise<void>((resolve, reject) => {
+            this.#server.once("error", reject);
+            this.#server.listen(this.#options.listen, () => resolve());
+        });
+    }
+
+    /** Stops to listen and closes all connections. Requests in flight are cut off. */
+    async close(): Promise<void> {
+        this.#stopKeys();
+        await new Promise<void>((resolve) => {
+            this.#server.close(() => resolve());
+            this.#server.closeAllConnections();
+        });
+    }
+
+    #routes(): Route[] {
+        const options = { ...this.#options, keys: this.#keys };
+        const health = { key: this.#options.keys.platform, readiness: this.#options.readiness };
+        const report = {
+            key: this.#options.keys.backendServers,
+            zone: this.#options.context.zone,
+            limits: this.#options.limits,
+            accept: this.#options.acceptReport,
+        };
+        const callers: Route[] = [
+            {
+                surface: Surface.Callers,
+                methods: ["POST"],
+                path: "/v1/chat/completions",
+                handler: chatHandler(options),
+            },
+            {
+                surface: Surface.Callers,
+                methods: ["GET"],
+                path: "/v1/models",
+                handler: modelsHandler(options),
+            },
+            {
+                surface: Surface.Callers,
+                methods: ["GET", "POST", "PUT", "PATCH", "DELETE"],
+                path: "/v1/services/:service/*",
+                handler: servicesHandler(options),
+            },
+        ];
+        return [
+            ...(this.#options.servesCallers ? callers : []),
+            {
+                surface: Surface.BackendServers,
+                methods: ["POST"],
+                path: "/backend/v1/report",
+                handler: reportHandler(report),
+            },
+            {
+                surface: Surface.Platform,
+                methods: ["GET", "HEAD"],
+                path: "/health/live",
+                handler: liveHandler(health),
+            },
+            {
+                surface: Surface.Platform,
+                methods: ["GET", "HEAD"],
+                path: "/health/ready",
+                handler: readyHandler(health),
+            },
+            {
+                surface: Surface.Operators,
+                methods: METHODS,
+                path: `${OPERATOR_PREFIX}*`,
+                handler: (exchange) => this.#operate(exchange),
+            },
+        ];
+    }
+
+    async #serve(route: Route, exchange: Exchange): Promise<void> {
+        const startedAtMs = monotonicMs();
+        try {
+            await this.#admit(route, exchange);
+        }
+        catch (error) {
+            this.#fail(exchange, error);
+        }
+        this.#measure(route.surface, exchange.response.statusCode, monotonicMs() - startedAtMs);
+    }
+
+    #admit(route: Route, exchange: Exchange): Promise<void> {
+        if (route.surface !== Surface.Callers) {
+            return route.handler(exchange);
+        }
+        return this.#options.admission.run(exchange.request.socket, () => route.handler(exchange));
+    }
+
+    #measure(surface: Surface, status: number, durationMs: number): void {
+        const { metrics } = this.#options.context;
+        metrics.count("http.requests", 1, { surface, status: String(status) });
+        metrics.durationMs("http.request_ms", durationMs, { surface });
+    }
+
+    #noRoute(request: IncomingMessage, response: ServerResponse): void {
+        const exchange = newExchange(request, response, {});
+        const path = (request.url ?? "").split("?", 1)[0] ?? "";
+        const allowed = METHODS.filter((method) => this.#router.find(method, path));
+        if (allowed.length === 0) {
+            this.#fail(exchange, notRunError(ErrorCode.NotFound, `no path ${path}`));
+            return;
+        }
+        const list = allowed.join(", ");
+        exchange.extraHeaders["allow"] = list;
+        const message = `${request.method} is not allowed on ${path}, allowed: ${list}`;
+        this.#fail(exchange, notRunError(ErrorCode.MethodNotAllowed, message));
+    }
+
+    #fail(exchange: Exchange, thrown: unknown): void {
+        const { request, response, extraHeaders } = exchange;
+        const error = toGreengageError(thrown);
+        if (response.destroyed) {
+            return;
+        }
+        if (!(thrown instanceof GreengageError)) {
+            this.#log.error(`request ${exchange.requestId} failed`, { reason: messageOf(thrown) });
+        }
+        if (response.headersSent) {
+            response.destroy();
+            return;
+        }
+        sendProblem(request, response, error, extraHeaders);
+    }
+
+    async #operate(exchange: Exchange): Promise<void> {
+        const { request } = exchange;
+        requireKey(request, this.#options.keys.operators);
+        const { bodyBytes, bodyMs } = this.#options.limits;
+        const body = request.method === "GET"
+            ? undefined
+            : await readJson(exchange, { limitBytes: bodyBytes, limitMs: bodyMs });
+        const path = (request.url ?? "").slice(OPERATOR_PREFIX.length);
+        const response = await this.#options.operators.handle({
+            method: request.method ?? "GET",
+            path,
+            body,
+        });
+        const contentType = response.status < 400 ? "application/json" : "application/problem+json";
+        sendJson(exchange, response.status, response.body, contentType);
+    }
+}
--- a/packages/table/src/state.ts
+++ b/packages/table/src/state.ts
@@ -123,6 +123,11 @@
         return settingColumns.parse(this.row(RowKind.Setting, "fleet")?.columns ?? {});
     }
 
+    /** First outcome of an edit id, while it is kept. */
+    outcomeOf(editId: string): EditOutcome | undefined {
+        return this.#outcomes.get(editId);
+    }
+
     /** Newest entries first. */
     history(limit = 100): HistoryEntry[] {
         return this.#history.slice(-limit).reverse();
