Test the HTTP surfaces by real sockets

Cause: the surfaces had no tests of their own. Change: test/http covers each caller's error, slow senders, limits, broken streams, disconnects, deadlines, reports and health checks over loopback sockets. Conclusion: each error has its own status, title and verdict, and the daemon answers afterwards.

--- /dev/null
+++ b/test/http/callers.test.ts
@@ -0,0 +1,310 @@
+import { ErrorCode, GreengageError, Verdict } from "@greengage/base";
+import { waitFor } from "@greengage/faults";
+import type { ServiceCall } from "@greengage/routing";
+import test from "ava";
+import { request } from "undici";
+import { CALLER_KEY, chatBody, eventOf, send, sendRaw, startSurface } from "./fixture.ts";
+
+const head = (path: string, headers: string[]): string =>
+    `POST ${path} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer ${CALLER_KEY}\r\n${
+        headers.join("\r\n")
+    }\r\n\r\n`;
+
+test("a whole chat has the usual fields", async (t) => {
+    const { url } = await startSurface(t);
+    const { status, json } = await send(`${url}/v1/chat/completions`, { key: CALLER_KEY, body: chatBody() });
+    t.is(status, 200);
+    t.like(json, { id: "chat-1", object: "chat.completion", model: "assistant", usage: { total_tokens: 2 } });
+    t.is(typeof json.created, "number");
+    t.deepEqual(json.choices[0].message, { role: "assistant", content: "Hello" });
+    t.is(json.choices[0].finish_reason, "stop");
+});
+
+test("a streamed chat ends with its end marker", async (t) => {
+    const { url } = await startSurface(t);
+    const body = chatBody({ stream: true });
+    const { headers, text } = await send(`${url}/v1/chat/completions`, { key: CALLER_KEY, body });
+    t.is(headers["content-type"], "text/event-stream");
+    t.true(text.endsWith("data: [DONE]\n\n"));
+});
+
+// Each case guards against an error that a caller could mistake for another one.
+const refusals: {
+    title: string;
+    path?: string;
+    method?: "GET" | "PUT";
+    key?: string;
+    headers?: Record<string, string>;
+    body?: object | string;
+    status: number;
+    code: string;
+    detail: RegExp;
+}[] = [
+    { title: "no key", key: "", status: 401, code: "unauthorized", detail: /not of the form/ },
+    { title: "a wrong key", key: "other", status: 401, code: "unauthorized", detail: /API key is unknown/ },
+    {
+        title: "the key of a disabled organisation",
+        key: "closed-key",
+        status: 401,
+        code: "unauthorized",
+        detail: /closed is disabled/,
+    },
+    { title: "malformed JSON", body: "{\"model\":", status: 400, code: "bad-request", detail: /not JSON/ },
+    {
+        title: "a body that is no object",
+        body: "[1]",
+        status: 400,
+        code: "bad-request",
+        detail: /JSON object/,
+    },
+    {
+        title: "a missing field",
+        body: { model: "assistant" },
+        status: 400,
+        code: "bad-request",
+        detail: /^messages: /,
+    },
+    {
+        title: "an unknown model",
+        body: chatBody({ model: "oracle" }),
+        status: 404,
+        code: "not-found",
+        detail: /unknown model "oracle"/,
+    },
+    {
+        title: "another media type",
+        headers: { "content-type": "text/plain" },
+        status: 415,
+        code: "unsupported-media-type",
+        detail: /"text\/plain"/,
+    },
+    {
+        title: "a wrong method",
+        method: "PUT",
+        status: 405,
+        code: "method-not-allowed",
+        detail: /allowed: POST/,
+    },
+    { title: "an unknown path", path: "/v1/embeddings", status: 404, code: "not-found", detail: /no path/ },
+    {
+        title: "a deadline that is no number",
+        headers: { "x-deadline-ms": "soon" },
+        status: 400,
+        code: "bad-request",
+        detail: /x-deadline-ms/,
+    },
+    {
+        title: "a deadline beyond the limit",
+        headers: { "x-deadline-ms": "600001" },
+        status: 400,
+        code: "bad-request",
+        detail: /from 1 to 600000/,
+    },
+    {
+        title: "an oversized body",
+        body: chatBody({ padding: "x".repeat(5_000) }),
+        status: 413,
+        code: "too-large",
+        detail: /larger than 4000 bytes/,
+    },
+    {
+        title: "an unknown service",
+        path: "/v1/services/bank/x",
+        status: 404,
+        code: "not-found",
+        detail: /unknown service "bank"/,
+    },
+    {
+        title: "an action without its key",
+        path: "/v1/services/ledger/sales",
+        status: 400,
+        code: "bad-request",
+        detail: /Idempotency-Key/,
+    },
+    {
+        title: "a path with an encoded slash",
+        path: "/v1/services/ledger/x%2f..%2forders",
+        status: 400,
+        code: "bad-request",
+        detail: /must not contain/,
+    },
+];
+
+for (const { title, path, method, key, headers, body, status, code, detail } of refusals) {
+    test(`${title} gets its own error, and the daemon goes on`, async (t) => {
+        const { url } = await startSurface(t, { limits: { bodyBytes: 4_000 } });
+        const target = url + (path ?? "/v1/chat/completions");
+        const answer = await send(target, {
+            method,
+            headers,
+            key: key ?? CALLER_KEY,
+            body: body ?? chatBody(),
+        });
+        t.is(answer.status, status);
+        t.is(answer.headers["content-type"], "application/problem+json");
+        t.like(answer.json, { title: code, status, verdict: "notRun" });
+        t.regex(answer.json.detail, detail);
+        t.is((await send(`${url}/v1/models`, { key: CALLER_KEY })).status, 200);
+    });
+}
+
+// Clients that parse URLs resolve dots themselves, so this needs a raw request.
+test("a path that leaves the service's prefix is refused", async (t) => {
+    const { port } = await startSurface(t);
+    const { text } = await sendRaw(port, head("/v1/services/ledger/%2e%2e/orders", ["connection: close"]));
+    t.regex(text, /^HTTP\/1\.1 400 .*must not contain/s);
+});
+
+test("a body that grows beyond the limit while it is sent is refused", async (t) => {
+    const { port } = await startSurface(t, { limits: { bodyBytes: 100 } });
+    const headers = ["content-type: application/json", "transfer-encoding: chunked"];
+    const { text } = await sendRaw(
+        port,
+        head("/v1/chat/completions", headers),
+        `ff\r\n${"x".repeat(255)}\r\n`,
+    );
+    t.regex(text, /^HTTP\/1\.1 413 /);
+});
+
+test("slow headers, slow bodies, large headers and broken requests get their own errors", async (t) => {
+    const { port, url } = await startSurface(t, {
+        limits: { headersMs: 300, bodyMs: 300, headerBytes: 2_048 },
+    });
+    const slowHead = await sendRaw(port, "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n");
+    t.regex(slowHead.text, /^HTTP\/1\.1 408 .*"title":"slow-request"/s);
+    const headers = ["content-type: application/json", "content-length: 50"];
+    const slowBody = await sendRaw(port, head("/v1/chat/completions", headers), "{");
+    t.regex(slowBody.text, /^HTTP\/1\.1 408 .*the body did not arrive within 300 ms/s);
+    const large = await sendRaw(port, head("/v1/chat/completions", [`x-pad: ${"p".repeat(4_000)}`]));
+    t.regex(large.text, /^HTTP\/1\.1 431 .*"title":"headers-too-large"/s);
+    const broken = await sendRaw(port, "BROKEN\r\n\r\n");
+    t.regex(broken.text, /^HTTP\/1\.1 400 .*not valid HTTP/s);
+    t.is((await send(`${url}/v1/models`, { key: CALLER_KEY })).status, 200);
+});
+
+test("a failure after the stream has started is an error event without the end marker", async (t) => {
+    const { url } = await startSurface(t, {
+        dispatcher: {
+            generate: async (_, sink) => {
+                sink.write(eventOf("Hel"));
+                throw new GreengageError("the group is lost", {
+                    code: ErrorCode.BackendFailed,
+                    verdict: Verdict.MayHaveRun,
+                });
+            },
+        },
+    });
+    const body = chatBody({ stream: true });
+    const { status, text } = await send(`${url}/v1/chat/completions`, { key: CALLER_KEY, body });
+    t.is(status, 200);
+    t.false(text.includes("[DONE]"));
+    const problem = JSON.parse(/event: error\ndata: (.*)\n\n$/.exec(text)?.[1] ?? "{}") as object;
+    t.like(problem, { title: "backend-failed", status: 502, verdict: "mayHaveRun" });
+});
+
+test("a caller that disconnects aborts the work", async (t) => {
+    let isAborted = false;
+    const { url, admission } = await startSurface(t, {
+        dispatcher: {
+            generate: async (_, sink, signal) => {
+                sink.write(eventOf("Hel"));
+                await new Promise((resolve) => signal.addEventListener("abort", resolve));
+                isAborted = true;
+                throw signal.reason;
+            },
+        },
+    });
+    const response = await request(`${url}/v1/chat/completions`, {
+        method: "POST",
+        headers: { authorization: `Bearer ${CALLER_KEY}`, "content-type": "application/json" },
+        body: JSON.stringify(chatBody({ stream: true })),
+    });
+    t.deepEqual(admission.counts(), { "organisation/umbrella": 1, "model/assistant": 1 });
+    response.body.on("error", () => undefined).destroy();
+    await waitFor("the abort", () => isAborted || undefined);
+    await admission.idle();
+    t.deepEqual(admission.counts(), {});
+});
+
+test("a request ends at the deadline that its caller set", async (t) => {
+    const { url } = await startSurface(t, {
+        dispatcher: {
+            generate: (_request, _sink, signal) =>
+                new Promise((_, reject) =>
+                    signal.addEventListener("abort", () => reject(signal.reason as Error))
+                ),
+        },
+    });
+    const headers = { "x-deadline-ms": "100" };
+    const answer = await send(`${url}/v1/chat/completions`, { key: CALLER_KEY, headers, body: chatBody() });
+    t.like(answer.json, { title: "timeout", status: 504, verdict: "mayHaveRun" });
+    t.is(answer.json.detail, "no complete response within 100 ms");
+});
+
+test("requests beyond the limits of the daemon and of a connection are refused before they run", async (t) => {
+    let release: () => void = () => undefined;
+    const released = new Promise<void>((resolve) => {
+        release = resolve;
+    });
+    const { url, port, admission } = await startSurface(t, {
+        limits: { concurrentRequests: 3, concurrentPerConnection: 2 },
+        dispatcher: { generate: () => released },
+    });
+    const chat = head("/v1/chat/completions", [
+        "content-type: application/json",
+        `content-length: ${JSON.stringify(chatBody()).length}`,
+    ]) + JSON.stringify(chatBody());
+    const pipelined = sendRaw(port, chat, chat, chat.replace("host", "connection: close\r\nhost"));
+    await waitFor("two requests in flight", () => admission.inFlight === 2 || undefined);
+    const third = send(`${url}/v1/chat/completions`, { key: CALLER_KEY, body: chatBody() });
+    await waitFor("three requests in flight", () => admission.inFlight === 3 || undefined);
+    const fourth = await send(`${url}/v1/models`, { key: CALLER_KEY });
+    t.like(fourth.json, { title: "no-capacity", status: 503, verdict: "notRun" });
+    t.is(fourth.headers["retry-after"], "1");
+    release();
+    t.is((await third).status, 200);
+    t.regex((await pipelined).text, /429 .*more than 2 requests at once on one connection/s);
+});
+
+test("a plain service gets method, path, query and body, and an action its key", async (t) => {
+    const calls: ServiceCall[] = [];
+    const { url, actionKeys } = await startSurface(t, {
+        dispatcher: {
+            callService: async (call) => {
+                calls.push(call);
+                return { status: 200, headers: {}, body: Buffer.from("ok"), verdict: "ran" };
+            },
+        },
+    });
+    await send(`${url}/v1/services/ledger/sales/7?day=monday`, { key: CALLER_KEY });
+    t.like(calls[0], { method: "GET", path: "/books/sales/7?day=monday", nonIdempotent: false });
+    const headers = { "idempotency-key": "sale-1" };
+    for (const method of ["POST", "PUT", "PATCH", "DELETE"] as const) {
+        const answer = await send(`${url}/v1/services/ledger/sales`, {
+            method,
+            key: CALLER_KEY,
+            headers,
+            body: {},
+        });
+        t.is(answer.status, 201);
+        t.is(answer.headers["x-verdict"], "ran");
+    }
+    t.deepEqual(actionKeys, Array(4).fill("sale-1"));
+});
+
+// Guards against a key map that goes on with revoked keys.
+test("a key that an edit removes is refused from then on", async (t) => {
+    const { url, table } = await startSurface(t);
+    t.is((await send(`${url}/v1/models`, { key: CALLER_KEY })).status, 200);
+    const changes = [{
+        kind: "organisation",
+        name: "umbrella",
+        baseVersion: 1,
+        columns: { apiKeyHashes: [] },
+    }];
+    table.apply(
+        2,
+        { type: "table.edit", editId: "revoke", operator: "test", atMs: 0, changes } as { type: string; },
+    );
+    t.is((await send(`${url}/v1/models`, { key: CALLER_KEY })).status, 401);
+});
--- /dev/null
+++ b/test/http/fixture.ts
@@ -0,0 +1,194 @@
+import { createContext, monotonicMs } from "@greengage/base";
+import {
+    Admission,
+    DEFAULT_LIMITS,
+    type HttpLimits,
+    HttpSurface,
+    type OperatorApi,
+    OperatorSurface,
+    type Readiness,
+} from "@greengage/http";
+import type { VmReport } from "@greengage/protocol";
+import type { Dispatcher, ServiceResponse } from "@greengage/routing";
+import { type RowChange, TableState } from "@greengage/table";
+import type { ExecutionContext } from "ava";
+import { createHash } from "node:crypto";
+import { connect } from "node:net";
+import { request } from "undici";
+
+export const CALLER_KEY = "caller-key";
+export const OPERATOR_KEY = "operator-key";
+export const BACKEND_KEY = "backend-key";
+
+const hashOf = (key: string): string => createHash("sha256").update(key).digest("hex");
+
+/** A table with one model, one organisation, one disabled organisation and one service. */
+export const tableOf = (): TableState => {
+    const table = new TableState();
+    const changes: RowChange[] = [
+        { kind: "model", name: "assistant", baseVersion: 0, columns: { vmsPerReplica: 2 } },
+        {
+            kind: "organisation",
+            name: "umbrella",
+            baseVersion: 0,
+            columns: { apiKeyHashes: [hashOf(CALLER_KEY)] },
+        },
+        {
+            kind: "organisation",
+            name: "closed",
+            baseVersion: 0,
+            columns: { apiKeyHashes: [hashOf("closed-key")], enabled: false },
+        },
+        { kind: "service", name: "ledger", baseVersion: 0, columns: { pathPrefix: "/books" } },
+    ];
+    table.apply(
+        1,
+        { type: "table.edit", editId: "seed", operator: "test", atMs: 0, changes } as { type: string; },
+    );
+    return table;
+};
+
+const answer: ServiceResponse = {
+    status: 201,
+    headers: { "content-type": "application/json" },
+    body: Buffer.from("{\"booked\":1}"),
+    verdict: "ran",
+};
+
+export const eventOf = (content: string, extra: object = {}): Uint8Array =>
+    Buffer.from(
+        `data: ${
+            JSON.stringify({ id: "chat-1", choices: [{ index: 0, delta: { content } }], ...extra })
+        }\n\n`,
+    );
+
+/** A dispatcher that streams two tokens. */
+export const dispatcherOf = (changes: Partial<Dispatcher> = {}): Dispatcher => ({
+    generate: async (_, sink) => {
+        sink.write(eventOf("Hel"));
+        sink.write(eventOf("lo", { usage: { total_tokens: 2 } }));
+    },
+    callService: async () => answer,
+    ...changes,
+});
+
+export interface SurfaceFixture {
+    url: string;
+    port: number;
+    admission: Admission;
+    table: TableState;
+    reports: VmReport[];
+    /** Keys of the actions that ran. */
+    actionKeys: string[];
+    setReadiness(readiness: Readiness): void;
+}
+
+export interface FixtureOptions {
+    limits?: Partial<HttpLimits>;
+    dispatcher?: Partial<Dispatcher>;
+    platformKey?: string;
+    operators?: (table: TableState, admission: Admission) => Partial<OperatorApi>;
+}
+
+/** Starts the HTTP surfaces of zone `zone-a` on loopback. */
+export const startSurface = async (
+    t: ExecutionContext,
+    options: FixtureOptions = {},
+): Promise<SurfaceFixture> => {
+    const table = tableOf();
+    const limits = { ...DEFAULT_LIMITS, ...options.limits };
+    const admission = new Admission(limits);
+    const reports: VmReport[] = [];
+    const actionKeys: string[] = [];
+    let readiness: Readiness = { ready: true };
+    const operators = { daemonId: "a-1", table, admission, ...options.operators?.(table, admission) };
+    const surface = new HttpSurface({
+        context: createContext({ daemonId: "a-1", zone: "zone-a" }),
+        listen: { host: "127.0.0.1", port: 0 },
+        keys: { backendServers: BACKEND_KEY, operators: OPERATOR_KEY, platform: options.platformKey },
+        limits,
+        admission,
+        table,
+        dispatcher: dispatcherOf(options.dispatcher),
+        actions: {
+            run: async (_, key) => {
+                actionKeys.push(key);
+                return answer;
+            },
+        },
+        acceptReport: (report) => {
+            reports.push(report);
+            return { released: false };
+        },
+        operators: new OperatorSurface(operators as unknown as OperatorApi),
+        readiness: () => readiness,
+        servesCallers: true,
+    });
+    await surface.start();
+    t.teardown(() => surface.close());
+    const setReadiness = (state: Readiness): void => {
+        readiness = state;
+    };
+    const { port } = surface;
+    return { url: `http://127.0.0.1:${port}`, port, admission, table, reports, actionKeys, setReadiness };
+};
+
+export interface Answer {
+    status: number;
+    headers: Record<string, string | string[] | undefined>;
+    text: string;
+    // eslint-disable-next-line @typescript-eslint/no-explicit-any -- tests read single members of many documents.
+    json: any;
+}
+
+export interface SendOptions {
+    method?: "GET" | "POST" | "PUT" | "PATCH" | "DELETE";
+    key?: string;
+    headers?: Record<string, string>;
+    body?: string | object;
+}
+
+/** Sends one request and reads the whole response. */
+export const send = async (url: string, options: SendOptions = {}): Promise<Answer> => {
+    const body = typeof options.body === "object" ? JSON.stringify(options.body) : options.body;
+    const response = await request(url, {
+        method: options.method ?? (body === undefined ? "GET" : "POST"),
+        headers: {
+            ...(body === undefined ? {} : { "content-type": "application/json" }),
+            ...(options.key === undefined ? {} : { authorization: `Bearer ${options.key}` }),
+            ...options.headers,
+        },
+        body,
+    });
+    const text = await response.body.text();
+    const isJson = String(response.headers["content-type"]).includes("json");
+    return {
+        status: response.statusCode,
+        headers: response.headers,
+        text,
+        json: isJson ? JSON.parse(text) : undefined,
+    };
+};
+
+export const chatBody = (extra: object = {}): object => ({
+    model: "assistant",
+    messages: [{ role: "user", content: "Hello?" }],
+    ...extra,
+});
+
+/** Writes bytes to a raw connection and returns everything that comes back until it is closed. */
+export const sendRaw = (port: number, ...parts: string[]): Promise<{ text: string; durationMs: number; }> =>
+    new Promise((resolve) => {
+        const startedAtMs = monotonicMs();
+        let text = "";
+        const socket = connect(port, "127.0.0.1", () => {
+            for (const part of parts) {
+                socket.write(part);
+            }
+        });
+        socket.on("data", (chunk: Buffer) => {
+            text += chunk.toString("utf8");
+        });
+        socket.on("error", () => undefined);
+        socket.on("close", () => resolve({ text, durationMs: monotonicMs() - startedAtMs }));
+    });
--- /dev/null
+++ b/test/http/platform.test.ts
@@ -0,0 +1,96 @@
+import test from "ava";
+import { BACKEND_KEY, send, startSurface } from "./fixture.ts";
+
+const reportOf = (changes: object = {}): object => ({
+    vmId: "vm-1",
+    incarnationId: "i-1",
+    sequence: 1,
+    kind: "model",
+    zone: "zone-a",
+    fabricDomain: "rack-1",
+    url: "http://127.0.0.1:9000",
+    accelerators: 8,
+    checksFencing: true,
+    highestFence: 0,
+    leaving: false,
+    cachedModels: [],
+    maxConcurrent: 32,
+    load: { runningRequests: 0, waitingRequests: 0, kvUsedShare: 0, tokenGapMs: 10 },
+    ...changes,
+});
+
+// Guards against a report that harms the daemon or the control of the zone.
+const badReports: { field: string; changes: object; }[] = [
+    { field: "vmId", changes: { vmId: "" } },
+    { field: "sequence", changes: { sequence: -1 } },
+    { field: "kind", changes: { kind: "robot" } },
+    { field: "zone", changes: { zone: "zone-b" } },
+    { field: "url", changes: { url: "file:///etc/passwd" } },
+    { field: "accelerators", changes: { accelerators: "8" } },
+    {
+        field: "load.kvUsedShare",
+        changes: { load: { runningRequests: 0, waitingRequests: 0, tokenGapMs: 1 } },
+    },
+    { field: "service", changes: { kind: "service" } },
+    {
+        field: "assignment.rank",
+        changes: {
+            assignment: {
+                groupId: "g",
+                generation: 1,
+                model: "m",
+                memberVmIds: ["vm-2"],
+                rank: 0,
+                fence: 1,
+                state: "ready",
+            },
+        },
+    },
+];
+
+test("a good report is taken, with fields that this version doesn't know", async (t) => {
+    const { url, reports } = await startSurface(t);
+    const answer = await send(`${url}/backend/v1/report`, {
+        key: BACKEND_KEY,
+        body: reportOf({ adapter: "x" }),
+    });
+    t.deepEqual(answer.json, { released: false });
+    t.like(reports[0], { vmId: "vm-1", adapter: "x" });
+});
+
+test("a bad report is refused with the name of its field", async (t) => {
+    const { url, reports } = await startSurface(t, { limits: { reportBytes: 2_000 } });
+    for (const { field, changes } of badReports) {
+        const body = reportOf(changes);
+        const { status, json } = await send(`${url}/backend/v1/report`, { key: BACKEND_KEY, body });
+        t.is(status, 422, field);
+        t.deepEqual(json.fields.map((issue: { field: string; }) => issue.field), [field]);
+    }
+    const large = reportOf({ cachedModels: Array(200).fill("a-long-model-name") });
+    t.is((await send(`${url}/backend/v1/report`, { key: BACKEND_KEY, body: large })).status, 413);
+    t.is((await send(`${url}/backend/v1/report`, { key: "other", body: reportOf() })).status, 401);
+    t.is(reports.length, 0);
+});
+
+test("readiness follows the daemon, and liveness does not", async (t) => {
+    const { url, setReadiness } = await startSurface(t);
+    t.is((await send(`${url}/health/ready`)).status, 200);
+    setReadiness({ ready: false, reason: "the daemon is draining" });
+    const answer = await send(`${url}/health/ready`);
+    t.is(answer.status, 503);
+    t.is(answer.json.reason, "the daemon is draining");
+    t.is((await send(`${url}/health/live`)).status, 200);
+});
+
+test("health checks need the platform's key when there is one", async (t) => {
+    const { url } = await startSurface(t, { platformKey: "platform-key" });
+    t.is((await send(`${url}/health/ready`)).status, 401);
+    t.is((await send(`${url}/health/ready`, { key: "platform-key" })).status, 200);
+});
+
+test("a daemon that stops refuses new requests as not run", async (t) => {
+    const { url, admission } = await startSurface(t);
+    admission.close();
+    const answer = await send(`${url}/v1/models`, { key: "any" });
+    t.like(answer.json, { title: "draining", status: 503, verdict: "notRun" });
+});
