--- /dev/null
+++ b/test/http/operators.test.ts
@@ -0,0 +1,248 @@
+import { Timeline, type TimelineEvent } from "@greengage/base";
+import type { DaemonSummary, OperatorApi, OperatorResponse, Settlement, SettleResult } from "@greengage/http";
+import type { GroupView } from "@greengage/protocol";
+import type { EditOutcome, TableState } from "@greengage/table";
+import test, { type ExecutionContext } from "ava";
+import { type Answer, OPERATOR_KEY, send, startSurface, type SurfaceFixture } from "./fixture.ts";
+
+const servingGroup = {
+    groupId: "g-1",
+    model: "assistant",
+    state: "serving",
+    memberVmIds: ["vm-1", "vm-2"],
+} as GroupView;
+
+const summaryOf = (daemonId: string, changes: Partial<DaemonSummary> = {}): DaemonSummary => ({
+    daemonId,
+    zone: "zone-a",
+    voter: false,
+    controlOnly: false,
+    state: "serving",
+    ready: true,
+    inFlight: 0,
+    tableVersion: 1,
+    ...changes,
+});
+
+const editsOf = (table: TableState): Partial<OperatorApi> => ({
+    edit: async (edit) => {
+        const command = { type: "table.edit", atMs: 0, ...edit };
+        const outcome: EditOutcome = table.apply(table.version + 1, command);
+        return { outcome, inForceZones: ["zone-a"], pendingZones: [] };
+    },
+    catchUp: async () => undefined,
+});
+
+interface OperatorFixture extends SurfaceFixture {
+    operate(path: string, body?: object): Promise<Answer>;
+}
+
+/** A surface whose daemon has one serving group and one other daemon, `a-2`, that answers with `peerAnswers`. */
+const startOperators = async (
+    t: ExecutionContext,
+    changes: Partial<OperatorApi> = {},
+    peerAnswers: Record<string, unknown> = {},
+): Promise<OperatorFixture> => {
+    const surface = await startSurface(t, {
+        operators: (table) => ({
+            daemons: ["a-1", "a-2"].map((daemonId) => ({ daemonId, zone: "zone-a", voter: false })),
+            groups: () => [servingGroup],
+            summary: () => summaryOf("a-1"),
+            record: () => undefined,
+            forward: async (_, { path }): Promise<OperatorResponse> => {
+                if (peerAnswers[path] === undefined) {
+                    throw new Error("unreachable");
+                }
+                return { status: 200, body: peerAnswers[path] };
+            },
+            ...editsOf(table),
+            ...changes,
+        }),
+    });
+    const operate = (path: string, body?: object): Promise<Answer> =>
+        send(`${surface.url}/operator/v1/${path}`, { key: OPERATOR_KEY, body });
+    return { ...surface, operate };
+};
+
+const deletion = (editId: string, extra: object = {}): object => ({
+    editId,
+    operator: "thandi",
+    changes: [{ kind: "model", name: "assistant", baseVersion: 1 }],
+    ...extra,
+});
+
+const hazardsOf = (answer: Answer): string[] =>
+    answer.json.hazards.map(({ hazard }: { hazard: string; }) => hazard);
+
+test("the operators' surface refuses wrong keys, paths, methods and fields", async (t) => {
+    const { url, operate } = await startOperators(t);
+    t.is((await send(`${url}/operator/v1/table`, { key: "other" })).status, 401);
+    t.is((await operate("nothing")).status, 404);
+    t.is((await operate("table/history", {})).json.title, "method-not-allowed");
+    const answer = await operate("table", { editId: "e", operator: "thandi", changes: [], extra: 1 });
+    t.is(answer.status, 400);
+    t.regex(answer.json.detail, /changes: .*extra/);
+});
+
+test("a dry run says what an edit would do and changes nothing", async (t) => {
+    const { operate, table } = await startOperators(t);
+    const { json } = await operate("table", deletion("e-1", { dryRun: true }));
+    t.like(json, { dryRun: true, outcome: { status: "accepted" } });
+    t.deepEqual(json.hazards.map(({ hazard }: { hazard: string; }) => hazard), ["model-serves"]);
+    t.is(table.version, 1);
+});
+
+test("deleting a model that serves needs force and a reason", async (t) => {
+    const { operate, table } = await startOperators(t);
+    const refused = await operate("table", deletion("e-1"));
+    t.like(refused.json, { title: "unsafe", status: 409, verdict: "notRun" });
+    t.is((await operate("table", deletion("e-1", { force: true }))).status, 400);
+    t.is(table.version, 1);
+    const forced = await operate("table", deletion("e-1", { force: true, reason: "model withdrawn" }));
+    t.is(forced.json.outcome.status, "accepted");
+    t.is(table.row("model", "assistant"), undefined);
+});
+
+// Guards against a refusal that hides from an operator that the first attempt was accepted.
+test("an edit that was accepted gets its first outcome again, also when it has become unsafe", async (t) => {
+    const groups: GroupView[] = [];
+    const { operate, table } = await startOperators(t, { groups: () => groups });
+    const body = {
+        editId: "e-1",
+        operator: "thandi",
+        changes: [{
+            kind: "model",
+            name: "assistant",
+            baseVersion: 1,
+            columns: { enabled: false },
+        }],
+    };
+    const first = await operate("table", body);
+    groups.push(servingGroup);
+    t.deepEqual((await operate("table", body)).json.outcome, first.json.outcome);
+    t.is(table.version, 2);
+});
+
+test("an organisation with requests in flight at another daemon is not disabled", async (t) => {
+    const { operate } = await startOperators(t, {}, { "in-flight": { "organisation/umbrella": 3 } });
+    const changes = [{ kind: "organisation", name: "umbrella", baseVersion: 1, columns: { enabled: false } }];
+    const answer = await operate("table", { editId: "e-1", operator: "thandi", changes });
+    t.is(answer.json.title, "unsafe");
+    t.regex(answer.json.detail, /organisation\/umbrella has 3 requests in flight/);
+});
+
+test("conflicts and wrong cells are told apart", async (t) => {
+    const { operate } = await startOperators(t);
+    const editOf = (baseVersion: number, columns: object): object => ({
+        editId: `e-${baseVersion}`,
+        operator: "thandi",
+        changes: [{ kind: "model", name: "assistant", baseVersion, columns }],
+    });
+    t.like((await operate("table", editOf(0, { priority: 3 }))).json, { title: "conflict", status: 409 });
+    const invalid = await operate("table", editOf(1, { priority: 30 }));
+    t.like(invalid.json, { title: "invalid", status: 422 });
+    t.regex(invalid.json.detail, /model\/assistant priority/);
+});
+
+test("an export comes back as one edit that changes only what differs", async (t) => {
+    const { operate, table } = await startOperators(t, { groups: () => [] }, { "in-flight": {} });
+    const { json } = await operate("table/export");
+    const body = { operator: "thandi", rows: json.rows };
+    const same = await operate("table/import", { ...body, editId: "e-1" });
+    t.deepEqual(same.json.outcome, { status: "accepted", tableVersion: 1, rows: [] });
+    const rows = json.rows.filter((row: { kind: string; }) => row.kind !== "service");
+    await operate("table/import", { ...body, rows, editId: "e-2", replace: true });
+    t.is(table.row("service", "ledger"), undefined);
+    t.is(table.history()[0]?.operator, "thandi");
+});
+
+test("a VM whose group has no replacement is not drained", async (t) => {
+    const drained: string[] = [];
+    const vmDrains: OperatorApi["vmDrains"] = {
+        drainVm: async (vmId, { dryRun }) => {
+            if (!dryRun) {
+                drained.push(vmId);
+            }
+            return {
+                vmId,
+                groupId: "g-1",
+                model: "assistant",
+                hasReplacement: vmId === "vm-1",
+                released: false,
+            };
+        },
+        undrainVm: async () => undefined,
+    };
+    const { operate } = await startOperators(t, { vmDrains });
+    const request = { target: "vm", operator: "thandi" };
+    t.deepEqual(hazardsOf(await operate("drain", { ...request, id: "vm-2" })), ["no-replacement"]);
+    t.is((await operate("drain", { ...request, id: "vm-2", dryRun: true })).status, 200);
+    t.is((await operate("drain", { ...request, id: "vm-1" })).status, 200);
+    t.deepEqual(drained, ["vm-1"]);
+    t.is((await operate("drain", { ...request, id: "vm-2", force: true, reason: "smoke" })).status, 200);
+    t.is((await operate("undrain", { ...request, id: "vm-2" })).status, 200);
+});
+
+test("the last ready daemon of a zone is not drained", async (t) => {
+    let drains = 0;
+    const daemonDrains = { drain: () => void (drains += 1), undrain: () => undefined };
+    const request = { target: "daemon", id: "a-1", operator: "thandi" };
+    const alone = await startOperators(t, { daemonDrains }, { daemon: summaryOf("a-2", { ready: false }) });
+    t.deepEqual(hazardsOf(await alone.operate("drain", request)), ["last-daemon-of-zone"]);
+    t.is(drains, 0);
+    const paired = await startOperators(t, { daemonDrains }, { daemon: summaryOf("a-2") });
+    t.is((await paired.operate("drain", request)).status, 200);
+    t.is(drains, 1);
+    t.is((await paired.operate("drain", { ...request, id: "a-9" })).status, 404);
+});
+
+test("actions are settled once, and not while their daemon may still record the outcome", async (t) => {
+    const settlements: Settlement[] = [];
+    const results: SettleResult[] = ["settled", "alreadySettled", "otherOutcome", "unknownKey"];
+    const young = {
+        organisation: "umbrella",
+        key: "new",
+        service: "ledger",
+        attemptId: "1",
+        daemonId: "a-1",
+    };
+    const actions: OperatorApi["actions"] = {
+        listUnknown: () => [{ ...young, atMs: Date.now() }],
+        settle: async (settlement) => results[settlements.push(settlement) - 1] ?? "unknownKey",
+    };
+    const { operate } = await startOperators(t, { actions });
+    const body = {
+        organisation: "umbrella",
+        key: "old",
+        outcome: "ran",
+        operator: "thandi",
+        reason: "booked",
+    };
+    t.is((await operate("actions")).json.actions.length, 1);
+    t.deepEqual(hazardsOf(await operate("actions/settle", { ...body, key: "new" })), [
+        "action-may-be-running",
+    ]);
+    t.is((await operate("actions/settle", { ...body, reason: undefined })).status, 400);
+    const statuses = [];
+    for (let attempt = 0; attempt < results.length; attempt += 1) {
+        statuses.push((await operate("actions/settle", body)).status);
+    }
+    t.deepEqual(statuses, [200, 200, 409, 404]);
+    t.is(settlements.length, 4);
+});
+
+test("the time line holds the events of all daemons, cause before effect", async (t) => {
+    const hourMs = 3_600_000;
+    const ahead = new Timeline({ daemonId: "a-2", nowMs: () => 2 * hourMs });
+    const own = new Timeline({ daemonId: "a-1", nowMs: () => hourMs });
+    ahead.record("groups", "cause");
+    own.observe(ahead.tick());
+    own.record("groups", "effect");
+    const answers = { "timeline/own": ahead.events() };
+    const { operate } = await startOperators(t, { timeline: () => own.events() }, answers);
+    const { json } = await operate("timeline?part=groups");
+    t.deepEqual(json.events.map((event: TimelineEvent) => event.kind), ["cause", "effect"]);
+    const alone = await startOperators(t, { timeline: () => own.events() });
+    t.deepEqual((await alone.operate("timeline")).json.unreachable, ["a-2"]);
+    t.is((await alone.operate("timeline?limit=many")).status, 400);
+});
