--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -12,6 +12,7 @@
     missingAfterMs: z.number().int().min(200).max(60_000),
     reportBatchMs: z.number().int().min(20).max(10_000),
     unfencedHandoverMs: z.number().int().min(0).max(3_600_000),
+    repairAfterMs: z.number().int().min(0).max(600_000),
 }).partial();
 
 /** Schema of the settings file of a daemon. */
--- a/packages/membership/src/acceptor.ts
+++ b/packages/membership/src/acceptor.ts
@@ -1,6 +1,6 @@
 import { monotonicMs } from "@greengage/base";
 import type { Calls, Peers, ZoneAcquireResponse } from "@greengage/protocol";
-import { LEASE_MARGIN_MS } from "./timing.ts";
+import { LEASE_MARGIN_MS, type MembershipTiming } from "./timing.ts";
 
 interface GrantedLease {
     fence: number;
@@ -8,6 +8,14 @@
     endsAtMs: number;
 }
 
+interface ZoneMemory {
+    lease?: GrantedLease;
+    highestFence: number;
+    tableFloor: number;
+    /** Monotonic time at which the last lease of each holder ended. */
+    formerHolders: Map<string, number>;
+}
+
 type AcquireRequest = Calls["zone.acquire"]["request"];
 
 /**
@@ -15,51 +23,93 @@
  * Its state is lost on restart, so it grants nothing until every lease it could have granted has ended.
  */
 export class LeaseAcceptor {
-    readonly #grantsFromMs: number;
-    readonly #leases = new Map<string, GrantedLease>();
-    readonly #highestFences = new Map<string, number>();
-    readonly #tableFloors = new Map<string, number>();
+    readonly #startedAtMs = monotonicMs();
+    readonly #timing: MembershipTiming;
+    readonly #zones = new Map<string, ZoneMemory>();
 
-    constructor(peers: Peers, leaseMs: number) {
-        this.#grantsFromMs = monotonicMs() + leaseMs + LEASE_MARGIN_MS;
+    constructor(peers: Peers, timing: MembershipTiming) {
+        this.#timing = timing;
         peers.handle("zone.acquire", (request) => this.acquire(request));
         peers.handle("zone.release", (request) => {
             this.release(request.zone, request.fence, request.holderId);
             return {};
         });
         peers.handle("zone.holder", ({ zone }) => ({
-            holderId: this.#currentLease(zone)?.holderId,
-            highestFence: this.#highestFences.get(zone) ?? 0,
+            holderId: currentLease(this.#memory(zone))?.holderId,
+            highestFence: this.#memory(zone).highestFence,
         }));
     }
 
     acquire(request: AcquireRequest): ZoneAcquireResponse {
-        const { zone, fence, holderId } = request;
-        const highestFence = this.#highestFences.get(zone) ?? 0;
-        const current = this.#currentLease(zone);
-        if (monotonicMs() < this.#grantsFromMs || (current !== undefined && current.holderId !== holderId)) {
-            return { granted: false, highestFence, holderId: current?.holderId };
+        const { zone, fence, holderId, leaseMs } = request;
+        const memory = this.#memory(zone);
+        const { highestFence } = memory;
+        const current = currentLease(memory);
+        const refusal = { granted: false, highestFence, holderId: current?.holderId } as const;
+        // The restart rule covers leases up to the acceptor's own leaseMs, so a longer one is refused.
+        const isRestarting = this.#upMs < this.#timing.leaseMs + LEASE_MARGIN_MS;
+        if (isRestarting || leaseMs > this.#timing.leaseMs) {
+            return refusal;
+        }
+        if (current !== undefined && current.holderId !== holderId) {
+            return refusal;
         }
         const isRenewal = current?.fence === fence;
         if (fence < highestFence || (fence === highestFence && !isRenewal)) {
-            return { granted: false, highestFence, holderId: current?.holderId };
+            return refusal;
         }
-        this.#highestFences.set(zone, fence);
-        this.#leases.set(zone, { fence, holderId, endsAtMs: monotonicMs() + request.leaseMs });
-        const tableFloor = Math.max(this.#tableFloors.get(zone) ?? 0, request.tableFloor);
-        this.#tableFloors.set(zone, tableFloor);
-        return { granted: true, tableFloor };
+        this.#endLease(memory, holderId);
+        memory.highestFence = fence;
+        memory.lease = { fence, holderId, endsAtMs: monotonicMs() + leaseMs };
+        memory.tableFloor = Math.max(memory.tableFloor, request.tableFloor);
+        return { granted: true, tableFloor: memory.tableFloor, ...this.#history(memory, holderId) };
     }
 
     release(zone: string, fence: number, holderId: string): void {
-        const lease = this.#leases.get(zone);
-        if (lease?.fence === fence && lease.holderId === holderId) {
-            this.#leases.delete(zone);
+        const memory = this.#memory(zone);
+        if (memory.lease?.fence === fence && memory.lease.holderId === holderId) {
+            memory.formerHolders.set(holderId, Math.min(memory.lease.endsAtMs, monotonicMs()));
+            memory.lease = undefined;
+        }
+    }
+
+    get #upMs(): number {
+        return monotonicMs() - this.#startedAtMs;
+    }
+
+    /** Remembers the holder of the lease that ended before `nextHolderId` got it. */
+    #endLease(memory: ZoneMemory, nextHolderId: string): void {
+        if (memory.lease !== undefined && memory.lease.holderId !== nextHolderId) {
+            memory.formerHolders.set(memory.lease.holderId, memory.lease.endsAtMs);
+        }
+        const oldestMs = monotonicMs() - this.#timing.unfencedHandoverMs;
+        for (const [holderId, endedAtMs] of memory.formerHolders) {
+            if (endedAtMs < oldestMs) {
+                memory.formerHolders.delete(holderId);
+            }
         }
     }
 
-    #currentLease(zone: string): GrantedLease | undefined {
-        const lease = this.#leases.get(zone);
-        return lease !== undefined && lease.endsAtMs > monotonicMs() ? lease : undefined;
+    #history(
+        memory: ZoneMemory,
+        holderId: string,
+    ): { formerHolderIds: string[]; upMs: number; idleMs?: number; } {
+        const others = [...memory.formerHolders].filter(([formerId]) => formerId !== holderId);
+        const lastEndMs = Math.max(...others.map(([, endedAtMs]) => endedAtMs));
+        return {
+            formerHolderIds: others.map(([formerId]) => formerId),
+            upMs: this.#upMs,
+            idleMs: others.length === 0 ? undefined : monotonicMs() - lastEndMs,
+        };
+    }
+
+    #memory(zone: string): ZoneMemory {
+        const memory = this.#zones.get(zone)
+            ?? { highestFence: 0, tableFloor: 0, formerHolders: new Map<string, number>() };
+        this.#zones.set(zone, memory);
+        return memory;
     }
 }
+
+const currentLease = ({ lease }: ZoneMemory): GrantedLease | undefined =>
+    lease !== undefined && lease.endsAtMs > monotonicMs() ? lease : undefined;
--- /dev/null
+++ b/packages/membership/src/adoption.ts
@@ -0,0 +1,69 @@
+import { monotonicMs } from "@greengage/base";
+import { type Assignment, GroupState } from "@greengage/protocol";
+import { Cause, type Group } from "./group.ts";
+import type { Vm } from "./vms.ts";
+import type { ZoneState } from "./zone.ts";
+
+/**
+ * Adopts the groups that VMs report and the controller doesn't know. Members must not contradict each other: all
+ * that report name the same member list, and none names a higher generation or another group. A member that
+ * doesn't report counts as missing, so that its group is repaired and not loaded anew.
+ */
+export const adoptGroups = (zone: ZoneState): void => {
+    const unknown = new Map<string, Assignment>();
+    for (const vm of zone.vms.all()) {
+        const assignment = adoptable(zone, vm);
+        const known = assignment === undefined ? undefined : unknown.get(assignment.groupId);
+        if (assignment !== undefined && (known === undefined || known.generation < assignment.generation)) {
+            unknown.set(assignment.groupId, assignment);
+        }
+    }
+    for (const assignment of unknown.values()) {
+        if (isConsistent(zone, assignment)) {
+            adopt(zone, assignment);
+        }
+    }
+};
+
+const adoptable = (zone: ZoneState, vm: Vm): Assignment | undefined => {
+    const { assignment } = vm.report;
+    const isKnown = assignment === undefined || zone.groups.get(assignment.groupId) !== undefined;
+    return isKnown || !zone.vms.isFresh(vm) || zone.vms.isQuarantined(vm) ? undefined : assignment;
+};
+
+const isConsistent = (zone: ZoneState, assignment: Assignment): boolean =>
+    assignment.memberVmIds.every((vmId) => {
+        if (zone.groups.groupOf(vmId) !== undefined) {
+            return false;
+        }
+        const reported = zone.vms.get(vmId)?.report.assignment;
+        if (reported === undefined) {
+            return true;
+        }
+        const isSame = reported.generation === assignment.generation
+            && reported.memberVmIds.join() === assignment.memberVmIds.join();
+        return reported.groupId === assignment.groupId
+            && (isSame || reported.generation < assignment.generation);
+    });
+
+const adopt = (zone: ZoneState, assignment: Assignment): void => {
+    const { groupId, generation, model, memberVmIds } = assignment;
+    const reports = memberVmIds.map((vmId) => zone.vms.get(vmId)?.report);
+    const incarnations = memberVmIds.flatMap((vmId, index): [string, string][] => {
+        const incarnationId = reports[index]?.incarnationId;
+        return incarnationId === undefined ? [] : [[vmId, incarnationId]];
+    });
+    const group: Group = {
+        groupId,
+        generation,
+        model,
+        fabricDomain: reports.find((report) => report !== undefined)?.fabricDomain ?? "",
+        memberVmIds: [...memberVmIds],
+        incarnations: new Map(incarnations),
+        state: GroupState.Loading,
+        sinceMs: monotonicMs(),
+        confirmAfterMs: 0,
+        cause: Cause.NoController,
+    };
+    zone.groups.add(group);
+};
--- a/packages/membership/src/controller.ts
+++ b/packages/membership/src/controller.ts
@@ -1,30 +1,45 @@
-import { type Context, Lifecycle, type Log, LogPart, messageOf, monotonicMs, newId } from "@greengage/base";
-import {
-    AssignmentState,
-    BackendKind,
-    type Calls,
-    type Grant,
-    GroupState,
-    type GroupView,
-    type Peers,
-    type ServiceView,
-    type VmReport,
-} from "@greengage/protocol";
-import type { ModelRow, TableState } from "@greengage/table";
-import type { ZoneLease } from "./lease.ts";
-import type { OrderSender } from "./orders.ts";
-import type { HeldReport } from "./reports.ts";
+import { type Context, Lifecycle, LogPart, messageOf, monotonicMs } from "@greengage/base";
+import type { Calls, Grant, Peers, ZoneExchange } from "@greengage/protocol";
+import type { TableState } from "@greengage/table";
+import { DowntimeAccount, type SecondsByCause } from "./accounting.ts";
+import { adoptGroups } from "./adoption.ts";
+import { DaemonRegistry } from "./daemons.ts";
+import { checkLeaving, isServiceIdle } from "./drain.ts";
+import { planVmDrain } from "./drainPlan.ts";
+import { LimitExchange } from "./exchange.ts";
+import { formGroups, planDrains } from "./forming.ts";
+import { Cause } from "./group.ts";
+import { GroupRegistry } from "./groups.ts";
+import { Handover } from "./handover.ts";
+import type { LeaseHistory, ZoneLease } from "./lease.ts";
+import type { Orders } from "./orders.ts";
+import { PlacementName, placementPolicies } from "./placement.ts";
+import { OrderReconciler } from "./reconcile.ts";
+import { replaceStragglers } from "./stragglers.ts";
 import type { MembershipTiming } from "./timing.ts";
+import { stepGroup } from "./transitions.ts";
+import { ViewLog } from "./views.ts";
+import { VmRegistry } from "./vms.ts";
+import { WeightStore, type WeightStoreOptions } from "./weightStore.ts";
+import { type ZoneState } from "./zone.ts";
+import { freshUntilMs, groupViews, markDrainVersions, serviceViews } from "./zoneViews.ts";
 
-const CONTROL_PERIOD_MS = 200;
+const CONTROL_PERIOD_MS = 100;
+const HELD_TIMEOUT_MS = 300;
+const METRICS_PERIOD_MS = 1_000;
+// After a pause of the process the time in between isn't known to have been spent in the present state.
+const MAX_TICK_MS = 5_000;
 
-interface Group {
-    groupId: string;
-    generation: number;
-    model: string;
-    fabricDomain: string;
-    memberVmIds: string[];
-    state: GroupState;
+/** Group downtime and stranded accelerators of a zone since this daemon last became its controller. */
+export interface ZoneMeasures {
+    zone: string;
+    isController: boolean;
+    groupDowntime: SecondsByCause;
+    strandedAccelerators: SecondsByCause;
+    quarantinedVmIds: string[];
+    drainedVmIds: string[];
+    /** VMs that read from the weight store now. */
+    weightStoreLoads: number;
 }
 
 export interface ZoneControllerOptions {
@@ -32,40 +47,76 @@
     peers: Peers;
     table: TableState;
     timing: MembershipTiming;
-    orders: OrderSender;
-    lease: () => ZoneLease;
+    orders: Orders;
+    lease: () => Pick<ZoneLease, "isValid" | "fence" | "remainingMs" | "raiseFence">;
     zoneDaemonIds: string[];
+    /** All zones, for the exchange of organisation limits. */
+    zones: string[];
+    /** Default: `bestFit`. */
+    placement?: PlacementName;
+    weightStore?: WeightStoreOptions;
 }
 
-/** Forms, loads, suspends and dissolves the replica groups of a zone while this daemon holds the zone's lease. */
+/** Forms, loads, repairs and dissolves the replica groups of a zone while this daemon holds the zone's lease. */
 export class ZoneController {
     readonly #options: ZoneControllerOptions;
-    readonly #log: Log;
     readonly #lifecycle = new Lifecycle();
-    readonly #reports = new Map<string, HeldReport>();
-    readonly #groups = new Map<string, Group>();
-    readonly #renewals = new Map<string, number>();
+    readonly #zone: ZoneState;
+    readonly #reconciler: OrderReconciler;
+    readonly #exchange: LimitExchange;
+    #handover: Handover | undefined;
+    #epoch = 0;
     #isActive = false;
-    #viewVersion = 0;
     #tableFloor = 0;
+    #freshUntilMs = 0;
+    #lastTickMs = 0;
 
     constructor(options: ZoneControllerOptions) {
         this.#options = options;
-        this.#log = options.context.logs(LogPart.Groups);
-        options.peers.handle("report.batch", (request) => this.#takeBatch(request));
-        options.peers.handle("grant.renew", (request) => this.#renewGrant(request));
+        const { context, timing, table, peers } = options;
+        this.#zone = {
+            context,
+            timing,
+            table,
+            vms: new VmRegistry(context, timing),
+            groups: new GroupRegistry(context),
+            daemons: new DaemonRegistry(timing.grantMs),
+            views: new ViewLog(),
+            downtime: new DowntimeAccount(),
+            weightStore: new WeightStore(options.weightStore),
+            policy: placementPolicies[options.placement ?? PlacementName.BestFit],
+            adoptsUntilMs: 0,
+            isHandoverDone: () => this.#handover?.isDone ?? false,
+        };
+        this.#reconciler = new OrderReconciler(this.#zone, options.orders);
+        this.#exchange = new LimitExchange({
+            zone: context.zone,
+            zones: options.zones,
+            table,
+            grantMs: timing.grantMs,
+        });
+        peers.handle("report.batch", (request) => this.#takeBatch(request));
+        peers.handle("grant.renew", (request) => this.#renewGrant(request));
+        peers.handle("vm.drain", (request) => this.#drainVm(request));
+        peers.handle("zone.confirmStopped", ({ fence }) => ({
+            stopped: !(options.lease().isValid && options.lease().fence <= fence)
+                && !options.orders.mayHaveInFlight(fence),
+        }));
     }
 
     start(): void {
-        this.#lifecycle.every(
-            CONTROL_PERIOD_MS,
-            () => this.#control(),
-            (error) => this.#log.warn("control step failed", { reason: messageOf(error) }),
-        );
+        const log = this.#options.context.logs(LogPart.Groups);
+        const onError = (error: unknown): void =>
+            log.error("a control step has failed", { reason: messageOf(error) });
+        this.#lifecycle.every(CONTROL_PERIOD_MS, () => this.#step(), onError);
+        this.#lifecycle.every(METRICS_PERIOD_MS, () => this.#sendMetrics(), onError);
     }
 
-    close(): Promise<void> {
-        return this.#lifecycle.close();
+    async close(): Promise<void> {
+        this.deactivate();
+        await this.#lifecycle.close();
+        await this.#handover?.close();
+        await this.#options.orders.close();
     }
 
     get tableFloor(): number {
@@ -77,234 +128,246 @@
     }
 
     /** Takes over the zone: collects the held reports and adopts the groups they name. */
-    async activate(): Promise<void> {
-        this.#reports.clear();
-        this.#groups.clear();
-        const { peers, zoneDaemonIds, context } = this.#options;
-        const answers = await Promise.all(
-            zoneDaemonIds.map((id) =>
-                peers.call(id, "report.held", { zone: context.zone }, { timeoutMs: 500 }).catch(() =>
-                    undefined
-                )
-            ),
-        );
-        for (const answer of answers) {
-            for (const { report, ageMs } of answer?.reports ?? []) {
-                this.#takeReport(report, ageMs);
-            }
-            this.raiseTableFloor(answer?.tableVersion ?? 0);
+    async activate(fence: number, history: LeaseHistory): Promise<void> {
+        const epoch = ++this.#epoch;
+        const { peers, zoneDaemonIds, timing } = this.#options;
+        const { vms, groups, daemons, weightStore, downtime } = this.#zone;
+        const startedAtMs = monotonicMs();
+        this.#isActive = false;
+        for (const part of [vms, groups, daemons, weightStore]) {
+            part.clear();
+        }
+        void this.#handover?.close();
+        this.#handover = new Handover({
+            peers,
+            zone: this.#options.context.zone,
+            fence,
+            formerHolderIds: this.#formerHolders(fence, history),
+            limitMs: timing.unfencedHandoverMs,
+        });
+        this.#zone.adoptsUntilMs = Number.POSITIVE_INFINITY;
+        const answers = await Promise.all(zoneDaemonIds.map((id) => this.#askHeld(id)));
+        if (epoch !== this.#epoch) {
+            return;
         }
-        this.#adoptGroups();
+        // A daemon that didn't answer, or has just started, lacks reports that other daemons get within a period.
+        const isComplete = answers.every((upMs) => upMs !== undefined && upMs > timing.missingAfterMs);
+        this.#zone.adoptsUntilMs = monotonicMs() + (isComplete ? 0 : timing.missingAfterMs);
+        adoptGroups(this.#zone);
+        const gapS = ((history.idleMs ?? 0) + monotonicMs() - startedAtMs) / 1_000;
+        downtime.addDowntime(Cause.NoController, gapS * groups.all().length);
+        this.#lastTickMs = monotonicMs();
         this.#isActive = true;
+        this.#step();
     }
 
     deactivate(): void {
+        this.#epoch += 1;
         this.#isActive = false;
     }
 
-    #takeBatch(request: Calls["report.batch"]["request"]): Calls["report.batch"]["response"] {
-        if (!this.#options.lease().isValid) {
-            return { accepted: false, needFull: [], releasedVmIds: [] };
-        }
-        for (const report of request.changed) {
-            this.#takeReport(report, 0);
-        }
-        const needFull: string[] = [];
-        for (const { vmId, incarnationId, sequence, ageMs } of request.unchanged) {
-            const held = this.#reports.get(vmId);
-            if (held?.report.incarnationId !== incarnationId) {
-                needFull.push(vmId);
-                continue;
-            }
-            this.#takeReport({ ...held.report, sequence }, ageMs);
-        }
-        return { accepted: true, needFull, releasedVmIds: [] };
+    /** Downtime, stranded accelerators and conditions of the zone, for status and metrics. */
+    measures(): ZoneMeasures {
+        const { vms, downtime, weightStore, context } = this.#zone;
+        return {
+            zone: context.zone,
+            isController: this.#isActive && this.#options.lease().isValid,
+            groupDowntime: downtime.groupDowntime,
+            strandedAccelerators: downtime.strandedAccelerators,
+            quarantinedVmIds: vms.all().filter((vm) => vms.isQuarantined(vm)).map((vm) => vm.vmId),
+            drainedVmIds: [...vms.drained],
+            weightStoreLoads: weightStore.runningCount,
+        };
     }
 
-    #takeReport(report: VmReport, ageMs: number): void {
-        const held = this.#reports.get(report.vmId);
-        const receivedAtMs = monotonicMs() - ageMs;
-        if (held !== undefined && held.receivedAtMs > receivedAtMs) {
-            return;
-        }
-        this.#reports.set(report.vmId, { report, receivedAtMs });
+    /** What this zone tells other controllers about organisation limits, while it is the controller. */
+    exchange(): ZoneExchange | undefined {
+        return this.#isController ? this.#exchange.message() : undefined;
     }
 
-    #freshReport(vmId: string): VmReport | undefined {
-        const held = this.#reports.get(vmId);
-        const isFresh = held !== undefined
-            && monotonicMs() - held.receivedAtMs < this.#options.timing.missingAfterMs;
-        return isFresh ? held.report : undefined;
+    takeExchange(message: ZoneExchange): void {
+        this.#exchange.take(message);
     }
 
-    #adoptGroups(): void {
-        for (const { report } of this.#reports.values()) {
-            const assignment = report.assignment;
-            if (assignment === undefined || assignment.rank !== 0) {
-                continue;
-            }
-            const reports = assignment.memberVmIds.map((vmId) => this.#freshReport(vmId));
-            const isWhole = reports.every((member) =>
-                member?.assignment?.groupId === assignment.groupId
-                && member.assignment.generation === assignment.generation
-            );
-            if (!isWhole) {
-                continue;
-            }
-            this.#groups.set(assignment.groupId, {
-                groupId: assignment.groupId,
-                generation: assignment.generation,
-                model: assignment.model,
-                fabricDomain: report.fabricDomain,
-                memberVmIds: assignment.memberVmIds,
-                state: GroupState.Loading,
-            });
-        }
-        this.#viewVersion += 1;
+    get #isController(): boolean {
+        return this.#isActive && this.#options.lease().isValid;
     }
 
-    async #control(): Promise<void> {
-        if (!this.#isActive || !this.#options.lease().isValid) {
-            return;
-        }
-        this.#updateStates();
-        await this.#formGroups();
+    /** Daemons that may have an order in flight when the acceptors can't name them. */
+    #formerHolders(fence: number, history: LeaseHistory): string[] {
+        const others = this.#options.zoneDaemonIds.filter((id) => id !== this.#options.peers.daemonId);
+        return fence === 1 ? [] : history.formerHolderIds ?? others;
     }
 
-    #updateStates(): void {
-        for (const group of this.#groups.values()) {
-            const state = this.#stateOf(group);
-            if (state === group.state) {
-                continue;
-            }
-            group.state = state;
-            this.#viewVersion += 1;
-            this.#options.context.timeline.record("groups", `group.${state}`, {
-                groupId: group.groupId,
-                generation: group.generation,
-            });
-            if (state === GroupState.Dissolved) {
-                this.#groups.delete(group.groupId);
-            }
+    async #askHeld(daemonId: string): Promise<number | undefined> {
+        const { peers, context } = this.#options;
+        const answer = await peers.call(daemonId, "report.held", { zone: context.zone }, {
+            timeoutMs: HELD_TIMEOUT_MS,
+        }).catch(() => undefined);
+        for (const { report, ageMs } of answer?.reports ?? []) {
+            this.#zone.vms.take(report, ageMs);
+        }
+        for (const vmId of answer?.drainedVmIds ?? []) {
+            this.#zone.vms.drained.add(vmId);
         }
+        this.#exchange.restore(answer?.transfers ?? []);
+        this.raiseTableFloor(answer?.tableVersion ?? 0);
+        return answer?.upMs;
     }
 
-    #stateOf(group: Group): GroupState {
-        const reports = group.memberVmIds.map((vmId) => this.#freshReport(vmId));
-        if (reports.some((report) => report === undefined)) {
-            return group.state === GroupState.Suspended ? GroupState.Dissolved : GroupState.Suspended;
+    #takeBatch(request: Calls["report.batch"]["request"]): Calls["report.batch"]["response"] {
+        const lease = this.#options.lease();
+        if (!lease.isValid) {
+            return { accepted: false, needFull: [], releasedVmIds: [] };
         }
-        const isReady = reports.every((report) =>
-            report?.assignment?.groupId === group.groupId
-            && report.assignment.generation === group.generation
-            && report.assignment.state === AssignmentState.Ready
+        const { vms } = this.#zone;
+        let isUrgent = false;
+        for (const { report, ageMs } of request.changed) {
+            isUrgent ||= report.leaving && vms.get(report.vmId)?.report.leaving !== true;
+            vms.take(report, ageMs);
+            if (report.highestFence > lease.fence) {
+                lease.raiseFence(report.highestFence);
+            }
+        }
+        const needFull = request.unchanged.filter((entry) => !vms.takeUnchanged(entry)).map(({ vmId }) =>
+            vmId
         );
-        return isReady ? GroupState.Serving : GroupState.Loading;
+        if (isUrgent) {
+            this.#step();
+        }
+        const vmIds = [
+            ...request.changed.map(({ report }) => report.vmId),
+            ...request.unchanged.map(({ vmId }) => vmId),
+        ];
+        return { accepted: true, needFull, releasedVmIds: vmIds.filter((vmId) => this.#isReleased(vmId)) };
     }
 
-    async #formGroups(): Promise<void> {
-        for (const model of this.#options.table.models()) {
-            const present = [...this.#groups.values()].filter((group) => group.model === model.name).length;
-            if (!model.enabled || present >= model.replicas) {
-                continue;
-            }
-            const members = this.#pickFreeVms(model);
-            if (members !== undefined) {
-                await this.#form(model, members);
-            }
+    /** One control step: sees what has changed, decides, and sends orders and pushes. It never waits. */
+    #step(): void {
+        if (!this.#isController) {
+            return;
         }
+        const zone = this.#zone;
+        this.#tick();
+        zone.vms.step();
+        adoptGroups(zone);
+        planDrains(zone);
+        replaceStragglers(zone);
+        for (const group of zone.groups.all()) {
+            stepGroup(zone, group);
+        }
+        formGroups(zone);
+        this.#reconciler.step();
+        this.#refreshViews();
+        this.#exchange.step(zone.daemons.active());
     }
 
-    #pickFreeVms(model: ModelRow): VmReport[] | undefined {
-        const used = new Set([...this.#groups.values()].flatMap((group) => group.memberVmIds));
-        const byDomain = new Map<string, VmReport[]>();
-        for (const vmId of this.#reports.keys()) {
-            const report = this.#freshReport(vmId);
-            if (
-                report === undefined || report.kind !== BackendKind.Model || report.leaving || used.has(vmId)
-            ) {
-                continue;
-            }
-            const vms = byDomain.get(report.fabricDomain) ?? [];
-            byDomain.set(report.fabricDomain, [...vms, report]);
+    #tick(): void {
+        const nowMs = monotonicMs();
+        this.#zone.downtime.tick(this.#zone, Math.min(nowMs - this.#lastTickMs, MAX_TICK_MS) / 1_000);
+        this.#lastTickMs = nowMs;
+    }
+
+    #refreshViews(): void {
+        const zone = this.#zone;
+        const offeredBefore = zone.views.offered();
+        zone.views.update(groupViews(zone), serviceViews(zone));
+        markDrainVersions(zone);
+        this.#freshUntilMs = freshUntilMs(zone);
+        for (const group of zone.groups.all()) {
+            checkLeaving(zone, group);
+        }
+        const offered = zone.views.offered();
+        if ([...offeredBefore].some((key) => !offered.has(key))) {
+            this.#push();
         }
-        const domain = [...byDomain.values()].find((vms) => vms.length >= model.vmsPerReplica);
-        return domain?.slice(0, model.vmsPerReplica);
     }
 
-    async #form(model: ModelRow, members: VmReport[]): Promise<void> {
-        const group: Group = {
-            groupId: newId(),
-            generation: 1,
-            model: model.name,
-            fabricDomain: members[0]?.fabricDomain ?? "",
-            memberVmIds: members.map((member) => member.vmId),
-            state: GroupState.Forming,
-        };
-        this.#groups.set(group.groupId, group);
-        this.#log.info(`forming a group of ${members.length} VMs for model ${model.name}`, {
-            groupId: group.groupId,
-        });
-        await Promise.all(members.map((member, rank) => {
-            const { groupId, generation, memberVmIds } = group;
-            const assignment = { groupId, generation, model: model.name, memberVmIds, rank };
-            return this.#options.orders.load(member, assignment);
-        }));
+    /** Tells every daemon that holds a grant what it must no longer use. */
+    #push(): void {
+        const { peers } = this.#options;
+        for (const daemon of this.#zone.daemons.active()) {
+            peers.notify(daemon.daemonId, "grant.push", {
+                grant: this.#grant(daemon.daemonId, daemon.viewVersion, 0),
+            });
+        }
     }
 
     #renewGrant(request: Calls["grant.renew"]["request"]): Calls["grant.renew"]["response"] {
         const lease = this.#options.lease();
-        if (!this.#isActive || !lease.isValid || request.zone !== this.#options.context.zone) {
+        if (!this.#isController || request.zone !== this.#options.context.zone) {
             return {};
         }
-        this.#updateStates();
-        this.#renewals.set(request.daemonId, monotonicMs());
+        // A report has become too old since the last step.
+        if (monotonicMs() >= this.#freshUntilMs) {
+            this.#step();
+        }
+        const daemon = this.#zone.daemons.note(request, lease.fence);
         if (request.daemonZone === request.zone) {
             this.raiseTableFloor(request.tableVersion);
         }
-        return { grant: this.#grant(Math.min(this.#options.timing.grantMs, lease.remainingMs)) };
+        if (request.exchange !== undefined) {
+            this.#exchange.take(request.exchange);
+        }
+        const validForMs = Math.min(this.#options.timing.grantMs, lease.remainingMs);
+        return {
+            grant: this.#grant(request.daemonId, daemon.viewVersion, validForMs),
+            exchange: request.exchange === undefined ? undefined : this.#exchange.message(),
+        };
     }
 
-    #grant(validForMs: number): Grant {
-        const sinceMs = monotonicMs() - 2 * this.#options.timing.grantMs;
+    #grant(daemonId: string, heldVersion: number | undefined, validForMs: number): Grant {
+        const { views, daemons, vms, context } = this.#zone;
+        const active = daemons.active();
+        const isOwn = daemons.get(daemonId)?.zone === context.zone;
         return {
-            zone: this.#options.context.zone,
+            zone: context.zone,
             fence: this.#options.lease().fence,
-            viewVersion: this.#viewVersion,
             validForMs,
-            full: true,
-            groups: [...this.#groups.values()].map((group) => this.#groupView(group)),
-            services: this.#serviceViews(),
-            removedGroupIds: [],
-            removedServiceVmIds: [],
+            ...views.since(heldVersion),
             tableFloor: this.#tableFloor,
-            daemonCount: [...this.#renewals.values()].filter((atMs) => atMs > sinceMs).length,
-            shares: [],
+            daemonCount: active.length,
+            shares: isOwn ? this.#exchange.sharesOf(daemonId, active) : [],
+            transfers: isOwn ? this.#exchange.transfers() : [],
+            drainedVmIds: [...vms.drained],
         };
     }
 
-    #groupView(group: Group): GroupView {
-        const leader = this.#reports.get(group.memberVmIds[0] ?? "")?.report;
-        return {
-            ...group,
-            zone: this.#options.context.zone,
-            leaderUrl: leader?.url ?? "",
-            maxConcurrent: leader?.maxConcurrent ?? 0,
-            load: leader?.load ?? { runningRequests: 0, waitingRequests: 0, kvUsedShare: 0, tokenGapMs: 0 },
-        };
+    #isReleased(vmId: string): boolean {
+        const zone = this.#zone;
+        const vm = zone.vms.get(vmId);
+        const isOut = vm !== undefined && vm.report.leaving && this.#isController
+            && zone.groups.groupOf(vmId) === undefined && monotonicMs() >= zone.adoptsUntilMs;
+        return isOut && (vm.report.service === undefined || isServiceIdle(zone, vm, vm.leavingVersion));
     }
 
-    #serviceViews(): ServiceView[] {
-        return [...this.#reports.values()].filter(({ report }) => report.kind === BackendKind.Service).map((
-            { report },
-        ) => ({
-            vmId: report.vmId,
-            incarnationId: report.incarnationId,
-            service: report.service ?? "",
-            zone: report.zone,
-            url: report.url,
-            maxConcurrent: report.maxConcurrent,
-            available: this.#freshReport(report.vmId) !== undefined && !report.leaving,
-        }));
+    #drainVm(request: Calls["vm.drain"]["request"]): Calls["vm.drain"]["response"] {
+        const { vms, context } = this.#zone;
+        if (!this.#isController || vms.get(request.vmId) === undefined) {
+            return {};
+        }
+        const plan = planVmDrain(this.#zone, request);
+        if (!request.dryRun) {
+            vms.drained[request.drain ? "add" : "delete"](request.vmId);
+            context.timeline.record("groups", request.drain ? "vm.drained" : "vm.undrained", {
+                vmId: request.vmId,
+            });
+            this.#step();
+        }
+        return { plan };
+    }
+
+    #sendMetrics(): void {
+        if (!this.#isController) {
+            return;
+        }
+        const { metrics } = this.#options.context;
+        const { downtime } = this.#zone;
+        for (const [cause, seconds] of Object.entries(downtime.groupDowntime.byCauseS)) {
+            metrics.gauge("group.downtime_s", seconds, { cause });
+        }
+        for (const [cause, seconds] of Object.entries(downtime.strandedAccelerators.byCauseS)) {
+            metrics.gauge("accelerator.stranded_s", seconds, { cause });
+        }
     }
 }
--- a/packages/membership/src/directory.ts
+++ b/packages/membership/src/directory.ts
@@ -3,10 +3,13 @@
     type Grant,
     GroupState,
     type GroupView,
+    type InFlightCount,
     type OrganisationDemand,
     type OrganisationShare,
     type Peers,
     type ServiceView,
+    type ShareTransfer,
+    type ZoneExchange,
 } from "@greengage/protocol";
 import type { MembershipTiming } from "./timing.ts";
 
@@ -20,6 +23,14 @@
     daemonCount: number;
     tableFloor: number;
     shares: Map<string, OrganisationShare>;
+    transfers: ShareTransfer[];
+    drainedVmIds: string[];
+}
+
+/** Exchange of limits with other zones' controllers, while this daemon is its zone's controller. */
+export interface ExchangeSource {
+    exchange(): ZoneExchange | undefined;
+    takeExchange(message: ZoneExchange): void;
 }
 
 export interface GroupDirectoryOptions {
@@ -40,6 +51,8 @@
     readonly #listeners = new Set<() => void>();
     readonly #suspects = new Map<string, number>();
     #demandSource: () => OrganisationDemand[] = () => [];
+    #inFlightSource: (() => InFlightCount[]) | undefined;
+    #exchangeSource: ExchangeSource | undefined;
 
     constructor(options: GroupDirectoryOptions) {
         this.#options = options;
@@ -54,6 +67,15 @@
         this.#demandSource = source;
     }
 
+    /** Sets where the counts of requests in flight by group and backend server come from. */
+    setInFlightSource(source: () => InFlightCount[]): void {
+        this.#inFlightSource = source;
+    }
+
+    setExchangeSource(source: ExchangeSource): void {
+        this.#exchangeSource = source;
+    }
+
     start(): void {
         for (const zone of this.#zones.keys()) {
             this.#lifecycle.every(
@@ -138,6 +160,18 @@
         return this.#zones.get(this.#options.context.zone)?.shares.get(organisation);
     }
 
+    /** What this daemon keeps for the next controller of its zone. */
+    kept(): { transfers: ShareTransfer[]; drainedVmIds: string[]; } {
+        const entry = this.#zones.get(this.#options.context.zone);
+        return { transfers: entry?.transfers ?? [], drainedVmIds: entry?.drainedVmIds ?? [] };
+    }
+
+    /** Zone of a VM, as far as the grants tell. */
+    zoneOfVm(vmId: string): string | undefined {
+        const group = this.allGroups().find((group) => group.memberVmIds.includes(vmId));
+        return group?.zone ?? this.allServices().find((service) => service.vmId === vmId)?.zone;
+    }
+
     #validZones(): ZoneEntry[] {
         const ownZone = this.#options.context.zone;
         const entries = [...this.#zones].filter(([, entry]) => entry.validUntilMs > monotonicMs());
@@ -166,15 +200,21 @@
             fence: entry.fence,
             viewVersion: entry.viewVersion,
             tableVersion: this.#options.tableVersion(),
-            demand: this.#demandSource(),
+            demand: zone === context.zone ? this.#demandSource() : [],
+            inFlight: this.#inFlightSource?.(),
+            exchange: zone === context.zone ? undefined : this.#exchangeSource?.exchange(),
         };
-        const response = await peers.call(controllerId, "grant.renew", request, { timeoutMs: timing.grantMs })
+        const timeoutMs = Math.min(timing.grantMs, 2 * timing.grantRenewMs);
+        const response = await peers.call(controllerId, "grant.renew", request, { timeoutMs })
             .catch(() => undefined);
         if (response?.grant === undefined) {
-            entry.controllerId = response?.holderId === controllerId ? undefined : response?.holderId;
+            entry.controllerId = await this.#findController(zone);
             return;
         }
         entry.controllerId = controllerId;
+        if (response.exchange !== undefined) {
+            this.#exchangeSource?.takeExchange(response.exchange);
+        }
         this.#apply(entry, response.grant, sentAtMs + response.grant.validForMs);
     }
 
@@ -203,6 +243,11 @@
         if (grant.fence < entry.fence) {
             return;
         }
+        if (grant.fence === entry.fence && grant.viewVersion < entry.viewVersion) {
+            // A push has overtaken this answer. What the daemon holds is newer and the lease covers it.
+            entry.validUntilMs = Math.max(entry.validUntilMs, validUntilMs);
+            return;
+        }
         if (grant.full) {
             entry.groups.clear();
             entry.services.clear();
@@ -213,6 +258,12 @@
         for (const service of grant.services) {
             entry.services.set(service.vmId, service);
         }
+        for (const { groupId, load } of grant.loads) {
+            const group = entry.groups.get(groupId);
+            if (group !== undefined) {
+                entry.groups.set(groupId, { ...group, load });
+            }
+        }
         for (const groupId of grant.removedGroupIds) {
             entry.groups.delete(groupId);
         }
@@ -224,6 +275,8 @@
         entry.validUntilMs = validUntilMs;
         entry.daemonCount = grant.daemonCount;
         entry.tableFloor = grant.tableFloor;
+        entry.transfers = grant.transfers;
+        entry.drainedVmIds = grant.drainedVmIds;
         entry.shares = new Map(grant.shares.map((share) => [share.organisation, share]));
         for (const listener of this.#listeners) {
             listener();
@@ -241,4 +294,6 @@
     daemonCount: 1,
     tableFloor: 0,
     shares: new Map(),
+    transfers: [],
+    drainedVmIds: [],
 });
--- /dev/null
+++ b/packages/membership/src/exchange.ts
@@ -0,0 +1,235 @@
+import { monotonicMs } from "@greengage/base";
+import type { OrganisationDemand, OrganisationShare, ShareTransfer, ZoneExchange } from "@greengage/protocol";
+import type { OrganisationRow, TableState } from "@greengage/table";
+import type { DaemonRecord } from "./daemons.ts";
+import { clampToRest, divideByDemand, divideWhole, ShareLedger, WHOLE } from "./shares.ts";
+
+/** A zone that has been silent for this long is cut off: nothing moves to it, and integers are rounded down. */
+const CONNECTED_MS = 2_000;
+const STEP_PERIOD_MS = 500;
+/** Hysteresis: smaller differences move nothing. */
+const MIN_MOVE = WHOLE / 50;
+
+interface HeldShare extends OrganisationShare {
+    untilMs: number;
+}
+
+interface OtherZone {
+    heardAtMs: number;
+    demand: Map<string, OrganisationDemand>;
+}
+
+export interface LimitExchangeOptions {
+    zone: string;
+    zones: string[];
+    table: TableState;
+    /** Longest validity of a share that a daemon holds. Default: 1500. */
+    grantMs?: number;
+}
+
+/** Divides the organisations' limits over zones, and this zone's part over its daemons, by demand. */
+export class LimitExchange {
+    readonly #options: LimitExchangeOptions;
+    readonly #ledger: ShareLedger;
+    readonly #others = new Map<string, OtherZone>();
+    /** What each daemon holds, by daemon and organisation. */
+    readonly #held = new Map<string, Map<string, HeldShare>>();
+    /** Parts that leave the zone as soon as its daemons no longer hold them, by organisation. */
+    readonly #leaving = new Map<string, number>();
+    #demand = new Map<string, OrganisationDemand>();
+    #steppedAtMs = 0;
+
+    constructor(options: LimitExchangeOptions) {
+        this.#options = options;
+        this.#ledger = new ShareLedger(options.zones);
+    }
+
+    transfers(): ShareTransfer[] {
+        return this.#ledger.transfers();
+    }
+
+    /** Takes what daemons kept of the former controller's ledger. */
+    restore(transfers: ShareTransfer[]): void {
+        this.#ledger.merge(transfers);
+    }
+
+    take(message: ZoneExchange): void {
+        this.#ledger.merge(message.transfers);
+        this.#others.set(message.zone, {
+            heardAtMs: monotonicMs(),
+            demand: new Map(message.demand.map((demand) => [demand.organisation, demand])),
+        });
+    }
+
+    message(): ZoneExchange {
+        return {
+            zone: this.#options.zone,
+            demand: [...this.#demand.values()],
+            transfers: this.#ledger.transfers(),
+        };
+    }
+
+    /** Adds up the zone's demand and gives parts that other zones need more. */
+    step(daemons: DaemonRecord[]): void {
+        const nowMs = monotonicMs();
+        if (nowMs - this.#steppedAtMs < STEP_PERIOD_MS) {
+            return;
+        }
+        this.#steppedAtMs = nowMs;
+        this.#demand = sumDemand(this.#own(daemons));
+        const organisations = this.#options.table.organisations();
+        this.#ledger.retain(new Set(organisations.map(({ name }) => name)));
+        for (const organisation of organisations) {
+            this.#move(organisation);
+        }
+    }
+
+    /** Shares for a daemon of the zone. With what the other daemons hold, they never exceed the zone's part. */
+    sharesOf(daemonId: string, active: DaemonRecord[]): OrganisationShare[] {
+        const daemons = this.#own(active);
+        const index = daemons.findIndex((daemon) => daemon.daemonId === daemonId);
+        if (index < 0) {
+            return [];
+        }
+        const untilMs = monotonicMs() + (this.#options.grantMs ?? 1_500);
+        const held = new Map<string, HeldShare>();
+        const shares = this.#options.table.organisations().map((organisation) => {
+            const share = this.#daemonShare(organisation, daemons, index);
+            held.set(organisation.name, { ...share, untilMs });
+            return share;
+        });
+        this.#held.set(daemonId, held);
+        return shares;
+    }
+
+    #daemonShare(organisation: OrganisationRow, daemons: DaemonRecord[], index: number): OrganisationShare {
+        const { name } = organisation;
+        const daemonId = daemons[index]?.daemonId ?? "";
+        const total = this.#zoneShare(organisation);
+        const demands = daemons.map((daemon) => useOf(organisation, demandOf(daemon.demand, name)));
+        const weights = divideByDemand(1, demands);
+        const heldByOthers = this.#heldByOthers(name, daemonId);
+        return {
+            organisation: name,
+            requestsPerS: clampToRest(
+                total.requestsPerS * (weights[index] ?? 0),
+                total.requestsPerS,
+                heldByOthers.requestsPerS,
+            ),
+            concurrent: clampToRest(
+                divideWhole(total.concurrent, weights)[index] ?? 0,
+                total.concurrent,
+                heldByOthers.concurrent,
+            ),
+        };
+    }
+
+    /** The zone's part of the limits, without what is about to leave. */
+    #zoneShare(
+        { name, requestsPerS, maxConcurrent }: OrganisationRow,
+    ): Omit<OrganisationShare, "organisation"> {
+        const { zone, zones } = this.#options;
+        const leaving = this.#leaving.get(name) ?? 0;
+        const part = Math.max(0, this.#ledger.shareOf(name, zone) - leaving);
+        const exact = { requestsPerS: requestsPerS * part / WHOLE, concurrent: maxConcurrent * part / WHOLE };
+        if (zones.length === 1) {
+            return { requestsPerS, concurrent: maxConcurrent };
+        }
+        // Zones that know each other's parts round to the same integers, which add up to the limit.
+        const sorted = [...zones].sort();
+        const isConnected = zones.every((other) => other === zone || this.#isConnected(other));
+        const rounded = divideWhole(maxConcurrent, sorted.map((other) => this.#ledger.shareOf(name, other)));
+        const concurrent = isConnected && leaving === 0
+            ? rounded[sorted.indexOf(zone)] ?? 0
+            : Math.floor(exact.concurrent);
+        return { requestsPerS: exact.requestsPerS, concurrent };
+    }
+
+    #move(organisation: OrganisationRow): void {
+        const { zone, zones } = this.#options;
+        const { name } = organisation;
+        const uses = zones.map((other) => useOf(organisation, this.#demandIn(other, name)));
+        const targets = divideByDemand(WHOLE, uses);
+        const needs = zones.map((other, index) => ({
+            zone: other,
+            need: (targets[index] ?? 0) - this.#ledger.shareOf(name, other),
+        }));
+        const surplus = -(needs.find((need) => need.zone === zone)?.need ?? 0);
+        const receivers = needs.filter((need) =>
+            need.zone !== zone && need.need > 0 && this.#isConnected(need.zone)
+        );
+        const needed = receivers.reduce((sum, { need }) => sum + need, 0);
+        const moved = Math.floor(Math.min(surplus, needed));
+        if (moved < MIN_MOVE) {
+            this.#leaving.delete(name);
+            return;
+        }
+        this.#leaving.set(name, moved);
+        const rest = this.#zoneShare(organisation);
+        const held = this.#heldByOthers(name, undefined);
+        if (held.requestsPerS > rest.requestsPerS || held.concurrent > rest.concurrent) {
+            return;
+        }
+        for (const receiver of receivers) {
+            this.#ledger.give(name, zone, receiver.zone, moved * receiver.need / needed);
+        }
+        this.#leaving.delete(name);
+    }
+
+    #heldByOthers(
+        organisation: string,
+        daemonId: string | undefined,
+    ): Omit<OrganisationShare, "organisation"> {
+        const sum = { requestsPerS: 0, concurrent: 0 };
+        for (const [holderId, shares] of this.#held) {
+            const share = shares.get(organisation);
+            if (holderId !== daemonId && share !== undefined && share.untilMs > monotonicMs()) {
+                sum.requestsPerS += share.requestsPerS;
+                sum.concurrent += share.concurrent;
+            }
+        }
+        return sum;
+    }
+
+    #demandIn(zone: string, organisation: string): OrganisationDemand | undefined {
+        return zone === this.#options.zone
+            ? this.#demand.get(organisation)
+            : this.#others.get(zone)?.demand.get(organisation);
+    }
+
+    #isConnected(zone: string): boolean {
+        const heardAtMs = this.#others.get(zone)?.heardAtMs;
+        return heardAtMs !== undefined && monotonicMs() - heardAtMs < CONNECTED_MS;
+    }
+
+    #own(daemons: DaemonRecord[]): DaemonRecord[] {
+        return daemons.filter((daemon) => daemon.zone === this.#options.zone)
+            .sort((a, b) => a.daemonId.localeCompare(b.daemonId));
+    }
+}
+
+const demandOf = (demands: OrganisationDemand[], organisation: string): OrganisationDemand | undefined =>
+    demands.find((demand) => demand.organisation === organisation);
+
+/** Part of the limits that a demand would use. */
+const useOf = (organisation: OrganisationRow, demand: OrganisationDemand | undefined): number =>
+    demand === undefined
+        ? 0
+        : Math.max(
+            demand.requestsPerS / organisation.requestsPerS,
+            demand.concurrent / organisation.maxConcurrent,
+        );
+
+const sumDemand = (daemons: DaemonRecord[]): Map<string, OrganisationDemand> => {
+    const sums = new Map<string, OrganisationDemand>();
+    for (const demand of daemons.flatMap((daemon) => daemon.demand)) {
+        const { organisation } = demand;
+        const sum = sums.get(organisation) ?? { organisation, requestsPerS: 0, concurrent: 0 };
+        sums.set(organisation, {
+            organisation,
+            requestsPerS: sum.requestsPerS + demand.requestsPerS,
+            concurrent: sum.concurrent + demand.concurrent,
+        });
+    }
+    return sums;
+};
--- /dev/null
+++ b/packages/membership/src/forming.ts
@@ -0,0 +1,108 @@
+import { newId } from "@greengage/base";
+import { GroupState } from "@greengage/protocol";
+import type { ModelRow } from "@greengage/table";
+import { planDrain } from "./drain.ts";
+import { Cause, DrainReason, type Group } from "./group.ts";
+import type { Vm } from "./vms.ts";
+import {
+    freeVms,
+    isServing,
+    presentGroups,
+    vmCountByDomain,
+    wantedReplicas,
+    type ZoneState,
+} from "./zone.ts";
+
+/** Plans the drain of groups that the table no longer wants, or that have a member that must go. */
+export const planDrains = (zone: ZoneState): void => {
+    for (const group of zone.groups.all()) {
+        const reason = drainReasonOf(zone, group);
+        if (reason !== undefined) {
+            planDrain(zone, group, reason);
+        }
+    }
+    for (const model of zone.table.models()) {
+        planSurplus(zone, model);
+    }
+};
+
+/** Forms the groups that the table wants and VMs allow. */
+export const formGroups = (zone: ZoneState): void => {
+    for (const model of zone.policy.orderModels(zone.table.models())) {
+        let present = presentGroups(zone, model.name).length;
+        while (present < wantedReplicas(model)) {
+            const members = pickMembers(zone, model, present);
+            if (members === undefined) {
+                break;
+            }
+            form(zone, model, members);
+            present += 1;
+        }
+    }
+};
+
+/** VMs that the next group of a model would get. */
+export const pickMembers = (zone: ZoneState, model: ModelRow, present: number): Vm[] | undefined =>
+    zone.policy.pickGroup({
+        model,
+        freeVms: freeVms(zone),
+        vmCountByDomain: vmCountByDomain(zone),
+        presentGroups: present,
+        downtimeWeight: zone.table.fleet().downtimeWeight,
+    });
+
+const form = (zone: ZoneState, model: ModelRow, members: Vm[]): void => {
+    const group: Group = {
+        groupId: newId(),
+        generation: 1,
+        model: model.name,
+        fabricDomain: members[0]?.report.fabricDomain ?? "",
+        memberVmIds: members.map((vm) => vm.vmId),
+        incarnations: new Map(members.map((vm) => [vm.vmId, vm.report.incarnationId])),
+        state: GroupState.Forming,
+        sinceMs: performance.now(),
+        confirmAfterMs: 0,
+        cause: Cause.Loading,
+    };
+    const replaced = zone.groups.ofModel(model.name).find((other) =>
+        other.drain !== undefined && isServing(other) && other.drain.replacementId === undefined
+    );
+    if (replaced?.drain !== undefined) {
+        replaced.drain.replacementId = group.groupId;
+    }
+    zone.groups.add(group);
+};
+
+const drainReasonOf = (zone: ZoneState, group: Group): DrainReason | undefined => {
+    const model = zone.table.model(group.model);
+    if (wantedReplicas(model) === 0) {
+        return DrainReason.Disabled;
+    }
+    const members = group.memberVmIds.map((vmId) => zone.vms.get(vmId));
+    if (members.some((vm) => vm?.report.leaving)) {
+        return DrainReason.Leaving;
+    }
+    if (group.memberVmIds.some((vmId) => zone.vms.drained.has(vmId))) {
+        return DrainReason.Operator;
+    }
+    return model?.vmsPerReplica === group.memberVmIds.length ? undefined : DrainReason.Reshaped;
+};
+
+/** More groups than wanted: those that serve least are drained. */
+const planSurplus = (zone: ZoneState, model: ModelRow): void => {
+    const present = presentGroups(zone, model.name);
+    const surplus = present.length - wantedReplicas(model);
+    if (surplus <= 0) {
+        return;
+    }
+    const byUse = [...present].sort((a, b) =>
+        Number(isServing(a)) - Number(isServing(b)) || runningOf(zone, a) - runningOf(zone, b)
+        || b.sinceMs - a.sinceMs
+    );
+    for (const group of byUse.slice(0, surplus)) {
+        planDrain(zone, group, DrainReason.Surplus);
+    }
+};
+
+const runningOf = (zone: ZoneState, group: Group): number =>
+    zone.vms.get(group.memberVmIds[0] ?? "")?.report.load.runningRequests ?? 0;
--- /dev/null
+++ b/packages/membership/src/group.ts
@@ -0,0 +1,63 @@
+import type { GroupState } from "@greengage/protocol";
+
+/** Why a group doesn't serve, or why an accelerator is in no working group. */
+export const Cause = {
+    MemberMissing: "memberMissing",
+    Quarantined: "quarantined",
+    LoadFailed: "loadFailed",
+    LateOrder: "lateOrder",
+    Loading: "loading",
+    WeightStore: "weightStore",
+    NoSpare: "noSpare",
+    Draining: "draining",
+    NoController: "noController",
+    UnfencedWait: "unfencedWait",
+    BackOff: "backOff",
+    ReservedSpare: "reservedSpare",
+    NoDemand: "noDemand",
+} as const;
+
+export type Cause = typeof Cause[keyof typeof Cause];
+
+/** Why a group gives up its VMs although it could serve. */
+export const DrainReason = {
+    Leaving: "leaving",
+    Operator: "operator",
+    Straggler: "straggler",
+    Surplus: "surplus",
+    Disabled: "disabled",
+    Reshaped: "reshaped",
+} as const;
+
+export type DrainReason = typeof DrainReason[keyof typeof DrainReason];
+
+export interface GroupDrain {
+    reason: DrainReason;
+    plannedAtMs: number;
+    /** The group stops serving at this time, or earlier when a replacement serves. */
+    startByMs: number;
+    /** View version that first said that the group drains. */
+    version?: number;
+    startedAtMs?: number;
+    /** A group formed to take over before this one drains. */
+    replacementId?: string;
+}
+
+/** The controller's record of a replica group. */
+export interface Group {
+    groupId: string;
+    generation: number;
+    model: string;
+    fabricDomain: string;
+    memberVmIds: string[];
+    /** Incarnation that each member had when it was chosen. Another incarnation has lost the weights in memory. */
+    incarnations: Map<string, string>;
+    state: GroupState;
+    /** Monotonic time of the last change of `state`. */
+    sinceMs: number;
+    /** Members count as ready only by reports that arrived after this time. */
+    confirmAfterMs: number;
+    /** Why the group doesn't serve, while it doesn't. */
+    cause: Cause;
+    drain?: GroupDrain;
+}
--- /dev/null
+++ b/packages/membership/src/handover.ts
@@ -0,0 +1,59 @@
+import { Lifecycle, monotonicMs } from "@greengage/base";
+import type { Peers } from "@greengage/protocol";
+
+const ASK_PERIOD_MS = 500;
+
+export interface HandoverOptions {
+    peers: Peers;
+    zone: string;
+    fence: number;
+    /** Daemons that may have an order in flight. */
+    formerHolderIds: string[];
+    /** Longest wait. */
+    limitMs: number;
+}
+
+/**
+ * Asks former controllers whether they have stopped and have no order in flight. Until all have confirmed, or
+ * `limitMs` has passed, VMs that don't check fencing tokens stay in the group that they report.
+ */
+export class Handover {
+    readonly #options: HandoverOptions;
+    readonly #lifecycle = new Lifecycle();
+    readonly #unconfirmed: Set<string>;
+    readonly #endsAtMs: number;
+
+    constructor(options: HandoverOptions) {
+        this.#options = options;
+        this.#unconfirmed = new Set(options.formerHolderIds);
+        this.#endsAtMs = monotonicMs() + options.limitMs;
+        this.#lifecycle.run(async () => {
+            await this.#ask();
+            this.#lifecycle.every(ASK_PERIOD_MS, () => this.#ask(), () => undefined);
+        }, () => undefined);
+    }
+
+    get isDone(): boolean {
+        return this.#unconfirmed.size === 0 || monotonicMs() >= this.#endsAtMs;
+    }
+
+    close(): Promise<void> {
+        return this.#lifecycle.close();
+    }
+
+    async #ask(): Promise<void> {
+        if (this.isDone) {
+            return;
+        }
+        const { peers, zone, fence } = this.#options;
+        const ids = [...this.#unconfirmed];
+        await Promise.all(ids.map(async (id) => {
+            const request = { zone, fence: fence - 1 };
+            const answer = await peers.call(id, "zone.confirmStopped", request, { timeoutMs: ASK_PERIOD_MS })
+                .catch(() => undefined);
+            if (answer?.stopped) {
+                this.#unconfirmed.delete(id);
+            }
+        }));
+    }
+}
--- a/packages/membership/src/lease.ts
+++ b/packages/membership/src/lease.ts
@@ -1,7 +1,24 @@
-import { type Context, Lifecycle, type Log, LogPart, monotonicMs, Random, sleep } from "@greengage/base";
-import type { Peers } from "@greengage/protocol";
+import {
+    type Context,
+    Lifecycle,
+    type Log,
+    LogPart,
+    messageOf,
+    monotonicMs,
+    Random,
+    sleep,
+} from "@greengage/base";
+import type { Peers, ZoneAcquireResponse } from "@greengage/protocol";
 import { LEASE_MARGIN_MS, type MembershipTiming } from "./timing.ts";
 
+/** What the acceptors know of earlier holders when a lease is acquired. */
+export interface LeaseHistory {
+    /** Daemons that held the lease within `unfencedHandoverMs`; undefined when the acceptors can't know. */
+    formerHolderIds: string[] | undefined;
+    /** Shortest time since the former holder's lease ended. */
+    idleMs: number | undefined;
+}
+
 export interface ZoneLeaseOptions {
     context: Context;
     peers: Peers;
@@ -11,10 +28,14 @@
     highestReportedFence: () => number;
     tableFloor: () => number;
     onTableFloor: (tableFloor: number) => void;
-    onAcquired: (fence: number) => void;
+    onAcquired: (fence: number, history: LeaseHistory) => void;
+    /** The holder has renewed its own lease with a higher fencing token. */
+    onFenceRaised: (fence: number) => void;
     onLost: (fence: number) => void;
 }
 
+type Granted = Extract<ZoneAcquireResponse, { granted: true; }>;
+
 /** Acquires and renews this daemon's lease of its zone. At most one daemon of a zone holds it. */
 export class ZoneLease {
     readonly #options: ZoneLeaseOptions;
@@ -33,24 +54,19 @@
 
     start(): void {
         this.#lifecycle.run((signal) => this.#renewForever(signal), (error) => {
-            throw error;
+            this.#log.error("the lease task has failed", { reason: messageOf(error) });
         });
     }
 
     /** Releases the lease, so that a successor can start at once. */
     async close(): Promise<void> {
         const wasHeld = this.isValid;
-        this.#setHeld(false);
+        this.#setLost();
         this.#validUntilMs = 0;
         await this.#lifecycle.close();
-        if (!wasHeld) {
-            return;
+        if (wasHeld) {
+            await this.#release(this.#options.acceptorIds, this.#fence);
         }
-        const { context, peers, acceptorIds } = this.#options;
-        const request = { zone: context.zone, fence: this.#fence, holderId: peers.daemonId };
-        await Promise.allSettled(
-            acceptorIds.map((id) => peers.call(id, "zone.release", request, { timeoutMs: 500 })),
-        );
     }
 
     get fence(): number {
@@ -66,7 +82,7 @@
         return this.isValid ? this.#validUntilMs - monotonicMs() : 0;
     }
 
-    /** A backend server refused an order: acquire again with a fencing token above `fence`. */
+    /** A backend server knows the fencing token `fence`: acquire again above it, if this one is lower. */
     raiseFence(fence: number): void {
         this.#highestSeenFence = Math.max(this.#highestSeenFence, fence);
     }
@@ -74,9 +90,9 @@
     async #renewForever(signal: AbortSignal): Promise<void> {
         const { timing } = this.#options;
         while (!signal.aborted) {
-            await this.#acquireOnce();
-            if (this.#isHeld && !this.isValid) {
-                this.#setHeld(false);
+            await this.#acquireOnce(signal);
+            if (!this.isValid) {
+                this.#setLost();
             }
             await sleep(
                 this.#random.jitter(this.#isHeld ? timing.leaseRenewMs : timing.leaseRenewMs / 2),
@@ -85,10 +101,11 @@
         }
     }
 
-    async #acquireOnce(): Promise<void> {
+    async #acquireOnce(signal: AbortSignal): Promise<void> {
         const { context, peers, acceptorIds, timing } = this.#options;
-        this.#highestSeenFence = Math.max(this.#highestSeenFence, this.#options.highestReportedFence());
-        const renews = this.isValid && this.#fence >= this.#highestSeenFence;
+        this.raiseFence(this.#options.highestReportedFence());
+        const wasValid = this.isValid;
+        const renews = wasValid && this.#fence >= this.#highestSeenFence;
         const fence = renews ? this.#fence : Math.max(this.#highestSeenFence, this.#fence) + 1;
         const sentAtMs = monotonicMs();
         const request = {
@@ -98,66 +115,99 @@
             leaseMs: timing.leaseMs,
             tableFloor: this.#options.tableFloor(),
         };
-        const responses = await Promise.all(
-            acceptorIds.map((id) =>
-                peers.call(id, "zone.acquire", request, { timeoutMs: timing.leaseRenewMs }).catch(() =>
-                    undefined
-                )
-            ),
-        );
-        let grantedCount = 0;
-        for (const response of responses) {
+        const grants: Granted[] = [];
+        const grantedBy: string[] = [];
+        const calls = acceptorIds.map(async (id) => {
+            const response = await peers.call(id, "zone.acquire", request, { timeoutMs: timing.leaseRenewMs })
+                .catch(() => undefined);
             if (response?.granted) {
-                grantedCount += 1;
-                this.#options.onTableFloor(response.tableFloor);
+                grants.push(response);
+                grantedBy.push(id);
             }
-            else if (response !== undefined) {
-                this.#highestSeenFence = Math.max(this.#highestSeenFence, response.highestFence);
+            else {
+                this.raiseFence(response?.highestFence ?? 0);
+            }
+        });
+        // A holder doesn't wait for acceptors that are down once a majority has renewed its lease.
+        await (renews ? majorityOf(calls, () => grants.length > acceptorIds.length / 2) : Promise.all(calls));
+        const validUntilMs = sentAtMs + timing.leaseMs - LEASE_MARGIN_MS;
+        const hasMajority = grants.length > acceptorIds.length / 2 && validUntilMs > monotonicMs();
+        if (!hasMajority || signal.aborted) {
+            // A minority of grants blocks other candidates; they are given back unless they renew a valid lease.
+            if (!this.isValid) {
+                await this.#release(grantedBy, fence);
             }
-        }
-        if (grantedCount <= acceptorIds.length / 2) {
-            await this.#giveUpMinority(responses, fence);
             return;
         }
-        this.#validUntilMs = sentAtMs + timing.leaseMs - LEASE_MARGIN_MS;
-        this.#fence = fence;
-        this.#highestSeenFence = Math.max(this.#highestSeenFence, fence);
-        if (!renews) {
-            this.#setHeld(false);
-            this.#setHeld(true);
+        for (const grant of grants) {
+            this.#options.onTableFloor(grant.tableFloor);
         }
+        this.#validUntilMs = validUntilMs;
+        this.#fence = fence;
+        this.raiseFence(fence);
+        this.#noteAcquired({ renews, wasValid, grants });
     }
 
-    /** A minority of grants blocks other candidates; they are given back unless they renew a valid lease. */
-    async #giveUpMinority(responses: ({ granted: boolean; } | undefined)[], fence: number): Promise<void> {
-        const { context, peers, acceptorIds } = this.#options;
-        if (this.isValid) {
+    #noteAcquired(result: { renews: boolean; wasValid: boolean; grants: Granted[]; }): void {
+        if (result.renews) {
             return;
         }
-        const granted = acceptorIds.filter((_, index) => responses[index]?.granted);
+        const { context } = this.#options;
+        const details = { zone: context.zone, fence: this.#fence };
+        if (result.wasValid && this.#isHeld) {
+            context.timeline.record("membership", "lease.fenceRaised", details);
+            this.#options.onFenceRaised(this.#fence);
+            return;
+        }
+        this.#setLost();
+        this.#isHeld = true;
+        this.#log.info(`acquired the lease of zone ${context.zone}`, { fence: this.#fence });
+        context.timeline.record("membership", "lease.acquired", details);
+        this.#options.onAcquired(this.#fence, this.#historyOf(result.grants));
+    }
+
+    #historyOf(grants: Granted[]): LeaseHistory {
+        const { acceptorIds, timing } = this.#options;
+        const old = grants.filter((grant) => grant.upMs > timing.unfencedHandoverMs);
+        const idles = grants.map((grant) => grant.idleMs).filter((idleMs) => idleMs !== undefined);
+        const isKnown = old.length > acceptorIds.length / 2;
+        return {
+            formerHolderIds: isKnown
+                ? [...new Set(grants.flatMap((grant) => grant.formerHolderIds))]
+                : undefined,
+            idleMs: idles.length === 0 ? undefined : Math.min(...idles),
+        };
+    }
+
+    async #release(acceptorIds: string[], fence: number): Promise<void> {
+        const { context, peers } = this.#options;
         const request = { zone: context.zone, fence, holderId: peers.daemonId };
         await Promise.allSettled(
-            granted.map((id) => peers.call(id, "zone.release", request, { timeoutMs: 500 })),
+            acceptorIds.map((id) => peers.call(id, "zone.release", request, { timeoutMs: 500 })),
         );
     }
 
-    #setHeld(isHeld: boolean): void {
-        if (isHeld === this.#isHeld) {
+    #setLost(): void {
+        if (!this.#isHeld) {
             return;
         }
-        this.#isHeld = isHeld;
+        this.#isHeld = false;
         const { context } = this.#options;
-        if (isHeld) {
-            this.#log.info(`acquired the lease of zone ${context.zone}`, { fence: this.#fence });
-            context.timeline.record("membership", "lease.acquired", {
-                zone: context.zone,
-                fence: this.#fence,
-            });
-            this.#options.onAcquired(this.#fence);
-            return;
-        }
         this.#log.info(`lost the lease of zone ${context.zone}`, { fence: this.#fence });
         context.timeline.record("membership", "lease.lost", { zone: context.zone, fence: this.#fence });
         this.#options.onLost(this.#fence);
     }
 }
+
+/** Resolves when `isEnough` holds after one of the calls, or all have ended. */
+const majorityOf = (calls: Promise<void>[], isEnough: () => boolean): Promise<void> =>
+    new Promise((resolve) => {
+        for (const call of calls) {
+            void call.then(() => {
+                if (isEnough()) {
+                    resolve();
+                }
+            });
+        }
+        void Promise.all(calls).then(() => resolve());
+    });
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -1,14 +1,16 @@
 import type { Context } from "@greengage/base";
-import type { Peers } from "@greengage/protocol";
+import type { Calls, DrainPlan, Peers } from "@greengage/protocol";
 import type { TableState } from "@greengage/table";
 import { LeaseAcceptor } from "./acceptor.ts";
 import { type DaemonAddress, leaseAcceptorsOf } from "./acceptors.ts";
-import { ZoneController } from "./controller.ts";
+import { ZoneController, type ZoneMeasures } from "./controller.ts";
 import { GroupDirectory } from "./directory.ts";
 import { ZoneLease } from "./lease.ts";
-import { OrderSender } from "./orders.ts";
+import { type Orders, OrderSender } from "./orders.ts";
+import type { PlacementName } from "./placement.ts";
 import { ReportIntake } from "./reports.ts";
 import { DEFAULT_TIMING, type MembershipTiming } from "./timing.ts";
+import type { WeightStoreOptions } from "./weightStore.ts";
 
 export interface MembershipOptions {
     context: Context;
@@ -18,6 +20,11 @@
     /** Key that backend servers expect with orders. */
     orderKey: string;
     timing?: Partial<MembershipTiming>;
+    /** Placement and repair policy. Default: `bestFit`. */
+    placement?: PlacementName;
+    weightStore?: WeightStoreOptions;
+    /** Sends orders to backend servers. Default: over HTTP. */
+    orders?: (lease: () => ZoneLease) => Orders;
 }
 
 /** Everything a daemon does for the backend servers of its zone, and what it knows of all zones' groups. */
@@ -26,18 +33,25 @@
     readonly intake: ReportIntake;
     readonly controller: ZoneController;
     readonly lease: ZoneLease;
+    readonly #peers: Peers;
+    readonly #context: Context;
+    readonly #zones: string[];
 
     constructor(options: MembershipOptions) {
         const { context, peers, table, daemons } = options;
         const timing = { ...DEFAULT_TIMING, ...options.timing };
+        this.#peers = peers;
+        this.#context = context;
+        const zones = [...new Set(daemons.map((daemon) => daemon.zone))];
+        this.#zones = zones;
         const acceptorsOf = (zone: string): string[] => leaseAcceptorsOf(zone, daemons);
-        new LeaseAcceptor(peers, timing.leaseMs);
+        new LeaseAcceptor(peers, timing);
         const tableVersion = (): number => table.version;
         this.directory = new GroupDirectory({
             context,
             peers,
             timing,
-            zones: [...new Set(daemons.map((daemon) => daemon.zone))],
+            zones,
             acceptorsOf,
             tableVersion,
         });
@@ -47,6 +61,7 @@
             timing,
             controllerId: () => this.directory.controllerOf(context.zone),
             tableVersion,
+            kept: () => this.directory.kept(),
         });
         const lease = (): ZoneLease => this.lease;
         this.controller = new ZoneController({
@@ -54,8 +69,16 @@
             peers,
             table,
             timing,
-            orders: new OrderSender(context, lease, options.orderKey),
+            orders: options.orders?.(lease) ?? new OrderSender({
+                context,
+                lease,
+                key: options.orderKey,
+                unknownMs: timing.unfencedHandoverMs,
+            }),
             lease,
+            zones,
+            placement: options.placement,
+            weightStore: options.weightStore,
             zoneDaemonIds: daemons.filter((daemon) => daemon.zone === context.zone).map((daemon) =>
                 daemon.daemonId
             ),
@@ -68,9 +91,11 @@
             highestReportedFence: () => this.intake.highestFence(),
             tableFloor: () => Math.max(this.controller.tableFloor, table.version),
             onTableFloor: (floor) => this.controller.raiseTableFloor(floor),
-            onAcquired: () => void this.controller.activate(),
+            onAcquired: (fence, history) => void this.controller.activate(fence, history),
+            onFenceRaised: () => undefined,
             onLost: () => this.controller.deactivate(),
         });
+        this.directory.setExchangeSource(this.controller);
     }
 
     start(): void {
@@ -80,6 +105,41 @@
         this.directory.start();
     }
 
+    /** Downtime, stranded accelerators and conditions of the zone, as far as this daemon controls it. */
+    measures(): ZoneMeasures {
+        return this.controller.measures();
+    }
+
+    /**
+     * Keeps a VM out of groups: its group is replaced where VMs allow, finishes its requests and gives it up.
+     * With `dryRun` nothing changes. Returns undefined when no controller that can be reached knows the VM.
+     */
+    drainVm(vmId: string, options: { dryRun?: boolean; } = {}): Promise<DrainPlan | undefined> {
+        return this.#setDrain({ vmId, drain: true, dryRun: options.dryRun ?? false });
+    }
+
+    /** Ends a drain: the VM can be used for groups again. */
+    undrainVm(vmId: string, options: { dryRun?: boolean; } = {}): Promise<DrainPlan | undefined> {
+        return this.#setDrain({ vmId, drain: false, dryRun: options.dryRun ?? false });
+    }
+
+    async #setDrain(request: Calls["vm.drain"]["request"]): Promise<DrainPlan | undefined> {
+        for (const controllerId of this.#controllersFor(request.vmId)) {
+            const answer = await this.#peers.call(controllerId, "vm.drain", request).catch(() => undefined);
+            if (answer?.plan !== undefined) {
+                return answer.plan;
+            }
+        }
+        return undefined;
+    }
+
+    /** Controllers of all zones, that of the VM's zone first. */
+    #controllersFor(vmId: string): string[] {
+        const first = this.directory.zoneOfVm(vmId) ?? this.#context.zone;
+        const zones = [first, ...this.#zones.filter((zone) => zone !== first)];
+        return zones.map((zone) => this.directory.controllerOf(zone)).filter((id) => id !== undefined);
+    }
+
     async close(): Promise<void> {
         await this.controller.close();
         await this.lease.close();
--- a/packages/membership/src/orders.ts
+++ b/packages/membership/src/orders.ts
@@ -1,61 +1,159 @@
-import { type Context, LogPart, messageOf } from "@greengage/base";
+import { type Context, LogPart, messageOf, monotonicMs } from "@greengage/base";
 import type { Assignment, VmReport } from "@greengage/protocol";
-import { request } from "undici";
+import { Agent, type Dispatcher } from "undici";
 import type { ZoneLease } from "./lease.ts";
 
 const ORDER_TIMEOUT_MS = 2_000;
 
-/** Sends orders to backend servers while the zone's lease is valid. */
-export class OrderSender {
-    readonly #context: Context;
-    readonly #lease: () => ZoneLease;
-    readonly #key: string;
+/** What became of an order. After `unknown` the backend server may have accepted it, or may accept it later. */
+export const OrderResult = {
+    Accepted: "accepted",
+    Refused: "refused",
+    NotSent: "notSent",
+    Unknown: "unknown",
+} as const;
 
-    constructor(context: Context, lease: () => ZoneLease, key: string) {
-        this.#context = context;
-        this.#lease = lease;
-        this.#key = key;
+export type OrderResult = typeof OrderResult[keyof typeof OrderResult];
+
+/** Sends orders to backend servers. */
+export interface Orders {
+    /** Orders a VM to load its rank of a group. */
+    load(vm: VmReport, assignment: Omit<Assignment, "fence">): Promise<OrderResult>;
+    /** Orders a VM to leave its group. */
+    release(vm: VmReport, groupId: string): Promise<OrderResult>;
+    /** Whether an order with a fencing token up to `fence` may still reach a backend server. */
+    mayHaveInFlight(fence: number): boolean;
+    close(): Promise<void>;
+}
+
+export interface OrderSenderOptions {
+    context: Context;
+    lease: () => Pick<ZoneLease, "isValid" | "fence" | "raiseFence">;
+    key: string;
+    /** Time for which an order with unknown outcome counts as in flight. */
+    unknownMs: number;
+}
+
+/** The lease ended, or its fencing token rose, between the decision and the write. */
+class LeaseEndedError extends Error {}
+
+/** Sends orders over HTTP. The lease is checked in the same step as the write, after the connection is open. */
+export class OrderSender implements Orders {
+    readonly #options: OrderSenderOptions;
+    readonly #agent = new Agent({ pipelining: 1, connect: { timeout: ORDER_TIMEOUT_MS } });
+    /** Fencing token of each order that may still arrive, and when it stops to count. */
+    readonly #inFlight = new Map<number, { fence: number; untilMs: number; }>();
+    #nextId = 0;
+
+    constructor(options: OrderSenderOptions) {
+        this.#options = options;
     }
 
-    /** Orders a VM to load its rank of a group. Returns whether the VM accepted the order. */
-    load(vm: VmReport, assignment: Omit<Assignment, "fence">): Promise<boolean> {
+    load(vm: VmReport, assignment: Omit<Assignment, "fence">): Promise<OrderResult> {
         return this.#send(vm, { kind: "load", assignment });
     }
 
-    /** Orders a VM to leave its group. */
-    release(vm: VmReport, groupId: string): Promise<boolean> {
+    release(vm: VmReport, groupId: string): Promise<OrderResult> {
         return this.#send(vm, { kind: "release", groupId });
     }
 
-    async #send(vm: VmReport, order: object): Promise<boolean> {
-        const lease = this.#lease();
-        if (!lease.isValid) {
-            return false;
+    mayHaveInFlight(fence: number): boolean {
+        const nowMs = monotonicMs();
+        for (const [id, order] of this.#inFlight) {
+            if (order.untilMs < nowMs) {
+                this.#inFlight.delete(id);
+            }
         }
+        return [...this.#inFlight.values()].some((order) => order.fence <= fence);
+    }
+
+    close(): Promise<void> {
+        return this.#agent.destroy();
+    }
+
+    async #send(vm: VmReport, order: object): Promise<OrderResult> {
+        const lease = this.#options.lease();
+        const { fence } = lease;
+        const { vmId, incarnationId } = vm;
+        const id = this.#nextId++;
+        const state = { wasWritten: false };
+        const beforeWrite = (): void => {
+            if (!lease.isValid || lease.fence !== fence) {
+                throw new LeaseEndedError("the lease has ended");
+            }
+            state.wasWritten = true;
+            this.#inFlight.set(id, { fence, untilMs: Number.POSITIVE_INFINITY });
+        };
         try {
-            const response = await request(`${vm.url}/orders`, {
-                method: "POST",
-                headers: { "content-type": "application/json", authorization: `Bearer ${this.#key}` },
-                body: JSON.stringify({
-                    ...order,
-                    vmId: vm.vmId,
-                    incarnationId: vm.incarnationId,
-                    fence: lease.fence,
-                }),
-                headersTimeout: ORDER_TIMEOUT_MS,
-                bodyTimeout: ORDER_TIMEOUT_MS,
-            });
-            const answer = await response.body.json() as { highestFence?: number; };
-            if (response.statusCode === 409) {
-                lease.raiseFence(answer.highestFence ?? 0);
+            const body = JSON.stringify({ ...order, vmId, incarnationId, fence });
+            const answer = await this.#post(vm.url, body, beforeWrite);
+            this.#inFlight.delete(id);
+            if (answer.status === 409) {
+                lease.raiseFence(highestFenceIn(answer.text));
             }
-            return response.statusCode === 200;
+            return answer.status === 200 ? OrderResult.Accepted : OrderResult.Refused;
         }
         catch (error) {
-            this.#context.logs(LogPart.Groups).warn(`order to VM ${vm.vmId} failed`, {
+            this.#options.context.logs(LogPart.Groups).warn(`order to VM ${vmId} failed`, {
                 reason: messageOf(error),
             });
-            return false;
+            if (!state.wasWritten) {
+                return OrderResult.NotSent;
+            }
+            this.#inFlight.set(id, { fence, untilMs: monotonicMs() + this.#options.unknownMs });
+            return OrderResult.Unknown;
         }
     }
+
+    #post(
+        url: string,
+        body: string,
+        beforeWrite: () => void,
+    ): Promise<{ status: number; text: string; }> {
+        return new Promise((resolve, reject) => {
+            const chunks: Buffer[] = [];
+            let status = 0;
+            const handler: Dispatcher.DispatchHandler = {
+                // undici calls this on the open connection, in the same step in which it writes the request.
+                onRequestStart: (controller) => {
+                    try {
+                        beforeWrite();
+                    }
+                    catch (error) {
+                        controller.abort(error as Error);
+                    }
+                },
+                onResponseStart: (_, statusCode) => {
+                    status = statusCode;
+                },
+                onResponseData: (_, chunk) => {
+                    chunks.push(chunk);
+                },
+                onResponseEnd: () => resolve({ status, text: Buffer.concat(chunks).toString("utf8") }),
+                onResponseError: (_, error) => reject(error),
+            };
+            this.#agent.dispatch({
+                origin: url,
+                path: "/orders",
+                method: "POST",
+                headers: {
+                    "content-type": "application/json",
+                    authorization: `Bearer ${this.#options.key}`,
+                },
+                body,
+                headersTimeout: ORDER_TIMEOUT_MS,
+                bodyTimeout: ORDER_TIMEOUT_MS,
+            }, handler);
+        });
+    }
 }
+
+const highestFenceIn = (text: string): number => {
+    try {
+        const answer = JSON.parse(text) as { highestFence?: unknown; };
+        return typeof answer.highestFence === "number" ? answer.highestFence : 0;
+    }
+    catch {
+        return 0;
+    }
+};
--- /dev/null
+++ b/packages/membership/src/reconcile.ts
@@ -0,0 +1,188 @@
+import { Invariant, monotonicMs } from "@greengage/base";
+import { AssignmentState, BackendKind, GroupState } from "@greengage/protocol";
+import { Cause, type Group } from "./group.ts";
+import { OrderResult, type Orders } from "./orders.ts";
+import type { Vm } from "./vms.ts";
+import type { LoadRequest } from "./weightStore.ts";
+import { isAdopting, isServing, mayReassign, reportsGroup, type ZoneState } from "./zone.ts";
+
+const FIRST_RETRY_MS = 250;
+const MAX_RETRY_MS = 10_000;
+const RELEASE_KEY = "release";
+
+/** Sends each VM the order that its last report calls for, one at a time per VM. */
+export class OrderReconciler {
+    readonly #zone: ZoneState;
+    readonly #orders: Orders;
+
+    constructor(zone: ZoneState, orders: Orders) {
+        this.#zone = zone;
+        this.#orders = orders;
+    }
+
+    step(): void {
+        const { vms, groups, weightStore } = this.#zone;
+        const present = vms.all().filter((vm) =>
+            vm.report.kind === BackendKind.Model && vms.isFresh(vm) && !vms.isQuarantined(vm)
+        );
+        for (const vm of present) {
+            this.#noteAssignment(vm);
+        }
+        weightStore.release((vmId) => this.#isLoading(vmId));
+        const unloaded = present.filter((vm) => this.#wantsLoad(vm));
+        const reading = unloaded.filter((vm) => !isCached(vm, groups.groupOf(vm.vmId)));
+        const admitted = weightStore.admit(reading.map((vm) => this.#loadRequest(vm)));
+        for (const vm of unloaded) {
+            const group = groups.groupOf(vm.vmId) as Group;
+            if (isCached(vm, group) || admitted.has(vm.vmId)) {
+                this.#load(vm, group);
+            }
+            else if (group.cause === Cause.Loading) {
+                group.cause = Cause.WeightStore;
+            }
+        }
+        for (const vm of present.filter((vm) => this.#mustRelease(vm))) {
+            this.#send(vm, RELEASE_KEY, () => this.#orders.release(vm.report, assignedGroupId(vm)));
+        }
+    }
+
+    /** Detects an order of a former controller: the VM had this assignment and now reports another. */
+    #noteAssignment(vm: Vm): void {
+        const group = this.#zone.groups.groupOf(vm.vmId);
+        if (group === undefined) {
+            vm.settledKey = undefined;
+            return;
+        }
+        const key = keyOf(group);
+        if (reportsGroup(vm.report, group)) {
+            vm.settledKey = key;
+            return;
+        }
+        const isOwnOrder = vm.order !== undefined && vm.order.key !== key && vm.order.isPending;
+        if (vm.settledKey !== key || isOwnOrder) {
+            return;
+        }
+        vm.settledKey = undefined;
+        this.#suspendForLateOrder(vm, group);
+    }
+
+    #suspendForLateOrder(vm: Vm, group: Group): void {
+        const { context, groups, timing } = this.#zone;
+        const nowMs = monotonicMs();
+        const otherId = vm.report.assignment?.groupId;
+        const other = otherId === undefined ? undefined : groups.get(otherId);
+        for (const affected of new Set([group, ...(other === undefined ? [] : [other])])) {
+            affected.confirmAfterMs = nowMs;
+            groups.setState(affected, GroupState.Suspended, Cause.LateOrder);
+        }
+        if (!vm.report.checksFencing) {
+            vm.unfencedUntilMs = nowMs + timing.unfencedHandoverMs;
+        }
+        vm.order = undefined;
+        context.timeline.record("groups", "vm.lateOrder", {
+            vmId: vm.vmId,
+            groupId: group.groupId,
+            reportedGroupId: otherId,
+            reportedFence: vm.report.assignment?.fence,
+        });
+    }
+
+    #wantsLoad(vm: Vm): boolean {
+        const group = this.#zone.groups.groupOf(vm.vmId);
+        if (group === undefined || !loadableStates.includes(group.state) || reportsGroup(vm.report, group)) {
+            return false;
+        }
+        const isSameGroup = vm.report.assignment?.groupId === group.groupId;
+        return (isSameGroup || mayReassign(this.#zone, vm)) && this.#isDue(vm, keyOf(group));
+    }
+
+    /** A VM in no group that still reports an assignment. */
+    #mustRelease(vm: Vm): boolean {
+        const hasStray = vm.report.assignment !== undefined
+            && this.#zone.groups.groupOf(vm.vmId) === undefined;
+        return hasStray && !isAdopting(this.#zone) && mayReassign(this.#zone, vm)
+            && this.#isDue(vm, RELEASE_KEY);
+    }
+
+    /** Whether an order can be sent now: none is pending, and the last one has failed or had no effect. */
+    #isDue(vm: Vm, key: string): boolean {
+        const { order } = vm;
+        if (order === undefined) {
+            return true;
+        }
+        if (order.isPending) {
+            return false;
+        }
+        if (order.key !== key) {
+            return true;
+        }
+        const retryMs = order.isAccepted
+            ? this.#zone.timing.missingAfterMs
+            : Math.min(FIRST_RETRY_MS * 2 ** order.failures, MAX_RETRY_MS);
+        return monotonicMs() - order.endedAtMs > retryMs;
+    }
+
+    #isLoading(vmId: string): boolean {
+        const vm = this.#zone.vms.get(vmId);
+        const group = this.#zone.groups.groupOf(vmId);
+        if (group === undefined || vm === undefined || !this.#zone.vms.isFresh(vm)) {
+            return false;
+        }
+        const isDone = reportsGroup(vm.report, group)
+            && vm.report.assignment?.state !== AssignmentState.Loading;
+        return !isDone && !isCached(vm, group);
+    }
+
+    #loadRequest(vm: Vm): LoadRequest {
+        const { groups, table, vms } = this.#zone;
+        const group = groups.groupOf(vm.vmId) as Group;
+        const isReady = (vmId: string): boolean => {
+            const report = vms.get(vmId)?.report;
+            return report !== undefined && reportsGroup(report, group)
+                && report.assignment?.state === AssignmentState.Ready;
+        };
+        return {
+            vmId: vm.vmId,
+            groupId: group.groupId,
+            priority: table.model(group.model)?.priority ?? 0,
+            servingGroups: groups.ofModel(group.model).filter(isServing).length,
+            membersLeft: group.memberVmIds.filter((vmId) => !isReady(vmId)).length,
+            waitingSinceMs: group.sinceMs,
+        };
+    }
+
+    #load(vm: Vm, group: Group): void {
+        const { context, groups } = this.#zone;
+        context.invariants.check(
+            Invariant.OneGroupPerVm,
+            groups.countOf(vm.vmId) === 1,
+            () => `VM ${vm.vmId} is in ${groups.countOf(vm.vmId)} groups`,
+        );
+        const { groupId, generation, model } = group;
+        const memberVmIds = [...group.memberVmIds];
+        const rank = memberVmIds.indexOf(vm.vmId);
+        const assignment = { groupId, generation, model, memberVmIds, rank };
+        this.#send(vm, keyOf(group), () => this.#orders.load(vm.report, assignment));
+    }
+
+    #send(vm: Vm, key: string, send: () => Promise<OrderResult>): void {
+        const failures = vm.order?.key === key ? vm.order.failures : 0;
+        const order = { key, isPending: true, isAccepted: false, endedAtMs: 0, failures };
+        vm.order = order;
+        void send().then((result) => {
+            order.isPending = false;
+            order.endedAtMs = monotonicMs();
+            order.isAccepted = result === OrderResult.Accepted;
+            order.failures = order.isAccepted ? 0 : order.failures + 1;
+        });
+    }
+}
+
+const loadableStates: GroupState[] = [GroupState.Forming, GroupState.Loading, GroupState.Suspended];
+
+const keyOf = (group: Group): string => `${group.groupId}/${group.generation}`;
+
+const assignedGroupId = (vm: Vm): string => vm.report.assignment?.groupId ?? "";
+
+const isCached = (vm: Vm, group: Group | undefined): boolean =>
+    group !== undefined && vm.report.cachedModels.includes(group.model);
--- a/packages/membership/src/reports.ts
+++ b/packages/membership/src/reports.ts
@@ -1,13 +1,18 @@
 import { type Context, Lifecycle, LogPart, messageOf, monotonicMs } from "@greengage/base";
-import type { Peers, VmReport } from "@greengage/protocol";
+import type { Peers, ShareTransfer, UnchangedReport, VmReport } from "@greengage/protocol";
 import type { MembershipTiming } from "./timing.ts";
 
 /** A report and the monotonic time at which it arrived. */
-export interface HeldReport {
+interface HeldReport {
     report: VmReport;
     receivedAtMs: number;
 }
 
+interface SentReport {
+    contentKey: string;
+    fullSequence: number;
+}
+
 export interface ReportIntakeOptions {
     context: Context;
     peers: Peers;
@@ -15,6 +20,8 @@
     /** Daemon that holds the zone's lease, as far as this daemon knows. */
     controllerId: () => string | undefined;
     tableVersion: () => number;
+    /** What this daemon keeps for the zone's next controller. */
+    kept: () => { transfers: ShareTransfer[]; drainedVmIds: string[]; };
 }
 
 export interface ReportAnswer {
@@ -26,29 +33,35 @@
 export class ReportIntake {
     readonly #options: ReportIntakeOptions;
     readonly #lifecycle = new Lifecycle();
+    readonly #startedAtMs = monotonicMs();
+    // By VM id and incarnation, so that the controller sees both of two processes that announce one identity.
     readonly #held = new Map<string, HeldReport>();
     readonly #released = new Set<string>();
     #unsent = new Set<string>();
-    #sentInFull = new Map<string, string>();
+    readonly #sent = new Map<string, SentReport>();
     #lastControllerId: string | undefined;
 
     constructor(options: ReportIntakeOptions) {
         this.#options = options;
-        options.peers.handle("report.held", () => ({
-            reports: [...this.#held.values()].map(({ report, receivedAtMs }) => ({
-                report,
-                ageMs: monotonicMs() - receivedAtMs,
-            })),
-            tableVersion: options.tableVersion(),
-        }));
+        options.peers.handle("report.held", () => {
+            this.#dropOld();
+            return {
+                reports: [...this.#held.values()].map(({ report, receivedAtMs }) => ({
+                    report,
+                    ageMs: monotonicMs() - receivedAtMs,
+                })),
+                tableVersion: options.tableVersion(),
+                upMs: monotonicMs() - this.#startedAtMs,
+                ...options.kept(),
+            };
+        });
     }
 
     start(): void {
-        const log = this.#options.context.logs(LogPart.Membership);
         this.#lifecycle.every(
             this.#options.timing.reportBatchMs,
             () => this.#sendBatch(),
-            (error) => log.debug("could not send reports to the controller", { reason: messageOf(error) }),
+            (error) => this.#noteFailure(error),
         );
     }
 
@@ -58,12 +71,17 @@
 
     /** Takes one report. Older reports of the same incarnation are ignored. */
     accept(report: VmReport): ReportAnswer {
-        const held = this.#held.get(report.vmId)?.report;
-        if (held?.incarnationId !== report.incarnationId || held.sequence < report.sequence) {
-            this.#held.set(report.vmId, { report, receivedAtMs: monotonicMs() });
-            this.#unsent.add(report.vmId);
+        const key = keyOf(report);
+        const held = this.#held.get(key)?.report;
+        if (held === undefined || held.sequence < report.sequence) {
+            this.#held.set(key, { report, receivedAtMs: monotonicMs() });
+            this.#unsent.add(key);
+            if (report.leaving && held?.leaving !== true) {
+                // The time in which a leaving server still gets work starts to run, so this doesn't wait for a batch.
+                this.#sendBatch().catch((error: unknown) => this.#noteFailure(error));
+            }
         }
-        return { released: this.#released.has(`${report.vmId}/${report.incarnationId}`) };
+        return { released: this.#released.has(key) };
     }
 
     /** Highest fencing token in the reports that this daemon holds. */
@@ -79,65 +97,82 @@
         }
         if (controllerId !== this.#lastControllerId) {
             this.#lastControllerId = controllerId;
-            this.#sentInFull.clear();
+            this.#sent.clear();
         }
-        const vmIds = this.#unsent;
+        const keys = this.#unsent;
         this.#unsent = new Set();
-        const batch = this.#splitBatch(vmIds);
+        const batch = this.#splitBatch(keys);
         const { peers } = this.#options;
         const response = await peers.call(controllerId, "report.batch", {
             daemonId: peers.daemonId,
             ...batch,
+        }).catch((error: unknown) => {
+            this.#sent.clear();
+            throw error;
         });
         if (!response.accepted) {
-            this.#sentInFull.clear();
+            this.#sent.clear();
             return;
         }
-        for (const report of batch.changed) {
-            this.#sentInFull.set(report.vmId, contentKey(report));
-        }
-        for (const vmId of response.needFull) {
-            this.#sentInFull.delete(vmId);
-            this.#unsent.add(vmId);
+        for (const { report } of batch.changed) {
+            this.#sent.set(keyOf(report), {
+                contentKey: contentKey(report),
+                fullSequence: report.sequence,
+            });
         }
-        for (const vmId of response.releasedVmIds) {
-            const incarnationId = this.#held.get(vmId)?.report.incarnationId;
-            this.#released.add(`${vmId}/${incarnationId}`);
+        for (const [key, { report }] of this.#held) {
+            if (response.needFull.includes(report.vmId)) {
+                this.#sent.delete(key);
+                this.#unsent.add(key);
+            }
+            if (response.releasedVmIds.includes(report.vmId) && report.leaving) {
+                this.#released.add(key);
+            }
         }
     }
 
-    #splitBatch(vmIds: Set<string>): {
-        changed: VmReport[];
-        unchanged: { vmId: string; incarnationId: string; sequence: number; ageMs: number; }[];
+    #splitBatch(keys: Set<string>): {
+        changed: { report: VmReport; ageMs: number; }[];
+        unchanged: UnchangedReport[];
     } {
-        const changed: VmReport[] = [];
+        const changed = [];
         const unchanged = [];
-        for (const vmId of vmIds) {
-            const held = this.#held.get(vmId);
+        for (const key of keys) {
+            const held = this.#held.get(key);
             if (held === undefined) {
                 continue;
             }
             const { report } = held;
-            if (this.#sentInFull.get(vmId) !== contentKey(report)) {
-                changed.push(report);
+            const ageMs = monotonicMs() - held.receivedAtMs;
+            const sent = this.#sent.get(key);
+            if (sent?.contentKey !== contentKey(report)) {
+                changed.push({ report, ageMs });
                 continue;
             }
-            const { incarnationId, sequence } = report;
-            unchanged.push({ vmId, incarnationId, sequence, ageMs: monotonicMs() - held.receivedAtMs });
+            const { vmId, incarnationId, sequence } = report;
+            unchanged.push({ vmId, incarnationId, sequence, fullSequence: sent.fullSequence, ageMs });
         }
         return { changed, unchanged };
     }
 
     #dropOld(): void {
         const oldestMs = monotonicMs() - 4 * this.#options.timing.missingAfterMs;
-        for (const [vmId, held] of this.#held) {
+        for (const [key, held] of this.#held) {
             if (held.receivedAtMs < oldestMs) {
-                this.#held.delete(vmId);
-                this.#sentInFull.delete(vmId);
+                this.#held.delete(key);
+                this.#sent.delete(key);
+                this.#released.delete(key);
             }
         }
     }
+
+    #noteFailure(error: unknown): void {
+        const log = this.#options.context.logs(LogPart.Membership);
+        log.debug("could not send reports to the controller", { reason: messageOf(error) });
+    }
 }
 
+const keyOf = (report: VmReport): string => `${report.vmId}/${report.incarnationId}`;
+
 /** Everything in a report but its sequence number. */
 const contentKey = (report: VmReport): string => JSON.stringify({ ...report, sequence: 0 });
--- /dev/null
+++ b/packages/membership/src/stragglers.ts
@@ -0,0 +1,50 @@
+import { monotonicMs } from "@greengage/base";
+import { planDrain } from "./drain.ts";
+import { DrainReason, type Group } from "./group.ts";
+import { sparesFor } from "./repair.ts";
+import type { Vm } from "./vms.ts";
+import { isServing, presentGroups, type ZoneState } from "./zone.ts";
+
+// Twice the median gap between tokens misses the latency target long before the engine fails.
+const SLOW_FACTOR = 2;
+const MIN_EXCESS_MS = 5;
+/** A median of fewer VMs says nothing about a single one. */
+const MIN_VMS = 3;
+// Load reports lag, so a VM must be slow over several of them.
+const SLOW_PERIODS = 1.5;
+
+/** Replaces members that are much slower than the others of their model, while spares exist. */
+export const replaceStragglers = (zone: ZoneState): void => {
+    for (const model of zone.table.models()) {
+        const groups = presentGroups(zone, model.name).filter(isServing);
+        const vms = groups.flatMap((group) => group.memberVmIds)
+            .map((vmId) => zone.vms.get(vmId))
+            .filter((vm): vm is Vm => vm !== undefined && vm.report.load.tokenGapMs > 0);
+        markSlow(vms);
+        const slowGroup = groups.find((group) => hasStraggler(zone, group));
+        // One group of a model at a time, so that a fleet that is slow as a whole isn't drained.
+        const isBusy = zone.groups.ofModel(model.name).some((group) =>
+            group.drain?.reason === DrainReason.Straggler
+        );
+        if (slowGroup !== undefined && !isBusy && sparesFor(zone, slowGroup, 1) !== undefined) {
+            planDrain(zone, slowGroup, DrainReason.Straggler);
+        }
+    }
+};
+
+const markSlow = (vms: Vm[]): void => {
+    const gaps = vms.map((vm) => vm.report.load.tokenGapMs).sort((a, b) => a - b);
+    const medianMs = gaps[Math.floor(gaps.length / 2)] ?? 0;
+    for (const vm of vms) {
+        const gapMs = vm.report.load.tokenGapMs;
+        const isSlow = vms.length >= MIN_VMS && gapMs > SLOW_FACTOR * medianMs
+            && gapMs > medianMs + MIN_EXCESS_MS;
+        vm.stragglerSinceMs = isSlow ? vm.stragglerSinceMs ?? monotonicMs() : undefined;
+    }
+};
+
+const hasStraggler = (zone: ZoneState, group: Group): boolean =>
+    group.memberVmIds.some((vmId) => {
+        const sinceMs = zone.vms.get(vmId)?.stragglerSinceMs;
+        return sinceMs !== undefined && monotonicMs() - sinceMs > SLOW_PERIODS * zone.timing.missingAfterMs;
+    });
--- a/packages/membership/src/timing.ts
+++ b/packages/membership/src/timing.ts
@@ -14,6 +14,8 @@
     reportBatchMs: number;
     /** Wait before a VM that doesn't check fencing tokens moves to another group under a new controller. Default: 90000. */
     unfencedHandoverMs: number;
+    /** Time that a suspended group waits for a missing member before it is repaired. Default: 500. */
+    repairAfterMs: number;
 }
 
 export const DEFAULT_TIMING: MembershipTiming = {
@@ -24,7 +26,11 @@
     missingAfterMs: 2_500,
     reportBatchMs: 250,
     unfencedHandoverMs: 90_000,
+    repairAfterMs: 500,
 };
 
 /** The holder of a lease stops this long before the acceptors do, to cover clock drift and delays in the holder. */
 export const LEASE_MARGIN_MS = 200;
+
+/** Bound of the design (P6): a backend server that leaves gets no new work after this time. */
+export const LEAVING_BOUND_MS = 2_000;
--- /dev/null
+++ b/packages/membership/src/transitions.ts
@@ -0,0 +1,107 @@
+import { monotonicMs } from "@greengage/base";
+import { GroupState } from "@greengage/protocol";
+import { isDrained, startDrainIfDue } from "./drain.ts";
+import { Cause, DrainReason, type Group } from "./group.ts";
+import { repair } from "./repair.ts";
+import { causeOfLoss, isAdopting, MemberStatus, memberStatus, type ZoneState } from "./zone.ts";
+
+/** Moves a group to the state that the reports of its members call for. */
+export const stepGroup = (zone: ZoneState, group: Group): void => {
+    const statuses = group.memberVmIds.map((vmId) => memberStatus(zone, group, vmId));
+    handlers[group.state](zone, group, statuses);
+};
+
+type Handler = (zone: ZoneState, group: Group, statuses: MemberStatus[]) => void;
+
+const stepActive: Handler = (zone, group, statuses) => {
+    if (statuses.includes(MemberStatus.Failed)) {
+        noteFailedLoads(zone, group, statuses);
+    }
+    const loss = causeOfLoss(statuses);
+    if (loss !== undefined) {
+        zone.groups.setState(group, GroupState.Suspended, loss);
+        stepSuspended(zone, group, statuses);
+        return;
+    }
+    const next = statuses.every((status) => status === MemberStatus.Ready)
+        ? GroupState.Serving
+        : statuses.includes(MemberStatus.Unassigned)
+        ? GroupState.Forming
+        : GroupState.Loading;
+    zone.groups.setState(group, next, Cause.Loading);
+    startDrainIfDue(zone, group);
+    giveUpUnwanted(zone, group);
+};
+
+const stepSuspended: Handler = (zone, group, statuses) => {
+    const loss = causeOfLoss(statuses);
+    if (loss === undefined) {
+        zone.groups.setState(group, GroupState.Loading, Cause.Loading);
+        stepActive(zone, group, statuses);
+        return;
+    }
+    group.cause = loss;
+    // A missing member can come back with its weights in memory; the others can't.
+    const isCertain = statuses.some((status) => certainLosses.includes(status));
+    const hasWaited = monotonicMs() - group.sinceMs >= zone.timing.repairAfterMs;
+    if (isCertain || (hasWaited && !isAdopting(zone))) {
+        repair(zone, group);
+    }
+};
+
+const stepDraining: Handler = (zone, group, statuses) => {
+    if (causeOfLoss(statuses) !== undefined || isDrained(zone, group)) {
+        noteStraggler(zone, group);
+        repair(zone, group);
+    }
+};
+
+const handlers: Record<GroupState, Handler> = {
+    [GroupState.Forming]: stepActive,
+    [GroupState.Loading]: stepActive,
+    [GroupState.Serving]: stepActive,
+    [GroupState.Suspended]: stepSuspended,
+    [GroupState.Draining]: stepDraining,
+    [GroupState.Dissolved]: () => undefined,
+};
+
+const certainLosses: MemberStatus[] = [
+    MemberStatus.Lost,
+    MemberStatus.Quarantined,
+    MemberStatus.Stray,
+    MemberStatus.Failed,
+];
+
+/** A group that is to be drained and doesn't serve has nothing to drain. */
+const giveUpUnwanted = (zone: ZoneState, group: Group): void => {
+    const isIdle = group.state === GroupState.Forming || group.state === GroupState.Loading;
+    if (group.drain !== undefined && isIdle) {
+        repair(zone, group);
+    }
+};
+
+const noteFailedLoads = (zone: ZoneState, group: Group, statuses: MemberStatus[]): void => {
+    for (const [index, vmId] of group.memberVmIds.entries()) {
+        const vm = zone.vms.get(vmId);
+        if (statuses[index] === MemberStatus.Failed && vm !== undefined) {
+            // A VM that failed to load gets a back-off at once, so that it isn't chosen again as its own spare.
+            vm.flaps = Math.max(1, vm.flaps);
+            zone.vms.noteFlap(vm);
+            zone.context.timeline.record("groups", "vm.loadFailed", { vmId, groupId: group.groupId });
+        }
+    }
+};
+
+/** Keeps a replaced straggler out of groups for a while. */
+const noteStraggler = (zone: ZoneState, group: Group): void => {
+    if (group.drain?.reason !== DrainReason.Straggler) {
+        return;
+    }
+    for (const vmId of group.memberVmIds) {
+        const vm = zone.vms.get(vmId);
+        if (vm?.stragglerSinceMs !== undefined) {
+            vm.flaps = Math.max(2, vm.flaps);
+            zone.vms.noteFlap(vm);
+        }
+    }
+};
--- /dev/null
+++ b/packages/membership/src/vms.ts
@@ -0,0 +1,246 @@
+import { type Context, LogPart, monotonicMs } from "@greengage/base";
+import { BackendKind, type UnchangedReport, type VmReport } from "@greengage/protocol";
+import type { MembershipTiming } from "./timing.ts";
+
+/** Last order for a VM and what became of it. */
+export interface VmOrder {
+    /** `groupId/generation`, or `release`. */
+    key: string;
+    isPending: boolean;
+    isAccepted: boolean;
+    endedAtMs: number;
+    failures: number;
+}
+
+/** The controller's record of a VM or service backend server. */
+export interface Vm {
+    vmId: string;
+    report: VmReport;
+    receivedAtMs: number;
+    /** Last sequence number of each former incarnation. */
+    formerSequences: Map<string, number>;
+    /** Another identity reports from the same address since this time. */
+    supersededAtMs?: number;
+    quarantinedUntilMs: number;
+    /** Losses in recent time; each doubles the back-off. */
+    flaps: number;
+    lastFlapAtMs: number;
+    backOffUntilMs: number;
+    leavingSinceMs?: number;
+    /** No order to another group before this time, for VMs that don't check fencing tokens. */
+    unfencedUntilMs: number;
+    wasFresh: boolean;
+    /** `groupId/generation` that the VM has reported since it was ordered there. */
+    settledKey?: string;
+    order?: VmOrder;
+    stragglerSinceMs?: number;
+    /** View version that first said that this service's backend server takes no new work. */
+    leavingVersion?: number;
+    /** Sequence number of the last full report; reports without content refer to it. */
+    fullSequence: number;
+}
+
+const QUARANTINE_PERIODS = 4;
+const BACK_OFF_PERIODS = 2;
+const MAX_BACK_OFF_MS = 300_000;
+// A VM that stays up this long has its flaps forgotten.
+const STABLE_PERIODS = 60;
+
+/** VMs that report in a zone: freshness, identity conflicts, and back-off of those that flap. */
+export class VmRegistry {
+    readonly #context: Context;
+    readonly #timing: MembershipTiming;
+    readonly #vms = new Map<string, Vm>();
+    readonly #vmIdByUrl = new Map<string, string>();
+    /** VMs that an operator drains. */
+    readonly drained = new Set<string>();
+
+    constructor(context: Context, timing: MembershipTiming) {
+        this.#context = context;
+        this.#timing = timing;
+    }
+
+    all(): Vm[] {
+        return [...this.#vms.values()];
+    }
+
+    get(vmId: string): Vm | undefined {
+        return this.#vms.get(vmId);
+    }
+
+    clear(): void {
+        this.#vms.clear();
+        this.#vmIdByUrl.clear();
+    }
+
+    /** Takes a report that arrived `ageMs` ago. Older ones than the last are ignored. */
+    take(report: VmReport, ageMs: number, fullSequence = report.sequence): void {
+        this.#takeReport(report, ageMs);
+        const vm = this.#vms.get(report.vmId);
+        if (vm?.report === report) {
+            vm.fullSequence = fullSequence;
+        }
+    }
+
+    /** Takes a report whose content is that of an earlier full one. Returns whether that one is known. */
+    takeUnchanged(entry: UnchangedReport): boolean {
+        const vm = this.#vms.get(entry.vmId);
+        if (vm?.report.incarnationId !== entry.incarnationId || vm.fullSequence !== entry.fullSequence) {
+            return false;
+        }
+        this.take({ ...vm.report, sequence: entry.sequence }, entry.ageMs, entry.fullSequence);
+        return true;
+    }
+
+    #takeReport(report: VmReport, ageMs: number): void {
+        const receivedAtMs = monotonicMs() - ageMs;
+        const vm = this.#vms.get(report.vmId);
+        if (vm === undefined) {
+            this.#vms.set(report.vmId, newVm(report, receivedAtMs));
+            this.#claimUrl(report);
+            return;
+        }
+        if (vm.report.incarnationId === report.incarnationId) {
+            this.#takeSame(vm, report, receivedAtMs);
+            return;
+        }
+        this.#takeOtherIncarnation(vm, report, receivedAtMs);
+    }
+
+    isFresh(vm: Vm | undefined): boolean {
+        return vm !== undefined && vm.supersededAtMs === undefined
+            && monotonicMs() - vm.receivedAtMs < this.#timing.missingAfterMs;
+    }
+
+    isQuarantined(vm: Vm): boolean {
+        return monotonicMs() < vm.quarantinedUntilMs;
+    }
+
+    /** The VM must give up its group: it reports that it leaves, or an operator drains it. */
+    isLeaving(vm: Vm): boolean {
+        return vm.report.leaving || this.drained.has(vm.vmId);
+    }
+
+    /** Whether a VM can be chosen for a group, apart from whether it is in one. */
+    isUsable(vm: Vm): boolean {
+        return this.isFresh(vm) && vm.report.kind === BackendKind.Model && !this.isLeaving(vm)
+            && !this.isQuarantined(vm) && monotonicMs() >= vm.backOffUntilMs;
+    }
+
+    /** Notes losses, and forgets VMs that have been gone for long. */
+    step(): void {
+        const nowMs = monotonicMs();
+        for (const vm of this.#vms.values()) {
+            const isFresh = this.isFresh(vm);
+            if (vm.wasFresh && !isFresh && !vm.report.leaving) {
+                this.noteFlap(vm);
+            }
+            vm.wasFresh = isFresh;
+            if (nowMs - vm.lastFlapAtMs > STABLE_PERIODS * this.#timing.missingAfterMs) {
+                vm.flaps = 0;
+            }
+            if (nowMs - vm.receivedAtMs > STABLE_PERIODS * this.#timing.missingAfterMs) {
+                this.#vms.delete(vm.vmId);
+            }
+        }
+    }
+
+    /** Counts a loss or a failed load. From the second one on the VM is left out for a time that doubles. */
+    noteFlap(vm: Vm): void {
+        const nowMs = monotonicMs();
+        vm.flaps += 1;
+        vm.lastFlapAtMs = nowMs;
+        if (vm.flaps > 1) {
+            const backOffMs = BACK_OFF_PERIODS * this.#timing.missingAfterMs * 2 ** (vm.flaps - 2);
+            vm.backOffUntilMs = nowMs + Math.min(backOffMs, MAX_BACK_OFF_MS);
+            this.#context.timeline.record("groups", "vm.backOff", { vmId: vm.vmId, flaps: vm.flaps });
+        }
+    }
+
+    #takeSame(vm: Vm, report: VmReport, receivedAtMs: number): void {
+        const isNewer = report.sequence > vm.report.sequence;
+        if (isNewer && vm.supersededAtMs !== undefined && receivedAtMs > vm.supersededAtMs) {
+            this.#quarantine(vm, "two identities report one address");
+            vm.supersededAtMs = undefined;
+            this.#claimUrl(report);
+        }
+        if (report.sequence < vm.report.sequence || receivedAtMs < vm.receivedAtMs) {
+            return;
+        }
+        if (report.url !== vm.report.url) {
+            this.#claimUrl(report);
+        }
+        vm.report = report;
+        vm.receivedAtMs = receivedAtMs;
+        this.#noteReport(vm);
+    }
+
+    #takeOtherIncarnation(vm: Vm, report: VmReport, receivedAtMs: number): void {
+        const formerSequence = vm.formerSequences.get(report.incarnationId);
+        if (formerSequence !== undefined) {
+            if (report.sequence > formerSequence) {
+                vm.formerSequences.set(report.incarnationId, report.sequence);
+                this.#quarantine(vm, "two processes announce one identity");
+            }
+            return;
+        }
+        if (receivedAtMs < vm.receivedAtMs) {
+            vm.formerSequences.set(report.incarnationId, report.sequence);
+            return;
+        }
+        vm.formerSequences.set(vm.report.incarnationId, vm.report.sequence);
+        if (!vm.report.leaving) {
+            this.noteFlap(vm);
+        }
+        vm.report = report;
+        vm.receivedAtMs = receivedAtMs;
+        vm.order = undefined;
+        vm.settledKey = undefined;
+        vm.leavingSinceMs = undefined;
+        vm.supersededAtMs = undefined;
+        this.#claimUrl(report);
+        this.#noteReport(vm);
+    }
+
+    #noteReport(vm: Vm): void {
+        if (vm.report.leaving) {
+            vm.leavingSinceMs ??= monotonicMs();
+        }
+    }
+
+    /** The newest identity owns an address; the one before counts as missing at once. */
+    #claimUrl(report: VmReport): void {
+        const formerId = this.#vmIdByUrl.get(report.url);
+        this.#vmIdByUrl.set(report.url, report.vmId);
+        const former = formerId === undefined ? undefined : this.#vms.get(formerId);
+        if (former === undefined || formerId === report.vmId || former.report.url !== report.url) {
+            return;
+        }
+        former.supersededAtMs = monotonicMs();
+        this.#context.timeline.record("groups", "vm.superseded", { vmId: formerId, byVmId: report.vmId });
+    }
+
+    #quarantine(vm: Vm, reason: string): void {
+        const isNew = !this.isQuarantined(vm);
+        vm.quarantinedUntilMs = monotonicMs() + QUARANTINE_PERIODS * this.#timing.missingAfterMs;
+        if (isNew) {
+            this.#context.timeline.record("groups", "vm.quarantined", { vmId: vm.vmId, reason });
+            this.#context.logs(LogPart.Groups).warn(`VM ${vm.vmId} is quarantined`, { reason });
+        }
+    }
+}
+
+const newVm = (report: VmReport, receivedAtMs: number): Vm => ({
+    vmId: report.vmId,
+    report,
+    fullSequence: report.sequence,
+    receivedAtMs,
+    formerSequences: new Map(),
+    quarantinedUntilMs: 0,
+    flaps: 0,
+    lastFlapAtMs: 0,
+    backOffUntilMs: 0,
+    leavingSinceMs: report.leaving ? monotonicMs() : undefined,
+    unfencedUntilMs: 0,
+    wasFresh: true,
+});
--- /dev/null
+++ b/packages/membership/src/zone.ts
@@ -0,0 +1,131 @@
+import { type Context, monotonicMs } from "@greengage/base";
+import { AssignmentState, BackendKind, GroupState, type VmReport } from "@greengage/protocol";
+import type { ModelRow, TableState } from "@greengage/table";
+import type { DowntimeAccount } from "./accounting.ts";
+import type { DaemonRegistry } from "./daemons.ts";
+import { Cause, type Group } from "./group.ts";
+import type { GroupRegistry } from "./groups.ts";
+import type { PlacementPolicy } from "./placement.ts";
+import type { MembershipTiming } from "./timing.ts";
+import type { ViewLog } from "./views.ts";
+import type { Vm, VmRegistry } from "./vms.ts";
+import type { WeightStore } from "./weightStore.ts";
+
+/** State of a zone that the steps of its controller share. */
+export interface ZoneState {
+    context: Context;
+    timing: MembershipTiming;
+    table: TableState;
+    vms: VmRegistry;
+    groups: GroupRegistry;
+    daemons: DaemonRegistry;
+    views: ViewLog;
+    downtime: DowntimeAccount;
+    weightStore: WeightStore;
+    policy: PlacementPolicy;
+    /** Until then more reports of the groups of the former controller may arrive. */
+    adoptsUntilMs: number;
+    /** Whether the VMs that don't check fencing tokens can move to other groups. */
+    isHandoverDone: () => boolean;
+}
+
+/** State of a group's member as its last report tells it. */
+export const MemberStatus = {
+    Ready: "ready",
+    Loading: "loading",
+    /** Reports another assignment or none. */
+    Unassigned: "unassigned",
+    Failed: "failed",
+    Missing: "missing",
+    /** Won't come back as the member it was. */
+    Lost: "lost",
+    Quarantined: "quarantined",
+    /** Took an order of a former controller and doesn't check fencing tokens. */
+    Stray: "stray",
+} as const;
+
+export type MemberStatus = typeof MemberStatus[keyof typeof MemberStatus];
+
+/** Whether a report names this group, generation and member list. */
+export const reportsGroup = (report: VmReport, group: Group): boolean =>
+    report.assignment?.groupId === group.groupId
+    && report.assignment.generation === group.generation
+    && report.assignment.memberVmIds.join() === group.memberVmIds.join();
+
+export const memberStatus = (zone: ZoneState, group: Group, vmId: string): MemberStatus => {
+    const vm = zone.vms.get(vmId);
+    if (vm === undefined) {
+        return MemberStatus.Missing;
+    }
+    const incarnationId = group.incarnations.get(vmId);
+    if (incarnationId !== undefined && incarnationId !== vm.report.incarnationId) {
+        return MemberStatus.Lost;
+    }
+    if (vm.supersededAtMs !== undefined) {
+        return MemberStatus.Lost;
+    }
+    if (zone.vms.isQuarantined(vm)) {
+        return MemberStatus.Quarantined;
+    }
+    if (!zone.vms.isFresh(vm)) {
+        return MemberStatus.Missing;
+    }
+    const { assignment } = vm.report;
+    if (assignment === undefined || !reportsGroup(vm.report, group)) {
+        return monotonicMs() < vm.unfencedUntilMs ? MemberStatus.Stray : MemberStatus.Unassigned;
+    }
+    if (assignment.state === AssignmentState.Failed) {
+        return MemberStatus.Failed;
+    }
+    const isConfirmed = vm.receivedAtMs >= group.confirmAfterMs;
+    return isConfirmed && assignment.state === AssignmentState.Ready
+        ? MemberStatus.Ready
+        : MemberStatus.Loading;
+};
+
+/** Whether a VM may get an order to join another group or to leave its own, by the rules for unfenced VMs. */
+export const mayReassign = (zone: ZoneState, vm: Vm): boolean =>
+    vm.report.checksFencing || (zone.isHandoverDone() && monotonicMs() >= vm.unfencedUntilMs);
+
+export const isAdopting = (zone: ZoneState): boolean => monotonicMs() < zone.adoptsUntilMs;
+
+/** VMs that are in no group and can be chosen for one now. */
+export const freeVms = (zone: ZoneState): Vm[] =>
+    zone.vms.all().filter((vm) =>
+        zone.groups.groupOf(vm.vmId) === undefined && zone.vms.isUsable(vm) && mayReassign(zone, vm)
+        && !(isAdopting(zone) && vm.report.assignment !== undefined)
+    );
+
+/** Healthy model VMs by fabric domain. */
+export const vmCountByDomain = (zone: ZoneState): Map<string, number> => {
+    const counts = new Map<string, number>();
+    for (const vm of zone.vms.all()) {
+        if (zone.vms.isFresh(vm) && vm.report.kind === BackendKind.Model) {
+            counts.set(vm.report.fabricDomain, (counts.get(vm.report.fabricDomain) ?? 0) + 1);
+        }
+    }
+    return counts;
+};
+
+/** Groups of a model that count towards `replicas`: all but those that give up their VMs. */
+export const presentGroups = (zone: ZoneState, model: string): Group[] =>
+    zone.groups.ofModel(model).filter((group) => group.drain === undefined);
+
+export const wantedReplicas = (model: ModelRow | undefined): number =>
+    model === undefined || !model.enabled ? 0 : model.replicas;
+
+/** Why a group can't serve, given the states of its members; undefined when all are present. */
+export const causeOfLoss = (statuses: MemberStatus[]): Cause | undefined => {
+    const found = statuses.find((status) => lossCauses[status] !== undefined);
+    return found === undefined ? undefined : lossCauses[found];
+};
+
+const lossCauses: Partial<Record<MemberStatus, Cause>> = {
+    [MemberStatus.Missing]: Cause.MemberMissing,
+    [MemberStatus.Lost]: Cause.MemberMissing,
+    [MemberStatus.Quarantined]: Cause.Quarantined,
+    [MemberStatus.Stray]: Cause.LateOrder,
+    [MemberStatus.Failed]: Cause.LoadFailed,
+};
+
+export const isServing = (group: Group): boolean => group.state === GroupState.Serving;
--- /dev/null
+++ b/packages/membership/src/zoneViews.ts
@@ -0,0 +1,82 @@
+import { Invariant } from "@greengage/base";
+import {
+    BackendKind,
+    type BackendLoad,
+    GroupState,
+    type GroupView,
+    type ServiceView,
+} from "@greengage/protocol";
+import type { Group } from "./group.ts";
+import { isServing, type ZoneState } from "./zone.ts";
+
+const NO_LOAD: BackendLoad = { runningRequests: 0, waitingRequests: 0, kvUsedShare: 0, tokenGapMs: 0 };
+
+/** Groups as grants list them. Checks P1: every member of a serving group has a fresh report. */
+export const groupViews = (zone: ZoneState): GroupView[] =>
+    zone.groups.all().map((group) => {
+        const leader = zone.vms.get(group.memberVmIds[0] ?? "")?.report;
+        checkWhole(zone, group);
+        return {
+            groupId: group.groupId,
+            generation: group.generation,
+            model: group.model,
+            zone: zone.context.zone,
+            fabricDomain: group.fabricDomain,
+            state: group.state,
+            memberVmIds: group.memberVmIds,
+            leaderUrl: leader?.url ?? "",
+            maxConcurrent: capacityOf(zone, group, leader?.maxConcurrent ?? 0),
+            load: leader?.load ?? NO_LOAD,
+        };
+    });
+
+export const serviceViews = (zone: ZoneState): ServiceView[] =>
+    zone.vms.all().filter(({ report }) => report.kind === BackendKind.Service).map((vm) => ({
+        vmId: vm.vmId,
+        incarnationId: vm.report.incarnationId,
+        service: vm.report.service ?? "",
+        zone: vm.report.zone,
+        url: vm.report.url,
+        maxConcurrent: vm.report.maxConcurrent,
+        available: zone.vms.isFresh(vm) && !zone.vms.isLeaving(vm) && !zone.vms.isQuarantined(vm),
+    }));
+
+/** Monotonic time until which no report that a serving group or a service relies on becomes too old. */
+export const freshUntilMs = (zone: ZoneState): number => {
+    const vmIds = zone.groups.all().filter(isServing).flatMap((group) => group.memberVmIds);
+    const services = zone.vms.all().filter((vm) =>
+        vm.report.kind === BackendKind.Service && zone.vms.isFresh(vm)
+    );
+    const received = [
+        ...vmIds.map((vmId) => zone.vms.get(vmId)?.receivedAtMs ?? 0),
+        ...services.map((vm) => vm.receivedAtMs),
+    ];
+    return Math.min(...received) + zone.timing.missingAfterMs;
+};
+
+/** Notes the view version that first says that a group drains or that a service leaves. */
+export const markDrainVersions = (zone: ZoneState): void => {
+    for (const { state, drain } of zone.groups.all()) {
+        if (state === GroupState.Draining && drain !== undefined) {
+            drain.version ??= zone.views.version;
+        }
+    }
+    for (const vm of zone.vms.all()) {
+        vm.leavingVersion = zone.vms.isLeaving(vm) ? vm.leavingVersion ?? zone.views.version : undefined;
+    }
+};
+
+const checkWhole = (zone: ZoneState, group: Group): void => {
+    if (!isServing(group)) {
+        return;
+    }
+    const stale = group.memberVmIds.filter((vmId) => !zone.vms.isFresh(zone.vms.get(vmId)));
+    zone.context.invariants.check(
+        Invariant.WholeGroupServes,
+        stale.length === 0,
+        () => `group ${group.groupId} serves without a fresh report of ${stale.join(", ")}`,
+    );
+};
+
+const capacityOf = (zone: ZoneState, group: Group, leaderLimit: number): number =>
+    Math.min(leaderLimit, zone.table.model(group.model)?.maxConcurrentPerReplica ?? leaderLimit);
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -1,5 +1,12 @@
 import type { HlcTimestamp } from "@greengage/base";
-import type { Grant, OrganisationDemand, VmReport } from "./views.ts";
+import type {
+    Grant,
+    InFlightCount,
+    OrganisationDemand,
+    ShareTransfer,
+    VmReport,
+    ZoneExchange,
+} from "./views.ts";
 
 /** One entry of the replicated log. `payload` is a command in msgpack, or a configuration of members. */
 export interface LogEntry {
@@ -72,9 +79,27 @@
     | { ok: false; leaderId?: string; };
 
 export type ZoneAcquireResponse =
-    | { granted: true; tableFloor: number; }
+    | {
+        granted: true;
+        tableFloor: number;
+        /** Other daemons that held the lease lately. */
+        formerHolderIds: string[];
+        /** Age of the acceptor's memory. */
+        upMs: number;
+        /** Time since the lease of the former holder ended. */
+        idleMs?: number;
+    }
     | { granted: false; highestFence: number; holderId?: string; };
 
+/** A report that differs from an earlier full one, `fullSequence`, by its sequence number alone. */
+export interface UnchangedReport {
+    vmId: string;
+    incarnationId: string;
+    sequence: number;
+    fullSequence: number;
+    ageMs: number;
+}
+
 /** All requests of the inner protocol with their responses, by `type`. */
 export interface Calls {
     "raft.preVote": { request: VoteRequest; response: VoteResponse; };
@@ -118,16 +143,22 @@
     "report.batch": {
         request: {
             daemonId: string;
-            changed: VmReport[];
-            /** Reports that differ from the last full one by their sequence number alone. */
-            unchanged: { vmId: string; incarnationId: string; sequence: number; ageMs: number; }[];
+            changed: { report: VmReport; ageMs: number; }[];
+            unchanged: UnchangedReport[];
         };
         /** `needFull`: VM ids whose full report the controller lacks. */
         response: { accepted: boolean; needFull: string[]; releasedVmIds: string[]; };
     };
     "report.held": {
         request: { zone: string; };
-        response: { reports: { report: VmReport; ageMs: number; }[]; tableVersion: number; };
+        response: {
+            reports: { report: VmReport; ageMs: number; }[];
+            tableVersion: number;
+            /** Time for which the daemon has taken reports. */
+            upMs: number;
+            transfers: ShareTransfer[];
+            drainedVmIds: string[];
+        };
     };
     "grant.renew": {
         request: {
@@ -138,8 +169,17 @@
             viewVersion: number;
             tableVersion: number;
             demand: OrganisationDemand[];
+            /** Requests in flight; absent while the daemon doesn't count them. */
+            inFlight?: InFlightCount[];
+            /** Set by the controller of another zone. */
+            exchange?: ZoneExchange;
         };
-        response: { grant?: Grant; holderId?: string; };
+        response: { grant?: Grant; holderId?: string; exchange?: ZoneExchange; };
+    };
+    /** An operator drains a VM, or ends that. Answered by the zone's controller alone. */
+    "vm.drain": {
+        request: { vmId: string; drain: boolean; dryRun: boolean; };
+        response: { plan?: DrainPlan; };
     };
     "operator.forward": {
         request: { method: string; path: string; body?: unknown; };
@@ -147,6 +187,22 @@
     };
 }
 
+/** What draining a VM does, or would do. */
+export interface DrainPlan {
+    vmId: string;
+    zone: string;
+    dryRun: boolean;
+    /** Group that the VM belongs to. */
+    groupId?: string;
+    model?: string;
+    /** What takes the place of the VM's group: a new group, a new generation with a spare, or nothing. */
+    replacement: "none" | "group" | "spare" | "notNeeded";
+    replacementVmIds: string[];
+    /** Requests in flight on the group, as far as daemons have reported them. */
+    inFlight: number;
+    summary: string;
+}
+
 export type CallType = keyof Calls;
 
 /** One-way messages, by `type`. */
--- a/packages/protocol/src/views.ts
+++ b/packages/protocol/src/views.ts
@@ -106,6 +106,35 @@
     concurrent: number;
 }
 
+/** Requests that a daemon has in flight on a replica group or a service's backend server. */
+export interface InFlightCount {
+    /** Group id, or the service's VM id. */
+    id: string;
+    count: number;
+}
+
+/** Load of a group whose view is otherwise unchanged. */
+export interface GroupLoad {
+    groupId: string;
+    load: BackendLoad;
+}
+
+/** One move of a share of an organisation's limits between zones, as a total since the start. Totals only grow. */
+export interface ShareTransfer {
+    organisation: string;
+    fromZone: string;
+    toZone: string;
+    /** Millionths of the organisation's limits. */
+    millionths: number;
+}
+
+/** What controllers tell each other about organisation limits. */
+export interface ZoneExchange {
+    zone: string;
+    demand: OrganisationDemand[];
+    transfers: ShareTransfer[];
+}
+
 /** Share of an organisation's limits that a daemon may use until the grant ends. */
 export interface OrganisationShare {
     organisation: string;
@@ -126,9 +155,15 @@
     services: ServiceView[];
     removedGroupIds: string[];
     removedServiceVmIds: string[];
+    /** Loads that changed, for groups that are not in `groups`. */
+    loads: GroupLoad[];
     /** Highest table version that any daemon of the zone has reported. */
     tableFloor: number;
     /** Daemons that hold grants of the zone's groups: the divisor of each group's capacity. */
     daemonCount: number;
     shares: OrganisationShare[];
+    /** Totals of the zone's exchange of limits, kept by the daemons for the next controller. */
+    transfers: ShareTransfer[];
+    /** VMs that an operator drains, kept by the daemons for the next controller. */
+    drainedVmIds: string[];
 }
