Test membership with in-process daemons and VMs

Cause: the rebuilt controller had no tests. Change: packages/bench has an in-process zone (hub between daemons, VMs, gates that hold orders back); test/membership covers groups, identity, takeover, lease, orders, grants, limits and drain. Forming now comes before the start of drains, because a drain that started in the same step didn't wait for its replacement.

--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,2 +1,5 @@
 export * from "./cluster.ts";
 export * from "./requests.ts";
+export * from "./zone/hub.ts";
+export * from "./zone/vm.ts";
+export * from "./zone/zone.ts";
--- /dev/null
+++ b/packages/bench/src/zone/zone.ts
@@ -0,0 +1,215 @@
+import { type Context, createContext, Lifecycle, sleep } from "@greengage/base";
+import {
+    Membership,
+    type MembershipTiming,
+    OrderResult,
+    type Orders,
+    type PlacementName,
+} from "@greengage/membership";
+import { type Assignment, GroupState, type GroupView, type VmReport } from "@greengage/protocol";
+import { type RowChange, TableState } from "@greengage/table";
+import { Hub, HubState } from "./hub.ts";
+import { ZoneVm, type ZoneVmOptions } from "./vm.ts";
+
+/** Shorter times than the defaults, in the same proportions as far as a busy machine allows. */
+export const SHORT_TIMING: MembershipTiming = {
+    leaseMs: 1_000,
+    leaseRenewMs: 200,
+    grantMs: 600,
+    grantRenewMs: 150,
+    missingAfterMs: 800,
+    reportBatchMs: 40,
+    unfencedHandoverMs: 4_000,
+    repairAfterMs: 100,
+};
+
+export interface InProcessZoneOptions {
+    /** Daemons per zone, by zone. */
+    daemonsPerZone: Record<string, number>;
+    rows: Omit<RowChange, "baseVersion">[];
+    timing?: Partial<MembershipTiming>;
+    placement?: PlacementName;
+    maxLoads?: number;
+}
+
+export interface ZoneDaemon {
+    daemonId: string;
+    zone: string;
+    context: Context;
+    membership: Membership;
+}
+
+/** Holds back orders of a daemon, as a pause between its check and the write would. */
+export interface OrderGate {
+    isHeld: boolean;
+    waiting: (() => void)[];
+}
+
+/** Daemons' membership parts and backend servers in one process, without HTTP and without a replicated log. */
+export class InProcessZone {
+    readonly hub = new Hub();
+    readonly table = new TableState();
+    readonly daemons: ZoneDaemon[] = [];
+    readonly vms = new Map<string, ZoneVm>();
+    readonly gates = new Map<string, OrderGate>();
+    readonly #options: InProcessZoneOptions;
+    readonly #lifecycle = new Lifecycle();
+    readonly #stopped = new Set<string>();
+    #edits = 0;
+
+    constructor(options: InProcessZoneOptions) {
+        this.#options = options;
+        this.edit(options.rows);
+        const places = Object.entries(options.daemonsPerZone).flatMap(([zone, count]) =>
+            Array.from({ length: count }, (_, index) => ({
+                daemonId: `${zone}-${index + 1}`,
+                zone,
+                controlOnly: false,
+            }))
+        );
+        for (const place of places) {
+            this.#addDaemon(place, places);
+        }
+    }
+
+    start(): void {
+        for (const { membership } of this.daemons) {
+            membership.start();
+        }
+    }
+
+    async close(): Promise<void> {
+        await this.#lifecycle.close();
+        const running = this.daemons.filter(({ daemonId }) => !this.#stopped.has(daemonId));
+        await Promise.all(running.map(({ membership }) => membership.close()));
+    }
+
+    /** Changes rows of the table, each based on its present version. */
+    edit(rows: Omit<RowChange, "baseVersion">[]): void {
+        this.#edits += 1;
+        const changes = rows.map((row) => ({
+            ...row,
+            baseVersion: this.table.row(row.kind, row.name)?.version ?? 0,
+        }));
+        const editId = `edit-${this.#edits}`;
+        const command = { type: "table.edit", editId, operator: "bench", atMs: 0, changes };
+        const outcome = this.table.apply(this.#edits, command);
+        if (outcome.status !== "accepted") {
+            throw new Error(`edit was not accepted: ${JSON.stringify(outcome)}`);
+        }
+    }
+
+    /** Starts a backend server. It reports to a daemon of its zone that is up. */
+    addVm(options: ZoneVmOptions): ZoneVm {
+        const vm = new ZoneVm(options);
+        this.vms.set(options.vmId, vm);
+        vm.start(this.#lifecycle, (report) => this.#sendReport(report));
+        return vm;
+    }
+
+    /** Takes a daemon away at once, as a crash of its VM would. */
+    async crash(daemonId: string): Promise<void> {
+        this.#stopped.add(daemonId);
+        this.hub.setState(daemonId, HubState.Down);
+        await this.daemon(daemonId).membership.close();
+    }
+
+    daemon(daemonId: string): ZoneDaemon {
+        const found = this.daemons.find((daemon) => daemon.daemonId === daemonId);
+        if (found === undefined) {
+            throw new Error(`no daemon ${daemonId}`);
+        }
+        return found;
+    }
+
+    controller(zone: string): ZoneDaemon | undefined {
+        return this.daemons.find((daemon) =>
+            daemon.zone === zone && !this.#stopped.has(daemon.daemonId) && daemon.membership.lease.isValid
+        );
+    }
+
+    /** Groups that a daemon may dispatch to. */
+    serving(daemonId: string, model: string): GroupView[] {
+        return this.daemon(daemonId).membership.directory.servingGroups(model);
+    }
+
+    groups(daemonId: string): GroupView[] {
+        return this.daemon(daemonId).membership.directory.allGroups().filter((group) =>
+            group.state !== GroupState.Dissolved
+        );
+    }
+
+    get violations(): number {
+        return this.daemons.reduce((sum, { context }) => sum + context.invariants.violationCount, 0);
+    }
+
+    #addDaemon(
+        place: { daemonId: string; zone: string; controlOnly: boolean; },
+        daemons: { daemonId: string; zone: string; controlOnly: boolean; }[],
+    ): void {
+        const { daemonId, zone } = place;
+        const context = createContext({ daemonId, zone });
+        const gate: OrderGate = { isHeld: false, waiting: [] };
+        this.gates.set(daemonId, gate);
+        const membership = new Membership({
+            context,
+            peers: this.hub.join({ daemonId, zone, host: "", port: 0 }),
+            table: this.table,
+            daemons,
+            orderKey: "",
+            timing: { ...SHORT_TIMING, ...this.#options.timing },
+            placement: this.#options.placement,
+            weightStore: { maxLoads: this.#options.maxLoads },
+            orders: (lease) => this.#orders(lease, gate),
+        });
+        this.daemons.push({ daemonId, zone, context, membership });
+    }
+
+    #sendReport(report: VmReport): boolean {
+        const receivers = this.daemons.filter((daemon) =>
+            daemon.zone === report.zone && !this.#stopped.has(daemon.daemonId)
+        );
+        const receiver = receivers[report.sequence % Math.max(1, receivers.length)];
+        return receiver?.membership.intake.accept(report).released ?? false;
+    }
+
+    #orders(
+        lease: () => { isValid: boolean; fence: number; raiseFence(fence: number): void; },
+        gate: OrderGate,
+    ): Orders {
+        let pending = 0;
+        const send = async (
+            kind: "load" | "release",
+            report: VmReport,
+            assignment?: Omit<Assignment, "fence">,
+        ): Promise<OrderResult> => {
+            const { fence } = lease();
+            if (!lease().isValid) {
+                return OrderResult.NotSent;
+            }
+            pending += 1;
+            if (gate.isHeld) {
+                await new Promise<void>((resolve) => gate.waiting.push(resolve));
+            }
+            else {
+                await sleep(1);
+            }
+            pending -= 1;
+            const vm = [...this.vms.values()].find((other) => other.incarnationId === report.incarnationId);
+            if (vm === undefined || !vm.isUp) {
+                return OrderResult.Unknown;
+            }
+            if (vm.order(kind, fence, assignment)) {
+                return OrderResult.Accepted;
+            }
+            lease().raiseFence(vm.highestFence);
+            return OrderResult.Refused;
+        };
+        return {
+            load: (report, assignment) => send("load", report, assignment),
+            release: (report) => send("release", report),
+            mayHaveInFlight: () => pending > 0,
+            close: () => Promise.resolve(),
+        };
+    }
+}
--- a/packages/membership/src/controller.ts
+++ b/packages/membership/src/controller.ts
@@ -4,7 +4,7 @@
 import { DowntimeAccount, type SecondsByCause } from "./accounting.ts";
 import { adoptGroups } from "./adoption.ts";
 import { DaemonRegistry } from "./daemons.ts";
-import { checkLeaving, isServiceIdle } from "./drain.ts";
+import { checkLeaving, isServiceIdle, startDrainIfDue } from "./drain.ts";
 import { planVmDrain } from "./drainPlan.ts";
 import { LimitExchange } from "./exchange.ts";
 import { formGroups, planDrains } from "./forming.ts";
@@ -257,6 +257,10 @@
             stepGroup(zone, group);
         }
         formGroups(zone);
+        // After forming, so that a group that is to be drained knows whether it has a replacement.
+        for (const group of zone.groups.all()) {
+            startDrainIfDue(zone, group);
+        }
         this.#reconciler.step();
         this.#refreshViews();
         this.#exchange.step(zone.daemons.active());
--- a/packages/membership/src/shares.ts
+++ b/packages/membership/src/shares.ts
@@ -75,7 +75,7 @@
     }
     const equal = sum > 0 ? EQUAL_PART : 1;
     return demands.map((demand) =>
-        whole * (equal / demands.length + (sum > 0 ? (1 - equal) * demand / sum : 0))
+        whole * (equal / demands.length + (sum > 0 ? (1 - equal) * (demand / sum) : 0))
     );
 };
 
--- a/packages/membership/src/transitions.ts
+++ b/packages/membership/src/transitions.ts
@@ -1,6 +1,6 @@
 import { monotonicMs } from "@greengage/base";
 import { GroupState } from "@greengage/protocol";
-import { isDrained, startDrainIfDue } from "./drain.ts";
+import { isDrained } from "./drain.ts";
 import { Cause, DrainReason, type Group } from "./group.ts";
 import { repair } from "./repair.ts";
 import { causeOfLoss, isAdopting, MemberStatus, memberStatus, type ZoneState } from "./zone.ts";
@@ -29,7 +29,6 @@
         ? GroupState.Forming
         : GroupState.Loading;
     zone.groups.setState(group, next, Cause.Loading);
-    startDrainIfDue(zone, group);
     giveUpUnwanted(zone, group);
 };
 
--- /dev/null
+++ b/test/membership/drain.test.ts
@@ -0,0 +1,93 @@
+import { monotonicMs } from "@greengage/base";
+import { waitFor } from "@greengage/faults";
+import { BackendKind, GroupState, type InFlightCount } from "@greengage/protocol";
+import test from "ava";
+import { addVms, servingCount, servingOne, vmOf, ZONE, zoneOf } from "./fixtures.ts";
+
+const BOUND_MS = 2_000;
+
+// Guards against lost capacity and new work during a planned restart (hard case 10).
+test("a replacement serves before the group of a leaving VM drains, and the VM is released when it is idle", async (t) => {
+    const zone = zoneOf(t);
+    const vms = addVms(zone, "rack-1", 4, { cachedModels: ["assistant"] });
+    const group = await servingOne(zone);
+    const leader = vmOf(zone, group.memberVmIds[0]);
+    leader.runningRequests = 1;
+    leader.leaving = true;
+    const leftAtMs = monotonicMs();
+    const counts: number[] = [];
+    await waitFor("new work elsewhere", () => {
+        const serving = zone.serving(`${ZONE}-1`, "assistant");
+        counts.push(serving.length);
+        return (serving.length === 1 && serving[0]?.groupId !== group.groupId) || undefined;
+    });
+    t.true(monotonicMs() - leftAtMs < BOUND_MS);
+    t.false(counts.includes(0));
+    t.false(leader.released);
+    t.is(leader.assignment?.groupId, group.groupId);
+    leader.runningRequests = 0;
+    await waitFor("release", () => leader.released || undefined);
+    await waitFor(
+        "release of the old members",
+        () => vms.filter((vm) => vm.assignment !== undefined).length === 2 || undefined,
+    );
+    t.is(zone.violations, 0);
+});
+
+// Guards against the release of a VM while a daemon's request is in flight that the VM doesn't report yet (P7).
+test("a VM isn't released while a daemon counts requests in flight on its group", async (t) => {
+    const zone = zoneOf(t, { daemonsPerZone: { [ZONE]: 2 } });
+    addVms(zone, "rack-1", 2);
+    const group = await servingOne(zone, `${ZONE}-2`);
+    let inFlight: InFlightCount[] = [{ id: group.groupId, count: 1 }];
+    let asked = 0;
+    zone.daemon(`${ZONE}-2`).membership.directory.setInFlightSource(() => {
+        asked += 1;
+        return inFlight;
+    });
+    const member = vmOf(zone, group.memberVmIds[1]);
+    member.leaving = true;
+    await servingCount(zone, 0);
+    const askedBefore = asked;
+    await waitFor("several renewals", () => asked > askedBefore + 8 || undefined);
+    t.is(zone.groups(`${ZONE}-2`)[0]?.state, GroupState.Draining);
+    t.false(member.released);
+    inFlight = [];
+    await waitFor("release", () => member.released || undefined);
+});
+
+// Guards against calls to a service's backend server after it has left.
+test("a leaving service gets no calls within the bound and is released", async (t) => {
+    const zone = zoneOf(t);
+    const ledger = zone.addVm({ vmId: "ledger-1", zone: ZONE, fabricDomain: "none", service: "ledger" });
+    const { directory } = zone.daemon(`${ZONE}-1`).membership;
+    await waitFor("the service", () => directory.services("ledger")[0]);
+    ledger.leaving = true;
+    const leftAtMs = monotonicMs();
+    await waitFor("no service", () => directory.services("ledger").length === 0 || undefined);
+    t.true(monotonicMs() - leftAtMs < BOUND_MS);
+    await waitFor("release", () => ledger.released || undefined);
+    t.is(ledger.report().kind, BackendKind.Service);
+});
+
+// Guards against a drain by hand that changes something on a dry run, or leaves the operator without a plan.
+test("an operator's drain says what it does, and a dry run changes nothing", async (t) => {
+    const zone = zoneOf(t);
+    addVms(zone, "rack-1", 3);
+    const group = await servingOne(zone);
+    const { membership } = zone.daemon(`${ZONE}-1`);
+    const vmId = group.memberVmIds[0] ?? "";
+    const plan = await membership.drainVm(vmId, { dryRun: true });
+    t.like(plan, { vmId, dryRun: true, groupId: group.groupId, replacement: "spare" });
+    t.deepEqual(membership.measures().drainedVmIds, []);
+    t.is(await membership.drainVm("no-such-vm"), undefined);
+    await membership.drainVm(vmId);
+    const after = await waitFor(
+        "a group without the VM",
+        () => zone.serving(`${ZONE}-1`, "assistant").find((next) => !next.memberVmIds.includes(vmId)),
+    );
+    t.is(after.groupId, group.groupId);
+    await waitFor("release", () => vmOf(zone, vmId).assignment === undefined || undefined);
+    await membership.undrainVm(vmId);
+    t.deepEqual(membership.measures().drainedVmIds, []);
+});
--- /dev/null
+++ b/test/membership/grants.test.ts
@@ -0,0 +1,131 @@
+import { GroupState, type GroupView, type ServiceView } from "@greengage/protocol";
+import test from "ava";
+import fc from "fast-check";
+import {
+    clampToRest,
+    divideByDemand,
+    divideWhole,
+    ShareLedger,
+    WHOLE,
+} from "../../packages/membership/src/shares.ts";
+import { ViewLog } from "../../packages/membership/src/views.ts";
+
+const viewOf = (id: number, generation: number, running: number): GroupView => ({
+    groupId: `group-${id}`,
+    generation,
+    model: "assistant",
+    zone: "zone-a",
+    fabricDomain: "rack-1",
+    state: GroupState.Serving,
+    memberVmIds: [`vm-${id}`],
+    leaderUrl: "",
+    maxConcurrent: 8,
+    load: { runningRequests: running, waitingRequests: 0, kvUsedShare: 0, tokenGapMs: 0 },
+});
+
+const service: ServiceView = {
+    vmId: "ledger-1",
+    incarnationId: "1",
+    service: "ledger",
+    zone: "zone-a",
+    url: "",
+    maxConcurrent: 1,
+    available: true,
+};
+
+const group = fc.record({ id: fc.nat(4), generation: fc.nat(2), running: fc.nat(2) });
+const steps = fc.array(fc.uniqueArray(group, { selector: ({ id }) => id }), { maxLength: 20 });
+
+// Guards against a daemon that keeps a removed group, or misses a change, because it renews now and then only.
+test("a view built from deltas equals the full view", (t) => {
+    fc.assert(
+        fc.property(steps, fc.array(fc.boolean(), { minLength: 20, maxLength: 20 }), (views, renews) => {
+            const log = new ViewLog();
+            const held = new Map<string, GroupView>();
+            let version: number | undefined;
+            for (const [index, present] of views.entries()) {
+                log.update(present.map(({ id, generation, running }) => viewOf(id, generation, running)), [
+                    service,
+                ]);
+                if (!renews[index]) {
+                    continue;
+                }
+                const delta = log.since(version);
+                version = delta.viewVersion;
+                if (delta.full) {
+                    held.clear();
+                }
+                delta.groups.forEach((view) => held.set(view.groupId, view));
+                delta.loads.forEach(({ groupId, load }) =>
+                    held.set(groupId, { ...held.get(groupId) as GroupView, load })
+                );
+                delta.removedGroupIds.forEach((id) => held.delete(id));
+                const byId = (a: GroupView, b: GroupView): number => a.groupId.localeCompare(b.groupId);
+                t.deepEqual([...held.values()].sort(byId), log.since(undefined).groups.sort(byId));
+            }
+        }),
+    );
+});
+
+// Guards against a control path whose cost grows with the fleet when nothing changes.
+test("a renewal without changes carries no view", (t) => {
+    const log = new ViewLog();
+    log.update([viewOf(1, 1, 0), viewOf(2, 1, 0)], [service]);
+    const { viewVersion } = log.since(undefined);
+    log.update([viewOf(1, 1, 0), viewOf(2, 1, 0)], [service]);
+    const same = log.since(viewVersion);
+    t.is(same.viewVersion, viewVersion);
+    t.is(same.groups.length + same.services.length + same.loads.length, 0);
+    log.update([viewOf(1, 1, 5), viewOf(2, 1, 0)], [service]);
+    t.deepEqual(log.since(viewVersion).loads.map(({ groupId }) => groupId), ["group-1"]);
+    t.is(log.since(viewVersion).groups.length, 0);
+});
+
+const ZONES = ["zone-a", "zone-b", "zone-c"];
+const event = fc.record({
+    kind: fc.constantFrom("give", "merge"),
+    from: fc.nat(2),
+    to: fc.nat(2),
+    millionths: fc.nat(2 * WHOLE),
+});
+
+// Guards against an organisation that uses more than its limit while zones exchange parts or are cut off.
+test("zones' parts never exceed the limit, whatever messages are lost or repeated", (t) => {
+    fc.assert(fc.property(fc.array(event, { maxLength: 60 }), (events) => {
+        const ledgers = ZONES.map(() => new ShareLedger(ZONES));
+        for (const { kind, from, to, millionths } of events) {
+            if (kind === "give") {
+                ledgers[from]?.give("umbrella", ZONES[from] ?? "", ZONES[to] ?? "", millionths);
+            }
+            else {
+                ledgers[to]?.merge(ledgers[from]?.transfers() ?? []);
+            }
+            const parts = ledgers.map((ledger, index) => ledger.shareOf("umbrella", ZONES[index] ?? ""));
+            t.true(parts.reduce((sum, part) => sum + part, 0) <= WHOLE);
+        }
+    }));
+});
+
+// Guards against parts of a division that add up to more than the whole.
+test("divisions by demand add up to the whole at most", (t) => {
+    fc.assert(
+        fc.property(
+            fc.nat(10_000),
+            fc.array(fc.double({ min: 0, max: 1e6, noNaN: true }), { minLength: 1, maxLength: 12 }),
+            (whole, demands) => {
+                const exact = divideByDemand(whole, demands).reduce((sum, part) => sum + part, 0);
+                t.true(exact <= whole * (1 + 1e-9));
+                const parts = divideWhole(whole, divideByDemand(1, demands));
+                t.is(parts.reduce((sum, part) => sum + part, 0), whole);
+                t.true(parts.every((part) => Number.isInteger(part) && part >= 0));
+            },
+        ),
+    );
+});
+
+// Guards against a daemon that gets its new share while another still uses it.
+test("a daemon gets no more than the others don't hold", (t) => {
+    t.is(clampToRest(6, 10, 8), 2);
+    t.is(clampToRest(6, 10, 12), 0);
+    t.is(clampToRest(6, 10, 1), 6);
+});
--- /dev/null
+++ b/test/membership/groups.test.ts
@@ -0,0 +1,141 @@
+import { waitFor } from "@greengage/faults";
+import { GroupState } from "@greengage/protocol";
+import test from "ava";
+import { addVms, eventKinds, servingCount, servingOne, vmOf, ZONE, zoneOf } from "./fixtures.ts";
+
+// Guards against groups that span fabric domains, which would be slow.
+test("a group is formed inside one fabric domain", async (t) => {
+    const zone = zoneOf(t, { model: { replicas: 2 } });
+    addVms(zone, "rack-1", 1);
+    addVms(zone, "rack-2", 3);
+    const group = await servingOne(zone);
+    t.true(group.memberVmIds.every((vmId) => vmId.startsWith("rack-2")));
+    t.is(zone.groups(`${ZONE}-1`).length, 1);
+    t.is(zone.violations, 0);
+});
+
+// Guards against a group that is loaded anew as a whole, or stays down, when one member is lost (hard case 8).
+test("lost members are replaced by spares in a new generation, also right after a repair", async (t) => {
+    const zone = zoneOf(t);
+    addVms(zone, "rack-1", 4);
+    const first = await servingOne(zone);
+    vmOf(zone, first.memberVmIds[1]).isUp = false;
+    const second = await waitFor(
+        "repair",
+        () => zone.serving(`${ZONE}-1`, "assistant").find((group) => group.generation === 2),
+    );
+    t.is(second.groupId, first.groupId);
+    t.is(second.memberVmIds[0], first.memberVmIds[0]);
+    t.is(vmOf(zone, first.memberVmIds[0]).assignment?.generation, 2);
+    vmOf(zone, second.memberVmIds[1]).isUp = false;
+    const third = await waitFor(
+        "second repair",
+        () => zone.serving(`${ZONE}-1`, "assistant").find((group) => group.generation === 3),
+    );
+    t.is(third.memberVmIds[0], first.memberVmIds[0]);
+    t.is(zone.violations, 0);
+});
+
+// Guards against a loading group that waits for a lost member for ever, and against spares of another domain.
+test("a group whose fabric domain is lost while it loads is formed elsewhere", async (t) => {
+    const zone = zoneOf(t);
+    const lost = addVms(zone, "rack-1", 3, { loadMs: 600_000 });
+    await waitFor(
+        "loading group",
+        () => zone.groups(`${ZONE}-1`).find((group) => group.state === GroupState.Loading),
+    );
+    for (const vm of lost) {
+        vm.isUp = false;
+    }
+    addVms(zone, "rack-2", 2);
+    const group = await servingOne(zone);
+    t.is(group.fabricDomain, "rack-2");
+});
+
+// Guards against a mass reload after a short outage: weights in memory are still there.
+test("members that return within the repair time serve again without an order", async (t) => {
+    const zone = zoneOf(t, { timing: { repairAfterMs: 60_000 } });
+    const vms = addVms(zone, "rack-1", 3);
+    const group = await servingOne(zone);
+    const ordersBefore = vms.map((vm) => vm.orders.length);
+    const member = vmOf(zone, group.memberVmIds[1]);
+    member.isUp = false;
+    await servingCount(zone, 0);
+    member.isUp = true;
+    const after = await servingOne(zone);
+    t.is(after.generation, group.generation);
+    t.deepEqual(vms.map((vm) => vm.orders.length), ordersBefore);
+});
+
+// Guards against a group that counts on the weights of a process that is gone.
+test("a member that restarts gets a new order", async (t) => {
+    const zone = zoneOf(t);
+    addVms(zone, "rack-1", 2);
+    const group = await servingOne(zone);
+    vmOf(zone, group.memberVmIds[0]).restart();
+    const after = await waitFor(
+        "next generation",
+        () =>
+            zone.serving(`${ZONE}-1`, "assistant").find((next) =>
+                next.groupId !== group.groupId || next.generation > group.generation
+            ),
+    );
+    t.is(vmOf(zone, after.memberVmIds[0]).assignment?.groupId, after.groupId);
+    t.is(zone.violations, 0);
+});
+
+// Guards against a VM that can't load being chosen again and again.
+test("a VM whose load fails is replaced", async (t) => {
+    const zone = zoneOf(t, { placement: "firstFit" });
+    const [broken] = addVms(zone, "rack-1", 3);
+    (broken as { failsLoads: boolean; }).failsLoads = true;
+    const group = await servingOne(zone);
+    t.false(group.memberVmIds.includes("rack-1-vm-1"));
+    t.true(eventKinds(zone).includes("vm.loadFailed"));
+});
+
+// Guards against groups that keep VMs after the operators have given them up.
+test("surplus groups and those of a disabled model are drained and released", async (t) => {
+    const zone = zoneOf(t, { model: { replicas: 2 } });
+    const vms = addVms(zone, "rack-1", 4);
+    await servingCount(zone, 2);
+    zone.edit([{ kind: "model", name: "assistant", columns: { replicas: 1 } }]);
+    await servingCount(zone, 1);
+    await waitFor(
+        "release of two VMs",
+        () => vms.filter((vm) => vm.assignment === undefined).length === 2 || undefined,
+    );
+    zone.edit([{ kind: "model", name: "assistant", columns: { enabled: false } }]);
+    await waitFor("release of all VMs", () => vms.every((vm) => vm.assignment === undefined) || undefined);
+    t.true(eventKinds(zone).includes("group.draining"));
+});
+
+// Guards against an overloaded weight store when every group needs it at once (hard case 11).
+test("loads of a returning fabric domain stay within the rate of the weight store", async (t) => {
+    const zone = zoneOf(t, { model: { replicas: 4 }, maxLoads: 2 });
+    let running = 0;
+    let most = 0;
+    for (const vm of addVms(zone, "rack-1", 8)) {
+        vm.onLoad = (change) => {
+            running += change;
+            most = Math.max(most, running);
+        };
+    }
+    await servingCount(zone, 4);
+    t.is(most, 2);
+});
+
+// Guards against a slow VM that holds back its whole group while a spare is idle (hard case 9).
+test("a straggler is replaced while a spare exists", async (t) => {
+    const zone = zoneOf(t, { model: { replicas: 2 } });
+    addVms(zone, "rack-1", 5);
+    const groups = await servingCount(zone, 2);
+    const slowId = groups[0]?.memberVmIds[1];
+    vmOf(zone, slowId).tokenGapMs = 100;
+    await waitFor("two groups without the straggler", () => {
+        const serving = zone.serving(`${ZONE}-1`, "assistant");
+        const isUsed = serving.some((group) => group.memberVmIds.includes(slowId ?? ""));
+        return (serving.length === 2 && !isUsed) || undefined;
+    });
+    t.is(zone.violations, 0);
+});
--- /dev/null
+++ b/test/membership/identity.test.ts
@@ -0,0 +1,46 @@
+import { Lifecycle } from "@greengage/base";
+import { ZoneVm } from "@greengage/bench";
+import { waitFor } from "@greengage/faults";
+import test from "ava";
+import { addVms, eventKinds, servingOne, vmOf, ZONE, zoneOf } from "./fixtures.ts";
+
+// Guards against a group with a member that is two processes (hard case 14).
+test("an identity that two processes announce is quarantined", async (t) => {
+    const zone = zoneOf(t);
+    addVms(zone, "rack-1", 3);
+    const group = await servingOne(zone);
+    const vmId = group.memberVmIds[1] ?? "";
+    const twin = new ZoneVm({ vmId, zone: ZONE, fabricDomain: "rack-1", url: "http://twin" });
+    const lifecycle = new Lifecycle();
+    t.teardown(() => lifecycle.close());
+    const { intake, controller } = zone.daemon(`${ZONE}-1`).membership;
+    twin.start(lifecycle, (report) => intake.accept(report).released);
+    await waitFor("quarantine", () => controller.measures().quarantinedVmIds.includes(vmId) || undefined);
+    const after = await waitFor(
+        "a group without the VM",
+        () => zone.serving(`${ZONE}-1`, "assistant").find((next) => !next.memberVmIds.includes(vmId)),
+    );
+    t.is(after.memberVmIds.length, 2);
+    t.true(eventKinds(zone).includes("vm.quarantined"));
+    t.is(zone.violations, 0);
+});
+
+// Guards against requests that go to a replaced VM's address under its old name (hard case 14).
+test("a VM whose address another identity reports is missing at once", async (t) => {
+    const zone = zoneOf(t, { timing: { missingAfterMs: 10_000 } });
+    addVms(zone, "rack-1", 3);
+    const group = await servingOne(zone);
+    const old = vmOf(zone, group.memberVmIds[0]);
+    old.isUp = false;
+    zone.addVm({ vmId: "rack-1-vm-9", zone: ZONE, fabricDomain: "rack-1", url: old.url });
+    // The old VM's report stays fresh for 10 s, so that only the claim of its address can end its membership.
+    const after = await waitFor(
+        "a group without the VM",
+        () =>
+            zone.serving(`${ZONE}-1`, "assistant").find((next) =>
+                !next.memberVmIds.includes(old.options.vmId)
+            ),
+        8_000,
+    );
+    t.true(after.memberVmIds.length === 2);
+});
--- /dev/null
+++ b/test/membership/lease.test.ts
@@ -0,0 +1,131 @@
+import { createContext, monotonicMs } from "@greengage/base";
+import { Hub, HubState, SHORT_TIMING } from "@greengage/bench";
+import { waitFor } from "@greengage/faults";
+import test, { type ExecutionContext } from "ava";
+import { LeaseAcceptor } from "../../packages/membership/src/acceptor.ts";
+import { ZoneLease } from "../../packages/membership/src/lease.ts";
+import { ZONE } from "./fixtures.ts";
+
+interface Candidate {
+    daemonId: string;
+    lease: ZoneLease;
+    acquired: number[];
+    raised: number[];
+    reportedFence: number;
+}
+
+const candidatesOf = (t: ExecutionContext, hub: Hub, count: number): Candidate[] => {
+    const acceptorIds = Array.from({ length: count }, (_, index) => `daemon-${index + 1}`);
+    return acceptorIds.map((daemonId) => {
+        const peers = hub.join({ daemonId, zone: ZONE, host: "", port: 0 });
+        new LeaseAcceptor(peers, SHORT_TIMING);
+        const acquired: number[] = [];
+        const raised: number[] = [];
+        const candidate = { daemonId, acquired, raised, reportedFence: 0 } as unknown as Candidate;
+        candidate.lease = new ZoneLease({
+            context: createContext({ daemonId, zone: ZONE }),
+            peers,
+            acceptorIds,
+            timing: SHORT_TIMING,
+            highestReportedFence: () => candidate.reportedFence,
+            tableFloor: () => 7,
+            onTableFloor: () => undefined,
+            onAcquired: (fence) => acquired.push(fence),
+            onFenceRaised: (fence) => raised.push(fence),
+            onLost: () => undefined,
+        });
+        candidate.lease.start();
+        t.teardown(() => candidate.lease.close());
+        return candidate;
+    });
+};
+
+const holderOf = (candidates: Candidate[]): Promise<Candidate> =>
+    waitFor("a holder", () => candidates.find(({ lease }) => lease.isValid));
+
+const acquireRequest = (fence: number, holderId: string, leaseMs = SHORT_TIMING.leaseMs) => ({
+    zone: ZONE,
+    fence,
+    holderId,
+    leaseMs,
+    tableFloor: 3,
+});
+
+// Guards against two controllers in one zone, through races, a frozen holder and lost connections.
+test("candidates that race never hold the lease together, and fencing tokens only grow", async (t) => {
+    const hub = new Hub();
+    const candidates = candidatesOf(t, hub, 3);
+    const seen: number[] = [];
+    const watch = setInterval(() => {
+        const holders = candidates.filter(({ lease }) => lease.isValid);
+        seen.push(holders.length);
+    }, 5);
+    t.teardown(() => clearInterval(watch));
+    const first = await holderOf(candidates);
+    hub.setState(first.daemonId, HubState.Frozen);
+    for (const other of candidates.filter((candidate) => candidate !== first)) {
+        hub.setCut(first.daemonId, other.daemonId, true);
+    }
+    const second = await waitFor(
+        "a second holder",
+        () => candidates.find((candidate) => candidate !== first && candidate.lease.isValid),
+    );
+    t.true(second.lease.fence > first.lease.fence);
+    t.false(first.lease.isValid);
+    t.true(Math.max(...seen) <= 1);
+});
+
+// Guards against a second lease that an acceptor grants because a restart has emptied its memory.
+test("an acceptor grants nothing until every lease that it could have granted has ended", async (t) => {
+    const peers = new Hub().join({ daemonId: "daemon-1", zone: ZONE, host: "", port: 0 });
+    const startedAtMs = monotonicMs();
+    const acceptor = new LeaseAcceptor(peers, SHORT_TIMING);
+    t.false(acceptor.acquire(acquireRequest(1, "a")).granted);
+    const fence = await waitFor(
+        "a grant",
+        () => acceptor.acquire(acquireRequest(1, "a")).granted || undefined,
+    );
+    t.true(fence);
+    t.true(monotonicMs() - startedAtMs >= SHORT_TIMING.leaseMs + 200);
+});
+
+// Guards against stale fencing tokens, leases that outlast the restart rule, and a forgotten table floor.
+test("an acceptor refuses other holders, used tokens and long leases, and keeps the table floor", async (t) => {
+    const peers = new Hub().join({ daemonId: "daemon-1", zone: ZONE, host: "", port: 0 });
+    const acceptor = new LeaseAcceptor(peers, SHORT_TIMING);
+    await waitFor("a grant", () => acceptor.acquire(acquireRequest(5, "a")).granted || undefined);
+    t.false(acceptor.acquire(acquireRequest(6, "b")).granted);
+    t.true(acceptor.acquire(acquireRequest(5, "a")).granted);
+    t.false(acceptor.acquire(acquireRequest(4, "a")).granted);
+    acceptor.release(ZONE, 4, "a");
+    t.false(acceptor.acquire(acquireRequest(6, "b")).granted);
+    acceptor.release(ZONE, 5, "a");
+    t.false(acceptor.acquire(acquireRequest(5, "b")).granted);
+    t.false(acceptor.acquire(acquireRequest(6, "b", 60_000)).granted);
+    const answer = acceptor.acquire({ ...acquireRequest(6, "b"), tableFloor: 1 });
+    t.true(answer.granted && answer.tableFloor === 3 && answer.formerHolderIds.includes("a"));
+});
+
+// Guards against a zone whose backend servers refuse every order, because they know a higher token.
+test("a holder raises its fencing token above one that a backend server has seen", async (t) => {
+    const candidates = candidatesOf(t, new Hub(), 3);
+    const holder = await holderOf(candidates);
+    holder.lease.raiseFence(41);
+    await waitFor("a higher token", () => holder.lease.fence > 41 || undefined);
+    t.true(holder.lease.isValid);
+    t.deepEqual(holder.raised, [42]);
+    t.is(holder.acquired.length, 1);
+});
+
+// Guards against a pause of leaseMs at each planned restart.
+test("a successor starts at once after a release", async (t) => {
+    const candidates = candidatesOf(t, new Hub(), 3);
+    const holder = await holderOf(candidates);
+    await holder.lease.close();
+    const closedAtMs = monotonicMs();
+    await waitFor(
+        "a successor",
+        () => candidates.find((candidate) => candidate !== holder && candidate.lease.isValid),
+    );
+    t.true(monotonicMs() - closedAtMs < SHORT_TIMING.leaseMs);
+});
--- /dev/null
+++ b/test/membership/orders.test.ts
@@ -0,0 +1,83 @@
+import { createContext } from "@greengage/base";
+import { ZoneVm } from "@greengage/bench";
+import { waitFor } from "@greengage/faults";
+import test, { type ExecutionContext } from "ava";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import { OrderResult, OrderSender } from "../../packages/membership/src/orders.ts";
+import { ZONE } from "./fixtures.ts";
+
+const serverOf = async (
+    t: ExecutionContext,
+    answer: () => number | undefined,
+): Promise<{ url: string; received: string[]; }> => {
+    const received: string[] = [];
+    const server = createServer((request, response) => {
+        received.push(request.url ?? "");
+        const status = answer();
+        if (status === undefined) {
+            request.socket.destroy();
+            return;
+        }
+        response.writeHead(status, { "content-type": "application/json" });
+        response.end(JSON.stringify({ highestFence: 9 }));
+    });
+    await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+    t.teardown(() => server.close());
+    return { url: `http://127.0.0.1:${(server.address() as AddressInfo).port}`, received };
+};
+
+const senderOf = (
+    t: ExecutionContext,
+    lease: { isValid: boolean; fence: number; raised?: number; },
+): OrderSender => {
+    const sender = new OrderSender({
+        context: createContext({ daemonId: "daemon-1", zone: ZONE }),
+        lease: () => ({
+            get isValid(): boolean {
+                return lease.isValid;
+            },
+            get fence(): number {
+                return lease.fence;
+            },
+            raiseFence: (fence: number) => {
+                lease.raised = fence;
+            },
+        }),
+        key: "",
+        unknownMs: 60_000,
+    });
+    t.teardown(() => sender.close());
+    return sender;
+};
+
+const reportOf = (url: string) =>
+    new ZoneVm({ vmId: "vm-1", zone: ZONE, fabricDomain: "rack-1", url }).report();
+
+// Guards against an order under a lease that ended while the connection was being opened.
+test("an order isn't written when the lease ends before the connection is open", async (t) => {
+    const server = await serverOf(t, () => 200);
+    const lease = { isValid: true, fence: 3 };
+    const sender = senderOf(t, lease);
+    const result = sender.release(reportOf(server.url), "group-1");
+    lease.isValid = false;
+    t.is(await result, OrderResult.NotSent);
+    t.deepEqual(server.received, []);
+    t.false(sender.mayHaveInFlight(3));
+    lease.isValid = true;
+    t.is(await sender.release(reportOf(server.url), "group-1"), OrderResult.Accepted);
+    t.is(server.received.length, 1);
+});
+
+// Guards against a predecessor that confirms it has stopped although its order may still arrive.
+test("an order without an answer counts as in flight, and a refusal raises the fencing token", async (t) => {
+    const server = await serverOf(t, () => undefined);
+    const lease: { isValid: boolean; fence: number; raised?: number; } = { isValid: true, fence: 3 };
+    const sender = senderOf(t, lease);
+    t.is(await sender.release(reportOf(server.url), "group-1"), OrderResult.Unknown);
+    t.true(sender.mayHaveInFlight(3));
+    t.false(sender.mayHaveInFlight(2));
+    const refusing = await serverOf(t, () => 409);
+    t.is(await sender.release(reportOf(refusing.url), "group-1"), OrderResult.Refused);
+    await waitFor("a raised token", () => lease.raised === 9 || undefined);
+});
--- /dev/null
+++ b/test/membership/takeover.test.ts
@@ -0,0 +1,104 @@
+import { HubState } from "@greengage/bench";
+import { waitFor } from "@greengage/faults";
+import test from "ava";
+import { addVms, eventKinds, servingOne, vmOf, ZONE, zoneOf } from "./fixtures.ts";
+
+const THREE_DAEMONS = { daemonsPerZone: { [ZONE]: 3 } };
+
+// Guards against a controller change that reloads healthy groups.
+test("a successor adopts groups from reports without orders", async (t) => {
+    const zone = zoneOf(t, THREE_DAEMONS);
+    const vms = addVms(zone, "rack-1", 3);
+    const group = await servingOne(zone, `${ZONE}-1`);
+    const ordersBefore = vms.map((vm) => vm.orders.length);
+    const former = zone.controller(ZONE);
+    await zone.crash(former?.daemonId ?? "");
+    const successor = await waitFor("a successor", () => zone.controller(ZONE));
+    const adopted = await servingOne(zone, successor.daemonId);
+    t.is(adopted.groupId, group.groupId);
+    t.is(adopted.generation, group.generation);
+    t.deepEqual(vms.map((vm) => vm.orders.length), ordersBefore);
+});
+
+// Guards against a VM in two groups after a paused controller's late order (hard case 1): the VM accepts any order.
+test("a late order to a VM that ignores fencing tokens suspends its group, and the VM is replaced", async (t) => {
+    const zone = zoneOf(t, { ...THREE_DAEMONS, timing: { unfencedHandoverMs: 1_000 } });
+    addVms(zone, "rack-1", 3, { checksFencing: false });
+    const first = await servingOne(zone);
+    const former = await waitFor("controller", () => zone.controller(ZONE));
+    const gate = zone.gates.get(former.daemonId);
+    const lostId = first.memberVmIds[1] ?? "";
+    const spareId = [...zone.vms.keys()].find((vmId) => !first.memberVmIds.includes(vmId)) ?? "";
+    (gate as { isHeld: boolean; }).isHeld = true;
+    vmOf(zone, lostId).isUp = false;
+    await waitFor("held orders of the repair", () => (gate?.waiting.length ?? 0) > 0 || undefined);
+    zone.hub.setState(former.daemonId, HubState.Down);
+    vmOf(zone, lostId).isUp = true;
+    const others = zone.daemons.filter((daemon) => daemon !== former);
+    const successor = await waitFor(
+        "a successor",
+        () => others.find(({ membership }) => membership.lease.isValid),
+    );
+    const adopted = await servingOne(zone, successor.daemonId);
+    t.is(adopted.generation, 1);
+    // The held orders of the former controller arrive now: generation 2 with the spare.
+    gate?.waiting.splice(0).forEach((resume) => resume());
+    await waitFor("detection", () => eventKinds(zone).includes("vm.lateOrder") || undefined);
+    t.true(vmOf(zone, spareId).orders.length > 0);
+    const after = await servingOne(zone, successor.daemonId);
+    t.true(after.generation !== 1 || after.groupId !== first.groupId);
+    t.is(zone.violations, 0);
+});
+
+// Guards against an order to a VM that a silent predecessor may still move (section 8).
+test("a VM that ignores fencing tokens isn't moved until the predecessor has confirmed or the time is up", async (t) => {
+    const zone = zoneOf(t, { ...THREE_DAEMONS, timing: { unfencedHandoverMs: 3_000 } });
+    addVms(zone, "rack-1", 3, { checksFencing: false });
+    const group = await servingOne(zone);
+    const former = await waitFor("controller", () => zone.controller(ZONE));
+    await zone.crash(former.daemonId);
+    const others = zone.daemons.filter((daemon) => daemon !== former);
+    const successor = await waitFor(
+        "a successor",
+        () => others.find(({ membership }) => membership.lease.isValid),
+    );
+    const takenOverAtMs = performance.now();
+    vmOf(zone, group.memberVmIds[1]).isUp = false;
+    const after = await waitFor(
+        "repair",
+        () =>
+            zone.serving(successor.daemonId, "assistant").find((next) =>
+                next.memberVmIds.join() !== group.memberVmIds.join()
+            ),
+    );
+    t.true(performance.now() - takenOverAtMs > 2_000);
+    t.is(after.memberVmIds.length, 2);
+    const { byCauseS } = successor.membership.measures().groupDowntime;
+    t.true(Object.values(byCauseS).some((seconds) => seconds > 1));
+});
+
+// Guards against a VM that drops out of an operator's drain when the controller changes.
+test("an operator's drain survives a controller change", async (t) => {
+    const zone = zoneOf(t, THREE_DAEMONS);
+    addVms(zone, "rack-1", 3);
+    const group = await servingOne(zone);
+    const drainedId = group.memberVmIds[0] ?? "";
+    const former = await waitFor("controller", () => zone.controller(ZONE));
+    t.truthy(await former.membership.drainVm(drainedId));
+    await waitFor(
+        "daemons that know of the drain",
+        () =>
+            zone.daemons.every(({ membership }) =>
+                membership.directory.kept().drainedVmIds.includes(drainedId)
+            )
+            || undefined,
+    );
+    await zone.crash(former.daemonId);
+    const successor = await waitFor("a successor", () => zone.controller(ZONE));
+    await waitFor(
+        "the drain at the successor",
+        () => successor.membership.measures().drainedVmIds.includes(drainedId) || undefined,
+    );
+    const after = await servingOne(zone, successor.daemonId);
+    t.false(after.memberVmIds.includes(drainedId));
+});
