--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -13,6 +13,7 @@
     missingAfterMs: z.number().int().min(200).max(60_000),
     reportBatchMs: z.number().int().min(20).max(10_000),
     unfencedHandoverMs: z.number().int().min(0).max(3_600_000),
+    repairAfterMs: z.number().int().min(0).max(600_000),
 }).partial();
 
 /** Limits of the HTTP surfaces. The defaults are in `@greengage/http`. */
