Add a fault-injecting proxy and stand-ins that depend on their members

Cause: tests and the chaos run need links that can be cut, held, swallowed, delayed and reset one direction at a time, and model engines that stop when a member of their group is gone.

Change: FaultProxy applies faults by the source address of a connection; test processes open their connections from their own loopback address, so one proxy per listening process covers every directed pair. Cluster has an option proxied with methods to partition zones and to kill, freeze and restart daemons and stand-ins. Load orders carry memberUrls; rank 0 holds a connection to each member. A weight store with a limited rate, a prefix cache, stragglers, late and lost answers and hosts of several VMs.

--- a/packages/bench/src/cluster.ts
+++ b/packages/bench/src/cluster.ts
@@ -1,10 +1,11 @@
 import { freePorts, ManagedProcess, waitFor } from "@greengage/faults";
-import type { StandinOptions } from "@greengage/standins";
+import type { HostOptions, StandinOptions } from "@greengage/standins";
 import { createHash } from "node:crypto";
-import { existsSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { cpSync, existsSync, mkdirSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { request } from "undici";
+import { Links } from "./links.ts";
 
 export const CALLER_KEY = "caller-key-of-the-bench";
 const BACKEND_KEY = "backend-key-of-the-bench";
@@ -14,7 +15,25 @@
     daemonId: string;
     zone: string;
     url: string;
+    /** Address of the HTTP surfaces without a proxy. */
+    directUrl: string;
     settingsPath: string;
+    voter: boolean;
+    process: ManagedProcess;
+}
+
+/** What a daemon finds of its data folder when it starts again. */
+export type DataFolderFate = "keep" | "empty" | "older";
+
+/** A stand-in process that can be restarted at the same address. */
+export interface BackendHandle {
+    vmId: string;
+    zone: string;
+    fabricDomain: string;
+    kind: "model" | "ledger";
+    /** Address without a proxy, for the control endpoint. */
+    directUrl: string;
+    start: () => ManagedProcess;
     process: ManagedProcess;
 }
 
@@ -31,6 +50,10 @@
     daemonsPerZone: Record<string, number>;
     /** Runs the daemons from `dist/greengage` in place of the sources. Default: false. */
     executable?: boolean;
+    /** Puts fault-injecting proxies on all connections. Not with `executable`. Default: false. */
+    proxied?: boolean;
+    /** Daemons with a vote per zone. Default: 1. */
+    votersPerZone?: number;
     onLine?: (source: string, line: string) => void;
 }
 
@@ -39,11 +62,15 @@
     readonly folder = mkdtempSync(join(tmpdir(), "greengage-"));
     readonly daemons: DaemonHandle[] = [];
     readonly backends = new Map<string, ManagedProcess>();
+    readonly managedBackends = new Map<string, BackendHandle>();
+    /** Proxies, with `proxied` alone. */
+    readonly links: Links;
     readonly #recordPath = join(this.folder, "records.jsonl");
     readonly #options: ClusterOptions;
 
     constructor(options: ClusterOptions) {
         this.#options = options;
+        this.links = new Links(Object.keys(options.daemonsPerZone));
     }
 
     async start(): Promise<void> {
@@ -55,17 +82,35 @@
             daemonId,
             zone,
             host: "127.0.0.1",
-            port: ports[position * 2],
-            voter: index === 0,
+            port: ports[position * 2] ?? 0,
+            voter: index < (this.#options.votersPerZone ?? 1),
         }));
-        for (const [position, { daemonId, zone }] of places.entries()) {
-            const httpPort = ports[position * 2 + 1] ?? 0;
+        const listed = structuredClone(daemons);
+        const httpPorts = places.map((_, position) => ports[position * 2 + 1] ?? 0);
+        const listedHttpPorts = [...httpPorts];
+        if (this.#options.proxied) {
+            for (const [position, { daemonId, zone, port }] of daemons.entries()) {
+                const own = { peer: port, http: httpPorts[position] ?? 0 };
+                const proxies = await this.links.addDaemon(daemonId, zone, own);
+                Object.assign(listed[position] ?? {}, { port: proxies.peer });
+                listedHttpPorts[position] = proxies.http;
+            }
+        }
+        for (const [position, daemon] of daemons.entries()) {
+            const { daemonId, zone, voter } = daemon;
+            const httpPort = httpPorts[position] ?? 0;
             const settingsPath = join(this.folder, `${daemonId}.json`);
+            const dataFolder = this.dataFolder(daemonId);
+            if (voter) {
+                mkdirSync(dataFolder);
+            }
             const settings = {
                 daemonId,
                 zone,
                 http: { host: "127.0.0.1", port: httpPort },
-                daemons,
+                ...(voter ? { dataFolder } : {}),
+                // Its own entry has its real port, at which it listens.
+                daemons: listed.map((other) => other.daemonId === daemonId ? daemon : other),
                 keys: {
                     peers: "peer-key-of-the-bench",
                     backendServers: BACKEND_KEY,
@@ -73,9 +118,10 @@
                 },
             };
             writeFileSync(settingsPath, JSON.stringify(settings));
-            const url = `http://127.0.0.1:${httpPort}`;
+            const url = `http://127.0.0.1:${listedHttpPorts[position]}`;
+            const directUrl = `http://127.0.0.1:${httpPort}`;
             const process = this.startDaemonProcess(daemonId, settingsPath);
-            this.daemons.push({ daemonId, zone, url, settingsPath, process });
+            this.daemons.push({ daemonId, zone, url, directUrl, settingsPath, voter, process });
         }
         await Promise.all(this.daemons.map((daemon) => this.waitUntilReady(daemon)));
     }
@@ -86,7 +132,78 @@
             return new ManagedProcess({ command: "dist/greengage", args: ["serve", settingsPath], onLine });
         }
         const args = ["--import=tsx", "packages/cli/src/main.ts", "serve", settingsPath];
-        return new ManagedProcess({ command: process.execPath, args, onLine });
+        if (!this.#options.proxied) {
+            return new ManagedProcess({ command: process.execPath, args, onLine });
+        }
+        return new ManagedProcess({
+            command: process.execPath,
+            args: ["--import=tsx", "--import=./packages/faults/src/source.ts", ...args.slice(1)],
+            environment: { GREENGAGE_TEST_SOURCE: this.links.daemonSource(daemonId) },
+            onLine,
+        });
+    }
+
+    dataFolder(daemonId: string): string {
+        return join(this.folder, `${daemonId}-data`);
+    }
+
+    /** Keeps a copy of a voter's data folder, to which `restartDaemon` can return. */
+    saveDataFolder(daemonId: string): void {
+        const daemon = this.daemon(daemonId);
+        // The copy is one moment of the files, as an image of a disk is.
+        daemon.process.freeze();
+        const folder = this.dataFolder(daemonId);
+        rmSync(`${folder}.older`, { recursive: true, force: true });
+        cpSync(folder, `${folder}.older`, { recursive: true });
+        daemon.process.thaw();
+    }
+
+    async killDaemon(daemonId: string): Promise<void> {
+        await this.daemon(daemonId).process.kill();
+    }
+
+    freezeDaemon(daemonId: string): void {
+        this.daemon(daemonId).process.freeze();
+    }
+
+    thawDaemon(daemonId: string): void {
+        this.daemon(daemonId).process.thaw();
+    }
+
+    /** Kills a daemon, unless it has ended, and starts it again. Does not wait until it is ready. */
+    async restartDaemon(
+        daemonId: string,
+        options: { dataFolder: DataFolderFate; } = { dataFolder: "keep" },
+    ): Promise<void> {
+        const daemon = this.daemon(daemonId);
+        await daemon.process.kill();
+        this.#changeDataFolder(daemonId, options.dataFolder);
+        daemon.process = this.startDaemonProcess(daemonId, daemon.settingsPath);
+    }
+
+    #changeDataFolder(daemonId: string, fate: DataFolderFate): void {
+        const folder = this.dataFolder(daemonId);
+        const older = `${folder}.older`;
+        const hasOlder = fate === "older" && existsSync(older);
+        if (fate === "keep" || (fate === "older" && !hasOlder) || !existsSync(folder)) {
+            return;
+        }
+        rmSync(folder, { recursive: true });
+        if (hasOlder) {
+            cpSync(older, folder, { recursive: true });
+            return;
+        }
+        mkdirSync(folder);
+    }
+
+    /** Cuts a zone off from the others. The returned function ends this fault alone. */
+    partitionZone(zone: string): () => void {
+        return this.links.partitionZone(zone);
+    }
+
+    /** Ends all faults of connections. */
+    heal(): void {
+        this.links.heal();
     }
 
     async waitUntilReady(daemon: DaemonHandle): Promise<void> {
@@ -101,21 +218,91 @@
         kind: "model" | "ledger",
         options: Omit<StandinOptions, "daemonUrls" | "key">,
     ): ManagedProcess {
-        const daemonUrls = this.daemons.filter((daemon) => daemon.zone === options.zone).map((daemon) =>
-            daemon.url
-        );
         const json = JSON.stringify({
             recordPath: this.#recordPath,
             ...options,
-            daemonUrls,
+            daemonUrls: this.#urlsOf(options.zone),
             key: BACKEND_KEY,
         });
+        return this.#startStandin(options.vmId, [kind, json]);
+    }
+
+    /** Starts a stand-in that keeps its address over restarts and, with `proxied`, has a proxy in front of it. */
+    async addBackend(
+        kind: "model" | "ledger",
+        options: Omit<StandinOptions, "daemonUrls" | "key">,
+    ): Promise<BackendHandle> {
+        const { vmId, zone, fabricDomain } = options;
+        const [port = 0] = await freePorts(1);
+        let announced: Partial<StandinOptions> = {};
+        if (this.#options.proxied) {
+            const announcedPort = await this.links.addBackend(vmId, zone, port);
+            announced = {
+                announcedUrl: `http://127.0.0.1:${announcedPort}`,
+                sourceAddress: this.links.backendSource(zone),
+            };
+        }
+        const start = (): ManagedProcess => this.startBackend(kind, { ...options, port, ...announced });
+        const directUrl = `http://127.0.0.1:${port}`;
+        const handle = { vmId, zone, fabricDomain, kind, directUrl, start, process: start() };
+        this.managedBackends.set(vmId, handle);
+        return handle;
+    }
+
+    /** Kills a stand-in of `addBackend`, unless it has ended, and starts it again. */
+    async restartBackend(vmId: string): Promise<void> {
+        const handle = this.#managed(vmId);
+        await handle.process.kill();
+        handle.process = handle.start();
+    }
+
+    /** Changes the behaviour of a stand-in of `addBackend`. */
+    async controlBackend(vmId: string, behaviour: object): Promise<void> {
+        const response = await request(`${this.#managed(vmId).directUrl}/control`, {
+            method: "POST",
+            headers: { "content-type": "application/json" },
+            body: JSON.stringify(behaviour),
+        });
+        await response.body.dump();
+    }
+
+    #managed(vmId: string): BackendHandle {
+        const handle = this.managedBackends.get(vmId);
+        if (handle === undefined) {
+            throw new Error(`no backend server ${vmId}`);
+        }
+        return handle;
+    }
+
+    /** Starts many backend servers in one process. Each zone's servers report to the zone's daemons. */
+    startHost(vms: HostOptions["vms"]): ManagedProcess {
+        const zones = [...new Set(vms.map((vm) => vm.zone))];
+        const options: HostOptions = {
+            key: BACKEND_KEY,
+            daemonUrls: Object.fromEntries(zones.map((zone) => [zone, this.#urlsOf(zone)])),
+            vms,
+        };
+        return this.#startStandin(`host-${this.backends.size + 1}`, ["host", JSON.stringify(options)]);
+    }
+
+    /** Starts the weight store and returns its URL. */
+    async startWeightStore(gbPerS: number): Promise<string> {
+        const [port = 0] = await freePorts(1);
+        this.#startStandin("weight-store", ["weights", JSON.stringify({ port, gbPerS })]);
+        return `http://127.0.0.1:${port}`;
+    }
+
+    #urlsOf(zone: string): string[] {
+        return this.daemons.filter((daemon) => daemon.zone === zone).map((daemon) => daemon.url);
+    }
+
+    #startStandin(name: string, args: string[]): ManagedProcess {
         const child = new ManagedProcess({
             command: process.execPath,
-            args: ["--import=tsx", "packages/standins/src/main.ts", kind, json],
-            onLine: (line) => this.#options.onLine?.(options.vmId, line),
+            args: ["--import=tsx", "packages/standins/src/main.ts", ...args],
+            onLine: (line) => this.#options.onLine?.(name, line),
         });
-        this.backends.set(options.vmId, child);
+        this.backends.set(name, child);
         return child;
     }
 
@@ -155,6 +342,7 @@
     async stop(): Promise<void> {
         const all = [...this.backends.values(), ...this.daemons.map((daemon) => daemon.process)];
         await Promise.all(all.map((child) => child.kill()));
+        await this.links.close();
         rmSync(this.folder, { recursive: true, force: true });
     }
 }
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,2 +1,3 @@
 export * from "./cluster.ts";
+export * from "./links.ts";
 export * from "./requests.ts";
--- a/packages/faults/src/index.ts
+++ b/packages/faults/src/index.ts
@@ -1,2 +1,4 @@
+export * from "./ports.ts";
 export * from "./process.ts";
+export * from "./proxy.ts";
 export * from "./wait.ts";
--- a/packages/faults/src/process.ts
+++ b/packages/faults/src/process.ts
@@ -1,5 +1,4 @@
 import { type ChildProcess, spawn } from "node:child_process";
-import { createServer } from "node:net";
 import { createInterface } from "node:readline";
 
 export interface ManagedProcessOptions {
@@ -7,6 +6,8 @@
     args: string[];
     /** Gets each line of standard output. Default: lines are dropped. */
     onLine?: (line: string) => void;
+    /** Added to the environment. */
+    environment?: Record<string, string>;
 }
 
 /** A child process that tests and measurements start, freeze and kill by its own id. */
@@ -15,13 +16,20 @@
     readonly exited: Promise<number>;
 
     constructor(options: ManagedProcessOptions) {
-        this.#child = spawn(options.command, options.args, { stdio: ["ignore", "pipe", "inherit"] });
+        this.#child = spawn(options.command, options.args, {
+            stdio: ["ignore", "pipe", "inherit"],
+            env: { ...process.env, ...options.environment },
+        });
         this.exited = new Promise((resolve) => this.#child.once("exit", (code) => resolve(code ?? 1)));
         if (this.#child.stdout) {
             createInterface({ input: this.#child.stdout }).on("line", (line) => options.onLine?.(line));
         }
     }
 
+    get processId(): number {
+        return this.#child.pid ?? 0;
+    }
+
     get isRunning(): boolean {
         return this.#child.exitCode === null && this.#child.signalCode === null;
     }
@@ -49,14 +57,3 @@
         this.#child.kill("SIGCONT");
     }
 }
-
-/** Ports on loopback that were free a moment ago. */
-export const freePorts = async (count: number): Promise<number[]> => {
-    const servers = Array.from({ length: count }, () => createServer());
-    await Promise.all(
-        servers.map((server) => new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve))),
-    );
-    const ports = servers.map((server) => (server.address() as { port: number; }).port);
-    await Promise.all(servers.map((server) => new Promise<void>((resolve) => server.close(() => resolve()))));
-    return ports;
-};
--- a/packages/membership/src/controller.ts
+++ b/packages/membership/src/controller.ts
@@ -245,10 +245,11 @@
         this.#log.info(`forming a group of ${members.length} VMs for model ${model.name}`, {
             groupId: group.groupId,
         });
+        const memberUrls = members.map((member) => member.url);
         await Promise.all(members.map((member, rank) => {
             const { groupId, generation, memberVmIds } = group;
             const assignment = { groupId, generation, model: model.name, memberVmIds, rank };
-            return this.#options.orders.load(member, assignment);
+            return this.#options.orders.load(member, assignment, memberUrls);
         }));
     }
 
--- a/packages/membership/src/orders.ts
+++ b/packages/membership/src/orders.ts
@@ -17,9 +17,12 @@
         this.#key = key;
     }
 
-    /** Orders a VM to load its rank of a group. Returns whether the VM accepted the order. */
-    load(vm: VmReport, assignment: Omit<Assignment, "fence">): Promise<boolean> {
-        return this.#send(vm, { kind: "load", assignment });
+    /**
+     * Orders a VM to load its rank of a group. `memberUrls` are the members' URLs in rank order.
+     * Returns whether the VM accepted the order.
+     */
+    load(vm: VmReport, assignment: Omit<Assignment, "fence">, memberUrls: string[]): Promise<boolean> {
+        return this.#send(vm, { kind: "load", assignment, memberUrls });
     }
 
     /** Orders a VM to leave its group. */
--- a/packages/standins/src/backend.ts
+++ b/packages/standins/src/backend.ts
@@ -3,13 +3,16 @@
 import { appendFileSync } from "node:fs";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
-import { request } from "undici";
-import type { StandinOptions } from "./options.ts";
+import { Agent, request } from "undici";
+import { type Behaviour, DEFAULT_BEHAVIOUR, type StandinOptions } from "./options.ts";
 
 /** What the stand-ins share: an HTTP server, records of what it got, and reports to the daemons. */
 export abstract class Backend {
     readonly options: StandinOptions;
     readonly incarnationId = newId();
+    protected readonly behaviour: Behaviour = { ...DEFAULT_BEHAVIOUR };
+    /** Opens connections from the stand-in's own address. */
+    protected readonly agent: Agent;
     readonly #server: Server;
     #sequence = 0;
     #nextDaemon = 0;
@@ -19,12 +22,21 @@
 
     constructor(options: StandinOptions) {
         this.options = options;
+        this.agent = new Agent({ connect: { localAddress: options.sourceAddress } });
         this.#server = createServer((incoming, response) => {
-            this.handle(incoming, response).catch(() => response.destroy());
+            const handled = incoming.url === "/control"
+                ? this.#control(incoming, response)
+                : this.handle(incoming, response);
+            handled.catch(() => response.destroy());
         });
     }
 
+    /** URL under which the daemons and the other members reach this stand-in. */
     get url(): string {
+        return this.options.announcedUrl ?? this.directUrl;
+    }
+
+    get directUrl(): string {
         return `http://127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
     }
 
@@ -48,14 +60,29 @@
     /** What the report says beside the common fields. */
     protected abstract reportFields(): Pick<VmReport, "kind" | "cachedModels"> & Partial<VmReport>;
 
+    async #control(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
+        Object.assign(this.behaviour, JSON.parse(await readText(incoming)) as Partial<Behaviour>);
+        answerJson(response, 200, this.behaviour);
+    }
+
+    /** Delays an answer or loses it. Returns false when the connection has ended without it. */
+    protected async mayAnswer(response: ServerResponse): Promise<boolean> {
+        await sleep(this.behaviour.lateMs);
+        if (Math.random() >= this.behaviour.lostShare) {
+            return true;
+        }
+        response.destroy();
+        return false;
+    }
+
     protected record(kind: string, fields: object): void {
         if (this.options.recordPath !== undefined) {
             const line = {
                 atMs: Date.now(),
                 vmId: this.options.vmId,
                 incarnationId: this.incarnationId,
-                kind,
                 ...fields,
+                kind,
             };
             appendFileSync(this.options.recordPath, JSON.stringify(line) + "\n");
         }
@@ -88,7 +115,7 @@
                 runningRequests: this.runningRequests,
                 waitingRequests: 0,
                 kvUsedShare: 0,
-                tokenGapMs: options.tokenGapMs ?? 10,
+                tokenGapMs: (options.tokenGapMs ?? 10) * this.behaviour.slowdown,
             },
             ...this.reportFields(),
         };
@@ -97,6 +124,7 @@
             try {
                 const response = await request(`${daemonUrl}/backend/v1/report`, {
                     method: "POST",
+                    dispatcher: this.agent,
                     headers: { "content-type": "application/json", authorization: `Bearer ${options.key}` },
                     body: JSON.stringify(report),
                     headersTimeout: 1_000,
--- a/packages/standins/src/engine.ts
+++ b/packages/standins/src/engine.ts
@@ -2,7 +2,10 @@
 import type { Assignment, AssignmentState, VmReport } from "@greengage/protocol";
 import { createHash } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { request } from "undici";
 import { answerJson, Backend, readText } from "./backend.ts";
+import { MemberLinks, sendPulses } from "./members.ts";
+import { PrefixCache } from "./prefixes.ts";
 
 interface ChatRequest {
     model: string;
@@ -12,90 +15,157 @@
 }
 
 type Order =
-    | { kind: "load"; fence: number; assignment: Assignment; }
+    | { kind: "load"; fence: number; assignment: Assignment; memberUrls?: string[]; }
     | { kind: "release"; fence: number; groupId: string; };
 
+type HeldAssignment = Assignment & { state: AssignmentState; };
+
+const WAIT_STEP_MS = 20;
+
 /** Token `index` of the answer to a conversation. Every engine gives the same tokens, so runs can check answers. */
 export const tokenOf = (messages: unknown[], index: number): string => {
     const digest = createHash("sha256").update(JSON.stringify(messages)).digest("hex").slice(0, 8);
     return `${index === 0 ? "" : " "}${digest}-${index}`;
 };
 
-/** Stand-in for one VM of a model engine. Rank 0 of a group answers its requests. */
+/** Stand-in for one VM of a model engine. Rank 0 of a group answers its requests while all members are there. */
 export class ModelEngine extends Backend {
-    #assignment: (Assignment & { state: AssignmentState; }) | undefined;
+    #assignment: HeldAssignment | undefined;
+    #members: MemberLinks | undefined;
     readonly #cachedModels = new Set<string>();
+    readonly #prefixes = new PrefixCache(this.options.cachedPrefixes ?? 64);
 
     protected override async handle(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
-        if (incoming.url === "/orders") {
-            this.#takeOrder(JSON.parse(await readText(incoming)) as Order, response);
-            return;
-        }
-        if (incoming.url === "/v1/chat/completions") {
-            await this.#chat(incoming, response);
+        const handlers: Record<string, () => Promise<void>> = {
+            "/orders": () => this.#takeOrder(incoming, response),
+            "/v1/chat/completions": () => this.#chat(incoming, response),
+            "/member": () => sendPulses(incoming, response, () => this.#assignment),
+        };
+        const path = (incoming.url ?? "/").split("?", 1)[0] ?? "/";
+        const handler = handlers[path];
+        if (handler === undefined) {
+            answerJson(response, 404, {});
             return;
         }
-        answerJson(response, 404, {});
+        await handler();
     }
 
     protected override reportFields(): Pick<VmReport, "kind" | "cachedModels"> & Partial<VmReport> {
         return { kind: "model", cachedModels: [...this.#cachedModels], assignment: this.#assignment };
     }
 
-    #takeOrder(order: Order, response: ServerResponse): void {
+    async #takeOrder(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
+        const order = JSON.parse(await readText(incoming)) as Order;
         const isOld = order.fence < this.highestFence;
-        this.record("order", { ...order, refused: isOld && (this.options.checksFencing ?? true) });
-        if (isOld && (this.options.checksFencing ?? true)) {
+        const refused = isOld && (this.options.checksFencing ?? true);
+        const { kind: orderKind, ...fields } = order;
+        this.record("order", {
+            orderKind,
+            ...fields,
+            isOld,
+            refused,
+            heldGroupId: this.#assignment?.groupId,
+        });
+        if (refused) {
             answerJson(response, 409, { highestFence: this.highestFence });
             return;
         }
         this.highestFence = Math.max(this.highestFence, order.fence);
-        if (order.kind === "release") {
-            this.#assignment = undefined;
-        }
-        else {
+        this.#members?.close();
+        this.#members = undefined;
+        this.#assignment = undefined;
+        if (order.kind === "load") {
             this.#assignment = { ...order.assignment, fence: order.fence, state: "loading" };
-            void this.#load(this.#assignment);
+            const urls = this.#assignment.rank === 0 ? order.memberUrls ?? [] : [];
+            this.#members = new MemberLinks(this.#assignment, urls, this.agent);
+            void this.#load(this.#assignment, this.#members);
         }
         answerJson(response, 200, {});
     }
 
-    async #load(assignment: Assignment & { state: AssignmentState; }): Promise<void> {
+    async #load(assignment: HeldAssignment, members: MemberLinks): Promise<void> {
         if (!this.#cachedModels.has(assignment.model)) {
-            await sleep(this.options.loadMs ?? 300);
+            await this.#fetchWeights();
         }
         this.#cachedModels.add(assignment.model);
-        assignment.state = "ready";
+        while (this.#assignment === assignment && !members.isWhole) {
+            await sleep(WAIT_STEP_MS);
+        }
+        assignment.state = this.behaviour.failsLoads ? "failed" : "ready";
+        if (this.#assignment === assignment) {
+            const { groupId, generation, state } = assignment;
+            this.record("loaded", { groupId, generation, state });
+        }
+    }
+
+    async #fetchWeights(): Promise<void> {
+        const { weightStoreUrl, weightsGb, loadMs } = this.options;
+        await sleep((loadMs ?? 300) * this.behaviour.slowdown);
+        if (weightStoreUrl !== undefined) {
+            const response = await request(`${weightStoreUrl}/weights?gb=${weightsGb ?? 10}`, {
+                headersTimeout: 0,
+            });
+            await response.body.dump();
+        }
     }
 
     async #chat(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
         const requestId = String(incoming.headers["x-request-id"]);
         const body = JSON.parse(await readText(incoming)) as ChatRequest;
         const assignment = this.#assignment;
-        const isCurrent = assignment?.state === "ready"
+        const isCurrent = assignment?.state === "ready" && assignment.rank === 0
             && assignment.groupId === incoming.headers["x-group-id"]
             && String(assignment.generation) === incoming.headers["x-group-generation"];
-        this.record("request", { requestId, isCurrent });
+        const isWhole = this.#members?.isWhole ?? false;
+        const brokenMs = this.#members?.brokenMs ?? 0;
+        const resumedTokens = body.greengage?.resume_tokens ?? 0;
+        this.record("request", { requestId, isCurrent, isWhole, brokenMs, resumedTokens });
         if (!isCurrent) {
             answerJson(response, 409, { error: "another generation" }, requestId);
             return;
         }
+        if (this.#members?.isBroken) {
+            response.destroy();
+            return;
+        }
+        this.#checkResume(body, requestId);
         this.runningRequests += 1;
         try {
-            await this.#stream(body, requestId, response);
+            await this.#stream(body, requestId, response, this.#members as MemberLinks);
         }
         finally {
             this.runningRequests -= 1;
         }
     }
 
-    async #stream(body: ChatRequest, requestId: string, response: ServerResponse): Promise<void> {
+    #checkResume(body: ChatRequest, requestId: string): void {
+        const { resume_tokens: count, resume_text: text } = body.greengage
+            ?? { resume_tokens: 0, resume_text: "" };
+        const expected = Array.from({ length: count }, (_, index) => tokenOf(body.messages, index)).join("");
+        if (text !== expected) {
+            this.record("badResume", { requestId, text, expected });
+        }
+    }
+
+    async #stream(
+        body: ChatRequest,
+        requestId: string,
+        response: ServerResponse,
+        members: MemberLinks,
+    ): Promise<void> {
         const count = body.max_tokens ?? this.options.tokens ?? 16;
+        const { slowdown } = this.behaviour;
+        const missMs = this.#prefixes.touch(JSON.stringify(body.messages[0]))
+            ? 0
+            : this.options.prefixMissMs ?? 0;
+        await sleep(((this.options.firstTokenMs ?? 20) + missMs) * slowdown);
+        if (!await this.mayAnswer(response)) {
+            this.record("lost", { requestId });
+            return;
+        }
         response.writeHead(200, { "content-type": "text/event-stream", "x-request-id": requestId });
-        await sleep(this.options.firstTokenMs ?? 20);
         for (let index = body.greengage?.resume_tokens ?? 0; index < count; index += 1) {
-            if (response.destroyed) {
-                this.record("cancelled", { requestId });
+            if (!await this.#mayContinue(requestId, response, members)) {
                 return;
             }
             const chunk = {
@@ -103,8 +173,26 @@
                 choices: [{ index: 0, delta: { content: tokenOf(body.messages, index) } }],
             };
             response.write(`data: ${JSON.stringify(chunk)}\n\n`);
-            await sleep(this.options.tokenGapMs ?? 10);
+            await sleep((this.options.tokenGapMs ?? 10) * this.behaviour.slowdown);
         }
         response.end("data: [DONE]\n\n");
+        this.record("finished", { requestId });
+    }
+
+    /** Waits while a member stalls. Returns false when the stream has ended early. */
+    async #mayContinue(requestId: string, response: ServerResponse, members: MemberLinks): Promise<boolean> {
+        while (!response.destroyed && members === this.#members && !members.isBroken && !members.isWhole) {
+            await sleep(WAIT_STEP_MS);
+        }
+        if (response.destroyed) {
+            this.record("cancelled", { requestId });
+            return false;
+        }
+        if (members !== this.#members || members.isBroken) {
+            this.record("broken", { requestId });
+            response.destroy();
+            return false;
+        }
+        return true;
     }
 }
--- a/packages/standins/src/ledger.ts
+++ b/packages/standins/src/ledger.ts
@@ -11,7 +11,10 @@
         const body = await readText(incoming);
         this.#bookings += 1;
         this.record("action", { requestId, method: incoming.method, path: incoming.url, body });
-        answerJson(response, 200, { booked: this.#bookings, by: this.options.vmId }, requestId);
+        const booked = this.#bookings;
+        if (await this.mayAnswer(response)) {
+            answerJson(response, 200, { booked, by: this.options.vmId }, requestId);
+        }
     }
 
     protected override reportFields(): Pick<VmReport, "kind" | "cachedModels"> & Partial<VmReport> {
--- a/packages/standins/src/main.ts
+++ b/packages/standins/src/main.ts
@@ -1,21 +1,45 @@
-/** Runs one stand-in: `main.ts model|ledger OPTIONS_JSON`. SIGTERM makes it leave gracefully. */
+/**
+ * Runs stand-ins: `main.ts model|ledger|host|weights OPTIONS_JSON`.
+ * SIGTERM makes the backend servers leave gracefully.
+ */
 import type { Backend } from "./backend.ts";
 import { ModelEngine } from "./engine.ts";
 import { LedgerEngine } from "./ledger.ts";
-import type { StandinOptions } from "./options.ts";
+import type { HostOptions, StandinOptions } from "./options.ts";
+import { runWeightStore, type WeightStoreOptions } from "./weights.ts";
 
-const constructors: Record<string, new(options: StandinOptions) => Backend> = {
+const constructors: Record<"model" | "ledger", new(options: StandinOptions) => Backend> = {
     model: ModelEngine,
     ledger: LedgerEngine,
 };
 
+const runBackends = async (backends: Backend[]): Promise<void> => {
+    process.once("SIGTERM", () => {
+        void Promise.all(backends.map((backend) => backend.leave())).then(() => process.exit(0));
+    });
+    for (const backend of backends) {
+        await backend.start();
+        console.log(JSON.stringify({ url: backend.url }));
+    }
+};
+
+const runHost = (options: HostOptions): Promise<void> =>
+    runBackends(options.vms.map((vm) => {
+        const daemonUrls = options.daemonUrls[vm.zone] ?? [];
+        return new constructors[vm.kind]({ ...vm, key: options.key, daemonUrls });
+    }));
+
+const kinds: Record<string, (options: unknown) => Promise<void>> = {
+    model: (options) => runBackends([new ModelEngine(options as StandinOptions)]),
+    ledger: (options) => runBackends([new LedgerEngine(options as StandinOptions)]),
+    host: (options) => runHost(options as HostOptions),
+    weights: (options) => runWeightStore(options as WeightStoreOptions),
+};
+
 const [kind, json] = process.argv.slice(2);
-const constructor = constructors[kind ?? ""];
-if (constructor === undefined || json === undefined) {
-    console.error("usage: main.ts model|ledger OPTIONS_JSON");
+const run = kinds[kind ?? ""];
+if (run === undefined || json === undefined) {
+    console.error("usage: main.ts model|ledger|host|weights OPTIONS_JSON");
     process.exit(2);
 }
-const backend = new constructor(JSON.parse(json) as StandinOptions);
-await backend.start();
-console.log(JSON.stringify({ url: backend.url }));
-process.once("SIGTERM", () => void backend.leave().then(() => process.exit(0)));
+await run(JSON.parse(json));
--- a/packages/standins/src/options.ts
+++ b/packages/standins/src/options.ts
@@ -28,4 +28,38 @@
     recordPath?: string;
     /** Name of the plain service; ledger engines only. */
     service?: string;
+    /** URL in reports, where a proxy stands before the stand-in. Default: its own address. */
+    announcedUrl?: string;
+    /** Loopback address from which it opens connections. Default: any. */
+    sourceAddress?: string;
+    /** Weight store from which a model engine loads. Default: it takes `loadMs` alone. */
+    weightStoreUrl?: string;
+    /** Default: 10. */
+    weightsGb?: number;
+    /** Prefixes that the prefix cache holds. Default: 64. */
+    cachedPrefixes?: number;
+    /** Added to the time to the first token when the prefix is not cached. Default: 0. */
+    prefixMissMs?: number;
 }
+
+/** Options of a process that hosts several backend servers. */
+export interface HostOptions {
+    key: string;
+    /** Base URLs of daemons that take reports, by zone. */
+    daemonUrls: Record<string, string[]>;
+    vms: ({ kind: "model" | "ledger"; } & Omit<StandinOptions, "daemonUrls" | "key">)[];
+}
+
+/** What the control endpoint changes while a stand-in runs. */
+export interface Behaviour {
+    /** Factor on all times of a straggler. */
+    slowdown: number;
+    /** Delay of each answer after the work is done. */
+    lateMs: number;
+    /** Share of the answers that are lost after the work is done: the connection ends without them. */
+    lostShare: number;
+    /** Orders to load end in the state `failed`. */
+    failsLoads: boolean;
+}
+
+export const DEFAULT_BEHAVIOUR: Behaviour = { slowdown: 1, lateMs: 0, lostShare: 0, failsLoads: false };
--- /dev/null
+++ b/packages/standins/src/weights.ts
@@ -0,0 +1,41 @@
+import { monotonicMs, sleep } from "@greengage/base";
+import { createServer } from "node:http";
+
+export interface WeightStoreOptions {
+    port: number;
+    /** Rate of all downloads together. */
+    gbPerS: number;
+}
+
+interface Download {
+    remainingGb: number;
+    finish: () => void;
+}
+
+const STEP_MS = 20;
+
+/** Stand-in for the weight store: downloads share a limited rate. */
+export const runWeightStore = async (options: WeightStoreOptions): Promise<void> => {
+    const downloads = new Set<Download>();
+    const server = createServer((incoming, response) => {
+        const sizeGb = Number(new URL(incoming.url ?? "/", "http://store").searchParams.get("gb") ?? 0);
+        const download = { remainingGb: sizeGb, finish: () => response.end("{}") };
+        downloads.add(download);
+        response.once("close", () => downloads.delete(download));
+    });
+    await new Promise<void>((resolve) => server.listen(options.port, "127.0.0.1", resolve));
+    let lastAtMs = monotonicMs();
+    for (;;) {
+        await sleep(STEP_MS);
+        const nowMs = monotonicMs();
+        const shareGb = options.gbPerS * (nowMs - lastAtMs) / 1000 / Math.max(1, downloads.size);
+        lastAtMs = nowMs;
+        for (const download of downloads) {
+            download.remainingGb -= shareGb;
+            if (download.remainingGb <= 0) {
+                downloads.delete(download);
+                download.finish();
+            }
+        }
+    }
+};
