--- a/packages/bench/src/cluster.ts
+++ b/packages/bench/src/cluster.ts
@@ -54,6 +54,8 @@
     proxied?: boolean;
     /** Daemons with a vote per zone. Default: 1. */
     votersPerZone?: number;
+    /** Merged into each daemon's settings. */
+    settings?: object;
     onLine?: (source: string, line: string) => void;
 }
 
@@ -116,6 +118,7 @@
                     backendServers: BACKEND_KEY,
                     operators: OPERATOR_KEY,
                 },
+                ...this.#options.settings,
             };
             writeFileSync(settingsPath, JSON.stringify(settings));
             const url = `http://127.0.0.1:${listedHttpPorts[position]}`;
--- a/packages/standins/src/ledger.ts
+++ b/packages/standins/src/ledger.ts
@@ -13,7 +13,7 @@
         this.record("action", { requestId, method: incoming.method, path: incoming.url, body });
         const booked = this.#bookings;
         if (await this.mayAnswer(response)) {
-            answerJson(response, 200, { booked, by: this.options.vmId }, requestId);
+            answerJson(response, 200, { booked, by: this.options.vmId, received: body }, requestId);
         }
     }
 
