--- a/packages/bench/src/chaos/fleet.ts
+++ b/packages/bench/src/chaos/fleet.ts
@@ -52,7 +52,13 @@
                 const vmId = `${fabricDomain}-vm-${index}`;
                 // One VM of each fabric domain ignores fencing tokens.
                 const checksFencing = index !== VMS_PER_DOMAIN;
-                await cluster.addBackend("model", { vmId, zone, fabricDomain, checksFencing, weightStoreUrl });
+                await cluster.addBackend("model", {
+                    vmId,
+                    zone,
+                    fabricDomain,
+                    checksFencing,
+                    weightStoreUrl,
+                });
             }
         }
         await cluster.addBackend("ledger", { vmId: `${zone}-ledger`, zone, fabricDomain: "none" });
--- a/packages/bench/src/cluster.ts
+++ b/packages/bench/src/cluster.ts
@@ -102,15 +102,11 @@
             const { daemonId, zone, voter } = daemon;
             const httpPort = httpPorts[position] ?? 0;
             const settingsPath = join(this.folder, `${daemonId}.json`);
-            const dataFolder = this.dataFolder(daemonId);
-            if (voter) {
-                mkdirSync(dataFolder);
-            }
             const settings = {
                 daemonId,
                 zone,
                 http: { host: "127.0.0.1", port: httpPort },
-                ...(voter ? { dataFolder } : {}),
+                dataFolder: this.dataFolder(daemonId),
                 // Its own entry has its real port, at which it listens.
                 daemons: listed.map((other) => other.daemonId === daemonId ? daemon : other),
                 keys: {
@@ -157,7 +153,9 @@
         daemon.process.freeze();
         const folder = this.dataFolder(daemonId);
         rmSync(`${folder}.older`, { recursive: true, force: true });
-        cpSync(folder, `${folder}.older`, { recursive: true });
+        if (existsSync(folder)) {
+            cpSync(folder, `${folder}.older`, { recursive: true });
+        }
         daemon.process.thaw();
     }
 
