--- a/packages/membership/src/orders.ts
+++ b/packages/membership/src/orders.ts
@@ -17,8 +17,8 @@
 
 /** Sends orders to backend servers. */
 export interface Orders {
-    /** Orders a VM to load its rank of a group. */
-    load(vm: VmReport, assignment: Omit<Assignment, "fence">): Promise<OrderResult>;
+    /** Orders a VM to load its rank of a group. `memberUrls` are the members' URLs in rank order. */
+    load(vm: VmReport, assignment: Omit<Assignment, "fence">, memberUrls: string[]): Promise<OrderResult>;
     /** Orders a VM to leave its group. */
     release(vm: VmReport, groupId: string): Promise<OrderResult>;
     /** Whether an order with a fencing token up to `fence` may still reach a backend server. */
@@ -49,8 +49,8 @@
         this.#options = options;
     }
 
-    load(vm: VmReport, assignment: Omit<Assignment, "fence">): Promise<OrderResult> {
-        return this.#send(vm, { kind: "load", assignment });
+    load(vm: VmReport, assignment: Omit<Assignment, "fence">, memberUrls: string[]): Promise<OrderResult> {
+        return this.#send(vm, { kind: "load", assignment, memberUrls });
     }
 
     release(vm: VmReport, groupId: string): Promise<OrderResult> {
