--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,2 +1,6 @@
 export * from "./cluster.ts";
+export * from "./links.ts";
 export * from "./requests.ts";
+export * from "./zone/hub.ts";
+export * from "./zone/vm.ts";
+export * from "./zone/zone.ts";
--- a/packages/bench/src/measure/relay.ts
+++ b/packages/bench/src/measure/relay.ts
@@ -92,13 +92,13 @@
     const engines = await startEngines(TOKEN_GAP_MS);
     const bare = await startBare(engines.direct);
     try {
-        const daemonPid = engines.cluster.daemon(`${ZONE}-1`).process.pid;
-        const enginePid = engines.cluster.backends.get(`${ZONE}-vm-1`)?.pid ?? 0;
+        const daemonPid = engines.cluster.daemon(`${ZONE}-1`).process.processId;
+        const enginePid = engines.cluster.backends.get(`${ZONE}-vm-1`)?.processId ?? 0;
         const direct = await runLoad(loadOf(engines.direct), enginePid);
         const bareRuns: MeasuredRun[] = [];
         const daemonRuns: MeasuredRun[] = [];
         for (let round = 0; round < ROUNDS; round += 1) {
-            bareRuns.push(await runLoad(loadOf([bare.target]), bare.child.pid));
+            bareRuns.push(await runLoad(loadOf([bare.target]), bare.child.processId));
             daemonRuns.push(await runLoad(loadOf([engines.daemon]), daemonPid));
         }
         return { direct, bare: meanOf(bareRuns), daemon: meanOf(daemonRuns) };
@@ -115,9 +115,9 @@
     const bare = await startBare(engines.direct);
     const fields = { maxTokens: 5_000, warmUpMs: 3_000, durationMs: 6_000 };
     try {
-        const daemonPid = engines.cluster.daemon(`${ZONE}-1`).process.pid;
+        const daemonPid = engines.cluster.daemon(`${ZONE}-1`).process.processId;
         return {
-            bare: await runLoad(loadOf([bare.target], fields), bare.child.pid),
+            bare: await runLoad(loadOf([bare.target], fields), bare.child.processId),
             daemon: await runLoad(loadOf([engines.daemon], fields), daemonPid),
         };
     }
