--- a/packages/bench/src/measure.ts
+++ b/packages/bench/src/measure.ts
@@ -1,6 +1,8 @@
 /** Runs one measurement: `npm run measure -- NAME`. The last line is JSON with the figures. */
 
+import { measureFairness } from "./measure/fairness.ts";
 import { measureRelay } from "./measure/relay.ts";
+import { measureRouting } from "./measure/routing.ts";
 
 export interface Measurement {
     description: string;
@@ -8,10 +10,18 @@
 }
 
 const measurements: Record<string, Measurement> = {
+    fairness: {
+        description: "first token of small organisations with and without the flood of a large one",
+        run: measureFairness,
+    },
     relay: {
         description: "cost of the relay against a relay without checks, at one daemon's share of the peak",
         run: measureRelay,
     },
+    routing: {
+        description: "first token by strategy, with stragglers and shared prefixes",
+        run: measureRouting,
+    },
 };
 
 const run = async (name: string | undefined): Promise<void> => {
--- /dev/null
+++ b/packages/bench/src/measure/smallengine.ts
@@ -0,0 +1,63 @@
+import { monotonicMs, sleep } from "@greengage/base";
+
+export interface SmallEngineOptions {
+    slots: number;
+    firstTokenMs: number;
+    /** Time that a request holds its slot. */
+    holdMs: number;
+    /** Factor on all times. */
+    slowdown: number;
+    cachedPrefixes: number;
+    /** Added to the first token when the prefix is not cached. */
+    prefixMissMs: number;
+}
+
+/** A model of an engine inside the measuring process: slots, a queue and a cache of prefixes. */
+export class SmallEngine {
+    readonly #options: SmallEngineOptions;
+    readonly #waiting: (() => void)[] = [];
+    readonly #prefixes = new Set<string>();
+    #running = 0;
+
+    constructor(options: SmallEngineOptions) {
+        this.#options = options;
+    }
+
+    get running(): number {
+        return this.#running;
+    }
+
+    get waiting(): number {
+        return this.#waiting.length;
+    }
+
+    /** Runs one request and returns its time to the first token. `onEnd` is called when the slot is free. */
+    async run(prefix: string, onEnd: () => void): Promise<number> {
+        const startedAtMs = monotonicMs();
+        const { slots, firstTokenMs, holdMs, slowdown } = this.#options;
+        if (this.#running >= slots) {
+            await new Promise<void>((resolve) => this.#waiting.push(resolve));
+        }
+        this.#running += 1;
+        // Requests that run together share the accelerators.
+        const sharing = 1 + this.#running / slots;
+        await sleep((firstTokenMs * sharing + this.#prefixMs(prefix)) * slowdown);
+        const durationMs = monotonicMs() - startedAtMs;
+        void sleep(holdMs * slowdown).then(() => {
+            this.#running -= 1;
+            this.#waiting.shift()?.();
+            onEnd();
+        });
+        return durationMs;
+    }
+
+    #prefixMs(prefix: string): number {
+        const isCached = this.#prefixes.delete(prefix);
+        this.#prefixes.add(prefix);
+        if (this.#prefixes.size > this.#options.cachedPrefixes) {
+            const [oldest] = this.#prefixes;
+            this.#prefixes.delete(oldest as string);
+        }
+        return isCached ? 0 : this.#options.prefixMissMs;
+    }
+}
