--- a/packages/bench/src/measure.ts
+++ b/packages/bench/src/measure.ts
@@ -1,6 +1,7 @@
 /** Runs one measurement: `npm run measure -- NAME`. The last line is JSON with the figures. */
 
 import { measureFairness } from "./measure/fairness.ts";
+import { measureLimits } from "./measure/limits.ts";
 import { measureRelay } from "./measure/relay.ts";
 import { measureRouting } from "./measure/routing.ts";
 
@@ -14,6 +15,10 @@
         description: "first token of small organisations with and without the flood of a large one",
         run: measureFairness,
     },
+    limits: {
+        description: "accepted rate of an organisation over all daemons against its limit",
+        run: measureLimits,
+    },
     relay: {
         description: "cost of the relay against a relay without checks, at one daemon's share of the peak",
         run: measureRelay,
