Give the routing measurement today's share of a group per daemon

Cause: with two slots of a group for each daemon, half of the preferred groups had no room, which hid the effect of affinity; 7 daemons have four slots each of engines with 32.

--- a/packages/bench/src/measure/routing.ts
+++ b/packages/bench/src/measure/routing.ts
@@ -5,14 +5,15 @@
 import { SmallEngine } from "./smallengine.ts";
 
 const GROUPS = 16;
-const SLOTS = 14;
+/** Four for each daemon, as 7 daemons have of engines with 32 today. */
+const SLOTS = 28;
 const DAEMONS = 7;
 const STRAGGLERS = 2;
 const STRAGGLER_SLOWDOWN = 4;
 const PREFIXES = 240;
 const HOLD_MS = 400;
 /** Share of the slots that are busy on average, without stragglers. */
-const UTILISATION = 0.55;
+const UTILISATION = 0.5;
 const REPORT_MS = 1_000;
 const WARM_UP_MS = 8_000;
 const DURATION_MS = 20_000;
@@ -132,11 +133,15 @@
     }
 
     /** Requests without a first token count with the time that they have waited. */
-    figures(): FirstTokenFigures & { stragglerShare: number; } {
+    figures(): FirstTokenFigures & { stragglerShare: number; cachedShare: number; } {
         const nowMs = monotonicMs();
         const waiting = [...this.#open].map((startedAtMs) => nowMs - startedAtMs);
+        const counts = [...this.#engines.values()].map((engine) => engine.prefixCounts);
+        const hits = counts.reduce((sum, count) => sum + count.hits, 0);
+        const all = counts.reduce((sum, count) => sum + count.hits + count.misses, 0);
+        const cachedShare = Math.round(hits / all * 1_000) / 1_000;
         const stragglerShare = Math.round(this.#stragglerCount / this.#measuredCount * 1_000) / 1_000;
-        return { ...firstTokenFigures([...this.#samples, ...waiting]), stragglerShare };
+        return { ...firstTokenFigures([...this.#samples, ...waiting]), stragglerShare, cachedShare };
     }
 }
 
--- a/packages/bench/src/measure/smallengine.ts
+++ b/packages/bench/src/measure/smallengine.ts
@@ -18,6 +18,8 @@
     readonly #waiting: (() => void)[] = [];
     readonly #prefixes = new Set<string>();
     #running = 0;
+    #hits = 0;
+    #misses = 0;
 
     constructor(options: SmallEngineOptions) {
         this.#options = options;
@@ -27,6 +29,11 @@
         return this.#running;
     }
 
+    /** Requests whose prefix was cached, and all others. */
+    get prefixCounts(): { hits: number; misses: number; } {
+        return { hits: this.#hits, misses: this.#misses };
+    }
+
     get waiting(): number {
         return this.#waiting.length;
     }
@@ -53,6 +60,8 @@
 
     #prefixMs(prefix: string): number {
         const isCached = this.#prefixes.delete(prefix);
+        this.#hits += isCached ? 1 : 0;
+        this.#misses += isCached ? 0 : 1;
         this.#prefixes.add(prefix);
         if (this.#prefixes.size > this.#options.cachedPrefixes) {
             const [oldest] = this.#prefixes;
