--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -153,9 +153,7 @@
 
     status(): DaemonStatus {
         const { directory, lease } = this.#membership;
-        const { daemonId, zone, daemons } = this.#settings;
-        const reachableZones = directory.reachableZones();
-        const zones = [...new Set(daemons.map((daemon) => daemon.zone))];
+        const { daemonId, zone } = this.#settings;
         const { ready, reason } = this.readiness();
         return {
             daemonId,
@@ -169,8 +167,8 @@
             isController: lease.isValid,
             tableVersion: this.#table.version,
             log: this.#log.status(),
-            reachableZones,
-            unreachableZones: zones.filter((name) => !reachableZones.includes(name)),
+            reachableZones: directory.reachableZones(),
+            unreachableZones: this.#unreachableZones(),
             groups: directory.allGroups(),
             services: directory.allServices(),
             invariants: this.#context.invariants.counts(),
@@ -182,6 +180,12 @@
         };
     }
 
+    #unreachableZones(): string[] {
+        const reachable = this.#membership.directory.reachableZones();
+        const zones = new Set(this.#settings.daemons.map((daemon) => daemon.zone));
+        return [...zones].filter((zone) => !reachable.includes(zone));
+    }
+
     /** Parts in start order: a part uses only parts before it. They close in reverse order. */
     #parts(): Part[] {
         const dispatcher = this.#dispatcher;
@@ -211,7 +215,14 @@
 
     #gauges(): Omit<Part, "name"> {
         let gauges: Lifecycle | undefined;
-        const options = { context: this.#context, admission: this.#admission, table: this.#table };
+        const options = {
+            context: this.#context,
+            admission: this.#admission,
+            table: this.#table,
+            isReady: () => this.readiness().ready,
+            unreachableZoneCount: () => this.#unreachableZones().length,
+            unknownActionCount: () => this.#actionRecords.unknownOutcomes().length,
+        };
         return { start: () => void (gauges = startGauges(options)), close: () => gauges?.close() };
     }
 
--- a/packages/daemon/src/figures.ts
+++ b/packages/daemon/src/figures.ts
@@ -22,18 +22,29 @@
     };
 };
 
+/** Where the gauges of a daemon come from. */
+export interface GaugeSources {
+    context: Context;
+    admission: Admission;
+    table: TableState;
+    isReady: () => boolean;
+    unreachableZoneCount: () => number;
+    unknownActionCount: () => number;
+}
+
 /** Sends the gauges of a daemon at a fixed period. */
-export const startGauges = (
-    options: { context: Context; admission: Admission; table: TableState; },
-): Lifecycle => {
+export const startGauges = (sources: GaugeSources): Lifecycle => {
     const lifecycle = new Lifecycle();
-    const { metrics } = options.context;
+    const { metrics } = sources.context;
     const send = (): void => {
         const { rssMb, cpuMs } = processFigures();
         metrics.gauge("process.rss_mb", rssMb);
         metrics.gauge("process.cpu_ms", cpuMs);
-        metrics.gauge("http.in_flight", options.admission.inFlight);
-        metrics.gauge("table.version", options.table.version);
+        metrics.gauge("http.in_flight", sources.admission.inFlight);
+        metrics.gauge("table.version", sources.table.version);
+        metrics.gauge("daemon.ready", Number(sources.isReady()));
+        metrics.gauge("zones.unreachable", sources.unreachableZoneCount());
+        metrics.gauge("actions.unknown", sources.unknownActionCount());
     };
     lifecycle.every(PERIOD_MS, send, () => undefined);
     return lifecycle;
