Drain VMs through membership and show its measures

Cause: membership offers drainVm, undrainVm and measures now; the surface answered that single VMs can't be drained. Conclusion: a VM whose group has no replacement is refused unless forced.

--- a/packages/cli/src/commands/drain.ts
+++ b/packages/cli/src/commands/drain.ts
@@ -1,4 +1,5 @@
-import type { DaemonSummary, Hazard, VmDrainReport } from "@greengage/http";
+import type { DaemonSummary, Hazard } from "@greengage/http";
+import type { DrainPlan } from "@greengage/protocol";
 import { type ArgsDef, type CommandDef, defineCommand } from "citty";
 import {
     connectionArgs,
@@ -21,7 +22,7 @@
 
 interface DrainAnswer {
     dryRun?: boolean;
-    vm?: VmDrainReport;
+    vm?: DrainPlan;
     daemon?: DaemonSummary;
     hazards: Hazard[];
 }
@@ -36,7 +37,10 @@
 const missingOf: Record<Target, (client: OperatorClient, body: DrainBody) => Promise<string | undefined>> = {
     vm: async (client, body) => {
         const { vm } = await client.post<DrainAnswer>("drain", { ...body, dryRun: true });
-        return vm?.released === true ? undefined : `waiting for the requests of VM ${body.id}`;
+        const isDone = vm?.groupId === undefined && vm?.inFlight === 0;
+        return isDone
+            ? undefined
+            : `VM ${body.id} is in group ${vm?.groupId}, ${vm?.inFlight} requests in flight`;
     },
     daemon: async (client, { id }) => {
         const { daemons } = await client.get<{ daemons: DaemonSummary[]; }>("daemons");
@@ -51,10 +55,9 @@
 
 const showPlan = (answer: DrainAnswer, id: string): void => {
     console.log(`would drain ${id}`);
-    if (answer.vm?.groupId !== undefined) {
-        const { groupId, model, hasReplacement } = answer.vm;
-        const effect = hasReplacement ? "other VMs take over" : "no VMs can take over";
-        console.log(`group ${groupId} of model ${model}: ${effect}`);
+    if (answer.vm !== undefined) {
+        const { groupId, model, summary } = answer.vm;
+        console.log(groupId === undefined ? summary : `group ${groupId} of model ${model}: ${summary}`);
     }
     printHazards(answer.hazards);
 };
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -23,7 +23,7 @@
 import { TableState } from "@greengage/table";
 import { DaemonDrain } from "./drain.ts";
 import { processFigures, startGauges } from "./figures.ts";
-import { DaemonOperators, unsupportedVmDrains } from "./operators.ts";
+import { DaemonOperators } from "./operators.ts";
 import { type Part, startInOrder } from "./parts.ts";
 import type { Settings } from "./settings.ts";
 import { LoggedSettlement } from "./settlement.ts";
@@ -75,6 +75,8 @@
             daemons,
             orderKey: keys.backendServers,
             timing: settings.timing,
+            placement: settings.placement,
+            weightStore: settings.weightStore,
         });
         this.#dispatcher = new BackendDispatcher({
             context,
@@ -171,6 +173,7 @@
             unreachableZones: this.#unreachableZones(),
             groups: directory.allGroups(),
             services: directory.allServices(),
+            measures: lease.isValid ? this.#membership.measures() : undefined,
             invariants: this.#context.invariants.counts(),
             violationCount: this.#context.invariants.violationCount,
             inFlight: this.#admission.inFlight,
@@ -236,7 +239,7 @@
                 table: this.#table,
                 membership: this.#membership,
                 admission: this.#admission,
-                vmDrains: unsupportedVmDrains,
+                vmDrains: this.#membership,
                 daemonDrains: this.#drain,
                 actions: new LoggedSettlement(this.#log, this.#actionRecords),
                 status: () => this.status(),
--- a/packages/daemon/src/operators.ts
+++ b/packages/daemon/src/operators.ts
@@ -1,4 +1,4 @@
-import { type Context, ErrorCode, GreengageError, Verdict } from "@greengage/base";
+import type { Context } from "@greengage/base";
 import type { ReplicatedLog } from "@greengage/consensus";
 import {
     type ActionSettlement,
@@ -113,15 +113,3 @@
         return this.#options.peers.call(daemonId, "operator.forward", request, options);
     }
 }
-
-/** VM drains of a daemon whose membership offers none. */
-export const unsupportedVmDrains: VmDrains = {
-    drainVm: () => Promise.reject(unsupported()),
-    undrainVm: () => Promise.reject(unsupported()),
-};
-
-const unsupported = (): GreengageError =>
-    new GreengageError("this version can't drain single VMs", {
-        code: ErrorCode.Unavailable,
-        verdict: Verdict.NotRun,
-    });
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -1,4 +1,5 @@
 import { LogPart } from "@greengage/base";
+import { PlacementName } from "@greengage/membership";
 import { z } from "zod";
 
 const host = z.string().min(1);
@@ -74,6 +75,13 @@
         port: z.number().int().min(1).max(65_535).default(8_125),
     }).optional(),
     timing: timing.default({}),
+    /** Placement and repair policy of the zone's controller. */
+    placement: z.enum(PlacementName).default(PlacementName.BestFit),
+    /** Limits of the store that model engines load weights from. */
+    weightStore: z.strictObject({
+        maxLoads: z.number().int().min(1).max(10_000),
+        loadLimitMs: z.number().int().min(1_000).max(86_400_000),
+    }).partial().default({}),
 });
 
 export type Settings = z.infer<typeof settingsSchema>;
--- a/packages/daemon/src/status.ts
+++ b/packages/daemon/src/status.ts
@@ -1,6 +1,7 @@
 import type { Invariant, InvariantCounts } from "@greengage/base";
 import type { LogStatus } from "@greengage/consensus";
 import type { DrainState, InFlightCounts } from "@greengage/http";
+import type { ZoneMeasures } from "@greengage/membership";
 import { type GroupView, PROTOCOL_VERSION, type ServiceView } from "@greengage/protocol";
 import type { ProcessFigures } from "./figures.ts";
 
@@ -41,7 +42,7 @@
     groups: GroupView[];
     services: ServiceView[];
     /** Group downtime and stranded accelerators with their causes, when this daemon is a controller. */
-    measures?: object;
+    measures?: ZoneMeasures;
     invariants: Partial<Record<Invariant, InvariantCounts>>;
     violationCount: number;
     inFlight: number;
--- a/packages/http/src/operators/api.ts
+++ b/packages/http/src/operators/api.ts
@@ -1,5 +1,5 @@
 import type { TimelineEvent } from "@greengage/base";
-import type { GroupView, ServiceView } from "@greengage/protocol";
+import type { DrainPlan, GroupView, ServiceView } from "@greengage/protocol";
 import type { EditOutcome, RowChange, TableState } from "@greengage/table";
 import type { Admission } from "../admission.ts";
 
@@ -36,23 +36,10 @@
     pendingZones: string[];
 }
 
-/** What draining a VM does, or would do. */
-export interface VmDrainReport {
-    vmId: string;
-    /** Replica group that the VM belongs to. */
-    groupId?: string;
-    model?: string;
-    /** Whether other VMs can take over the group's work. */
-    hasReplacement: boolean;
-    /** Whether the VM takes no new work and has none in flight. */
-    released: boolean;
-}
-
-/** Drains VMs of all zones. */
+/** Drains VMs of all zones. Calls are idempotent and return undefined when no controller that knows the VM answers. */
 export interface VmDrains {
-    /** Idempotent: a second call reports the progress. Throws a GreengageError for an unknown VM. */
-    drainVm(vmId: string, options: { dryRun: boolean; }): Promise<VmDrainReport>;
-    undrainVm(vmId: string): Promise<void>;
+    drainVm(vmId: string, options: { dryRun: boolean; }): Promise<DrainPlan | undefined>;
+    undrainVm(vmId: string, options: { dryRun: boolean; }): Promise<DrainPlan | undefined>;
 }
 
 export const DrainState = { Serving: "serving", Draining: "draining", Drained: "drained" } as const;
--- a/packages/http/src/operators/drains.ts
+++ b/packages/http/src/operators/drains.ts
@@ -1,4 +1,5 @@
-import { ErrorCode } from "@greengage/base";
+import { ErrorCode, GreengageError, Verdict } from "@greengage/base";
+import type { DrainPlan } from "@greengage/protocol";
 import { notRunError } from "../errors.ts";
 import type { Hazard, OperatorApi, OperatorResponse } from "./api.ts";
 import { daemonDrainHazards } from "./hazards.ts";
@@ -20,28 +21,42 @@
 
 const vmTarget: DrainTarget = {
     drain: async (api, { id, dryRun, force, reason, operator }) => {
-        const plan = await api.vmDrains.drainVm(id, { dryRun: true });
+        const plan = await api.vmDrains.drainVm(id, { dryRun: true }) ?? refuseUnknownVm(id);
         const hazards = vmHazards(plan);
         if (dryRun) {
             return ok({ dryRun: true, vm: plan, hazards });
         }
         requireSafe(hazards, { force, reason });
-        const vm = await api.vmDrains.drainVm(id, { dryRun: false });
+        const vm = await api.vmDrains.drainVm(id, { dryRun: false }) ?? failUnanswered(id);
         api.record("vm.drain", { vmId: id, operator, reason });
         return ok({ vm, hazards });
     },
     undrain: async (api, { id, operator }) => {
-        await api.vmDrains.undrainVm(id);
+        if (await api.vmDrains.undrainVm(id, { dryRun: true }) === undefined) {
+            refuseUnknownVm(id);
+        }
+        const vm = await api.vmDrains.undrainVm(id, { dryRun: false }) ?? failUnanswered(id);
         api.record("vm.undrain", { vmId: id, operator });
-        return ok({ vmId: id });
+        return ok({ vm });
     },
 };
 
-const vmHazards = (plan: { vmId: string; groupId?: string; hasReplacement: boolean; }): Hazard[] => {
-    if (plan.groupId === undefined || plan.hasReplacement) {
+const refuseUnknownVm = (vmId: string): never => {
+    throw notRunError(ErrorCode.NotFound, `no controller that can be reached knows a VM "${vmId}"`);
+};
+
+const failUnanswered = (vmId: string): never => {
+    throw new GreengageError(`the controller of VM "${vmId}" did not answer`, {
+        code: ErrorCode.Unavailable,
+        verdict: Verdict.MayHaveRun,
+    });
+};
+
+const vmHazards = (plan: DrainPlan): Hazard[] => {
+    if (plan.replacement !== "none") {
         return [];
     }
-    const detail = `no VMs can replace ${plan.vmId} in group ${plan.groupId}, which would stop`;
+    const detail = `${plan.vmId} in group ${plan.groupId} of model ${plan.model}: ${plan.summary}`;
     return [{ hazard: "no-replacement", detail }];
 };
 
--- a/test/http/operators.test.ts
+++ b/test/http/operators.test.ts
@@ -1,6 +1,6 @@
 import { Timeline, type TimelineEvent } from "@greengage/base";
 import type { DaemonSummary, OperatorApi, OperatorResponse, Settlement, SettleResult } from "@greengage/http";
-import type { GroupView } from "@greengage/protocol";
+import type { DrainPlan, GroupView } from "@greengage/protocol";
 import type { EditOutcome, TableState } from "@greengage/table";
 import test, { type ExecutionContext } from "ava";
 import { type Answer, OPERATOR_KEY, send, startSurface, type SurfaceFixture } from "./fixture.ts";
@@ -24,6 +24,18 @@
     ...changes,
 });
 
+const planOf = (vmId: string, replacement: DrainPlan["replacement"]): DrainPlan => ({
+    vmId,
+    zone: "zone-a",
+    dryRun: true,
+    groupId: "g-1",
+    model: "assistant",
+    replacement,
+    replacementVmIds: [],
+    inFlight: 0,
+    summary: `replacement: ${replacement}`,
+});
+
 const editsOf = (table: TableState): Partial<OperatorApi> => ({
     edit: async (edit) => {
         const command = { type: "table.edit", atMs: 0, ...edit };
@@ -163,15 +175,9 @@
             if (!dryRun) {
                 drained.push(vmId);
             }
-            return {
-                vmId,
-                groupId: "g-1",
-                model: "assistant",
-                hasReplacement: vmId === "vm-1",
-                released: false,
-            };
+            return vmId === "vm-9" ? undefined : planOf(vmId, vmId === "vm-1" ? "spare" : "none");
         },
-        undrainVm: async () => undefined,
+        undrainVm: async (vmId) => planOf(vmId, "notNeeded"),
     };
     const { operate } = await startOperators(t, { vmDrains });
     const request = { target: "vm", operator: "thandi" };
@@ -181,6 +187,7 @@
     t.deepEqual(drained, ["vm-1"]);
     t.is((await operate("drain", { ...request, id: "vm-2", force: true, reason: "smoke" })).status, 200);
     t.is((await operate("undrain", { ...request, id: "vm-2" })).status, 200);
+    t.is((await operate("drain", { ...request, id: "vm-9" })).status, 404);
 });
 
 test("the last ready daemon of a zone is not drained", async (t) => {
