--- a/packages/bench/src/cluster.ts
+++ b/packages/bench/src/cluster.ts
@@ -36,6 +36,8 @@
 
 /** Daemons and stand-ins as separate processes on loopback. */
 export class Cluster {
+    /** Key of the operators' surface of every daemon. */
+    readonly operatorKey = OPERATOR_KEY;
     readonly folder = mkdtempSync(join(tmpdir(), "greengage-"));
     readonly daemons: DaemonHandle[] = [];
     readonly backends = new Map<string, ManagedProcess>();
