Cut off callers that never read, and keep a resend's outcome open

Cause: a caller that does not read held its request beyond the deadline; a resend that met an unavailable daemon ended with exit code 1 although the first send may have been accepted. Conclusion: no known way for a slow caller to hold a request past its deadline.

--- a/packages/cli/src/client.ts
+++ b/packages/cli/src/client.ts
@@ -83,13 +83,13 @@
 const responseError = (problem: Problem, method: "GET" | "POST"): CommandError => {
     const message = problem.detail ?? "the daemon answered with an error";
     if (REFUSED.includes(problem.title ?? "")) {
-        return new CommandError(message, ExitCode.Refused);
+        return new CommandError(message, ExitCode.Refused, problem.title);
     }
     if (method === "POST" && problem.verdict !== "notRun") {
         const advice = "The outcome is unknown: send it again with the same id";
         return new CommandError(`${message}. ${advice}`, ExitCode.Unknown);
     }
-    return new CommandError(message, ExitCode.Failed);
+    return new CommandError(message, ExitCode.Failed, problem.title);
 };
 
 const readKey = (argument: string | undefined): string => {
--- a/packages/cli/src/commands/status.ts
+++ b/packages/cli/src/commands/status.ts
@@ -1,9 +1,20 @@
 import type { DaemonStatus } from "@greengage/daemon";
+import type { ZoneMeasures } from "@greengage/membership";
 import { defineCommand } from "citty";
 import { connectionArgs, jsonArg } from "../args.ts";
 import { OperatorClient } from "../client.ts";
 import { printFields, printJson, printTable } from "../output.ts";
 
+/** Seconds of a measure with their causes, the largest first. */
+const secondsOf = (seconds: ZoneMeasures["groupDowntime"] | undefined): string | undefined => {
+    if (seconds === undefined) {
+        return undefined;
+    }
+    const causes = Object.entries(seconds.byCauseS).sort(([, a], [, b]) => b - a)
+        .map(([cause, value]) => `${cause} ${value.toFixed(1)} s`);
+    return `${seconds.totalS.toFixed(1)} s${causes.length > 0 ? ` (${causes.join(", ")})` : ""}`;
+};
+
 const summaryOf = (status: DaemonStatus): Record<string, string | number | boolean | undefined> => ({
     daemon: status.daemonId,
     zone: status.zone,
@@ -21,6 +32,8 @@
     "zones unreachable": status.unreachableZones.join(", ") || "none",
     "requests in flight": status.inFlight,
     "invariants violated": status.violationCount,
+    "group downtime": secondsOf(status.measures?.groupDowntime),
+    "stranded accelerators": secondsOf(status.measures?.strandedAccelerators),
     process:
         `up ${status.process.uptimeS} s, ${status.process.rssMb} MB, ${status.process.cpuMs} ms of CPU time`,
 });
@@ -51,9 +64,5 @@
                 group.memberVmIds.join(" "),
             ]),
         );
-        if (status.measures !== undefined) {
-            console.log("");
-            printJson({ measures: status.measures });
-        }
     },
 });
--- a/packages/cli/src/commands/table.ts
+++ b/packages/cli/src/commands/table.ts
@@ -121,7 +121,13 @@
             : numberOf("base-version", args["base-version"]);
         const changes = [{ kind, name, baseVersion, columns }];
         const body = { editId: editIdOf(args), operator: operatorOf(args), changes, ...safetyOf(args) };
-        return await sendEdit(args, { path: "table", body, json: args.json, wait: args.wait });
+        return await sendEdit(args, {
+            path: "table",
+            body,
+            json: args.json,
+            wait: args.wait,
+            isResend: args["edit-id"] !== undefined,
+        });
     },
 });
 
@@ -163,7 +169,13 @@
         const { replace } = args;
         const rows = rowsOf(args.file);
         const body = { editId: editIdOf(args), operator: operatorOf(args), rows, replace, ...safetyOf(args) };
-        return await sendEdit(args, { path: "table/import", body, json: args.json, wait: args.wait });
+        return await sendEdit(args, {
+            path: "table/import",
+            body,
+            json: args.json,
+            wait: args.wait,
+            isResend: args["edit-id"] !== undefined,
+        });
     },
 });
 
--- a/packages/cli/src/edit.ts
+++ b/packages/cli/src/edit.ts
@@ -19,8 +19,24 @@
     body: { editId: string; dryRun: boolean; };
     json: boolean;
     wait: boolean;
+    /** Whether the operator gave the edit id, so that an earlier send may have been accepted. */
+    isResend: boolean;
 }
 
+/** Problems that say what became of the edit id, also for earlier sends. */
+const FINAL_TITLES = ["invalid", "bad-request"];
+
+/** A send that did nothing leaves the outcome of an earlier send with the same id open. */
+const asResendError = (error: unknown): unknown => {
+    const isOpen = error instanceof CommandError && error.exitCode === ExitCode.Failed
+        && !FINAL_TITLES.includes(error.title ?? "");
+    if (!isOpen) {
+        return error;
+    }
+    const message = `${error.message}. An earlier send with this id may have been accepted: send it again`;
+    return new CommandError(message, ExitCode.Unknown);
+};
+
 /** Sends an edit, says its id, and waits until it is in effect in every zone. */
 export const sendEdit = async (args: ClientArgs, options: EditOptions): Promise<ExitCode> => {
     const client = new OperatorClient(args);
@@ -30,7 +46,9 @@
     }
     const { editId } = options.body;
     say(`edit id: ${editId}`);
-    const answer = await client.post<EditAnswer>(options.path, options.body);
+    const answer = await client.post<EditAnswer>(options.path, options.body).catch((error: unknown) => {
+        throw options.isResend ? asResendError(error) : error;
+    });
     const pendingZones = options.wait
         ? await waitForZones(client, answer)
         : answer.pendingZones;
--- a/packages/cli/src/exit.ts
+++ b/packages/cli/src/exit.ts
@@ -14,11 +14,14 @@
 /** Ends a command with a message and an exit code. */
 export class CommandError extends Error {
     readonly exitCode: ExitCode;
+    /** Title of the problem that a daemon answered with. */
+    readonly title: string | undefined;
 
-    constructor(message: string, exitCode: ExitCode) {
+    constructor(message: string, exitCode: ExitCode, title?: string) {
         super(message);
         this.name = "CommandError";
         this.exitCode = exitCode;
+        this.title = title;
     }
 }
 
--- a/packages/daemon/src/drain.ts
+++ b/packages/daemon/src/drain.ts
@@ -74,6 +74,7 @@
 
     #enter(state: DrainState): void {
         this.#state = state;
+        this.#options.admission.closesConnections = state !== DrainState.Serving;
         const inFlight = this.#options.admission.inFlight;
         this.#log.info(`daemon is ${state}`, { inFlight });
         this.#options.context.timeline.record("daemon", `daemon.${state}`, { inFlight });
--- a/packages/daemon/src/effect.ts
+++ b/packages/daemon/src/effect.ts
@@ -1,7 +1,8 @@
 import { monotonicMs, sleep } from "@greengage/base";
 import type { DaemonSummary } from "@greengage/http";
 
-const POLL_MS = 50;
+const FIRST_POLL_MS = 20;
+const LONGEST_POLL_MS = 400;
 
 export interface EffectOptions {
     tableVersion: number;
@@ -18,13 +19,13 @@
     options: EffectOptions,
 ): Promise<{ inForceZones: string[]; pendingZones: string[]; }> => {
     const untilMs = monotonicMs() + options.waitMs;
-    for (;;) {
+    for (let pollMs = FIRST_POLL_MS;; pollMs = Math.min(2 * pollMs, LONGEST_POLL_MS)) {
         const pending = await pendingZones(options);
         if (pending.size === 0 || monotonicMs() >= untilMs) {
             const inForceZones = options.zones.filter((zone) => !pending.has(zone));
             return { inForceZones, pendingZones: [...pending] };
         }
-        await sleep(POLL_MS);
+        await sleep(pollMs);
     }
 };
 
--- a/packages/daemon/src/status.ts
+++ b/packages/daemon/src/status.ts
@@ -2,7 +2,7 @@
 import type { LogStatus } from "@greengage/consensus";
 import type { DrainState, InFlightCounts } from "@greengage/http";
 import type { ZoneMeasures } from "@greengage/membership";
-import { type GroupView, PROTOCOL_VERSION, type ServiceView } from "@greengage/protocol";
+import { type GroupView, type PeerNetwork, PROTOCOL_VERSION, type ServiceView } from "@greengage/protocol";
 import type { ProcessFigures } from "./figures.ts";
 
 export const VERSION = "0.1.0";
@@ -49,5 +49,5 @@
     inFlightByRow: InFlightCounts;
     process: ProcessFigures;
     /** Traffic with the other daemons since the start. */
-    peerTraffic: object;
+    peerTraffic: PeerNetwork["traffic"];
 }
--- a/packages/http/src/admission.ts
+++ b/packages/http/src/admission.ts
@@ -24,6 +24,9 @@
     #inFlight = 0;
     #isClosed = false;
 
+    /** Whether responses close their connection, so that clients move to other daemons. */
+    closesConnections = false;
+
     constructor(limits: HttpLimits) {
         this.#limits = limits;
     }
--- a/packages/http/src/chat.ts
+++ b/packages/http/src/chat.ts
@@ -87,7 +87,7 @@
     call: GenerateRequest,
     signal: AbortSignal,
 ): Promise<void> => {
-    const sink = new ResponseSink(exchange);
+    const sink = new ResponseSink(exchange, signal);
     try {
         await dispatcher.generate(call, sink, signal);
     }
--- a/packages/http/src/operators/edits.ts
+++ b/packages/http/src/operators/edits.ts
@@ -1,4 +1,4 @@
-import { ErrorCode, newId } from "@greengage/base";
+import { ErrorCode, GreengageError, newId, Verdict } from "@greengage/base";
 import { type EditOutcome, type RowChange, rowKey, type RowKind, TableState } from "@greengage/table";
 import { isDeepStrictEqual } from "node:util";
 import { notRunError } from "../errors.ts";
@@ -92,7 +92,16 @@
     if (known !== undefined) {
         return known;
     }
-    await api.catchUp();
+    try {
+        await api.catchUp();
+    }
+    catch (error) {
+        throw new GreengageError("whether this edit id was accepted before can't be found out now", {
+            code: ErrorCode.Unavailable,
+            verdict: Verdict.MayHaveRun,
+            cause: error,
+        });
+    }
     return api.table.outcomeOf(editId);
 };
 
--- a/packages/http/src/sse.ts
+++ b/packages/http/src/sse.ts
@@ -4,12 +4,17 @@
 import type { Exchange } from "./exchange.ts";
 import { problemOf } from "./problem.ts";
 
+const FLUSH_LIMIT_MS = 1_000;
+
 /** Writes events of a stream to a caller. The headers go out with the first event. */
 export class ResponseSink implements EventSink {
     readonly #exchange: Exchange;
+    readonly #signal: AbortSignal;
 
-    constructor(exchange: Exchange) {
+    /** The signal ends waits for a caller that reads slowly. */
+    constructor(exchange: Exchange, signal: AbortSignal) {
         this.#exchange = exchange;
+        this.#signal = signal;
     }
 
     get hasStarted(): boolean {
@@ -23,13 +28,17 @@
 
     async drained(): Promise<void> {
         const { response } = this.#exchange;
-        if (response.destroyed || !response.writableNeedDrain) {
+        if (response.destroyed || !response.writableNeedDrain || this.#signal.aborted) {
             return;
         }
         const stop = new AbortController();
         const options = { signal: stop.signal };
-        await Promise.race([once(response, "drain", options), once(response, "close", options)])
-            .finally(() => stop.abort());
+        const waits = [
+            once(response, "drain", options),
+            once(response, "close", options),
+            once(this.#signal, "abort", options),
+        ];
+        await Promise.race(waits).finally(() => stop.abort());
     }
 
     /** Ends a complete stream with its end marker. */
@@ -42,7 +51,11 @@
     fail(error: GreengageError): void {
         const { response } = this.#exchange;
         const event = `event: error\ndata: ${JSON.stringify(problemOf(error))}\n\n`;
-        response.end(event, () => response.socket?.destroySoon());
+        const { socket } = response;
+        // A caller that does not read would hold the connection forever.
+        const timer = setTimeout(() => socket?.destroy(), FLUSH_LIMIT_MS);
+        response.once("close", () => clearTimeout(timer));
+        response.end(event, () => socket?.destroySoon());
     }
 
     #writeHead(): void {
--- a/packages/http/src/surface.ts
+++ b/packages/http/src/surface.ts
@@ -157,6 +157,7 @@
 
     async #serve(route: Route, exchange: Exchange): Promise<void> {
         const startedAtMs = monotonicMs();
+        exchange.response.shouldKeepAlive &&= !this.#options.admission.closesConnections;
         try {
             await this.#admit(route, exchange);
         }
--- a/test/http/callers.test.ts
+++ b/test/http/callers.test.ts
@@ -2,6 +2,7 @@
 import { waitFor } from "@greengage/faults";
 import type { ServiceCall } from "@greengage/routing";
 import test from "ava";
+import { connect } from "node:net";
 import { request } from "undici";
 import { CALLER_KEY, chatBody, eventOf, send, sendRaw, startSurface } from "./fixture.ts";
 
@@ -226,6 +227,33 @@
     t.deepEqual(admission.counts(), {});
 });
 
+// Guards against a caller that never reads and so holds its request and connection forever.
+test("a caller that does not read is cut off at its deadline", async (t) => {
+    const { port, admission } = await startSurface(t, {
+        dispatcher: {
+            generate: async (_, sink, signal) => {
+                while (!signal.aborted) {
+                    sink.write(eventOf("x".repeat(100_000)));
+                    await sink.drained();
+                }
+                throw signal.reason;
+            },
+        },
+    });
+    const body = JSON.stringify(chatBody({ stream: true }));
+    const socket = connect(port, "127.0.0.1").pause();
+    t.teardown(() => socket.destroy());
+    const headers = [
+        "content-type: application/json",
+        "x-deadline-ms: 300",
+        `content-length: ${body.length}`,
+    ];
+    socket.write(head("/v1/chat/completions", headers) + body);
+    await waitFor("the request", () => admission.inFlight === 1 || undefined);
+    await admission.idle();
+    t.is(admission.inFlight, 0);
+});
+
 test("a request ends at the deadline that its caller set", async (t) => {
     const { url } = await startSurface(t, {
         dispatcher: {
