Start clusters of the bench with an odd number of voters

Cause: the settings now refuse an even number of voters, and a cluster of two zones had one voter per zone; its daemons ended at start and two tests of the proxy waited 30 s for readiness in vain. Change: the last voter becomes a learner when the number is even.

--- a/packages/bench/src/cluster.ts
+++ b/packages/bench/src/cluster.ts
@@ -87,6 +87,12 @@
             port: ports[position * 2] ?? 0,
             voter: index < (this.#options.votersPerZone ?? 1),
         }));
+        const voters = daemons.filter((daemon) => daemon.voter);
+        const lastVoter = voters.at(-1);
+        if (voters.length % 2 === 0 && lastVoter !== undefined) {
+            // The settings refuse an even number of voters.
+            lastVoter.voter = false;
+        }
         const listed = structuredClone(daemons);
         const httpPorts = places.map((_, position) => ports[position * 2 + 1] ?? 0);
         const listedHttpPorts = [...httpPorts];
