--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,4 +1,5 @@
 export * from "./cluster.ts";
+export * from "./links.ts";
 export * from "./requests.ts";
 export * from "./zone/hub.ts";
 export * from "./zone/vm.ts";
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -26,7 +26,7 @@
 import { DaemonOperators } from "./operators.ts";
 import { type Part, startInOrder } from "./parts.ts";
 import type { Settings } from "./settings.ts";
-import { LoggedSettlement } from "./settlement.ts";
+import { ActionSettlements } from "./settlement.ts";
 import { type DaemonStatus, versions } from "./status.ts";
 
 /** One daemon: all parts of the system on one entry VM. */
@@ -44,6 +44,7 @@
     readonly #membership: Membership;
     readonly #dispatcher: BackendDispatcher;
     readonly #operators: OperatorSurface;
+    readonly #actions: ActionService;
     readonly #surface: HttpSurface;
 
     constructor(settings: Settings) {
@@ -83,6 +84,13 @@
             directory: this.#membership.directory,
             table: this.#table,
             backendKey: keys.backendServers,
+            knownDaemonCount: daemons.filter((daemon) => !daemon.controlOnly).length,
+        });
+        this.#actions = new ActionService({
+            context,
+            log: this.#log,
+            records: this.#actionRecords,
+            dispatcher: this.#dispatcher,
         });
         const limits = { ...DEFAULT_LIMITS, ...settings.limits };
         this.#admission = new Admission(limits);
@@ -101,7 +109,7 @@
             admission: this.#admission,
             table: this.#table,
             dispatcher: this.#dispatcher,
-            actions: new ActionService({ context, log: this.#log, dispatcher: this.#dispatcher }),
+            actions: this.#actions,
             acceptReport: (report) => this.#membership.intake.accept(report),
             operators: this.#operators,
             readiness: () => this.readiness(),
@@ -202,6 +210,7 @@
                 start: () => this.#membership.start(),
                 close: () => this.#membership.close(),
             },
+            { name: "actions", start: () => undefined, close: () => this.#actions.close() },
             { name: "gauges", ...this.#gauges() },
             { name: "http", start: () => this.#surface.start(), close: () => this.#surface.close() },
         ];
@@ -241,7 +250,7 @@
                 admission: this.#admission,
                 vmDrains: this.#membership,
                 daemonDrains: this.#drain,
-                actions: new LoggedSettlement(this.#log, this.#actionRecords),
+                actions: new ActionSettlements(this.#actions, this.#actionRecords),
                 status: () => this.status(),
             }),
         );
