Give the stand-in's chunks the usual fields

Cause: streamed chunks of the stand-in had only id and choices, unlike those of an OpenAI-compatible engine. Conclusion: the streamed surface shows the usual fields.

--- a/packages/standins/src/engine.ts
+++ b/packages/standins/src/engine.ts
@@ -164,12 +164,16 @@
             return;
         }
         response.writeHead(200, { "content-type": "text/event-stream", "x-request-id": requestId });
+        const createdS = Math.floor(Date.now() / 1000);
         for (let index = body.greengage?.resume_tokens ?? 0; index < count; index += 1) {
             if (!await this.#mayContinue(requestId, response, members)) {
                 return;
             }
             const chunk = {
                 id: requestId,
+                object: "chat.completion.chunk",
+                created: createdS,
+                model: body.model,
                 choices: [{ index: 0, delta: { content: tokenOf(body.messages, index) } }],
             };
             response.write(`data: ${JSON.stringify(chunk)}\n\n`);
