--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -28,7 +28,6 @@
 import type { Settings } from "./settings.ts";
 import { ActionSettlements } from "./settlement.ts";
 import { type DaemonStatus, versions } from "./status.ts";
-import { ControllerVmDrains } from "./vmdrains.ts";
 
 /** One daemon: all parts of the system on one entry VM. */
 export class Daemon {
@@ -77,6 +76,8 @@
             daemons,
             orderKey: keys.backendServers,
             timing: settings.timing,
+            placement: settings.placement,
+            weightStore: settings.weightStore,
         });
         this.#dispatcher = new BackendDispatcher({
             context,
@@ -162,9 +163,7 @@
 
     status(): DaemonStatus {
         const { directory, lease } = this.#membership;
-        const { daemonId, zone, daemons } = this.#settings;
-        const reachableZones = directory.reachableZones();
-        const zones = [...new Set(daemons.map((daemon) => daemon.zone))];
+        const { daemonId, zone } = this.#settings;
         const { ready, reason } = this.readiness();
         return {
             daemonId,
@@ -178,10 +177,11 @@
             isController: lease.isValid,
             tableVersion: this.#table.version,
             log: this.#log.status(),
-            reachableZones,
-            unreachableZones: zones.filter((name) => !reachableZones.includes(name)),
+            reachableZones: directory.reachableZones(),
+            unreachableZones: this.#unreachableZones(),
             groups: directory.allGroups(),
             services: directory.allServices(),
+            measures: lease.isValid ? this.#membership.measures() : undefined,
             invariants: this.#context.invariants.counts(),
             violationCount: this.#context.invariants.violationCount,
             inFlight: this.#admission.inFlight,
@@ -191,6 +191,12 @@
         };
     }
 
+    #unreachableZones(): string[] {
+        const reachable = this.#membership.directory.reachableZones();
+        const zones = new Set(this.#settings.daemons.map((daemon) => daemon.zone));
+        return [...zones].filter((zone) => !reachable.includes(zone));
+    }
+
     /** Parts in start order: a part uses only parts before it. They close in reverse order. */
     #parts(): Part[] {
         const dispatcher = this.#dispatcher;
@@ -221,7 +227,14 @@
 
     #gauges(): Omit<Part, "name"> {
         let gauges: Lifecycle | undefined;
-        const options = { context: this.#context, admission: this.#admission, table: this.#table };
+        const options = {
+            context: this.#context,
+            admission: this.#admission,
+            table: this.#table,
+            isReady: () => this.readiness().ready,
+            unreachableZoneCount: () => this.#unreachableZones().length,
+            unknownActionCount: () => this.#actionRecords.unknownOutcomes().length,
+        };
         return { start: () => void (gauges = startGauges(options)), close: () => gauges?.close() };
     }
 
@@ -235,7 +248,7 @@
                 table: this.#table,
                 membership: this.#membership,
                 admission: this.#admission,
-                vmDrains: new ControllerVmDrains(this.#membership),
+                vmDrains: this.#membership,
                 daemonDrains: this.#drain,
                 actions: new ActionSettlements(this.#actions, this.#actionRecords),
                 status: () => this.status(),
