Keep a resend of a drain and the verdict of an edit true

Cause: a second drain of the same VM could be refused as unsafe, and an edit whose first attempt may have been committed could be reported as not run after a second attempt without a leader. Change: the drain plan says whether the VM was already drained; proposeEdit resends with the same id and never falls back to notRun; a daemon that stops refuses undrain. Conclusion: both writes can be sent again.

--- a/packages/daemon/src/drain.ts
+++ b/packages/daemon/src/drain.ts
@@ -1,4 +1,13 @@
-import { type Context, Invariant, type Log, LogPart, sleep } from "@greengage/base";
+import {
+    type Context,
+    ErrorCode,
+    GreengageError,
+    Invariant,
+    type Log,
+    LogPart,
+    sleep,
+    Verdict,
+} from "@greengage/base";
 import { type Admission, type DaemonDrains, DrainState } from "@greengage/http";
 
 export interface DaemonDrainOptions {
@@ -13,6 +22,7 @@
     readonly #options: DaemonDrainOptions;
     readonly #log: Log;
     #state: DrainState = DrainState.Serving;
+    #isStopping = false;
     #undo = new AbortController();
     #drained: Promise<void> = Promise.resolve();
 
@@ -36,6 +46,12 @@
     }
 
     undrain(): void {
+        if (this.#isStopping) {
+            throw new GreengageError("the daemon stops and can't be taken back into service", {
+                code: ErrorCode.Conflict,
+                verdict: Verdict.NotRun,
+            });
+        }
         if (this.#state === DrainState.Serving) {
             return;
         }
@@ -47,6 +63,7 @@
     /** Drains and waits until no request is in flight. Returns whether that was reached within the limit. */
     async finish(): Promise<boolean> {
         const { admission, context, graceMs, limitMs } = this.#options;
+        this.#isStopping = true;
         this.drain();
         const stop = new AbortController();
         await Promise.race([this.#drained, sleep(graceMs + limitMs, stop.signal)]);
--- a/packages/daemon/src/operators.ts
+++ b/packages/daemon/src/operators.ts
@@ -15,8 +15,9 @@
 } from "@greengage/http";
 import type { Membership } from "@greengage/membership";
 import type { Peers } from "@greengage/protocol";
-import type { EditOutcome, TableState } from "@greengage/table";
+import type { EditCommand, TableState } from "@greengage/table";
 import { waitForEffect } from "./effect.ts";
+import { proposeEdit } from "./propose.ts";
 import type { Settings } from "./settings.ts";
 import type { DaemonStatus } from "./status.ts";
 
@@ -86,9 +87,8 @@
     }
 
     async edit(edit: TableEdit): Promise<EditAnswer> {
-        const command = { type: "table.edit", atMs: Date.now(), ...edit };
-        const { result } = await this.#options.log.propose(command, { timeoutMs: EDIT_TIMEOUT_MS });
-        const outcome = result as EditOutcome;
+        const command: EditCommand = { type: "table.edit", atMs: Date.now(), ...edit };
+        const outcome = await proposeEdit(this.#options.log, command, EDIT_TIMEOUT_MS);
         if (outcome.status !== "accepted") {
             return { outcome, inForceZones: [], pendingZones: [] };
         }
--- a/packages/http/src/operators/drains.ts
+++ b/packages/http/src/operators/drains.ts
@@ -53,7 +53,8 @@
 };
 
 const vmHazards = (plan: DrainPlan): Hazard[] => {
-    if (plan.replacement !== "none") {
+    // A drain that is sent again harms nobody more.
+    if (plan.replacement !== "none" || plan.alreadyDrained) {
         return [];
     }
     const detail = `${plan.vmId} in group ${plan.groupId} of model ${plan.model}: ${plan.summary}`;
--- a/packages/membership/src/drainPlan.ts
+++ b/packages/membership/src/drainPlan.ts
@@ -15,6 +15,7 @@
         vmId,
         zone: zone.context.zone,
         dryRun,
+        alreadyDrained: zone.vms.drained.has(vmId),
         groupId: group?.groupId,
         model: group?.model,
         replacement,
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -192,6 +192,8 @@
     vmId: string;
     zone: string;
     dryRun: boolean;
+    /** Whether the VM was already kept out of groups before this call. */
+    alreadyDrained: boolean;
     /** Group that the VM belongs to. */
     groupId?: string;
     model?: string;
--- a/test/http/operators.test.ts
+++ b/test/http/operators.test.ts
@@ -28,6 +28,7 @@
     vmId,
     zone: "zone-a",
     dryRun: true,
+    alreadyDrained: false,
     groupId: "g-1",
     model: "assistant",
     replacement,
@@ -175,7 +176,8 @@
             if (!dryRun) {
                 drained.push(vmId);
             }
-            return vmId === "vm-9" ? undefined : planOf(vmId, vmId === "vm-1" ? "spare" : "none");
+            const plan = planOf(vmId, vmId === "vm-1" ? "spare" : "none");
+            return vmId === "vm-9" ? undefined : { ...plan, alreadyDrained: drained.includes(vmId) };
         },
         undrainVm: async (vmId) => planOf(vmId, "notNeeded"),
     };
@@ -186,6 +188,8 @@
     t.is((await operate("drain", { ...request, id: "vm-1" })).status, 200);
     t.deepEqual(drained, ["vm-1"]);
     t.is((await operate("drain", { ...request, id: "vm-2", force: true, reason: "smoke" })).status, 200);
+    // A resend without force gets through: the harm is done.
+    t.is((await operate("drain", { ...request, id: "vm-2" })).status, 200);
     t.is((await operate("undrain", { ...request, id: "vm-2" })).status, 200);
     t.is((await operate("drain", { ...request, id: "vm-9" })).status, 404);
 });
