--- a/packages/daemon/src/operators.ts
+++ b/packages/daemon/src/operators.ts
@@ -21,7 +21,6 @@
 import type { Settings } from "./settings.ts";
 import type { DaemonStatus } from "./status.ts";
 
-const EDIT_TIMEOUT_MS = 5_000;
 const CATCH_UP_TIMEOUT_MS = 2_000;
 const FORWARD_TIMEOUT_MS = 1_500;
 /** The response to an edit waits this long for the zones; our bound for an edit to be in effect is 3 s. */
@@ -88,7 +87,7 @@
 
     async edit(edit: TableEdit): Promise<EditAnswer> {
         const command: EditCommand = { type: "table.edit", atMs: Date.now(), ...edit };
-        const outcome = await proposeEdit(this.#options.log, command, EDIT_TIMEOUT_MS);
+        const outcome = await proposeEdit(this.#options.log, command);
         if (outcome.status !== "accepted") {
             return { outcome, inForceZones: [], pendingZones: [] };
         }
--- a/packages/daemon/src/propose.ts
+++ b/packages/daemon/src/propose.ts
@@ -1,42 +1,35 @@
-import { ErrorCode, GreengageError, monotonicMs, sleep, Verdict } from "@greengage/base";
+import { GreengageError, monotonicMs, sleep, Verdict } from "@greengage/base";
 import type { ReplicatedLog } from "@greengage/consensus";
 import type { EditCommand, EditOutcome } from "@greengage/table";
 
+const EDIT_TIMEOUT_MS = 5_000;
 const RETRY_MS = 100;
 
-/**
- * Proposes an edit until its outcome is known: a resend with the same edit id gets the first outcome.
- * Once one attempt may have been committed, every later error has the verdict `mayHaveRun`.
- */
-export const proposeEdit = async (
-    log: Pick<ReplicatedLog, "propose">,
-    command: EditCommand,
-    limitMs: number,
-): Promise<EditOutcome> => {
-    const deadlineMs = monotonicMs() + limitMs;
-    let mayHaveRun = false;
+/** Proposes an edit until its outcome is known: a resend with the same edit id gets the first outcome. */
+export const proposeEdit = async (log: ReplicatedLog, command: EditCommand): Promise<EditOutcome> => {
+    const deadlineMs = monotonicMs() + EDIT_TIMEOUT_MS;
+    let wasSent = false;
     for (;;) {
-        const timeoutMs = Math.max(1, deadlineMs - monotonicMs());
         try {
+            const timeoutMs = Math.max(1, deadlineMs - monotonicMs());
             const { result } = await log.propose(command, { timeoutMs });
             return result as EditOutcome;
         }
         catch (error) {
-            mayHaveRun ||= !(error instanceof GreengageError) || error.verdict !== Verdict.NotRun;
-            if (!mayHaveRun) {
-                throw error;
+            const isUnknown = error instanceof GreengageError && error.verdict === Verdict.MayHaveRun;
+            wasSent ||= isUnknown;
+            if (!isUnknown && wasSent && error instanceof GreengageError) {
+                // This attempt was not run, but an earlier one may have been.
+                throw new GreengageError(error.message, {
+                    code: error.code,
+                    verdict: Verdict.MayHaveRun,
+                    cause: error,
+                });
             }
-            if (monotonicMs() >= deadlineMs) {
-                throw unknownOutcome(error);
+            if (!isUnknown || monotonicMs() >= deadlineMs) {
+                throw error;
             }
             await sleep(RETRY_MS);
         }
     }
 };
-
-const unknownOutcome = (cause: unknown): GreengageError =>
-    new GreengageError("the edit may have been accepted; no daemon answered in time", {
-        code: ErrorCode.Unavailable,
-        verdict: Verdict.MayHaveRun,
-        cause,
-    });
--- a/test/daemon/propose.test.ts
+++ b/test/daemon/propose.test.ts
@@ -1,4 +1,5 @@
 import { ErrorCode, GreengageError, Verdict } from "@greengage/base";
+import type { ReplicatedLog } from "@greengage/consensus";
 import type { EditCommand, EditOutcome } from "@greengage/table";
 import test from "ava";
 import { proposeEdit } from "../../packages/daemon/src/propose.ts";
@@ -10,31 +11,30 @@
     new GreengageError("failed", { code: ErrorCode.Unavailable, verdict });
 
 /** A log whose proposals end one after the other as listed; the last one repeats. */
-const logOf = (...results: (GreengageError | EditOutcome)[]) => {
+const logOf = (...results: (GreengageError | EditOutcome)[]): ReplicatedLog => {
     let calls = 0;
-    return {
-        propose: async (): Promise<{ index: number; result: unknown; }> => {
-            const result = results[Math.min(calls, results.length - 1)];
-            calls += 1;
-            if (result instanceof GreengageError) {
-                throw result;
-            }
-            return { index: 1, result };
-        },
+    const propose: ReplicatedLog["propose"] = async () => {
+        const result = results[Math.min(calls, results.length - 1)];
+        calls += 1;
+        if (result instanceof GreengageError) {
+            throw result;
+        }
+        return { index: 1, result };
     };
+    return { propose } as ReplicatedLog;
 };
 
 test("an edit is proposed again until its outcome is known", async (t) => {
-    t.deepEqual(await proposeEdit(logOf(errorOf(Verdict.MayHaveRun), accepted), command, 5_000), accepted);
+    t.deepEqual(await proposeEdit(logOf(errorOf(Verdict.MayHaveRun), accepted), command), accepted);
 });
 
 test("an edit that can't have been committed is reported as not run at once", async (t) => {
-    const error = await t.throwsAsync(proposeEdit(logOf(errorOf(Verdict.NotRun), accepted), command, 5_000));
+    const error = await t.throwsAsync(proposeEdit(logOf(errorOf(Verdict.NotRun), accepted), command));
     t.like(error, { verdict: "notRun" });
 });
 
 // Guards against an operator who is told that an edit was not run although its first attempt was committed.
 test("an error after an attempt that may have been committed stays `mayHaveRun`", async (t) => {
     const log = logOf(errorOf(Verdict.MayHaveRun), errorOf(Verdict.NotRun));
-    t.like(await t.throwsAsync(proposeEdit(log, command, 200)), { verdict: "mayHaveRun" });
+    t.like(await t.throwsAsync(proposeEdit(log, command)), { verdict: "mayHaveRun" });
 });
