Filter the time line where the events are, and answer summaries without the whole status

Change: timeline/own takes the query of timeline; DaemonSummary is built by itself and part of DaemonStatus. Conclusion: a question to all daemons costs each of them what is asked for.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -11,6 +11,7 @@
 import { CompositeStateMachine, FixedLeaderLog } from "@greengage/consensus";
 import {
     Admission,
+    type DaemonSummary,
     DEFAULT_LIMITS,
     DrainState,
     HttpSurface,
@@ -161,21 +162,28 @@
         return reason === undefined ? { ready: true } : { ready: false, reason };
     }
 
-    status(): DaemonStatus {
-        const { directory, lease } = this.#membership;
-        const { daemonId, zone } = this.#settings;
-        const { ready, reason } = this.readiness();
+    /** What the other daemons ask for often. */
+    summary(): DaemonSummary {
+        const { daemonId, zone, voter, controlOnly } = this.#self;
         return {
             daemonId,
             zone,
-            versions: versions(),
+            voter,
+            controlOnly,
             state: this.#drain.state,
-            ready,
-            notReadyReason: reason,
-            voter: this.#self.voter,
-            controlOnly: this.#self.controlOnly,
-            isController: lease.isValid,
+            ready: this.readiness().ready,
+            inFlight: this.#admission.inFlight,
             tableVersion: this.#table.version,
+        };
+    }
+
+    status(): DaemonStatus {
+        const { directory, lease } = this.#membership;
+        return {
+            ...this.summary(),
+            versions: versions(),
+            notReadyReason: this.readiness().reason,
+            isController: lease.isValid,
             log: this.#log.status(),
             reachableZones: directory.reachableZones(),
             unreachableZones: this.#unreachableZones(),
@@ -184,7 +192,6 @@
             measures: lease.isValid ? this.#membership.measures() : undefined,
             invariants: this.#context.invariants.counts(),
             violationCount: this.#context.invariants.violationCount,
-            inFlight: this.#admission.inFlight,
             inFlightByRow: this.#admission.counts(),
             process: processFigures(),
             peerTraffic: this.#peers.traffic,
@@ -252,6 +259,7 @@
                 daemonDrains: this.#drain,
                 actions: new ActionSettlements(this.#actions, this.#actionRecords),
                 status: () => this.status(),
+                summary: () => this.summary(),
             }),
         );
         this.#peers.handle("operator.forward", (request) => operators.handle(request));
--- a/packages/daemon/src/operators.ts
+++ b/packages/daemon/src/operators.ts
@@ -38,6 +38,7 @@
     daemonDrains: DaemonDrains;
     actions: ActionSettlement;
     status: () => DaemonStatus;
+    summary: () => DaemonSummary;
 }
 
 /** What operators can see and do at this daemon. */
@@ -50,6 +51,7 @@
     readonly daemonDrains: DaemonDrains;
     readonly actions: ActionSettlement;
     readonly status: () => DaemonStatus;
+    readonly summary: () => DaemonSummary;
     readonly #options: DaemonOperatorsOptions;
 
     constructor(options: DaemonOperatorsOptions) {
@@ -62,11 +64,7 @@
         this.daemonDrains = options.daemonDrains;
         this.actions = options.actions;
         this.status = options.status;
-    }
-
-    summary(): DaemonSummary {
-        const { daemonId, zone, voter, controlOnly, state, ready, inFlight, tableVersion } = this.status();
-        return { daemonId, zone, voter, controlOnly, state, ready, inFlight, tableVersion };
+        this.summary = options.summary;
     }
 
     groups(): ReturnType<OperatorApi["groups"]> {
--- a/packages/daemon/src/status.ts
+++ b/packages/daemon/src/status.ts
@@ -1,6 +1,6 @@
 import type { Invariant, InvariantCounts } from "@greengage/base";
 import type { LogStatus } from "@greengage/consensus";
-import type { DrainState, InFlightCounts } from "@greengage/http";
+import type { DaemonSummary, InFlightCounts } from "@greengage/http";
 import type { ZoneMeasures } from "@greengage/membership";
 import { type GroupView, type PeerNetwork, PROTOCOL_VERSION, type ServiceView } from "@greengage/protocol";
 import type { ProcessFigures } from "./figures.ts";
@@ -22,19 +22,12 @@
 });
 
 /** Status document of a daemon: `GET /operator/v1/status`. */
-export interface DaemonStatus {
-    daemonId: string;
-    zone: string;
+export interface DaemonStatus extends DaemonSummary {
     versions: Versions;
-    state: DrainState;
-    ready: boolean;
     /** Why the daemon is not ready. */
     notReadyReason?: string;
-    voter: boolean;
-    controlOnly: boolean;
     /** Whether this daemon holds the lease of its zone. */
     isController: boolean;
-    tableVersion: number;
     log: LogStatus;
     /** Zones whose grant is valid now. */
     reachableZones: string[];
@@ -45,7 +38,6 @@
     measures?: ZoneMeasures;
     invariants: Partial<Record<Invariant, InvariantCounts>>;
     violationCount: number;
-    inFlight: number;
     inFlightByRow: InFlightCounts;
     process: ProcessFigures;
     /** Traffic with the other daemons since the start. */
--- a/packages/http/src/operators/fleet.ts
+++ b/packages/http/src/operators/fleet.ts
@@ -1,6 +1,6 @@
 import { mergeTimelines, type TimelineEvent } from "@greengage/base";
 import type { InFlightCounts } from "../admission.ts";
-import type { DaemonSummary, OperatorApi, OperatorResponse } from "./api.ts";
+import type { DaemonSummary, OperatorApi, OperatorRequest, OperatorResponse } from "./api.ts";
 import { numberOf, ok, queryOf } from "./requests.ts";
 import type { OperatorHandler } from "./surface.ts";
 
@@ -49,20 +49,41 @@
     return ok({ daemons: answers.sort((a, b) => a.daemonId.localeCompare(b.daemonId)), unreachable });
 };
 
-/** `GET timeline`: events of all daemons, cause before effect. Query: `limit`, `part`, `kind`, `sinceMs`. */
-export const timelineHandler: OperatorHandler = async (api, request) => {
+interface EventFilter {
+    limit: number;
+    matches: (event: TimelineEvent) => boolean;
+}
+
+const filterOf = (request: OperatorRequest): EventFilter => {
     const query = queryOf(request);
     const limit = numberOf(query, "limit", 200);
     const sinceMs = numberOf(query, "sinceMs", 0);
     const part = query.get("part") ?? undefined;
     const kind = query.get("kind") ?? undefined;
-    const isWanted = (event: TimelineEvent): boolean =>
+    const matches = (event: TimelineEvent): boolean =>
         event.at.wallMs >= sinceMs
         && (part === undefined || event.part === part)
         && (kind === undefined || event.kind.startsWith(kind));
-    const { answers, unreachable } = await askAll(api, "timeline/own", () => api.timeline());
-    const events = mergeTimelines(answers).filter(isWanted);
-    return ok({ events: events.slice(Math.max(0, events.length - limit)), unreachable });
+    return { limit, matches };
+};
+
+const newest = (events: TimelineEvent[], limit: number): TimelineEvent[] =>
+    events.slice(Math.max(0, events.length - limit));
+
+const ownEvents = (api: OperatorApi, request: OperatorRequest): TimelineEvent[] => {
+    const { limit, matches } = filterOf(request);
+    return newest(api.timeline().filter(matches), limit);
+};
+
+/** `GET timeline/own`: events of this daemon alone, with the query of `timeline`. */
+export const ownTimelineHandler: OperatorHandler = async (api, request) => ok(ownEvents(api, request));
+
+/** `GET timeline`: events of all daemons, cause before effect. Query: `limit`, `part`, `kind`, `sinceMs`. */
+export const timelineHandler: OperatorHandler = async (api, request) => {
+    const { limit } = filterOf(request);
+    const path = `timeline/own?${queryOf(request)}`;
+    const { answers, unreachable } = await askAll(api, path, () => ownEvents(api, request));
+    return ok({ events: newest(mergeTimelines(answers), limit), unreachable });
 };
 
 /** `GET status`: of this daemon, or with `?daemon=ID` of another. */
--- a/packages/http/src/operators/surface.ts
+++ b/packages/http/src/operators/surface.ts
@@ -5,7 +5,7 @@
 import type { OperatorApi, OperatorRequest, OperatorResponse } from "./api.ts";
 import { drainHandler, undrainHandler } from "./drains.ts";
 import { editHandler, historyHandler, importHandler, tableHandler } from "./edits.ts";
-import { daemonsHandler, statusHandler, timelineHandler } from "./fleet.ts";
+import { daemonsHandler, ownTimelineHandler, statusHandler, timelineHandler } from "./fleet.ts";
 import { ok } from "./requests.ts";
 
 export type OperatorHandler = (api: OperatorApi, request: OperatorRequest) => Promise<OperatorResponse>;
@@ -27,7 +27,7 @@
     // What daemons ask each other.
     daemon: { GET: async (api) => ok(api.summary()) },
     "in-flight": { GET: async (api) => ok(api.admission.counts()) },
-    "timeline/own": { GET: async (api) => ok(api.timeline()) },
+    "timeline/own": { GET: ownTimelineHandler },
 };
 
 /** Runs operators' requests that came by HTTP or from another daemon. */
--- a/test/http/operators.test.ts
+++ b/test/http/operators.test.ts
@@ -249,7 +249,7 @@
     ahead.record("groups", "cause");
     own.observe(ahead.tick());
     own.record("groups", "effect");
-    const answers = { "timeline/own": ahead.events() };
+    const answers = { "timeline/own?part=groups": ahead.events() };
     const { operate } = await startOperators(t, { timeline: () => own.events() }, answers);
     const { json } = await operate("timeline?part=groups");
     t.deepEqual(json.events.map((event: TimelineEvent) => event.kind), ["cause", "effect"]);
