Record why an edit was forced, and send arbitrary reports in a test

Cause: the reason of a forced edit was asked for and then dropped. Change: the time line has table.forced with operator, reason and hazards; a property test posts 200 arbitrary JSON documents as reports. Conclusion: a forced edit can be explained afterwards.

--- a/packages/http/src/operators/edits.ts
+++ b/packages/http/src/operators/edits.ts
@@ -2,7 +2,7 @@
 import { type EditOutcome, type RowChange, rowKey, type RowKind, TableState } from "@greengage/table";
 import { isDeepStrictEqual } from "node:util";
 import { notRunError } from "../errors.ts";
-import type { EditAnswer, OperatorApi, OperatorResponse, TableEdit } from "./api.ts";
+import type { EditAnswer, Hazard, OperatorApi, OperatorResponse, TableEdit } from "./api.ts";
 import { editHazards } from "./hazards.ts";
 import { bodyOf, editRequest, importRequest, numberOf, ok, queryOf, requireSafe } from "./requests.ts";
 import type { OperatorHandler } from "./surface.ts";
@@ -75,6 +75,7 @@
     const earlier = await earlierOutcome(api, edit.editId);
     if (earlier === undefined) {
         requireSafe(hazards, safety);
+        recordForce(api, edit, hazards, safety.reason);
     }
     if (earlier === undefined && edit.changes.length === 0) {
         const outcome: EditOutcome = { status: "accepted", tableVersion: api.table.version, rows: [] };
@@ -83,6 +84,15 @@
     return answerOf(await api.edit(edit));
 };
 
+const recordForce = (api: OperatorApi, edit: TableEdit, hazards: Hazard[], reason?: string): void => {
+    if (hazards.length === 0) {
+        return;
+    }
+    const { editId, operator } = edit;
+    const forced = hazards.map(({ detail }) => detail).join("; ");
+    api.record("table.forced", { editId, operator, reason, hazards: forced });
+};
+
 /**
  * The outcome that this edit id already has. A resend must get it even when the edit has become unsafe, and this
  * daemon may not have applied it yet.
--- a/test/http/platform.test.ts
+++ b/test/http/platform.test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import fc from "fast-check";
 import { BACKEND_KEY, send, startSurface } from "./fixture.ts";
 
 const reportOf = (changes: object = {}): object => ({
@@ -72,6 +73,22 @@
     t.is(reports.length, 0);
 });
 
+// Guards against a backend server or a scanner that sends anything at all.
+test("no JSON document harms the daemon", async (t) => {
+    const { url, reports } = await startSurface(t);
+    const fields = fc.dictionary(fc.constantFrom(...Object.keys(reportOf())), fc.jsonValue());
+    const bodies = fc.oneof(fc.json(), fields.map((changes) => JSON.stringify(reportOf(changes))));
+    await fc.assert(
+        fc.asyncProperty(bodies, async (body) => {
+            const before = reports.length;
+            const { status } = await send(`${url}/backend/v1/report`, { key: BACKEND_KEY, body });
+            return [400, 422].includes(status) ? reports.length === before : status === 200;
+        }),
+        { numRuns: 200 },
+    );
+    t.is((await send(`${url}/health/live`)).status, 200);
+});
+
 test("readiness follows the daemon, and liveness does not", async (t) => {
     const { url, setReadiness } = await startSurface(t);
     t.is((await send(`${url}/health/ready`)).status, 200);
