--- a/packages/bench/src/cluster.ts
+++ b/packages/bench/src/cluster.ts
@@ -65,6 +65,9 @@
                 daemonId,
                 zone,
                 http: { host: "127.0.0.1", port: httpPort },
+                ...(daemons[position]?.voter
+                    ? { dataFolder: this.dataFolder(daemonId), bootstrap: true }
+                    : {}),
                 daemons,
                 keys: {
                     peers: "peer-key-of-the-bench",
@@ -80,6 +83,11 @@
         await Promise.all(this.daemons.map((daemon) => this.waitUntilReady(daemon)));
     }
 
+    /** Folder of a voter's files. */
+    dataFolder(daemonId: string): string {
+        return join(this.folder, `${daemonId}.data`);
+    }
+
     startDaemonProcess(daemonId: string, settingsPath: string): ManagedProcess {
         const onLine = (line: string): void => this.#options.onLine?.(daemonId, line);
         if (this.#options.executable) {
--- /dev/null
+++ b/packages/consensus/src/election.ts
@@ -0,0 +1,211 @@
+import { monotonicMs, Random, sleep } from "@greengage/base";
+import type { Member, VoteRequest, VoteResponse } from "@greengage/protocol";
+import { LogRole } from "./log.ts";
+import type { RaftState } from "./state.ts";
+
+const POLL_MS = 50;
+
+type VoteType = "raft.preVote" | "raft.vote";
+
+export interface ElectionOptions {
+    state: RaftState;
+    /** Called in the same step in which this daemon becomes the leader of `state.term`. */
+    onElected: () => void;
+    /** Called when a peer says that this daemon's files are older than its answers. */
+    onMustRejoin: () => void;
+}
+
+/** Elections: a voter without a leader asks for pre-votes, then for votes. */
+export class Election {
+    readonly #state: RaftState;
+    readonly #options: ElectionOptions;
+    readonly #random = new Random();
+    #quietFromMs = monotonicMs();
+
+    constructor(options: ElectionOptions) {
+        this.#options = options;
+        this.#state = options.state;
+        const { peers } = this.#state;
+        peers.handle("raft.preVote", (request) => this.#answerPreVote(request));
+        peers.handle("raft.vote", (request) => this.#answerVote(request));
+    }
+
+    /** Task that campaigns whenever this voter has had no leader for a while. */
+    async run(signal: AbortSignal): Promise<void> {
+        const { timing } = this.#state;
+        while (!signal.aborted) {
+            const timeoutMs = timing.electionTimeoutMs * (1 + this.#random.fraction());
+            while (!signal.aborted && this.#quietMs() < timeoutMs) {
+                await sleep(Math.max(1, Math.min(POLL_MS, timeoutMs - this.#quietMs())), signal);
+            }
+            if (!signal.aborted && this.#mayCampaign()) {
+                await this.#campaign();
+            }
+            this.#quietFromMs = monotonicMs();
+        }
+    }
+
+    /** Lets the next campaign begin at once, for the first election of a new cluster. */
+    campaignNow(): void {
+        this.#quietFromMs = -Infinity;
+    }
+
+    #mayCampaign(): boolean {
+        const { isVoter, isLeader, isCheckedIn } = this.#state;
+        return isVoter && !isLeader && isCheckedIn;
+    }
+
+    #quietMs(): number {
+        const contactAtMs = this.#state.leaderContactAtMs ?? -Infinity;
+        return monotonicMs() - Math.max(this.#quietFromMs, contactAtMs);
+    }
+
+    async #campaign(): Promise<void> {
+        const state = this.#state;
+        const termBefore = state.term;
+        // A candidate that can't win must not raise the term: it would depose a working leader on its return.
+        if (!await this.#collectVotes("raft.preVote", termBefore + 1)) {
+            return;
+        }
+        if (state.term !== termBefore || state.isLeader || !state.isCheckedIn) {
+            return;
+        }
+        const term = termBefore + 1;
+        state.adoptTerm(term);
+        state.voteFor(state.memberId);
+        state.role = LogRole.Candidate;
+        state.changed.notify();
+        await state.metadataSaved();
+        const isElected = await this.#collectVotes("raft.vote", term);
+        if (state.term !== term || state.role !== LogRole.Candidate) {
+            return;
+        }
+        if (!isElected || !state.isCheckedIn) {
+            state.role = state.restingRole;
+            return;
+        }
+        state.role = LogRole.Leader;
+        state.leaderId = state.daemonId;
+        state.log.info(`elected leader of term ${term}`);
+        state.context.timeline.record("consensus", "raft.leader", { term, memberId: state.memberId });
+        this.#options.onElected();
+        state.changed.notify();
+    }
+
+    /** Asks all other voters, and resolves as soon as a majority has granted or all have answered. */
+    #collectVotes(type: VoteType, term: number): Promise<boolean> {
+        const state = this.#state;
+        const { otherVoters } = state;
+        let granted = 1;
+        let open = otherVoters.length;
+        return new Promise((resolve) => {
+            const settle = (): void => {
+                if (state.isMajority(granted) || open === 0) {
+                    resolve(state.isMajority(granted));
+                }
+            };
+            settle();
+            for (const member of otherVoters) {
+                void this.#askForVote(type, term, member).then((isGranted) => {
+                    granted += isGranted ? 1 : 0;
+                    open -= 1;
+                    settle();
+                });
+            }
+        });
+    }
+
+    async #askForVote(type: VoteType, term: number, member: Member): Promise<boolean> {
+        const state = this.#state;
+        const request: VoteRequest = {
+            term,
+            candidateId: state.daemonId,
+            memberId: state.memberId,
+            targetMemberId: member.memberId,
+            lastLogIndex: state.entries.lastIndex,
+            lastLogTerm: state.entries.lastTerm,
+        };
+        const response = await state.peers.call(member.daemonId, type, request, {
+            timeoutMs: state.timing.callTimeoutMs,
+        }).catch(() => undefined);
+        if (response === undefined || response.memberId !== member.memberId) {
+            return false;
+        }
+        if (response.mustRejoin) {
+            this.#options.onMustRejoin();
+            return false;
+        }
+        if (response.term > state.term && !response.granted) {
+            state.adoptTerm(response.term);
+            await state.metadataSaved();
+            return false;
+        }
+        if (state.marks.isBelow(member.memberId, response.term, response.lastLogIndex)) {
+            state.log.warn(
+                `voter ${member.daemonId} has an older copy of its files; its vote does not count`,
+            );
+            return false;
+        }
+        if (type === "raft.vote" && response.granted) {
+            state.marks.raise(member.memberId, response.term, 0);
+        }
+        return response.granted;
+    }
+
+    #refusal(mustRejoin = false): VoteResponse {
+        const { term, memberId, entries } = this.#state;
+        return { term, memberId, granted: false, lastLogIndex: entries.lastIndex, mustRejoin };
+    }
+
+    /** Whether a vote is out of the question, whatever the terms are. */
+    #isOutOfQuestion(request: VoteRequest): boolean {
+        const state = this.#state;
+        // A voter that hears from a leader takes no part in an election, so a member that was cut off alone
+        // can't depose the leader.
+        const hasLeader = state.leaderContactAgeMs() < state.timing.electionTimeoutMs;
+        return !state.isCheckedIn || request.targetMemberId !== state.memberId || hasLeader;
+    }
+
+    #isUpToDate(request: VoteRequest): boolean {
+        const { lastTerm, lastIndex } = this.#state.entries;
+        return request.lastLogTerm > lastTerm
+            || (request.lastLogTerm === lastTerm && request.lastLogIndex >= lastIndex);
+    }
+
+    /** Whether the candidate has lost something that it acknowledged. Its term before the election counts. */
+    #isOldCopy(request: VoteRequest): boolean {
+        return this.#state.marks.isBelow(request.memberId, request.term - 1, request.lastLogIndex);
+    }
+
+    #answerPreVote(request: VoteRequest): VoteResponse {
+        const state = this.#state;
+        if (request.targetMemberId === state.memberId && this.#isOldCopy(request)) {
+            return this.#refusal(true);
+        }
+        if (this.#isOutOfQuestion(request) || request.term < state.term || !this.#isUpToDate(request)) {
+            return this.#refusal();
+        }
+        return { ...this.#refusal(), granted: true };
+    }
+
+    async #answerVote(request: VoteRequest): Promise<VoteResponse> {
+        const state = this.#state;
+        if (this.#isOutOfQuestion(request) || request.term < state.term) {
+            return this.#refusal();
+        }
+        if (this.#isOldCopy(request)) {
+            return this.#refusal(true);
+        }
+        state.adoptTerm(request.term);
+        const isFree = state.votedFor === undefined || state.votedFor === request.memberId;
+        const isGranted = isFree && this.#isUpToDate(request);
+        if (isGranted) {
+            state.voteFor(request.memberId);
+            this.#quietFromMs = monotonicMs();
+        }
+        await state.metadataSaved();
+        // Another candidate's higher term may have come in during the write.
+        const stillGranted = isGranted && state.term === request.term;
+        return { ...this.#refusal(), granted: stillGranted };
+    }
+}
--- /dev/null
+++ b/packages/consensus/src/entries.ts
@@ -0,0 +1,92 @@
+import type { LogEntry } from "@greengage/protocol";
+
+/** The part of the log that is kept in memory: all entries after a base that a snapshot covers. */
+export class EntryList {
+    #baseIndex: number;
+    #baseTerm: number;
+    #entries: LogEntry[];
+
+    constructor(baseIndex = 0, baseTerm = 0, entries: LogEntry[] = []) {
+        this.#baseIndex = baseIndex;
+        this.#baseTerm = baseTerm;
+        this.#entries = entries;
+    }
+
+    /** Index of the last entry that has been dropped; 0 if none. */
+    get baseIndex(): number {
+        return this.#baseIndex;
+    }
+
+    get baseTerm(): number {
+        return this.#baseTerm;
+    }
+
+    get lastIndex(): number {
+        return this.#baseIndex + this.#entries.length;
+    }
+
+    get lastTerm(): number {
+        return this.#entries.at(-1)?.term ?? this.#baseTerm;
+    }
+
+    get(index: number): LogEntry | undefined {
+        return this.#entries[index - this.#baseIndex - 1];
+    }
+
+    /** Term of the entry at `index`, or undefined if it is not known. */
+    termAt(index: number): number | undefined {
+        return index === this.#baseIndex ? this.#baseTerm : this.get(index)?.term;
+    }
+
+    /** Entries from `fromIndex` to `toIndex`, stopped after `maxBytes` of payload but never empty for it. */
+    slice(fromIndex: number, toIndex: number, maxBytes: number): LogEntry[] {
+        const picked: LogEntry[] = [];
+        let sizeBytes = 0;
+        for (let index = fromIndex; index <= toIndex && sizeBytes < maxBytes; index += 1) {
+            const entry = this.get(index);
+            if (entry === undefined) {
+                break;
+            }
+            picked.push(entry);
+            sizeBytes += entry.payload.length;
+        }
+        return picked;
+    }
+
+    /** Puts entries at their indexes. Everything from the first of them on is replaced. */
+    put(entries: readonly LogEntry[]): void {
+        const first = entries[0];
+        if (first === undefined) {
+            return;
+        }
+        if (first.index > this.lastIndex + 1 || first.index <= this.#baseIndex) {
+            throw new Error(
+                `entry ${first.index} does not connect to the log that ends at ${this.lastIndex}`,
+            );
+        }
+        this.#entries.length = first.index - this.#baseIndex - 1;
+        this.#entries.push(...entries);
+    }
+
+    /** Drops the entries up to `index`. */
+    dropUpTo(index: number): void {
+        const term = this.termAt(index);
+        if (index <= this.#baseIndex || term === undefined) {
+            return;
+        }
+        this.#entries = this.#entries.slice(index - this.#baseIndex);
+        this.#baseIndex = index;
+        this.#baseTerm = term;
+    }
+
+    /** Starts over after a snapshot. */
+    reset(baseIndex: number, baseTerm: number): void {
+        this.#baseIndex = baseIndex;
+        this.#baseTerm = baseTerm;
+        this.#entries = [];
+    }
+
+    all(): readonly LogEntry[] {
+        return this.#entries;
+    }
+}
--- /dev/null
+++ b/packages/consensus/src/follower.ts
@@ -0,0 +1,100 @@
+import { Invariant } from "@greengage/base";
+import type { AppendRequest, AppendResponse, LogEntry } from "@greengage/protocol";
+import type { RaftState } from "./state.ts";
+
+/** The follower's side of replication: checks and stores the leader's entries. */
+export class Follower {
+    readonly #state: RaftState;
+
+    constructor(state: RaftState) {
+        this.#state = state;
+        state.peers.handle("raft.append", (request) => this.#append(request));
+    }
+
+    /** Accepts `leaderId` as the leader of `term`. Returns whether this daemon follows it now. */
+    async follow(term: number, leaderId: string, targetMemberId: string): Promise<boolean> {
+        const state = this.#state;
+        const isForMe = state.isCheckedIn && targetMemberId === state.memberId;
+        if (!isForMe || term < state.term) {
+            return false;
+        }
+        if (state.leads(term)) {
+            throw new Error(`daemon ${leaderId} claims to lead term ${term}, which this daemon leads`);
+        }
+        state.adoptTerm(term);
+        state.role = state.restingRole;
+        if (state.leaderId !== leaderId) {
+            state.leaderId = leaderId;
+            state.changed.notify();
+        }
+        state.heardFromLeader();
+        await state.metadataSaved();
+        return state.term === term;
+    }
+
+    refusal(matchIndex = 0): AppendResponse {
+        const { term, memberId, entries } = this.#state;
+        return { term, memberId, success: false, matchIndex, lastLogIndex: entries.lastIndex };
+    }
+
+    async #append(request: AppendRequest): Promise<AppendResponse> {
+        const state = this.#state;
+        if (!await this.follow(request.term, request.leaderId, request.targetMemberId)) {
+            return this.refusal();
+        }
+        state.marks.raise(request.leaderMemberId, request.term, request.commitIndex);
+        for (const mark of request.marks) {
+            if (mark.memberId !== state.memberId) {
+                state.marks.raise(mark.memberId, mark.term, mark.index);
+            }
+        }
+        const { prevLogIndex, prevLogTerm } = request;
+        if (prevLogIndex > state.entries.lastIndex) {
+            return this.refusal(state.entries.lastIndex);
+        }
+        const knownTerm = state.entries.termAt(prevLogIndex);
+        if (prevLogIndex > state.entries.baseIndex && knownTerm !== prevLogTerm) {
+            return this.refusal(this.#indexBeforeTerm(prevLogIndex));
+        }
+        const matchIndex = prevLogIndex + request.entries.length;
+        const stored = this.#store(request.entries);
+        state.raiseCommitIndex(Math.min(request.commitIndex, matchIndex));
+        await stored;
+        return { ...this.refusal(matchIndex), success: true };
+    }
+
+    /** Stores the entries that the log lacks. Resolves when all of them are durable. */
+    #store(entries: LogEntry[]): Promise<void> {
+        const state = this.#state;
+        const firstNew = entries.findIndex((entry) =>
+            entry.index > state.entries.baseIndex && state.entries.termAt(entry.index) !== entry.term
+        );
+        if (firstNew < 0) {
+            // Known entries may still be on their way to the disk.
+            return state.storage?.flushed() ?? Promise.resolve();
+        }
+        const fresh = entries.slice(firstNew);
+        const firstIndex = fresh[0]?.index ?? 0;
+        const keepsCommitted = firstIndex > state.commitIndex;
+        state.context.invariants.check(
+            Invariant.TableNeverReverts,
+            keepsCommitted,
+            () => `a leader replaces the committed entry ${firstIndex}`,
+        );
+        if (!keepsCommitted) {
+            throw new Error(`entry ${firstIndex} is committed and can't be replaced`);
+        }
+        return state.putEntries(fresh);
+    }
+
+    /** Last index before the run of entries of one term that ends at `index`; never below the commit index. */
+    #indexBeforeTerm(index: number): number {
+        const { entries, commitIndex } = this.#state;
+        const term = entries.termAt(index);
+        let before = index - 1;
+        while (before > commitIndex && entries.termAt(before) === term) {
+            before -= 1;
+        }
+        return before;
+    }
+}
--- a/packages/consensus/src/index.ts
+++ b/packages/consensus/src/index.ts
@@ -1,4 +1,6 @@
 export * from "./composite.ts";
-export * from "./fixed.ts";
+export * from "./errors.ts";
 export * from "./log.ts";
 export * from "./memory.ts";
+export * from "./raft.ts";
+export * from "./timing.ts";
--- /dev/null
+++ b/packages/consensus/src/learner.ts
@@ -0,0 +1,161 @@
+import { messageOf, monotonicMs, sleep } from "@greengage/base";
+import type { LearnerFetchResponse } from "@greengage/protocol";
+import type { StateMachine } from "./log.ts";
+import type { SnapshotSource } from "./snapshot.ts";
+import type { RaftState } from "./state.ts";
+import { MAX_BATCH_BYTES } from "./timing.ts";
+
+const FETCH_WAIT_MS = 500;
+const RETRY_DELAY_MS = 100;
+const TREE_DEGREE = 8;
+/** After this time with another parent, the nearest one is tried again. */
+const RETURN_TO_PARENT_MS = 5_000;
+/** A parent that has not heard from the leader for this long is left, if another one has. */
+const STALE_PARENT_MS = 1_500;
+
+export interface LogDaemon {
+    daemonId: string;
+    zone: string;
+    voter: boolean;
+}
+
+/**
+ * Daemons from which a learner takes entries, nearest first: its parent in the zone's tree of degree 8 whose root is
+ * the zone's voter, the other ancestors, and finally the voters of all zones.
+ */
+export const parentsOf = (daemonId: string, daemons: readonly LogDaemon[]): string[] => {
+    const self = daemons.find((daemon) => daemon.daemonId === daemonId);
+    const inZone = daemons.filter((daemon) => daemon.zone === self?.zone);
+    const tree = [...inZone.filter((daemon) => daemon.voter), ...inZone.filter((daemon) => !daemon.voter)];
+    const parents: string[] = [];
+    let position = tree.findIndex((daemon) => daemon.daemonId === daemonId);
+    while (position > 0) {
+        position = Math.floor((position - 1) / TREE_DEGREE);
+        parents.push(tree[position]?.daemonId ?? "");
+    }
+    const voters = daemons.filter((daemon) => daemon.voter && daemon.daemonId !== daemonId);
+    return [...new Set([...parents, ...voters.map((daemon) => daemon.daemonId)])];
+};
+
+export interface LearnerOptions {
+    state: RaftState;
+    machine: StateMachine;
+    snapshots: SnapshotSource;
+    daemons: readonly LogDaemon[];
+}
+
+/** Fetches committed entries from a parent, and hands out those that this daemon has applied. */
+export class Learner {
+    readonly #state: RaftState;
+    readonly #options: LearnerOptions;
+    readonly #parents: string[];
+    #position = 0;
+    #leftNearestAtMs = 0;
+
+    constructor(options: LearnerOptions) {
+        this.#options = options;
+        this.#state = options.state;
+        this.#parents = parentsOf(this.#state.daemonId, options.daemons);
+        this.#state.peers.handle("learner.fetch", (request) => this.#answer(request));
+    }
+
+    get parentId(): string | undefined {
+        return this.#parents[this.#position];
+    }
+
+    /** Task of a daemon without a data folder. */
+    async run(signal: AbortSignal): Promise<void> {
+        const state = this.#state;
+        while (!signal.aborted) {
+            const { parentId } = this;
+            if (parentId === undefined) {
+                return;
+            }
+            try {
+                await this.#fetchFrom(parentId);
+            }
+            catch (error) {
+                state.log.debug(`could not fetch entries from ${parentId}`, { reason: messageOf(error) });
+                this.#nextParent();
+                await sleep(RETRY_DELAY_MS, signal);
+            }
+        }
+    }
+
+    async #fetchFrom(parentId: string): Promise<void> {
+        const state = this.#state;
+        const request = { fromIndex: state.entries.lastIndex + 1, waitMs: FETCH_WAIT_MS };
+        const response = await state.peers.call(parentId, "learner.fetch", request, {
+            timeoutMs: FETCH_WAIT_MS + state.timing.callTimeoutMs,
+        });
+        if (response.clusterId === undefined || !this.#isOwnCluster(parentId, response.clusterId)) {
+            this.#nextParent();
+            await sleep(RETRY_DELAY_MS, state.lifecycle.signal);
+            return;
+        }
+        this.#take(response);
+        if (response.leaderContactAgeMs === undefined || response.leaderContactAgeMs > STALE_PARENT_MS) {
+            this.#nextParent();
+            return;
+        }
+        if (this.#position > 0 && monotonicMs() - this.#leftNearestAtMs > RETURN_TO_PARENT_MS) {
+            this.#position = 0;
+        }
+    }
+
+    #isOwnCluster(parentId: string, clusterId: string): boolean {
+        const state = this.#state;
+        state.learnedClusterId ??= clusterId;
+        if (state.learnedClusterId === clusterId) {
+            return true;
+        }
+        state.log.error(`daemon ${parentId} belongs to another cluster; its entries are not taken`);
+        return false;
+    }
+
+    #take(response: LearnerFetchResponse): void {
+        const state = this.#state;
+        const { snapshot, entries, leaderId, leaderContactAgeMs } = response;
+        if (snapshot !== undefined && snapshot.lastIndex > state.entries.lastIndex) {
+            this.#options.machine.restore(snapshot.data);
+            state.entries.reset(snapshot.lastIndex, snapshot.lastTerm);
+            state.appliedIndex = snapshot.lastIndex;
+        }
+        const fresh = entries.filter((entry) => entry.index > state.entries.lastIndex);
+        state.entries.put(fresh);
+        if (leaderId !== undefined) {
+            state.leaderId = leaderId;
+        }
+        if (leaderContactAgeMs !== undefined) {
+            state.heardFromLeader(leaderContactAgeMs);
+        }
+        state.raiseCommitIndex(state.entries.lastIndex);
+    }
+
+    #nextParent(): void {
+        if (this.#position === 0) {
+            this.#leftNearestAtMs = monotonicMs();
+        }
+        this.#position = (this.#position + 1) % this.#parents.length;
+    }
+
+    async #answer(request: { fromIndex: number; waitMs: number; }): Promise<LearnerFetchResponse> {
+        const state = this.#state;
+        const untilMs = monotonicMs() + Math.min(request.waitMs, 10 * FETCH_WAIT_MS);
+        while (
+            state.appliedIndex < request.fromIndex && monotonicMs() < untilMs && !state.lifecycle.isClosed
+        ) {
+            await state.changed.wait(untilMs - monotonicMs());
+        }
+        const { appliedIndex, clusterId, leaderId } = state;
+        const ageMs = state.leaderContactAgeMs();
+        const leaderContactAgeMs = Number.isFinite(ageMs) ? ageMs : undefined;
+        const answer = { clusterId, commitIndex: appliedIndex, leaderId, leaderContactAgeMs };
+        if (request.fromIndex <= state.entries.baseIndex) {
+            const { lastIndex, lastTerm, data } = this.#options.snapshots.take();
+            return { ...answer, snapshot: { lastIndex, lastTerm, data }, entries: [] };
+        }
+        const entries = state.entries.slice(request.fromIndex, appliedIndex, MAX_BATCH_BYTES);
+        return { ...answer, entries };
+    }
+}
--- a/packages/consensus/src/log.ts
+++ b/packages/consensus/src/log.ts
@@ -27,6 +27,13 @@
     commitIndex: number;
     appliedIndex: number;
     firstLogIndex: number;
+    /** Identity of this member; undefined on a daemon without a data folder. */
+    memberId?: string;
+    /** Daemon ids of the voters in force, as far as this daemon knows them. */
+    voterIds?: string[];
+    /** Daemon that a learner fetches from. */
+    parentId?: string;
+    isCurrent: boolean;
 }
 
 export interface TimeoutOptions {
@@ -51,5 +58,11 @@
     /** Resolves when this daemon has applied `index`. Throws a GreengageError on timeout. */
     waitForApplied(index: number, options: TimeoutOptions): Promise<void>;
 
+    /**
+     * Whether this daemon has applied, since its start, everything that the leader had committed at some time after
+     * the start, or its zone's voter if there is no leader. Before that it must not serve what it holds.
+     */
+    readonly isCurrent: boolean;
+
     status(): LogStatus;
 }
--- /dev/null
+++ b/packages/consensus/src/marks.ts
@@ -0,0 +1,44 @@
+import type { MemberMark } from "@greengage/protocol";
+
+/**
+ * What each other member has acknowledged at the least. A member that returns with less has an older copy of its
+ * files: it could vote twice in a term or help to elect a leader that lacks committed entries.
+ */
+export class MemberMarks {
+    readonly #marks = new Map<string, MemberMark>();
+    #version = 0;
+
+    constructor(marks: readonly MemberMark[] = []) {
+        for (const mark of marks) {
+            this.#marks.set(mark.memberId, mark);
+        }
+    }
+
+    /** Changes with each raised mark. */
+    get version(): number {
+        return this.#version;
+    }
+
+    raise(memberId: string, term: number, index: number): void {
+        const known = this.#marks.get(memberId);
+        if (known !== undefined && known.term >= term && known.index >= index) {
+            return;
+        }
+        this.#marks.set(memberId, {
+            memberId,
+            term: Math.max(term, known?.term ?? 0),
+            index: Math.max(index, known?.index ?? 0),
+        });
+        this.#version += 1;
+    }
+
+    /** Whether a member with this term and end of its log has lost something that it acknowledged. */
+    isBelow(memberId: string, term: number, lastLogIndex: number): boolean {
+        const mark = this.#marks.get(memberId);
+        return mark !== undefined && (term < mark.term || lastLogIndex < mark.index);
+    }
+
+    all(): MemberMark[] {
+        return [...this.#marks.values()];
+    }
+}
--- /dev/null
+++ b/packages/consensus/src/members.ts
@@ -0,0 +1,244 @@
+import { monotonicMs, newId, sleep } from "@greengage/base";
+import type { Calls, Member } from "@greengage/protocol";
+import { encodeConfiguration } from "./configuration.ts";
+import type { LogDaemon } from "./learner.ts";
+import type { Replication } from "./replication.ts";
+import type { RaftState } from "./state.ts";
+
+const JOIN_RETRY_MS = 250;
+const JOINING_FOR_MS = 5_000;
+const CHECK_IN_RETRY_MS = 100;
+const SAVE_MARKS_MS = 1_000;
+/** A joining member becomes a voter when it lacks no more than this many entries. */
+const CAUGHT_UP_ENTRIES = 64;
+
+type StatusResponse = Calls["raft.status"]["response"];
+
+export interface MembersOptions {
+    state: RaftState;
+    replication: Replication;
+    daemons: readonly LogDaemon[];
+    /** Whether this daemon may found a cluster together with the other voters of the settings. */
+    bootstrap: boolean;
+    /** Called when this daemon has written the first entry of a new cluster. */
+    onBootstrapped: () => void;
+}
+
+/** Identity of this member: check-in after a start, first start, joining, and replacement of voters. */
+export class Members {
+    readonly #options: MembersOptions;
+    readonly #state: RaftState;
+    readonly #voterIds: string[];
+    readonly #joining = new Map<string, { member: Member; askedAtMs: number; }>();
+    #rejoining: Promise<void> | undefined;
+    #savedMarksVersion = 0;
+
+    constructor(options: MembersOptions) {
+        this.#options = options;
+        this.#state = options.state;
+        this.#voterIds = options.daemons.filter((daemon) => daemon.voter).map((daemon) => daemon.daemonId);
+        const { peers } = this.#state;
+        peers.handle("raft.status", (request) => this.#status(request));
+        peers.handle("raft.joinAs", (request, from) => this.#joinAs(request, from));
+    }
+
+    /** Members that asked to join lately. */
+    joiningMembers(): Member[] {
+        const oldestMs = monotonicMs() - JOINING_FOR_MS;
+        return [...this.#joining.values()].filter(({ askedAtMs }) => askedAtMs >= oldestMs)
+            .map(({ member }) => member);
+    }
+
+    /** Task that checks in, and then makes this daemon a voter if it is none. */
+    async run(signal: AbortSignal): Promise<void> {
+        const state = this.#state;
+        await this.#checkIn(signal);
+        let warnedAtMs = monotonicMs();
+        while (!signal.aborted) {
+            if (!state.isVoter && !await this.#tryBootstrap()) {
+                await this.#askToJoin();
+                if (monotonicMs() - warnedAtMs > 5_000) {
+                    warnedAtMs = monotonicMs();
+                    state.log.warn("this daemon is no voter yet: no leader has accepted it");
+                }
+            }
+            await sleep(JOIN_RETRY_MS, signal);
+        }
+    }
+
+    /** Task that keeps what the other members have acknowledged on the disk. */
+    async saveMarks(signal: AbortSignal): Promise<void> {
+        const { marks, storage } = this.#state;
+        while (!signal.aborted) {
+            await sleep(SAVE_MARKS_MS, signal);
+            if (marks.version !== this.#savedMarksVersion) {
+                this.#savedMarksVersion = marks.version;
+                await storage?.saveMarks(marks.all());
+            }
+        }
+    }
+
+    /** Gives up the member identity: a peer knows that the files are older than what the identity acknowledged. */
+    rejoin(): Promise<void> {
+        this.#rejoining ??= this.#takeNewIdentity().finally(() => {
+            this.#rejoining = undefined;
+        });
+        return this.#rejoining;
+    }
+
+    async #takeNewIdentity(): Promise<void> {
+        const state = this.#state;
+        const oldMemberId = state.memberId;
+        state.isCheckedIn = false;
+        state.memberId = newId();
+        state.votedFor = undefined;
+        state.role = state.restingRole;
+        state.log.warn("the data folder is an older copy; this daemon rejoins under a new member identity", {
+            oldMemberId,
+            memberId: state.memberId,
+        });
+        state.context.timeline.record("consensus", "raft.rejoin", { oldMemberId, memberId: state.memberId });
+        await state.storage?.saveIdentity({ daemonId: state.daemonId, memberId: state.memberId });
+        state.saveMetadata();
+        await state.metadataSaved();
+        // The new identity has never voted or acknowledged anything.
+        state.isCheckedIn = true;
+        state.changed.notify();
+    }
+
+    /**
+     * Asks all other voters whether they know this member with newer files. A majority is enough when the others do
+     * not answer in time, so that one lost voter does not block a restart.
+     */
+    async #checkIn(signal: AbortSignal): Promise<void> {
+        const state = this.#state;
+        const startedAtMs = monotonicMs();
+        const known = state.voters.map((member) => member.daemonId);
+        const others = (known.length > 0 ? known : this.#voterIds).filter((id) => id !== state.daemonId);
+        while (!signal.aborted && !state.isCheckedIn) {
+            const answers = await this.#askAll(others);
+            if (answers.some((answer) => answer.mustRejoin)) {
+                await this.rejoin();
+                return;
+            }
+            const isMajority = (answers.length + 1) * 2 > others.length + 1;
+            const hasWaited = monotonicMs() - startedAtMs >= state.timing.checkInMs;
+            if (answers.length === others.length || (isMajority && hasWaited)) {
+                state.isCheckedIn = true;
+                state.changed.notify();
+                return;
+            }
+            await sleep(CHECK_IN_RETRY_MS, signal);
+        }
+    }
+
+    async #askAll(daemonIds: readonly string[]): Promise<StatusResponse[]> {
+        const { memberId, term, entries, peers, timing } = this.#state;
+        const request = { memberId, term, lastLogIndex: entries.lastIndex };
+        const options = { timeoutMs: timing.callTimeoutMs };
+        const answers = await Promise.all(
+            daemonIds.map((id) => peers.call(id, "raft.status", request, options).catch(() => undefined)),
+        );
+        return answers.filter((answer) => answer !== undefined);
+    }
+
+    #status(request: Calls["raft.status"]["request"]): StatusResponse {
+        const { clusterId, memberId, leaderId, marks } = this.#state;
+        if (memberId === "") {
+            throw new Error("the data folder has not been read yet");
+        }
+        return {
+            clusterExists: clusterId !== undefined,
+            memberId,
+            leaderId,
+            mustRejoin: marks.isBelow(request.memberId, request.term, request.lastLogIndex),
+        };
+    }
+
+    /**
+     * Founds a cluster if all voters of the settings answer and none of them knows one. A majority would not do: two
+     * emptied disks would then found a second cluster while the third voter is cut off.
+     */
+    async #tryBootstrap(): Promise<boolean> {
+        const state = this.#state;
+        const isFirst = this.#voterIds[0] === state.daemonId;
+        if (!this.#options.bootstrap || !isFirst || state.clusterId !== undefined) {
+            return false;
+        }
+        const others = this.#voterIds.slice(1);
+        const members = await Promise.all(others.map(async (daemonId): Promise<Member | undefined> => {
+            const [answer] = await this.#askAll([daemonId]);
+            return answer === undefined || answer.clusterExists
+                ? undefined
+                : { daemonId, memberId: answer.memberId, voter: true };
+        }));
+        const found = members.filter((member) => member !== undefined);
+        if (found.length < others.length || state.clusterId !== undefined || state.entries.lastIndex > 0) {
+            return false;
+        }
+        const self: Member = { daemonId: state.daemonId, memberId: state.memberId, voter: true };
+        const payload = encodeConfiguration({ clusterId: newId(), members: [self, ...found] });
+        state.adoptTerm(1);
+        await state.metadataSaved();
+        await state.putEntries([{ index: 1, term: 1, kind: "configuration", payload }]);
+        state.log.info("founded a cluster", { voters: this.#voterIds });
+        this.#options.onBootstrapped();
+        return true;
+    }
+
+    async #askToJoin(): Promise<void> {
+        const { daemonId, memberId, leaderId, peers, timing } = this.#state;
+        const request: Member = { daemonId, memberId, voter: true };
+        const candidates = [...new Set([leaderId, ...this.#voterIds])].filter((id) => id !== undefined);
+        for (const id of candidates.filter((candidate) => candidate !== daemonId)) {
+            const answer = await peers.call(id, "raft.joinAs", request, { timeoutMs: timing.callTimeoutMs })
+                .catch(() => undefined);
+            if (answer?.ok) {
+                return;
+            }
+        }
+    }
+
+    /** On the leader: lets a member catch up, then makes it a voter in place of its daemon's old identity. */
+    #joinAs(member: Member, from: string): Calls["raft.joinAs"]["response"] {
+        const state = this.#state;
+        const { leaderId } = state;
+        if (!state.isLeader) {
+            return { ok: false, leaderId, reason: "this daemon is not the leader" };
+        }
+        if (from !== member.daemonId || !this.#voterIds.includes(member.daemonId)) {
+            return { ok: false, leaderId, reason: `daemon ${member.daemonId} is no voter in the settings` };
+        }
+        if (state.voters.some((voter) => voter.memberId === member.memberId)) {
+            return { ok: true };
+        }
+        this.#joining.set(member.daemonId, { member, askedAtMs: monotonicMs() });
+        state.changed.notify();
+        this.#changeVotersFor(member);
+        return { ok: true };
+    }
+
+    /** Appends the next configuration, one change at a time, as soon as the member has caught up. */
+    #changeVotersFor(member: Member): void {
+        const state = this.#state;
+        const { configurations, entries, commitIndex } = state;
+        const lackingEntries = entries.lastIndex - this.#options.replication.matchIndexOf(member.memberId);
+        // A leader may change the voters only after an entry of its own term and the last change are committed.
+        const isSettled = entries.termAt(commitIndex) === state.term
+            && configurations.currentIndex <= commitIndex;
+        if (!isSettled || lackingEntries > CAUGHT_UP_ENTRIES) {
+            return;
+        }
+        const { clusterId, members } = configurations.current;
+        const obsolete = members.find(({ daemonId }) => !this.#voterIds.includes(daemonId));
+        const next = obsolete === undefined
+            ? [...members.filter(({ daemonId }) => daemonId !== member.daemonId), member]
+            : members.filter((other) => other !== obsolete);
+        const payload = encodeConfiguration({ clusterId, members: next });
+        state.log.info("the voters change", { voters: next.map(({ daemonId }) => daemonId) });
+        if (obsolete === undefined) {
+            this.#joining.delete(member.daemonId);
+        }
+        this.#options.replication.append("configuration", payload).catch(() => undefined);
+    }
+}
--- a/packages/consensus/src/memory.ts
+++ b/packages/consensus/src/memory.ts
@@ -3,6 +3,7 @@
 /** A log of one process without storage, for tests of the parts above. */
 export class MemoryLog implements ReplicatedLog {
     readonly #machine: StateMachine;
+    readonly isCurrent = true;
     #appliedIndex = 0;
 
     constructor(machine: StateMachine) {
@@ -34,6 +35,7 @@
             commitIndex: this.#appliedIndex,
             appliedIndex: this.#appliedIndex,
             firstLogIndex: 1,
+            isCurrent: true,
         };
     }
 }
--- /dev/null
+++ b/packages/consensus/src/proposals.ts
@@ -0,0 +1,165 @@
+import { GreengageError, monotonicMs, sleep, Verdict } from "@greengage/base";
+import { encode, PeerTimeoutError, PeerUnreachableError, type ProposeResponse } from "@greengage/protocol";
+import type { Applier } from "./apply.ts";
+import { notCommitted, outcomeUnknown } from "./errors.ts";
+import type { Command, TimeoutOptions } from "./log.ts";
+import type { Replication } from "./replication.ts";
+import type { RaftState } from "./state.ts";
+import { MAX_PENDING_PROPOSALS } from "./timing.ts";
+
+const RETRY_DELAY_MS = 50;
+
+export interface ProposalsOptions {
+    state: RaftState;
+    replication: Replication;
+    applier: Applier;
+    /** Daemons that the settings name as voters. */
+    voterIds: string[];
+}
+
+/** Proposals and read barriers, forwarded to the leader when this daemon is not the leader. */
+export class Proposals {
+    readonly #options: ProposalsOptions;
+    readonly #state: RaftState;
+
+    constructor(options: ProposalsOptions) {
+        this.#options = options;
+        this.#state = options.state;
+        const { peers } = this.#state;
+        peers.handle("raft.propose", ({ command, timeoutMs }) => this.#proposeHere(command, timeoutMs));
+        peers.handle("raft.readIndex", async () => {
+            const index = await this.#confirmedIndex();
+            const { leaderId } = this.#state;
+            return index === undefined ? { ok: false, leaderId } : { ok: true, index };
+        });
+    }
+
+    async propose(command: Command, options: TimeoutOptions): Promise<{ index: number; result: unknown; }> {
+        const payload = encode(command);
+        const deadlineMs = monotonicMs() + options.timeoutMs;
+        let reason = "there is no leader";
+        for (let attempt = 0; monotonicMs() < deadlineMs && !this.#state.lifecycle.isClosed; attempt += 1) {
+            const timeoutMs = Math.max(1, deadlineMs - monotonicMs());
+            const response = await this.#proposeAt(this.#candidate(attempt), payload, timeoutMs);
+            if (response.ok) {
+                return response;
+            }
+            if (response.verdict !== Verdict.NotRun) {
+                throw outcomeUnknown(response.reason);
+            }
+            reason = response.reason;
+            this.#noteLeader(response.leaderId);
+            await this.#state.changed.wait(RETRY_DELAY_MS);
+        }
+        throw notCommitted(`the command was not accepted within ${options.timeoutMs} ms: ${reason}`);
+    }
+
+    async readBarrier(options: TimeoutOptions): Promise<number> {
+        const deadlineMs = monotonicMs() + options.timeoutMs;
+        for (let attempt = 0; monotonicMs() < deadlineMs && !this.#state.lifecycle.isClosed; attempt += 1) {
+            const timeoutMs = Math.max(1, deadlineMs - monotonicMs());
+            const response = await this.#state.peers.call(this.#candidate(attempt), "raft.readIndex", {}, {
+                timeoutMs: Math.min(timeoutMs, this.#state.timing.electionTimeoutMs),
+            }).catch(() => undefined);
+            if (response?.ok) {
+                return response.index;
+            }
+            this.#noteLeader(response?.leaderId);
+            await sleep(RETRY_DELAY_MS, this.#state.lifecycle.signal);
+        }
+        throw notCommitted(`no leader confirmed the read within ${options.timeoutMs} ms`);
+    }
+
+    /** The leader, if it is known; on later attempts the voters in turn. */
+    #candidate(attempt: number): string {
+        const { leaderId, daemonId } = this.#state;
+        const { voterIds } = this.#options;
+        if (leaderId !== undefined && attempt % 2 === 0) {
+            return leaderId;
+        }
+        return voterIds[Math.floor(attempt / 2) % voterIds.length] ?? daemonId;
+    }
+
+    #noteLeader(leaderId: string | undefined): void {
+        if (leaderId !== undefined && !this.#state.isLeader && !this.#state.isVoter) {
+            this.#state.leaderId = leaderId;
+        }
+    }
+
+    async #proposeAt(daemonId: string, command: Uint8Array, timeoutMs: number): Promise<ProposeResponse> {
+        if (daemonId === this.#state.daemonId) {
+            return this.#proposeHere(command, timeoutMs);
+        }
+        try {
+            const request = { command, timeoutMs };
+            return await this.#state.peers.call(daemonId, "raft.propose", request, { timeoutMs });
+        }
+        catch (error) {
+            if (error instanceof PeerUnreachableError) {
+                return { ok: false, verdict: Verdict.NotRun, reason: error.message };
+            }
+            const reason = error instanceof PeerTimeoutError ? error.message : String(error);
+            return { ok: false, verdict: Verdict.MayHaveRun, reason };
+        }
+    }
+
+    /** Commits a command on the leader and applies it. On other members nothing happens. */
+    async #proposeHere(command: Uint8Array, timeoutMs: number): Promise<ProposeResponse> {
+        const state = this.#state;
+        const { applier, replication } = this.#options;
+        if (!state.isLeader || state.lifecycle.isClosed) {
+            const { leaderId } = state;
+            return { ok: false, leaderId, verdict: Verdict.NotRun, reason: "this daemon is not the leader" };
+        }
+        if (applier.waiterCount >= MAX_PENDING_PROPOSALS) {
+            return { ok: false, verdict: Verdict.NotRun, reason: "too many commands wait for their commit" };
+        }
+        const { term } = state;
+        const index = state.entries.lastIndex + 1;
+        const applied = applier.resultOf(index, term);
+        replication.append("command", command).catch(() => undefined);
+        try {
+            return { ok: true, index, result: await withinTimeout(applied, timeoutMs) };
+        }
+        catch (error) {
+            const verdict = error instanceof GreengageError ? error.verdict : Verdict.MayHaveRun;
+            return { ok: false, verdict, reason: (error as Error).message };
+        }
+    }
+
+    /**
+     * Commit index on the leader, confirmed by a majority after the call came in. Undefined if this daemon does
+     * not lead: then another leader may have committed more.
+     */
+    async #confirmedIndex(): Promise<number | undefined> {
+        const state = this.#state;
+        const { replication } = this.#options;
+        const { term } = state;
+        const sinceMs = monotonicMs();
+        const untilMs = sinceMs + state.timing.electionTimeoutMs;
+        // Until an entry of its own term is committed, a leader may not know everything that is committed.
+        while (
+            state.leads(term) && state.entries.termAt(state.commitIndex) !== term && monotonicMs() < untilMs
+        ) {
+            await state.changed.wait(state.timing.heartbeatMs);
+        }
+        if (state.entries.termAt(state.commitIndex) !== term) {
+            return undefined;
+        }
+        const index = state.commitIndex;
+        replication.requestConfirmation(sinceMs);
+        while (state.leads(term) && !replication.isConfirmedSince(sinceMs) && monotonicMs() < untilMs) {
+            await state.changed.wait(state.timing.heartbeatMs);
+        }
+        return state.leads(term) && replication.isConfirmedSince(sinceMs) ? index : undefined;
+    }
+}
+
+const withinTimeout = <T>(promise: Promise<T>, timeoutMs: number): Promise<T> =>
+    new Promise((resolve, reject) => {
+        const timer = setTimeout(
+            () => reject(outcomeUnknown(`no commit within ${Math.round(timeoutMs)} ms`)),
+            timeoutMs,
+        );
+        promise.then(resolve, reject).finally(() => clearTimeout(timer));
+    });
--- /dev/null
+++ b/packages/consensus/src/raft.ts
@@ -0,0 +1,193 @@
+import {
+    type Context,
+    ErrorCode,
+    GreengageError,
+    Lifecycle,
+    messageOf,
+    monotonicMs,
+    Verdict,
+} from "@greengage/base";
+import type { Peers } from "@greengage/protocol";
+import { Applier } from "./apply.ts";
+import { CurrentCheck } from "./current.ts";
+import { Election } from "./election.ts";
+import type { SyncFile } from "./files.ts";
+import { Follower } from "./follower.ts";
+import { Learner, type LogDaemon } from "./learner.ts";
+import type { Command, LogRole, LogStatus, ReplicatedLog, StateMachine, TimeoutOptions } from "./log.ts";
+import { Members } from "./members.ts";
+import { Proposals } from "./proposals.ts";
+import { Replication } from "./replication.ts";
+import { SnapshotReceiver, SnapshotSender, SnapshotSource } from "./snapshot.ts";
+import { RaftState } from "./state.ts";
+import { RaftStorage } from "./storage.ts";
+import { DEFAULT_RAFT_TIMING, type RaftTiming } from "./timing.ts";
+
+export interface RaftLogOptions {
+    context: Context;
+    peers: Peers;
+    machine: StateMachine;
+    /** All daemons, in the order of the settings. */
+    daemons: readonly LogDaemon[];
+    /** Folder of a voter's files. Without it the daemon is a learner. */
+    dataFolder?: string;
+    /** Whether the voters of the settings may found a cluster. Default: false. */
+    bootstrap?: boolean;
+    timing?: Partial<RaftTiming>;
+    /** Called when a sync failed. Default: the process ends with an error. */
+    onStorageFailure?: (error: unknown) => void;
+    /** Default: the file's own sync. */
+    syncFile?: SyncFile;
+}
+
+/** The replicated log: Raft among the voters, and learners that fetch what is committed. */
+export class RaftLog implements ReplicatedLog {
+    readonly #options: RaftLogOptions;
+    readonly #lifecycle = new Lifecycle();
+    readonly #state: RaftState;
+    readonly #applier: Applier;
+    readonly #proposals: Proposals;
+    readonly #learner: Learner;
+    readonly #current: CurrentCheck;
+    readonly #election: Election | undefined;
+    readonly #members: Members | undefined;
+
+    constructor(options: RaftLogOptions) {
+        this.#options = options;
+        const { context, peers, machine, daemons } = options;
+        const timing = { ...DEFAULT_RAFT_TIMING, ...options.timing };
+        const state = new RaftState({ context, peers, timing, lifecycle: this.#lifecycle });
+        this.#state = state;
+        const source = new SnapshotSource(state, machine);
+        const replication = new Replication({
+            state,
+            snapshots: new SnapshotSender(state, source),
+            joiningMembers: () => this.#members?.joiningMembers() ?? [],
+        });
+        this.#applier = new Applier(state, machine, source);
+        const voterIds = daemons.filter((daemon) => daemon.voter).map((daemon) => daemon.daemonId);
+        this.#proposals = new Proposals({ state, replication, applier: this.#applier, voterIds });
+        this.#learner = new Learner({ state, machine, snapshots: source, daemons });
+        this.#current = new CurrentCheck({ state, proposals: this.#proposals, daemons });
+        if (options.dataFolder === undefined) {
+            return;
+        }
+        new SnapshotReceiver(state, machine, new Follower(state));
+        const election = new Election({
+            state,
+            onElected: () => replication.lead(),
+            onMustRejoin: () => void this.#members?.rejoin(),
+        });
+        this.#election = election;
+        this.#members = new Members({
+            state,
+            replication,
+            daemons,
+            bootstrap: options.bootstrap ?? false,
+            onBootstrapped: () => election.campaignNow(),
+        });
+    }
+
+    get appliedIndex(): number {
+        return this.#state.appliedIndex;
+    }
+
+    get isCurrent(): boolean {
+        return this.#current.isCurrent;
+    }
+
+    get role(): LogRole {
+        return this.#state.role;
+    }
+
+    /** Loads the data folder and starts the tasks. Throws StorageError when the files can't be used. */
+    async start(): Promise<void> {
+        const { log } = this.#state;
+        const run = (name: string, task: (signal: AbortSignal) => Promise<void>): void =>
+            this.#lifecycle.run(task, (error) => log.error(`${name} failed`, { reason: messageOf(error) }));
+        const { dataFolder } = this.#options;
+        if (dataFolder === undefined) {
+            run("fetching entries", (signal) => this.#learner.run(signal));
+        }
+        else {
+            await this.#openStorage(dataFolder);
+            run("membership", async (signal) => this.#members?.run(signal));
+            run("saving marks", async (signal) => this.#members?.saveMarks(signal));
+            run("election", async (signal) => this.#election?.run(signal));
+        }
+        run("applying entries", (signal) => this.#applier.run(signal));
+        run("catching up", (signal) => this.#current.run(signal));
+    }
+
+    async close(): Promise<void> {
+        this.#applier.close();
+        const closed = this.#lifecycle.close();
+        this.#state.changed.notify();
+        await closed;
+    }
+
+    propose(command: Command, options: TimeoutOptions): Promise<{ index: number; result: unknown; }> {
+        return this.#proposals.propose(command, options);
+    }
+
+    readBarrier(options: TimeoutOptions): Promise<number> {
+        return this.#proposals.readBarrier(options);
+    }
+
+    async waitForApplied(index: number, options: TimeoutOptions): Promise<void> {
+        const deadlineMs = monotonicMs() + options.timeoutMs;
+        while (this.appliedIndex < index) {
+            const remainingMs = deadlineMs - monotonicMs();
+            if (remainingMs <= 0 || this.#lifecycle.isClosed) {
+                throw new GreengageError(`index ${index} was not applied within ${options.timeoutMs} ms`, {
+                    code: ErrorCode.Timeout,
+                    verdict: Verdict.MayHaveRun,
+                });
+            }
+            await this.#state.changed.wait(remainingMs);
+        }
+    }
+
+    status(): LogStatus {
+        const { role, leaderId, term, commitIndex, appliedIndex, entries, memberId, voters } = this.#state;
+        return {
+            role,
+            leaderId,
+            term,
+            commitIndex,
+            appliedIndex,
+            firstLogIndex: entries.baseIndex + 1,
+            memberId: memberId || undefined,
+            voterIds: voters.map((voter) => voter.daemonId),
+            parentId: memberId ? undefined : this.#learner.parentId,
+            isCurrent: this.isCurrent,
+        };
+    }
+
+    async #openStorage(folder: string): Promise<void> {
+        const { peers, syncFile } = this.#options;
+        const { storage, state: stored } = await RaftStorage.open({
+            folder,
+            daemonId: peers.daemonId,
+            onFailure: (error) => this.#failStorage(error),
+            sync: syncFile,
+        });
+        this.#lifecycle.onClose(() => storage.close());
+        if (stored.truncatedBytes > 0) {
+            this.#state.log.warn("cut off a torn last write", { sizeBytes: stored.truncatedBytes });
+        }
+        this.#state.load(storage, stored);
+        this.#applier.load(stored.snapshot?.data);
+    }
+
+    #failStorage(error: unknown): void {
+        this.#state.log.error("a write to the data folder failed, its outcome is unknown", {
+            reason: messageOf(error),
+        });
+        if (this.#options.onStorageFailure !== undefined) {
+            this.#options.onStorageFailure(error);
+            return;
+        }
+        process.exit(1);
+    }
+}
--- /dev/null
+++ b/packages/consensus/src/snapshot.ts
@@ -0,0 +1,147 @@
+import type { Member, SnapshotRequest } from "@greengage/protocol";
+import { notCommitted } from "./errors.ts";
+import type { Follower } from "./follower.ts";
+import type { StateMachine } from "./log.ts";
+import type { RaftState } from "./state.ts";
+import type { StoredSnapshot } from "./storage.ts";
+import { SNAPSHOT_CHUNK_BYTES } from "./timing.ts";
+
+/** Makes snapshots of what this daemon has applied. One is reused as long as nothing has been applied since. */
+export class SnapshotSource {
+    readonly #state: RaftState;
+    readonly #machine: StateMachine;
+    #latest: StoredSnapshot | undefined;
+
+    constructor(state: RaftState, machine: StateMachine) {
+        this.#state = state;
+        this.#machine = machine;
+    }
+
+    take(): StoredSnapshot {
+        const { appliedIndex, entries, configurations } = this.#state;
+        if (this.#latest?.lastIndex !== appliedIndex) {
+            this.#latest = {
+                lastIndex: appliedIndex,
+                lastTerm: entries.termAt(appliedIndex) ?? 0,
+                configuration: configurations.payloadAt(appliedIndex),
+                data: this.#machine.snapshot(),
+            };
+        }
+        return this.#latest;
+    }
+}
+
+/** Sends snapshots to members whose next entries are no longer in the log. */
+export class SnapshotSender {
+    readonly #state: RaftState;
+    readonly #source: SnapshotSource;
+
+    constructor(state: RaftState, source: SnapshotSource) {
+        this.#state = state;
+        this.#source = source;
+    }
+
+    /** Sends a whole snapshot in chunks. Returns the index of its last entry; throws when it was not taken. */
+    async send(member: Member, term: number): Promise<number> {
+        const state = this.#state;
+        const { lastIndex, lastTerm, configuration, data } = this.#source.take();
+        let offsetBytes = 0;
+        let done = false;
+        while (!done && state.leads(term)) {
+            const chunk = data.subarray(offsetBytes, offsetBytes + SNAPSHOT_CHUNK_BYTES);
+            done = offsetBytes + chunk.length >= data.length;
+            const request: SnapshotRequest = {
+                term,
+                leaderId: state.daemonId,
+                targetMemberId: member.memberId,
+                lastIndex,
+                lastTerm,
+                configuration,
+                offsetBytes,
+                chunk,
+                done,
+            };
+            const response = await state.peers.call(member.daemonId, "raft.snapshot", request, {
+                timeoutMs: 10 * state.timing.callTimeoutMs,
+            });
+            if (!response.success || response.memberId !== member.memberId) {
+                throw notCommitted(`member ${member.daemonId} did not take the snapshot`);
+            }
+            offsetBytes += chunk.length;
+        }
+        return lastIndex;
+    }
+}
+
+/** Receives a leader's snapshot and replaces log and state machine by it. */
+export class SnapshotReceiver {
+    readonly #state: RaftState;
+    readonly #machine: StateMachine;
+    readonly #follower: Follower;
+    #chunks: Uint8Array[] = [];
+    #receivedKey = "";
+    #receivedBytes = 0;
+
+    constructor(state: RaftState, machine: StateMachine, follower: Follower) {
+        this.#state = state;
+        this.#machine = machine;
+        this.#follower = follower;
+        state.peers.handle("raft.snapshot", async (request) => {
+            const isFollowing = await follower.follow(request.term, request.leaderId, request.targetMemberId);
+            if (!isFollowing || !this.#collect(request)) {
+                return follower.refusal();
+            }
+            if (request.done) {
+                await this.#install(request);
+            }
+            return { ...this.#follower.refusal(request.lastIndex), success: true };
+        });
+    }
+
+    /** Adds a chunk. Returns false when it does not continue what has been received. */
+    #collect(request: SnapshotRequest): boolean {
+        const key = `${request.term}/${request.leaderId}/${request.lastIndex}`;
+        if (request.offsetBytes === 0) {
+            this.#chunks = [];
+            this.#receivedKey = key;
+            this.#receivedBytes = 0;
+        }
+        if (this.#receivedKey !== key || this.#receivedBytes !== request.offsetBytes) {
+            return false;
+        }
+        this.#chunks.push(request.chunk);
+        this.#receivedBytes += request.chunk.length;
+        return true;
+    }
+
+    async #install(request: SnapshotRequest): Promise<void> {
+        const state = this.#state;
+        const { lastIndex, lastTerm, configuration } = request;
+        const data = Buffer.concat(this.#chunks);
+        this.#chunks = [];
+        this.#receivedKey = "";
+        if (lastIndex <= state.commitIndex) {
+            return;
+        }
+        // The file first: a log that begins after entries of which there is no snapshot can't be loaded.
+        await state.storage?.saveSnapshot({ lastIndex, lastTerm, configuration, data });
+        if (lastIndex <= state.appliedIndex) {
+            return;
+        }
+        if (state.entries.termAt(lastIndex) !== lastTerm) {
+            state.entries.reset(lastIndex, lastTerm);
+            void state.storage?.append({ kind: "base", index: lastIndex, term: lastTerm });
+        }
+        state.configurations.reset(lastIndex, configuration, state.entries);
+        if (!state.isLeader) {
+            state.role = state.restingRole;
+        }
+        this.#machine.restore(data);
+        state.appliedIndex = lastIndex;
+        state.raiseCommitIndex(lastIndex);
+        state.changed.notify();
+        await state.storage?.append({ kind: "commit", index: lastIndex });
+        state.savedCommitIndex = Math.max(state.savedCommitIndex, lastIndex);
+        state.log.info(`installed a snapshot up to entry ${lastIndex}`);
+    }
+}
--- /dev/null
+++ b/packages/consensus/src/state.ts
@@ -0,0 +1,171 @@
+import { type Context, type Lifecycle, type Log, LogPart, monotonicMs } from "@greengage/base";
+import type { LogEntry, Member, Peers } from "@greengage/protocol";
+import { ConfigurationHistory } from "./configuration.ts";
+import { EntryList } from "./entries.ts";
+import { LogRole } from "./log.ts";
+import { MemberMarks } from "./marks.ts";
+import { ChangeSignal } from "./signal.ts";
+import type { RaftStorage, StoredState } from "./storage.ts";
+import type { RaftTiming } from "./timing.ts";
+
+export interface RaftStateOptions {
+    context: Context;
+    peers: Peers;
+    timing: RaftTiming;
+    lifecycle: Lifecycle;
+}
+
+/** State of one member that its tasks and handlers share. Changes are made without an await in between. */
+export class RaftState {
+    readonly context: Context;
+    readonly peers: Peers;
+    readonly timing: RaftTiming;
+    readonly lifecycle: Lifecycle;
+    readonly log: Log;
+    readonly changed = new ChangeSignal();
+    readonly configurations = new ConfigurationHistory();
+    marks = new MemberMarks();
+    entries = new EntryList();
+    /** Missing on daemons without a data folder. */
+    storage: RaftStorage | undefined;
+    memberId = "";
+    term = 0;
+    votedFor: string | undefined;
+    role: LogRole = LogRole.Learner;
+    /** Daemon id of the leader, as far as it is known. */
+    leaderId: string | undefined;
+    commitIndex = 0;
+    /** Commit index that is durable on this daemon. */
+    savedCommitIndex = 0;
+    appliedIndex = 0;
+    /** Last entry that is durable on this daemon; valid while it leads. */
+    syncedIndex = 0;
+    /** When this daemon, or the parent that it fetches from, last heard from the leader. */
+    leaderContactAtMs: number | undefined;
+    /** Whether the other voters have confirmed that this daemon's files are not older than its answers. */
+    isCheckedIn = false;
+    /** Identity of the cluster of the entries that a learner holds. */
+    learnedClusterId: string | undefined;
+    #metadataSaved: Promise<void> = Promise.resolve();
+
+    constructor(options: RaftStateOptions) {
+        this.context = options.context;
+        this.peers = options.peers;
+        this.timing = options.timing;
+        this.lifecycle = options.lifecycle;
+        this.log = options.context.logs(LogPart.Consensus);
+    }
+
+    /** Takes in what the data folder holds. */
+    load(storage: RaftStorage, stored: StoredState): void {
+        this.storage = storage;
+        this.memberId = stored.identity.memberId;
+        this.term = stored.metadata.term;
+        this.votedFor = stored.metadata.votedFor;
+        this.entries = stored.log;
+        this.marks = new MemberMarks(stored.marks);
+        this.commitIndex = stored.commitIndex;
+        this.savedCommitIndex = stored.commitIndex;
+        this.appliedIndex = stored.snapshot?.lastIndex ?? 0;
+        this.configurations.reset(this.appliedIndex, stored.snapshot?.configuration, this.entries);
+        this.role = this.restingRole;
+    }
+
+    get daemonId(): string {
+        return this.peers.daemonId;
+    }
+
+    get clusterId(): string | undefined {
+        return this.configurations.current.clusterId || this.learnedClusterId;
+    }
+
+    get voters(): Member[] {
+        return this.configurations.current.members.filter((member) => member.voter);
+    }
+
+    get otherVoters(): Member[] {
+        return this.voters.filter((member) => member.memberId !== this.memberId);
+    }
+
+    get isVoter(): boolean {
+        return this.voters.some((member) => member.memberId === this.memberId);
+    }
+
+    get isLeader(): boolean {
+        return this.role === LogRole.Leader;
+    }
+
+    /** Role while no election is under way. */
+    get restingRole(): LogRole {
+        return this.isVoter ? LogRole.Follower : LogRole.Learner;
+    }
+
+    /** Whether `count` voters are a majority of the current configuration. */
+    isMajority(count: number): boolean {
+        return count * 2 > this.voters.length;
+    }
+
+    leads(term: number): boolean {
+        return this.isLeader && this.term === term && !this.lifecycle.isClosed;
+    }
+
+    /** Moves to a higher term. The caller awaits `metadataSaved` before it answers. */
+    adoptTerm(term: number): void {
+        if (term <= this.term) {
+            return;
+        }
+        this.term = term;
+        this.votedFor = undefined;
+        this.leaderId = undefined;
+        this.role = this.restingRole;
+        this.saveMetadata();
+        this.changed.notify();
+    }
+
+    voteFor(memberId: string): void {
+        this.votedFor = memberId;
+        this.saveMetadata();
+    }
+
+    saveMetadata(): void {
+        const { term, votedFor } = this;
+        if (this.storage === undefined) {
+            return;
+        }
+        this.#metadataSaved = this.storage.saveMetadata({ term, votedFor });
+        // Whoever depends on the write awaits `metadataSaved`; the storage reports the failure.
+        this.#metadataSaved.catch(() => undefined);
+    }
+
+    /** Resolves when the present term and vote are durable. */
+    metadataSaved(): Promise<void> {
+        return this.#metadataSaved;
+    }
+
+    /** Puts entries into the log and returns when they are durable. */
+    putEntries(entries: LogEntry[]): Promise<void> {
+        this.entries.put(entries);
+        this.configurations.put(entries);
+        if (!this.isLeader) {
+            this.role = this.restingRole;
+        }
+        this.changed.notify();
+        return this.storage?.append({ kind: "entries", entries }) ?? Promise.resolve();
+    }
+
+    raiseCommitIndex(index: number): void {
+        if (index > this.commitIndex) {
+            this.commitIndex = index;
+            this.changed.notify();
+        }
+    }
+
+    heardFromLeader(ageMs = 0): void {
+        this.leaderContactAtMs = Math.max(this.leaderContactAtMs ?? -Infinity, monotonicMs() - ageMs);
+    }
+
+    /** Time since the last word of a leader; 0 on the leader itself. */
+    leaderContactAgeMs(): number {
+        return this.isLeader ? 0 : monotonicMs() - (this.leaderContactAtMs ?? -Infinity);
+    }
+}
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -3,20 +3,26 @@
     type Context,
     createContext,
     createLogFactory,
+    GreengageError,
     Lifecycle,
     LogPart,
     Metrics,
+    monotonicMs,
     newId,
+    sleep,
+    Verdict,
 } from "@greengage/base";
-import { CompositeStateMachine, FixedLeaderLog } from "@greengage/consensus";
+import { CompositeStateMachine, RaftLog } from "@greengage/consensus";
 import { type EditAnswer, HttpSurface } from "@greengage/http";
 import { Membership } from "@greengage/membership";
 import { PeerNetwork } from "@greengage/protocol";
 import { BackendDispatcher } from "@greengage/routing";
-import { type EditOutcome, type RowChange, TableState } from "@greengage/table";
+import { type EditCommand, type EditOutcome, type RowChange, TableState } from "@greengage/table";
+import { zonesInEffect } from "./effect.ts";
 import type { Settings } from "./settings.ts";
 
 const EDIT_TIMEOUT_MS = 5_000;
+const EDIT_RETRY_MS = 100;
 
 /** One daemon: all parts of the system on one entry VM. */
 export class Daemon {
@@ -26,7 +32,7 @@
     readonly #table = new TableState();
     readonly #actionRecords = new ActionRecords();
     readonly #peers: PeerNetwork;
-    readonly #log: FixedLeaderLog;
+    readonly #log: RaftLog;
     readonly #membership: Membership;
     readonly #surface: HttpSurface;
 
@@ -46,10 +52,13 @@
             addresses: daemons,
             key: keys.peers,
         });
-        this.#log = new FixedLeaderLog({
+        this.#log = new RaftLog({
+            context,
             peers: this.#peers,
             machine: new CompositeStateMachine({ table: this.#table, action: this.#actionRecords }),
-            leaderId: daemons[0]?.daemonId ?? daemonId,
+            daemons,
+            dataFolder: self.voter ? settings.dataFolder : undefined,
+            bootstrap: settings.bootstrap,
         });
         this.#membership = new Membership({
             context,
@@ -74,15 +83,16 @@
             actions: new ActionService({ context, log: this.#log, dispatcher }),
             acceptReport: (report) => this.#membership.intake.accept(report),
             operators: { status: () => this.status(), edit: (edit) => this.#edit(edit) },
-            isReady: () => this.#membership.directory.reachableZones().includes(zone),
+            isReady: () => this.#log.isCurrent && this.#membership.directory.reachableZones().includes(zone),
         });
         this.#lifecycle.onClose(() => dispatcher.close());
     }
 
     async start(): Promise<void> {
+        // Peers may ask only after the data folder has been read.
+        await this.#log.start();
         await this.#peers.start();
         this.#lifecycle.onClose(() => this.#peers.close());
-        this.#log.start();
         this.#lifecycle.onClose(() => this.#log.close());
         this.#membership.start();
         this.#lifecycle.onClose(() => this.#membership.close());
@@ -113,9 +123,35 @@
     }
 
     async #edit(edit: { editId: string; operator: string; changes: RowChange[]; }): Promise<EditAnswer> {
-        const command = { type: "table.edit", atMs: Date.now(), ...edit, editId: edit.editId ?? newId() };
-        const { result } = await this.#log.propose(command, { timeoutMs: EDIT_TIMEOUT_MS });
-        const zones = this.#membership.directory.reachableZones();
-        return { outcome: result as EditOutcome, inForceZones: zones, pendingZones: [] };
+        const command: EditCommand = {
+            type: "table.edit",
+            atMs: Date.now(),
+            ...edit,
+            editId: edit.editId ?? newId(),
+        };
+        const outcome = await this.#proposeEdit(command);
+        if (outcome.status !== "accepted") {
+            return { outcome, inForceZones: [], pendingZones: [] };
+        }
+        return { outcome, ...await zonesInEffect(this.#peers, this.#settings.daemons, outcome.tableVersion) };
+    }
+
+    /** Proposes an edit until its outcome is known: a resend with the same edit id gets the first outcome. */
+    async #proposeEdit(command: EditCommand): Promise<EditOutcome> {
+        const deadlineMs = monotonicMs() + EDIT_TIMEOUT_MS;
+        for (;;) {
+            const timeoutMs = Math.max(1, deadlineMs - monotonicMs());
+            try {
+                const { result } = await this.#log.propose(command, { timeoutMs });
+                return result as EditOutcome;
+            }
+            catch (error) {
+                const mayResend = error instanceof GreengageError && error.verdict === Verdict.MayHaveRun;
+                if (!mayResend || monotonicMs() >= deadlineMs) {
+                    throw error;
+                }
+                await sleep(EDIT_RETRY_MS);
+            }
+        }
     }
 }
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -22,6 +22,8 @@
     http: address,
     /** Folder for the replicated log. Needed by voters. */
     dataFolder: z.string().optional(),
+    /** Whether the voters may found a cluster if none of them knows one. Set it on all voters. */
+    bootstrap: z.boolean().default(false),
     /** All daemons, this one included. The same list in every settings file. */
     daemons: z.array(z.strictObject({
         daemonId: z.string().min(1),
@@ -43,6 +45,18 @@
     }).default({ format: "json", level: "info" }),
     metrics: z.strictObject({ host: z.string(), port: z.number().int().default(8125) }).optional(),
     timing: timing.default({}),
+}).superRefine((settings, issues) => {
+    const self = settings.daemons.find((daemon) => daemon.daemonId === settings.daemonId);
+    if (self?.voter && settings.dataFolder === undefined) {
+        issues.addIssue({ code: "custom", path: ["dataFolder"], message: "a voter needs a data folder" });
+    }
+    if (!settings.daemons.some((daemon) => daemon.voter)) {
+        issues.addIssue({
+            code: "custom",
+            path: ["daemons"],
+            message: "at least one daemon must be a voter",
+        });
+    }
 });
 
 export type Settings = z.infer<typeof settingsSchema>;
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -1,4 +1,4 @@
-import type { HlcTimestamp } from "@greengage/base";
+import type { HlcTimestamp, Verdict } from "@greengage/base";
 import type { Grant, OrganisationDemand, VmReport } from "./views.ts";
 
 /** One entry of the replicated log. `payload` is a command in msgpack, or a configuration of members. */
@@ -18,25 +18,46 @@
 
 export interface VoteRequest {
     term: number;
+    /** Daemon and member identity of the candidate. */
     candidateId: string;
     memberId: string;
+    /** Identity whose vote is asked for. A daemon with another identity refuses. */
+    targetMemberId: string;
     lastLogIndex: number;
     lastLogTerm: number;
 }
 
 export interface VoteResponse {
     term: number;
+    memberId: string;
     granted: boolean;
+    /** End of the voter's log. */
+    lastLogIndex: number;
+    /** The candidate's files are older than what it has acknowledged: it must rejoin under a new identity. */
+    mustRejoin?: boolean;
+}
+
+/** The least that a member must still have after a restart. */
+export interface MemberMark {
+    memberId: string;
+    /** Highest term that the member has acknowledged. */
+    term: number;
+    /** Highest committed log index that the member has acknowledged. */
+    index: number;
 }
 
 export interface AppendRequest {
     term: number;
     leaderId: string;
     leaderMemberId: string;
+    /** Identity that the entries are meant for. A daemon with another identity refuses. */
+    targetMemberId: string;
     prevLogIndex: number;
     prevLogTerm: number;
     entries: LogEntry[];
     commitIndex: number;
+    /** What the leader knows of the other members; sent together with entries. */
+    marks: MemberMark[];
 }
 
 export interface AppendResponse {
@@ -45,14 +66,17 @@
     success: boolean;
     /** Last index that is known to match, or a hint where the leader should try next. */
     matchIndex: number;
+    lastLogIndex: number;
 }
 
 export interface SnapshotRequest {
     term: number;
     leaderId: string;
+    targetMemberId: string;
     lastIndex: number;
     lastTerm: number;
-    members: Member[];
+    /** Payload of the configuration entry in force at `lastIndex`. */
+    configuration: Uint8Array;
     /** Position of `chunk` in the snapshot. */
     offsetBytes: number;
     chunk: Uint8Array;
@@ -60,16 +84,27 @@
 }
 
 export interface LearnerFetchResponse {
+    /** Identity of the cluster; a learner takes nothing of another cluster. */
+    clusterId: string | undefined;
+    /** Last entry that the parent has applied. */
     commitIndex: number;
     /** Set when the entries that the learner needs are no longer in the log. */
     snapshot?: { lastIndex: number; lastTerm: number; data: Uint8Array; };
     entries: LogEntry[];
+    leaderId?: string;
+    /** Time since the parent, or its parents, last heard from the leader; undefined when they never did. */
+    leaderContactAgeMs?: number;
 }
 
 /** Result of a proposal on the leader. */
 export type ProposeResponse =
     | { ok: true; index: number; result: unknown; }
-    | { ok: false; leaderId?: string; };
+    | {
+        ok: false;
+        leaderId?: string;
+        verdict: Verdict;
+        reason: string;
+    };
 
 export type ZoneAcquireResponse =
     | { granted: true; tableFloor: number; }
@@ -87,16 +122,22 @@
         response: { ok: true; index: number; } | { ok: false; leaderId?: string; };
     };
     "raft.joinAs": { request: Member; response: { ok: boolean; leaderId?: string; reason?: string; }; };
+    /** A voter that has just started tells what its files contain. */
     "raft.status": {
-        request: Record<string, never>;
+        request: { memberId: string; term: number; lastLogIndex: number; };
         response: {
             clusterExists: boolean;
             memberId: string;
-            term: number;
-            lastLogIndex: number;
             leaderId?: string;
+            /** The caller's files are older than what it has acknowledged. */
+            mustRejoin: boolean;
         };
     };
+    /** What the daemon has applied, after a wait for an index, and whether it has caught up since its start. */
+    "raft.applied": {
+        request: { waitForIndex: number; waitMs: number; };
+        response: { appliedIndex: number; isCurrent: boolean; };
+    };
     "learner.fetch": {
         request: { fromIndex: number; waitMs: number; };
         response: LearnerFetchResponse;
