--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -3,37 +3,48 @@
     type Context,
     createContext,
     createLogFactory,
-    GreengageError,
     Lifecycle,
     LogPart,
+    messageOf,
     Metrics,
-    monotonicMs,
-    newId,
-    sleep,
-    Verdict,
 } from "@greengage/base";
 import { CompositeStateMachine, RaftLog } from "@greengage/consensus";
-import { type EditAnswer, HttpSurface } from "@greengage/http";
+import {
+    Admission,
+    DEFAULT_LIMITS,
+    DrainState,
+    HttpSurface,
+    OperatorSurface,
+    type Readiness,
+} from "@greengage/http";
 import { Membership } from "@greengage/membership";
 import { PeerNetwork } from "@greengage/protocol";
 import { BackendDispatcher } from "@greengage/routing";
-import { type EditCommand, type EditOutcome, type RowChange, TableState } from "@greengage/table";
-import { zonesInEffect } from "./effect.ts";
+import { TableState } from "@greengage/table";
+import { DaemonDrain } from "./drain.ts";
+import { processFigures, startGauges } from "./figures.ts";
+import { DaemonOperators } from "./operators.ts";
+import { type Part, startInOrder } from "./parts.ts";
 import type { Settings } from "./settings.ts";
-
-const EDIT_TIMEOUT_MS = 5_000;
-const EDIT_RETRY_MS = 100;
+import { ActionSettlements } from "./settlement.ts";
+import { type DaemonStatus, versions } from "./status.ts";
 
 /** One daemon: all parts of the system on one entry VM. */
 export class Daemon {
     readonly #settings: Settings;
+    readonly #self: Settings["daemons"][number];
     readonly #context: Context;
     readonly #lifecycle = new Lifecycle();
     readonly #table = new TableState();
     readonly #actionRecords = new ActionRecords();
+    readonly #admission: Admission;
+    readonly #drain: DaemonDrain;
     readonly #peers: PeerNetwork;
     readonly #log: RaftLog;
     readonly #membership: Membership;
+    readonly #dispatcher: BackendDispatcher;
+    readonly #operators: OperatorSurface;
+    readonly #actions: ActionService;
     readonly #surface: HttpSurface;
 
     constructor(settings: Settings) {
@@ -46,6 +57,7 @@
         if (self === undefined) {
             throw new Error(`daemon ${daemonId} is not in the list of daemons`);
         }
+        this.#self = self;
         this.#peers = new PeerNetwork({
             context,
             listen: { host: self.host, port: self.port },
@@ -67,91 +79,187 @@
             daemons,
             orderKey: keys.backendServers,
             timing: settings.timing,
+            placement: settings.placement,
+            weightStore: settings.weightStore,
         });
-        const dispatcher = new BackendDispatcher({
+        this.#dispatcher = new BackendDispatcher({
             context,
             directory: this.#membership.directory,
             table: this.#table,
             backendKey: keys.backendServers,
+            knownDaemonCount: daemons.filter((daemon) => !daemon.controlOnly).length,
+        });
+        this.#actions = new ActionService({
+            context,
+            log: this.#log,
+            records: this.#actionRecords,
+            dispatcher: this.#dispatcher,
+        });
+        const limits = { ...DEFAULT_LIMITS, ...settings.limits };
+        this.#admission = new Admission(limits);
+        this.#drain = new DaemonDrain({
+            context,
+            admission: this.#admission,
+            graceMs: settings.drainGraceMs,
+            limitMs: settings.drainLimitMs,
         });
+        this.#operators = this.#createOperators();
         this.#surface = new HttpSurface({
             context,
             listen: settings.http,
             keys,
+            limits,
+            admission: this.#admission,
             table: this.#table,
-            dispatcher,
-            actions: new ActionService({ context, log: this.#log, dispatcher }),
+            dispatcher: this.#dispatcher,
+            actions: this.#actions,
             acceptReport: (report) => this.#membership.intake.accept(report),
-            operators: { status: () => this.status(), edit: (edit) => this.#edit(edit) },
-            isReady: () => this.#log.isCurrent && this.#membership.directory.reachableZones().includes(zone),
+            operators: this.#operators,
+            readiness: () => this.readiness(),
+            servesCallers: !self.controlOnly,
         });
-        this.#lifecycle.onClose(() => dispatcher.close());
     }
 
+    /** Starts all parts. Throws StartError with the part that failed, after closing those that had started. */
     async start(): Promise<void> {
-        // Peers may ask only after the data folder has been read.
-        await this.#log.start();
-        await this.#peers.start();
-        this.#lifecycle.onClose(() => this.#peers.close());
-        this.#lifecycle.onClose(() => this.#log.close());
-        this.#membership.start();
-        this.#lifecycle.onClose(() => this.#membership.close());
-        await this.#surface.start();
-        this.#lifecycle.onClose(() => this.#surface.close());
+        const log = this.#context.logs(LogPart.Daemon);
+        try {
+            await startInOrder(this.#parts(), this.#lifecycle);
+        }
+        catch (error) {
+            log.error("start failed", { reason: messageOf(error) });
+            await this.close();
+            throw error;
+        }
         const { daemonId, zone, http } = this.#settings;
-        this.#context.logs(LogPart.Daemon).info(`daemon ${daemonId} of zone ${zone} takes requests`, http);
+        this.#context.timeline.record("daemon", "daemon.started", { version: versions().greengage });
+        log.info(`daemon ${daemonId} of zone ${zone} takes requests`, { ...http, port: this.#surface.port });
+    }
+
+    /** Drains and closes. Returns whether every request in flight was finished. */
+    async stop(): Promise<boolean> {
+        const isFinished = await this.#drain.finish();
+        await this.close();
+        return isFinished;
     }
 
+    /** Closes at once. Requests in flight are cut off. */
     async close(): Promise<void> {
         await this.#lifecycle.close();
+        this.#context.logs(LogPart.Daemon).info("daemon is stopped");
         await this.#context.metrics.close();
     }
 
-    status(): object {
+    /** Whether a load balancer should send callers' requests to this daemon. */
+    readiness(): Readiness {
+        const reasons: [boolean, string][] = [
+            [this.#drain.state !== DrainState.Serving, `the daemon is ${this.#drain.state}`],
+            [this.#self.controlOnly, "the daemon is control-only"],
+            [!this.#log.isCurrent, "the daemon has not caught up with the table since its start"],
+            [
+                !this.#membership.directory.reachableZones().includes(this.#settings.zone),
+                "the daemon holds no grant of its own zone",
+            ],
+        ];
+        const reason = reasons.find(([applies]) => applies)?.[1];
+        return reason === undefined ? { ready: true } : { ready: false, reason };
+    }
+
+    status(): DaemonStatus {
         const { directory, lease } = this.#membership;
+        const { daemonId, zone } = this.#settings;
+        const { ready, reason } = this.readiness();
         return {
-            daemonId: this.#settings.daemonId,
-            zone: this.#settings.zone,
+            daemonId,
+            zone,
+            versions: versions(),
+            state: this.#drain.state,
+            ready,
+            notReadyReason: reason,
+            voter: this.#self.voter,
+            controlOnly: this.#self.controlOnly,
+            isController: lease.isValid,
             tableVersion: this.#table.version,
             log: this.#log.status(),
-            isController: lease.isValid,
             reachableZones: directory.reachableZones(),
+            unreachableZones: this.#unreachableZones(),
             groups: directory.allGroups(),
             services: directory.allServices(),
+            measures: lease.isValid ? this.#membership.measures() : undefined,
             invariants: this.#context.invariants.counts(),
+            violationCount: this.#context.invariants.violationCount,
+            inFlight: this.#admission.inFlight,
+            inFlightByRow: this.#admission.counts(),
+            process: processFigures(),
+            peerTraffic: this.#peers.traffic,
+        };
+    }
+
+    #unreachableZones(): string[] {
+        const reachable = this.#membership.directory.reachableZones();
+        const zones = new Set(this.#settings.daemons.map((daemon) => daemon.zone));
+        return [...zones].filter((zone) => !reachable.includes(zone));
+    }
+
+    /** Parts in start order: a part uses only parts before it. They close in reverse order. */
+    #parts(): Part[] {
+        const dispatcher = this.#dispatcher;
+        return [
+            { name: "dispatcher", start: () => undefined, close: () => dispatcher.close() },
+            // Peers may ask only after the data folder has been read, and are asked until the log is closed.
+            { name: "log", start: () => this.#log.start(), close: () => this.#log.close() },
+            { name: "peers", start: () => this.#peers.start(), close: () => this.#peers.close() },
+            { name: "table", ...this.#tableEvents() },
+            {
+                name: "membership",
+                start: () => this.#membership.start(),
+                close: () => this.#membership.close(),
+            },
+            { name: "actions", start: () => undefined, close: () => this.#actions.close() },
+            { name: "gauges", ...this.#gauges() },
+            { name: "http", start: () => this.#surface.start(), close: () => this.#surface.close() },
+        ];
+    }
+
+    /** Records each change of the table in the time line. */
+    #tableEvents(): Omit<Part, "name"> {
+        let stop: () => void = () => undefined;
+        const record = (): void => {
+            this.#context.timeline.record("table", "table.changed", { tableVersion: this.#table.version });
         };
+        return { start: () => void (stop = this.#table.onChange(record)), close: () => stop() };
     }
 
-    async #edit(edit: { editId: string; operator: string; changes: RowChange[]; }): Promise<EditAnswer> {
-        const command: EditCommand = {
-            type: "table.edit",
-            atMs: Date.now(),
-            ...edit,
-            editId: edit.editId ?? newId(),
+    #gauges(): Omit<Part, "name"> {
+        let gauges: Lifecycle | undefined;
+        const options = {
+            context: this.#context,
+            admission: this.#admission,
+            table: this.#table,
+            isReady: () => this.readiness().ready,
+            unreachableZoneCount: () => this.#unreachableZones().length,
+            unknownActionCount: () => this.#actionRecords.unknownOutcomes().length,
         };
-        const outcome = await this.#proposeEdit(command);
-        if (outcome.status !== "accepted") {
-            return { outcome, inForceZones: [], pendingZones: [] };
-        }
-        return { outcome, ...await zonesInEffect(this.#peers, this.#settings.daemons, outcome.tableVersion) };
+        return { start: () => void (gauges = startGauges(options)), close: () => gauges?.close() };
     }
 
-    /** Proposes an edit until its outcome is known: a resend with the same edit id gets the first outcome. */
-    async #proposeEdit(command: EditCommand): Promise<EditOutcome> {
-        const deadlineMs = monotonicMs() + EDIT_TIMEOUT_MS;
-        for (;;) {
-            const timeoutMs = Math.max(1, deadlineMs - monotonicMs());
-            try {
-                const { result } = await this.#log.propose(command, { timeoutMs });
-                return result as EditOutcome;
-            }
-            catch (error) {
-                const mayResend = error instanceof GreengageError && error.verdict === Verdict.MayHaveRun;
-                if (!mayResend || monotonicMs() >= deadlineMs) {
-                    throw error;
-                }
-                await sleep(EDIT_RETRY_MS);
-            }
-        }
+    #createOperators(): OperatorSurface {
+        const operators = new OperatorSurface(
+            new DaemonOperators({
+                context: this.#context,
+                settings: this.#settings,
+                peers: this.#peers,
+                log: this.#log,
+                table: this.#table,
+                membership: this.#membership,
+                admission: this.#admission,
+                vmDrains: this.#membership,
+                daemonDrains: this.#drain,
+                actions: new ActionSettlements(this.#actions, this.#actionRecords),
+                status: () => this.status(),
+            }),
+        );
+        this.#peers.handle("operator.forward", (request) => operators.handle(request));
+        return operators;
     }
 }
--- a/packages/daemon/src/effect.ts
+++ b/packages/daemon/src/effect.ts
@@ -1,57 +1,36 @@
-import { monotonicMs } from "@greengage/base";
-import { type PeerAddress, type Peers, PeerUnreachableError } from "@greengage/protocol";
+import { monotonicMs, sleep } from "@greengage/base";
+import type { DaemonSummary } from "@greengage/http";
 
-/** An edit must be in effect in every zone that can be reached within this time. */
-const EFFECT_WAIT_MS = 3_000;
+const POLL_MS = 50;
 
-/** What one daemon said about a table version. */
-const DaemonEffect = { Applied: "applied", Behind: "behind", Unreachable: "unreachable" } as const;
-
-type DaemonEffect = typeof DaemonEffect[keyof typeof DaemonEffect];
-
-export interface ZonesInEffect {
-    inForceZones: string[];
-    pendingZones: string[];
+export interface EffectOptions {
+    tableVersion: number;
+    zones: string[];
+    /** How long to wait for zones in which the edit is not in effect yet. */
+    waitMs: number;
+    /** Summaries of the daemons that can be reached. */
+    summaries: () => Promise<{ answers: DaemonSummary[]; unreachable: string[]; }>;
+    zoneOf: (daemonId: string) => string | undefined;
 }
 
-/**
- * Asks all daemons whether they have applied a log index, and waits up to 3 s. A zone counts when at least one of
- * its daemons has applied it and none that can be reached lacks it.
- */
-export const zonesInEffect = async (
-    peers: Peers,
-    daemons: readonly Pick<PeerAddress, "daemonId" | "zone">[],
-    index: number,
-): Promise<ZonesInEffect> => {
-    const untilMs = monotonicMs() + EFFECT_WAIT_MS;
-    const effects = await Promise.all(daemons.map(async ({ daemonId, zone }) => ({
-        zone,
-        effect: await effectAt(peers, daemonId, index, untilMs),
-    })));
-    const zones = [...new Set(daemons.map((daemon) => daemon.zone))];
-    const isInForce = (zone: string): boolean => {
-        const ofZone = effects.filter((item) => item.zone === zone).map((item) => item.effect);
-        return ofZone.includes(DaemonEffect.Applied) && !ofZone.includes(DaemonEffect.Behind);
-    };
-    return {
-        inForceZones: zones.filter((zone) => isInForce(zone)),
-        pendingZones: zones.filter((zone) => !isInForce(zone)),
-    };
+/** Zones in which every daemon has applied a version of the table, and the other zones. */
+export const waitForEffect = async (
+    options: EffectOptions,
+): Promise<{ inForceZones: string[]; pendingZones: string[]; }> => {
+    const untilMs = monotonicMs() + options.waitMs;
+    for (;;) {
+        const pending = await pendingZones(options);
+        if (pending.size === 0 || monotonicMs() >= untilMs) {
+            const inForceZones = options.zones.filter((zone) => !pending.has(zone));
+            return { inForceZones, pendingZones: [...pending] };
+        }
+        await sleep(POLL_MS);
+    }
 };
 
-const effectAt = async (
-    peers: Peers,
-    daemonId: string,
-    index: number,
-    untilMs: number,
-): Promise<DaemonEffect> => {
-    const waitMs = Math.max(0, untilMs - monotonicMs());
-    try {
-        const request = { waitForIndex: index, waitMs: waitMs * 0.9 };
-        const { appliedIndex } = await peers.call(daemonId, "raft.applied", request, { timeoutMs: waitMs });
-        return appliedIndex >= index ? DaemonEffect.Applied : DaemonEffect.Behind;
-    }
-    catch (error) {
-        return error instanceof PeerUnreachableError ? DaemonEffect.Unreachable : DaemonEffect.Behind;
-    }
+const pendingZones = async (options: EffectOptions): Promise<Set<string>> => {
+    const { answers, unreachable } = await options.summaries();
+    const behind = answers.filter((answer) => answer.tableVersion < options.tableVersion);
+    const zones = [...behind.map((answer) => answer.zone), ...unreachable.map(options.zoneOf)];
+    return new Set(zones.filter((zone) => zone !== undefined));
 };
