--- a/packages/consensus/src/storage.ts
+++ b/packages/consensus/src/storage.ts
@@ -132,6 +132,7 @@
         await this.#replacing.catch(() => undefined);
         await this.#logFile?.close();
         this.#logFile = undefined;
+        this.#failure ??= new StorageError("the data folder is closed");
     }
 
     #path(name: string): string {
@@ -173,7 +174,7 @@
 
     async #guard(write: () => Promise<void>): Promise<void> {
         if (this.#failure !== undefined) {
-            throw new StorageError("an earlier write failed", this.#failure);
+            throw new StorageError("an earlier write failed, or the data folder is closed", this.#failure);
         }
         try {
             await write();
