Keep row versions increasing over deletions; measure edits

Cause: a row that was deleted and created again restarted at version 1, so an edit based on the old row could overwrite the new one; an edit could name one row twice; nothing measured how soon an edit is in effect. Change: the table keeps versions of deleted rows (10,000, then a common floor), refuses repeated rows and deletions of missing rows, bounds history and outcomes in the same way on every daemon. 'npm run measure -- table' times edits on seven daemons in three zones as real processes. Figures: before: version 1 after re-creation; after: version 3.

--- a/packages/bench/src/measure.ts
+++ b/packages/bench/src/measure.ts
@@ -1,11 +1,18 @@
 /** Runs one measurement: `npm run measure -- NAME`. The last line is JSON with the figures. */
 
+import { measureTable } from "./measure/table.ts";
+
 export interface Measurement {
     description: string;
     run: () => Promise<object>;
 }
 
-const measurements: Record<string, Measurement> = {};
+const measurements: Record<string, Measurement> = {
+    table: {
+        description: "time from an edit until seven daemons in three zones have applied it",
+        run: measureTable,
+    },
+};
 
 const run = async (name: string | undefined): Promise<void> => {
     const measurement = measurements[name ?? ""];
--- a/packages/table/src/state.ts
+++ b/packages/table/src/state.ts
@@ -25,12 +25,15 @@
 const NAME_PATTERN = /^[a-z0-9][a-z0-9._-]{0,62}$/i;
 const KEPT_OUTCOMES = 10_000;
 const KEPT_HISTORY = 10_000;
+const KEPT_DELETED_ROWS = 10_000;
 
 interface TableSnapshot {
     version: number;
     rows: StoredRow[];
     outcomes: [string, EditOutcome][];
     history: HistoryEntry[];
+    deletedVersions: [string, number][];
+    forgottenVersion: number;
 }
 
 /** The operators' table as every daemon holds it. Changes come from the replicated log alone. */
@@ -39,6 +42,10 @@
     #rows = new Map<string, StoredRow>();
     #outcomes = new Map<string, EditOutcome>();
     #history: HistoryEntry[] = [];
+    /** Version of each deleted row, its deletion counted. A row of the same name continues from it. */
+    #deletedVersions = new Map<string, number>();
+    /** Highest version of the deleted rows that are no longer kept; new rows continue from it. */
+    #forgottenVersion = 0;
     readonly #listeners = new Set<() => void>();
 
     /** Log index of the last accepted edit; 0 for an empty table. */
@@ -67,6 +74,8 @@
             rows: [...this.#rows.values()],
             outcomes: [...this.#outcomes],
             history: this.#history,
+            deletedVersions: [...this.#deletedVersions],
+            forgottenVersion: this.#forgottenVersion,
         };
         return encode(snapshot);
     }
@@ -77,6 +86,8 @@
         this.#rows = new Map(snapshot.rows.map((row) => [rowKey(row.kind, row.name), row]));
         this.#outcomes = new Map(snapshot.outcomes);
         this.#history = snapshot.history;
+        this.#deletedVersions = new Map(snapshot.deletedVersions);
+        this.#forgottenVersion = snapshot.forgottenVersion;
         this.#notify();
     }
 
@@ -135,7 +146,7 @@
 
     #applyEdit(index: number, edit: EditCommand): EditOutcome {
         const checked = edit.changes.map((change) => this.#checkChange(change));
-        const errors = checked.flatMap((result) => result.errors);
+        const errors = [...checked.flatMap((result) => result.errors), ...repeatedRows(edit.changes)];
         if (errors.length > 0) {
             return { status: "invalid", errors };
         }
@@ -173,7 +184,9 @@
             return { errors: [{ row: key, column: "name", reason: `must match ${NAME_PATTERN.source}` }] };
         }
         if (change.columns === undefined) {
-            return { errors: [] };
+            const isMissing = change.baseVersion === 0 && this.row(change.kind, change.name) === undefined;
+            const error = { row: key, column: "name", reason: "the row to be deleted does not exist" };
+            return { errors: isMissing ? [error] : [] };
         }
         const result = schema.safeParse({
             ...this.row(change.kind, change.name)?.columns,
@@ -208,21 +221,39 @@
             before: before?.columns,
             after: columns,
         });
-        this.#history = this.#history.slice(-KEPT_HISTORY);
+        if (this.#history.length > KEPT_HISTORY) {
+            this.#history.shift();
+        }
         if (columns === undefined) {
             this.#rows.delete(key);
+            this.#rememberDeletion(key, change.baseVersion + 1);
             return undefined;
         }
+        const versionBefore = before?.version ?? this.#deletedVersions.get(key) ?? this.#forgottenVersion;
+        this.#deletedVersions.delete(key);
         const row: StoredRow = {
             kind: change.kind,
             name: change.name,
-            version: change.baseVersion + 1,
+            version: versionBefore + 1,
             columns,
         };
         this.#rows.set(key, row);
         return row;
     }
 
+    /** An edit that is based on the deleted row must conflict with a later row of the same name. */
+    #rememberDeletion(key: string, version: number): void {
+        this.#deletedVersions.set(key, version);
+        if (this.#deletedVersions.size <= KEPT_DELETED_ROWS) {
+            return;
+        }
+        const [oldest] = this.#deletedVersions;
+        if (oldest !== undefined) {
+            this.#deletedVersions.delete(oldest[0]);
+            this.#forgottenVersion = Math.max(this.#forgottenVersion, oldest[1]);
+        }
+    }
+
     #notify(): void {
         for (const listener of this.#listeners) {
             listener();
@@ -230,6 +261,21 @@
     }
 }
 
+/** Errors for rows that an edit names more than once: only one of its changes could be kept. */
+const repeatedRows = (changes: readonly RowChange[]): CellError[] => {
+    const seen = new Set<string>();
+    const repeated = new Set<string>();
+    for (const change of changes) {
+        const key = rowKey(change.kind, change.name);
+        (seen.has(key) ? repeated : seen).add(key);
+    }
+    return [...repeated].map((row) => ({
+        row,
+        column: "name",
+        reason: "the edit changes this row more than once",
+    }));
+};
+
 const flatten = <Columns>(row: StoredRow): { name: string; version: number; } & Columns => ({
     ...(row.columns as Columns),
     name: row.name,
--- /dev/null
+++ b/test/table/edits.test.ts
@@ -0,0 +1,94 @@
+import { type EditOutcome, type RowChange, TableState } from "@greengage/table";
+import test from "ava";
+
+const createTable = (): {
+    table: TableState;
+    edit: (id: string, ...changes: RowChange[]) => EditOutcome;
+} => {
+    const table = new TableState();
+    let index = 0;
+    const edit = (editId: string, ...changes: RowChange[]): EditOutcome =>
+        table.apply(
+            index += 1,
+            { type: "table.edit", editId, operator: "thandi", atMs: index, changes } as never,
+        );
+    return { table, edit };
+};
+
+const model = (name: string, baseVersion: number, columns?: Record<string, unknown>): RowChange => ({
+    kind: "model",
+    name,
+    baseVersion,
+    columns,
+});
+
+// Guards against an edit that is based on a deleted row and overwrites its successor of the same name.
+test("versions of a row keep increasing after it was deleted and created again", (t) => {
+    const { table, edit } = createTable();
+    edit("e1", model("m", 0, { vmsPerReplica: 2 }));
+    edit("e2", model("m", 1));
+    const copy = new TableState();
+    copy.restore(table.snapshot());
+    copy.apply(9, {
+        type: "table.edit",
+        editId: "e3",
+        operator: "x",
+        atMs: 1,
+        changes: [
+            model("m", 0, { vmsPerReplica: 4 }),
+        ],
+    } as never);
+    t.is(copy.row("model", "m")?.version, 3);
+    edit("e3", model("m", 0, { vmsPerReplica: 4 }));
+    t.is(table.row("model", "m")?.version, 3);
+    t.is(edit("late", model("m", 1, { vmsPerReplica: 8 })).status, "conflict");
+    t.is(table.model("m")?.vmsPerReplica, 4);
+});
+
+// Guards against two edits with equal base versions that both succeed, and against half-applied edits.
+test("of two edits with equal base versions one succeeds, and a conflict changes nothing", (t) => {
+    const { table, edit } = createTable();
+    edit("seed", model("a", 0, { vmsPerReplica: 1 }), model("b", 0, { vmsPerReplica: 1 }));
+    t.is(edit("x", model("a", 1, { vmsPerReplica: 2 })).status, "accepted");
+    const second = edit("y", model("b", 1, { vmsPerReplica: 9 }), model("a", 1, { vmsPerReplica: 3 }));
+    t.is(second.status, "conflict");
+    t.deepEqual([table.model("a")?.vmsPerReplica, table.model("b")?.vmsPerReplica], [2, 1]);
+    t.deepEqual(edit("y", model("b", 1, { vmsPerReplica: 9 })), second, "a resend gets the first outcome");
+});
+
+// Guards against an edit whose result depends on the order in which it names one row twice.
+test("an edit that names a row twice is invalid, together with all other errors", (t) => {
+    const { table, edit } = createTable();
+    const outcome = edit("e", model("a", 0, { vmsPerReplica: 1 }), model("a", 0, { vmsPerReplica: 99 }));
+    t.is(outcome.status, "invalid");
+    const columns = outcome.status === "invalid" ? outcome.errors.map((error) => error.column) : [];
+    t.deepEqual(columns.sort(), ["name", "vmsPerReplica"]);
+    t.is(edit("d", model("none", 0)).status, "invalid", "a row that does not exist can't be deleted");
+    t.deepEqual([table.version, table.rows().length], [0, 0]);
+});
+
+// Guards against daemons that answer a resend differently because they dropped different outcomes or history.
+test("kept outcomes and history are the same on a daemon that started from a snapshot", (t) => {
+    const { table, edit } = createTable();
+    const copy = new TableState();
+    for (let version = 0; version < 10_050; version += 1) {
+        if (version === 5_000) {
+            copy.restore(table.snapshot());
+        }
+        const change = model("m", version, { vmsPerReplica: 1 + version % 2 });
+        edit(`e${version}`, change);
+        if (version >= 5_000) {
+            copy.apply(version + 1, {
+                type: "table.edit",
+                editId: `e${version}`,
+                operator: "thandi",
+                atMs: version + 1,
+                changes: [change],
+            } as never);
+        }
+    }
+    t.deepEqual(copy.snapshot(), table.snapshot());
+    t.is(table.outcomeOf("e49"), undefined);
+    t.is(table.outcomeOf("e50")?.status, "accepted");
+    t.is(table.history(20_000).length, 10_000);
+});
