--- /dev/null
+++ b/test/consensus/election.test.ts
@@ -0,0 +1,92 @@
+import test from "ava";
+import { noteIds, startCluster } from "./fixture.ts";
+
+// Guards against a cluster that accepts nothing after the loss of its leader, and against lost committed entries.
+test("another voter leads after the leader's loss and keeps what was committed", async (t) => {
+    const cluster = await startCluster(t, { learners: 1 });
+    const first = await cluster.leader();
+    await cluster.add("a", "d4");
+    await cluster.stopMember(first.daemonId);
+    const rest = cluster.ids.filter((id) => id !== first.daemonId);
+    await cluster.leader(rest);
+    await cluster.add("b", "d4");
+    await cluster.waitForAll(["a", "b"]);
+    t.pass();
+});
+
+// Guards against entries of a cut-off leader that survive beside those of its successor.
+test("an uncommitted entry of a cut-off leader is replaced, and its command is proposed again once", async (t) => {
+    const cluster = await startCluster(t);
+    const old = await cluster.leader();
+    await cluster.add("a", old.daemonId);
+    cluster.network.isolate(old.daemonId, cluster.ids);
+    const late = cluster.add("late", old.daemonId, 10_000);
+    const rest = cluster.ids.filter((id) => id !== old.daemonId);
+    const next = await cluster.leader(rest);
+    await cluster.add("b", next.daemonId);
+    cluster.network.heal();
+    t.is(await late, 2);
+    await cluster.waitForAll(["a", "b", "late"]);
+});
+
+// Guards against a member that was cut off and deposes a working leader on its return.
+test("a voter that returns from a partition does not raise the term", async (t) => {
+    const cluster = await startCluster(t);
+    const leader = await cluster.leader();
+    const other = cluster.ids.find((id) => id !== leader.daemonId) ?? "";
+    const { term } = leader.log.status();
+    cluster.network.isolate(other, cluster.ids);
+    const cutAtMs = performance.now();
+    await cluster.waitFor(
+        "several election timeouts without a leader",
+        () => performance.now() - cutAtMs > 1_000 ? true : undefined,
+    );
+    cluster.network.heal();
+    await cluster.add("a", other);
+    await cluster.waitForAll(["a"]);
+    t.is(leader.log.role, "leader");
+    t.is(leader.log.status().term, term);
+});
+
+// Guards against a restart that forgets terms, votes or entries.
+test("all voters restart together and keep every entry", async (t) => {
+    const cluster = await startCluster(t, { learners: 1 });
+    const ids = noteIds("n", 20);
+    for (const id of ids) {
+        await cluster.add(id, "d1");
+    }
+    const termBefore = cluster.member("d1").log.status().term;
+    await Promise.all(cluster.ids.map((id) => cluster.stopMember(id)));
+    await Promise.all(cluster.ids.map((id) => cluster.startMember(id)));
+    await cluster.waitForAll(ids);
+    await cluster.add("after", "d4");
+    t.true(cluster.member("d1").log.status().term > termBefore);
+});
+
+// Guards against reads that a deposed leader answers from its own state.
+test("a cut-off leader confirms no read", async (t) => {
+    const cluster = await startCluster(t);
+    const old = await cluster.leader();
+    await cluster.add("a", old.daemonId);
+    t.is(await old.log.readBarrier({ timeoutMs: 2_000 }), old.log.appliedIndex);
+    cluster.network.isolate(old.daemonId, cluster.ids);
+    await t.throwsAsync(old.log.readBarrier({ timeoutMs: 500 }), { message: /no leader confirmed/ });
+});
+
+// Guards against one sync per command, which would limit the rate of edits and actions to that of the disk.
+test("proposals that arrive together share syncs", async (t) => {
+    let syncCount = 0;
+    const cluster = await startCluster(t, {
+        raft: {
+            syncFile: async (file) => {
+                syncCount += 1;
+                await file.sync();
+            },
+        },
+    });
+    const leader = await cluster.leader();
+    await cluster.add("first", leader.daemonId);
+    const before = syncCount;
+    await Promise.all(noteIds("n", 300).map((id) => cluster.add(id, leader.daemonId)));
+    t.true(syncCount - before < 300, `${syncCount - before} syncs on three voters for 300 commands`);
+});
