--- a/packages/bench/src/measure.ts
+++ b/packages/bench/src/measure.ts
@@ -1,11 +1,16 @@
 /** Runs one measurement: `npm run measure -- NAME`. The last line is JSON with the figures. */
+import { measureDrain } from "./measure/drain.ts";
+import { measureRepair } from "./measure/repair.ts";
 
 export interface Measurement {
     description: string;
     run: () => Promise<object>;
 }
 
-const measurements: Record<string, Measurement> = {};
+const measurements: Record<string, Measurement> = {
+    drain: { description: "new work and cut-off streams when leaders of groups leave", run: measureDrain },
+    repair: { description: "group downtime and stranded accelerators by repair policy", run: measureRepair },
+};
 
 const run = async (name: string | undefined): Promise<void> => {
     const measurement = measurements[name ?? ""];
--- /dev/null
+++ b/packages/bench/src/measure/drain.ts
@@ -0,0 +1,110 @@
+import { monotonicMs, sleep } from "@greengage/base";
+import { waitFor } from "@greengage/faults";
+import { Cluster, type DaemonHandle } from "../cluster.ts";
+import { postChat, seedChanges, seedTable, startZoneBackends, waitForServingGroups } from "../requests.ts";
+
+const ZONE = "jhb-north";
+const STREAMS = 8;
+const TOKENS = 60;
+const ROUNDS = 3;
+const SETTLE_MS = 3_000;
+const BOUND_MS = 2_000;
+
+interface GroupStatus {
+    groupId: string;
+    state: string;
+    memberVmIds: string[];
+}
+
+interface Counts {
+    whole: number;
+    cutOff: number;
+    refused: number;
+}
+
+/** How a VM goes away. */
+type Departure = (cluster: Cluster, vmId: string) => Promise<void>;
+
+const departures: Record<"leave" | "kill", Departure> = {
+    leave: async (cluster, vmId) => await cluster.backends.get(vmId)?.stop(),
+    kill: async (cluster, vmId) => await cluster.backends.get(vmId)?.kill(),
+};
+
+const groupsOf = async (cluster: Cluster): Promise<GroupStatus[]> => {
+    const status = await cluster.operate(cluster.daemons[0] as DaemonHandle, "GET", "status");
+    return (status as { groups: GroupStatus[]; }).groups.filter((group) => group.state === "serving");
+};
+
+const streamForever = async (
+    cluster: Cluster,
+    index: number,
+    counts: Counts,
+    signal: AbortSignal,
+): Promise<void> => {
+    while (!signal.aborted) {
+        const daemon = cluster.daemons[index % cluster.daemons.length] as DaemonHandle;
+        const answer = await postChat(daemon, { max_tokens: TOKENS }).catch(() => undefined);
+        const isRefused = answer !== undefined && answer.status !== 200;
+        const isWhole = answer?.isWhole === true && answer.tokens.length === TOKENS;
+        counts[isRefused ? "refused" : isWhole ? "whole" : "cutOff"] += 1;
+        if (isRefused) {
+            await sleep(50, signal);
+        }
+    }
+};
+
+/** Takes leaders of groups away under load. Returns the time of the last new request at any of them. */
+const departUnderLoad = async (
+    kind: keyof typeof departures,
+): Promise<Counts & { lastNewWorkMs: number; releasedAfterMs: number; }> => {
+    const cluster = new Cluster({ daemonsPerZone: { [ZONE]: 2 } });
+    const counts: Counts = { whole: 0, cutOff: 0, refused: 0 };
+    const stop = new AbortController();
+    try {
+        await cluster.start();
+        await seedTable(cluster, [
+            { kind: "model", name: "assistant", baseVersion: 0, columns: { vmsPerReplica: 2, replicas: 2 } },
+            ...seedChanges().slice(1),
+        ]);
+        startZoneBackends(cluster, ZONE, { modelVms: 4 + 2 * ROUNDS });
+        await waitForServingGroups(cluster, 2);
+        const streams = Array.from(
+            { length: STREAMS },
+            (_, index) => streamForever(cluster, index, counts, stop.signal),
+        );
+        let lastNewWorkMs = 0;
+        let releasedAfterMs = 0;
+        for (let round = 0; round < ROUNDS; round += 1) {
+            const groups = await waitFor("two serving groups", async () => {
+                const serving = await groupsOf(cluster);
+                return serving.length >= 2 ? serving : undefined;
+            });
+            await sleep(SETTLE_MS / 2);
+            const vmId = groups[0]?.memberVmIds[0] ?? "";
+            const leftAtMs = Date.now();
+            const startedAtMs = monotonicMs();
+            await departures[kind](cluster, vmId);
+            releasedAfterMs = Math.max(releasedAfterMs, monotonicMs() - startedAtMs);
+            await sleep(SETTLE_MS);
+            const work = cluster.records().filter((record) =>
+                record.vmId === vmId && record.kind === "request" && record.atMs >= leftAtMs
+            );
+            lastNewWorkMs = Math.max(lastNewWorkMs, ...work.map((record) => record.atMs - leftAtMs));
+        }
+        stop.abort();
+        await Promise.all(streams);
+        return { ...counts, lastNewWorkMs, releasedAfterMs: Math.round(releasedAfterMs) };
+    }
+    finally {
+        stop.abort();
+        await cluster.stop();
+    }
+};
+
+/** Leaders of groups leave under load; the baseline kills them. */
+export const measureDrain = async (): Promise<object> => {
+    const leave = await departUnderLoad("leave");
+    const kill = await departUnderLoad("kill");
+    const { lastNewWorkMs, cutOff } = leave;
+    return { lastNewWorkMs, cutOff, isWithinBound: lastNewWorkMs <= BOUND_MS && cutOff === 0, leave, kill };
+};
--- a/packages/bench/src/zone/zone.ts
+++ b/packages/bench/src/zone/zone.ts
@@ -103,7 +103,7 @@
     addVm(options: ZoneVmOptions): ZoneVm {
         const vm = new ZoneVm(options);
         this.vms.set(options.vmId, vm);
-        vm.start(this.#lifecycle, (report) => this.#sendReport(report));
+        vm.start(this.#lifecycle.child(), (report) => this.#sendReport(report));
         return vm;
     }
 
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -58,6 +58,7 @@
             daemons,
             orderKey: keys.backendServers,
             timing: settings.timing,
+            weightStore: { maxLoads: settings.weightStoreLoads },
         });
         const dispatcher = new BackendDispatcher({
             context,
@@ -105,6 +106,7 @@
             tableVersion: this.#table.version,
             log: this.#log.status(),
             isController: lease.isValid,
+            measures: this.#membership.measures(),
             reachableZones: directory.reachableZones(),
             groups: directory.allGroups(),
             services: directory.allServices(),
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -44,6 +44,8 @@
     }).default({ format: "json", level: "info" }),
     metrics: z.strictObject({ host: z.string(), port: z.number().int().default(8125) }).optional(),
     timing: timing.default({}),
+    /** VMs of the zone that may read weights from the weight store at once. */
+    weightStoreLoads: z.number().int().min(1).max(10_000).default(8),
 });
 
 export type Settings = z.infer<typeof settingsSchema>;
--- a/packages/membership/src/accounting.ts
+++ b/packages/membership/src/accounting.ts
@@ -1,4 +1,5 @@
 import { BackendKind, GroupState } from "@greengage/protocol";
+import type { ModelRow } from "@greengage/table";
 import { Cause, type Group } from "./group.ts";
 import type { Vm } from "./vms.ts";
 import {
@@ -22,6 +23,24 @@
     readonly groupDowntime: SecondsByCause = { totalS: 0, byCauseS: {} };
     readonly strandedAccelerators: SecondsByCause = { totalS: 0, byCauseS: {} };
 
+    /** Groups of each model that have served at once, while the table wanted as many. */
+    readonly #reached = new Map<string, number>();
+
+    /**
+     * Groups of a model that should serve: those that exist or have served before. A wanted group that was never
+     * formed isn't down; the accelerators that it could use are stranded.
+     */
+    expectedGroups(zone: ZoneState, model: ModelRow): number {
+        const present = presentGroups(zone, model.name);
+        const serving = present.filter(isServing).length;
+        const reached = Math.min(
+            wantedReplicas(model),
+            Math.max(this.#reached.get(model.name) ?? 0, serving),
+        );
+        this.#reached.set(model.name, reached);
+        return Math.min(wantedReplicas(model), Math.max(reached, present.length));
+    }
+
     addDowntime(cause: Cause, seconds: number): void {
         add(this.groupDowntime, cause, seconds);
     }
@@ -29,7 +48,7 @@
     /** Counts the `seconds` since the last call for every group and VM in its present state. */
     tick(zone: ZoneState, seconds: number): void {
         for (const model of zone.table.models()) {
-            for (const cause of missingGroupCauses(zone, model.name, wantedReplicas(model))) {
+            for (const cause of missingGroupCauses(zone, model.name, this.expectedGroups(zone, model))) {
                 add(this.groupDowntime, cause, seconds);
             }
         }
@@ -51,10 +70,10 @@
     sum.byCauseS[cause] = (sum.byCauseS[cause] ?? 0) + seconds;
 };
 
-/** One cause per wanted group that doesn't serve. A replacement that serves makes up for a group that drains. */
-const missingGroupCauses = (zone: ZoneState, model: string, wanted: number): Cause[] => {
+/** One cause per expected group that doesn't serve. A replacement that serves makes up for a group that drains. */
+const missingGroupCauses = (zone: ZoneState, model: string, expected: number): Cause[] => {
     const groups = zone.groups.ofModel(model);
-    const down = wanted - groups.filter(isServing).length;
+    const down = expected - groups.filter(isServing).length;
     if (down <= 0) {
         return [];
     }
@@ -63,7 +82,7 @@
     return [...causes.slice(0, down), ...Array.from({ length: absent }, () => absenceCause(zone))];
 };
 
-/** Why a wanted group doesn't exist. */
+/** Why an expected group doesn't exist. */
 const absenceCause = (zone: ZoneState): Cause => {
     const free = zone.vms.all().filter((vm) =>
         vm.report.kind === BackendKind.Model && zone.vms.isFresh(vm)
--- a/packages/membership/src/controller.ts
+++ b/packages/membership/src/controller.ts
@@ -1,21 +1,24 @@
 import { type Context, Lifecycle, LogPart, messageOf, monotonicMs } from "@greengage/base";
-import type { Calls, Grant, Peers, ZoneExchange } from "@greengage/protocol";
+import type { Calls, Peers, ZoneExchange } from "@greengage/protocol";
 import type { TableState } from "@greengage/table";
-import { DowntimeAccount, type SecondsByCause } from "./accounting.ts";
+import { DowntimeAccount } from "./accounting.ts";
 import { adoptGroups } from "./adoption.ts";
 import { DaemonRegistry } from "./daemons.ts";
 import { checkLeaving, isServiceIdle, startDrainIfDue } from "./drain.ts";
 import { planVmDrain } from "./drainPlan.ts";
 import { LimitExchange } from "./exchange.ts";
 import { formGroups, planDrains } from "./forming.ts";
+import { GrantDesk } from "./grants.ts";
 import { Cause } from "./group.ts";
 import { GroupRegistry } from "./groups.ts";
 import { Handover } from "./handover.ts";
 import type { LeaseHistory, ZoneLease } from "./lease.ts";
+import { measuresOf, sendMetrics, type ZoneMeasures } from "./measures.ts";
 import type { Orders } from "./orders.ts";
 import { PlacementName, placementPolicies } from "./placement.ts";
 import { OrderReconciler } from "./reconcile.ts";
 import { replaceStragglers } from "./stragglers.ts";
+import { collectHeld, forget } from "./takeover.ts";
 import type { MembershipTiming } from "./timing.ts";
 import { stepGroup } from "./transitions.ts";
 import { ViewLog } from "./views.ts";
@@ -25,23 +28,10 @@
 import { freshUntilMs, groupViews, markDrainVersions, serviceViews } from "./zoneViews.ts";
 
 const CONTROL_PERIOD_MS = 100;
-const HELD_TIMEOUT_MS = 300;
 const METRICS_PERIOD_MS = 1_000;
 // After a pause of the process the time in between isn't known to have been spent in the present state.
 const MAX_TICK_MS = 5_000;
 
-/** Group downtime and stranded accelerators of a zone since this daemon last became its controller. */
-export interface ZoneMeasures {
-    zone: string;
-    isController: boolean;
-    groupDowntime: SecondsByCause;
-    strandedAccelerators: SecondsByCause;
-    quarantinedVmIds: string[];
-    drainedVmIds: string[];
-    /** VMs that read from the weight store now. */
-    weightStoreLoads: number;
-}
-
 export interface ZoneControllerOptions {
     context: Context;
     peers: Peers;
@@ -64,10 +54,10 @@
     readonly #zone: ZoneState;
     readonly #reconciler: OrderReconciler;
     readonly #exchange: LimitExchange;
+    readonly #grants: GrantDesk;
     #handover: Handover | undefined;
     #epoch = 0;
     #isActive = false;
-    #tableFloor = 0;
     #freshUntilMs = 0;
     #lastTickMs = 0;
 
@@ -95,11 +85,13 @@
             table,
             grantMs: timing.grantMs,
         });
+        const { lease } = options;
+        this.#grants = new GrantDesk({ zone: this.#zone, peers, exchange: this.#exchange, lease });
         peers.handle("report.batch", (request) => this.#takeBatch(request));
         peers.handle("grant.renew", (request) => this.#renewGrant(request));
         peers.handle("vm.drain", (request) => this.#drainVm(request));
         peers.handle("zone.confirmStopped", ({ fence }) => ({
-            stopped: !(options.lease().isValid && options.lease().fence <= fence)
+            stopped: !(lease().isValid && lease().fence <= fence)
                 && !options.orders.mayHaveInFlight(fence),
         }));
     }
@@ -120,23 +112,21 @@
     }
 
     get tableFloor(): number {
-        return this.#tableFloor;
+        return this.#grants.tableFloor;
     }
 
     raiseTableFloor(version: number): void {
-        this.#tableFloor = Math.max(this.#tableFloor, version);
+        this.#grants.raiseTableFloor(version);
     }
 
     /** Takes over the zone: collects the held reports and adopts the groups they name. */
     async activate(fence: number, history: LeaseHistory): Promise<void> {
         const epoch = ++this.#epoch;
         const { peers, zoneDaemonIds, timing } = this.#options;
-        const { vms, groups, daemons, weightStore, downtime } = this.#zone;
+        const { groups, downtime } = this.#zone;
         const startedAtMs = monotonicMs();
         this.#isActive = false;
-        for (const part of [vms, groups, daemons, weightStore]) {
-            part.clear();
-        }
+        forget(this.#zone);
         void this.#handover?.close();
         this.#handover = new Handover({
             peers,
@@ -145,14 +135,16 @@
             formerHolderIds: this.#formerHolders(fence, history),
             limitMs: timing.unfencedHandoverMs,
         });
-        this.#zone.adoptsUntilMs = Number.POSITIVE_INFINITY;
-        const answers = await Promise.all(zoneDaemonIds.map((id) => this.#askHeld(id)));
+        await collectHeld({
+            zone: this.#zone,
+            peers,
+            exchange: this.#exchange,
+            zoneDaemonIds,
+            onTableVersion: (version) => this.raiseTableFloor(version),
+        });
         if (epoch !== this.#epoch) {
             return;
         }
-        // A daemon that didn't answer, or has just started, lacks reports that other daemons get within a period.
-        const isComplete = answers.every((upMs) => upMs !== undefined && upMs > timing.missingAfterMs);
-        this.#zone.adoptsUntilMs = monotonicMs() + (isComplete ? 0 : timing.missingAfterMs);
         adoptGroups(this.#zone);
         const gapS = ((history.idleMs ?? 0) + monotonicMs() - startedAtMs) / 1_000;
         downtime.addDowntime(Cause.NoController, gapS * groups.all().length);
@@ -168,16 +160,7 @@
 
     /** Downtime, stranded accelerators and conditions of the zone, for status and metrics. */
     measures(): ZoneMeasures {
-        const { vms, downtime, weightStore, context } = this.#zone;
-        return {
-            zone: context.zone,
-            isController: this.#isActive && this.#options.lease().isValid,
-            groupDowntime: downtime.groupDowntime,
-            strandedAccelerators: downtime.strandedAccelerators,
-            quarantinedVmIds: vms.all().filter((vm) => vms.isQuarantined(vm)).map((vm) => vm.vmId),
-            drainedVmIds: [...vms.drained],
-            weightStoreLoads: weightStore.runningCount,
-        };
+        return measuresOf(this.#zone, this.#isController);
     }
 
     /** What this zone tells other controllers about organisation limits, while it is the controller. */
@@ -199,22 +182,6 @@
         return fence === 1 ? [] : history.formerHolderIds ?? others;
     }
 
-    async #askHeld(daemonId: string): Promise<number | undefined> {
-        const { peers, context } = this.#options;
-        const answer = await peers.call(daemonId, "report.held", { zone: context.zone }, {
-            timeoutMs: HELD_TIMEOUT_MS,
-        }).catch(() => undefined);
-        for (const { report, ageMs } of answer?.reports ?? []) {
-            this.#zone.vms.take(report, ageMs);
-        }
-        for (const vmId of answer?.drainedVmIds ?? []) {
-            this.#zone.vms.drained.add(vmId);
-        }
-        this.#exchange.restore(answer?.transfers ?? []);
-        this.raiseTableFloor(answer?.tableVersion ?? 0);
-        return answer?.upMs;
-    }
-
     #takeBatch(request: Calls["report.batch"]["request"]): Calls["report.batch"]["response"] {
         const lease = this.#options.lease();
         if (!lease.isValid) {
@@ -283,22 +250,11 @@
         }
         const offered = zone.views.offered();
         if ([...offeredBefore].some((key) => !offered.has(key))) {
-            this.#push();
-        }
-    }
-
-    /** Tells every daemon that holds a grant what it must no longer use. */
-    #push(): void {
-        const { peers } = this.#options;
-        for (const daemon of this.#zone.daemons.active()) {
-            peers.notify(daemon.daemonId, "grant.push", {
-                grant: this.#grant(daemon.daemonId, daemon.viewVersion, 0),
-            });
+            this.#grants.push();
         }
     }
 
     #renewGrant(request: Calls["grant.renew"]["request"]): Calls["grant.renew"]["response"] {
-        const lease = this.#options.lease();
         if (!this.#isController || request.zone !== this.#options.context.zone) {
             return {};
         }
@@ -306,35 +262,7 @@
         if (monotonicMs() >= this.#freshUntilMs) {
             this.#step();
         }
-        const daemon = this.#zone.daemons.note(request, lease.fence);
-        if (request.daemonZone === request.zone) {
-            this.raiseTableFloor(request.tableVersion);
-        }
-        if (request.exchange !== undefined) {
-            this.#exchange.take(request.exchange);
-        }
-        const validForMs = Math.min(this.#options.timing.grantMs, lease.remainingMs);
-        return {
-            grant: this.#grant(request.daemonId, daemon.viewVersion, validForMs),
-            exchange: request.exchange === undefined ? undefined : this.#exchange.message(),
-        };
-    }
-
-    #grant(daemonId: string, heldVersion: number | undefined, validForMs: number): Grant {
-        const { views, daemons, vms, context } = this.#zone;
-        const active = daemons.active();
-        const isOwn = daemons.get(daemonId)?.zone === context.zone;
-        return {
-            zone: context.zone,
-            fence: this.#options.lease().fence,
-            validForMs,
-            ...views.since(heldVersion),
-            tableFloor: this.#tableFloor,
-            daemonCount: active.length,
-            shares: isOwn ? this.#exchange.sharesOf(daemonId, active) : [],
-            transfers: isOwn ? this.#exchange.transfers() : [],
-            drainedVmIds: [...vms.drained],
-        };
+        return this.#grants.renew(request);
     }
 
     #isReleased(vmId: string): boolean {
@@ -362,16 +290,8 @@
     }
 
     #sendMetrics(): void {
-        if (!this.#isController) {
-            return;
-        }
-        const { metrics } = this.#options.context;
-        const { downtime } = this.#zone;
-        for (const [cause, seconds] of Object.entries(downtime.groupDowntime.byCauseS)) {
-            metrics.gauge("group.downtime_s", seconds, { cause });
-        }
-        for (const [cause, seconds] of Object.entries(downtime.strandedAccelerators.byCauseS)) {
-            metrics.gauge("accelerator.stranded_s", seconds, { cause });
+        if (this.#isController) {
+            sendMetrics(this.#zone);
         }
     }
 }
--- a/packages/membership/src/drain.ts
+++ b/packages/membership/src/drain.ts
@@ -23,7 +23,7 @@
 /** Marks a group to be drained. It serves on until its replacement does, within the limit of the reason. */
 export const planDrain = (zone: ZoneState, group: Group, reason: DrainReason): void => {
     const nowMs = monotonicMs();
-    const startByMs = nowMs + holdMs[reason](zone.timing.grantMs);
+    const startByMs = Math.min(nowMs, leavingSinceMs(zone, group)) + holdMs[reason](zone.timing.grantMs);
     if (group.drain !== undefined) {
         group.drain.startByMs = Math.min(group.drain.startByMs, startByMs);
         return;
@@ -32,6 +32,12 @@
     zone.context.timeline.record("groups", "drain.planned", { groupId: group.groupId, reason });
 };
 
+/** Monotonic time at which the first member began to leave; infinite when none does. */
+const leavingSinceMs = (zone: ZoneState, group: Group): number =>
+    Math.min(
+        ...group.memberVmIds.map((vmId) => zone.vms.get(vmId)?.leavingSinceMs ?? Number.POSITIVE_INFINITY),
+    );
+
 /** Starts the drain when the replacement serves, when there is none, or when the time is up. */
 export const startDrainIfDue = (zone: ZoneState, group: Group): void => {
     const { drain } = group;
@@ -73,9 +79,10 @@
     if (leavingVersion === undefined || vm.leavingSinceMs === undefined) {
         return false;
     }
+    const leftAtMs = Math.max(0, vm.leavingSinceMs);
     const ends = zone.daemons.all().map((daemon) => workEndMs(zone, daemon, leavingVersion));
     const isBusy = ends.includes(undefined) || zone.daemons.inFlight(vm.vmId) > 0;
-    return !isBusy && isIdleSince(vm, Math.max(vm.leavingSinceMs, ...ends.map((endMs) => endMs ?? 0)));
+    return !isBusy && isIdleSince(vm, Math.max(leftAtMs, ...ends.map((endMs) => endMs ?? 0)));
 };
 
 /** Checks P6: a group with a leaving member is not offered after the bound. */
--- a/packages/membership/src/forming.ts
+++ b/packages/membership/src/forming.ts
@@ -48,6 +48,7 @@
         freeVms: freeVms(zone),
         vmCountByDomain: vmCountByDomain(zone),
         presentGroups: present,
+        isRestoring: present < zone.downtime.expectedGroups(zone, model),
         downtimeWeight: zone.table.fleet().downtimeWeight,
     });
 
--- /dev/null
+++ b/packages/membership/src/grants.ts
@@ -0,0 +1,72 @@
+import type { Calls, Grant, Peers } from "@greengage/protocol";
+import type { LimitExchange } from "./exchange.ts";
+import type { ZoneLease } from "./lease.ts";
+import type { ZoneState } from "./zone.ts";
+
+export interface GrantDeskOptions {
+    zone: ZoneState;
+    peers: Peers;
+    exchange: LimitExchange;
+    lease: () => Pick<ZoneLease, "fence" | "remainingMs">;
+}
+
+/** Makes the grants of a zone for the daemons that renew, and pushes what must not wait for a renewal. */
+export class GrantDesk {
+    readonly #options: GrantDeskOptions;
+    #tableFloor = 0;
+
+    constructor(options: GrantDeskOptions) {
+        this.#options = options;
+    }
+
+    get tableFloor(): number {
+        return this.#tableFloor;
+    }
+
+    raiseTableFloor(version: number): void {
+        this.#tableFloor = Math.max(this.#tableFloor, version);
+    }
+
+    renew(request: Calls["grant.renew"]["request"]): Calls["grant.renew"]["response"] {
+        const { zone, exchange } = this.#options;
+        const lease = this.#options.lease();
+        const daemon = zone.daemons.note(request, lease.fence);
+        if (request.daemonZone === request.zone) {
+            this.raiseTableFloor(request.tableVersion);
+        }
+        if (request.exchange !== undefined) {
+            exchange.take(request.exchange);
+        }
+        const validForMs = Math.min(zone.timing.grantMs, lease.remainingMs);
+        return {
+            grant: this.#grant(request.daemonId, daemon.viewVersion, validForMs),
+            exchange: request.exchange === undefined ? undefined : exchange.message(),
+        };
+    }
+
+    /** Tells every daemon that holds a grant what it must no longer use. */
+    push(): void {
+        const { zone, peers } = this.#options;
+        for (const { daemonId, viewVersion } of zone.daemons.active()) {
+            peers.notify(daemonId, "grant.push", { grant: this.#grant(daemonId, viewVersion, 0) });
+        }
+    }
+
+    #grant(daemonId: string, heldVersion: number | undefined, validForMs: number): Grant {
+        const { zone, exchange } = this.#options;
+        const { views, daemons, vms, context } = zone;
+        const active = daemons.active();
+        const isOwn = daemons.get(daemonId)?.zone === context.zone;
+        return {
+            zone: context.zone,
+            fence: this.#options.lease().fence,
+            validForMs,
+            ...views.since(heldVersion),
+            tableFloor: this.#tableFloor,
+            daemonCount: active.length,
+            shares: isOwn ? exchange.sharesOf(daemonId, active) : [],
+            transfers: isOwn ? exchange.transfers() : [],
+            drainedVmIds: [...vms.drained],
+        };
+    }
+}
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,6 +1,6 @@
 export * from "./acceptors.ts";
-export type { ZoneMeasures } from "./controller.ts";
 export * from "./directory.ts";
+export type { ZoneMeasures } from "./measures.ts";
 export * from "./membership.ts";
 export type { Orders } from "./orders.ts";
 export { OrderResult } from "./orders.ts";
--- /dev/null
+++ b/packages/membership/src/measures.ts
@@ -0,0 +1,38 @@
+import type { SecondsByCause } from "./accounting.ts";
+import type { ZoneState } from "./zone.ts";
+
+/** Group downtime and stranded accelerators of a zone, counted by this daemon while it was the controller. */
+export interface ZoneMeasures {
+    zone: string;
+    isController: boolean;
+    groupDowntime: SecondsByCause;
+    strandedAccelerators: SecondsByCause;
+    quarantinedVmIds: string[];
+    drainedVmIds: string[];
+    /** VMs that read from the weight store now. */
+    weightStoreLoads: number;
+}
+
+export const measuresOf = (zone: ZoneState, isController: boolean): ZoneMeasures => {
+    const { vms, downtime, weightStore, context } = zone;
+    return {
+        zone: context.zone,
+        isController,
+        groupDowntime: downtime.groupDowntime,
+        strandedAccelerators: downtime.strandedAccelerators,
+        quarantinedVmIds: vms.all().filter((vm) => vms.isQuarantined(vm)).map((vm) => vm.vmId),
+        drainedVmIds: [...vms.drained],
+        weightStoreLoads: weightStore.runningCount,
+    };
+};
+
+/** Sends the sums as gauges, one per cause. */
+export const sendMetrics = ({ context, downtime }: ZoneState): void => {
+    const { metrics } = context;
+    for (const [cause, seconds] of Object.entries(downtime.groupDowntime.byCauseS)) {
+        metrics.gauge("group.downtime_s", seconds, { cause });
+    }
+    for (const [cause, seconds] of Object.entries(downtime.strandedAccelerators.byCauseS)) {
+        metrics.gauge("accelerator.stranded_s", seconds, { cause });
+    }
+};
--- a/packages/membership/src/placement.ts
+++ b/packages/membership/src/placement.ts
@@ -9,6 +9,8 @@
     vmCountByDomain: Map<string, number>;
     /** Groups of the model that serve or load. */
     presentGroups: number;
+    /** The model has had more groups before. */
+    isRestoring: boolean;
     /** 1 weighs group downtime alone, 0 stranded accelerators alone. */
     downtimeWeight: number;
 }
@@ -71,8 +73,8 @@
         const { model, freeVms, downtimeWeight } = input;
         const size = model.vmsPerReplica;
         const fitting = [...byDomain(freeVms)].filter(([domain, vms]) => {
-            // The first group of a model is worth more than a spare.
-            const reserved = input.presentGroups === 0
+            // The first group of a model, or one that was lost, is worth more than a spare.
+            const reserved = input.presentGroups === 0 || input.isRestoring
                 ? 0
                 : reservedSpares(input.vmCountByDomain.get(domain) ?? 0, downtimeWeight);
             return vms.length - reserved >= size;
--- a/packages/membership/src/vms.ts
+++ b/packages/membership/src/vms.ts
@@ -141,6 +141,7 @@
             }
             if (nowMs - vm.receivedAtMs > STABLE_PERIODS * this.#timing.missingAfterMs) {
                 this.#vms.delete(vm.vmId);
+                this.#vmIdByUrl.delete(vm.report.url);
             }
         }
     }
@@ -189,7 +190,8 @@
             return;
         }
         vm.formerSequences.set(vm.report.incarnationId, vm.report.sequence);
-        if (!vm.report.leaving) {
+        // A VM that went missing before it came back as a new process has failed once, not twice.
+        if (!vm.report.leaving && vm.wasFresh) {
             this.noteFlap(vm);
         }
         vm.report = report;
@@ -240,7 +242,8 @@
     flaps: 0,
     lastFlapAtMs: 0,
     backOffUntilMs: 0,
-    leavingSinceMs: report.leaving ? monotonicMs() : undefined,
+    // Nobody knows for how long a server has been leaving that did so before its first report here.
+    leavingSinceMs: report.leaving ? Number.NEGATIVE_INFINITY : undefined,
     unfencedUntilMs: 0,
     wasFresh: true,
 });
