--- a/packages/membership/src/reconcile.ts
+++ b/packages/membership/src/reconcile.ts
@@ -152,7 +152,7 @@
     }
 
     #load(vm: Vm, group: Group): void {
-        const { context, groups } = this.#zone;
+        const { context, groups, vms } = this.#zone;
         context.invariants.check(
             Invariant.OneGroupPerVm,
             groups.countOf(vm.vmId) === 1,
@@ -162,7 +162,8 @@
         const memberVmIds = [...group.memberVmIds];
         const rank = memberVmIds.indexOf(vm.vmId);
         const assignment = { groupId, generation, model, memberVmIds, rank };
-        this.#send(vm, keyOf(group), () => this.#orders.load(vm.report, assignment));
+        const memberUrls = memberVmIds.map((vmId) => vms.get(vmId)?.report.url ?? "");
+        this.#send(vm, keyOf(group), () => this.#orders.load(vm.report, assignment, memberUrls));
     }
 
     #send(vm: Vm, key: string, send: () => Promise<OrderResult>): void {
