Adopt a dissolved group only when all its members return and the table wants it

Cause: with real processes a group that had drained was adopted again each control step until its VMs had released it (8 dissolutions in 0.7 s in a trial); the in-process tests ended in the right state and missed it. Change: after the takeover period, and for groups that this controller has dissolved, every member must report the group and the model must lack groups. This also keeps the weights of a fabric domain that returns. Routing reports its requests in flight by group.

--- a/packages/bench/src/measure/drain.ts
+++ b/packages/bench/src/measure/drain.ts
@@ -5,8 +5,9 @@
 
 const ZONE = "jhb-north";
 const STREAMS = 8;
-const TOKENS = 60;
-const ROUNDS = 3;
+// Different lengths keep the streams from starting together.
+const tokensOf = (index: number): number => 40 + 7 * index;
+const ROUNDS = 4;
 const SETTLE_MS = 3_000;
 const BOUND_MS = 2_000;
 
@@ -43,9 +44,9 @@
 ): Promise<void> => {
     while (!signal.aborted) {
         const daemon = cluster.daemons[index % cluster.daemons.length] as DaemonHandle;
-        const answer = await postChat(daemon, { max_tokens: TOKENS }).catch(() => undefined);
+        const answer = await postChat(daemon, { max_tokens: tokensOf(index) }).catch(() => undefined);
         const isRefused = answer !== undefined && answer.status !== 200;
-        const isWhole = answer?.isWhole === true && answer.tokens.length === TOKENS;
+        const isWhole = answer?.isWhole === true && answer.tokens.length === tokensOf(index);
         counts[isRefused ? "refused" : isWhole ? "whole" : "cutOff"] += 1;
         if (isRefused) {
             await sleep(50, signal);
--- a/packages/membership/src/adoption.ts
+++ b/packages/membership/src/adoption.ts
@@ -2,12 +2,15 @@
 import { type Assignment, GroupState } from "@greengage/protocol";
 import { Cause, type Group } from "./group.ts";
 import type { Vm } from "./vms.ts";
-import type { ZoneState } from "./zone.ts";
+import { isAdopting, presentGroups, RELEASE_KEY, wantedReplicas, type ZoneState } from "./zone.ts";
 
 /**
  * Adopts the groups that VMs report and the controller doesn't know. Members must not contradict each other: all
- * that report name the same member list, and none names a higher generation or another group. A member that
- * doesn't report counts as missing, so that its group is repaired and not loaded anew.
+ * that report name the same member list, and none names a higher generation or another group.
+ *
+ * Just after a takeover a member that doesn't report counts as missing, so that its group is repaired and not loaded
+ * anew. Later, and for groups that this controller has dissolved, every member must report the group and the table
+ * must want it: a fabric domain that returns keeps its weights, and a group that was given up stays so.
  */
 export const adoptGroups = (zone: ZoneState): void => {
     const unknown = new Map<string, Assignment>();
@@ -19,7 +22,8 @@
         }
     }
     for (const assignment of unknown.values()) {
-        if (isConsistent(zone, assignment)) {
+        const isTakeover = isAdopting(zone) && !zone.groups.wasDissolved(assignment.groupId);
+        if (isConsistent(zone, assignment) && (isTakeover || isWantedWhole(zone, assignment))) {
             adopt(zone, assignment);
         }
     }
@@ -28,7 +32,8 @@
 const adoptable = (zone: ZoneState, vm: Vm): Assignment | undefined => {
     const { assignment } = vm.report;
     const isKnown = assignment === undefined || zone.groups.get(assignment.groupId) !== undefined;
-    return isKnown || !zone.vms.isFresh(vm) || zone.vms.isQuarantined(vm) ? undefined : assignment;
+    const isUnreliable = !zone.vms.isFresh(vm) || zone.vms.isQuarantined(vm) || vm.order?.key === RELEASE_KEY;
+    return isKnown || isUnreliable ? undefined : assignment;
 };
 
 const isConsistent = (zone: ZoneState, assignment: Assignment): boolean =>
@@ -46,6 +51,17 @@
             && (isSame || reported.generation < assignment.generation);
     });
 
+const isWantedWhole = (zone: ZoneState, assignment: Assignment): boolean => {
+    const model = zone.table.model(assignment.model);
+    const isWhole = assignment.memberVmIds.every((vmId) => {
+        const vm = zone.vms.get(vmId);
+        return vm !== undefined && adoptable(zone, vm)?.groupId === assignment.groupId
+            && vm.report.assignment?.generation === assignment.generation && !zone.vms.isLeaving(vm);
+    });
+    return isWhole && model?.vmsPerReplica === assignment.memberVmIds.length
+        && presentGroups(zone, assignment.model).length < wantedReplicas(model);
+};
+
 const adopt = (zone: ZoneState, assignment: Assignment): void => {
     const { groupId, generation, model, memberVmIds } = assignment;
     const reports = memberVmIds.map((vmId) => zone.vms.get(vmId)?.report);
--- a/packages/membership/src/groups.ts
+++ b/packages/membership/src/groups.ts
@@ -2,10 +2,13 @@
 import { GroupState } from "@greengage/protocol";
 import { Cause, type Group } from "./group.ts";
 
+const KEPT_DISSOLVED = 1_000;
+
 /** The replica groups of a zone, as its controller knows them. */
 export class GroupRegistry {
     readonly #groups = new Map<string, Group>();
     readonly #byVm = new Map<string, Group>();
+    #dissolved = new Set<string>();
     readonly #context: Context;
     readonly #log: Log;
 
@@ -56,6 +59,10 @@
         this.setState(group, GroupState.Dissolved, cause);
         this.#unindex(group);
         this.#groups.delete(group.groupId);
+        this.#dissolved.add(group.groupId);
+        if (this.#dissolved.size > KEPT_DISSOLVED) {
+            this.#dissolved = new Set([...this.#dissolved].slice(-KEPT_DISSOLVED / 2));
+        }
     }
 
     setState(group: Group, state: GroupState, cause: Cause): void {
@@ -68,7 +75,13 @@
         this.#record(group);
     }
 
+    /** Whether this controller has dissolved the group. */
+    wasDissolved(groupId: string): boolean {
+        return this.#dissolved.has(groupId);
+    }
+
     clear(): void {
+        this.#dissolved.clear();
         this.#groups.clear();
         this.#byVm.clear();
     }
--- a/packages/membership/src/reconcile.ts
+++ b/packages/membership/src/reconcile.ts
@@ -4,11 +4,10 @@
 import { OrderResult, type Orders } from "./orders.ts";
 import type { Vm } from "./vms.ts";
 import type { LoadRequest } from "./weightStore.ts";
-import { isAdopting, isServing, mayReassign, reportsGroup, type ZoneState } from "./zone.ts";
+import { isAdopting, isServing, mayReassign, RELEASE_KEY, reportsGroup, type ZoneState } from "./zone.ts";
 
 const FIRST_RETRY_MS = 250;
 const MAX_RETRY_MS = 10_000;
-const RELEASE_KEY = "release";
 
 /** Sends each VM the order that its last report calls for, one at a time per VM. */
 export class OrderReconciler {
--- a/packages/membership/src/zone.ts
+++ b/packages/membership/src/zone.ts
@@ -46,6 +46,9 @@
 
 export type MemberStatus = typeof MemberStatus[keyof typeof MemberStatus];
 
+/** `VmOrder.key` of an order to leave the group. */
+export const RELEASE_KEY = "release";
+
 /** Whether a report names this group, generation and member list. */
 export const reportsGroup = (report: VmReport, group: Group): boolean =>
     report.assignment?.groupId === group.groupId
--- a/packages/routing/src/dispatcher.ts
+++ b/packages/routing/src/dispatcher.ts
@@ -61,6 +61,7 @@
             daemonCount: () => knownDaemonCount ?? directory.daemonCount(context.zone),
         });
         directory.setDemandSource(() => this.#limits.demand());
+        directory.setInFlightSource(() => this.#loads.inFlightCounts());
         this.#chooser = new Chooser({ loads: this.#loads, zone: context.zone, strategy, affinity });
         const limits = { ...DEFAULT_QUEUE_LIMITS, ...options.queueLimits };
         this.#admission = new Admission({
--- a/packages/routing/src/loads.ts
+++ b/packages/routing/src/loads.ts
@@ -1,5 +1,5 @@
 import { monotonicMs } from "@greengage/base";
-import type { BackendLoad, GroupView } from "@greengage/protocol";
+import type { BackendLoad, GroupView, InFlightCount } from "@greengage/protocol";
 
 /** Reports lag by a second or more; what they say of other daemons' requests loses weight with this time constant. */
 const REPORT_DECAY_MS = 2_000;
@@ -39,6 +39,12 @@
         return this.#groups.get(groupId)?.inFlight ?? 0;
     }
 
+    /** Groups on which this daemon has requests in flight. */
+    inFlightCounts(): InFlightCount[] {
+        return [...this.#groups].map(([id, { inFlight }]) => ({ id, count: inFlight }))
+            .filter(({ count }) => count > 0);
+    }
+
     begin(groupId: string): void {
         this.#load(groupId).inFlight += 1;
     }
--- a/test/membership/groups.test.ts
+++ b/test/membership/groups.test.ts
@@ -139,3 +139,34 @@
     });
     t.is(zone.violations, 0);
 });
+
+// Guards against a mass reload when a fabric domain returns with its weights in memory (hard case 11).
+test("the groups of a fabric domain that returns serve again without orders", async (t) => {
+    const zone = zoneOf(t, { model: { replicas: 2 } });
+    const vms = addVms(zone, "rack-1", 4);
+    await servingCount(zone, 2);
+    const ordersBefore = vms.map((vm) => vm.orders.length);
+    vms.forEach((vm) => {
+        vm.isUp = false;
+    });
+    await waitFor("dissolved groups", () => zone.groups(`${ZONE}-1`).length === 0 || undefined);
+    vms.forEach((vm) => {
+        vm.isUp = true;
+    });
+    await servingCount(zone, 2);
+    t.deepEqual(vms.map((vm) => vm.orders.length), ordersBefore);
+    t.is(zone.violations, 0);
+});
+
+// Guards against a group that is dissolved and adopted again and again while its VMs still report it.
+test("a group that was given up isn't adopted again", async (t) => {
+    const zone = zoneOf(t, { model: { replicas: 2 } });
+    const vms = addVms(zone, "rack-1", 4);
+    await servingCount(zone, 2);
+    zone.edit([{ kind: "model", name: "assistant", columns: { replicas: 1 } }]);
+    await waitFor(
+        "release of two VMs",
+        () => vms.filter((vm) => vm.assignment === undefined).length === 2 || undefined,
+    );
+    t.is(eventKinds(zone).filter((kind) => kind === "group.dissolved").length, 1);
+});
