Divide organisation limits over the connected zones, and ignore a table that is behind

Cause: a zone that was cut off still took part in the division by its last demand, so the others left their remaining part unused; a controller with an empty table after a restart would have drained every group. Change: zones that hear each other divide what they have between them; drains for reasons of the table need a table that has reached the zone's floor; reports of another zone are ignored; spares go to urgent models first.

--- a/packages/membership/src/controller.ts
+++ b/packages/membership/src/controller.ts
@@ -20,7 +20,7 @@
 import { replaceStragglers } from "./stragglers.ts";
 import { collectHeld, forget } from "./takeover.ts";
 import type { MembershipTiming } from "./timing.ts";
-import { stepGroup } from "./transitions.ts";
+import { byUrgency, stepGroup } from "./transitions.ts";
 import { ViewLog } from "./views.ts";
 import { VmRegistry } from "./vms.ts";
 import { WeightStore, type WeightStoreOptions } from "./weightStore.ts";
@@ -77,6 +77,7 @@
             policy: placementPolicies[options.placement ?? PlacementName.BestFit],
             adoptsUntilMs: 0,
             isHandoverDone: () => this.#handover?.isDone ?? false,
+            tableFloor: () => this.#grants.tableFloor,
         };
         this.#reconciler = new OrderReconciler(this.#zone, options.orders);
         this.#exchange = new LimitExchange({
@@ -220,7 +221,7 @@
         adoptGroups(zone);
         planDrains(zone);
         replaceStragglers(zone);
-        for (const group of zone.groups.all()) {
+        for (const group of byUrgency(zone)) {
             stepGroup(zone, group);
         }
         formGroups(zone);
--- a/packages/membership/src/exchange.ts
+++ b/packages/membership/src/exchange.ts
@@ -4,8 +4,7 @@
 import type { DaemonRecord } from "./daemons.ts";
 import { clampToRest, divideByDemand, divideWhole, ShareLedger, WHOLE } from "./shares.ts";
 
-/** A zone that has been silent for this long is cut off: nothing moves to it, and integers are rounded down. */
-const CONNECTED_MS = 2_000;
+const DEFAULT_GRANT_MS = 1_500;
 const STEP_PERIOD_MS = 500;
 /** Hysteresis: smaller differences move nothing. */
 const MIN_MOVE = WHOLE / 50;
@@ -23,7 +22,10 @@
     zone: string;
     zones: string[];
     table: TableState;
-    /** Longest validity of a share that a daemon holds. Default: 1500. */
+    /**
+     * Longest validity of a share that a daemon holds. A zone that has been silent for as long is cut off: nothing
+     * moves to it, and integers are rounded down. Default: 1500.
+     */
     grantMs?: number;
 }
 
@@ -91,7 +93,7 @@
         if (index < 0) {
             return [];
         }
-        const untilMs = monotonicMs() + (this.#options.grantMs ?? 1_500);
+        const untilMs = monotonicMs() + this.#grantMs;
         const held = new Map<string, HeldShare>();
         const shares = this.#options.table.organisations().map((organisation) => {
             const share = this.#daemonShare(organisation, daemons, index);
@@ -148,16 +150,20 @@
     #move(organisation: OrganisationRow): void {
         const { zone, zones } = this.#options;
         const { name } = organisation;
-        const uses = zones.map((other) => useOf(organisation, this.#demandIn(other, name)));
-        const targets = divideByDemand(WHOLE, uses);
-        const needs = zones.map((other, index) => ({
+        // What a zone has that is cut off stays reserved; the others divide the rest.
+        const present = zones.filter((other) => other === zone || this.#isConnected(other));
+        const parts = present.map((other) => this.#ledger.shareOf(name, other));
+        const whole = parts.reduce((sum, part) => sum + part, 0);
+        const targets = divideByDemand(
+            whole,
+            present.map((other) => useOf(organisation, this.#demandIn(other, name))),
+        );
+        const needs = present.map((other, index) => ({
             zone: other,
-            need: (targets[index] ?? 0) - this.#ledger.shareOf(name, other),
+            need: (targets[index] ?? 0) - (parts[index] ?? 0),
         }));
         const surplus = -(needs.find((need) => need.zone === zone)?.need ?? 0);
-        const receivers = needs.filter((need) =>
-            need.zone !== zone && need.need > 0 && this.#isConnected(need.zone)
-        );
+        const receivers = needs.filter((need) => need.zone !== zone && need.need > 0);
         const needed = receivers.reduce((sum, { need }) => sum + need, 0);
         const moved = Math.floor(Math.min(surplus, needed));
         if (moved < MIN_MOVE) {
@@ -199,7 +205,11 @@
 
     #isConnected(zone: string): boolean {
         const heardAtMs = this.#others.get(zone)?.heardAtMs;
-        return heardAtMs !== undefined && monotonicMs() - heardAtMs < CONNECTED_MS;
+        return heardAtMs !== undefined && monotonicMs() - heardAtMs < this.#grantMs;
+    }
+
+    get #grantMs(): number {
+        return this.#options.grantMs ?? DEFAULT_GRANT_MS;
     }
 
     #own(daemons: DaemonRecord[]): DaemonRecord[] {
--- a/packages/membership/src/forming.ts
+++ b/packages/membership/src/forming.ts
@@ -7,6 +7,7 @@
 import {
     freeVms,
     isServing,
+    isTableCurrent,
     presentGroups,
     vmCountByDomain,
     wantedReplicas,
@@ -21,6 +22,9 @@
             planDrain(zone, group, reason);
         }
     }
+    if (!isTableCurrent(zone)) {
+        return;
+    }
     for (const model of zone.table.models()) {
         planSurplus(zone, model);
     }
@@ -75,10 +79,6 @@
 };
 
 const drainReasonOf = (zone: ZoneState, group: Group): DrainReason | undefined => {
-    const model = zone.table.model(group.model);
-    if (wantedReplicas(model) === 0) {
-        return DrainReason.Disabled;
-    }
     const members = group.memberVmIds.map((vmId) => zone.vms.get(vmId));
     if (members.some((vm) => vm?.report.leaving)) {
         return DrainReason.Leaving;
@@ -86,6 +86,14 @@
     if (group.memberVmIds.some((vmId) => zone.vms.drained.has(vmId))) {
         return DrainReason.Operator;
     }
+    return isTableCurrent(zone) ? tableReasonOf(zone, group) : undefined;
+};
+
+const tableReasonOf = (zone: ZoneState, group: Group): DrainReason | undefined => {
+    const model = zone.table.model(group.model);
+    if (wantedReplicas(model) === 0) {
+        return DrainReason.Disabled;
+    }
     return model?.vmsPerReplica === group.memberVmIds.length ? undefined : DrainReason.Reshaped;
 };
 
--- a/packages/membership/src/repair.ts
+++ b/packages/membership/src/repair.ts
@@ -2,6 +2,7 @@
 import type { Vm } from "./vms.ts";
 import {
     freeVms,
+    isTableCurrent,
     MemberStatus,
     memberStatus,
     presentGroups,
@@ -29,7 +30,8 @@
 export const repair = (zone: ZoneState, group: Group): void => {
     const model = zone.table.model(group.model);
     const others = presentGroups(zone, group.model).filter((other) => other !== group).length;
-    const isWanted = others < wantedReplicas(model) && model?.vmsPerReplica === group.memberVmIds.length;
+    const isWanted = !isTableCurrent(zone)
+        || (others < wantedReplicas(model) && model?.vmsPerReplica === group.memberVmIds.length);
     const staying = stayingMembers(zone, group);
     const lostCount = group.memberVmIds.length - staying.length;
     const spares = isWanted ? sparesFor(zone, group, lostCount) : undefined;
--- a/packages/membership/src/transitions.ts
+++ b/packages/membership/src/transitions.ts
@@ -5,6 +5,13 @@
 import { repair } from "./repair.ts";
 import { causeOfLoss, isAdopting, MemberStatus, memberStatus, type ZoneState } from "./zone.ts";
 
+/** Groups in the order in which they get spares. */
+export const byUrgency = (zone: ZoneState): Group[] => {
+    const priorities = new Map(zone.table.models().map(({ name, priority }) => [name, priority]));
+    const priorityOf = (group: Group): number => priorities.get(group.model) ?? Number.MAX_SAFE_INTEGER;
+    return zone.groups.all().sort((a, b) => priorityOf(a) - priorityOf(b));
+};
+
 /** Moves a group to the state that the reports of its members call for. */
 export const stepGroup = (zone: ZoneState, group: Group): void => {
     const statuses = group.memberVmIds.map((vmId) => memberStatus(zone, group, vmId));
--- a/packages/membership/src/vms.ts
+++ b/packages/membership/src/vms.ts
@@ -75,6 +75,9 @@
 
     /** Takes a report that arrived `ageMs` ago. Older ones than the last are ignored. */
     take(report: VmReport, ageMs: number, fullSequence = report.sequence): void {
+        if (report.zone !== this.#context.zone) {
+            return;
+        }
         this.#takeReport(report, ageMs);
         const vm = this.#vms.get(report.vmId);
         if (vm?.report === report) {
--- a/packages/membership/src/zone.ts
+++ b/packages/membership/src/zone.ts
@@ -27,8 +27,14 @@
     adoptsUntilMs: number;
     /** Whether the VMs that don't check fencing tokens can move to other groups. */
     isHandoverDone: () => boolean;
+    /** Highest table version that a daemon of the zone has reported. */
+    tableFloor: () => number;
 }
 
+/** A table that is empty or behind says nothing about what isn't wanted, for example just after a restart. */
+export const isTableCurrent = (zone: ZoneState): boolean =>
+    zone.table.version > 0 && zone.table.version >= zone.tableFloor();
+
 /** State of a group's member as its last report tells it. */
 export const MemberStatus = {
     Ready: "ready",
--- a/test/membership/groups.test.ts
+++ b/test/membership/groups.test.ts
@@ -1,3 +1,4 @@
+import { SHORT_TIMING, type ZoneVm } from "@greengage/bench";
 import { waitFor } from "@greengage/faults";
 import { GroupState } from "@greengage/protocol";
 import test from "ava";
@@ -94,6 +95,17 @@
     t.true(eventKinds(zone).includes("vm.loadFailed"));
 });
 
+// Guards against orders at full rate to a VM that can't load.
+test("a VM whose load fails gets the next order only after its back-off", async (t) => {
+    const zone = zoneOf(t);
+    const [broken] = addVms(zone, "rack-1", 2);
+    const vm = broken as ZoneVm;
+    vm.failsLoads = true;
+    const loads = () => vm.orders.filter((order) => order.kind === "load");
+    await waitFor("a second load", () => loads().length > 1 || undefined);
+    t.true((loads()[1]?.atMs ?? 0) - (loads()[0]?.atMs ?? 0) > 2 * SHORT_TIMING.missingAfterMs);
+});
+
 // Guards against groups that keep VMs after the operators have given them up.
 test("surplus groups and those of a disabled model are drained and released", async (t) => {
     const zone = zoneOf(t, { model: { replicas: 2 } });
