Give up a small group for a larger one, and test the restart of a whole zone

Cause: a large group that lost one VM without a spare left its other VMs idle; hard case 4 had no test. Change: bestFit with a downtime weight up to 0.5 drains a smaller, not more urgent group of the same fabric domain and completes the larger one.

--- a/packages/membership/src/drain.ts
+++ b/packages/membership/src/drain.ts
@@ -17,6 +17,7 @@
     [DrainReason.Straggler]: () => REPLACEMENT_LIMIT_MS,
     [DrainReason.Reshaped]: () => REPLACEMENT_LIMIT_MS,
     [DrainReason.Surplus]: () => 0,
+    [DrainReason.Donor]: () => 0,
     [DrainReason.Disabled]: () => 0,
 };
 
--- a/packages/membership/src/group.ts
+++ b/packages/membership/src/group.ts
@@ -27,6 +27,8 @@
     Surplus: "surplus",
     Disabled: "disabled",
     Reshaped: "reshaped",
+    /** Gives a VM to a larger group that lost one. */
+    Donor: "donor",
 } as const;
 
 export type DrainReason = typeof DrainReason[keyof typeof DrainReason];
--- a/packages/membership/src/placement.ts
+++ b/packages/membership/src/placement.ts
@@ -15,6 +15,20 @@
     downtimeWeight: number;
 }
 
+/** A group as the choice of a donor sees it. */
+export interface DonorInput {
+    groupId: string;
+    vmCount: number;
+    /** Priority of its model; 0 is the most urgent. */
+    priority: number;
+}
+
+export interface DonorContext {
+    lostCount: number;
+    freeCount: number;
+    downtimeWeight: number;
+}
+
 export interface PlacementPolicy {
     /** Order in which models get VMs. */
     orderModels(models: ModelRow[]): ModelRow[];
@@ -22,6 +36,11 @@
     pickGroup(input: PlacementInput): Vm[] | undefined;
     /** Spares that replace `count` members of a group. `candidates` are free VMs of its fabric domain. */
     pickSpares(model: string, candidates: Vm[], count: number): Vm[] | undefined;
+    /**
+     * Group of the same fabric domain that is given up, so that its VMs complete a larger group that lost members.
+     * `freeCount` VMs of the domain are free.
+     */
+    pickDonor(group: DonorInput, others: DonorInput[], input: DonorContext): DonorInput | undefined;
     /** VMs of a fabric domain that are kept out of groups for quick repair. */
     reservedSpares(vmCount: number, downtimeWeight: number): number;
 }
@@ -33,6 +52,8 @@
 // One spare per ten VMs covers the loss of one VM of a fabric domain between two replacements.
 const VMS_PER_SPARE = 10;
 
+const MAX_DONOR_WEIGHT = 0.5;
+
 const byDomain = (vms: Vm[]): Map<string, Vm[]> => {
     const domains = new Map<string, Vm[]>();
     for (const vm of vms) {
@@ -59,6 +80,7 @@
         [...byDomain(freeVms).values()].find((vms) => vms.length >= model.vmsPerReplica)
             ?.slice(0, model.vmsPerReplica),
     pickSpares: (_, candidates, count) => candidates.length >= count ? candidates.slice(0, count) : undefined,
+    pickDonor: () => undefined,
     reservedSpares: () => 0,
 };
 
@@ -88,6 +110,19 @@
     },
     pickSpares: (model, candidates, count) =>
         candidates.length >= count ? preferred(candidates, model).slice(0, count) : undefined,
+    pickDonor: (group, others, { lostCount, freeCount, downtimeWeight }) => {
+        // Either way one group is down. The donor's drain and a second load cost time, so downtime weighs against it.
+        if (downtimeWeight > MAX_DONOR_WEIGHT) {
+            return undefined;
+        }
+        const needed = lostCount - freeCount;
+        const strandedWithout = group.vmCount - lostCount;
+        const fitting = others.filter((other) =>
+            other.priority >= group.priority && other.vmCount >= needed
+            && other.vmCount - needed < strandedWithout && other.vmCount < group.vmCount
+        );
+        return fitting.sort((a, b) => b.priority - a.priority || a.vmCount - b.vmCount)[0];
+    },
     reservedSpares,
 };
 
--- a/packages/membership/src/repair.ts
+++ b/packages/membership/src/repair.ts
@@ -1,7 +1,11 @@
+import { GroupState } from "@greengage/protocol";
+import { planDrain } from "./drain.ts";
 import { Cause, DrainReason, type Group } from "./group.ts";
+import type { DonorInput } from "./placement.ts";
 import type { Vm } from "./vms.ts";
 import {
     freeVms,
+    isServing,
     isTableCurrent,
     MemberStatus,
     memberStatus,
@@ -30,11 +34,16 @@
 export const repair = (zone: ZoneState, group: Group): void => {
     const model = zone.table.model(group.model);
     const others = presentGroups(zone, group.model).filter((other) => other !== group).length;
-    const isWanted = !isTableCurrent(zone)
-        || (others < wantedReplicas(model) && model?.vmsPerReplica === group.memberVmIds.length);
+    const isDonor = group.drain?.reason === DrainReason.Donor;
+    const isWanted = !isDonor && (!isTableCurrent(zone)
+        || (others < wantedReplicas(model) && model?.vmsPerReplica === group.memberVmIds.length));
     const staying = stayingMembers(zone, group);
     const lostCount = group.memberVmIds.length - staying.length;
     const spares = isWanted ? sparesFor(zone, group, lostCount) : undefined;
+    if (spares === undefined && isWanted && waitsForDonor(zone, group, lostCount)) {
+        zone.groups.setState(group, GroupState.Suspended, Cause.NoSpare);
+        return;
+    }
     if (spares === undefined) {
         zone.groups.remove(group, isWanted ? Cause.NoSpare : Cause.NoDemand);
         return;
@@ -53,6 +62,36 @@
     );
 };
 
+/** Whether another group of the fabric domain gives up its VMs for this one. Plans its drain if need be. */
+const waitsForDonor = (zone: ZoneState, group: Group, lostCount: number): boolean => {
+    const inDomain = zone.groups.all().filter((other) =>
+        other !== group && other.fabricDomain === group.fabricDomain
+    );
+    if (inDomain.some((other) => other.drain?.reason === DrainReason.Donor)) {
+        return true;
+    }
+    const candidates = inDomain.filter((other) => other.drain === undefined && isServing(other));
+    const freeCount = freeVms(zone).filter((vm) => vm.report.fabricDomain === group.fabricDomain).length;
+    const { downtimeWeight } = zone.table.fleet();
+    const context = { lostCount, freeCount, downtimeWeight };
+    const donor = zone.policy.pickDonor(
+        donorInput(zone, group),
+        candidates.map((other) => donorInput(zone, other)),
+        context,
+    );
+    const donorGroup = donor === undefined ? undefined : zone.groups.get(donor.groupId);
+    if (donorGroup !== undefined) {
+        planDrain(zone, donorGroup, DrainReason.Donor);
+    }
+    return donorGroup !== undefined;
+};
+
+const donorInput = (zone: ZoneState, group: Group): DonorInput => ({
+    groupId: group.groupId,
+    vmCount: group.memberVmIds.length,
+    priority: zone.table.model(group.model)?.priority ?? 0,
+});
+
 const canStay: Record<MemberStatus, boolean> = {
     [MemberStatus.Ready]: true,
     [MemberStatus.Loading]: true,
--- a/packages/membership/src/transitions.ts
+++ b/packages/membership/src/transitions.ts
@@ -5,11 +5,14 @@
 import { repair } from "./repair.ts";
 import { causeOfLoss, isAdopting, MemberStatus, memberStatus, type ZoneState } from "./zone.ts";
 
-/** Groups in the order in which they get spares. */
+/** Groups in the order in which they get spares, after those that drain and may free some in the same step. */
 export const byUrgency = (zone: ZoneState): Group[] => {
     const priorities = new Map(zone.table.models().map(({ name, priority }) => [name, priority]));
     const priorityOf = (group: Group): number => priorities.get(group.model) ?? Number.MAX_SAFE_INTEGER;
-    return zone.groups.all().sort((a, b) => priorityOf(a) - priorityOf(b));
+    const isDraining = (group: Group): boolean => group.state === GroupState.Draining;
+    return zone.groups.all().sort((a, b) =>
+        Number(isDraining(b)) - Number(isDraining(a)) || priorityOf(a) - priorityOf(b)
+    );
 };
 
 /** Moves a group to the state that the reports of its members call for. */
@@ -46,7 +49,9 @@
         stepActive(zone, group, statuses);
         return;
     }
-    group.cause = loss;
+    if (group.cause !== Cause.NoSpare) {
+        group.cause = loss;
+    }
     // A missing member can come back with its weights in memory; the others can't.
     const isCertain = statuses.some((status) => certainLosses.includes(status));
     const hasWaited = monotonicMs() - group.sinceMs >= zone.timing.repairAfterMs;
--- a/test/membership/groups.test.ts
+++ b/test/membership/groups.test.ts
@@ -182,3 +182,24 @@
     );
     t.is(eventKinds(zone).filter((kind) => kind === "group.dissolved").length, 1);
 });
+
+// Guards against many idle accelerators of a large group that lacks one VM, while a small group could do without.
+test("a small group gives its VMs to a larger one of its fabric domain, and is formed again later", async (t) => {
+    const zone = zoneOf(t, { model: { vmsPerReplica: 4 } });
+    zone.edit([{ kind: "model", name: "small", columns: { vmsPerReplica: 2, priority: 6 } }]);
+    addVms(zone, "rack-1", 6);
+    const large = await servingOne(zone);
+    const small = await waitFor("the small group", () => zone.serving(`${ZONE}-1`, "small")[0]);
+    const lost = vmOf(zone, large.memberVmIds[2]);
+    lost.isUp = false;
+    const repaired = await waitFor(
+        "repair",
+        () => zone.serving(`${ZONE}-1`, "assistant").find((group) => group.generation === 2),
+    );
+    t.is(repaired.groupId, large.groupId);
+    t.true(small.memberVmIds.some((vmId) => repaired.memberVmIds.includes(vmId)));
+    t.is(zone.serving(`${ZONE}-1`, "small").length, 0);
+    lost.restart();
+    await waitFor("the small group", () => zone.serving(`${ZONE}-1`, "small")[0]);
+    t.is(zone.violations, 0);
+});
--- a/test/membership/identity.test.ts
+++ b/test/membership/identity.test.ts
@@ -1,7 +1,8 @@
-import { Lifecycle } from "@greengage/base";
-import { ZoneVm } from "@greengage/bench";
+import { createContext, Lifecycle } from "@greengage/base";
+import { SHORT_TIMING, ZoneVm } from "@greengage/bench";
 import { waitFor } from "@greengage/faults";
 import test from "ava";
+import { VmRegistry } from "../../packages/membership/src/vms.ts";
 import { addVms, eventKinds, servingOne, vmOf, ZONE, zoneOf } from "./fixtures.ts";
 
 // Guards against a group with a member that is two processes (hard case 14).
@@ -44,3 +45,20 @@
     );
     t.true(after.memberVmIds.length === 2);
 });
+
+// Guards against old content under a new sequence number, when reports of a VM reach two daemons in turn.
+test("a report without content counts only for the full report that it refers to", (t) => {
+    const context = createContext({ daemonId: "daemon-1", zone: ZONE });
+    const vms = new VmRegistry(context, SHORT_TIMING);
+    const vm = new ZoneVm({ vmId: "vm-1", zone: ZONE, fabricDomain: "rack-1" });
+    const first = vm.report();
+    vms.take(first, 0);
+    vm.runningRequests = 3;
+    vms.take(vm.report(), 0);
+    const entry = { vmId: "vm-1", incarnationId: vm.incarnationId, sequence: 3, ageMs: 0 };
+    t.false(vms.takeUnchanged({ ...entry, fullSequence: first.sequence }));
+    t.is(vms.get("vm-1")?.report.sequence, 2);
+    t.true(vms.takeUnchanged({ ...entry, fullSequence: 2 }));
+    t.is(vms.get("vm-1")?.report.load.runningRequests, 3);
+    t.is(vms.get("vm-1")?.report.sequence, 3);
+});
--- a/test/membership/processes.test.ts
+++ b/test/membership/processes.test.ts
@@ -95,3 +95,21 @@
     t.is(work.length, 1);
     t.is(await violationsOf(cluster), 0);
 });
+
+// Guards against a reload of healthy groups when no daemon remembers anything (hard case 4).
+test("groups serve on without orders when all daemons of a zone restart together", async (t) => {
+    const cluster = await startCluster(t, 3);
+    const observer = cluster.daemons[0] as DaemonHandle;
+    const before = await servingAt(cluster, observer, () => true);
+    const ordersBefore = cluster.records().filter((record) => record.kind === "order").length;
+    await Promise.all(cluster.daemons.map((daemon) => daemon.process.kill()));
+    for (const daemon of cluster.daemons) {
+        daemon.process = cluster.startDaemonProcess(daemon.daemonId, daemon.settingsPath);
+    }
+    await Promise.all(cluster.daemons.map((daemon) => cluster.waitUntilReady(daemon)));
+    const after = await servingAt(cluster, observer, () => true);
+    t.is(after.groupId, before.groupId);
+    t.is(after.generation, before.generation);
+    t.is(cluster.records().filter((record) => record.kind === "order").length, ordersBefore);
+    t.is(await violationsOf(cluster), 0);
+});
