--- a/test/membership/limits.test.ts
+++ b/test/membership/limits.test.ts
@@ -10,10 +10,10 @@
     zone: string;
 }
 
-/** Three zones of two daemons; all demand comes from one zone. */
-const threeZones = (t: ExecutionContext, demand: Demand): InProcessZone => {
+/** Three zones; all demand comes from one zone. */
+const threeZones = (t: ExecutionContext, demand: Demand, daemonsPerZone = 2): InProcessZone => {
     const fleet = new InProcessZone({
-        daemonsPerZone: Object.fromEntries(ZONES.map((zone) => [zone, 2])),
+        daemonsPerZone: Object.fromEntries(ZONES.map((zone) => [zone, daemonsPerZone])),
         rows: [{
             kind: "organisation",
             name: "vatulele",
@@ -122,18 +122,23 @@
 });
 
 // Guards against a successor that starts again from equal parts although its zone has given its part away.
-test("a new controller keeps the parts that its predecessor gave away", async (t) => {
+test("a new controller of a zone that is cut off keeps what its predecessor had given away", async (t) => {
     const demand = { zone: "zone-a" };
-    const fleet = threeZones(t, demand);
+    const fleet = threeZones(t, demand, 3);
     const most = watchSums(t, fleet);
     await waitFor(
         "most of the limit in zone-a",
         () => sharesIn(fleet, "zone-a").requestsPerS > 0.8 * RATE || undefined,
     );
+    setCutOff(fleet, "zone-b", true);
     const former = await waitFor("the controller", () => fleet.controller("zone-b"));
     await fleet.crash(former.daemonId);
-    await waitFor("a successor", () => fleet.controller("zone-b"));
-    await waitFor("shares of the successor", () => sharesIn(fleet, "zone-b").requestsPerS > 0 || undefined);
+    const successor = await waitFor("a successor", () => fleet.controller("zone-b"));
+    await waitFor(
+        "shares of the successor",
+        () => successor.membership.directory.share("vatulele") !== undefined || undefined,
+    );
+    await waitFor("shares of the daemons", () => sharesIn(fleet, "zone-b").requestsPerS > 0 || undefined);
     t.true(sharesIn(fleet, "zone-b").requestsPerS < 0.2 * RATE);
     t.true(most.requestsPerS <= RATE + 1e-6);
 });
