--- a/packages/bench/src/measure.ts
+++ b/packages/bench/src/measure.ts
@@ -1,5 +1,6 @@
 /** Runs one measurement: `npm run measure -- NAME`. The last line is JSON with the figures. */
 import { measureDrain } from "./measure/drain.ts";
+import { measureRelay } from "./measure/relay.ts";
 import { measureRepair } from "./measure/repair.ts";
 import { measureTable } from "./measure/table.ts";
 
@@ -21,6 +22,10 @@
         description: "group downtime and stranded accelerators by repair policy",
         run: measureRepair,
     },
+    relay: {
+        description: "cost of the relay against a relay without checks, at one daemon's share of the peak",
+        run: measureRelay,
+    },
 };
 
 const run = async (name: string | undefined): Promise<void> => {
--- a/packages/routing/src/dispatcher.ts
+++ b/packages/routing/src/dispatcher.ts
@@ -61,7 +61,6 @@
             daemonCount: () => knownDaemonCount ?? directory.daemonCount(context.zone),
         });
         directory.setDemandSource(() => this.#limits.demand());
-        directory.setInFlightSource(() => this.#loads.inFlightCounts());
         this.#chooser = new Chooser({ loads: this.#loads, zone: context.zone, strategy, affinity });
         const limits = { ...DEFAULT_QUEUE_LIMITS, ...options.queueLimits };
         this.#admission = new Admission({
@@ -78,6 +77,7 @@
             pools: this.#pools,
             backendKey,
         });
+        directory.setInFlightSource(() => [...this.#loads.counts(), ...this.#services.counts()]);
         this.#lifecycle.onClose(() => this.#pools.close());
         this.#lifecycle.onClose(() => this.#admission.close());
         this.#lifecycle.every(IDLE_CHECK_MS, () => this.#pools.closeIdle(monotonicMs()), () => undefined);
