--- a/packages/bench/src/chaos/inject.ts
+++ b/packages/bench/src/chaos/inject.ts
@@ -12,7 +12,7 @@
     readonly #cluster: Cluster;
     readonly #busy = new Set<string>();
     readonly #frozenVmIds = new Set<string>();
-    #partitionEndedAtMs = 0;
+    readonly #partitionEndsAtMs: number[] = [];
     #applied = 0;
 
     readonly #handlers: Record<FaultKind, (targets: string[], durationMs: number) => Promise<End> | End> = {
@@ -50,9 +50,9 @@
         return this.#applied;
     }
 
-    /** When the last partition ended, in wall-clock time as the stand-ins record it. */
-    get partitionEndedAtMs(): number {
-        return this.#partitionEndedAtMs;
+    /** When partitions ended, in wall-clock time as the stand-ins record it. */
+    get partitionEndsAtMs(): readonly number[] {
+        return this.#partitionEndsAtMs;
     }
 
     /** Whether a VM's process runs and is not frozen. */
@@ -125,7 +125,7 @@
         const end = this.#cluster.partitionZone(zone);
         return () => {
             end();
-            this.#partitionEndedAtMs = Date.now();
+            this.#partitionEndsAtMs.push(Date.now());
         };
     }
 
--- a/packages/bench/src/chaos/plan.ts
+++ b/packages/bench/src/chaos/plan.ts
@@ -85,10 +85,15 @@
     return [first, random.pick(ids.filter((id) => id !== first))];
 };
 
-/** Plan of the faults of a run. The same seed gives the same plan. */
-export const planFaults = (seed: number, durationMs: number, targets: FaultTargets): PlannedFault[] => {
+/** Plan of the faults of a run, without the kinds named. The same seed gives the same plan. */
+export const planFaults = (
+    seed: number,
+    durationMs: number,
+    targets: FaultTargets,
+    without: string[] = [],
+): PlannedFault[] => {
     const random = new Random(seed);
-    const kinds = Object.values(FaultKind);
+    const kinds = Object.values(FaultKind).filter((kind) => !without.includes(kind));
     const plan: PlannedFault[] = [];
     let lastFolderFaultMs = -Infinity;
     for (let atMs = FIRST_FAULT_MS; atMs < durationMs;) {
--- a/packages/bench/src/cluster.ts
+++ b/packages/bench/src/cluster.ts
@@ -9,7 +9,7 @@
 
 export const CALLER_KEY = "caller-key-of-the-bench";
 const BACKEND_KEY = "backend-key-of-the-bench";
-const OPERATOR_KEY = "operator-key-of-the-bench";
+export const OPERATOR_KEY = "operator-key-of-the-bench";
 
 export interface DaemonHandle {
     daemonId: string;
@@ -313,11 +313,13 @@
         method: "GET" | "POST",
         path: string,
         body?: object,
+        options: { timeoutMs?: number; } = {},
     ): Promise<unknown> {
         const response = await request(`${daemon.url}/operator/v1/${path}`, {
             method,
             headers: { authorization: `Bearer ${OPERATOR_KEY}`, "content-type": "application/json" },
             body: body === undefined ? undefined : JSON.stringify(body),
+            signal: options.timeoutMs === undefined ? undefined : AbortSignal.timeout(options.timeoutMs),
         });
         return await response.body.json();
     }
