--- a/packages/bench/src/chaos/run.ts
+++ b/packages/bench/src/chaos/run.ts
@@ -23,6 +23,8 @@
     without?: string[];
     /** Gets the log lines of all processes. */
     onLine?: (source: string, line: string) => void;
+    /** Gets what the run reports. Default: it is printed. */
+    onSay?: (line: string) => void;
 }
 
 export interface ChaosResult {
@@ -49,7 +51,8 @@
 class ChaosRun {
     readonly #cluster: Cluster;
     readonly #options: ChaosOptions;
-    readonly #violations = new Violations();
+    readonly #print: (line: string) => void;
+    readonly #violations: Violations;
     readonly #injector: FaultInjector;
     readonly #watch: Watch;
     readonly #callers: Callers;
@@ -60,6 +63,8 @@
     constructor(cluster: Cluster, options: ChaosOptions) {
         this.#cluster = cluster;
         this.#options = options;
+        this.#print = options.onSay ?? console.log;
+        this.#violations = new Violations(this.#print);
         this.#injector = new FaultInjector(cluster);
         this.#watch = new Watch(cluster, this.#violations, (vmId) => this.#injector.isHealthy(vmId));
         this.#callers = new Callers(cluster, this.#violations, new Random(options.seed + 1));
@@ -180,7 +185,7 @@
     }
 
     #say(text: string): void {
-        console.log(`${((monotonicMs() - this.#startedAtMs) / 1000).toFixed(1)} s: ${text}`);
+        this.#print(`${((monotonicMs() - this.#startedAtMs) / 1000).toFixed(1)} s: ${text}`);
     }
 }
 
--- a/packages/bench/src/chaos/violations.ts
+++ b/packages/bench/src/chaos/violations.ts
@@ -1,7 +1,12 @@
 /** Broken promises that a run has seen. */
 export class Violations {
+    readonly #print: (line: string) => void;
     readonly #seen = new Map<string, number>();
 
+    constructor(print: (line: string) => void) {
+        this.#print = print;
+    }
+
     get count(): number {
         return [...this.#seen.values()].reduce((sum, count) => sum + count, 0);
     }
@@ -11,7 +16,7 @@
         const count = (this.#seen.get(kind) ?? 0) + 1;
         this.#seen.set(kind, count);
         if (count <= 5) {
-            console.log(`violation: ${kind}: ${detail}`);
+            this.#print(`violation: ${kind}: ${detail}`);
         }
     }
 
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,3 +1,5 @@
+export * from "./chaos/plan.ts";
+export * from "./chaos/run.ts";
 export * from "./cluster.ts";
 export * from "./links.ts";
 export * from "./requests.ts";
--- a/packages/bench/src/links.ts
+++ b/packages/bench/src/links.ts
@@ -114,9 +114,9 @@
         this.#get(this.#backends, vmId).proxy.reset();
     }
 
-    /** Bytes that the other daemons have exchanged with a daemon over connections they opened. */
-    peerTraffic(daemonId: string): { toTargetBytes: number; toSourceBytes: number; } {
-        return this.#get(this.#peers, daemonId).proxy.traffic;
+    /** Bytes of a daemon's HTTP surfaces through its proxy: reports, and requests to its `url`. */
+    surfaceTraffic(daemonId: string): { toTargetBytes: number; toSourceBytes: number; } {
+        return this.#get(this.#surfaces, daemonId).proxy.traffic;
     }
 
     /** Ends all faults. */
--- a/packages/bench/src/measure.ts
+++ b/packages/bench/src/measure.ts
@@ -1,11 +1,17 @@
 /** Runs one measurement: `npm run measure -- NAME`. The last line is JSON with the figures. */
+import { measureControl } from "./measure/control.ts";
 
 export interface Measurement {
     description: string;
     run: () => Promise<object>;
 }
 
-const measurements: Record<string, Measurement> = {};
+const measurements: Record<string, Measurement> = {
+    control: {
+        description: "bytes, processor time and memory of a daemon for control, by role and size",
+        run: measureControl,
+    },
+};
 
 const run = async (name: string | undefined): Promise<void> => {
     const measurement = measurements[name ?? ""];
--- a/packages/protocol/src/connection.ts
+++ b/packages/protocol/src/connection.ts
@@ -11,6 +11,8 @@
 export interface FrameHandlers {
     call(type: CallType, request: unknown, from: string): Promise<unknown>;
     notice(type: NoticeType, notice: unknown, from: string): void;
+    /** Counts the bytes of one frame. */
+    countBytes(direction: "sentBytes" | "receivedBytes", sizeBytes: number): void;
 }
 
 interface PendingCall {
@@ -67,11 +69,14 @@
 
     #send(frame: Frame): void {
         if (this.isOpen) {
-            this.#socket.send(encode(frame));
+            const bytes = encode(frame);
+            this.#handlers.countBytes("sentBytes", bytes.length);
+            this.#socket.send(bytes);
         }
     }
 
     #receive(data: Buffer): void {
+        this.#handlers.countBytes("receivedBytes", data.length);
         let frame: Frame;
         try {
             frame = decode(data) as Frame;
--- a/packages/protocol/src/network.ts
+++ b/packages/protocol/src/network.ts
@@ -28,6 +28,14 @@
     key: string;
 }
 
+/** Traffic with the other daemons. */
+export interface PeerTraffic {
+    sentFrames: number;
+    receivedFrames: number;
+    sentBytes: number;
+    receivedBytes: number;
+}
+
 /** Connections to the other daemons over WebSocket: one is opened per peer when it is first called. */
 export class PeerNetwork implements Peers {
     readonly daemonId: string;
@@ -40,7 +48,7 @@
     readonly #outgoing = new Map<string, Promise<PeerConnection>>();
     readonly #openOutgoing = new Map<string, PeerConnection>();
     readonly #incoming = new Map<string, PeerConnection>();
-    #traffic = { sentFrames: 0, receivedFrames: 0 };
+    readonly #traffic: PeerTraffic = { sentFrames: 0, receivedFrames: 0, sentBytes: 0, receivedBytes: 0 };
 
     constructor(options: PeerNetworkOptions) {
         this.#options = options;
@@ -49,8 +57,8 @@
         this.#log = options.context.logs(LogPart.Peer);
     }
 
-    /** Frames sent and received since the start. */
-    get traffic(): { sentFrames: number; receivedFrames: number; } {
+    /** Calls and notices, and the bytes of all frames, since the start. */
+    get traffic(): PeerTraffic {
         return { ...this.#traffic };
     }
 
@@ -131,6 +139,9 @@
     }
 
     readonly #frameHandlers = {
+        countBytes: (direction: "sentBytes" | "receivedBytes", sizeBytes: number): void => {
+            this.#traffic[direction] += sizeBytes;
+        },
         call: (type: CallType, request: unknown, from: string): Promise<unknown> => {
             this.#traffic.receivedFrames += 1;
             return this.#dispatch(type, request, from);
--- a/packages/standins/src/backend.ts
+++ b/packages/standins/src/backend.ts
@@ -1,5 +1,6 @@
 import { monotonicMs, newId, sleep } from "@greengage/base";
 import type { VmReport } from "@greengage/protocol";
+import { randomInt } from "node:crypto";
 import { appendFileSync } from "node:fs";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
@@ -15,7 +16,8 @@
     protected readonly agent: Agent;
     readonly #server: Server;
     #sequence = 0;
-    #nextDaemon = 0;
+    // Spreads the reports of many stand-ins over the daemons, as a load balancer does.
+    #nextDaemon = randomInt(1_000);
     protected highestFence = 0;
     protected runningRequests = 0;
     protected isLeaving = false;
--- a/packages/standins/src/engine.ts
+++ b/packages/standins/src/engine.ts
@@ -21,6 +21,7 @@
 type HeldAssignment = Assignment & { state: AssignmentState; };
 
 const WAIT_STEP_MS = 20;
+const WEIGHT_STORE_RETRY_MS = 200;
 
 /** Token `index` of the answer to a conversation. Every engine gives the same tokens, so runs can check answers. */
 export const tokenOf = (messages: unknown[], index: number): string => {
@@ -101,11 +102,13 @@
     async #fetchWeights(): Promise<void> {
         const { weightStoreUrl, weightsGb, loadMs } = this.options;
         await sleep((loadMs ?? 300) * this.behaviour.slowdown);
-        if (weightStoreUrl !== undefined) {
-            const response = await request(`${weightStoreUrl}/weights?gb=${weightsGb ?? 10}`, {
+        let isFetched = weightStoreUrl === undefined;
+        while (!isFetched) {
+            isFetched = await request(`${weightStoreUrl}/weights?gb=${weightsGb ?? 10}`, {
                 headersTimeout: 0,
-            });
-            await response.body.dump();
+            })
+                .then((response) => response.body.dump().then(() => true))
+                .catch(() => sleep(WEIGHT_STORE_RETRY_MS).then(() => false));
         }
     }
 
