--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -23,10 +23,10 @@
 import { TableState } from "@greengage/table";
 import { DaemonDrain } from "./drain.ts";
 import { processFigures, startGauges } from "./figures.ts";
-import { DaemonOperators, unsupportedVmDrains } from "./operators.ts";
+import { DaemonOperators } from "./operators.ts";
 import { type Part, startInOrder } from "./parts.ts";
 import type { Settings } from "./settings.ts";
-import { LoggedSettlement } from "./settlement.ts";
+import { ActionSettlements } from "./settlement.ts";
 import { type DaemonStatus, versions } from "./status.ts";
 
 /** One daemon: all parts of the system on one entry VM. */
@@ -44,6 +44,7 @@
     readonly #membership: Membership;
     readonly #dispatcher: BackendDispatcher;
     readonly #operators: OperatorSurface;
+    readonly #actions: ActionService;
     readonly #surface: HttpSurface;
 
     constructor(settings: Settings) {
@@ -75,12 +76,21 @@
             daemons,
             orderKey: keys.backendServers,
             timing: settings.timing,
+            placement: settings.placement,
+            weightStore: settings.weightStore,
         });
         this.#dispatcher = new BackendDispatcher({
             context,
             directory: this.#membership.directory,
             table: this.#table,
             backendKey: keys.backendServers,
+            knownDaemonCount: daemons.filter((daemon) => !daemon.controlOnly).length,
+        });
+        this.#actions = new ActionService({
+            context,
+            log: this.#log,
+            records: this.#actionRecords,
+            dispatcher: this.#dispatcher,
         });
         const limits = { ...DEFAULT_LIMITS, ...settings.limits };
         this.#admission = new Admission(limits);
@@ -99,7 +109,7 @@
             admission: this.#admission,
             table: this.#table,
             dispatcher: this.#dispatcher,
-            actions: new ActionService({ context, log: this.#log, dispatcher: this.#dispatcher }),
+            actions: this.#actions,
             acceptReport: (report) => this.#membership.intake.accept(report),
             operators: this.#operators,
             readiness: () => this.readiness(),
@@ -153,9 +163,7 @@
 
     status(): DaemonStatus {
         const { directory, lease } = this.#membership;
-        const { daemonId, zone, daemons } = this.#settings;
-        const reachableZones = directory.reachableZones();
-        const zones = [...new Set(daemons.map((daemon) => daemon.zone))];
+        const { daemonId, zone } = this.#settings;
         const { ready, reason } = this.readiness();
         return {
             daemonId,
@@ -169,10 +177,11 @@
             isController: lease.isValid,
             tableVersion: this.#table.version,
             log: this.#log.status(),
-            reachableZones,
-            unreachableZones: zones.filter((name) => !reachableZones.includes(name)),
+            reachableZones: directory.reachableZones(),
+            unreachableZones: this.#unreachableZones(),
             groups: directory.allGroups(),
             services: directory.allServices(),
+            measures: lease.isValid ? this.#membership.measures() : undefined,
             invariants: this.#context.invariants.counts(),
             violationCount: this.#context.invariants.violationCount,
             inFlight: this.#admission.inFlight,
@@ -182,6 +191,12 @@
         };
     }
 
+    #unreachableZones(): string[] {
+        const reachable = this.#membership.directory.reachableZones();
+        const zones = new Set(this.#settings.daemons.map((daemon) => daemon.zone));
+        return [...zones].filter((zone) => !reachable.includes(zone));
+    }
+
     /** Parts in start order: a part uses only parts before it. They close in reverse order. */
     #parts(): Part[] {
         const dispatcher = this.#dispatcher;
@@ -195,6 +210,7 @@
                 start: () => this.#membership.start(),
                 close: () => this.#membership.close(),
             },
+            { name: "actions", start: () => undefined, close: () => this.#actions.close() },
             { name: "gauges", ...this.#gauges() },
             { name: "http", start: () => this.#surface.start(), close: () => this.#surface.close() },
         ];
@@ -211,7 +227,14 @@
 
     #gauges(): Omit<Part, "name"> {
         let gauges: Lifecycle | undefined;
-        const options = { context: this.#context, admission: this.#admission, table: this.#table };
+        const options = {
+            context: this.#context,
+            admission: this.#admission,
+            table: this.#table,
+            isReady: () => this.readiness().ready,
+            unreachableZoneCount: () => this.#unreachableZones().length,
+            unknownActionCount: () => this.#actionRecords.unknownOutcomes().length,
+        };
         return { start: () => void (gauges = startGauges(options)), close: () => gauges?.close() };
     }
 
@@ -225,9 +248,9 @@
                 table: this.#table,
                 membership: this.#membership,
                 admission: this.#admission,
-                vmDrains: unsupportedVmDrains,
+                vmDrains: this.#membership,
                 daemonDrains: this.#drain,
-                actions: new LoggedSettlement(this.#log, this.#actionRecords),
+                actions: new ActionSettlements(this.#actions, this.#actionRecords),
                 status: () => this.status(),
             }),
         );
--- a/test/http/fixture.ts
+++ b/test/http/fixture.ts
@@ -69,6 +69,7 @@
         sink.write(eventOf("lo", { usage: { total_tokens: 2 } }));
     },
     callService: async () => answer,
+    admit: () => () => undefined,
     ...changes,
 });
 
