--- a/packages/bench/src/chaos.ts
+++ b/packages/bench/src/chaos.ts
@@ -3,6 +3,9 @@
 import { parseArgs } from "node:util";
 import { runChaos } from "./chaos/run.ts";
 
+process.once("SIGTERM", () => process.exit(1));
+process.once("SIGINT", () => process.exit(1));
+
 const { values } = parseArgs({
     options: {
         seed: { type: "string", default: "1" },
--- a/packages/bench/src/measure.ts
+++ b/packages/bench/src/measure.ts
@@ -25,4 +25,6 @@
     console.log(JSON.stringify(await measurement.run()));
 };
 
+process.once("SIGTERM", () => process.exit(1));
+process.once("SIGINT", () => process.exit(1));
 await run(process.argv[2]);
--- a/packages/bench/src/measure/control.ts
+++ b/packages/bench/src/measure/control.ts
@@ -125,7 +125,12 @@
     const [, ...rest] = seedChanges();
     const replicas = Math.min(...counts);
     const columns = { vmsPerReplica: size.vmsPerReplica, replicas };
-    await seedTable(cluster, [{ kind: "model", name: "assistant", baseVersion: 0, columns }, ...rest]);
+    await seedTable(cluster, [
+        { kind: "model", name: "assistant", baseVersion: 0, columns },
+        // Without it the placement keeps spares out of groups, and the count of groups is not known beforehand.
+        { kind: "setting", name: "fleet", baseVersion: 0, columns: { downtimeWeight: 0 } },
+        ...rest,
+    ]);
     if (vms.length > 0) {
         cluster.startHost(vms);
     }
--- a/packages/faults/src/process.ts
+++ b/packages/faults/src/process.ts
@@ -10,6 +10,10 @@
     environment?: Record<string, string>;
 }
 
+// A test process that ends early, on a signal or an error, leaves no child process behind.
+const running = new Set<ChildProcess>();
+process.once("exit", () => running.forEach((child) => child.kill("SIGKILL")));
+
 /** A child process that tests and measurements start, freeze and kill by its own id. */
 export class ManagedProcess {
     readonly #child: ChildProcess;
@@ -20,7 +24,13 @@
             stdio: ["ignore", "pipe", "inherit"],
             env: { ...process.env, ...options.environment },
         });
-        this.exited = new Promise((resolve) => this.#child.once("exit", (code) => resolve(code ?? 1)));
+        running.add(this.#child);
+        this.exited = new Promise((resolve) =>
+            this.#child.once("exit", (code) => {
+                running.delete(this.#child);
+                resolve(code ?? 1);
+            })
+        );
         if (this.#child.stdout) {
             createInterface({ input: this.#child.stdout }).on("line", (line) => options.onLine?.(line));
         }
--- a/packages/standins/src/engine.ts
+++ b/packages/standins/src/engine.ts
@@ -55,6 +55,12 @@
         return { kind: "model", cachedModels: [...this.#cachedModels], assignment: this.#assignment };
     }
 
+    override async close(): Promise<void> {
+        this.#members?.close();
+        this.#assignment = undefined;
+        await super.close();
+    }
+
     async #takeOrder(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
         const order = JSON.parse(await readText(incoming)) as Order;
         const isOld = order.fence < this.highestFence;
