--- a/packages/bench/src/cluster.ts
+++ b/packages/bench/src/cluster.ts
@@ -115,6 +115,7 @@
                 zone,
                 http: { host: "127.0.0.1", port: httpPort },
                 dataFolder: this.dataFolder(daemonId),
+                bootstrap: voter,
                 // Its own entry has its real port, at which it listens.
                 daemons: listed.map((other) => other.daemonId === daemonId ? daemon : other),
                 keys: {
--- a/packages/bench/src/measure.ts
+++ b/packages/bench/src/measure.ts
@@ -1,5 +1,6 @@
 /** Runs one measurement: `npm run measure -- NAME`. The last line is JSON with the figures. */
 import { measureControl } from "./measure/control.ts";
+import { measureTable } from "./measure/table.ts";
 
 export interface Measurement {
     description: string;
@@ -11,6 +12,10 @@
         description: "bytes, processor time and memory of a daemon for control, by role and size",
         run: measureControl,
     },
+    table: {
+        description: "time from an edit until seven daemons in three zones have applied it",
+        run: measureTable,
+    },
 };
 
 const run = async (name: string | undefined): Promise<void> => {
