--- a/packages/bench/src/cluster.ts
+++ b/packages/bench/src/cluster.ts
@@ -9,7 +9,7 @@
 
 export const CALLER_KEY = "caller-key-of-the-bench";
 const BACKEND_KEY = "backend-key-of-the-bench";
-const OPERATOR_KEY = "operator-key-of-the-bench";
+export const OPERATOR_KEY = "operator-key-of-the-bench";
 
 export interface DaemonHandle {
     daemonId: string;
@@ -61,6 +61,8 @@
 
 /** Daemons and stand-ins as separate processes on loopback. */
 export class Cluster {
+    /** Key of the operators' surface of every daemon. */
+    readonly operatorKey = OPERATOR_KEY;
     readonly folder = mkdtempSync(join(tmpdir(), "greengage-"));
     readonly daemons: DaemonHandle[] = [];
     readonly backends = new Map<string, ManagedProcess>();
@@ -87,6 +89,12 @@
             port: ports[position * 2] ?? 0,
             voter: index < (this.#options.votersPerZone ?? 1),
         }));
+        const voters = daemons.filter((daemon) => daemon.voter);
+        const lastVoter = voters.at(-1);
+        if (voters.length % 2 === 0 && lastVoter !== undefined) {
+            // The settings refuse an even number of voters.
+            lastVoter.voter = false;
+        }
         const listed = structuredClone(daemons);
         const httpPorts = places.map((_, position) => ports[position * 2 + 1] ?? 0);
         const listedHttpPorts = [...httpPorts];
@@ -107,6 +115,7 @@
                 zone,
                 http: { host: "127.0.0.1", port: httpPort },
                 dataFolder: this.dataFolder(daemonId),
+                bootstrap: voter,
                 // Its own entry has its real port, at which it listens.
                 daemons: listed.map((other) => other.daemonId === daemonId ? daemon : other),
                 keys: {
@@ -313,11 +322,13 @@
         method: "GET" | "POST",
         path: string,
         body?: object,
+        options: { timeoutMs?: number; } = {},
     ): Promise<unknown> {
         const response = await request(`${daemon.url}/operator/v1/${path}`, {
             method,
             headers: { authorization: `Bearer ${OPERATOR_KEY}`, "content-type": "application/json" },
             body: body === undefined ? undefined : JSON.stringify(body),
+            signal: options.timeoutMs === undefined ? undefined : AbortSignal.timeout(options.timeoutMs),
         });
         return await response.body.json();
     }
--- a/packages/bench/src/measure.ts
+++ b/packages/bench/src/measure.ts
@@ -1,9 +1,13 @@
 /** Runs one measurement: `npm run measure -- NAME`. The last line is JSON with the figures. */
 
+import { measureControl } from "./measure/control.ts";
+import { measureDrain } from "./measure/drain.ts";
 import { measureFairness } from "./measure/fairness.ts";
 import { measureLimits } from "./measure/limits.ts";
 import { measureRelay } from "./measure/relay.ts";
+import { measureRepair } from "./measure/repair.ts";
 import { measureRouting } from "./measure/routing.ts";
+import { measureTable } from "./measure/table.ts";
 
 export interface Measurement {
     description: string;
@@ -19,6 +23,22 @@
         description: "accepted rate of an organisation over all daemons against its limit",
         run: measureLimits,
     },
+    control: {
+        description: "bytes, processor time and memory of a daemon for control, by role and size",
+        run: measureControl,
+    },
+    table: {
+        description: "time from an edit until seven daemons in three zones have applied it",
+        run: measureTable,
+    },
+    drain: {
+        description: "new work and cut-off streams when leaders of groups leave",
+        run: measureDrain,
+    },
+    repair: {
+        description: "group downtime and stranded accelerators by repair policy",
+        run: measureRepair,
+    },
     relay: {
         description: "cost of the relay against a relay without checks, at one daemon's share of the peak",
         run: measureRelay,
@@ -41,4 +61,6 @@
     console.log(JSON.stringify(await measurement.run()));
 };
 
+process.once("SIGTERM", () => process.exit(1));
+process.once("SIGINT", () => process.exit(1));
 await run(process.argv[2]);
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -8,9 +8,10 @@
     messageOf,
     Metrics,
 } from "@greengage/base";
-import { CompositeStateMachine, FixedLeaderLog } from "@greengage/consensus";
+import { CompositeStateMachine, RaftLog } from "@greengage/consensus";
 import {
     Admission,
+    type DaemonSummary,
     DEFAULT_LIMITS,
     DrainState,
     HttpSurface,
@@ -28,7 +29,6 @@
 import type { Settings } from "./settings.ts";
 import { ActionSettlements } from "./settlement.ts";
 import { type DaemonStatus, versions } from "./status.ts";
-import { ControllerVmDrains } from "./vmdrains.ts";
 
 /** One daemon: all parts of the system on one entry VM. */
 export class Daemon {
@@ -41,7 +41,7 @@
     readonly #admission: Admission;
     readonly #drain: DaemonDrain;
     readonly #peers: PeerNetwork;
-    readonly #log: FixedLeaderLog;
+    readonly #log: RaftLog;
     readonly #membership: Membership;
     readonly #dispatcher: BackendDispatcher;
     readonly #operators: OperatorSurface;
@@ -65,10 +65,13 @@
             addresses: daemons,
             key: keys.peers,
         });
-        this.#log = new FixedLeaderLog({
+        this.#log = new RaftLog({
+            context,
             peers: this.#peers,
             machine: new CompositeStateMachine({ table: this.#table, action: this.#actionRecords }),
-            leaderId: daemons[0]?.daemonId ?? daemonId,
+            daemons,
+            dataFolder: self.voter ? settings.dataFolder : undefined,
+            bootstrap: settings.bootstrap,
         });
         this.#membership = new Membership({
             context,
@@ -77,6 +80,8 @@
             daemons,
             orderKey: keys.backendServers,
             timing: settings.timing,
+            placement: settings.placement,
+            weightStore: settings.weightStore,
         });
         this.#dispatcher = new BackendDispatcher({
             context,
@@ -151,6 +156,7 @@
         const reasons: [boolean, string][] = [
             [this.#drain.state !== DrainState.Serving, `the daemon is ${this.#drain.state}`],
             [this.#self.controlOnly, "the daemon is control-only"],
+            [!this.#log.isCurrent, "the daemon has not caught up with the table since its start"],
             [
                 !this.#membership.directory.reachableZones().includes(this.#settings.zone),
                 "the daemon holds no grant of its own zone",
@@ -160,44 +166,56 @@
         return reason === undefined ? { ready: true } : { ready: false, reason };
     }
 
-    status(): DaemonStatus {
-        const { directory, lease } = this.#membership;
-        const { daemonId, zone, daemons } = this.#settings;
-        const reachableZones = directory.reachableZones();
-        const zones = [...new Set(daemons.map((daemon) => daemon.zone))];
-        const { ready, reason } = this.readiness();
+    /** What the other daemons ask for often. */
+    summary(): DaemonSummary {
+        const { daemonId, zone, voter, controlOnly } = this.#self;
         return {
             daemonId,
             zone,
-            versions: versions(),
+            voter,
+            controlOnly,
             state: this.#drain.state,
-            ready,
-            notReadyReason: reason,
-            voter: this.#self.voter,
-            controlOnly: this.#self.controlOnly,
-            isController: lease.isValid,
+            ready: this.readiness().ready,
+            inFlight: this.#admission.inFlight,
             tableVersion: this.#table.version,
+        };
+    }
+
+    status(): DaemonStatus {
+        const { directory, lease } = this.#membership;
+        return {
+            ...this.summary(),
+            versions: versions(),
+            notReadyReason: this.readiness().reason,
+            isController: lease.isValid,
             log: this.#log.status(),
-            reachableZones,
-            unreachableZones: zones.filter((name) => !reachableZones.includes(name)),
+            reachableZones: directory.reachableZones(),
+            unreachableZones: this.#unreachableZones(),
             groups: directory.allGroups(),
             services: directory.allServices(),
+            measures: lease.isValid ? this.#membership.measures() : undefined,
             invariants: this.#context.invariants.counts(),
             violationCount: this.#context.invariants.violationCount,
-            inFlight: this.#admission.inFlight,
             inFlightByRow: this.#admission.counts(),
             process: processFigures(),
             peerTraffic: this.#peers.traffic,
         };
     }
 
+    #unreachableZones(): string[] {
+        const reachable = this.#membership.directory.reachableZones();
+        const zones = new Set(this.#settings.daemons.map((daemon) => daemon.zone));
+        return [...zones].filter((zone) => !reachable.includes(zone));
+    }
+
     /** Parts in start order: a part uses only parts before it. They close in reverse order. */
     #parts(): Part[] {
         const dispatcher = this.#dispatcher;
         return [
             { name: "dispatcher", start: () => undefined, close: () => dispatcher.close() },
-            { name: "peers", start: () => this.#peers.start(), close: () => this.#peers.close() },
+            // Peers may ask only after the data folder has been read, and are asked until the log is closed.
             { name: "log", start: () => this.#log.start(), close: () => this.#log.close() },
+            { name: "peers", start: () => this.#peers.start(), close: () => this.#peers.close() },
             { name: "table", ...this.#tableEvents() },
             {
                 name: "membership",
@@ -221,7 +239,14 @@
 
     #gauges(): Omit<Part, "name"> {
         let gauges: Lifecycle | undefined;
-        const options = { context: this.#context, admission: this.#admission, table: this.#table };
+        const options = {
+            context: this.#context,
+            admission: this.#admission,
+            table: this.#table,
+            isReady: () => this.readiness().ready,
+            unreachableZoneCount: () => this.#unreachableZones().length,
+            unknownActionCount: () => this.#actionRecords.unknownOutcomes().length,
+        };
         return { start: () => void (gauges = startGauges(options)), close: () => gauges?.close() };
     }
 
@@ -235,10 +260,11 @@
                 table: this.#table,
                 membership: this.#membership,
                 admission: this.#admission,
-                vmDrains: new ControllerVmDrains(this.#membership),
+                vmDrains: this.#membership,
                 daemonDrains: this.#drain,
                 actions: new ActionSettlements(this.#actions, this.#actionRecords),
                 status: () => this.status(),
+                summary: () => this.summary(),
             }),
         );
         this.#peers.handle("operator.forward", (request) => operators.handle(request));
