--- a/packages/routing/src/exchange.ts
+++ b/packages/routing/src/exchange.ts
@@ -32,6 +32,7 @@
     #controller: HttpDispatcher.DispatchController | undefined;
     #hasWritten = false;
     #isOver = false;
+    #hasOwnId = false;
     #endTimer: NodeJS.Timeout | undefined;
 
     constructor(options: ExchangeOptions) {
@@ -43,6 +44,11 @@
         return this.#hasWritten;
     }
 
+    /** Whether the response carries the id of the request. */
+    get hasOwnId(): boolean {
+        return this.#hasOwnId;
+    }
+
     start(): void {
         const { client, method, path, headers, body, requestId } = this.#options;
         const options = {
@@ -113,6 +119,7 @@
             this.fail(FailureKind.WrongId, "the answer carries the id of another request");
             return;
         }
+        this.#hasOwnId = true;
         this.#options.onHead(status, headers);
     }
 
--- a/packages/routing/src/generation.ts
+++ b/packages/routing/src/generation.ts
@@ -6,7 +6,7 @@
 import type { Cancellation } from "./cancellation.ts";
 import type { Chooser } from "./chooser.ts";
 import { DeliveredEvents } from "./delivered.ts";
-import { ExchangeError, noCapacity } from "./failures.ts";
+import { ExchangeError, FailureKind, noCapacity } from "./failures.ts";
 import type { Party } from "./fairqueue.ts";
 import type { GroupLoads } from "./loads.ts";
 import type { Pools } from "./pools.ts";
@@ -91,6 +91,7 @@
         this.#cancellation.listen((kind) => stream.abort(kind));
         try {
             await stream.run();
+            this.#checkAnswer(stream.isWhole, "ends before its end marker");
             return undefined;
         }
         catch (error) {
@@ -105,7 +106,7 @@
     #stream(group: GroupView): StreamAttempt {
         const { context, directory, pools, watch, limits, backendKey } = this.#options;
         const url = new URL(group.leaderUrl);
-        return new StreamAttempt({
+        const stream: StreamAttempt = new StreamAttempt({
             exchange: {
                 client: pools.get(url.origin, monotonicMs()),
                 name: `group ${group.groupId}`,
@@ -130,17 +131,22 @@
             limits,
             isSuspended: () => isSuspended(directory, group),
             onFirstEvents: () => {
-                context.invariants.check(
-                    Invariant.OwnWholeAnswer,
-                    this.#cancellation.kind === undefined,
-                    () => `events of request ${this.#request.requestId} after its end`,
-                );
+                this.#checkAnswer(stream.hasOwnId, "has another request's id");
                 if (!this.#hasDelivered) {
                     context.metrics.durationMs("generation.first_token", monotonicMs() - this.#startedAtMs);
                 }
                 this.#hasDelivered = true;
             },
         });
+        return stream;
+    }
+
+    #checkAnswer(holds: boolean, fault: string): void {
+        this.#options.context.invariants.check(
+            Invariant.OwnWholeAnswer,
+            holds && this.#cancellation.kind !== FailureKind.Cancelled,
+            () => `the answer to request ${this.#request.requestId} ${fault}, or its caller has gone`,
+        );
     }
 
     /** Runs in the same step as the write. */
--- a/packages/routing/src/stream.ts
+++ b/packages/routing/src/stream.ts
@@ -68,8 +68,14 @@
         });
     }
 
-    get hasWritten(): boolean {
-        return this.#exchange.hasWritten;
+    /** Whether the response belongs to the request. */
+    get hasOwnId(): boolean {
+        return this.#exchange.hasOwnId;
+    }
+
+    /** Whether the end marker has arrived and no part of an event is left over. */
+    get isWhole(): boolean {
+        return this.#isDone && !this.#scanner.hasPartial;
     }
 
     /** Time to the first event, if one arrived. */
