Compare the relay by processor time per token; test suspended groups

Change: cpuRatio is per token. A test guards that a silent stream leaves a group that its controller has suspended; with that rule off it timed out.

--- a/packages/bench/src/measure/relay.ts
+++ b/packages/bench/src/measure/relay.ts
@@ -134,6 +134,9 @@
     }
 };
 
+/** The runs differ a little in their rates, so that shares alone would not compare. */
+const cpuPerToken = (run: MeasuredRun): number => run.cpuShare / run.tokensPerSecond;
+
 /**
  * `direct`: callers at the engines, `cpuShare` is that of one of the four engines. `bare`: a relay without checks.
  * `daemon`: the daemon with all of its tasks.
@@ -143,7 +146,7 @@
     const saturation = await measureSaturation();
     return {
         ...peak,
-        cpuRatio: Math.round(peak.daemon.cpuShare / peak.bare.cpuShare * 1_000) / 1_000,
+        cpuRatio: Math.round(cpuPerToken(peak.daemon) / cpuPerToken(peak.bare) * 1_000) / 1_000,
         aimCpuRatio: 1.3,
         saturation: {
             bareTokensPerSecond: saturation.bare.tokensPerSecond,
--- a/test/routing/dispatch.test.ts
+++ b/test/routing/dispatch.test.ts
@@ -1,5 +1,6 @@
 import { ErrorCode, GreengageError, monotonicMs, Verdict } from "@greengage/base";
 import { freePorts, waitFor } from "@greengage/faults";
+import type { GroupView } from "@greengage/protocol";
 import test, { type ExecutionContext } from "ava";
 import {
     dispatcherOf,
@@ -212,3 +213,21 @@
     t.is(sink.tokens, WHOLE);
     t.is(engine.received.length, 1);
 });
+
+// Guards P1's second half: a suspended group can't answer, so its callers must not wait for the long limit.
+test("a silent stream goes on at another group as soon as its group is suspended", async (t) => {
+    const fixture = dispatcherOf(t, { streamLimits: { tokenGapMs: 60_000, suspendedGapMs: 200 } });
+    const first = await engineOf(t, (request, response) => {
+        head(request, response);
+        response.write(eventOf("t0 "));
+    });
+    const second = await engineOf(t, tokens(4));
+    twoGroups(fixture, first, second);
+    const sink = new TextSink();
+    const running = fixture.dispatcher.generate(fixture.request(), sink, never());
+    await waitFor("the first token", () => sink.text !== "" || undefined);
+    const [firstGroup, secondGroup] = fixture.directory.groups;
+    fixture.directory.change([{ ...firstGroup as GroupView, state: "suspended" }, secondGroup as GroupView]);
+    await running;
+    t.is(sink.tokens, WHOLE);
+});
