Send edits to a fresh leader only; test edits with real processes

Cause: after the leader's zone was partitioned, an edit on the majority's side was forwarded to the old leader and waited there for its whole timeout, so it ended without an outcome. Change: proposals go only to a leader from which this daemon or its parent has heard within the election timeout; an edit is tried again with its id every 1.5 s, for 8 s. Tests with real processes: equal base versions on both sides of a partition, leader killed and all daemons restarted during edits, a stale voter reached first after 200 edits.

--- a/packages/consensus/src/proposals.ts
+++ b/packages/consensus/src/proposals.ts
@@ -8,6 +8,8 @@
 import { MAX_PENDING_PROPOSALS } from "./timing.ts";
 
 const RETRY_DELAY_MS = 50;
+/** A learner hears of the leader through its parents, each of which adds up to half a second. */
+const LEARNER_FACTOR = 2;
 
 export interface ProposalsOptions {
     state: RaftState;
@@ -38,9 +40,15 @@
         const payload = encode(command);
         const deadlineMs = monotonicMs() + options.timeoutMs;
         let reason = "there is no leader";
-        for (let attempt = 0; monotonicMs() < deadlineMs && !this.#state.lifecycle.isClosed; attempt += 1) {
+        while (monotonicMs() < deadlineMs && !this.#state.lifecycle.isClosed) {
             const timeoutMs = Math.max(1, deadlineMs - monotonicMs());
-            const response = await this.#proposeAt(this.#candidate(attempt), payload, timeoutMs);
+            const leaderId = this.#freshLeaderId();
+            if (leaderId === undefined) {
+                // A command that is sent to a member that is cut off has an unknown outcome, so it waits for a leader.
+                await this.#state.changed.wait(Math.min(RETRY_DELAY_MS, timeoutMs));
+                continue;
+            }
+            const response = await this.#proposeAt(leaderId, payload, timeoutMs);
             if (response.ok) {
                 return response;
             }
@@ -70,6 +78,13 @@
         throw notCommitted(`no leader confirmed the read within ${options.timeoutMs} ms`);
     }
 
+    /** The leader, if this daemon or its parent has heard from it lately. */
+    #freshLeaderId(): string | undefined {
+        const { isVoter, leaderId, timing } = this.#state;
+        const limitMs = (isVoter ? 1 : LEARNER_FACTOR) * timing.electionTimeoutMs;
+        return this.#state.leaderContactAgeMs() <= limitMs ? leaderId : undefined;
+    }
+
     /** The leader, if it is known; on later attempts the voters in turn. */
     #candidate(attempt: number): string {
         const { leaderId, daemonId } = this.#state;
--- a/packages/daemon/src/propose.ts
+++ b/packages/daemon/src/propose.ts
@@ -2,7 +2,10 @@
 import type { ReplicatedLog } from "@greengage/consensus";
 import type { EditCommand, EditOutcome } from "@greengage/table";
 
-const EDIT_TIMEOUT_MS = 5_000;
+/** Covers the election of a new leader after the loss of the one to which the edit was sent. */
+const EDIT_TIMEOUT_MS = 8_000;
+/** A leader that is cut off does not answer; the next attempt goes to its successor. */
+const ATTEMPT_TIMEOUT_MS = 1_500;
 const RETRY_MS = 100;
 
 /** Proposes an edit until its outcome is known: a resend with the same edit id gets the first outcome. */
@@ -11,24 +14,21 @@
     let wasSent = false;
     for (;;) {
         try {
-            const timeoutMs = Math.max(1, deadlineMs - monotonicMs());
+            const timeoutMs = Math.max(1, Math.min(ATTEMPT_TIMEOUT_MS, deadlineMs - monotonicMs()));
             const { result } = await log.propose(command, { timeoutMs });
             return result as EditOutcome;
         }
         catch (error) {
             const isUnknown = error instanceof GreengageError && error.verdict === Verdict.MayHaveRun;
             wasSent ||= isUnknown;
-            if (!isUnknown && wasSent && error instanceof GreengageError) {
-                // This attempt was not run, but an earlier one may have been.
-                throw new GreengageError(error.message, {
-                    code: error.code,
-                    verdict: Verdict.MayHaveRun,
-                    cause: error,
-                });
-            }
-            if (!isUnknown || monotonicMs() >= deadlineMs) {
+            if (!(error instanceof GreengageError)) {
                 throw error;
             }
+            if (monotonicMs() >= deadlineMs) {
+                // The last attempt may not have run while an earlier one did.
+                const verdict = wasSent ? Verdict.MayHaveRun : error.verdict;
+                throw new GreengageError(error.message, { code: error.code, verdict, cause: error });
+            }
             await sleep(RETRY_MS);
         }
     }
--- /dev/null
+++ b/test/table/processes.test.ts
@@ -0,0 +1,163 @@
+import { Cluster, type DaemonHandle } from "@greengage/bench";
+import { waitFor } from "@greengage/faults";
+import test, { type ExecutionContext } from "ava";
+
+interface LogView {
+    role: string;
+    leaderId?: string;
+    appliedIndex: number;
+    isCurrent: boolean;
+}
+
+interface TableView {
+    version: number;
+    rows: { name: string; version: number; columns: { vmsPerReplica: number; }; }[];
+}
+
+interface EditView {
+    outcome?: { status: string; tableVersion: number; };
+    inForceZones?: string[];
+    pendingZones?: string[];
+    verdict?: string;
+}
+
+const startCluster = async (
+    t: ExecutionContext,
+    daemonsPerZone: Record<string, number>,
+): Promise<Cluster> => {
+    const cluster = new Cluster({ daemonsPerZone, proxied: true });
+    t.teardown(() => cluster.stop());
+    await cluster.start();
+    return cluster;
+};
+
+const logOf = async (cluster: Cluster, daemon: DaemonHandle): Promise<LogView> =>
+    (await cluster.operate(daemon, "GET", "status") as { log: LogView; }).log;
+
+const tableOf = async (cluster: Cluster, daemon: DaemonHandle): Promise<TableView> =>
+    await cluster.operate(daemon, "GET", "table") as TableView;
+
+const edit = async (
+    cluster: Cluster,
+    daemon: DaemonHandle,
+    editId: string,
+    baseVersion: number,
+    vmsPerReplica: number,
+): Promise<EditView> =>
+    await cluster.operate(daemon, "POST", "table", {
+        editId,
+        operator: "thandi",
+        changes: [{ kind: "model", name: "m", baseVersion, columns: { vmsPerReplica } }],
+    }) as EditView;
+
+const leaderOf = async (cluster: Cluster, among: DaemonHandle[]): Promise<DaemonHandle> =>
+    await waitFor("a leader", async () => {
+        for (const daemon of among) {
+            const log = await logOf(cluster, daemon).catch(() => undefined);
+            if (log?.role === "leader") {
+                return daemon;
+            }
+        }
+        return undefined;
+    });
+
+// Hard case 6. Guards against two edits with equal base versions that both succeed on the sides of a partition.
+test.serial("of two edits on both sides of a partition one succeeds, also after a retry", async (t) => {
+    const cluster = await startCluster(t, { "zone-a": 1, "zone-b": 1, "zone-c": 1 });
+    const [a, b, c] = cluster.daemons as [DaemonHandle, DaemonHandle, DaemonHandle];
+    await edit(cluster, a, "seed", 0, 1);
+    const leader = await leaderOf(cluster, cluster.daemons);
+    const others = [a, b, c].filter((daemon) => daemon !== leader) as [DaemonHandle, DaemonHandle];
+    const end = cluster.partitionZone(leader.zone);
+    const [cutOff, majority] = await Promise.all([
+        edit(cluster, leader, "edit-1", 1, 2),
+        edit(cluster, others[0], "edit-2", 1, 3),
+    ]);
+    t.is(cutOff.outcome, undefined, "the cut-off side accepts no edit");
+    t.is(majority.outcome?.status, "accepted");
+    t.deepEqual(majority.pendingZones, [leader.zone], "the answer names the zone that it has not reached");
+    end();
+    const retried = await waitFor("an outcome of the retry", async () => {
+        const answer = await edit(cluster, leader, "edit-1", 1, 2);
+        return answer.outcome === undefined ? undefined : answer;
+    });
+    t.is(retried.outcome?.status, "conflict");
+    const again = await edit(cluster, leader, "edit-2", 1, 3);
+    t.deepEqual(again.outcome, majority.outcome, "a resend gets the first outcome through another daemon");
+    for (const daemon of cluster.daemons) {
+        await waitFor("one table", async () => {
+            const [row] = (await tableOf(cluster, daemon)).rows;
+            return row?.columns.vmsPerReplica === 3 && row.version === 2 ? true : undefined;
+        });
+    }
+});
+
+// Guards against an edit whose answer is lost with the leader and that runs twice, or is forgotten by a restart.
+test.serial("edits keep their outcomes when the leader is killed and when all daemons restart", async (t) => {
+    const cluster = await startCluster(t, { "zone-a": 2, "zone-b": 1, "zone-c": 1 });
+    const leader = await leaderOf(cluster, cluster.daemons);
+    const other = cluster.daemons.find((daemon) => daemon !== leader) as DaemonHandle;
+    const outcomes: unknown[] = [];
+    for (let version = 0; version < 20; version += 1) {
+        const pending = edit(cluster, other, `edit-${version}`, version, 1 + version);
+        if (version === 10) {
+            await cluster.killDaemon(leader.daemonId);
+        }
+        const answer = await pending;
+        t.is(answer.outcome?.status, "accepted", JSON.stringify(answer));
+        outcomes.push(answer.outcome);
+        if (version === 10) {
+            await cluster.restartDaemon(leader.daemonId);
+            await cluster.waitUntilReady(leader);
+        }
+    }
+    await Promise.all(cluster.daemons.map((daemon) => cluster.restartDaemon(daemon.daemonId)));
+    await Promise.all(cluster.daemons.map((daemon) => cluster.waitUntilReady(daemon)));
+    for (const [version, outcome] of outcomes.entries()) {
+        const answer = await edit(cluster, leader, `edit-${version}`, version, 1 + version);
+        t.deepEqual(answer.outcome, outcome);
+    }
+    for (const daemon of cluster.daemons) {
+        t.is((await tableOf(cluster, daemon)).rows[0]?.version, 20);
+    }
+});
+
+// Hard case 7. Guards against a daemon that serves an old table after it returned and reached a stale peer first.
+test.serial("a daemon that returns and reaches only a stale voter is not ready until it has caught up", async (t) => {
+    const cluster = await startCluster(t, { "zone-a": 1, "zone-b": 1, "zone-c": 2 });
+    const [a, b, c, learner] = cluster.daemons as [DaemonHandle, DaemonHandle, DaemonHandle, DaemonHandle];
+    await edit(cluster, a, "seed", 0, 1);
+    await Promise.all([learner, c].map((daemon) => cluster.killDaemon(daemon.daemonId)));
+    const leader = await leaderOf(cluster, [a, b]);
+    for (let batch = 0; batch < 4; batch += 1) {
+        const answers = await Promise.all(
+            Array.from({ length: 50 }, (_, index) =>
+                cluster.operate(leader, "POST", "table", {
+                    editId: `edit-${batch}-${index}`,
+                    operator: "thandi",
+                    changes: [{
+                        kind: "model",
+                        name: `m-${batch}-${index}`,
+                        baseVersion: 0,
+                        columns: { vmsPerReplica: 1 },
+                    }],
+                })),
+        );
+        t.true((answers as EditView[]).every((answer) => answer.outcome?.status === "accepted"));
+    }
+    const ends = [a, b].flatMap((other) => [
+        cluster.links.faultPair(c.daemonId, other.daemonId, { mode: "hold" }),
+        cluster.links.faultPair(other.daemonId, c.daemonId, { mode: "hold" }),
+    ]);
+    await cluster.restartDaemon(c.daemonId);
+    await cluster.restartDaemon(learner.daemonId);
+    await cluster.waitUntilReady(learner);
+    const log = await logOf(cluster, learner);
+    t.true(log.isCurrent);
+    t.is((await tableOf(cluster, learner)).rows.length, 201, "the learner went past its stale parent");
+    ends.forEach((end) => end());
+    await waitFor("the stale voter's table", async () => {
+        const { rows } = await tableOf(cluster, c);
+        return rows.length === 201 ? true : undefined;
+    });
+});
