--- a/packages/bench/src/cluster.ts
+++ b/packages/bench/src/cluster.ts
@@ -115,6 +115,7 @@
                 zone,
                 http: { host: "127.0.0.1", port: httpPort },
                 dataFolder: this.dataFolder(daemonId),
+                bootstrap: voter,
                 // Its own entry has its real port, at which it listens.
                 daemons: listed.map((other) => other.daemonId === daemonId ? daemon : other),
                 keys: {
@@ -363,5 +364,5 @@
     return cluster;
 };
 
-/** Hash of the API key of the bench's only organisation. */
-export const callerKeyHash = (): string => createHash("sha256").update(CALLER_KEY).digest("hex");
+/** Hash of a caller's API key, as the table holds it. Default: the key of the bench's own organisation. */
+export const callerKeyHash = (key = CALLER_KEY): string => createHash("sha256").update(key).digest("hex");
--- a/packages/bench/src/measure.ts
+++ b/packages/bench/src/measure.ts
@@ -1,6 +1,8 @@
 /** Runs one measurement: `npm run measure -- NAME`. The last line is JSON with the figures. */
 import { measureDrain } from "./measure/drain.ts";
+import { measureRelay } from "./measure/relay.ts";
 import { measureRepair } from "./measure/repair.ts";
+import { measureTable } from "./measure/table.ts";
 
 export interface Measurement {
     description: string;
@@ -8,8 +10,22 @@
 }
 
 const measurements: Record<string, Measurement> = {
-    drain: { description: "new work and cut-off streams when leaders of groups leave", run: measureDrain },
-    repair: { description: "group downtime and stranded accelerators by repair policy", run: measureRepair },
+    table: {
+        description: "time from an edit until seven daemons in three zones have applied it",
+        run: measureTable,
+    },
+    drain: {
+        description: "new work and cut-off streams when leaders of groups leave",
+        run: measureDrain,
+    },
+    repair: {
+        description: "group downtime and stranded accelerators by repair policy",
+        run: measureRepair,
+    },
+    relay: {
+        description: "cost of the relay against a relay without checks, at one daemon's share of the peak",
+        run: measureRelay,
+    },
 };
 
 const run = async (name: string | undefined): Promise<void> => {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -8,9 +8,10 @@
     messageOf,
     Metrics,
 } from "@greengage/base";
-import { CompositeStateMachine, FixedLeaderLog } from "@greengage/consensus";
+import { CompositeStateMachine, RaftLog } from "@greengage/consensus";
 import {
     Admission,
+    type DaemonSummary,
     DEFAULT_LIMITS,
     DrainState,
     HttpSurface,
@@ -40,7 +41,7 @@
     readonly #admission: Admission;
     readonly #drain: DaemonDrain;
     readonly #peers: PeerNetwork;
-    readonly #log: FixedLeaderLog;
+    readonly #log: RaftLog;
     readonly #membership: Membership;
     readonly #dispatcher: BackendDispatcher;
     readonly #operators: OperatorSurface;
@@ -64,10 +65,13 @@
             addresses: daemons,
             key: keys.peers,
         });
-        this.#log = new FixedLeaderLog({
+        this.#log = new RaftLog({
+            context,
             peers: this.#peers,
             machine: new CompositeStateMachine({ table: this.#table, action: this.#actionRecords }),
-            leaderId: daemons[0]?.daemonId ?? daemonId,
+            daemons,
+            dataFolder: self.voter ? settings.dataFolder : undefined,
+            bootstrap: settings.bootstrap,
         });
         this.#membership = new Membership({
             context,
@@ -152,6 +156,7 @@
         const reasons: [boolean, string][] = [
             [this.#drain.state !== DrainState.Serving, `the daemon is ${this.#drain.state}`],
             [this.#self.controlOnly, "the daemon is control-only"],
+            [!this.#log.isCurrent, "the daemon has not caught up with the table since its start"],
             [
                 !this.#membership.directory.reachableZones().includes(this.#settings.zone),
                 "the daemon holds no grant of its own zone",
@@ -161,21 +166,28 @@
         return reason === undefined ? { ready: true } : { ready: false, reason };
     }
 
-    status(): DaemonStatus {
-        const { directory, lease } = this.#membership;
-        const { daemonId, zone } = this.#settings;
-        const { ready, reason } = this.readiness();
+    /** What the other daemons ask for often. */
+    summary(): DaemonSummary {
+        const { daemonId, zone, voter, controlOnly } = this.#self;
         return {
             daemonId,
             zone,
-            versions: versions(),
+            voter,
+            controlOnly,
             state: this.#drain.state,
-            ready,
-            notReadyReason: reason,
-            voter: this.#self.voter,
-            controlOnly: this.#self.controlOnly,
-            isController: lease.isValid,
+            ready: this.readiness().ready,
+            inFlight: this.#admission.inFlight,
             tableVersion: this.#table.version,
+        };
+    }
+
+    status(): DaemonStatus {
+        const { directory, lease } = this.#membership;
+        return {
+            ...this.summary(),
+            versions: versions(),
+            notReadyReason: this.readiness().reason,
+            isController: lease.isValid,
             log: this.#log.status(),
             reachableZones: directory.reachableZones(),
             unreachableZones: this.#unreachableZones(),
@@ -184,7 +196,6 @@
             measures: lease.isValid ? this.#membership.measures() : undefined,
             invariants: this.#context.invariants.counts(),
             violationCount: this.#context.invariants.violationCount,
-            inFlight: this.#admission.inFlight,
             inFlightByRow: this.#admission.counts(),
             process: processFigures(),
             peerTraffic: this.#peers.traffic,
@@ -202,8 +213,9 @@
         const dispatcher = this.#dispatcher;
         return [
             { name: "dispatcher", start: () => undefined, close: () => dispatcher.close() },
-            { name: "peers", start: () => this.#peers.start(), close: () => this.#peers.close() },
+            // Peers may ask only after the data folder has been read, and are asked until the log is closed.
             { name: "log", start: () => this.#log.start(), close: () => this.#log.close() },
+            { name: "peers", start: () => this.#peers.start(), close: () => this.#peers.close() },
             { name: "table", ...this.#tableEvents() },
             {
                 name: "membership",
@@ -252,6 +264,7 @@
                 daemonDrains: this.#drain,
                 actions: new ActionSettlements(this.#actions, this.#actionRecords),
                 status: () => this.status(),
+                summary: () => this.summary(),
             }),
         );
         this.#peers.handle("operator.forward", (request) => operators.handle(request));
--- a/packages/daemon/src/operators.ts
+++ b/packages/daemon/src/operators.ts
@@ -15,12 +15,12 @@
 } from "@greengage/http";
 import type { Membership } from "@greengage/membership";
 import type { Peers } from "@greengage/protocol";
-import type { EditOutcome, TableState } from "@greengage/table";
+import type { EditCommand, TableState } from "@greengage/table";
 import { waitForEffect } from "./effect.ts";
+import { proposeEdit } from "./propose.ts";
 import type { Settings } from "./settings.ts";
 import type { DaemonStatus } from "./status.ts";
 
-const EDIT_TIMEOUT_MS = 5_000;
 const CATCH_UP_TIMEOUT_MS = 2_000;
 const FORWARD_TIMEOUT_MS = 1_500;
 /** The response to an edit waits this long for the zones; our bound for an edit to be in effect is 3 s. */
@@ -38,6 +38,7 @@
     daemonDrains: DaemonDrains;
     actions: ActionSettlement;
     status: () => DaemonStatus;
+    summary: () => DaemonSummary;
 }
 
 /** What operators can see and do at this daemon. */
@@ -50,6 +51,7 @@
     readonly daemonDrains: DaemonDrains;
     readonly actions: ActionSettlement;
     readonly status: () => DaemonStatus;
+    readonly summary: () => DaemonSummary;
     readonly #options: DaemonOperatorsOptions;
 
     constructor(options: DaemonOperatorsOptions) {
@@ -62,11 +64,7 @@
         this.daemonDrains = options.daemonDrains;
         this.actions = options.actions;
         this.status = options.status;
-    }
-
-    summary(): DaemonSummary {
-        const { daemonId, zone, voter, controlOnly, state, ready, inFlight, tableVersion } = this.status();
-        return { daemonId, zone, voter, controlOnly, state, ready, inFlight, tableVersion };
+        this.summary = options.summary;
     }
 
     groups(): ReturnType<OperatorApi["groups"]> {
@@ -86,9 +84,8 @@
     }
 
     async edit(edit: TableEdit): Promise<EditAnswer> {
-        const command = { type: "table.edit", atMs: Date.now(), ...edit };
-        const { result } = await this.#options.log.propose(command, { timeoutMs: EDIT_TIMEOUT_MS });
-        const outcome = result as EditOutcome;
+        const command: EditCommand = { type: "table.edit", atMs: Date.now(), ...edit };
+        const outcome = await proposeEdit(this.#options.log, command);
         if (outcome.status !== "accepted") {
             return { outcome, inForceZones: [], pendingZones: [] };
         }
--- a/packages/http/src/sse.ts
+++ b/packages/http/src/sse.ts
@@ -4,12 +4,17 @@
 import type { Exchange } from "./exchange.ts";
 import { problemOf } from "./problem.ts";
 
+const FLUSH_LIMIT_MS = 1_000;
+
 /** Writes events of a stream to a caller. The headers go out with the first event. */
 export class ResponseSink implements EventSink {
     readonly #exchange: Exchange;
+    readonly #signal: AbortSignal;
 
-    constructor(exchange: Exchange) {
+    /** The signal ends waits for a caller that reads slowly. */
+    constructor(exchange: Exchange, signal: AbortSignal) {
         this.#exchange = exchange;
+        this.#signal = signal;
     }
 
     get hasStarted(): boolean {
@@ -17,19 +22,31 @@
     }
 
     write(events: Uint8Array): boolean {
+        const { request, response } = this.#exchange;
+        // The first write goes with the headers. The others skip the response's own framing, which takes four
+        // buffers and a tick for each event. A response that waits behind another one has no socket yet.
+        if (response.headersSent && response.socket && request.httpVersion === "1.1") {
+            return response.socket.write(chunkOf(events));
+        }
         this.#writeHead();
-        return this.#exchange.response.write(events);
+        return response.write(events);
     }
 
     async drained(): Promise<void> {
         const { response } = this.#exchange;
-        if (response.destroyed || !response.writableNeedDrain) {
+        const { socket } = response;
+        const isWaiting = response.writableNeedDrain || socket?.writableNeedDrain === true;
+        if (response.destroyed || !isWaiting || this.#signal.aborted) {
             return;
         }
         const stop = new AbortController();
         const options = { signal: stop.signal };
-        await Promise.race([once(response, "drain", options), once(response, "close", options)])
-            .finally(() => stop.abort());
+        const waits = [
+            once(socket ?? response, "drain", options),
+            once(response, "close", options),
+            once(this.#signal, "abort", options),
+        ];
+        await Promise.race(waits).finally(() => stop.abort());
     }
 
     /** Ends a complete stream with its end marker. */
@@ -42,7 +59,11 @@
     fail(error: GreengageError): void {
         const { response } = this.#exchange;
         const event = `event: error\ndata: ${JSON.stringify(problemOf(error))}\n\n`;
-        response.end(event, () => response.socket?.destroySoon());
+        const { socket } = response;
+        // A caller that does not read would hold the connection forever.
+        const timer = setTimeout(() => socket?.destroy(), FLUSH_LIMIT_MS);
+        response.once("close", () => clearTimeout(timer));
+        response.end(event, () => socket?.destroySoon());
     }
 
     #writeHead(): void {
@@ -56,3 +77,13 @@
         }
     }
 }
+
+/** One chunk of the chunked transfer encoding. */
+const chunkOf = (data: Uint8Array): Buffer => {
+    const size = data.length.toString(16);
+    const chunk = Buffer.allocUnsafe(size.length + data.length + 4);
+    chunk.write(`${size}\r\n`, 0, "latin1");
+    chunk.set(data, size.length + 2);
+    chunk.write("\r\n", size.length + 2 + data.length, "latin1");
+    return chunk;
+};
