Check P1 against the time of the control step, and test the batches of reports

Cause: a report that became too old between the decision on a group and the check of its view, microseconds later, would have counted as a violation of P1. Change: the check uses the time at which the step began; renewals step again when a report has become too old. A test shows that unchanged reports are sent as id and sequence number.

--- a/packages/membership/src/controller.ts
+++ b/packages/membership/src/controller.ts
@@ -75,6 +75,7 @@
             downtime: new DowntimeAccount(),
             weightStore: new WeightStore(options.weightStore),
             policy: placementPolicies[options.placement ?? PlacementName.BestFit],
+            stepAtMs: 0,
             adoptsUntilMs: 0,
             isHandoverDone: () => this.#handover?.isDone ?? false,
             tableFloor: () => this.#grants.tableFloor,
@@ -203,10 +204,9 @@
         if (isUrgent) {
             this.#step();
         }
-        const vmIds = [
-            ...request.changed.map(({ report }) => report.vmId),
-            ...request.unchanged.map(({ vmId }) => vmId),
-        ];
+        const vmIds = [...request.changed.map(({ report }) => report), ...request.unchanged].map((entry) =>
+            entry.vmId
+        );
         return { accepted: true, needFull, releasedVmIds: vmIds.filter((vmId) => this.#isReleased(vmId)) };
     }
 
@@ -216,6 +216,7 @@
             return;
         }
         const zone = this.#zone;
+        zone.stepAtMs = monotonicMs();
         this.#tick();
         zone.vms.step();
         adoptGroups(zone);
--- a/packages/membership/src/vms.ts
+++ b/packages/membership/src/vms.ts
@@ -110,9 +110,9 @@
         this.#takeOtherIncarnation(vm, report, receivedAtMs);
     }
 
-    isFresh(vm: Vm | undefined): boolean {
+    isFresh(vm: Vm | undefined, atMs = monotonicMs()): boolean {
         return vm !== undefined && vm.supersededAtMs === undefined
-            && monotonicMs() - vm.receivedAtMs < this.#timing.missingAfterMs;
+            && atMs - vm.receivedAtMs < this.#timing.missingAfterMs;
     }
 
     isQuarantined(vm: Vm): boolean {
--- a/packages/membership/src/zone.ts
+++ b/packages/membership/src/zone.ts
@@ -23,6 +23,8 @@
     downtime: DowntimeAccount;
     weightStore: WeightStore;
     policy: PlacementPolicy;
+    /** Monotonic time at which the last control step began. */
+    stepAtMs: number;
     /** Until then more reports of the groups of the former controller may arrive. */
     adoptsUntilMs: number;
     /** Whether the VMs that don't check fencing tokens can move to other groups. */
--- a/packages/membership/src/zoneViews.ts
+++ b/packages/membership/src/zoneViews.ts
@@ -70,7 +70,8 @@
     if (!isServing(group)) {
         return;
     }
-    const stale = group.memberVmIds.filter((vmId) => !zone.vms.isFresh(zone.vms.get(vmId)));
+    // At the time of the step, because a report can become too old while the step runs. Renewals check again.
+    const stale = group.memberVmIds.filter((vmId) => !zone.vms.isFresh(zone.vms.get(vmId), zone.stepAtMs));
     zone.context.invariants.check(
         Invariant.WholeGroupServes,
         stale.length === 0,
--- /dev/null
+++ b/test/membership/reports.test.ts
@@ -0,0 +1,49 @@
+import { createContext, Lifecycle } from "@greengage/base";
+import { Hub, SHORT_TIMING, ZoneVm } from "@greengage/bench";
+import { waitFor } from "@greengage/faults";
+import { ReportIntake } from "@greengage/membership";
+import type { Calls } from "@greengage/protocol";
+import test from "ava";
+import { ZONE } from "./fixtures.ts";
+
+type Batch = Calls["report.batch"]["request"];
+
+// Guards against a control path that sends every report in full, or a full one never again after it was refused.
+test("unchanged reports go to the controller as id and sequence number until it asks for the full one", async (t) => {
+    const hub = new Hub();
+    const peers = hub.join({ daemonId: "daemon-1", zone: ZONE, host: "", port: 0 });
+    const controller = hub.join({ daemonId: "daemon-2", zone: ZONE, host: "", port: 0 });
+    const batches: Batch[] = [];
+    const needFull: string[] = [];
+    controller.handle("report.batch", (batch) => {
+        batches.push(batch);
+        return { accepted: true, needFull: needFull.splice(0), releasedVmIds: [] };
+    });
+    const intake = new ReportIntake({
+        context: createContext({ daemonId: "daemon-1", zone: ZONE }),
+        peers,
+        timing: SHORT_TIMING,
+        controllerId: () => "daemon-2",
+        tableVersion: () => 0,
+        kept: () => ({ transfers: [], drainedVmIds: [] }),
+    });
+    const lifecycle = new Lifecycle();
+    t.teardown(() => lifecycle.close());
+    lifecycle.onClose(() => intake.close());
+    const vm = new ZoneVm({ vmId: "vm-1", zone: ZONE, fabricDomain: "rack-1" });
+    intake.start();
+    vm.start(lifecycle, (report) => intake.accept(report).released);
+    await waitFor("five reports", () => batches.length >= 5 || undefined);
+    t.is(batches.flatMap(({ changed }) => changed).length, 1);
+    t.true(
+        batches.slice(1).every(({ unchanged }) => unchanged.length === 1 && unchanged[0]?.fullSequence === 1),
+    );
+    needFull.push("vm-1");
+    await waitFor(
+        "a second full report",
+        () => batches.flatMap(({ changed }) => changed).length === 2 || undefined,
+    );
+    vm.runningRequests = 2;
+    const changed = await waitFor("a changed report", () => batches.flatMap((batch) => batch.changed)[2]);
+    t.is(changed.report.load.runningRequests, 2);
+});
