--- a/packages/bench/src/measure.ts
+++ b/packages/bench/src/measure.ts
@@ -1,4 +1,5 @@
 /** Runs one measurement: `npm run measure -- NAME`. The last line is JSON with the figures. */
+import { measureControl } from "./measure/control.ts";
 import { measureDrain } from "./measure/drain.ts";
 import { measureRelay } from "./measure/relay.ts";
 import { measureRepair } from "./measure/repair.ts";
@@ -10,6 +11,10 @@
 }
 
 const measurements: Record<string, Measurement> = {
+    control: {
+        description: "bytes, processor time and memory of a daemon for control, by role and size",
+        run: measureControl,
+    },
     table: {
         description: "time from an edit until seven daemons in three zones have applied it",
         run: measureTable,
@@ -40,4 +45,6 @@
     console.log(JSON.stringify(await measurement.run()));
 };
 
+process.once("SIGTERM", () => process.exit(1));
+process.once("SIGINT", () => process.exit(1));
 await run(process.argv[2]);
