--- a/packages/bench/src/measure.ts
+++ b/packages/bench/src/measure.ts
@@ -1,8 +1,11 @@
 /** Runs one measurement: `npm run measure -- NAME`. The last line is JSON with the figures. */
 import { measureControl } from "./measure/control.ts";
 import { measureDrain } from "./measure/drain.ts";
+import { measureFairness } from "./measure/fairness.ts";
+import { measureLimits } from "./measure/limits.ts";
 import { measureRelay } from "./measure/relay.ts";
 import { measureRepair } from "./measure/repair.ts";
+import { measureRouting } from "./measure/routing.ts";
 import { measureTable } from "./measure/table.ts";
 
 export interface Measurement {
@@ -27,10 +30,22 @@
         description: "group downtime and stranded accelerators by repair policy",
         run: measureRepair,
     },
+    fairness: {
+        description: "first token of small organisations with and without the flood of a large one",
+        run: measureFairness,
+    },
+    limits: {
+        description: "accepted rate of an organisation over all daemons against its limit",
+        run: measureLimits,
+    },
     relay: {
         description: "cost of the relay against a relay without checks, at one daemon's share of the peak",
         run: measureRelay,
     },
+    routing: {
+        description: "first token by strategy, with stragglers and shared prefixes",
+        run: measureRouting,
+    },
 };
 
 const run = async (name: string | undefined): Promise<void> => {
