--- a/packages/bench/src/measure.ts
+++ b/packages/bench/src/measure.ts
@@ -1,5 +1,8 @@
 /** Runs one measurement: `npm run measure -- NAME`. The last line is JSON with the figures. */
 import { measureControl } from "./measure/control.ts";
+import { measureDrain } from "./measure/drain.ts";
+import { measureRelay } from "./measure/relay.ts";
+import { measureRepair } from "./measure/repair.ts";
 import { measureTable } from "./measure/table.ts";
 
 export interface Measurement {
@@ -16,6 +19,18 @@
         description: "time from an edit until seven daemons in three zones have applied it",
         run: measureTable,
     },
+    drain: {
+        description: "new work and cut-off streams when leaders of groups leave",
+        run: measureDrain,
+    },
+    repair: {
+        description: "group downtime and stranded accelerators by repair policy",
+        run: measureRepair,
+    },
+    relay: {
+        description: "cost of the relay against a relay without checks, at one daemon's share of the peak",
+        run: measureRelay,
+    },
 };
 
 const run = async (name: string | undefined): Promise<void> => {
