Print why callers of a chaos run were refused

Cause: 429 at a small part of the limit could not be told apart from other refusals.

Change: the run prints the first refusal of each kind with its daemon and time.

--- a/packages/bench/src/chaos/callers.ts
+++ b/packages/bench/src/chaos/callers.ts
@@ -25,6 +25,8 @@
     readonly #violations: Violations;
     readonly #random: Random;
     readonly statusCounts = new Map<string, number>();
+    /** Refusals by status and detail, with the first daemon and time of each. */
+    readonly refusals = new Map<string, string>();
     requests = 0;
     wholeAnswers = 0;
     #next = 0;
@@ -65,6 +67,9 @@
             const { statusCode: status } = response;
             const isWhole = status === 200
                 && (streams ? this.#checkStream(body, expected) : this.#checkObject(body, expected));
+            if (status !== 200) {
+                this.#keepRefusal(status, body, daemon.url);
+            }
             this.#count(isWhole ? "whole" : status === 200 ? "cut" : String(status));
             return { isWhole, status };
         }
@@ -74,6 +79,15 @@
         }
     }
 
+    #keepRefusal(status: number, body: string, url: string): void {
+        const { detail } = JSON.parse(body) as { detail?: string; };
+        const key = `${status} ${detail ?? ""}`;
+        if (!this.refusals.has(key)) {
+            const daemon = this.#cluster.daemons.find((candidate) => candidate.url === url);
+            this.refusals.set(key, `${daemon?.daemonId ?? url} at ${new Date().toISOString()}`);
+        }
+    }
+
     #count(status: string): void {
         this.statusCounts.set(status, (this.statusCounts.get(status) ?? 0) + 1);
         this.wholeAnswers += status === "whole" ? 1 : 0;
--- a/packages/bench/src/chaos/run.ts
+++ b/packages/bench/src/chaos/run.ts
@@ -17,6 +17,7 @@
 /** Callers that got 429 or 503 try again after a second; a caller may also have disconnected on purpose. */
 const SERVICE_LIMIT_MS = 10_000;
 const SERVICE_RETRY_MS = 1_000;
+const PRINTED_REFUSALS = 8;
 const END_LIMIT_MS = 20_000;
 
 export interface ChaosOptions {
@@ -175,6 +176,9 @@
             });
         }
         this.#say(`chats: ${format(this.#callers.statusCounts)}`);
+        for (const [refusal, where] of [...this.#callers.refusals].slice(0, PRINTED_REFUSALS)) {
+            this.#say(`first refused with ${refusal} by ${where}`);
+        }
         this.#say(`actions: ${format(this.#actions.answerCounts)}`);
         this.#say(`edits: ${format(this.#operators.answerCounts)}`);
         this.#say(`violations: ${this.#violations.summary() || "none"}`);
