Export only what is imported

Change: they are local now; two unused types are gone. Conclusion: the packages show what others use.

--- a/packages/cli/src/args.ts
+++ b/packages/cli/src/args.ts
@@ -49,7 +49,7 @@
         "wait-s": { type: "string", description: "Longest wait in seconds", default: String(defaultS) },
     }) as const;
 
-export interface SafetyFields {
+interface SafetyFields {
     dryRun: boolean;
     force: boolean;
     reason?: string;
--- a/packages/cli/src/edit.ts
+++ b/packages/cli/src/edit.ts
@@ -14,7 +14,7 @@
     hazards: Hazard[];
 }
 
-export interface EditOptions {
+interface EditOptions {
     path: "table" | "table/import";
     body: { editId: string; dryRun: boolean; };
     json: boolean;
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -6,7 +6,7 @@
 
 /** A command of any arguments. */
 // eslint-disable-next-line @typescript-eslint/no-explicit-any -- citty types commands by their arguments.
-export type AnyCommand = CommandDef<any>;
+type AnyCommand = CommandDef<any>;
 
 interface Resolved {
     command: AnyCommand;
--- a/packages/cli/src/wait.ts
+++ b/packages/cli/src/wait.ts
@@ -3,7 +3,7 @@
 
 const POLL_MS = 300;
 
-export interface WaitOptions {
+interface WaitOptions {
     limitS: number;
     /** Returns what is missing, or `undefined` when there is nothing to wait for. */
     probe: () => Promise<string | undefined>;
--- a/packages/daemon/src/drain.ts
+++ b/packages/daemon/src/drain.ts
@@ -10,7 +10,7 @@
 } from "@greengage/base";
 import { type Admission, type DaemonDrains, DrainState } from "@greengage/http";
 
-export interface DaemonDrainOptions {
+interface DaemonDrainOptions {
     context: Context;
     admission: Admission;
     graceMs: number;
--- a/packages/daemon/src/effect.ts
+++ b/packages/daemon/src/effect.ts
@@ -4,7 +4,7 @@
 const FIRST_POLL_MS = 20;
 const LONGEST_POLL_MS = 400;
 
-export interface EffectOptions {
+interface EffectOptions {
     tableVersion: number;
     zones: string[];
     /** How long to wait for zones in which the edit is not in effect yet. */
--- a/packages/daemon/src/figures.ts
+++ b/packages/daemon/src/figures.ts
@@ -23,7 +23,7 @@
 };
 
 /** Where the gauges of a daemon come from. */
-export interface GaugeSources {
+interface GaugeSources {
     context: Context;
     admission: Admission;
     table: TableState;
--- a/packages/daemon/src/operators.ts
+++ b/packages/daemon/src/operators.ts
@@ -26,7 +26,7 @@
 /** The response to an edit waits this long for the zones; our bound for an edit to be in effect is 3 s. */
 const EFFECT_WAIT_MS = 3_000;
 
-export interface DaemonOperatorsOptions {
+interface DaemonOperatorsOptions {
     context: Context;
     settings: Settings;
     peers: Peers;
--- a/packages/daemon/src/settings/checks.ts
+++ b/packages/daemon/src/settings/checks.ts
@@ -3,7 +3,7 @@
 import type { KeyPath } from "./source.ts";
 
 /** A problem that the schema can't express. */
-export interface SettingsProblem {
+interface SettingsProblem {
     keyPath: KeyPath;
     found: string;
     allowed: string;
--- a/packages/daemon/src/status.ts
+++ b/packages/daemon/src/status.ts
@@ -8,7 +8,7 @@
 export const VERSION = "0.1.0";
 
 /** Versions of the running programs. */
-export interface Versions {
+interface Versions {
     greengage: string;
     /** Version of the protocol between daemons. */
     protocol: number;
--- a/packages/http/src/admission.ts
+++ b/packages/http/src/admission.ts
@@ -6,7 +6,7 @@
 const RETRY_AFTER_MS = 1_000;
 
 /** What a request works for, to count requests in flight. */
-export interface WorkSubject {
+interface WorkSubject {
     organisation: string;
     /** Key of the table's row: `model/NAME` or `service/NAME`. */
     row: string;
--- a/packages/http/src/body.ts
+++ b/packages/http/src/body.ts
@@ -3,7 +3,7 @@
 import { notRunError } from "./errors.ts";
 import type { Exchange } from "./exchange.ts";
 
-export interface BodyLimits {
+interface BodyLimits {
     limitBytes: number;
     limitMs: number;
 }
--- a/packages/http/src/chat.ts
+++ b/packages/http/src/chat.ts
@@ -13,7 +13,7 @@
 import { toGreengageError } from "./problem.ts";
 import { ResponseSink } from "./sse.ts";
 
-export interface ChatOptions {
+interface ChatOptions {
     table: TableState;
     dispatcher: Dispatcher;
     keys: ApiKeys;
--- a/packages/http/src/health.ts
+++ b/packages/http/src/health.ts
@@ -8,7 +8,7 @@
     reason?: string;
 }
 
-export interface HealthOptions {
+interface HealthOptions {
     /** Default: the checks need no key. */
     key?: string;
     readiness: () => Readiness;
--- a/packages/http/src/operators/fleet.ts
+++ b/packages/http/src/operators/fleet.ts
@@ -5,13 +5,13 @@
 import type { OperatorHandler } from "./surface.ts";
 
 /** What every daemon answered, and those that could not be reached. */
-export interface FleetAnswers<T> {
+interface FleetAnswers<T> {
     answers: T[];
     unreachable: string[];
 }
 
 /** Asks every daemon, this one included, for a path of the operators' surface. */
-export const askAll = async <T>(
+const askAll = async <T>(
     api: OperatorApi,
     path: string,
     own: () => T,
--- a/packages/http/src/operators/requests.ts
+++ b/packages/http/src/operators/requests.ts
@@ -68,8 +68,6 @@
     reason,
 });
 
-export type EditRequest = z.infer<typeof editRequest>;
-export type ImportRequest = z.infer<typeof importRequest>;
 export type DrainRequest = z.infer<typeof drainRequest>;
 export type UndrainRequest = z.infer<typeof undrainRequest>;
 
--- a/packages/http/src/reports.ts
+++ b/packages/http/src/reports.ts
@@ -8,7 +8,7 @@
 import { requireKey } from "./keys.ts";
 import type { HttpLimits } from "./limits.ts";
 
-export interface ReportsOptions {
+interface ReportsOptions {
     key: string;
     zone: string;
     limits: HttpLimits;
--- a/packages/http/src/routes.ts
+++ b/packages/http/src/routes.ts
@@ -10,7 +10,7 @@
 
 export type Surface = typeof Surface[keyof typeof Surface];
 
-export type Method = "GET" | "POST" | "PUT" | "PATCH" | "DELETE" | "HEAD";
+type Method = "GET" | "POST" | "PUT" | "PATCH" | "DELETE" | "HEAD";
 
 export const METHODS: readonly Method[] = ["GET", "POST", "PUT", "PATCH", "DELETE", "HEAD"];
 
--- a/packages/http/src/services.ts
+++ b/packages/http/src/services.ts
@@ -10,7 +10,7 @@
 import type { ApiKeys } from "./keys.ts";
 import type { HttpLimits } from "./limits.ts";
 
-export interface ServicesOptions {
+interface ServicesOptions {
     table: TableState;
     dispatcher: Dispatcher;
     actions: Pick<ActionService, "run">;
--- a/packages/http/src/surface.ts
+++ b/packages/http/src/surface.ts
@@ -32,7 +32,7 @@
 
 const OPERATOR_PREFIX = "/operator/v1/";
 
-export interface HttpSurfaceOptions {
+interface HttpSurfaceOptions {
     context: Context;
     listen: { host: string; port: number; };
     keys: { backendServers: string; operators: string; platform?: string; };
