Use plainer words in messages of a drain

Cause: a daemon that an operator drained said that it stops. Figures: npx ava test/http test/daemon: passed. Conclusion: message and state agree.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -147,7 +147,7 @@
     /** Closes at once. Requests in flight are cut off. */
     async close(): Promise<void> {
         await this.#lifecycle.close();
-        this.#context.logs(LogPart.Daemon).info("daemon is stopped");
+        this.#context.logs(LogPart.Daemon).info("daemon stopped");
         await this.#context.metrics.close();
     }
 
--- a/packages/http/src/admission.ts
+++ b/packages/http/src/admission.ts
@@ -91,7 +91,7 @@
 
     #requireRoom(socket: Socket): void {
         if (this.#isClosed) {
-            throw retryElsewhere(ErrorCode.Draining, "this daemon stops and takes no new requests");
+            throw retryElsewhere(ErrorCode.Draining, "this daemon is draining and takes no new requests");
         }
         if (this.#inFlight >= this.#limits.concurrentRequests) {
             throw retryElsewhere(
--- a/test/daemon/settings.test.ts
+++ b/test/daemon/settings.test.ts
@@ -67,7 +67,7 @@
     `"b",\n    "http"`,
     `3: zone: found "b"; allowed: "a", the zone of this daemon in daemons`,
 );
-refuses("an id that stands twice", `"a-2"`, `"a-1"`, `8: daemons.1.daemonId: found "a-1"; allowed: ${TWICE}`);
+refuses("a duplicate id", `"a-2"`, `"a-1"`, `8: daemons.1.daemonId: found "a-1"; allowed: ${TWICE}`);
 refuses("a taken address", "0.0.2", "0.0.1", `8: daemons.1.port: found "10.0.0.1:7946"; allowed: ${TWICE}`);
 refuses(
     "an even number of voters",
