--- a/packages/http/src/admission.ts
+++ b/packages/http/src/admission.ts
@@ -6,7 +6,7 @@
 const RETRY_AFTER_MS = 1_000;
 
 /** What a request works for, to count requests in flight. */
-export interface WorkSubject {
+interface WorkSubject {
     organisation: string;
     /** Key of the table's row: `model/NAME` or `service/NAME`. */
     row: string;
@@ -91,7 +91,7 @@
 
     #requireRoom(socket: Socket): void {
         if (this.#isClosed) {
-            throw retryElsewhere(ErrorCode.Draining, "this daemon stops and takes no new requests");
+            throw retryElsewhere(ErrorCode.Draining, "this daemon is draining and takes no new requests");
         }
         if (this.#inFlight >= this.#limits.concurrentRequests) {
             throw retryElsewhere(
