--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -29,6 +29,7 @@
 import type { Settings } from "./settings.ts";
 import { ActionSettlements } from "./settlement.ts";
 import { type DaemonStatus, versions } from "./status.ts";
+import { TableGate } from "./tablegate.ts";
 
 /** One daemon: all parts of the system on one entry VM. */
 export class Daemon {
@@ -38,6 +39,7 @@
     readonly #lifecycle = new Lifecycle();
     readonly #table = new TableState();
     readonly #actionRecords = new ActionRecords();
+    readonly #tableGate: TableGate;
     readonly #admission: Admission;
     readonly #drain: DaemonDrain;
     readonly #peers: PeerNetwork;
@@ -97,7 +99,13 @@
             dispatcher: this.#dispatcher,
         });
         const limits = { ...DEFAULT_LIMITS, ...settings.limits };
-        this.#admission = new Admission(limits);
+        this.#tableGate = new TableGate({
+            context,
+            tableVersion: () => this.#table.version,
+            tableFloor: () => this.#membership.directory.tableFloor(),
+            isLogCurrent: () => this.#log.isCurrent,
+        });
+        this.#admission = new Admission(limits, () => this.#tableGate.check());
         this.#drain = new DaemonDrain({
             context,
             admission: this.#admission,
@@ -153,10 +161,11 @@
 
     /** Whether a load balancer should send callers' requests to this daemon. */
     readiness(): Readiness {
+        const staleTable = this.#tableGate.reason();
         const reasons: [boolean, string][] = [
             [this.#drain.state !== DrainState.Serving, `the daemon is ${this.#drain.state}`],
             [this.#self.controlOnly, "the daemon is control-only"],
-            [!this.#log.isCurrent, "the daemon has not caught up with the table since its start"],
+            [staleTable !== undefined, staleTable ?? ""],
             [
                 !this.#membership.directory.reachableZones().includes(this.#settings.zone),
                 "the daemon holds no grant of its own zone",
--- /dev/null
+++ b/packages/daemon/src/tablegate.ts
@@ -0,0 +1,68 @@
+import { type Context, ErrorCode, GreengageError, Invariant, monotonicMs, Verdict } from "@greengage/base";
+
+/** A running daemon may serve an older table than its zone for this long: an edit is in effect within 3 s. */
+const TABLE_LAG_MS = 3_000;
+const RETRY_AFTER_MS = 1_000;
+
+export interface TableGateOptions {
+    context: Context;
+    /** Version of this daemon's copy of the table. */
+    tableVersion: () => number;
+    /** Highest version that any daemon of the zone has reported. */
+    tableFloor: () => number;
+    /** Whether the daemon has caught up with what was committed when it started. */
+    isLogCurrent: () => boolean;
+}
+
+/**
+ * Refuses requests of callers while this daemon's table is too old to serve. A daemon that has just started must
+ * reach the zone's version first, because callers may have seen it; a running one may lag for `TABLE_LAG_MS`.
+ */
+export class TableGate {
+    readonly #options: TableGateOptions;
+    #hasReachedFloor = false;
+    #behindSinceMs: number | undefined;
+    #servedVersion = 0;
+
+    constructor(options: TableGateOptions) {
+        this.#options = options;
+    }
+
+    /** Why this daemon must not serve now, if so. */
+    reason(): string | undefined {
+        if (!this.#options.isLogCurrent()) {
+            return "the daemon has not caught up with the table since its start";
+        }
+        const version = this.#options.tableVersion();
+        const floor = this.#options.tableFloor();
+        if (version >= floor) {
+            this.#hasReachedFloor = true;
+            this.#behindSinceMs = undefined;
+            return undefined;
+        }
+        this.#behindSinceMs ??= monotonicMs();
+        if (this.#hasReachedFloor && monotonicMs() - this.#behindSinceMs < TABLE_LAG_MS) {
+            return undefined;
+        }
+        return `the daemon's table is at version ${version}, the zone's at ${floor}`;
+    }
+
+    /** Throws `unavailable`, not run, while the table is too old. */
+    check(): void {
+        const reason = this.reason();
+        if (reason !== undefined) {
+            throw new GreengageError(reason, {
+                code: ErrorCode.Unavailable,
+                verdict: Verdict.NotRun,
+                retryAfterMs: RETRY_AFTER_MS,
+            });
+        }
+        const version = this.#options.tableVersion();
+        this.#options.context.invariants.check(
+            Invariant.TableNeverReverts,
+            version >= this.#servedVersion,
+            () => `table version ${version} is served after version ${this.#servedVersion}`,
+        );
+        this.#servedVersion = Math.max(this.#servedVersion, version);
+    }
+}
--- a/packages/http/src/admission.ts
+++ b/packages/http/src/admission.ts
@@ -18,6 +18,7 @@
 /** Admits requests of callers within the limits and counts those in flight. */
 export class Admission {
     readonly #limits: HttpLimits;
+    readonly #checkServing: () => void;
     readonly #byRow = new Map<string, number>();
     readonly #byConnection = new WeakMap<Socket, number>();
     #idleWaiters: (() => void)[] = [];
@@ -27,8 +28,10 @@
     /** Whether responses close their connection, so that clients move to other daemons. */
     closesConnections = false;
 
-    constructor(limits: HttpLimits) {
+    /** `checkServing` throws while the daemon must not serve callers. */
+    constructor(limits: HttpLimits, checkServing: () => void = () => undefined) {
         this.#limits = limits;
+        this.#checkServing = checkServing;
     }
 
     /** Requests of callers that are not finished. */
@@ -52,6 +55,7 @@
 
     /** Runs one request within the limits. Throws before the work starts when there is no room. */
     async run(socket: Socket, work: () => Promise<void>): Promise<void> {
+        this.#checkServing();
         this.#requireRoom(socket);
         this.#inFlight += 1;
         this.#byConnection.set(socket, (this.#byConnection.get(socket) ?? 0) + 1);
