--- a/packages/daemon/src/propose.ts
+++ b/packages/daemon/src/propose.ts
@@ -9,8 +9,12 @@
 const RETRY_MS = 100;
 
 /** Proposes an edit until its outcome is known: a resend with the same edit id gets the first outcome. */
-export const proposeEdit = async (log: ReplicatedLog, command: EditCommand): Promise<EditOutcome> => {
-    const deadlineMs = monotonicMs() + EDIT_TIMEOUT_MS;
+export const proposeEdit = async (
+    log: ReplicatedLog,
+    command: EditCommand,
+    limitMs = EDIT_TIMEOUT_MS,
+): Promise<EditOutcome> => {
+    const deadlineMs = monotonicMs() + limitMs;
     let wasSent = false;
     for (;;) {
         try {
