Refuse an API key that stands in two organisations

Cause: the same key hash could be given to two organisations; the one that came last in the table won, so that one organisation's requests could use up another's limits. Change: an edit that would leave a key in two organisations is invalid and names the cell and the present owner. Conclusion: keys can still move between organisations in one edit.

--- a/packages/table/src/state.ts
+++ b/packages/table/src/state.ts
@@ -1,5 +1,6 @@
 import type { Command, StateMachine } from "@greengage/consensus";
 import { decode, encode } from "@greengage/protocol";
+import { sharedApiKeys } from "./apikeys.ts";
 import {
     type CellError,
     type EditCommand,
@@ -161,6 +162,10 @@
                 })),
             };
         }
+        const sharedKeys = sharedApiKeys(this.#organisationsAfter(edit, checked));
+        if (sharedKeys.length > 0) {
+            return { status: "invalid", errors: sharedKeys };
+        }
         const rows = edit.changes.map((change, position) =>
             this.#store(index, edit, change, checked[position]?.columns)
         );
@@ -169,6 +174,21 @@
         return { status: "accepted", tableVersion: index, rows: rows.filter((row) => row !== undefined) };
     }
 
+    #organisationsAfter(
+        edit: EditCommand,
+        checked: { columns?: Record<string, unknown>; }[],
+    ): Pick<StoredRow, "kind" | "name" | "columns">[] {
+        const changed = new Set(edit.changes.map(({ kind, name }) => rowKey(kind, name)));
+        const kept = this.rows(RowKind.Organisation).filter((row) =>
+            !changed.has(rowKey(row.kind, row.name))
+        );
+        const edited = edit.changes.flatMap(({ kind, name }, position) => {
+            const columns = checked[position]?.columns;
+            return columns === undefined ? [] : [{ kind, name, columns }];
+        });
+        return [...kept, ...edited];
+    }
+
     #versionOf(change: RowChange): number {
         return this.row(change.kind, change.name)?.version ?? 0;
     }
--- a/test/table/edits.test.ts
+++ b/test/table/edits.test.ts
@@ -92,3 +92,21 @@
     t.is(table.outcomeOf("e50")?.status, "accepted");
     t.is(table.history(20_000).length, 10_000);
 });
+
+// Guards against requests of one organisation that use up the limits of another one.
+test("an API key belongs to one organisation", (t) => {
+    const { edit } = createTable();
+    const owner = (name: string, baseVersion: number, ...apiKeyHashes: string[]): RowChange => ({
+        kind: "organisation",
+        name,
+        baseVersion,
+        columns: { apiKeyHashes },
+    });
+    const key = "a".repeat(64);
+    t.is(edit("e1", owner("first", 0, key)).status, "accepted");
+    t.like(edit("e2", owner("second", 0, key)), {
+        status: "invalid",
+        errors: { 0: { column: "apiKeyHashes" } },
+    });
+    t.is(edit("e3", owner("first", 1, "b".repeat(64)), owner("second", 0, key)).status, "accepted");
+});
