Count only answers as a member's acknowledgement

Cause: the leader noted its own term for a member that had not answered. Change: marks are raised with the term of the member's last answer. Conclusion: elections no longer depend on a member that was never reached.

--- a/packages/consensus/src/replication.ts
+++ b/packages/consensus/src/replication.ts
@@ -9,6 +9,8 @@
     member: Member;
     nextIndex: number;
     matchIndex: number;
+    /** Term of the member's last answer; 0 before the first one. */
+    answeredTerm: number;
     sentCommitIndex: number;
     sentMarksVersion: number;
     /** When the last answer came, and when the request that it answers was sent. */
@@ -114,6 +116,7 @@
             member,
             nextIndex: state.entries.lastIndex + 1,
             matchIndex: 0,
+            answeredTerm: 0,
             sentCommitIndex: 0,
             sentMarksVersion: 0,
             answeredAtMs: startedAtMs,
@@ -172,6 +175,7 @@
             const lastIndex = await this.#options.snapshots.send(progress.member, term);
             if (state.leads(term)) {
                 progress.answeredAtMs = monotonicMs();
+                progress.answeredTerm = term;
                 progress.matchIndex = Math.max(progress.matchIndex, lastIndex);
                 progress.nextIndex = lastIndex + 1;
                 this.#advanceCommit();
@@ -237,6 +241,7 @@
         }
         progress.answeredAtMs = monotonicMs();
         progress.answeredSentAtMs = sentAtMs;
+        progress.answeredTerm = response.term;
         if (!response.success) {
             progress.nextIndex = Math.max(1, Math.min(progress.nextIndex - 1, response.matchIndex + 1));
             return;
@@ -259,8 +264,11 @@
         if (index > state.commitIndex && state.entries.termAt(index) === state.term) {
             state.raiseCommitIndex(index);
         }
-        for (const { member, matchIndex } of this.#progress.values()) {
-            state.marks.raise(member.memberId, state.term, Math.min(matchIndex, state.commitIndex));
+        for (const { member, matchIndex, answeredTerm } of this.#progress.values()) {
+            // A member that has not answered has acknowledged nothing, not even the term.
+            if (answeredTerm > 0) {
+                state.marks.raise(member.memberId, answeredTerm, Math.min(matchIndex, state.commitIndex));
+            }
         }
     }
 }
