--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -11,6 +11,7 @@
 import { CompositeStateMachine, RaftLog } from "@greengage/consensus";
 import {
     Admission,
+    type DaemonSummary,
     DEFAULT_LIMITS,
     DrainState,
     HttpSurface,
@@ -28,6 +29,7 @@
 import type { Settings } from "./settings.ts";
 import { ActionSettlements } from "./settlement.ts";
 import { type DaemonStatus, versions } from "./status.ts";
+import { TableGate } from "./tablegate.ts";
 
 /** One daemon: all parts of the system on one entry VM. */
 export class Daemon {
@@ -37,6 +39,7 @@
     readonly #lifecycle = new Lifecycle();
     readonly #table = new TableState();
     readonly #actionRecords = new ActionRecords();
+    readonly #tableGate: TableGate;
     readonly #admission: Admission;
     readonly #drain: DaemonDrain;
     readonly #peers: PeerNetwork;
@@ -96,7 +99,13 @@
             dispatcher: this.#dispatcher,
         });
         const limits = { ...DEFAULT_LIMITS, ...settings.limits };
-        this.#admission = new Admission(limits);
+        this.#tableGate = new TableGate({
+            context,
+            tableVersion: () => this.#table.version,
+            tableFloor: () => this.#membership.directory.tableFloor(),
+            isLogCurrent: () => this.#log.isCurrent,
+        });
+        this.#admission = new Admission(limits, () => this.#tableGate.check());
         this.#drain = new DaemonDrain({
             context,
             admission: this.#admission,
@@ -146,16 +155,17 @@
     /** Closes at once. Requests in flight are cut off. */
     async close(): Promise<void> {
         await this.#lifecycle.close();
-        this.#context.logs(LogPart.Daemon).info("daemon is stopped");
+        this.#context.logs(LogPart.Daemon).info("daemon stopped");
         await this.#context.metrics.close();
     }
 
     /** Whether a load balancer should send callers' requests to this daemon. */
     readiness(): Readiness {
+        const staleTable = this.#tableGate.reason();
         const reasons: [boolean, string][] = [
             [this.#drain.state !== DrainState.Serving, `the daemon is ${this.#drain.state}`],
             [this.#self.controlOnly, "the daemon is control-only"],
-            [!this.#log.isCurrent, "the daemon has not caught up with the table since its start"],
+            [staleTable !== undefined, staleTable ?? ""],
             [
                 !this.#membership.directory.reachableZones().includes(this.#settings.zone),
                 "the daemon holds no grant of its own zone",
@@ -165,21 +175,28 @@
         return reason === undefined ? { ready: true } : { ready: false, reason };
     }
 
-    status(): DaemonStatus {
-        const { directory, lease } = this.#membership;
-        const { daemonId, zone } = this.#settings;
-        const { ready, reason } = this.readiness();
+    /** What the other daemons ask for often. */
+    summary(): DaemonSummary {
+        const { daemonId, zone, voter, controlOnly } = this.#self;
         return {
             daemonId,
             zone,
-            versions: versions(),
+            voter,
+            controlOnly,
             state: this.#drain.state,
-            ready,
-            notReadyReason: reason,
-            voter: this.#self.voter,
-            controlOnly: this.#self.controlOnly,
-            isController: lease.isValid,
+            ready: this.readiness().ready,
+            inFlight: this.#admission.inFlight,
             tableVersion: this.#table.version,
+        };
+    }
+
+    status(): DaemonStatus {
+        const { directory, lease } = this.#membership;
+        return {
+            ...this.summary(),
+            versions: versions(),
+            notReadyReason: this.readiness().reason,
+            isController: lease.isValid,
             log: this.#log.status(),
             reachableZones: directory.reachableZones(),
             unreachableZones: this.#unreachableZones(),
@@ -188,7 +205,6 @@
             measures: lease.isValid ? this.#membership.measures() : undefined,
             invariants: this.#context.invariants.counts(),
             violationCount: this.#context.invariants.violationCount,
-            inFlight: this.#admission.inFlight,
             inFlightByRow: this.#admission.counts(),
             process: processFigures(),
             peerTraffic: this.#peers.traffic,
@@ -257,6 +273,7 @@
                 daemonDrains: this.#drain,
                 actions: new ActionSettlements(this.#actions, this.#actionRecords),
                 status: () => this.status(),
+                summary: () => this.summary(),
             }),
         );
         this.#peers.handle("operator.forward", (request) => operators.handle(request));
--- a/packages/daemon/src/operators.ts
+++ b/packages/daemon/src/operators.ts
@@ -26,7 +26,7 @@
 /** The response to an edit waits this long for the zones; our bound for an edit to be in effect is 3 s. */
 const EFFECT_WAIT_MS = 3_000;
 
-export interface DaemonOperatorsOptions {
+interface DaemonOperatorsOptions {
     context: Context;
     settings: Settings;
     peers: Peers;
@@ -38,6 +38,7 @@
     daemonDrains: DaemonDrains;
     actions: ActionSettlement;
     status: () => DaemonStatus;
+    summary: () => DaemonSummary;
 }
 
 /** What operators can see and do at this daemon. */
@@ -50,6 +51,7 @@
     readonly daemonDrains: DaemonDrains;
     readonly actions: ActionSettlement;
     readonly status: () => DaemonStatus;
+    readonly summary: () => DaemonSummary;
     readonly #options: DaemonOperatorsOptions;
 
     constructor(options: DaemonOperatorsOptions) {
@@ -62,11 +64,7 @@
         this.daemonDrains = options.daemonDrains;
         this.actions = options.actions;
         this.status = options.status;
-    }
-
-    summary(): DaemonSummary {
-        const { daemonId, zone, voter, controlOnly, state, ready, inFlight, tableVersion } = this.status();
-        return { daemonId, zone, voter, controlOnly, state, ready, inFlight, tableVersion };
+        this.summary = options.summary;
     }
 
     groups(): ReturnType<OperatorApi["groups"]> {
--- a/packages/http/src/chat.ts
+++ b/packages/http/src/chat.ts
@@ -13,7 +13,7 @@
 import { toGreengageError } from "./problem.ts";
 import { ResponseSink } from "./sse.ts";
 
-export interface ChatOptions {
+interface ChatOptions {
     table: TableState;
     dispatcher: Dispatcher;
     keys: ApiKeys;
@@ -87,7 +87,7 @@
     call: GenerateRequest,
     signal: AbortSignal,
 ): Promise<void> => {
-    const sink = new ResponseSink(exchange);
+    const sink = new ResponseSink(exchange, signal);
     try {
         await dispatcher.generate(call, sink, signal);
     }
--- a/packages/http/src/surface.ts
+++ b/packages/http/src/surface.ts
@@ -32,7 +32,7 @@
 
 const OPERATOR_PREFIX = "/operator/v1/";
 
-export interface HttpSurfaceOptions {
+interface HttpSurfaceOptions {
     context: Context;
     listen: { host: string; port: number; };
     keys: { backendServers: string; operators: string; platform?: string; };
@@ -157,6 +157,7 @@
 
     async #serve(route: Route, exchange: Exchange): Promise<void> {
         const startedAtMs = monotonicMs();
+        exchange.response.shouldKeepAlive &&= !this.#options.admission.closesConnections;
         try {
             await this.#admit(route, exchange);
         }
