--- a/packages/bench/src/measure.ts
+++ b/packages/bench/src/measure.ts
@@ -1,5 +1,4 @@
 /** Runs one measurement: `npm run measure -- NAME`. The last line is JSON with the figures. */
-
 import { measureControl } from "./measure/control.ts";
 import { measureDrain } from "./measure/drain.ts";
 import { measureFairness } from "./measure/fairness.ts";
@@ -15,14 +14,6 @@
 }
 
 const measurements: Record<string, Measurement> = {
-    fairness: {
-        description: "first token of small organisations with and without the flood of a large one",
-        run: measureFairness,
-    },
-    limits: {
-        description: "accepted rate of an organisation over all daemons against its limit",
-        run: measureLimits,
-    },
     control: {
         description: "bytes, processor time and memory of a daemon for control, by role and size",
         run: measureControl,
@@ -39,6 +30,14 @@
         description: "group downtime and stranded accelerators by repair policy",
         run: measureRepair,
     },
+    fairness: {
+        description: "first token of small organisations with and without the flood of a large one",
+        run: measureFairness,
+    },
+    limits: {
+        description: "accepted rate of an organisation over all daemons against its limit",
+        run: measureLimits,
+    },
     relay: {
         description: "cost of the relay against a relay without checks, at one daemon's share of the peak",
         run: measureRelay,
