--- a/test/routing/fixtures.ts
+++ b/test/routing/fixtures.ts
@@ -6,7 +6,6 @@
     type BackendDispatcherOptions,
     type EventSink,
     type GenerateRequest,
-    type ServiceCall,
 } from "@greengage/routing";
 import type { ExecutionContext } from "ava";
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
@@ -26,21 +25,9 @@
     ...fields,
 });
 
-export const serviceOf = (fields: Partial<ServiceView> = {}): ServiceView => ({
-    vmId: "ledger-1",
-    incarnationId: "1",
-    service: "ledger",
-    zone: "zone-a",
-    url: "http://127.0.0.1:1",
-    maxConcurrent: 8,
-    available: true,
-    ...fields,
-});
-
 /** A directory whose groups a test sets by hand. */
 export class FakeDirectory {
     groups: GroupView[] = [];
-    serviceViews: ServiceView[] = [];
     shares = new Map<string, OrganisationShare>();
     isGrantValid = true;
     demandSource: () => OrganisationDemand[] = () => [];
@@ -67,7 +54,7 @@
     }
 
     allGroups = (): GroupView[] => this.groups;
-    services = (): ServiceView[] => this.serviceViews;
+    services = (): ServiceView[] => [];
     daemonCount = (): number => 1;
     share = (organisation: string): OrganisationShare | undefined => this.shares.get(organisation);
 
@@ -186,7 +173,6 @@
     directory: FakeDirectory;
     dispatcher: BackendDispatcher;
     request: (fields?: Partial<GenerateRequest>) => GenerateRequest;
-    call: (fields?: Partial<ServiceCall>) => ServiceCall;
 }
 
 /** A dispatcher with a directory that the test sets. */
@@ -214,19 +200,7 @@
         deadlineAtMs: monotonicMs() + 30_000,
         ...fields,
     });
-    const call = (fields: Partial<ServiceCall> = {}): ServiceCall => ({
-        requestId: newId(),
-        organisation: "umbrella-corner",
-        service: "ledger",
-        method: "POST",
-        path: "/sales",
-        headers: { "content-type": "application/json" },
-        body: Buffer.from("{}"),
-        deadlineAtMs: monotonicMs() + 30_000,
-        nonIdempotent: true,
-        ...fields,
-    });
-    return { context, directory, dispatcher, request, call };
+    return { context, directory, dispatcher, request };
 };
 
 const organisationRow = {
