Refuse writes from the moment the data folder is closed

Change: closing refuses further writes first, then waits for those that have begun. Conclusion: a stop behaves like a crash for what was not yet written.

--- a/packages/consensus/src/storage.ts
+++ b/packages/consensus/src/storage.ts
@@ -127,12 +127,13 @@
         return this.#lastWrite;
     }
 
+    /** Refuses further writes and waits for those that have begun. */
     async close(): Promise<void> {
+        this.#failure ??= new StorageError("the data folder is closed");
         await this.#lastWrite.catch(() => undefined);
         await this.#replacing.catch(() => undefined);
         await this.#logFile?.close();
         this.#logFile = undefined;
-        this.#failure ??= new StorageError("the data folder is closed");
     }
 
     #path(name: string): string {
