--- a/packages/daemon/src/propose.ts
+++ b/packages/daemon/src/propose.ts
@@ -12,7 +12,7 @@
 export const proposeEdit = async (
     log: ReplicatedLog,
     command: EditCommand,
-    limitMs: number = EDIT_TIMEOUT_MS,
+    limitMs = EDIT_TIMEOUT_MS,
 ): Promise<EditOutcome> => {
     const deadlineMs = monotonicMs() + limitMs;
     let wasSent = false;
