Check the table version of each zone in the chaos run

Cause: a daemon that comes back could serve an older table than its zone had served, and only each daemon's own past was compared.

Change: a ready daemon must not be below what its zone had served 3.5 s before. The run prints how often each invariant was checked in the daemons.

--- a/packages/bench/src/chaos/run.ts
+++ b/packages/bench/src/chaos/run.ts
@@ -181,6 +181,7 @@
         }
         this.#say(`actions: ${format(this.#actions.answerCounts)}`);
         this.#say(`edits: ${format(this.#operators.answerCounts)}`);
+        this.#say(`checks in the daemons: ${format(this.#watch.checkCounts())}`);
         this.#say(`violations: ${this.#violations.summary() || "none"}`);
     }
 
--- a/packages/bench/src/chaos/watch.ts
+++ b/packages/bench/src/chaos/watch.ts
@@ -6,6 +6,8 @@
 
 const POLL_MS = 250;
 const ANSWER_TIMEOUT_MS = 1_000;
+/** A running daemon may lag by 3 s (`tableLagMs`); half a second for the reading under load. */
+const TABLE_LAG_MS = 3_500;
 const ACCELERATORS_PER_VM = 8;
 
 interface GroupStatus {
@@ -38,7 +40,9 @@
     /** Starts of daemons that served an older table than before: each counts once. */
     readonly #wentBack = new Set<string>();
     readonly #highestVersions = new Map<string, number>();
-    checkedInvariants = new Map<string, number>();
+    readonly #checked = new Map<string, number>();
+    /** Versions that the ready daemons of each zone have shown, ascending. */
+    readonly #servedVersions = new Map<string, { version: number; atMs: number; }[]>();
     groupDowntimeS = 0;
     strandedAcceleratorS = 0;
 
@@ -77,6 +81,7 @@
             this.#statuses.set(daemon.daemonId, status);
             this.#checkInvariants(status, processId);
             this.#checkVersion(status, processId);
+            this.#checkZoneVersion(status, processId);
             this.#checkGroups(status);
             return status;
         }
@@ -88,7 +93,7 @@
     #checkInvariants(status: DaemonStatus, processId: number): void {
         for (const [invariant, { checked, violated }] of Object.entries(status.invariants)) {
             const key = `${status.daemonId} ${processId} ${invariant}`;
-            this.checkedInvariants.set(key, checked);
+            this.#checked.set(key, checked);
             const before = this.#violated.get(key) ?? 0;
             this.#violated.set(key, violated);
             for (let count = before; count < violated; count += 1) {
@@ -113,6 +118,40 @@
         this.#highestVersions.set(daemonId, Math.max(highest, tableVersion));
     }
 
+    /** A daemon that serves may lag behind what its zone has served, but not for longer than the bound. */
+    #checkZoneVersion({ daemonId, zone, ready, tableVersion }: DaemonStatus, processId: number): void {
+        if (!ready) {
+            return;
+        }
+        const nowMs = monotonicMs();
+        const served = this.#servedVersions.get(zone) ?? [];
+        this.#servedVersions.set(zone, served);
+        const settled = served.findLast(({ atMs }) => atMs < nowMs - TABLE_LAG_MS);
+        const key = `${daemonId} ${processId} of ${zone}`;
+        if (settled !== undefined && tableVersion < settled.version && !this.#wentBack.has(key)) {
+            this.#wentBack.add(key);
+            const lagMs = Math.round(nowMs - settled.atMs);
+            const detail = `${daemonId} serves version ${tableVersion}, ${zone} served ${settled.version}`;
+            this.#violations.add(
+                "P8 daemon serves an older table than its zone",
+                `${detail} ${lagMs} ms ago`,
+            );
+        }
+        if (tableVersion > (served.at(-1)?.version ?? 0)) {
+            served.push({ version: tableVersion, atMs: nowMs });
+        }
+    }
+
+    /** How often each invariant was checked, over all daemons and starts. */
+    checkCounts(): Map<string, number> {
+        const counts = new Map<string, number>();
+        for (const [key, checked] of this.#checked) {
+            const invariant = key.split(" ").at(-1) ?? "";
+            counts.set(invariant, (counts.get(invariant) ?? 0) + checked);
+        }
+        return counts;
+    }
+
     #checkGroups({ daemonId, zone, isController, groups }: DaemonStatus): void {
         if (!isController) {
             return;
