Hold a service's calls to the limit in its row

Cause: the column maxConcurrent of services was checked and stored, and nothing enforced it; an operator who lowered it saw no effect. Calls to services had no focused tests either. The part of each daemon is fixed, as there is no exchange for services.

--- a/packages/bench/src/measure/fairness.ts
+++ b/packages/bench/src/measure/fairness.ts
@@ -123,7 +123,10 @@
     const dispatcher = new BackendDispatcher({
         context: createContext({ daemonId: "daemon-1", zone: "zone-a" }),
         directory: directoryOf(servers.map(viewOf)),
-        table: { organisation: (name) => ({ ...row, name, version: 1, apiKeyHashes: [], enabled: true }) },
+        table: {
+            organisation: (name) => ({ ...row, name, version: 1, apiKeyHashes: [], enabled: true }),
+            service: () => undefined,
+        },
         backendKey: "key",
         isFair,
     });
--- a/packages/routing/src/dispatcher.ts
+++ b/packages/routing/src/dispatcher.ts
@@ -21,7 +21,7 @@
 export interface BackendDispatcherOptions {
     context: Context;
     directory: GroupDirectory;
-    table: Pick<TableState, "organisation">;
+    table: Pick<TableState, "organisation" | "service">;
     /** Key that backend servers expect with requests. */
     backendKey: string;
     /** Daemons that take requests, for limits without shares. Default: those that hold grants of the own zone. */
@@ -55,10 +55,11 @@
         const { context, directory, table, backendKey } = options;
         const { strategy, affinity, isFair, knownDaemonCount } = options;
         this.#streamLimits = { ...DEFAULT_STREAM_LIMITS, ...options.streamLimits };
+        const daemonCount = (): number => knownDaemonCount ?? directory.daemonCount(context.zone);
         this.#limits = new OrganisationLimits({
             share: (organisation) => directory.share(organisation),
             limit: (organisation) => table.organisation(organisation),
-            daemonCount: () => knownDaemonCount ?? directory.daemonCount(context.zone),
+            daemonCount,
         });
         directory.setDemandSource(() => this.#limits.demand());
         this.#chooser = new Chooser({ loads: this.#loads, zone: context.zone, strategy, affinity });
@@ -76,6 +77,8 @@
             budget: this.#budget,
             pools: this.#pools,
             backendKey,
+            limitOf: (service) =>
+                Math.max(1, Math.floor((table.service(service)?.maxConcurrent ?? 1) / daemonCount())),
         });
         directory.setInFlightSource(() => [...this.#loads.counts(), ...this.#services.counts()]);
         this.#lifecycle.onClose(() => this.#pools.close());
--- a/packages/routing/src/servicecalls.ts
+++ b/packages/routing/src/servicecalls.ts
@@ -19,12 +19,15 @@
     budget: RetryBudget;
     pools: Pools;
     backendKey: string;
+    /** Calls of a service that this daemon may run at once: its part of the row's `maxConcurrent`. */
+    limitOf: (service: string) => number;
 }
 
 /** Calls backend servers of plain services. */
 export class ServiceCalls {
     readonly #options: ServiceCallsOptions;
     readonly #inFlight = new Map<string, number>();
+    readonly #running = new Map<string, number>();
     #turn = 0;
 
     constructor(options: ServiceCallsOptions) {
@@ -38,6 +41,24 @@
 
     /** An answer with any status counts as run. Throws a GreengageError whose verdict covers all attempts. */
     async run(call: ServiceCall, cancellation: Cancellation): Promise<ServiceResponse> {
+        const { service } = call;
+        const running = this.#running.get(service) ?? 0;
+        if (running >= this.#options.limitOf(service)) {
+            throw noCapacity(
+                `this daemon already runs ${running} calls of service ${service}`,
+                RETRY_AFTER_MS,
+            );
+        }
+        this.#running.set(service, running + 1);
+        try {
+            return await this.#runAttempts(call, cancellation);
+        }
+        finally {
+            this.#running.set(service, (this.#running.get(service) ?? 1) - 1);
+        }
+    }
+
+    async #runAttempts(call: ServiceCall, cancellation: Cancellation): Promise<ServiceResponse> {
         const tried = new Set<string>();
         let mayHaveRun = false;
         let writeCount = 0;
--- a/test/routing/fixtures.ts
+++ b/test/routing/fixtures.ts
@@ -7,6 +7,7 @@
     type EventSink,
     type GenerateRequest,
 } from "@greengage/routing";
+import type { ServiceRow } from "@greengage/table";
 import type { ExecutionContext } from "ava";
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
@@ -54,7 +55,8 @@
     }
 
     allGroups = (): GroupView[] => this.groups;
-    services = (): ServiceView[] => [];
+    serviceViews: ServiceView[] = [];
+    services = (): ServiceView[] => this.serviceViews;
     daemonCount = (): number => 1;
     share = (organisation: string): OrganisationShare | undefined => this.shares.get(organisation);
 
@@ -185,7 +187,7 @@
     const dispatcher = new BackendDispatcher({
         context,
         directory: directory as unknown as GroupDirectory,
-        table: { organisation: () => organisationRow },
+        table: { organisation: () => organisationRow, service: () => serviceRow },
         backendKey: "key",
         knownDaemonCount: 1,
         strategy: "leastInFlight",
@@ -215,3 +217,13 @@
 };
 
 export const never = (): AbortSignal => new AbortController().signal;
+
+const serviceRow: ServiceRow = {
+    name: "ledger",
+    version: 1,
+    pathPrefix: "/",
+    nonIdempotent: ["POST"],
+    timeoutMs: 10_000,
+    maxConcurrent: 2,
+    enabled: true,
+};
