--- a/packages/faults/src/process.ts
+++ b/packages/faults/src/process.ts
@@ -41,7 +41,7 @@
     }
 
     get isRunning(): boolean {
-        return this.#child.exitCode === null && this.#child.signalCode === null;
+        return (this.#child.exitCode ?? this.#child.signalCode ?? undefined) === undefined;
     }
 
     /** Asks the process to stop and waits for its end. */
--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission.ts
@@ -60,7 +60,7 @@
 export const generationKey = (group: GroupView): string => `${group.groupId}/${group.generation}`;
 
 /** Gives requests places at groups: at once while there is room, otherwise through the fair queue. */
-export class Admission {
+export class GroupAdmission {
     readonly #options: AdmissionOptions;
     readonly #lifecycle = new Lifecycle();
     readonly #queues = new Map<string, FairQueue<Waiter>>();
--- a/packages/routing/src/dispatcher.ts
+++ b/packages/routing/src/dispatcher.ts
@@ -1,7 +1,7 @@
 import { type Context, ErrorCode, GreengageError, Lifecycle, monotonicMs, Verdict } from "@greengage/base";
 import type { GroupDirectory } from "@greengage/membership";
 import type { TableState } from "@greengage/table";
-import { Admission, DEFAULT_QUEUE_LIMITS, type QueueLimits } from "./admission.ts";
+import { DEFAULT_QUEUE_LIMITS, GroupAdmission, type QueueLimits } from "./admission.ts";
 import { RetryBudget } from "./budget.ts";
 import { Cancellation } from "./cancellation.ts";
 import { Chooser } from "./chooser.ts";
@@ -47,7 +47,7 @@
     readonly #streamLimits: StreamLimits;
     readonly #limits: OrganisationLimits;
     readonly #chooser: Chooser;
-    readonly #admission: Admission;
+    readonly #admission: GroupAdmission;
     readonly #services: ServiceCalls;
 
     constructor(options: BackendDispatcherOptions) {
@@ -64,7 +64,7 @@
         directory.setDemandSource(() => this.#limits.demand());
         this.#chooser = new Chooser({ loads: this.#loads, zone: context.zone, strategy, affinity });
         const limits = { ...DEFAULT_QUEUE_LIMITS, ...options.queueLimits };
-        this.#admission = new Admission({
+        this.#admission = new GroupAdmission({
             directory,
             loads: this.#loads,
             chooser: this.#chooser,
--- a/packages/routing/src/generation.ts
+++ b/packages/routing/src/generation.ts
@@ -1,7 +1,7 @@
 import { type Context, GreengageError, Invariant, monotonicMs, Verdict } from "@greengage/base";
 import type { GroupDirectory } from "@greengage/membership";
 import { GroupState, type GroupView } from "@greengage/protocol";
-import { type Admission, generationKey, type Slot } from "./admission.ts";
+import { generationKey, type GroupAdmission, type Slot } from "./admission.ts";
 import type { RetryBudget } from "./budget.ts";
 import type { Cancellation } from "./cancellation.ts";
 import type { Chooser } from "./chooser.ts";
@@ -20,7 +20,7 @@
 export interface GenerationOptions {
     context: Context;
     directory: GroupDirectory;
-    admission: Admission;
+    admission: GroupAdmission;
     chooser: Chooser;
     loads: GroupLoads;
     budget: RetryBudget;
