--- a/packages/base/src/context.ts
+++ b/packages/base/src/context.ts
@@ -1,3 +1,4 @@
+import { type Decisions, silentDecisions } from "./decisions.ts";
 import { Invariants } from "./invariants.ts";
 import { type LogFactory, LogPart, silentLogs } from "./log.ts";
 import { Metrics } from "./metrics.ts";
@@ -9,6 +10,8 @@
     daemonId: string;
     zone: string;
     logs: LogFactory;
+    /** One line for each decision on a request or a belief. */
+    decisions: Decisions;
     metrics: Metrics;
     timeline: Timeline;
     invariants: Invariants;
@@ -19,6 +22,8 @@
     zone: string;
     /** Default: no lines. */
     logs?: LogFactory;
+    /** Default: no lines. */
+    decisions?: Decisions;
     /** Default: nothing is sent. */
     metrics?: Metrics;
 }
@@ -29,5 +34,6 @@
     const metrics = options.metrics ?? new Metrics();
     const timeline = new Timeline({ daemonId: options.daemonId });
     const invariants = new Invariants({ log: logs(LogPart.Invariant), metrics, timeline });
-    return { daemonId: options.daemonId, zone: options.zone, logs, metrics, timeline, invariants };
+    const decisions = options.decisions ?? silentDecisions;
+    return { daemonId: options.daemonId, zone: options.zone, logs, decisions, metrics, timeline, invariants };
 };
--- a/packages/base/src/log.ts
+++ b/packages/base/src/log.ts
@@ -1,4 +1,5 @@
 import { Logger } from "tslog";
+import type { LogWriter } from "./logwriter.ts";
 
 /** Fixed prefix of each part's log lines. */
 export const LogPart = {
@@ -29,6 +30,8 @@
     level?: LogLevel;
     /** Levels of single parts that differ from `level`. */
     levels?: Partial<Record<LogPart, LogLevel>>;
+    /** Takes the lines in place of standard output. With it the shape is JSON. */
+    writer?: LogWriter;
 }
 
 export interface Log {
@@ -43,8 +46,9 @@
 
 /** Creates a factory of loggers, one per part, that share format and levels. */
 export const createLogFactory = (options: LogOptions = {}): LogFactory => {
+    const { writer } = options;
     const root = new Logger<unknown>({
-        type: options.format ?? "json",
+        type: writer === undefined ? options.format ?? "json" : "hidden",
         stack: { capture: "off" },
         pretty: { template: "{{yyyy}}-{{mm}}-{{dd}} {{hh}}:{{MM}}:{{ss}}.{{ms}} {{logLevelName}} " },
     });
@@ -53,6 +57,13 @@
         const logger = root.getSubLogger({ minLevel: LogLevel[level] });
         const write =
             (name: "debug" | "info" | "warn" | "error") => (message: string, fields?: object): void => {
+                if (writer !== undefined) {
+                    if (LogLevel[name] >= LogLevel[level]) {
+                        const at = new Date().toISOString();
+                        writer.add(JSON.stringify({ at, level: name, part, message, ...fields }));
+                    }
+                    return;
+                }
                 const line = `${part}: ${message}`;
                 if (fields === undefined) {
                     logger[name](line);
--- a/packages/base/src/metrics.ts
+++ b/packages/base/src/metrics.ts
@@ -1,4 +1,5 @@
 import { StatsD } from "hot-shots";
+import { Exposition } from "./exposition.ts";
 
 export interface MetricsOptions {
     /** StatsD server. Without a host nothing is sent. */
@@ -9,16 +10,17 @@
     tags?: Record<string, string>;
 }
 
-/** Sends metrics in the StatsD protocol. Names are listed in docs/operators/metrics.md. */
+/** Counts metrics for the metrics address, and sends them in the StatsD protocol. See docs/operators/metrics.md. */
 export class Metrics {
-    readonly #client: StatsD;
+    readonly #client: StatsD | undefined;
+    readonly #exposition = new Exposition();
 
     constructor(options: MetricsOptions = {}) {
-        this.#client = new StatsD({
+        // A client without a server would keep every message in memory.
+        this.#client = options.host === undefined ? undefined : new StatsD({
             prefix: "greengage.",
-            host: options.host ?? "127.0.0.1",
+            host: options.host,
             port: options.port ?? 8125,
-            mock: options.host === undefined,
             globalTags: options.tags ?? {},
             maxBufferSize: 1400,
             errorHandler: () => undefined,
@@ -26,18 +28,27 @@
     }
 
     count(name: string, value = 1, tags?: Record<string, string>): void {
-        this.#client.increment(name, value, tags);
+        this.#exposition.count(name, value, tags);
+        this.#client?.increment(name, value, tags);
     }
 
     gauge(name: string, value: number, tags?: Record<string, string>): void {
-        this.#client.gauge(name, value, tags);
+        this.#exposition.gauge(name, value, tags);
+        this.#client?.gauge(name, value, tags);
     }
 
     durationMs(name: string, value: number, tags?: Record<string, string>): void {
-        this.#client.timing(name, value, tags);
+        this.#exposition.durationMs(name, value, tags);
+        this.#client?.timing(name, value, tags);
+    }
+
+    /** All metrics of this process as text. */
+    render(): string {
+        return this.#exposition.render();
     }
 
     close(): Promise<void> {
-        return new Promise((resolve) => this.#client.close(() => resolve()));
+        const client = this.#client;
+        return client === undefined ? Promise.resolve() : new Promise((resolve) => client.close(() => resolve()));
     }
 }
--- /dev/null
+++ b/packages/configuration/src/router.ts
@@ -0,0 +1,76 @@
+import type { Configuration, Organisation, Route, ServiceSpec } from "./types.ts";
+
+/** Look-up of routes, services and keys of one configuration. */
+export class RoutingTable {
+    readonly version: number;
+    readonly configuration: Configuration;
+    readonly #routes = new Map<string, Map<string, Route>>();
+    readonly #services = new Map<string, ServiceSpec>();
+    readonly #organisations = new Map<string, Organisation>();
+
+    constructor(configuration: Configuration) {
+        this.configuration = configuration;
+        this.version = configuration.version;
+        for (const route of configuration.routes) {
+            const byPrefix = this.#routes.get(route.host) ?? new Map<string, Route>();
+            byPrefix.set(route.pathPrefix, route);
+            this.#routes.set(route.host, byPrefix);
+        }
+        for (const service of configuration.services) {
+            this.#services.set(service.name, service);
+        }
+        for (const organisation of configuration.organisations ?? []) {
+            for (const apiKey of organisation.apiKeys) {
+                this.#organisations.set(apiKey, organisation);
+            }
+        }
+    }
+
+    /** Whether callers need a key. */
+    get needsKeys(): boolean {
+        return this.configuration.organisations !== undefined;
+    }
+
+    /** The route of the host whose prefix is the longest that begins the path. `target` may have a query. */
+    match(host: string, target: string): Route | undefined {
+        const byPrefix = this.#routes.get(hostName(host));
+        if (byPrefix === undefined) {
+            return undefined;
+        }
+        const queryAt = target.indexOf("?");
+        const path = queryAt < 0 ? target : target.slice(0, queryAt);
+        for (let end = path.lastIndexOf("/"); end >= 0; end = end === 0 ? -1 : path.lastIndexOf("/", end - 1)) {
+            const route = byPrefix.get(path.slice(0, end + 1));
+            if (route !== undefined) {
+                return route;
+            }
+        }
+        return undefined;
+    }
+
+    service(name: string): ServiceSpec | undefined {
+        return this.#services.get(name);
+    }
+
+    organisationOf(apiKey: string): Organisation | undefined {
+        return this.#organisations.get(apiKey);
+    }
+}
+
+const hostName = (host: string): string => {
+    const portAt = host.lastIndexOf(":");
+    return portAt < 0 ? host : host.slice(0, portAt);
+};
+
+/** Picks a service of a route by weight. `fraction` is in `[0, 1)`. */
+export const pickService = (route: Route, fraction: number): string => {
+    const totalWeight = route.shares.reduce((sum, share) => sum + share.weight, 0);
+    let remaining = fraction * totalWeight;
+    for (const { service, weight } of route.shares) {
+        remaining -= weight;
+        if (weight > 0 && remaining < 0) {
+            return service;
+        }
+    }
+    return route.shares.findLast((share) => share.weight > 0)?.service ?? "";
+};
--- /dev/null
+++ b/packages/configuration/src/validate.ts
@@ -0,0 +1,58 @@
+import type { Configuration, Route } from "./types.ts";
+
+/** What makes a configuration invalid, one sentence for each problem; empty when it is valid. */
+export const findProblems = (configuration: Configuration): string[] => [
+    ...versionProblems(configuration),
+    ...placeProblems(configuration.routes),
+    ...configuration.routes.flatMap((route) => routeProblems(route, serviceNames(configuration))),
+    ...keyProblems(configuration),
+];
+
+const serviceNames = (configuration: Configuration): Set<string> =>
+    new Set(configuration.services.map((service) => service.name));
+
+const versionProblems = ({ version }: Configuration): string[] =>
+    Number.isSafeInteger(version) && version > 0 ? [] : ["the version is not a positive integer"];
+
+const placeProblems = (routes: readonly Route[]): string[] => {
+    const places = new Map<string, string>();
+    const problems: string[] = [];
+    for (const { name, host, pathPrefix } of routes) {
+        const place = `${host}${pathPrefix}`;
+        const other = places.get(place);
+        if (other !== undefined) {
+            problems.push(`the routes ${other} and ${name} have the same host and prefix`);
+        }
+        places.set(place, name);
+    }
+    return problems;
+};
+
+const routeProblems = (route: Route, services: Set<string>): string[] => {
+    const { name, pathPrefix, shares, timeoutMs, maxAttempts } = route;
+    const problems = shares.filter(({ service }) => !services.has(service))
+        .map(({ service }) => `route ${name} names the unknown service ${service}`);
+    const totalWeight = shares.reduce((sum, share) => sum + share.weight, 0);
+    const checks: [boolean, string][] = [
+        [pathPrefix.startsWith("/") && pathPrefix.endsWith("/"), "has a prefix without slashes at both ends"],
+        [totalWeight > 0 && shares.every(({ weight }) => weight >= 0), "has no service with a weight above 0"],
+        [timeoutMs > 0, "has no timeout above 0"],
+        [maxAttempts >= 1, "allows no attempt"],
+    ];
+    return [...problems, ...checks.filter(([holds]) => !holds).map(([, reason]) => `route ${name} ${reason}`)];
+};
+
+const keyProblems = ({ organisations = [] }: Configuration): string[] => {
+    const owners = new Map<string, string>();
+    const problems: string[] = [];
+    for (const { name, apiKeys } of organisations) {
+        for (const apiKey of apiKeys) {
+            const owner = owners.get(apiKey);
+            if (owner !== undefined && owner !== name) {
+                problems.push(`the organisations ${owner} and ${name} share a key`);
+            }
+            owners.set(apiKey, name);
+        }
+    }
+    return problems;
+};
--- a/packages/consensus/src/log.ts
+++ b/packages/consensus/src/log.ts
@@ -34,6 +34,10 @@
     /** Daemon that a learner fetches from. */
     parentId?: string;
     isCurrent: boolean;
+    /** Time since the last word of the leader; 0 on the leader, Infinity when there was none. */
+    leaderContactAgeMs: number;
+    /** Daemons that ask this leader for a vote. */
+    joiningIds: string[];
 }
 
 export interface TimeoutOptions {
--- a/packages/consensus/src/members.ts
+++ b/packages/consensus/src/members.ts
@@ -9,15 +9,29 @@
 const JOINING_FOR_MS = 5_000;
 const CHECK_IN_RETRY_MS = 100;
 const SAVE_MARKS_MS = 1_000;
+/** A voter without a leader for this many election timeouts asks whether it is still a voter. */
+const FORGOTTEN_AFTER_ELECTIONS = 3;
 /** A joining member becomes a voter when it lacks no more than this many entries. */
 const CAUGHT_UP_ENTRIES = 64;
 
 type StatusResponse = Calls["raft.status"]["response"];
 
+/** How voters are chosen where the settings don't list them. */
+export interface DynamicVoters {
+    /** Daemons that found the cluster at the first start, and that a daemon without members asks to join. */
+    seedIds: () => readonly string[];
+    /** The cluster grows to this many voters; further daemons wait to replace a lost one. */
+    targetCount: number;
+    /** A voter that has not answered for this long gives its vote to a daemon that waits. */
+    replaceLostAfterMs: number;
+}
+
 export interface MembersOptions {
     state: RaftState;
     replication: Replication;
     daemons: readonly LogDaemon[];
+    /** Set where the settings don't list the voters. */
+    dynamicVoters?: DynamicVoters;
     /** Whether this daemon may found a cluster together with the other voters of the settings. */
     bootstrap: boolean;
     /** Called when this daemon has written the first entry of a new cluster. */
@@ -28,7 +42,7 @@
 export class Members {
     readonly #options: MembersOptions;
     readonly #state: RaftState;
-    readonly #voterIds: string[];
+    readonly #settingsVoterIds: string[];
     readonly #joining = new Map<string, { member: Member; askedAtMs: number; }>();
     #rejoining: Promise<void> | undefined;
     #savedMarksVersion = 0;
@@ -36,12 +50,18 @@
     constructor(options: MembersOptions) {
         this.#options = options;
         this.#state = options.state;
-        this.#voterIds = options.daemons.filter((daemon) => daemon.voter).map((daemon) => daemon.daemonId);
+        this.#settingsVoterIds = options.daemons.filter((daemon) => daemon.voter).map(({ daemonId }) => daemonId);
         const { peers } = this.#state;
         peers.handle("raft.status", (request) => this.#status(request));
         peers.handle("raft.joinAs", (request, from) => this.#joinAs(request, from));
     }
 
+    /** Daemons that found a cluster and that can be asked to join one. */
+    get #voterIds(): string[] {
+        const { dynamicVoters } = this.#options;
+        return dynamicVoters === undefined ? this.#settingsVoterIds : [...dynamicVoters.seedIds()].sort();
+    }
+
     /** Members that asked to join lately. */
     joiningMembers(): Member[] {
         const oldestMs = monotonicMs() - JOINING_FOR_MS;
@@ -55,7 +75,7 @@
         await this.#checkIn(signal);
         let warnedAtMs = monotonicMs();
         while (!signal.aborted) {
-            if (!state.isVoter && !await this.#tryBootstrap()) {
+            if (this.#mustJoin() && !await this.#tryBootstrap()) {
                 await this.#askToJoin();
                 if (monotonicMs() - warnedAtMs > 5_000) {
                     warnedAtMs = monotonicMs();
@@ -66,6 +86,14 @@
         }
     }
 
+    /** A voter that was replaced while it was cut off learns of it from the leader that it asks to join. */
+    #mustJoin(): boolean {
+        const { isVoter, timing } = this.#state;
+        const isForgotten = this.#options.dynamicVoters !== undefined
+            && this.#state.leaderContactAgeMs() > FORGOTTEN_AFTER_ELECTIONS * timing.electionTimeoutMs;
+        return !isVoter || isForgotten;
+    }
+
     /** Task that keeps what the other members have acknowledged on the disk. */
     async saveMarks(signal: AbortSignal): Promise<void> {
         const { marks, storage } = this.#state;
@@ -114,6 +142,12 @@
         const state = this.#state;
         const startedAtMs = monotonicMs();
         const known = state.voters.map((member) => member.daemonId);
+        if (known.length === 0 && state.term === 0 && this.#options.dynamicVoters !== undefined) {
+            // A new identity has acknowledged nothing that its files could lack.
+            state.isCheckedIn = true;
+            state.changed.notify();
+            return;
+        }
         const others = (known.length > 0 ? known : this.#voterIds).filter((id) => id !== state.daemonId);
         while (!signal.aborted && !state.isCheckedIn) {
             const answers = await this.#askAll(others);
@@ -189,7 +223,8 @@
     async #askToJoin(): Promise<void> {
         const { daemonId, memberId, leaderId, peers, timing } = this.#state;
         const request: Member = { daemonId, memberId, voter: true };
-        const candidates = [...new Set([leaderId, ...this.#voterIds])].filter((id) => id !== undefined);
+        const knownIds = this.#state.voters.map((voter) => voter.daemonId);
+        const candidates = [...new Set([leaderId, ...knownIds, ...this.#voterIds])].filter((id) => id !== undefined);
         for (const id of candidates.filter((candidate) => candidate !== daemonId)) {
             const answer = await peers.call(id, "raft.joinAs", request, { timeoutMs: timing.callTimeoutMs })
                 .catch(() => undefined);
@@ -206,7 +241,8 @@
         if (!state.isLeader) {
             return { ok: false, leaderId, reason: "this daemon is not the leader" };
         }
-        if (from !== member.daemonId || !this.#voterIds.includes(member.daemonId)) {
+        const isAllowed = this.#options.dynamicVoters !== undefined || this.#voterIds.includes(member.daemonId);
+        if (from !== member.daemonId || !isAllowed) {
             return { ok: false, leaderId, reason: `daemon ${member.daemonId} is no voter in the settings` };
         }
         if (state.voters.some((voter) => voter.memberId === member.memberId)) {
@@ -230,7 +266,10 @@
             return;
         }
         const { clusterId, members } = configurations.current;
-        const obsolete = members.find(({ daemonId }) => !this.#voterIds.includes(daemonId));
+        const obsolete = this.#obsoleteVoter(member);
+        if (obsolete === undefined && !this.#hasPlaceFor(member)) {
+            return;
+        }
         const next = obsolete === undefined
             ? [...members.filter(({ daemonId }) => daemonId !== member.daemonId), member]
             : members.filter((other) => other !== obsolete);
@@ -241,4 +280,34 @@
         }
         this.#options.replication.append("configuration", payload).catch(() => undefined);
     }
+
+    /** Voter that must go before `joining` can become one. */
+    #obsoleteVoter(joining: Member): Member | undefined {
+        const { members } = this.#state.configurations.current;
+        const { dynamicVoters } = this.#options;
+        if (dynamicVoters === undefined) {
+            return members.find(({ daemonId }) => !this.#voterIds.includes(daemonId));
+        }
+        const isReturning = members.some(({ daemonId }) => daemonId === joining.daemonId);
+        if (isReturning || members.length < dynamicVoters.targetCount) {
+            return undefined;
+        }
+        const { replication } = this.#options;
+        const { otherVoters, timing } = this.#state;
+        const lost = otherVoters.find(({ memberId }) =>
+            replication.silentForMs(memberId) >= dynamicVoters.replaceLostAfterMs
+        );
+        // The smaller cluster commits the change with all of its voters if there are two of them.
+        const othersAnswer = otherVoters.every((voter) =>
+            voter === lost || replication.silentForMs(voter.memberId) < timing.electionTimeoutMs
+        );
+        return othersAnswer ? lost : undefined;
+    }
+
+    #hasPlaceFor(joining: Member): boolean {
+        const { members } = this.#state.configurations.current;
+        const { dynamicVoters } = this.#options;
+        return dynamicVoters === undefined || members.length < dynamicVoters.targetCount
+            || members.some(({ daemonId }) => daemonId === joining.daemonId);
+    }
 }
--- a/packages/consensus/src/memory.ts
+++ b/packages/consensus/src/memory.ts
@@ -36,6 +36,8 @@
             appliedIndex: this.#appliedIndex,
             firstLogIndex: 1,
             isCurrent: true,
+            leaderContactAgeMs: 0,
+            joiningIds: [],
         };
     }
 }
--- a/packages/consensus/src/proposals.ts
+++ b/packages/consensus/src/proposals.ts
@@ -15,8 +15,8 @@
     state: RaftState;
     replication: Replication;
     applier: Applier;
-    /** Daemons that the settings name as voters. */
-    voterIds: string[];
+    /** Daemons that are asked for the leader while none is known. */
+    voterIds: () => readonly string[];
 }
 
 /** Proposals and read barriers, forwarded to the leader when this daemon is not the leader. */
@@ -88,7 +88,8 @@
     /** The leader, if it is known; on later attempts the voters in turn. */
     #candidate(attempt: number): string {
         const { leaderId, daemonId } = this.#state;
-        const { voterIds } = this.#options;
+        const knownIds = this.#state.voters.map((voter) => voter.daemonId);
+        const voterIds = [...new Set([...knownIds, ...this.#options.voterIds()])];
         if (leaderId !== undefined && attempt % 2 === 0) {
             return leaderId;
         }
--- a/packages/consensus/src/raft.ts
+++ b/packages/consensus/src/raft.ts
@@ -15,7 +15,7 @@
 import { Follower } from "./follower.ts";
 import { Learner, type LogDaemon } from "./learner.ts";
 import type { Command, LogRole, LogStatus, ReplicatedLog, StateMachine, TimeoutOptions } from "./log.ts";
-import { Members } from "./members.ts";
+import { type DynamicVoters, Members } from "./members.ts";
 import { Proposals } from "./proposals.ts";
 import { Replication } from "./replication.ts";
 import { SnapshotReceiver, SnapshotSender, SnapshotSource } from "./snapshot.ts";
@@ -23,12 +23,17 @@
 import { RaftStorage } from "./storage.ts";
 import { DEFAULT_RAFT_TIMING, type RaftTiming } from "./timing.ts";
 
+/** The rest of the election timeout covers the difference between the clocks of two daemons. */
+const LEASE_SHARE = 0.8;
+
 export interface RaftLogOptions {
     context: Context;
     peers: Peers;
     machine: StateMachine;
     /** All daemons, in the order of the settings. */
     daemons: readonly LogDaemon[];
+    /** Set where the settings don't list the voters: each daemon with a data folder can become one. */
+    dynamicVoters?: DynamicVoters;
     /** Folder of a voter's files. Without it the daemon is a learner. */
     dataFolder?: string;
     /** Whether the voters of the settings may found a cluster. Default: false. */
@@ -51,6 +56,7 @@
     readonly #current: CurrentCheck;
     readonly #election: Election | undefined;
     readonly #members: Members | undefined;
+    readonly #replication: Replication;
 
     constructor(options: RaftLogOptions) {
         this.#options = options;
@@ -64,8 +70,10 @@
             snapshots: new SnapshotSender(state, source),
             joiningMembers: () => this.#members?.joiningMembers() ?? [],
         });
+        this.#replication = replication;
         this.#applier = new Applier(state, machine, source);
-        const voterIds = daemons.filter((daemon) => daemon.voter).map((daemon) => daemon.daemonId);
+        const settingsVoterIds = daemons.filter((daemon) => daemon.voter).map((daemon) => daemon.daemonId);
+        const voterIds = (): readonly string[] => options.dynamicVoters?.seedIds() ?? settingsVoterIds;
         this.#proposals = new Proposals({ state, replication, applier: this.#applier, voterIds });
         this.#learner = new Learner({ state, machine, snapshots: source, daemons });
         this.#current = new CurrentCheck({ state, proposals: this.#proposals, daemons });
@@ -83,6 +91,7 @@
             state,
             replication,
             daemons,
+            dynamicVoters: options.dynamicVoters,
             bootstrap: options.bootstrap ?? false,
             onBootstrapped: () => election.campaignNow(),
         });
@@ -100,6 +109,16 @@
         return this.#state.role;
     }
 
+    /**
+     * Whether this daemon leads and no other daemon can lead yet: a majority has answered within the time for which
+     * voters refuse to elect another leader.
+     */
+    get holdsLeaderLease(): boolean {
+        const { timing, isLeader } = this.#state;
+        return isLeader
+            && this.#replication.isConfirmedSince(monotonicMs() - LEASE_SHARE * timing.electionTimeoutMs);
+    }
+
     /** Loads the data folder and starts the tasks. Throws StorageError when the files can't be used. */
     async start(): Promise<void> {
         const { log } = this.#state;
@@ -161,6 +180,8 @@
             voterIds: voters.map((voter) => voter.daemonId),
             parentId: memberId ? undefined : this.#learner.parentId,
             isCurrent: this.isCurrent,
+            leaderContactAgeMs: this.#state.leaderContactAgeMs(),
+            joiningIds: this.#members?.joiningMembers().map((member) => member.daemonId) ?? [],
         };
     }
 
--- a/packages/consensus/src/replication.ts
+++ b/packages/consensus/src/replication.ts
@@ -66,6 +66,11 @@
         return this.#progress.get(memberId)?.matchIndex ?? 0;
     }
 
+    /** Time since the last answer of a member; Infinity for a member that this leader doesn't know. */
+    silentForMs(memberId: string): number {
+        return monotonicMs() - (this.#progress.get(memberId)?.answeredAtMs ?? -Infinity);
+    }
+
     /** Whether a majority of the voters has answered requests that were sent after `sinceMs`. */
     isConfirmedSince(sinceMs: number): boolean {
         const confirmed = this.#state.otherVoters.filter((member) =>
--- /dev/null
+++ b/packages/daemon/src/control.ts
@@ -0,0 +1,149 @@
+import { type Context, ErrorCode, GreengageError, Lifecycle, Verdict } from "@greengage/base";
+import {
+    type Configuration,
+    ConfigurationRegister,
+    findProblems,
+    type ReplaceResult,
+    RoutingTable,
+    type StoredConfiguration,
+} from "@greengage/configuration";
+import { CompositeStateMachine, RaftLog } from "@greengage/consensus";
+import { type EngineOrders, FleetService, type FleetTiming } from "@greengage/fleet";
+import { PeerNetwork, type ServerReport } from "@greengage/protocol";
+import { addressOfPeer } from "./peerid.ts";
+
+/** A lost voter is replaced after this time, if a daemon waits: a new daemon must take part within four seconds. */
+const REPLACE_LOST_AFTER_MS = 2_500;
+/** Configurations can be large, so the log is compacted often. */
+const SNAPSHOT_EVERY_ENTRIES = 64;
+const KEEP_ENTRIES = 16;
+/** Operators try another daemon after a second without an answer. */
+const READ_TIMEOUT_MS = 900;
+const REPLACE_TIMEOUT_MS = 2_500;
+
+export interface ControlDaemonOptions {
+    context: Context;
+    listen: { host: string; port: number; };
+    peersKey: string;
+    /** Id of this daemon among its peers is `context.daemonId`; seeds are ids as well. */
+    seedIds: readonly string[];
+    dataFolder: string;
+    /** First start of the whole system. */
+    bootstrap: boolean;
+    /** Disks that may be lost at once. */
+    toleratedLosses: number;
+    decode: (document: Uint8Array) => Configuration;
+    orders: EngineOrders;
+    timing: FleetTiming;
+}
+
+/** A daemon with a disk: a voter of the replicated log, which holds configurations and controls the fleet. */
+export class ControlDaemon {
+    readonly fleet: FleetService;
+    readonly #options: ControlDaemonOptions;
+    readonly #peers: PeerNetwork;
+    readonly #log: RaftLog;
+    readonly #register = new ConfigurationRegister();
+    readonly #lifecycle = new Lifecycle();
+    #seedIds: readonly string[];
+
+    constructor(options: ControlDaemonOptions) {
+        const { context, listen, peersKey, seedIds, dataFolder, bootstrap, toleratedLosses, decode } = options;
+        this.#options = options;
+        this.#seedIds = seedIds;
+        this.#peers = new PeerNetwork({ context, listen, addresses: [], key: peersKey, resolve: addressOfPeer });
+        this.#log = new RaftLog({
+            context,
+            peers: this.#peers,
+            machine: new CompositeStateMachine({ configuration: this.#register }),
+            daemons: [],
+            dynamicVoters: {
+                seedIds: () => this.#seedIds,
+                targetCount: 2 * toleratedLosses + 1,
+                replaceLostAfterMs: REPLACE_LOST_AFTER_MS,
+            },
+            dataFolder,
+            bootstrap,
+            timing: { snapshotEveryEntries: SNAPSHOT_EVERY_ENTRIES, keepEntries: KEEP_ENTRIES },
+        });
+        this.fleet = new FleetService({
+            context,
+            peers: this.#peers,
+            log: this.#log,
+            register: this.#register,
+            decode: (document) => new RoutingTable(decode(document)),
+            orders: options.orders,
+            timing: options.timing,
+        });
+    }
+
+    get log(): RaftLog {
+        return this.#log;
+    }
+
+    async start(): Promise<void> {
+        const { context, dataFolder, bootstrap } = this.#options;
+        await this.#log.start();
+        this.#lifecycle.onClose(() => this.#log.close());
+        await this.#peers.start();
+        this.#lifecycle.onClose(() => this.#peers.close());
+        this.fleet.start();
+        this.#lifecycle.onClose(() => this.fleet.close());
+        context.decisions.record("daemon.start", {
+            role: "control",
+            seeds: this.#seedIds,
+            dataFolder,
+            bootstrap,
+            configuration: this.#register.version,
+        });
+    }
+
+    reload(seedIds: readonly string[]): void {
+        this.#seedIds = seedIds;
+        this.#options.context.decisions.record("daemon.reload", { seeds: seedIds });
+    }
+
+    async close(): Promise<void> {
+        this.#options.context.decisions.record("daemon.stop", { configuration: this.#register.version });
+        await this.#lifecycle.close();
+    }
+
+    /**
+     * Offers a whole configuration. Resolves once it, or one with an equal or higher version, is durable.
+     * Throws a GreengageError: `invalid` with the problems, or `unavailable` when the outcome is open.
+     */
+    async replaceConfiguration(document: Uint8Array): Promise<ReplaceResult> {
+        const { decode, context } = this.#options;
+        const configuration = decode(document);
+        const problems = findProblems(configuration);
+        if (problems.length > 0) {
+            context.decisions.record("configuration.rejected", { version: configuration.version, problems });
+            throw new GreengageError(problems.join("; "), { code: ErrorCode.Invalid, verdict: Verdict.NotRun });
+        }
+        const { version } = configuration;
+        const command = { type: "configuration.replace", version, document };
+        const { index, result } = await this.#log.propose(command, { timeoutMs: REPLACE_TIMEOUT_MS });
+        const { isChanged, version: heldVersion } = result as ReplaceResult;
+        context.decisions.record("configuration.accepted", { version, index, isChanged, heldVersion });
+        return { isChanged, version: heldVersion };
+    }
+
+    /** The newest configuration. Throws a GreengageError when this daemon can't be sure which one that is. */
+    async readConfiguration(): Promise<StoredConfiguration> {
+        const index = await this.#log.readBarrier({ timeoutMs: READ_TIMEOUT_MS });
+        await this.#log.waitForApplied(index, { timeoutMs: READ_TIMEOUT_MS });
+        const { held } = this.#register;
+        if (held === undefined) {
+            throw new GreengageError("there is no configuration yet", {
+                code: ErrorCode.Unavailable,
+                verdict: Verdict.NotRun,
+            });
+        }
+        return held;
+    }
+
+    /** Takes a report of a backend server. Returns false when no leader has it. */
+    async report(report: ServerReport): Promise<boolean> {
+        return await this.fleet.report(report);
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/entry.ts
@@ -0,0 +1,135 @@
+import { type Context, Lifecycle, LogPart, messageOf } from "@greengage/base";
+import { type Configuration, RoutingTable } from "@greengage/configuration";
+import { FleetWatcher } from "@greengage/fleet";
+import { Gateway, type RetryLimits, type ServerDialect } from "@greengage/gateway";
+import { type FleetView, type GroupSuspicion, PeerNetwork } from "@greengage/protocol";
+import { inflateRawSync } from "node:zlib";
+import { addressOfPeer } from "./peerid.ts";
+
+export interface EntryDaemonOptions {
+    context: Context;
+    listen: { host: string; port: number; };
+    peersKey: string;
+    /** Daemons that serve control, known at the start. Any of them may be gone. */
+    seedIds: readonly string[];
+    dialect: ServerDialect;
+    /** Decodes a configuration. Throws when it can't be read. */
+    decode: (document: Uint8Array) => Configuration;
+    retries: RetryLimits;
+}
+
+/** A daemon that takes requests of callers, and learns configuration and fleet from the daemons that serve control. */
+export class EntryDaemon {
+    readonly gateway: Gateway;
+    readonly #options: EntryDaemonOptions;
+    readonly #peers: PeerNetwork;
+    readonly #watcher: FleetWatcher;
+    readonly #lifecycle = new Lifecycle();
+    #seedIds: readonly string[];
+    #controllers: FleetView["controllers"] = [];
+    #configurationVersion = 0;
+    #isDraining = false;
+
+    constructor(options: EntryDaemonOptions) {
+        const { context, listen, peersKey, seedIds, dialect, retries } = options;
+        this.#options = options;
+        this.#seedIds = seedIds;
+        this.#peers = new PeerNetwork({ context, listen, addresses: [], key: peersKey, resolve: addressOfPeer });
+        this.gateway = new Gateway({
+            context,
+            dialect,
+            retries,
+            onSuspicion: (suspicion) => this.#passOn(suspicion),
+        });
+        this.#watcher = new FleetWatcher({
+            context,
+            peers: this.#peers,
+            targets: () => this.#targets(),
+            request: () => ({
+                configurationVersion: this.#configurationVersion,
+                isEntry: true,
+                entryIds: [],
+                demand: this.gateway.takeDemand(),
+            }),
+            onConfiguration: ({ version, document }) => this.#takeConfiguration(version, inflateRawSync(document)),
+            onView: (view) => this.#takeView(view),
+        });
+    }
+
+    /** Whether a load balancer should send callers here. */
+    get isReady(): boolean {
+        return this.gateway.isInformed && !this.#isDraining;
+    }
+
+    get isDraining(): boolean {
+        return this.#isDraining;
+    }
+
+    async start(): Promise<void> {
+        await this.#peers.start();
+        this.#lifecycle.onClose(() => this.#peers.close());
+        this.gateway.start();
+        this.#lifecycle.onClose(() => this.gateway.close());
+        this.#watcher.start();
+        this.#lifecycle.onClose(() => this.#watcher.close());
+        this.#options.context.decisions.record("daemon.start", { role: "entry", seeds: this.#seedIds });
+    }
+
+    /** Takes new seeds. Daemons that are known from the fleet stay in use. */
+    reload(seedIds: readonly string[]): void {
+        this.#seedIds = seedIds;
+        this.#options.context.decisions.record("daemon.reload", { seeds: seedIds });
+    }
+
+    /** Tells the load balancer to send callers elsewhere. Requests are still answered. */
+    drain(): void {
+        this.#isDraining = true;
+        this.#options.context.decisions.record("daemon.drain", { inFlight: this.gateway.inFlight });
+    }
+
+    async close(): Promise<void> {
+        this.#options.context.decisions.record("daemon.stop", { inFlight: this.gateway.inFlight });
+        await this.#lifecycle.close();
+    }
+
+    /** Control daemons of the own zone first, then the others, then seeds that the fleet doesn't name. */
+    #targets(): string[] {
+        const { zone } = this.#options.context;
+        const own = this.#controllers.filter((controller) => controller.zone === zone);
+        const others = this.#controllers.filter((controller) => controller.zone !== zone);
+        return [...new Set([...[...own, ...others].map(({ daemonId }) => daemonId), ...this.#seedIds])];
+    }
+
+    #takeView(view: FleetView): void {
+        this.#controllers = view.controllers;
+        this.gateway.takeView(view);
+    }
+
+    #takeConfiguration(version: number, document: Uint8Array): void {
+        if (version <= this.#configurationVersion) {
+            return;
+        }
+        try {
+            this.gateway.takeConfiguration(new RoutingTable(this.#options.decode(document)));
+            this.#configurationVersion = version;
+        }
+        catch (error) {
+            const reason = messageOf(error);
+            this.#options.context.logs(LogPart.Table).error("a configuration can't be read", { version, reason });
+        }
+    }
+
+    #passOn(suspicion: GroupSuspicion): void {
+        const { leaderId } = this.#watcher;
+        if (leaderId === undefined) {
+            return;
+        }
+        this.#peers.call(leaderId, "fleet.suspect", suspicion, { timeoutMs: SUSPECT_TIMEOUT_MS }).catch((error) => {
+            const fields = { group: suspicion.groupName, leaderId, reason: messageOf(error) };
+            this.#options.context.decisions.record("group.suspicionLost", fields);
+        });
+    }
+}
+
+/** A suspicion that lasts is sent again, so a lost one isn't waited for. */
+const SUSPECT_TIMEOUT_MS = 700;
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -4,3 +4,6 @@
 export * from "./settings/error.ts";
 export * from "./settings/read.ts";
 export * from "./status.ts";
+export * from "./control.ts";
+export * from "./entry.ts";
+export * from "./peerid.ts";
--- /dev/null
+++ b/packages/fleet/src/adoption.ts
@@ -0,0 +1,92 @@
+import { MemberState } from "@greengage/protocol";
+import type { FleetState } from "./controller.ts";
+import { GroupPhase, type ManagedGroup } from "./group.ts";
+import type { BackendServer } from "./registry.ts";
+
+interface FoundGroup {
+    groupName: string;
+    epoch: number;
+    members: BackendServer[];
+}
+
+/**
+ * Takes over groups that members report and that this controller doesn't know: those of a former leader, and those of
+ * a zone that was cut off.
+ */
+export const adoptGroups = (state: FleetState, nowMs: number): void => {
+    for (const found of findUnknownGroups(state)) {
+        adopt(state, found, nowMs);
+    }
+};
+
+const findUnknownGroups = ({ registry, groups }: FleetState): FoundGroup[] => {
+    const found = new Map<string, FoundGroup>();
+    for (const server of registry.all()) {
+        const { membership } = server.report;
+        if (membership === undefined || groups.hasEnded(membership.groupName)) {
+            continue;
+        }
+        if (groups.groupOf(server.report.serverId) !== undefined) {
+            continue;
+        }
+        const { groupName, epoch } = membership;
+        const known = groups.get(groupName);
+        if (known !== undefined) {
+            if (known.epoch === epoch) {
+                groups.addMember(known, server.report.serverId, server.report.bornMs);
+            }
+            continue;
+        }
+        const group = found.get(groupName) ?? { groupName, epoch, members: [] };
+        found.set(groupName, group);
+        if (epoch > group.epoch) {
+            found.set(groupName, { groupName, epoch, members: [server] });
+        }
+        else if (epoch === group.epoch) {
+            group.members.push(server);
+        }
+    }
+    return [...found.values()];
+};
+
+/** Phase of an adopted group by the state of its head. */
+const phaseByHeadState: Record<MemberState, GroupPhase> = {
+    // A former leader's order to open may still be on its way, so the head must leave before its group is used anew.
+    [MemberState.Joining]: GroupPhase.Leaving,
+    [MemberState.Ready]: GroupPhase.Leaving,
+    [MemberState.Open]: GroupPhase.Open,
+    [MemberState.Closing]: GroupPhase.Closing,
+    [MemberState.Broken]: GroupPhase.Leaving,
+};
+
+const adopt = (state: FleetState, found: FoundGroup, nowMs: number): void => {
+    const members = [...found.members].sort((a, b) => rankOf(a) - rankOf(b));
+    const first = members[0];
+    if (first === undefined) {
+        return;
+    }
+    const hasHead = rankOf(first) === 0;
+    const headState = first.report.membership?.state ?? MemberState.Broken;
+    const { service, zone, fabricDomain = "", loadedModels, stagedModels } = first.report;
+    const group: ManagedGroup = {
+        groupName: found.groupName,
+        epoch: found.epoch,
+        service,
+        model: loadedModels[0] ?? stagedModels[0] ?? "",
+        zone,
+        fabricDomain,
+        // A head that reports nothing may serve on, so its place is kept.
+        memberIds: [...(hasHead ? [] : [""]), ...members.map(({ report }) => report.serverId)],
+        bornMs: new Map(members.map(({ report }) => [report.serverId, report.bornMs])),
+        phase: hasHead ? phaseByHeadState[headState] : GroupPhase.Waiting,
+        phaseSinceMs: nowMs,
+        readyByMs: nowMs,
+        reason: "adopted",
+        freeAtMs: Infinity,
+        suspicionCount: 0,
+        probedAtMs: 0,
+    };
+    state.groups.add(group);
+};
+
+const rankOf = (server: BackendServer): number => server.report.membership?.rank ?? Infinity;
--- /dev/null
+++ b/packages/fleet/src/controller.ts
@@ -0,0 +1,151 @@
+import { type Context, Lifecycle, LogPart, messageOf, monotonicMs } from "@greengage/base";
+import type { RoutingTable } from "@greengage/configuration";
+import { ChangeSignal } from "@greengage/consensus";
+import type { GroupSuspicion, ModelDemand } from "@greengage/protocol";
+import { adoptGroups } from "./adoption.ts";
+import { GroupEnding } from "./ending.ts";
+import { GroupForming } from "./forming.ts";
+import { GroupTable } from "./groups.ts";
+import type { EngineOrders } from "./orders.ts";
+import type { ServerRegistry } from "./registry.ts";
+import { SuspicionCheck } from "./suspicion.ts";
+import { type FleetTiming, SETTLE_HEARTBEATS, STEP_MS } from "./timing.ts";
+import { superviseGroup } from "./supervision.ts";
+
+export interface GroupControllerOptions {
+    context: Context;
+    registry: ServerRegistry;
+    orders: EngineOrders;
+    timing: FleetTiming;
+    routing: () => RoutingTable | undefined;
+    /** Whether this daemon leads and no other can. Asked again in the same step as each order. */
+    mayAct: () => boolean;
+    /** Called after each step that may have changed what daemons can use. */
+    onStep: () => void;
+}
+
+/** State that the controller's parts share. */
+export interface FleetState extends Omit<GroupControllerOptions, "onStep"> {
+    groups: GroupTable;
+    lifecycle: Lifecycle;
+    /** Wakes the control loop. */
+    changed: ChangeSignal;
+    /** When a backend server was silent or late, by id. */
+    distrustedAtMs: Map<string, number>;
+    /** Whether any daemon has seen requests. */
+    hasDemand: boolean;
+    nextEpoch: () => number;
+}
+
+/** Epochs of one term. An epoch of a later term is higher than any of an earlier one. */
+const EPOCHS_PER_TERM = 1_000_000;
+/** Steps that reports bring forward keep this distance, so that a burst of reports costs one step. */
+const MIN_STEP_GAP_MS = 20;
+
+/** Forms, repairs and ends the replica groups of all zones while this daemon leads. */
+export class GroupController {
+    readonly #options: GroupControllerOptions;
+    readonly #state: FleetState;
+    readonly #forming: GroupForming;
+    readonly #ending: GroupEnding;
+    readonly #suspicions: SuspicionCheck;
+    #term = 0;
+    #epochCount = 0;
+    #settledAtMs = Infinity;
+
+    constructor(options: GroupControllerOptions) {
+        this.#options = options;
+        this.#state = {
+            ...options,
+            groups: new GroupTable(options.context),
+            lifecycle: new Lifecycle(),
+            changed: new ChangeSignal(),
+            distrustedAtMs: new Map(),
+            hasDemand: false,
+            nextEpoch: () => this.#nextEpoch(),
+        };
+        this.#ending = new GroupEnding(this.#state);
+        this.#forming = new GroupForming(this.#state);
+        this.#suspicions = new SuspicionCheck(this.#state, this.#ending);
+    }
+
+    get groups(): GroupTable {
+        return this.#state.groups;
+    }
+
+    /** Whether a new leader has heard enough reports to know the groups. */
+    get isSettled(): boolean {
+        return monotonicMs() >= this.#settledAtMs;
+    }
+
+    start(): void {
+        const log = this.#options.context.logs(LogPart.Groups);
+        this.#state.lifecycle.run((signal) => this.#run(signal), (error) => {
+            log.error("the control of groups failed", { reason: messageOf(error) });
+        });
+    }
+
+    async close(): Promise<void> {
+        const closed = this.#state.lifecycle.close();
+        this.#state.changed.notify();
+        await closed;
+    }
+
+    /** Takes over with a new term. Groups are learned anew from the reports of their members. */
+    activate(term: number): void {
+        this.#term = term;
+        this.#epochCount = 0;
+        this.#state.groups.clear();
+        this.#settledAtMs = monotonicMs() + SETTLE_HEARTBEATS * this.#options.timing.heartbeatMs;
+        this.#options.context.decisions.record("controller.active", { term });
+    }
+
+    deactivate(): void {
+        this.#settledAtMs = Infinity;
+        this.#state.groups.clear();
+        this.#options.context.decisions.record("controller.inactive", { term: this.#term });
+    }
+
+    /** A report has changed something. */
+    wake(): void {
+        this.#state.changed.notify();
+    }
+
+    suspect(suspicion: GroupSuspicion): void {
+        this.#suspicions.take(suspicion);
+    }
+
+    noteDemand(demand: readonly ModelDemand[]): void {
+        if (demand.length > 0) {
+            this.#state.hasDemand = true;
+        }
+    }
+
+    #nextEpoch(): number {
+        this.#epochCount += 1;
+        const known = this.#state.registry.all().map(({ report }) => report.membership?.epoch ?? 0);
+        return Math.max(this.#term * EPOCHS_PER_TERM + this.#epochCount, ...known.map((epoch) => epoch + 1));
+    }
+
+    async #run(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            this.#step();
+            await this.#state.changed.wait(STEP_MS);
+            await new Promise((resolve) => setTimeout(resolve, MIN_STEP_GAP_MS));
+        }
+    }
+
+    #step(): void {
+        if (!this.isSettled || !this.#options.mayAct()) {
+            return;
+        }
+        const nowMs = monotonicMs();
+        adoptGroups(this.#state, nowMs);
+        for (const group of this.#state.groups.all()) {
+            superviseGroup(this.#state, this.#ending, this.#forming, group, nowMs);
+        }
+        this.#forming.formGroups(nowMs);
+        this.#forming.stageSpares(nowMs);
+        this.#options.onStep();
+    }
+}
--- /dev/null
+++ b/packages/fleet/src/forming.ts
@@ -0,0 +1,196 @@
+import { monotonicMs, sleep } from "@greengage/base";
+import type { EngineProfile, ServiceSpec } from "@greengage/configuration";
+import { MemberState } from "@greengage/protocol";
+import type { FleetState } from "./controller.ts";
+import { GroupPhase, headOf, isProvided, type ManagedGroup } from "./group.ts";
+import { LoadPacer } from "./loadpacer.ts";
+import { OrderOutcome } from "./orders.ts";
+import { type FreeVm, type GroupPlan, memberKey, needsLoad, planGroup, type PlanInput, planStaging } from "./planner.ts";
+import { type BackendServer, reportsState } from "./registry.ts";
+import { DISTRUST_MS, JOIN_MARGIN_MS, JOIN_PATIENCE, MISSING_HEARTBEATS, ORDER_RETRY_MS } from "./timing.ts";
+
+/** Forms groups from free VMs, opens them, and has spares load weights in advance. */
+export class GroupForming {
+    readonly #state: FleetState;
+    readonly #pacers = new Map<string, LoadPacer>();
+    /** Loads that run, by VM, with the time by which they must have ended. */
+    readonly #loads = new Map<string, { model: string; untilMs: number; }>();
+
+    constructor(state: FleetState) {
+        this.#state = state;
+    }
+
+    formGroups(nowMs: number): void {
+        for (const service of this.#modelServices()) {
+            for (;;) {
+                const input = this.#planInput(service, service.engine, nowMs);
+                const plan = planGroup(input);
+                if (plan === undefined) {
+                    break;
+                }
+                this.#form(service, plan, nowMs);
+            }
+        }
+    }
+
+    stageSpares(nowMs: number): void {
+        for (const service of this.#modelServices()) {
+            const input = this.#planInput(service, service.engine, nowMs);
+            const memberCounts = new Map<string, number>();
+            for (const { fabricDomain, model, memberIds } of this.#state.groups.all()) {
+                const key = memberKey(fabricDomain, model);
+                memberCounts.set(key, (memberCounts.get(key) ?? 0) + memberIds.length);
+            }
+            for (const { serverId, model } of planStaging(input, memberCounts)) {
+                this.#pacer(service.name).started(1, nowMs);
+                this.#loads.set(serverId, { model: model.name, untilMs: nowMs + JOIN_PATIENCE * model.loadMs });
+                this.#state.context.decisions.record("vm.stage", { server: serverId, model: model.name });
+                this.#run(() => this.#stage(serverId, model.name));
+            }
+        }
+    }
+
+    /** Orders the head to open, until it does or the group ends. */
+    open(group: ManagedGroup): void {
+        this.#run(async () => {
+            const { registry, orders, lifecycle } = this.#state;
+            while (this.#isIn(group, GroupPhase.Opening) && this.#state.mayAct()) {
+                const head = registry.get(headOf(group));
+                if (head === undefined || await orders.open(head.report, group) === OrderOutcome.Accepted) {
+                    return;
+                }
+                await sleep(ORDER_RETRY_MS, lifecycle.signal);
+            }
+        });
+    }
+
+    #modelServices(): (ServiceSpec & { engine: EngineProfile; })[] {
+        const services = this.#state.routing()?.configuration.services ?? [];
+        return services.filter((service): service is ServiceSpec & { engine: EngineProfile; } =>
+            service.engine !== undefined && service.engine.models.length > 0
+        );
+    }
+
+    #planInput(service: ServiceSpec, profile: EngineProfile, nowMs: number): PlanInput {
+        const free = this.#state.registry.all().filter((server) => this.#isFree(server, service.name, nowMs));
+        const groups = this.#state.groups.all().filter((group) => group.service === service.name && isProvided(group));
+        return {
+            profile,
+            freeVms: free.map((server) => this.#freeVm(server)),
+            groups,
+            needs: new Map(profile.models.map((model) => [model.name, model.share])),
+            loadsAllowed: this.#loadsAllowed(service.name, profile, nowMs),
+        };
+    }
+
+    #isFree({ report, receivedAtMs }: BackendServer, service: string, nowMs: number): boolean {
+        const { groups, timing, distrustedAtMs } = this.#state;
+        const distrustedAt = distrustedAtMs.get(report.serverId);
+        return report.service === service && !report.isDraining && report.fabricDomain !== undefined
+            && groups.groupOf(report.serverId) === undefined
+            && nowMs - receivedAtMs <= MISSING_HEARTBEATS * timing.heartbeatMs
+            && (distrustedAt === undefined || receivedAtMs > distrustedAt + DISTRUST_MS);
+    }
+
+    #freeVm({ report }: BackendServer): FreeVm {
+        const { serverId, fabricDomain = "", zone, loadedModels, stagedModels } = report;
+        const load = this.#loads.get(serverId);
+        const isStaging = load !== undefined && !stagedModels.includes(load.model);
+        return { serverId, fabricDomain, zone, lastModel: loadedModels[0], stagedModels, isStaging };
+    }
+
+    #loadsAllowed(service: string, profile: EngineProfile, nowMs: number): number {
+        for (const [serverId, { model, untilMs }] of this.#loads) {
+            const isStaged = this.#state.registry.get(serverId)?.report.stagedModels.includes(model) ?? true;
+            if (isStaged || nowMs > untilMs) {
+                this.#loads.delete(serverId);
+            }
+        }
+        const { loadsPerS, loadsAtOnce } = profile;
+        return this.#pacer(service).allowed(loadsPerS, loadsAtOnce, this.#state.hasDemand, this.#loads.size, nowMs);
+    }
+
+    #pacer(service: string): LoadPacer {
+        const pacer = this.#pacers.get(service) ?? new LoadPacer();
+        this.#pacers.set(service, pacer);
+        return pacer;
+    }
+
+    #form(service: ServiceSpec, plan: GroupPlan, nowMs: number): void {
+        const { model, members, fabricDomain, loadCount, readyInMs } = plan;
+        const epoch = this.#state.nextEpoch();
+        const group: ManagedGroup = {
+            groupName: `g${epoch}`,
+            epoch,
+            service: service.name,
+            model: model.name,
+            zone: members[0]?.zone ?? "",
+            fabricDomain,
+            memberIds: members.map((vm) => vm.serverId),
+            bornMs: new Map(members.map((vm) => [
+                vm.serverId,
+                this.#state.registry.get(vm.serverId)?.report.bornMs ?? 0,
+            ])),
+            phase: GroupPhase.Joining,
+            phaseSinceMs: nowMs,
+            readyByMs: nowMs + JOIN_PATIENCE * readyInMs + JOIN_MARGIN_MS,
+            freeAtMs: Infinity,
+            suspicionCount: 0,
+            probedAtMs: 0,
+        };
+        this.#state.groups.add(group);
+        this.#pacer(service.name).started(loadCount, nowMs);
+        for (const vm of members.filter((member) => needsLoad(member, model))) {
+            this.#loads.set(vm.serverId, { model: model.name, untilMs: group.readyByMs });
+        }
+        for (const vm of members) {
+            this.#run(() => this.#join(group, vm.serverId));
+        }
+    }
+
+    /** Orders one member to join, until it says that it does or the group is given up. */
+    async #join(group: ManagedGroup, serverId: string): Promise<void> {
+        const { registry, orders, lifecycle, context } = this.#state;
+        while (this.#isIn(group, GroupPhase.Joining) && this.#state.mayAct()) {
+            const server = registry.get(serverId);
+            if (server === undefined || hasJoined(server, group)) {
+                return;
+            }
+            const outcome = await orders.join(server.report, group);
+            if (outcome === OrderOutcome.Accepted) {
+                return;
+            }
+            context.decisions.record("group.join.failed", { group: group.groupName, server: serverId, outcome });
+            if (outcome === OrderOutcome.WrongServer || outcome === OrderOutcome.NoListener) {
+                registry.end(serverId, server.report.bornMs, monotonicMs());
+                this.#state.changed.notify();
+                return;
+            }
+            await sleep(ORDER_RETRY_MS, lifecycle.signal);
+        }
+    }
+
+    async #stage(serverId: string, model: string): Promise<void> {
+        const { registry, orders, context } = this.#state;
+        const server = registry.get(serverId);
+        if (server === undefined || !this.#state.mayAct()) {
+            return;
+        }
+        const outcome = await orders.stage(server.report, model);
+        if (outcome !== OrderOutcome.Accepted) {
+            context.decisions.record("vm.stage.failed", { server: serverId, model, outcome });
+        }
+    }
+
+    #isIn(group: ManagedGroup, phase: GroupPhase): boolean {
+        return this.#state.groups.get(group.groupName) === group && group.phase === phase;
+    }
+
+    #run(task: () => Promise<void>): void {
+        const { lifecycle, context } = this.#state;
+        lifecycle.run(task, (error) => context.decisions.record("group.task.failed", { reason: String(error) }));
+    }
+}
+
+const hasJoined = (server: BackendServer, group: ManagedGroup): boolean =>
+    reportsState(server, group, MemberState.Joining) || reportsState(server, group, MemberState.Ready);
--- /dev/null
+++ b/packages/fleet/src/group.ts
@@ -0,0 +1,48 @@
+/** Phase of a replica group, as its controller sees it. */
+export const GroupPhase = {
+    /** Members load the model and join. */
+    Joining: "joining",
+    /** Every member is ready; the head was ordered to open. */
+    Opening: "opening",
+    Open: "open",
+    /** Takes no new requests; the head finishes what it has. */
+    Closing: "closing",
+    /** A member is lost; the head is ordered to leave, so that it can't serve when the others are used elsewhere. */
+    Leaving: "leaving",
+    /** The head can't be reached. Its members are not used elsewhere until it must have noticed the loss of one. */
+    Waiting: "waiting",
+} as const;
+
+export type GroupPhase = typeof GroupPhase[keyof typeof GroupPhase];
+
+/** A replica group under its controller. */
+export interface ManagedGroup {
+    groupName: string;
+    epoch: number;
+    service: string;
+    model: string;
+    zone: string;
+    fabricDomain: string;
+    /** In rank order; the first is the head. */
+    memberIds: string[];
+    /** Incarnation of each member, by id. */
+    bornMs: Map<string, number>;
+    phase: GroupPhase;
+    phaseSinceMs: number;
+    /** Time by which a joining group should be ready; late members are replaced. */
+    readyByMs: number;
+    /** Why the group ends, for logs. */
+    reason?: string;
+    /** When the members of a group whose head can't be reached are free; Infinity until it must stand still. */
+    freeAtMs: number;
+    /** Number of the suspicions that have not led to a change. */
+    suspicionCount: number;
+    /** Monotonic time of the last probe of all members. */
+    probedAtMs: number;
+}
+
+export const headOf = (group: ManagedGroup): string => group.memberIds[0] ?? "";
+
+/** Whether the group counts towards the capacity of its model. */
+export const isProvided = (group: ManagedGroup): boolean =>
+    group.phase === GroupPhase.Joining || group.phase === GroupPhase.Opening || group.phase === GroupPhase.Open;
--- /dev/null
+++ b/packages/fleet/src/groups.ts
@@ -0,0 +1,78 @@
+import type { Context } from "@greengage/base";
+import { type GroupPhase, headOf, type ManagedGroup } from "./group.ts";
+
+/** The groups of all zones, and the names of those that have ended. */
+export class GroupTable {
+    readonly #context: Context;
+    readonly #groups = new Map<string, ManagedGroup>();
+    readonly #groupByMember = new Map<string, ManagedGroup>();
+    readonly #endedNames = new Set<string>();
+
+    constructor(context: Context) {
+        this.#context = context;
+    }
+
+    all(): ManagedGroup[] {
+        return [...this.#groups.values()];
+    }
+
+    get(groupName: string): ManagedGroup | undefined {
+        return this.#groups.get(groupName);
+    }
+
+    groupOf(serverId: string): ManagedGroup | undefined {
+        return this.#groupByMember.get(serverId);
+    }
+
+    /** Whether this controller ended the group, so that nothing can be served under its name. */
+    hasEnded(groupName: string): boolean {
+        return this.#endedNames.has(groupName);
+    }
+
+    add(group: ManagedGroup): void {
+        this.#groups.set(group.groupName, group);
+        for (const serverId of group.memberIds) {
+            this.#groupByMember.set(serverId, group);
+        }
+        this.#record("group.added", group, {});
+    }
+
+    addMember(group: ManagedGroup, serverId: string, bornMs: number): void {
+        group.memberIds.push(serverId);
+        group.bornMs.set(serverId, bornMs);
+        this.#groupByMember.set(serverId, group);
+    }
+
+    setPhase(group: ManagedGroup, phase: GroupPhase, reason: string, nowMs: number): void {
+        const heldMs = Math.round(nowMs - group.phaseSinceMs);
+        this.#record("group.phase", group, { from: group.phase, to: phase, reason, heldMs });
+        group.phase = phase;
+        group.phaseSinceMs = nowMs;
+        group.reason = reason;
+    }
+
+    /** Removes a group under whose name nothing can be served any more. Its members are free. */
+    remove(group: ManagedGroup, reason: string): void {
+        this.#groups.delete(group.groupName);
+        this.#endedNames.add(group.groupName);
+        for (const serverId of group.memberIds) {
+            if (this.#groupByMember.get(serverId) === group) {
+                this.#groupByMember.delete(serverId);
+            }
+        }
+        this.#record("group.removed", group, { reason });
+    }
+
+    clear(): void {
+        this.#groups.clear();
+        this.#groupByMember.clear();
+        this.#endedNames.clear();
+    }
+
+    #record(event: string, group: ManagedGroup, fields: Record<string, string | number>): void {
+        const { groupName, epoch, model, fabricDomain, zone, memberIds } = group;
+        const details = { group: groupName, epoch, model, fabricDomain, groupZone: zone, head: headOf(group) };
+        this.#context.decisions.record(event, { ...details, ...fields, members: memberIds });
+        this.#context.timeline.record("groups", event, { ...details, ...fields });
+    }
+}
--- /dev/null
+++ b/packages/fleet/src/orders.ts
@@ -0,0 +1,54 @@
+import type { ServerReport } from "@greengage/protocol";
+
+/** What became of an order to a backend server. */
+export const OrderOutcome = {
+    /** Carried out, or begun. */
+    Accepted: "accepted",
+    /** The server's state or the epoch doesn't allow it. */
+    Refused: "refused",
+    /** Another server has the address. */
+    WrongServer: "wrongServer",
+    /** The connection was refused: no process listens there. */
+    NoListener: "noListener",
+    /** No answer. The order may have been accepted, and may be carried out later. */
+    Unknown: "unknown",
+} as const;
+
+export type OrderOutcome = typeof OrderOutcome[keyof typeof OrderOutcome];
+
+/** One list of members of a group. */
+export interface GroupName {
+    groupName: string;
+    epoch: number;
+}
+
+/** A group with its members in rank order. */
+export interface GroupRoster extends GroupName {
+    model: string;
+    memberIds: readonly string[];
+}
+
+/** State of a model engine, asked for directly. */
+export type EngineProbe =
+    | {
+        kind: "answered";
+        /** Above 1 when the engine is slow. */
+        pace: number;
+    }
+    /** The connection was refused, or another server has the address: the process has ended. */
+    | { kind: "ended"; }
+    /** No answer in time. */
+    | { kind: "silent"; };
+
+/** Sends orders to backend servers. */
+export interface EngineOrders {
+    join(server: ServerReport, roster: GroupRoster): Promise<OrderOutcome>;
+    /** Lets the head take requests. */
+    open(server: ServerReport, group: GroupName): Promise<OrderOutcome>;
+    /** Stops new requests at the head; what it has is finished. */
+    close(server: ServerReport, group: GroupName): Promise<OrderOutcome>;
+    leave(server: ServerReport, group: GroupName): Promise<OrderOutcome>;
+    /** Loads a model onto the server's host. */
+    stage(server: ServerReport, model: string): Promise<OrderOutcome>;
+    probe(server: ServerReport): Promise<EngineProbe>;
+}
--- /dev/null
+++ b/packages/fleet/src/registry.ts
@@ -0,0 +1,135 @@
+import type { MemberState, ServerReport } from "@greengage/protocol";
+
+/** A backend server as its reports tell it. */
+export interface BackendServer {
+    report: ServerReport;
+    /** Monotonic time of the last report. */
+    receivedAtMs: number;
+    /** Monotonic time of this incarnation's first report here. */
+    firstSeenAtMs: number;
+}
+
+/** What a report changed. */
+export const ReportEffect = {
+    /** Older than what is known, or of an incarnation that has ended. */
+    Ignored: "ignored",
+    /** Nothing but the time of the last report. */
+    Renewed: "renewed",
+    Changed: "changed",
+    /** First report of an incarnation. */
+    Appeared: "appeared",
+} as const;
+
+export type ReportEffect = typeof ReportEffect[keyof typeof ReportEffect];
+
+/** An ended incarnation is remembered for this long, so that a report held up by a partition doesn't revive it. */
+const ENDED_MEMORY_MS = 120_000;
+
+/** All backend servers that announce themselves, one incarnation for each id and address. */
+export class ServerRegistry {
+    readonly #servers = new Map<string, BackendServer>();
+    readonly #idsByAddress = new Map<string, string>();
+    /** Start of the newest incarnation that has ended, by id. */
+    readonly #ended = new Map<string, { bornMs: number; atMs: number; }>();
+
+    all(): BackendServer[] {
+        return [...this.#servers.values()];
+    }
+
+    get(serverId: string): BackendServer | undefined {
+        return this.#servers.get(serverId);
+    }
+
+    /** Whether the incarnation has ended, or was never seen. */
+    isGone(serverId: string, bornMs: number): boolean {
+        return this.#servers.get(serverId)?.report.bornMs !== bornMs;
+    }
+
+    accept(report: ServerReport, nowMs: number): ReportEffect {
+        if (this.#isEnded(report)) {
+            return ReportEffect.Ignored;
+        }
+        const known = this.#servers.get(report.serverId);
+        if (known !== undefined && isOlder(report, known.report)) {
+            return ReportEffect.Ignored;
+        }
+        if (!this.#takeAddress(report, nowMs)) {
+            return ReportEffect.Ignored;
+        }
+        const isSameIncarnation = known !== undefined && known.report.bornMs === report.bornMs;
+        const firstSeenAtMs = isSameIncarnation ? known.firstSeenAtMs : nowMs;
+        this.#servers.set(report.serverId, { report, receivedAtMs: nowMs, firstSeenAtMs });
+        if (!isSameIncarnation) {
+            return ReportEffect.Appeared;
+        }
+        return isSameState(known.report, report) ? ReportEffect.Renewed : ReportEffect.Changed;
+    }
+
+    /** Forgets an incarnation that has ended or is about to. Without `bornMs` the one that is known. */
+    end(serverId: string, bornMs: number | undefined, nowMs: number): BackendServer | undefined {
+        const server = this.#servers.get(serverId);
+        if (server === undefined || (bornMs !== undefined && server.report.bornMs > bornMs)) {
+            return undefined;
+        }
+        this.#remove(server, nowMs);
+        return server;
+    }
+
+    #isEnded(report: ServerReport): boolean {
+        const ended = this.#ended.get(report.serverId);
+        return ended !== undefined && report.bornMs <= ended.bornMs;
+    }
+
+    /** Gives the address to the newest incarnation that claims it. Returns false when the report is of an older one. */
+    #takeAddress(report: ServerReport, nowMs: number): boolean {
+        const holder = this.#servers.get(this.#idsByAddress.get(report.address) ?? "");
+        if (holder !== undefined && holder.report.serverId !== report.serverId) {
+            if (holder.report.bornMs > report.bornMs) {
+                return false;
+            }
+            this.#remove(holder, nowMs);
+        }
+        const former = this.#servers.get(report.serverId);
+        if (former !== undefined && former.report.address !== report.address) {
+            this.#idsByAddress.delete(former.report.address);
+        }
+        this.#idsByAddress.set(report.address, report.serverId);
+        return true;
+    }
+
+    #remove(server: BackendServer, nowMs: number): void {
+        const { serverId, address, bornMs } = server.report;
+        this.#servers.delete(serverId);
+        if (this.#idsByAddress.get(address) === serverId) {
+            this.#idsByAddress.delete(address);
+        }
+        this.#ended.set(serverId, { bornMs, atMs: nowMs });
+        for (const [id, { atMs }] of this.#ended) {
+            if (nowMs - atMs > ENDED_MEMORY_MS) {
+                this.#ended.delete(id);
+            }
+        }
+    }
+}
+
+const isOlder = (report: ServerReport, known: ServerReport): boolean =>
+    report.bornMs < known.bornMs || (report.bornMs === known.bornMs && report.sequence <= known.sequence);
+
+const isSameState = (a: ServerReport, b: ServerReport): boolean =>
+    a.isDraining === b.isDraining && a.address === b.address && a.zone === b.zone && a.service === b.service
+    && a.fabricDomain === b.fabricDomain && membershipKey(a) === membershipKey(b)
+    && a.loadedModels.join() === b.loadedModels.join() && a.stagedModels.join() === b.stagedModels.join();
+
+const membershipKey = ({ membership }: ServerReport): string =>
+    membership === undefined ? "" : `${membership.groupName} ${membership.epoch} ${membership.rank} ${membership.state}`;
+
+/** Whether the server reports that it is in this state of this group and epoch. */
+export const reportsState = (
+    server: BackendServer | undefined,
+    group: { groupName: string; epoch: number; },
+    state: MemberState,
+): boolean => {
+    const membership = server?.report.membership;
+    return membership?.groupName === group.groupName && membership.epoch === group.epoch
+        && membership.state === state;
+};
--- /dev/null
+++ b/packages/fleet/src/service.ts
@@ -0,0 +1,354 @@
+import { type Context, Lifecycle, LogPart, messageOf, monotonicMs } from "@greengage/base";
+import { type ConfigurationRegister, RoutingTable } from "@greengage/configuration";
+import { ChangeSignal, type RaftLog } from "@greengage/consensus";
+import type {
+    FleetView,
+    GroupSuspicion,
+    ModelDemand,
+    Peers,
+    ServerReport,
+    WatchRequest,
+    WatchResponse,
+} from "@greengage/protocol";
+import { deflateRawSync } from "node:zlib";
+import { GroupController } from "./controller.ts";
+import type { EngineOrders } from "./orders.ts";
+import { ReportEffect, ServerRegistry } from "./registry.ts";
+import type { FleetTiming } from "./timing.ts";
+import { groupTargets, isNewerView, serverTargets } from "./view.ts";
+import { FleetWatcher } from "./watcher.ts";
+
+/** An entry daemon counts for this long after its last watch. */
+const ENTRY_MEMORY_MS = 5_000;
+/** Period at which leadership is noticed. */
+const ROLE_CHECK_MS = 50;
+/** Longest wait of a watch, which also bounds how long a daemon takes to notice a daemon that hangs. */
+const MAX_WATCH_MS = 1_000;
+/** An answer that engines and operators wait for must come within a second. */
+const FORWARD_TIMEOUT_MS = 700;
+
+export interface FleetServiceOptions {
+    context: Context;
+    peers: Peers;
+    log: RaftLog;
+    register: ConfigurationRegister;
+    /** Decodes a configuration that was accepted. Throws when it can't be read. */
+    decode: (document: Uint8Array) => RoutingTable;
+    orders: EngineOrders;
+    timing: FleetTiming;
+}
+
+/** The control daemons' part of the fleet: reports come in, views and configurations go out. */
+export class FleetService {
+    readonly #options: FleetServiceOptions;
+    readonly #lifecycle = new Lifecycle();
+    readonly #registry = new ServerRegistry();
+    readonly #controller: GroupController;
+    readonly #changed = new ChangeSignal();
+    readonly #watcher: FleetWatcher;
+    readonly #entries = new Map<string, number>();
+    readonly #zones = new Map<string, string>();
+    #view: FleetView | undefined;
+    #viewKey = "";
+    #viewVersion = 0;
+    #leadingTerm: number | undefined;
+    #routing: RoutingTable | undefined;
+    #compressed: { version: number; document: Uint8Array; } | undefined;
+    #demand: ModelDemand[] = [];
+
+    constructor(options: FleetServiceOptions) {
+        this.#options = options;
+        const { context, peers, orders, timing, log, register } = options;
+        this.#zones.set(context.daemonId, context.zone);
+        this.#controller = new GroupController({
+            context,
+            registry: this.#registry,
+            orders,
+            timing,
+            routing: () => this.#routing,
+            mayAct: () => log.holdsLeaderLease,
+            onStep: () => this.#publish(),
+        });
+        this.#watcher = new FleetWatcher({
+            context,
+            peers,
+            targets: () => this.#leaderTarget(),
+            request: () => ({
+                // Configurations come by the replicated log.
+                configurationVersion: Number.MAX_SAFE_INTEGER,
+                isEntry: false,
+                entryIds: this.#entryIds(),
+                demand: this.#takeDemand(),
+            }),
+            onConfiguration: () => undefined,
+            onView: (view) => this.#takeView(view),
+        });
+        register.onChange(() => this.#takeConfiguration());
+        peers.handle("fleet.watch", (request, from) => this.#answerWatch(request, from));
+        peers.handle("fleet.report", ({ reports }) => this.#acceptReports(reports));
+        peers.handle("fleet.depart", ({ serverId, bornMs }) => this.#acceptDeparture(serverId, bornMs));
+        peers.handle("fleet.suspect", (suspicion) => this.#acceptSuspicion(suspicion));
+    }
+
+    get leaderId(): string | undefined {
+        return this.#options.log.status().leaderId;
+    }
+
+    get groupController(): GroupController {
+        return this.#controller;
+    }
+
+    start(): void {
+        this.#takeConfiguration();
+        this.#controller.start();
+        this.#watcher.start();
+        this.#lifecycle.every(ROLE_CHECK_MS, () => this.#checkRole(), (error) => {
+            this.#options.context.logs(LogPart.Groups).error("checking the role failed", { reason: messageOf(error) });
+        });
+    }
+
+    async close(): Promise<void> {
+        const closed = this.#lifecycle.close();
+        this.#changed.notify();
+        await closed;
+        await this.#watcher.close();
+        await this.#controller.close();
+    }
+
+    /** Passes a report to the leader. Returns false when it could not be, so that the server tries another daemon. */
+    async report(report: ServerReport): Promise<boolean> {
+        return await this.#atLeader("fleet.report", { reports: [report] });
+    }
+
+    /** Passes on that a server has announced its end. */
+    async depart(serverId: string, bornMs: number | undefined): Promise<boolean> {
+        return await this.#atLeader("fleet.depart", { serverId, bornMs });
+    }
+
+    async #atLeader<T extends "fleet.report" | "fleet.depart">(
+        type: T,
+        request: Parameters<Peers["call"]>[2],
+    ): Promise<boolean> {
+        const { peers, log } = this.#options;
+        const { leaderId } = log.status();
+        if (leaderId === undefined) {
+            return false;
+        }
+        const answer = await peers.call(leaderId, type, request as never, { timeoutMs: FORWARD_TIMEOUT_MS })
+            .catch(() => undefined);
+        return (answer as { isAccepted: boolean; } | undefined)?.isAccepted === true;
+    }
+
+    #acceptReports(reports: readonly ServerReport[]): { isAccepted: boolean; leaderId?: string; } {
+        const { log, context } = this.#options;
+        if (!log.holdsLeaderLease) {
+            return { isAccepted: false, leaderId: log.status().leaderId };
+        }
+        const nowMs = monotonicMs();
+        // A server that drains is acknowledged only when all daemons hear of it at once.
+        const isAccepted = this.#controller.isSettled || !reports.some((report) => report.isDraining);
+        for (const report of reports) {
+            const effect = this.#registry.accept(report, nowMs);
+            if (effect === ReportEffect.Changed || effect === ReportEffect.Appeared) {
+                const { membership } = report;
+                context.decisions.record("server.report", {
+                    effect,
+                    server: report.serverId,
+                    service: report.service,
+                    address: report.address,
+                    serverZone: report.zone,
+                    sequence: report.sequence,
+                    isDraining: report.isDraining,
+                    group: membership?.groupName,
+                    epoch: membership?.epoch,
+                    rank: membership?.rank,
+                    state: membership?.state,
+                });
+                this.#controller.wake();
+            }
+        }
+        return { isAccepted };
+    }
+
+    #acceptDeparture(serverId: string, bornMs: number | undefined): { isAccepted: boolean; leaderId?: string; } {
+        const { log, context } = this.#options;
+        if (!log.holdsLeaderLease || !this.#controller.isSettled) {
+            return { isAccepted: false, leaderId: log.status().leaderId };
+        }
+        const server = this.#registry.get(serverId);
+        if (server !== undefined && (bornMs === undefined || bornMs === server.report.bornMs)) {
+            // It serves on for a while, as a server does that drains.
+            const report = { ...server.report, isDraining: true, sequence: Number.MAX_SAFE_INTEGER };
+            this.#registry.accept(report, monotonicMs());
+            context.decisions.record("server.departs", { server: serverId });
+            this.#controller.wake();
+        }
+        return { isAccepted: true };
+    }
+
+    #acceptSuspicion(suspicion: GroupSuspicion): { isAccepted: boolean; leaderId?: string; } {
+        const { log } = this.#options;
+        if (!log.holdsLeaderLease) {
+            return { isAccepted: false, leaderId: log.status().leaderId };
+        }
+        this.#controller.suspect(suspicion);
+        return { isAccepted: true };
+    }
+
+    #checkRole(): void {
+        const { role, term } = this.#options.log.status();
+        const leadingTerm = role === "leader" ? term : undefined;
+        if (leadingTerm === this.#leadingTerm) {
+            return;
+        }
+        if (this.#leadingTerm !== undefined) {
+            this.#controller.deactivate();
+        }
+        this.#leadingTerm = leadingTerm;
+        if (leadingTerm !== undefined) {
+            this.#viewVersion = 0;
+            this.#viewKey = "";
+            this.#controller.activate(leadingTerm);
+        }
+    }
+
+    /** Makes a new view if what daemons can use has changed. */
+    #publish(): void {
+        const { timing } = this.#options;
+        const nowMs = monotonicMs();
+        const input = {
+            registry: this.#registry,
+            groups: this.#controller.groups,
+            routing: this.#routing,
+            heartbeatMs: timing.heartbeatMs,
+            nowMs,
+        };
+        const view = {
+            groups: groupTargets(input),
+            servers: serverTargets(input),
+            entryDaemonCount: Math.max(1, this.#entryIds().length),
+            controllers: this.#controllers(),
+        };
+        const key = JSON.stringify(view);
+        if (key === this.#viewKey) {
+            return;
+        }
+        this.#viewKey = key;
+        this.#viewVersion += 1;
+        this.#takeView({ ...view, term: this.#leadingTerm ?? 0, version: this.#viewVersion });
+    }
+
+    #takeView(view: FleetView): void {
+        if (!isNewerView(view, this.#view)) {
+            return;
+        }
+        this.#view = view;
+        this.#changed.notify();
+    }
+
+    #controllers(): FleetView["controllers"] {
+        const { voterIds = [], joiningIds } = this.#options.log.status();
+        return [...new Set([...voterIds, ...joiningIds])].sort()
+            .map((daemonId) => ({ daemonId, zone: this.#zones.get(daemonId) ?? "" }));
+    }
+
+    #takeConfiguration(): void {
+        const { register, decode, context } = this.#options;
+        const { held } = register;
+        if (held === undefined) {
+            return;
+        }
+        try {
+            this.#routing = decode(held.document);
+        }
+        catch (error) {
+            context.logs(LogPart.Table).error("an accepted configuration can't be read", {
+                version: held.version,
+                reason: messageOf(error),
+            });
+        }
+        this.#compressed = undefined;
+        context.decisions.record("configuration.inForce", { version: held.version });
+        this.#changed.notify();
+        this.#controller.wake();
+    }
+
+    async #answerWatch(request: WatchRequest, from: string): Promise<WatchResponse> {
+        const nowMs = monotonicMs();
+        this.#noteWatcher(request, from, nowMs);
+        const untilMs = nowMs + Math.min(request.waitMs, MAX_WATCH_MS);
+        while (!this.#hasNews(request) && monotonicMs() < untilMs && !this.#lifecycle.isClosed) {
+            await this.#changed.wait(untilMs - monotonicMs());
+        }
+        return this.#watchResponse(request);
+    }
+
+    #noteWatcher(request: WatchRequest, from: string, nowMs: number): void {
+        const ids = request.isEntry ? [from] : request.entryIds;
+        if (!request.isEntry) {
+            this.#zones.set(from, request.zone);
+        }
+        for (const entryId of ids) {
+            this.#entries.set(entryId, nowMs);
+        }
+        this.#demand.push(...request.demand);
+        this.#controller.noteDemand(request.demand);
+    }
+
+    #hasNews({ configurationVersion, viewTerm, viewVersion }: WatchRequest): boolean {
+        const isViewNewer = this.#view !== undefined
+            && isNewerView(this.#view, { term: viewTerm, version: viewVersion });
+        return isViewNewer || this.#options.register.version > configurationVersion;
+    }
+
+    #watchResponse({ configurationVersion, viewTerm, viewVersion }: WatchRequest): WatchResponse {
+        const { context, register, log } = this.#options;
+        const { leaderId, leaderContactAgeMs } = log.status();
+        const view = this.#view;
+        const hasView = view !== undefined && isNewerView(view, { term: viewTerm, version: viewVersion });
+        return {
+            zone: context.zone,
+            leaderId,
+            leaderContactAgeMs: Number.isFinite(leaderContactAgeMs) ? leaderContactAgeMs : undefined,
+            ...(hasView ? { view } : {}),
+            ...(register.version > configurationVersion ? { configuration: this.#compress() } : {}),
+        };
+    }
+
+    /** The configuration in force, compressed once for all daemons that ask. */
+    #compress(): { version: number; document: Uint8Array; } | undefined {
+        const { held } = this.#options.register;
+        if (held !== undefined && this.#compressed?.version !== held.version) {
+            this.#compressed = { version: held.version, document: deflateRawSync(held.document) };
+        }
+        return this.#compressed;
+    }
+
+    #entryIds(): string[] {
+        const oldestMs = monotonicMs() - ENTRY_MEMORY_MS;
+        return [...this.#entries].filter(([, atMs]) => atMs >= oldestMs).map(([entryId]) => entryId);
+    }
+
+    #takeDemand(): ModelDemand[] {
+        const demand = sumDemand(this.#demand);
+        this.#demand = [];
+        return demand;
+    }
+
+    /** The leader, while another daemon leads. */
+    #leaderTarget(): string[] {
+        const { role, leaderId } = this.#options.log.status();
+        return role === "leader" || leaderId === undefined ? [] : [leaderId];
+    }
+}
+
+/** Adds up demand by service and model. */
+export const sumDemand = (demand: readonly ModelDemand[]): ModelDemand[] => {
+    const sums = new Map<string, ModelDemand>();
+    for (const { service, model, tokens, rejected } of demand) {
+        const key = `${service}\n${model}`;
+        const sum = sums.get(key) ?? { service, model, tokens: 0, rejected: 0 };
+        sums.set(key, { ...sum, tokens: sum.tokens + tokens, rejected: sum.rejected + rejected });
+    }
+    return [...sums.values()];
+};
--- /dev/null
+++ b/packages/fleet/src/supervision.ts
@@ -0,0 +1,127 @@
+import { MemberState } from "@greengage/protocol";
+import type { FleetState } from "./controller.ts";
+import type { GroupEnding } from "./ending.ts";
+import type { GroupForming } from "./forming.ts";
+import { GroupPhase, headOf, type ManagedGroup } from "./group.ts";
+import { type BackendServer, reportsState } from "./registry.ts";
+import { CLOSE_LIMIT_MS, MISSING_HEARTBEATS, OPEN_LIMIT_MS } from "./timing.ts";
+
+/** Looks at one group and begins the next step of its life. */
+export const superviseGroup = (
+    state: FleetState,
+    ending: GroupEnding,
+    forming: GroupForming,
+    group: ManagedGroup,
+    nowMs: number,
+): void => phaseHandlers[group.phase]({ state, ending, forming, group, nowMs });
+
+interface Supervision {
+    state: FleetState;
+    ending: GroupEnding;
+    forming: GroupForming;
+    group: ManagedGroup;
+    nowMs: number;
+}
+
+const phaseHandlers: Record<GroupPhase, (supervision: Supervision) => void> = {
+    [GroupPhase.Joining]: (supervision) => superviseJoining(supervision),
+    [GroupPhase.Opening]: (supervision) => superviseOpening(supervision),
+    [GroupPhase.Open]: (supervision) => superviseOpen(supervision),
+    [GroupPhase.Closing]: (supervision) => superviseClosing(supervision),
+    [GroupPhase.Leaving]: ({ ending, group }) => ending.leave(group),
+    [GroupPhase.Waiting]: ({ ending, group, nowMs }) => ending.wait(group, nowMs),
+};
+
+const memberOf = (state: FleetState, group: ManagedGroup, serverId: string): BackendServer | undefined => {
+    const bornMs = group.bornMs.get(serverId);
+    return bornMs === undefined || state.registry.isGone(serverId, bornMs) ? undefined : state.registry.get(serverId);
+};
+
+/** Whether the process of a member has ended or restarted, or has announced its end. */
+const hasEnded = (state: FleetState, group: ManagedGroup, serverId: string): boolean =>
+    group.bornMs.has(serverId) && memberOf(state, group, serverId) === undefined;
+
+const isDraining = (state: FleetState, group: ManagedGroup): boolean =>
+    group.memberIds.some((serverId) => memberOf(state, group, serverId)?.report.isDraining === true);
+
+const superviseJoining = ({ state, forming, group, nowMs }: Supervision): void => {
+    const missingMs = MISSING_HEARTBEATS * state.timing.heartbeatMs;
+    const members = group.memberIds.map((serverId) => memberOf(state, group, serverId));
+    const unusable = group.memberIds.filter((_, index) => {
+        const member = members[index];
+        return member === undefined || member.report.isDraining || nowMs - member.receivedAtMs > missingMs;
+    });
+    if (unusable.length > 0) {
+        // The head was never ordered to open, so the others can be used at once.
+        state.groups.remove(group, `lost ${unusable.join(" ")} before it was ready`);
+        return;
+    }
+    if (members.every((member) => reportsState(member, group, MemberState.Ready))) {
+        state.groups.setPhase(group, GroupPhase.Opening, "every member is ready", nowMs);
+        forming.open(group);
+        return;
+    }
+    if (nowMs > group.readyByMs) {
+        const late = group.memberIds.filter((_, index) => !reportsState(members[index], group, MemberState.Ready));
+        late.forEach((serverId) => state.distrustedAtMs.set(serverId, nowMs));
+        state.groups.remove(group, `${late.join(" ")} not ready in time`);
+    }
+};
+
+const superviseOpening = ({ state, ending, group, nowMs }: Supervision): void => {
+    if (reportsState(memberOf(state, group, headOf(group)), group, MemberState.Open)) {
+        state.groups.setPhase(group, GroupPhase.Open, "the head is open", nowMs);
+        return;
+    }
+    if (group.memberIds.some((serverId) => hasEnded(state, group, serverId)) || isDraining(state, group)) {
+        ending.beginLeaving(group, "a member was lost before the group was open", nowMs);
+        return;
+    }
+    if (nowMs - group.phaseSinceMs > OPEN_LIMIT_MS) {
+        ending.beginLeaving(group, "the head did not open in time", nowMs);
+    }
+};
+
+/** States of a head in which an open group doesn't serve. */
+const lostHeadStates: readonly MemberState[] = [MemberState.Ready, MemberState.Broken, MemberState.Joining];
+
+const superviseOpen = ({ state, ending, group, nowMs }: Supervision): void => {
+    const head = memberOf(state, group, headOf(group));
+    if (hasEnded(state, group, headOf(group))) {
+        state.groups.remove(group, "the head has ended");
+        return;
+    }
+    if (group.memberIds.some((serverId) => hasEnded(state, group, serverId))) {
+        ending.beginLeaving(group, "a member has ended", nowMs);
+        return;
+    }
+    const membership = head?.report.membership;
+    const isElsewhere = membership?.groupName !== group.groupName || membership.epoch !== group.epoch;
+    if (head !== undefined && isElsewhere) {
+        state.groups.remove(group, "the head has left");
+        return;
+    }
+    if (membership !== undefined && lostHeadStates.includes(membership.state)) {
+        ending.beginLeaving(group, `the head reports ${membership.state}`, nowMs);
+        return;
+    }
+    if (membership?.state === MemberState.Closing || isDraining(state, group)) {
+        ending.beginClosing(group, "a member drains", nowMs);
+    }
+};
+
+const superviseClosing = ({ state, ending, group, nowMs }: Supervision): void => {
+    const headId = headOf(group);
+    if (hasEnded(state, group, headId)) {
+        state.groups.remove(group, "the head has ended");
+        return;
+    }
+    const membership = memberOf(state, group, headId)?.report.membership;
+    const isDone = membership?.state !== MemberState.Open && membership?.state !== MemberState.Closing;
+    const isMemberLost = group.memberIds.some((serverId) => hasEnded(state, group, serverId));
+    if (isDone || isMemberLost || nowMs - group.phaseSinceMs > CLOSE_LIMIT_MS) {
+        ending.beginLeaving(group, isDone ? "the head has finished" : "the head could not finish", nowMs);
+        return;
+    }
+    ending.close(group);
+};
--- /dev/null
+++ b/packages/fleet/src/suspicion.ts
@@ -0,0 +1,145 @@
+import { monotonicMs } from "@greengage/base";
+import type { GroupSuspicion } from "@greengage/protocol";
+import type { FleetState } from "./controller.ts";
+import type { GroupEnding } from "./ending.ts";
+import { GroupPhase, headOf, type ManagedGroup } from "./group.ts";
+import type { EngineProbe } from "./orders.ts";
+import { PROBE_PERIOD_MS, SLOW_PACE, SUSPICIONS_TO_REFORM } from "./timing.ts";
+
+/** What the probes of a group's members say, by member. */
+export interface ProbeResult {
+    serverId: string;
+    probe: EngineProbe;
+}
+
+/** What to do about a suspected group. */
+export const SuspicionVerdict = {
+    /** Nothing can be said: most members are silent, so it is this daemon that is cut off. */
+    Unknown: "unknown",
+    /** A member is lost and the head answers. */
+    MemberLost: "memberLost",
+    HeadEnded: "headEnded",
+    /** The head is silent and the others answer. */
+    HeadSilent: "headSilent",
+    /** A member is slow. */
+    Slow: "slow",
+    /** All members answer at their usual pace. */
+    Healthy: "healthy",
+} as const;
+
+export type SuspicionVerdict = typeof SuspicionVerdict[keyof typeof SuspicionVerdict];
+
+/**
+ * Judges a group that stands still by the probes of its members, head first. Answers a member that goes dark: its
+ * reports are missed only after seconds, while the streams of its group stop at once.
+ */
+export const judgeProbes = (results: readonly ProbeResult[]): SuspicionVerdict => {
+    const [head, ...others] = results;
+    const silentCount = results.filter(({ probe }) => probe.kind === "silent").length;
+    if (head === undefined || silentCount * 2 > results.length) {
+        return SuspicionVerdict.Unknown;
+    }
+    if (head.probe.kind === "ended") {
+        return SuspicionVerdict.HeadEnded;
+    }
+    if (head.probe.kind === "silent") {
+        return SuspicionVerdict.HeadSilent;
+    }
+    if (others.some(({ probe }) => probe.kind !== "answered")) {
+        return SuspicionVerdict.MemberLost;
+    }
+    const isSlow = results.some(({ probe }) => probe.kind === "answered" && probe.pace >= SLOW_PACE);
+    return isSlow ? SuspicionVerdict.Slow : SuspicionVerdict.Healthy;
+};
+
+interface Finding {
+    group: ManagedGroup;
+    results: readonly ProbeResult[];
+    nowMs: number;
+}
+
+/** Checks the groups that entry daemons have seen stand still. */
+export class SuspicionCheck {
+    readonly #state: FleetState;
+    readonly #ending: GroupEnding;
+
+    constructor(state: FleetState, ending: GroupEnding) {
+        this.#state = state;
+        this.#ending = ending;
+    }
+
+    take(suspicion: GroupSuspicion): void {
+        const { groups, context, lifecycle } = this.#state;
+        const group = groups.get(suspicion.groupName);
+        const nowMs = monotonicMs();
+        const isOpen = group?.phase === GroupPhase.Open && group.epoch === suspicion.epoch;
+        if (group === undefined || !isOpen || nowMs - group.probedAtMs < PROBE_PERIOD_MS) {
+            return;
+        }
+        group.probedAtMs = nowMs;
+        lifecycle.run(() => this.#check(group, suspicion), (error) => {
+            context.decisions.record("group.probe.failed", { group: group.groupName, reason: String(error) });
+        });
+    }
+
+    async #check(group: ManagedGroup, suspicion: GroupSuspicion): Promise<void> {
+        const { registry, orders, context } = this.#state;
+        const results = await Promise.all(group.memberIds.map(async (serverId): Promise<ProbeResult> => {
+            const server = registry.get(serverId);
+            return { serverId, probe: server === undefined ? { kind: "ended" } : await orders.probe(server.report) };
+        }));
+        if (!this.#state.mayAct() || group.phase !== GroupPhase.Open) {
+            return;
+        }
+        const verdict = judgeProbes(results);
+        const failed = results.filter(({ probe }) => probe.kind !== "answered").map(({ serverId }) => serverId);
+        context.decisions.record("group.suspected", {
+            group: group.groupName,
+            epoch: group.epoch,
+            reason: suspicion.reason,
+            verdict,
+            failed,
+        });
+        const nowMs = monotonicMs();
+        if (verdict !== SuspicionVerdict.Unknown) {
+            failed.forEach((serverId) => this.#state.distrustedAtMs.set(serverId, nowMs));
+        }
+        this.#handlers[verdict]({ group, results, nowMs });
+    }
+
+    readonly #handlers: Record<SuspicionVerdict, (finding: Finding) => void> = {
+        [SuspicionVerdict.Unknown]: () => undefined,
+        [SuspicionVerdict.MemberLost]: ({ group, nowMs }) =>
+            this.#ending.beginLeaving(group, "a member is lost", nowMs),
+        [SuspicionVerdict.HeadEnded]: ({ group, nowMs }) => this.#endHead(group, nowMs),
+        [SuspicionVerdict.HeadSilent]: ({ group, nowMs }) =>
+            this.#ending.beginWaiting(group, "the head is silent", nowMs),
+        [SuspicionVerdict.Slow]: (finding) => this.#replaceSlow(finding),
+        [SuspicionVerdict.Healthy]: ({ group, nowMs }) => this.#countSuspicion(group, nowMs),
+    };
+
+    #endHead(group: ManagedGroup, nowMs: number): void {
+        const headId = headOf(group);
+        this.#state.registry.end(headId, group.bornMs.get(headId), nowMs);
+        this.#state.changed.notify();
+    }
+
+    #replaceSlow({ group, results, nowMs }: Finding): void {
+        for (const { serverId, probe } of results) {
+            if (probe.kind === "answered" && probe.pace >= SLOW_PACE) {
+                this.#state.distrustedAtMs.set(serverId, nowMs + SLOW_MEMORY_MS);
+            }
+        }
+        this.#ending.beginClosing(group, "a member is slow", nowMs);
+    }
+
+    #countSuspicion(group: ManagedGroup, nowMs: number): void {
+        group.suspicionCount += 1;
+        if (group.suspicionCount >= SUSPICIONS_TO_REFORM) {
+            this.#ending.beginLeaving(group, "it stands still though every member answers", nowMs);
+        }
+    }
+}
+
+/** A slow VM stays out of groups for this long; slowness lasts seconds. */
+const SLOW_MEMORY_MS = 6_000;
--- /dev/null
+++ b/packages/fleet/src/view.ts
@@ -0,0 +1,53 @@
+import type { RoutingTable } from "@greengage/configuration";
+import type { FleetView, GroupTarget, ServerTarget } from "@greengage/protocol";
+import { GroupPhase, headOf } from "./group.ts";
+import type { GroupTable } from "./groups.ts";
+import type { ServerRegistry } from "./registry.ts";
+import { FORGOTTEN_HEARTBEATS } from "./timing.ts";
+
+export interface ViewInput {
+    registry: ServerRegistry;
+    groups: GroupTable;
+    routing: RoutingTable | undefined;
+    heartbeatMs: number;
+    nowMs: number;
+}
+
+/** Groups that take requests. */
+export const groupTargets = ({ registry, groups }: ViewInput): GroupTarget[] =>
+    groups.all().filter((group) => group.phase === GroupPhase.Open).flatMap((group) => {
+        const head = registry.get(headOf(group))?.report;
+        const { groupName, epoch, service, model } = group;
+        return head === undefined ? [] : [{
+            groupName,
+            epoch,
+            service,
+            model,
+            headId: head.serverId,
+            headAddress: head.address,
+            zone: head.zone,
+        }];
+    });
+
+/** Backend servers that take requests by themselves. */
+export const serverTargets = ({ registry, routing, heartbeatMs, nowMs }: ViewInput): ServerTarget[] =>
+    registry.all()
+        .filter(({ report, receivedAtMs }) =>
+            !report.isDraining && report.fabricDomain === undefined
+            && routing?.service(report.service)?.engine === undefined
+            && nowMs - receivedAtMs < FORGOTTEN_HEARTBEATS * heartbeatMs
+        )
+        .map(({ report: { serverId, service, address, zone, slotCount } }) => ({
+            serverId,
+            service,
+            address,
+            zone,
+            slotCount,
+        }));
+
+/** Whether `view` replaces `held`. */
+export const isNewerView = (
+    view: Pick<FleetView, "term" | "version">,
+    held: Pick<FleetView, "term" | "version"> | undefined,
+): boolean =>
+    held === undefined || view.term > held.term || (view.term === held.term && view.version > held.version);
--- /dev/null
+++ b/packages/fleet/src/watcher.ts
@@ -0,0 +1,127 @@
+import { type Context, Lifecycle, LogPart, messageOf, monotonicMs, sleep } from "@greengage/base";
+import type { FleetView, Peers, WatchRequest, WatchResponse } from "@greengage/protocol";
+import { isNewerView } from "./view.ts";
+
+/** Wait of one call. The answering daemon sends changes at once, so it only bounds how long a lost call goes unnoticed. */
+const WATCH_WAIT_MS = 700;
+const WATCH_TIMEOUT_MS = 1_300;
+const RETRY_DELAY_MS = 100;
+/** A daemon that has not heard from the leader for this long may lag, so another one is asked. */
+const STALE_LEADER_CONTACT_MS = 1_200;
+
+export interface FleetWatcherOptions {
+    context: Context;
+    peers: Peers;
+    /** Daemons that can be watched, best first. */
+    targets: () => readonly string[];
+    request: () => Pick<WatchRequest, "configurationVersion" | "isEntry" | "entryIds" | "demand">;
+    onConfiguration: (configuration: { version: number; document: Uint8Array; }) => void;
+    onView: (view: FleetView) => void;
+}
+
+/** Follows the fleet and the configuration at one daemon that serves control, and changes to another when it lags. */
+export class FleetWatcher {
+    readonly #options: FleetWatcherOptions;
+    readonly #lifecycle = new Lifecycle();
+    #view: FleetView | undefined;
+    #target: string | undefined;
+    #leaderId: string | undefined;
+    #answeredAtMs = -Infinity;
+    #failedAtMs = new Map<string, number>();
+
+    constructor(options: FleetWatcherOptions) {
+        this.#options = options;
+    }
+
+    /** Leader that the last answer named. */
+    get leaderId(): string | undefined {
+        return this.#leaderId;
+    }
+
+    /** Time since the last answer of a daemon that follows the leader. */
+    get ageMs(): number {
+        return monotonicMs() - this.#answeredAtMs;
+    }
+
+    start(): void {
+        this.#lifecycle.run((signal) => this.#run(signal), (error) => {
+            this.#options.context.logs(LogPart.Groups).error("watching the fleet failed", { reason: messageOf(error) });
+        });
+    }
+
+    close(): Promise<void> {
+        return this.#lifecycle.close();
+    }
+
+    async #run(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            const target = this.#pickTarget();
+            if (target === undefined) {
+                await sleep(RETRY_DELAY_MS, signal);
+                continue;
+            }
+            const response = await this.#watch(target);
+            if (signal.aborted) {
+                return;
+            }
+            if (response === undefined || isStale(response)) {
+                this.#leave(target, response === undefined ? "no answer" : "it has lost the leader");
+                await sleep(RETRY_DELAY_MS, signal);
+                continue;
+            }
+            this.#answeredAtMs = monotonicMs();
+            this.#stayWith(target);
+        }
+    }
+
+    /** The target in use; after a failure the one that failed longest ago. */
+    #pickTarget(): string | undefined {
+        const targets = this.#options.targets();
+        if (this.#target !== undefined && targets.includes(this.#target)) {
+            return this.#target;
+        }
+        const failedAt = (id: string): number => this.#failedAtMs.get(id) ?? -Infinity;
+        return [...targets].sort((a, b) => failedAt(a) - failedAt(b))[0];
+    }
+
+    async #watch(target: string): Promise<WatchResponse | undefined> {
+        const { peers, request, onConfiguration, onView } = this.#options;
+        const response = await peers.call(target, "fleet.watch", {
+            ...request(),
+            zone: this.#options.context.zone,
+            viewTerm: this.#view?.term ?? 0,
+            viewVersion: this.#view?.version ?? 0,
+            waitMs: WATCH_WAIT_MS,
+        }, { timeoutMs: WATCH_TIMEOUT_MS }).catch(() => undefined);
+        if (response === undefined) {
+            return undefined;
+        }
+        this.#leaderId = response.leaderId ?? this.#leaderId;
+        if (response.configuration !== undefined) {
+            onConfiguration(response.configuration);
+        }
+        if (response.view !== undefined && isNewerView(response.view, this.#view)) {
+            this.#view = response.view;
+            onView(response.view);
+        }
+        return response;
+    }
+
+    #stayWith(target: string): void {
+        if (this.#target !== target) {
+            this.#options.context.decisions.record("control.connected", { target });
+        }
+        this.#target = target;
+    }
+
+    #leave(target: string, reason: string): void {
+        if (this.#target === target) {
+            this.#options.context.decisions.record("control.lost", { target, reason });
+        }
+        this.#target = undefined;
+        this.#failedAtMs.set(target, monotonicMs());
+    }
+}
+
+const isStale = ({ leaderContactAgeMs }: WatchResponse): boolean =>
+    leaderContactAgeMs === undefined || leaderContactAgeMs > STALE_LEADER_CONTACT_MS;
--- /dev/null
+++ b/packages/gateway/src/admission.ts
@@ -0,0 +1,59 @@
+/** What is known when a request asks for a place. */
+export interface AdmissionInput {
+    /** Predicted time to the first token at the best group; undefined when no group takes requests. */
+    firstTokenMs: number | undefined;
+    /** Time since the daemon has read the request. */
+    waitedMs: number;
+    /** Time to the first token that the caller expects. */
+    targetMs: number;
+    /** Time until the caller gives up, from now on. */
+    remainingMs: number;
+    /** Whether the caller comes back after a rejection: its target has passed. */
+    isReturning: boolean;
+    /** Mean time that a request holds its place. */
+    placeMs: number;
+}
+
+export type AdmissionVerdict =
+    | { kind: "send"; }
+    | { kind: "reject"; retryAfterMs: number; reason: string; };
+
+/** Part of the target that a prediction may use up. The rest covers what the prediction doesn't know. */
+const TARGET_SHARE = 1;
+/** A caller that comes back waits for at most this part of its remaining time. */
+const RETURNING_SHARE = 0.25;
+/** Callers give up on a stream without an event after two seconds. */
+const PATIENCE_MS = 1_800;
+/** Callers wait for at most a third of their remaining time before they come back. */
+const RETRY_SHARE = 0.3;
+const MIN_RETRY_MS = 150;
+
+/**
+ * Decides whether a request is sent to the best group or turned away at once. Answers a load above the capacity:
+ * requests that would be late for sure would make those after them late too, so they come back when places are free.
+ */
+export const admit = (input: AdmissionInput): AdmissionVerdict => {
+    const { firstTokenMs, waitedMs, targetMs, remainingMs, isReturning, placeMs } = input;
+    if (firstTokenMs === undefined) {
+        return { kind: "reject", retryAfterMs: retryAfter(remainingMs, placeMs), reason: "no group takes requests" };
+    }
+    const limitMs = isReturning
+        ? Math.min(PATIENCE_MS, remainingMs * RETURNING_SHARE)
+        : targetMs * TARGET_SHARE - waitedMs;
+    if (firstTokenMs <= limitMs || (limitMs < firstTokenMs && firstTokenMs < targetMs / 2)) {
+        return { kind: "send" };
+    }
+    const lateMs = firstTokenMs - Math.max(0, limitMs);
+    return {
+        kind: "reject",
+        retryAfterMs: retryAfter(remainingMs, lateMs),
+        reason: `first token predicted in ${Math.round(firstTokenMs)} ms`,
+    };
+};
+
+const retryAfter = (remainingMs: number, neededMs: number): number =>
+    Math.round(Math.max(MIN_RETRY_MS, Math.min(neededMs, remainingMs * RETRY_SHARE)));
+
+/** Spreads the returns of callers that are turned away together. `fraction` is in `[0, 1)`. */
+export const spreadRetryAfterMs = (retryAfterMs: number, fraction: number): number =>
+    Math.round(retryAfterMs * (0.75 + 0.5 * fraction));
--- /dev/null
+++ b/packages/gateway/src/deps.ts
@@ -0,0 +1,22 @@
+import type { Context, Random } from "@greengage/base";
+import type { RoutingTable } from "@greengage/configuration";
+import type { GroupSuspicion } from "@greengage/protocol";
+import type { Pools, RetryBudget } from "@greengage/routing";
+import type { DemandMeter } from "./demand.ts";
+import type { GroupStates } from "./groups.ts";
+import type { ServerStates } from "./servers.ts";
+import type { ServerDialect } from "./types.ts";
+
+/** What all calls of one gateway share. */
+export interface GatewayParts {
+    context: Context;
+    dialect: ServerDialect;
+    pools: Pools;
+    groups: GroupStates;
+    servers: ServerStates;
+    budget: RetryBudget;
+    demand: DemandMeter;
+    random: Random;
+    routing: () => RoutingTable | undefined;
+    suspect: (suspicion: GroupSuspicion) => void;
+}
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,237 @@
+import { type Context, ErrorCode, GreengageError, Lifecycle, monotonicMs, Random, Verdict } from "@greengage/base";
+import { type Organisation, pickService, type Route, type RoutingTable } from "@greengage/configuration";
+import type { FleetView, GroupSuspicion, ModelDemand } from "@greengage/protocol";
+import { Pools, RetryBudget } from "@greengage/routing";
+import { type Call, deadlineOf } from "./call.ts";
+import { DemandMeter } from "./demand.ts";
+import type { GatewayParts } from "./deps.ts";
+import { type GroupState, GroupStates } from "./groups.ts";
+import { ServerCall } from "./servercall.ts";
+import { ServerStates } from "./servers.ts";
+import { StreamCall } from "./streamcall.ts";
+import type { CallerRequest, CallerResponse, ServerDialect } from "./types.ts";
+
+/** Bound on the attempts beyond the first, over all daemons. */
+export interface RetryLimits {
+    /** Per request. */
+    share: number;
+    /** Within ten seconds, over all daemons. */
+    slack: number;
+}
+
+export interface GatewayOptions {
+    context: Context;
+    dialect: ServerDialect;
+    retries: RetryLimits;
+    /** Tells the controller that a group stands still. */
+    onSuspicion: (suspicion: GroupSuspicion) => void;
+}
+
+/** Stalls are looked for this often; it adds to the time until streams move. */
+const STALL_CHECK_MS = 50;
+/** A suspicion that lasts is repeated, as the first one may be lost. */
+const REPEAT_SUSPICION_MS = 500;
+/** Part of the common budget that daemons use: they count requests at different moments. */
+const BUDGET_SHARE = 0.8;
+const NOT_READY_RETRY_MS = 300;
+
+/** Takes requests of callers to backend servers by the configuration in force. */
+export class Gateway {
+    readonly #options: GatewayOptions;
+    readonly #parts: GatewayParts;
+    readonly #lifecycle = new Lifecycle();
+    readonly #random = new Random();
+    #routing: RoutingTable | undefined;
+    #entryDaemonCount = 1;
+    #inFlight = 0;
+    #hasView = false;
+
+    constructor(options: GatewayOptions) {
+        this.#options = options;
+        this.#parts = {
+            context: options.context,
+            dialect: options.dialect,
+            pools: new Pools(),
+            groups: new GroupStates(),
+            servers: new ServerStates(),
+            budget: this.#budgetFor(1),
+            demand: new DemandMeter(),
+            random: this.#random,
+            routing: () => this.#routing,
+            suspect: (suspicion) => this.#suspect(suspicion),
+        };
+    }
+
+    /** Whether a configuration and a view are known. */
+    get isInformed(): boolean {
+        return this.#routing !== undefined && this.#hasView;
+    }
+
+    get inFlight(): number {
+        return this.#inFlight;
+    }
+
+    start(): void {
+        this.#lifecycle.every(STALL_CHECK_MS, () => this.#checkStalls(), (error) => {
+            this.#options.context.decisions.record("gateway.stallCheck.failed", { reason: String(error) });
+        });
+    }
+
+    async close(): Promise<void> {
+        await this.#lifecycle.close();
+        await this.#parts.pools.close();
+    }
+
+    takeConfiguration(routing: RoutingTable): void {
+        if (routing.version > (this.#routing?.version ?? 0)) {
+            this.#routing = routing;
+            this.#options.context.decisions.record("configuration.inForce", { version: routing.version });
+        }
+    }
+
+    takeView(view: FleetView): void {
+        this.#hasView = true;
+        this.#parts.groups.take(view);
+        this.#parts.servers.take(view);
+        if (view.entryDaemonCount !== this.#entryDaemonCount) {
+            this.#entryDaemonCount = view.entryDaemonCount;
+            this.#parts.budget = this.#budgetFor(view.entryDaemonCount);
+        }
+        this.#options.context.decisions.record("fleet.view", {
+            term: view.term,
+            version: view.version,
+            groups: view.groups.length,
+            servers: view.servers.length,
+            entryDaemons: view.entryDaemonCount,
+        });
+    }
+
+    takeDemand(): ModelDemand[] {
+        return this.#parts.demand.take();
+    }
+
+    /** Answers a request. Never throws. */
+    async handle(request: CallerRequest, response: CallerResponse): Promise<void> {
+        this.#inFlight += 1;
+        const { metrics } = this.#options.context;
+        metrics.count("gateway.requests");
+        try {
+            const call = this.#resolve(request, response);
+            this.#parts.budget.countRequest(monotonicMs());
+            await this.#run(call);
+        }
+        catch (error) {
+            const failure = error instanceof GreengageError ? error : internalError(error);
+            this.#options.context.decisions.record("request.rejected", {
+                request: request.requestId,
+                code: failure.code,
+                reason: failure.message,
+                configuration: this.#routing?.version,
+            });
+            metrics.count("gateway.failed", 1, { code: failure.code });
+            response.fail(failure);
+        }
+        finally {
+            this.#inFlight -= 1;
+            metrics.durationMs("gateway.request", monotonicMs() - request.receivedAtMs);
+        }
+    }
+
+    #run(call: Call): Promise<void> {
+        const { engine } = call.service;
+        const { generation } = call.request;
+        const model = engine?.models.find(({ name }) => name === generation?.model);
+        if (engine !== undefined && generation !== undefined && model !== undefined) {
+            return new StreamCall(this.#parts, call, generation, engine, model).run();
+        }
+        return new ServerCall(this.#parts, call).run();
+    }
+
+    /** Finds route, service and organisation. Throws the rejection of a request that they don't allow. */
+    #resolve(request: CallerRequest, response: CallerResponse): Call {
+        const routing = this.#routing;
+        if (routing === undefined || !this.#hasView) {
+            throw notRun(ErrorCode.Unavailable, "the daemon knows no configuration yet", NOT_READY_RETRY_MS);
+        }
+        const route = routing.match(request.host, request.target);
+        if (route === undefined) {
+            throw notRun(ErrorCode.NotFound, `no route for ${request.host}${request.target}`);
+        }
+        const organisation = authorize(routing, route, request);
+        const service = routing.service(pickService(route, this.#random.fraction()));
+        if (service === undefined) {
+            throw notRun(ErrorCode.Internal, `route ${route.name} has no service`);
+        }
+        return {
+            request,
+            response,
+            route,
+            service,
+            organisation,
+            priority: organisation?.priority ?? route.priority,
+            deadlineAtMs: deadlineOf(request, route),
+        };
+    }
+
+    #budgetFor(entryDaemonCount: number): RetryBudget {
+        const { share, slack } = this.#options.retries;
+        return new RetryBudget({
+            share: BUDGET_SHARE * share,
+            minimum: Math.max(1, Math.floor(BUDGET_SHARE * slack / entryDaemonCount)),
+        });
+    }
+
+    /** Finds groups that stand still, tells the controller, and moves their streams. */
+    #checkStalls(): void {
+        const nowMs = monotonicMs();
+        for (const group of this.#parts.groups.all()) {
+            const { isSuspect, mustMove, silentMs } = group.stall(nowMs);
+            if (!isSuspect) {
+                continue;
+            }
+            this.#noteStall(group, silentMs, nowMs);
+            if (mustMove) {
+                [...group.uses].forEach((use) => use.move(`the group made no progress for ${Math.round(silentMs)} ms`));
+            }
+        }
+        this.#parts.pools.closeIdle(nowMs);
+    }
+
+    #noteStall(group: GroupState, silentMs: number, nowMs: number): void {
+        if (group.suspectedAtMs !== undefined && nowMs - group.suspectedAtMs < REPEAT_SUSPICION_MS) {
+            return;
+        }
+        group.suspectedAtMs = nowMs;
+        const { groupName, epoch } = group.target;
+        const reason = `no progress for ${Math.round(silentMs)} ms`;
+        this.#suspect({ groupName, epoch, reason, isHeadGone: false });
+    }
+
+    #suspect(suspicion: GroupSuspicion): void {
+        const { groupName, epoch, reason } = suspicion;
+        this.#options.context.decisions.record("group.suspected", { group: groupName, epoch, reason });
+        this.#options.context.metrics.count("gateway.suspicions");
+        this.#options.onSuspicion(suspicion);
+    }
+}
+
+const authorize = (routing: RoutingTable, route: Route, request: CallerRequest): Organisation | undefined => {
+    if (!routing.needsKeys) {
+        return undefined;
+    }
+    const organisation = request.apiKey === undefined ? undefined : routing.organisationOf(request.apiKey);
+    if (organisation === undefined && !route.allowsAnonymous) {
+        throw notRun(ErrorCode.Unauthorized, "the key is not known");
+    }
+    return organisation;
+};
+
+const notRun = (code: ErrorCode, message: string, retryAfterMs?: number): GreengageError =>
+    new GreengageError(message, { code, verdict: Verdict.NotRun, retryAfterMs });
+
+const internalError = (error: unknown): GreengageError =>
+    new GreengageError(`internal error: ${String(error)}`, {
+        code: ErrorCode.Internal,
+        verdict: Verdict.MayHaveRun,
+        cause: error,
+    });
--- /dev/null
+++ b/packages/gateway/src/groups.ts
@@ -0,0 +1,156 @@
+import type { FleetView, GroupTarget } from "@greengage/protocol";
+import type { GroupLoad } from "./placement.ts";
+import type { ReportedLoad } from "./types.ts";
+
+/** Weight of the newest request in the mean time that a request holds its place. */
+const PLACE_WEIGHT = 0.05;
+/** Before any request has ended. */
+const FIRST_PLACE_MS = 1_200;
+/** Own requests in flight that a report of the engine does not yet contain are counted on top for this long. */
+const REPORT_LIFE_MS = 2_000;
+/** A running stream writes an event in each pass, which takes up to 0.2 s with a full batch and long prompts. */
+const STALL_MS = 450;
+/** Without a running stream, silence may be a queue in the engine. */
+const FIRST_EVENT_STALL_MS = 900;
+/** Streams are moved after this silence of their group: callers leave after two seconds. */
+const MOVE_MS = 700;
+/** A suspected group is left out until it makes progress, or for this long. */
+const SUSPECT_MS = 2_000;
+/** A group that a request failed on is left out for a short time, unless another request makes progress there. */
+const AVOID_MS = 500;
+
+/** One own request at a group. */
+export interface GroupUse {
+    promptTokens: number;
+    sentAtMs: number;
+    /** Time of the last event; undefined before the first one. */
+    eventAtMs?: number;
+    /** Ends the exchange, so that the request goes on elsewhere. */
+    move: (reason: string) => void;
+}
+
+/** State of one group at this daemon. */
+export class GroupState {
+    readonly target: GroupTarget;
+    readonly uses = new Set<GroupUse>();
+    #reported: { load: ReportedLoad; atMs: number; } | undefined;
+    #sentSinceReport = 0;
+    #endedSinceReport = 0;
+    #pendingPromptTokens = 0;
+    #placeMs = FIRST_PLACE_MS;
+    #progressAtMs = -Infinity;
+    #avoidUntilMs = -Infinity;
+    suspectedAtMs: number | undefined;
+
+    constructor(target: GroupTarget) {
+        this.target = target;
+    }
+
+    add(use: GroupUse): void {
+        this.uses.add(use);
+        this.#sentSinceReport += 1;
+        this.#pendingPromptTokens += use.promptTokens;
+    }
+
+    /** Notes an event of one request. */
+    progress(use: GroupUse, nowMs: number): void {
+        if (use.eventAtMs === undefined) {
+            this.#pendingPromptTokens -= use.promptTokens;
+        }
+        use.eventAtMs = nowMs;
+        this.#progressAtMs = nowMs;
+        this.suspectedAtMs = undefined;
+        this.#avoidUntilMs = -Infinity;
+    }
+
+    end(use: GroupUse, isComplete: boolean, nowMs: number): void {
+        if (!this.uses.delete(use)) {
+            return;
+        }
+        this.#endedSinceReport += 1;
+        if (use.eventAtMs === undefined) {
+            this.#pendingPromptTokens -= use.promptTokens;
+        }
+        if (isComplete) {
+            this.#placeMs += PLACE_WEIGHT * (nowMs - use.sentAtMs - this.#placeMs);
+        }
+    }
+
+    report(load: ReportedLoad, nowMs: number): void {
+        this.#reported = { load, atMs: nowMs };
+        this.#sentSinceReport = 0;
+        this.#endedSinceReport = 0;
+    }
+
+    avoid(nowMs: number): void {
+        this.#avoidUntilMs = nowMs + AVOID_MS;
+    }
+
+    isUsable(nowMs: number): boolean {
+        const isSuspected = this.suspectedAtMs !== undefined && nowMs - this.suspectedAtMs < SUSPECT_MS;
+        return !isSuspected && nowMs >= this.#avoidUntilMs;
+    }
+
+    load(nowMs: number): GroupLoad {
+        const { groupName, zone } = this.target;
+        const own = this.uses.size;
+        const reported = this.#reported;
+        const isFresh = reported !== undefined && nowMs - reported.atMs < REPORT_LIFE_MS;
+        const total = isFresh
+            ? reported.load.runningCount + reported.load.waitingCount + this.#sentSinceReport - this.#endedSinceReport
+            : own;
+        const runningCount = Math.max(own, total);
+        return {
+            groupName,
+            zone,
+            runningCount,
+            waitingCount: 0,
+            pendingPromptTokens: Math.max(0, this.#pendingPromptTokens),
+            placeMs: this.#placeMs,
+        };
+    }
+
+    /** How long the group has made no progress though it should, and whether its streams are to be moved. */
+    stall(nowMs: number): { silentMs: number; isSuspect: boolean; mustMove: boolean; } {
+        const running = [...this.uses].filter((use) => use.eventAtMs !== undefined);
+        const oldestMs = running.length > 0
+            ? Math.max(...running.map((use) => use.eventAtMs ?? 0))
+            : Math.max(this.#progressAtMs, Math.min(...[...this.uses].map((use) => use.sentAtMs)));
+        const silentMs = this.uses.size === 0 ? 0 : nowMs - oldestMs;
+        const limitMs = running.length > 0 ? STALL_MS : FIRST_EVENT_STALL_MS;
+        const moveMs = running.length > 0 ? MOVE_MS : FIRST_EVENT_STALL_MS;
+        return { silentMs, isSuspect: silentMs > limitMs, mustMove: silentMs > moveMs };
+    }
+}
+
+/** All groups of the last view. */
+export class GroupStates {
+    readonly #states = new Map<string, GroupState>();
+
+    /** Takes a new view. Groups that it lacks take no new requests; their streams go on. */
+    take(view: FleetView): void {
+        const names = new Set(view.groups.map((group) => group.groupName));
+        for (const name of this.#states.keys()) {
+            if (!names.has(name)) {
+                this.#states.delete(name);
+            }
+        }
+        for (const target of view.groups) {
+            if (!this.#states.has(target.groupName)) {
+                this.#states.set(target.groupName, new GroupState(target));
+            }
+        }
+    }
+
+    get(groupName: string): GroupState | undefined {
+        return this.#states.get(groupName);
+    }
+
+    all(): GroupState[] {
+        return [...this.#states.values()];
+    }
+
+    ofModel(service: string, model: string): GroupState[] {
+        return this.all().filter(({ target }) => target.service === service && target.model === model);
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,4 @@
+export * from "./admission.ts";
+export * from "./gateway.ts";
+export * from "./placement.ts";
+export * from "./types.ts";
--- /dev/null
+++ b/packages/gateway/src/streamcall.ts
@@ -0,0 +1,299 @@
+import { GreengageError, monotonicMs, Verdict } from "@greengage/base";
+import type { EngineProfile, ModelSpec } from "@greengage/configuration";
+import { FailureKind, noCapacity } from "@greengage/routing";
+import { admit, spreadRetryAfterMs } from "./admission.ts";
+import { Attempt, type AttemptOutcome, leftMs } from "./attempt.ts";
+import { backendError, type Call, isReturning, remainingMs, timeoutError, watchDeadline } from "./call.ts";
+import type { GatewayParts } from "./deps.ts";
+import type { GroupState, GroupUse } from "./groups.ts";
+import { choosePlace } from "./placement.ts";
+import type { Generation, ServerHead } from "./types.ts";
+
+/** Wait before the same request is tried again when every group was busy or out of reach at once. */
+const NEXT_TRY_MS = 30;
+/** Below this rest of its time a request isn't sent again. */
+const MIN_RETRY_MS = 100;
+/** Id of the last event in a run of whole events. */
+const EVENT_ID = /(?:^|\n)id: ?([^\r\n]*)/g;
+
+/** What the caller has received so far. */
+interface Delivered {
+    hasHead: boolean;
+    lastEventId: string | undefined;
+}
+
+/** A request to a replica group, answered by a stream that goes on at another group when its own fails. */
+export class StreamCall {
+    readonly #parts: GatewayParts;
+    readonly #call: Call;
+    readonly #generation: Generation;
+    readonly #profile: EngineProfile;
+    readonly #model: ModelSpec;
+    readonly #delivered: Delivered;
+    #attempt: Attempt | undefined;
+    #attemptCount = 0;
+    #mayHaveRun = false;
+    #endReason: "closed" | "deadline" | undefined;
+    #lastReason = "";
+
+    constructor(parts: GatewayParts, call: Call, generation: Generation, profile: EngineProfile, model: ModelSpec) {
+        this.#parts = parts;
+        this.#call = call;
+        this.#generation = generation;
+        this.#profile = profile;
+        this.#model = model;
+        this.#delivered = { hasHead: false, lastEventId: call.request.lastEventId };
+    }
+
+    async run(): Promise<void> {
+        const { response, service } = this.#call;
+        const { promptTokens, maxAnswerTokens, model } = this.#generation;
+        this.#parts.demand.add(service.name, model, promptTokens + maxAnswerTokens);
+        response.onClosed(() => this.#stop("closed", FailureKind.Cancelled));
+        const cancelDeadline = watchDeadline(this.#call, () => this.#stop("deadline", FailureKind.Deadline));
+        try {
+            await this.#runAttempts();
+        }
+        catch (error) {
+            this.#fail(error);
+        }
+        finally {
+            cancelDeadline();
+        }
+    }
+
+    async #runAttempts(): Promise<void> {
+        const tried = new Set<string>();
+        while (this.#endReason === undefined) {
+            const group = this.#place(tried);
+            if (this.#attemptCount > 0 && !this.#parts.budget.takeRetry(monotonicMs())) {
+                throw this.#giveUp("the budget for retries is spent");
+            }
+            tried.add(group.target.groupName);
+            this.#attemptCount += 1;
+            const outcome = await this.#runAt(group);
+            if (this.#endReason !== undefined) {
+                break;
+            }
+            if (outcome.kind === "complete" && this.#finish(outcome)) {
+                return;
+            }
+            this.#lastReason = outcome.kind === "complete" ? `answered ${outcome.head.status}` : outcome.reason;
+            this.#record("request.attemptFailed", { outcome: outcome.kind, reason: this.#lastReason });
+            if (!this.#canTryAgain(outcome)) {
+                throw this.#giveUp(this.#lastReason);
+            }
+            if (outcome.kind === "notRun") {
+                await new Promise((resolve) => setTimeout(resolve, NEXT_TRY_MS));
+            }
+        }
+        if (this.#endReason === "deadline") {
+            throw timeoutError(this.#mayHaveRun ? Verdict.MayHaveRun : Verdict.NotRun);
+        }
+    }
+
+    /** Chooses a group, or throws the rejection. */
+    #place(tried: ReadonlySet<string>): GroupState {
+        const { groups, context, random } = this.#parts;
+        const { route, service, request } = this.#call;
+        const nowMs = monotonicMs();
+        const all = groups.ofModel(service.name, this.#model.name).filter((state) => state.isUsable(nowMs));
+        const untried = all.filter((state) => !tried.has(state.target.groupName));
+        const usable = untried.length > 0 ? untried : all;
+        const loads = usable.map((state) => state.load(nowMs));
+        const place = choosePlace({
+            profile: this.#profile,
+            model: this.#model,
+            groups: loads,
+            promptTokens: this.#generation.promptTokens,
+            zone: context.zone,
+        }, random.fraction());
+        const verdict = admit({
+            firstTokenMs: place?.firstTokenMs,
+            waitedMs: nowMs - request.receivedAtMs,
+            targetMs: route.targetMs,
+            remainingMs: remainingMs(this.#call),
+            isReturning: isReturning(this.#call) || this.#attemptCount > 0,
+            placeMs: loads[0]?.placeMs ?? 1_000,
+        });
+        const group = place === undefined ? undefined : groups.get(place.groupName);
+        if (verdict.kind === "reject" || group === undefined) {
+            this.#parts.demand.addRejected(service.name, this.#model.name);
+            const retryAfterMs = verdict.kind === "reject" ? verdict.retryAfterMs : MIN_RETRY_MS;
+            const reason = verdict.kind === "reject" ? verdict.reason : "no group takes requests";
+            if (this.#mayHaveRun) {
+                throw backendError(reason);
+            }
+            throw noCapacity(reason, spreadRetryAfterMs(retryAfterMs, random.fraction()));
+        }
+        const load = loads.find(({ groupName }) => groupName === group.target.groupName);
+        this.#record("request.placed", {
+            group: group.target.groupName,
+            epoch: group.target.epoch,
+            groupZone: group.target.zone,
+            running: load?.runningCount,
+            predictedMs: Math.round(place?.firstTokenMs ?? 0),
+            candidates: loads.length,
+        });
+        return group;
+    }
+
+    async #runAt(group: GroupState): Promise<AttemptOutcome> {
+        const { pools, dialect, groups } = this.#parts;
+        const { request, organisation, priority, deadlineAtMs } = this.#call;
+        const { target } = group;
+        const sentAtMs = monotonicMs();
+        const attempt = new Attempt({
+            client: pools.get(`http://${target.headAddress}`, sentAtMs),
+            dialect,
+            name: `group ${target.groupName}`,
+            serverRequest: {
+                request,
+                serverId: target.headId,
+                deadlineMs: leftMs(deadlineAtMs),
+                organisation: organisation?.name,
+                priority,
+                lastEventId: this.#delivered.lastEventId,
+            },
+            closesConnection: false,
+            // The group may have been withdrawn while the connection was opened.
+            mayWrite: () => groups.get(target.groupName) === group,
+            onHead: (head) => this.#onHead(group, head),
+            onEvents: (events) => this.#onEvents(group, use, events),
+        });
+        const use: GroupUse = {
+            promptTokens: this.#generation.promptTokens,
+            sentAtMs,
+            move: (reason) => attempt.fail(FailureKind.Stalled, reason),
+        };
+        group.add(use);
+        this.#attempt = attempt;
+        const outcome = await attempt.run();
+        this.#attempt = undefined;
+        group.end(use, outcome.kind === "complete", monotonicMs());
+        this.#judge(group, outcome);
+        return outcome;
+    }
+
+    #onHead(group: GroupState, head: ServerHead): void {
+        this.#mayHaveRun = true;
+        if (head.load !== undefined) {
+            group.report(head.load, monotonicMs());
+        }
+        this.#head = head;
+    }
+
+    #head: ServerHead | undefined;
+
+    #onEvents(group: GroupState, use: GroupUse, events: Buffer): void {
+        const { response, request } = this.#call;
+        const nowMs = monotonicMs();
+        if (use.eventAtMs === undefined && !this.#delivered.hasHead) {
+            this.#parts.context.metrics.durationMs("gateway.first_event", nowMs - request.receivedAtMs);
+        }
+        group.progress(use, nowMs);
+        if (!this.#delivered.hasHead && this.#head !== undefined) {
+            this.#delivered.hasHead = true;
+            response.sendHead(this.#head.status, this.#head.headers);
+        }
+        this.#delivered.lastEventId = lastIdOf(events) ?? this.#delivered.lastEventId;
+        if (!response.write(events)) {
+            const attempt = this.#attempt;
+            attempt?.pause();
+            response.onDrained(() => attempt?.resume());
+        }
+    }
+
+    /** Gives a complete answer to the caller. Returns false when another attempt may do better. */
+    #finish({ head, body }: Extract<AttemptOutcome, { kind: "complete"; }>): boolean {
+        const { response } = this.#call;
+        if (head.status < 300) {
+            if (!this.#delivered.hasHead) {
+                this.#delivered.hasHead = true;
+                response.sendHead(head.status, head.headers);
+            }
+            response.end();
+            this.#record("request.answered", { attempts: this.#attemptCount });
+            return true;
+        }
+        if (this.#delivered.hasHead) {
+            return false;
+        }
+        if (head.status >= 500 && this.#mayRepeat()) {
+            return false;
+        }
+        response.send(head.status, head.headers, body);
+        this.#record("request.answeredFailure", { status: head.status, attempts: this.#attemptCount });
+        return true;
+    }
+
+    #judge(group: GroupState, outcome: AttemptOutcome): void {
+        if (outcome.kind === "complete" || this.#endReason !== undefined) {
+            return;
+        }
+        const nowMs = monotonicMs();
+        group.avoid(nowMs);
+        const isHeadGone = outcome.kind === "notRun" && outcome.isConnectionRefused;
+        const culpritId = outcome.kind === "notRun" ? outcome.head?.culpritId : undefined;
+        const isUnreachable = outcome.kind === "notRun" && outcome.head === undefined;
+        if (isHeadGone || culpritId !== undefined || isUnreachable) {
+            const { groupName, epoch } = group.target;
+            this.#parts.suspect({ groupName, epoch, reason: outcome.reason, isHeadGone, culpritId });
+        }
+    }
+
+    #mayRepeat(): boolean {
+        return this.#attemptCount < this.#call.route.maxAttempts && remainingMs(this.#call) > MIN_RETRY_MS;
+    }
+
+    #canTryAgain(outcome: AttemptOutcome): boolean {
+        if (!this.#mayRepeat() || this.#call.response.isClosed) {
+            return false;
+        }
+        if (outcome.kind === "notRun") {
+            return true;
+        }
+        // A stream that has begun can only be resumed; one that has not is run again in the same way.
+        return this.#call.route.canResume;
+    }
+
+    #giveUp(reason: string): GreengageError {
+        if (!this.#mayHaveRun && !this.#delivered.hasHead) {
+            const { random } = this.#parts;
+            return noCapacity(reason, spreadRetryAfterMs(MIN_RETRY_MS * 2, random.fraction()));
+        }
+        return backendError(reason);
+    }
+
+    #stop(reason: "closed" | "deadline", kind: FailureKind): void {
+        this.#endReason ??= reason;
+        this.#attempt?.fail(kind, reason === "closed" ? "the caller has left" : "the time is over");
+    }
+
+    #fail(error: unknown): void {
+        const failure = error instanceof GreengageError ? error : backendError(String(error));
+        this.#record("request.failed", {
+            code: failure.code,
+            verdict: failure.verdict,
+            reason: failure.message,
+            attempts: this.#attemptCount,
+            retryAfterMs: failure.retryAfterMs,
+            lastReason: this.#lastReason,
+        });
+        this.#parts.context.metrics.count("gateway.failed", 1, { code: failure.code });
+        this.#call.response.fail(failure);
+    }
+
+    #record(event: string, fields: Record<string, string | number | undefined>): void {
+        const { request, route } = this.#call;
+        this.#parts.context.decisions.record(event, {
+            request: request.requestId,
+            route: route.name,
+            ageMs: Math.round(monotonicMs() - request.receivedAtMs),
+            ...fields,
+        });
+    }
+}
+
+const lastIdOf = (events: Buffer): string | undefined =>
+    [...events.toString("latin1").matchAll(EVENT_ID)].at(-1)?.[1]?.trim();
--- a/packages/protocol/src/connection.ts
+++ b/packages/protocol/src/connection.ts
@@ -1,4 +1,4 @@
-import type { Timeline } from "@greengage/base";
+import { monotonicMs, type Timeline } from "@greengage/base";
 import { createHmac, randomBytes, timingSafeEqual } from "node:crypto";
 import type { WebSocket } from "ws";
 import { FrameDecoder, FrameEncoder } from "./codec.ts";
@@ -32,6 +32,7 @@
     readonly #decoder = new FrameDecoder();
     readonly #pending = new Map<number, PendingCall>();
     #nextCallId = 1;
+    #receivedAtMs = 0;
 
     constructor(peerId: string, socket: WebSocket, handlers: FrameHandlers, timeline: Timeline) {
         this.peerId = peerId;
@@ -51,9 +52,11 @@
             return Promise.reject(new PeerUnreachableError(this.peerId));
         }
         const callId = this.#nextCallId++;
+        const calledAtMs = monotonicMs();
         return new Promise((resolve, reject) => {
             const timer = setTimeout(() => {
                 this.#pending.delete(callId);
+                this.#closeIfSilentSince(calledAtMs);
                 reject(new PeerTimeoutError(this.peerId, type, timeoutMs));
             }, timeoutMs);
             this.#pending.set(callId, { type, resolve, reject, timer });
@@ -69,6 +72,13 @@
         this.#socket.terminate();
     }
 
+    /** A connection can go silent without a reset while new ones work, so it is replaced after a call in vain. */
+    #closeIfSilentSince(sinceMs: number): void {
+        if (this.#receivedAtMs < sinceMs) {
+            this.close();
+        }
+    }
+
     #send(frame: Frame): void {
         if (this.isOpen) {
             const bytes = this.#encoder.encode(frame);
@@ -78,6 +88,7 @@
     }
 
     #receive(data: Buffer): void {
+        this.#receivedAtMs = monotonicMs();
         this.#handlers.countBytes("receivedBytes", data.length);
         let frame: Frame;
         try {
--- /dev/null
+++ b/packages/protocol/src/fleet.ts
@@ -0,0 +1,127 @@
+/** State of a backend server as a member of a replica group, as the server itself reports it. */
+export const MemberState = {
+    Joining: "joining",
+    Ready: "ready",
+    Open: "open",
+    Closing: "closing",
+    Broken: "broken",
+} as const;
+
+export type MemberState = typeof MemberState[keyof typeof MemberState];
+
+/** Replica group that a backend server belongs to. */
+export interface GroupMembership {
+    groupName: string;
+    /** Grows with each new list of members. */
+    epoch: number;
+    /** Position in the list of members; 0 is the head. */
+    rank: number;
+    state: MemberState;
+}
+
+/** What a backend server says about itself. */
+export interface ServerReport {
+    serverId: string;
+    /** Wall clock start of the process, in whole milliseconds. Tells incarnations with one id apart. */
+    bornMs: number;
+    service: string;
+    /** `host:port`. */
+    address: string;
+    zone: string;
+    isDraining: boolean;
+    /** Requests that the server runs at once. */
+    slotCount: number;
+    /** Grows with each report of one incarnation. */
+    sequence: number;
+    /** Missing on servers that don't run models. */
+    fabricDomain?: string;
+    /** Models in memory. */
+    loadedModels: string[];
+    /** Models whose weights are on the server's host, from where they load faster. */
+    stagedModels: string[];
+    membership?: GroupMembership;
+}
+
+/** A replica group that takes requests. */
+export interface GroupTarget {
+    groupName: string;
+    epoch: number;
+    service: string;
+    model: string;
+    headId: string;
+    /** `host:port` of the head. */
+    headAddress: string;
+    zone: string;
+}
+
+/** A backend server that takes requests by itself. */
+export interface ServerTarget {
+    serverId: string;
+    service: string;
+    address: string;
+    zone: string;
+    slotCount: number;
+}
+
+/** What entry daemons need to know of the backend servers. */
+export interface FleetView {
+    /** Term of the leader that made the view; a higher term replaces a lower one. */
+    term: number;
+    /** Number of the view within its term. */
+    version: number;
+    groups: GroupTarget[];
+    servers: ServerTarget[];
+    /** Entry daemons that watched the fleet lately, over all zones. */
+    entryDaemonCount: number;
+    /** Daemons that serve control, by zone. */
+    controllers: { daemonId: string; zone: string; }[];
+}
+
+/** A daemon asks for what has changed, and waits for it. */
+export interface WatchRequest {
+    /** Version of the configuration that the daemon holds; 0 without one. */
+    configurationVersion: number;
+    viewTerm: number;
+    viewVersion: number;
+    waitMs: number;
+    /** Zone of the daemon. */
+    zone: string;
+    /** Whether the daemon takes requests of callers. */
+    isEntry: boolean;
+    /** Entry daemons that watch this daemon, if it passes the fleet on. */
+    entryIds: string[];
+    /** Demand since the last call. */
+    demand: ModelDemand[];
+}
+
+/** Demand for one model, as one daemon or several have seen it. */
+export interface ModelDemand {
+    service: string;
+    model: string;
+    /** Prompt and answer tokens that callers asked for. */
+    tokens: number;
+    /** Requests that were rejected for lack of capacity. */
+    rejected: number;
+}
+
+export interface WatchResponse {
+    /** Set when it is newer than the caller's. `document` is compressed with deflate. */
+    configuration?: { version: number; document: Uint8Array; };
+    /** Set when it is newer than the caller's. */
+    view?: FleetView;
+    zone: string;
+    leaderId?: string;
+    /** Time since the answering daemon last heard from the leader; undefined when it never did. */
+    leaderContactAgeMs?: number;
+}
+
+/** An entry daemon has seen a group stand still, or its head fail. */
+export interface GroupSuspicion {
+    groupName: string;
+    epoch: number;
+    reason: string;
+    /** Whether connections to the head are refused or reset: then the head's process has ended. */
+    isHeadGone: boolean;
+    /** Server that an answer named as the one at fault. */
+    culpritId?: string;
+}
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,5 +1,6 @@
 export * from "./codec.ts";
 export * from "./errors.ts";
+export * from "./fleet.ts";
 export * from "./messages.ts";
 export * from "./network.ts";
 export * from "./peers.ts";
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -1,4 +1,5 @@
 import type { HlcTimestamp, Verdict } from "@greengage/base";
+import type { GroupSuspicion, ServerReport, WatchRequest, WatchResponse } from "./fleet.ts";
 import type {
     Grant,
     InFlightCount,
@@ -222,6 +223,22 @@
         request: { vmId: string; drain: boolean; dryRun: boolean; };
         response: { plan?: DrainPlan; };
     };
+    /** Configuration and fleet view, as soon as either is newer than what the caller holds. */
+    "fleet.watch": { request: WatchRequest; response: WatchResponse; };
+    /** Reports of backend servers, passed on to the leader. `isAccepted` is false on any other daemon. */
+    "fleet.report": {
+        request: { reports: ServerReport[]; };
+        response: { isAccepted: boolean; leaderId?: string; };
+    };
+    /** A backend server has ended, or leaves without a report that says so. */
+    "fleet.depart": {
+        request: { serverId: string; bornMs: number | undefined; };
+        response: { isAccepted: boolean; leaderId?: string; };
+    };
+    "fleet.suspect": {
+        request: GroupSuspicion;
+        response: { isAccepted: boolean; leaderId?: string; };
+    };
     "operator.forward": {
         request: { method: string; path: string; body?: unknown; };
         response: { status: number; body: unknown; };
--- a/packages/protocol/src/network.ts
+++ b/packages/protocol/src/network.ts
@@ -24,6 +24,8 @@
     /** Address at which this daemon takes connections of its peers. */
     listen: { host: string; port: number; };
     addresses: PeerAddress[];
+    /** Address of a daemon that is not in `addresses`, where daemons come and go. Default: none. */
+    resolve?: (daemonId: string) => PeerAddress | undefined;
     /** Shared secret of all daemons. */
     key: string;
 }
@@ -157,9 +159,10 @@
         if (existing !== undefined) {
             return existing;
         }
-        const address = this.addresses.find((candidate) => candidate.daemonId === daemonId);
+        const address = this.addresses.find((candidate) => candidate.daemonId === daemonId)
+            ?? this.#options.resolve?.(daemonId);
         if (address === undefined) {
-            return Promise.reject(new PeerUnreachableError(daemonId, new Error("not in the settings")));
+            return Promise.reject(new PeerUnreachableError(daemonId, new Error("its address is not known")));
         }
         const attempt = this.#open(address);
         this.#outgoing.set(daemonId, attempt);
--- a/packages/routing/src/exchange.ts
+++ b/packages/routing/src/exchange.ts
@@ -14,6 +14,10 @@
     headers: Record<string, string>;
     body: string | Uint8Array | undefined;
     requestId: string;
+    /** Header that carries the request id in both directions, in lower case. Default: `x-request-id`. */
+    requestIdHeader?: string;
+    /** Whether the connection is closed after the response. Default: false. */
+    closesConnection?: boolean;
     /** Called in the same step as the write. Nothing is written when it returns false. */
     mayWrite: () => boolean;
     onHead: (status: number, headers: Record<string, string | string[] | undefined>) => void;
@@ -39,6 +43,10 @@
         this.#options = options;
     }
 
+    get #idHeader(): string {
+        return this.#options.requestIdHeader ?? "x-request-id";
+    }
+
     /** Whether a byte of the request may have reached the backend server. */
     get hasWritten(): boolean {
         return this.#hasWritten;
@@ -50,12 +58,13 @@
     }
 
     start(): void {
-        const { client, method, path, headers, body, requestId } = this.#options;
+        const { client, method, path, headers, body, requestId, closesConnection } = this.#options;
         const options = {
             method: method as HttpDispatcher.HttpMethod,
             path,
-            headers: { ...headers, "x-request-id": requestId },
+            headers: { ...headers, [this.#idHeader]: requestId },
             body: body === undefined || body.length === 0 ? undefined : body,
+            ...(closesConnection ? { reset: true } : {}),
             // Time limits are the caller's; undici's own would end a stream that waits for a slow reader.
             headersTimeout: 0,
             bodyTimeout: 0,
@@ -115,7 +124,7 @@
         if (this.#isOver || status < 200) {
             return;
         }
-        if (headers["x-request-id"] !== this.#options.requestId) {
+        if (headers[this.#idHeader] !== this.#options.requestId) {
             this.fail(FailureKind.WrongId, "the answer carries the id of another request");
             return;
         }
--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -1,7 +1,8 @@
 /** Builds `dist/greengage`: one bundle, turned into a Node.js single executable application. */
-import { build, type Plugin } from "esbuild";
+import { build } from "esbuild";
 import { execFileSync } from "node:child_process";
 import { chmodSync, copyFileSync, mkdirSync, writeFileSync } from "node:fs";
+import { optionalAddons } from "./addons.ts";
 
 const SENTINEL_FUSE = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
 const BUNDLE_PATH = "dist/greengage.cjs";
@@ -9,19 +10,6 @@
 const BLOB_PATH = "dist/greengage.blob";
 const EXECUTABLE_PATH = "dist/greengage";
 
-// Libraries try to load these native add-ons and go on without them. Inside the executable a failed `require`
-// prints a warning, so the bundle gets a module that throws in place of each.
-const optionalAddons: Plugin = {
-    name: "optional-addons",
-    setup: (build) => {
-        const filter = /^(unix-dgram|msgpackr-extract|bufferutil|utf-8-validate)$/;
-        build.onResolve({ filter }, ({ path }) => ({ path, namespace: "optional-addon" }));
-        build.onLoad({ filter: /.*/, namespace: "optional-addon" }, ({ path }) => ({
-            contents: `throw new Error("${path} is not part of the executable");`,
-        }));
-    },
-};
-
 mkdirSync("dist", { recursive: true });
 await build({
     entryPoints: ["packages/cli/src/main.ts"],
