Share fabric domains out among models as a whole

Cause: groups of the smaller model were formed one by one before all VMs had appeared, so that 12 of them left room for 3 of the larger one; requests that waited in a full engine counted as a stall.

--- a/packages/fleet/src/adoption.ts
+++ b/packages/fleet/src/adoption.ts
@@ -51,9 +51,9 @@
 
 /** Phase of an adopted group by the state of its head. */
 const phaseByHeadState: Record<MemberState, GroupPhase> = {
-    // A former leader's order to open may still be on its way, so the head must leave before its group is used anew.
-    [MemberState.Joining]: GroupPhase.Leaving,
-    [MemberState.Ready]: GroupPhase.Leaving,
+    // Its members may have loaded weights for many seconds, so the group goes on.
+    [MemberState.Joining]: GroupPhase.Joining,
+    [MemberState.Ready]: GroupPhase.Joining,
     [MemberState.Open]: GroupPhase.Open,
     [MemberState.Closing]: GroupPhase.Closing,
     [MemberState.Broken]: GroupPhase.Leaving,
@@ -80,7 +80,7 @@
         bornMs: new Map(members.map(({ report }) => [report.serverId, report.bornMs])),
         phase: hasHead ? phaseByHeadState[headState] : GroupPhase.Waiting,
         phaseSinceMs: nowMs,
-        readyByMs: nowMs,
+        readyByMs: nowMs + ADOPTED_JOIN_MS,
         reason: "adopted",
         freeAtMs: Infinity,
         suspicionCount: 0,
@@ -89,4 +89,7 @@
     state.groups.add(group);
 };
 
+/** Time for an adopted group to become ready: the longest load, with others beside it. */
+const ADOPTED_JOIN_MS = 20_000;
+
 const rankOf = (server: BackendServer): number => server.report.membership?.rank ?? Infinity;
--- a/packages/fleet/src/forming.ts
+++ b/packages/fleet/src/forming.ts
@@ -5,10 +5,26 @@
 import { GroupPhase, headOf, isProvided, type ManagedGroup } from "./group.ts";
 import { LoadPacer } from "./loadpacer.ts";
 import { OrderOutcome } from "./orders.ts";
-import { type FreeVm, type GroupPlan, memberKey, needsLoad, planGroup, type PlanInput, planStaging } from "./planner.ts";
+import {
+    type FreeVm,
+    type GroupPlan,
+    type GroupTargets,
+    memberKey,
+    needsLoad,
+    planGroup,
+    type PlanInput,
+    planStaging,
+    planTargets,
+} from "./planner.ts";
 import { type BackendServer, reportsState } from "./registry.ts";
 import { DISTRUST_MS, JOIN_MARGIN_MS, JOIN_PATIENCE, MISSING_HEARTBEATS, ORDER_RETRY_MS } from "./timing.ts";
 
+/** Part of the loads at once that is never used to stage spares. */
+const LOADS_KEPT_SHARE = 0.4;
+
+/** VMs of a new fleet appear within a period of their reports, most of them close together. */
+const APPEARANCE_GAP_MS = 300;
+
 /** Forms groups from free VMs, opens them, and has spares load weights in advance. */
 export class GroupForming {
     readonly #state: FleetState;
@@ -22,9 +38,13 @@
 
     formGroups(nowMs: number): void {
         for (const service of this.#modelServices()) {
+            if (!this.#isComplete(service.name, nowMs)) {
+                continue;
+            }
+            const targets = this.#targets(service, service.engine, nowMs);
             for (;;) {
                 const input = this.#planInput(service, service.engine, nowMs);
-                const plan = planGroup(input);
+                const plan = planGroup(input, targets);
                 if (plan === undefined) {
                     break;
                 }
@@ -35,13 +55,18 @@
 
     stageSpares(nowMs: number): void {
         for (const service of this.#modelServices()) {
+            if (!this.#isComplete(service.name, nowMs)) {
+                continue;
+            }
             const input = this.#planInput(service, service.engine, nowMs);
+            // Some loads stay free for members of groups, which are missed now.
+            const stagingAllowed = input.loadsAllowed - Math.floor(service.engine.loadsAtOnce * LOADS_KEPT_SHARE);
             const memberCounts = new Map<string, number>();
             for (const { fabricDomain, model, memberIds } of this.#state.groups.all()) {
                 const key = memberKey(fabricDomain, model);
                 memberCounts.set(key, (memberCounts.get(key) ?? 0) + memberIds.length);
             }
-            for (const { serverId, model } of planStaging(input, memberCounts)) {
+            for (const { serverId, model } of planStaging({ ...input, loadsAllowed: stagingAllowed }, memberCounts)) {
                 this.#pacer(service.name).started(1, nowMs);
                 this.#loads.set(serverId, { model: model.name, untilMs: nowMs + JOIN_PATIENCE * model.loadMs });
                 this.#state.context.decisions.record("vm.stage", { server: serverId, model: model.name });
@@ -71,6 +96,30 @@
         );
     }
 
+    /** At the first start, groups are formed once the VMs have stopped to appear: a domain is shared out as a whole. */
+    #isComplete(service: string, nowMs: number): boolean {
+        if (this.#state.hasDemand) {
+            return true;
+        }
+        const vms = this.#state.registry.all().filter(({ report }) => report.service === service);
+        return vms.every(({ firstSeenAtMs }) => nowMs - firstSeenAtMs >= APPEARANCE_GAP_MS);
+    }
+
+    /** Groups that each fabric domain should have, by the VMs that are free or in a group. */
+    #targets(service: ServiceSpec, profile: EngineProfile, nowMs: number): GroupTargets {
+        const { registry, groups } = this.#state;
+        const vmCounts = new Map<string, number>();
+        for (const server of registry.all()) {
+            const { serverId, fabricDomain = "" } = server.report;
+            const group = groups.groupOf(serverId);
+            const isUsed = group !== undefined && group.service === service.name && !server.report.isDraining;
+            if (isUsed || this.#isFree(server, service.name, nowMs)) {
+                vmCounts.set(fabricDomain, (vmCounts.get(fabricDomain) ?? 0) + 1);
+            }
+        }
+        return planTargets(profile, needsOf(profile), vmCounts);
+    }
+
     #planInput(service: ServiceSpec, profile: EngineProfile, nowMs: number): PlanInput {
         const free = this.#state.registry.all().filter((server) => this.#isFree(server, service.name, nowMs));
         const groups = this.#state.groups.all().filter((group) => group.service === service.name && isProvided(group));
@@ -78,7 +127,7 @@
             profile,
             freeVms: free.map((server) => this.#freeVm(server)),
             groups,
-            needs: new Map(profile.models.map((model) => [model.name, model.share])),
+            needs: needsOf(profile),
             loadsAllowed: this.#loadsAllowed(service.name, profile, nowMs),
         };
     }
@@ -192,5 +241,8 @@
     }
 }
 
+const needsOf = (profile: EngineProfile): Map<string, number> =>
+    new Map(profile.models.map((model) => [model.name, model.share]));
+
 const hasJoined = (server: BackendServer, group: ManagedGroup): boolean =>
     reportsState(server, group, MemberState.Joining) || reportsState(server, group, MemberState.Ready);
--- a/packages/fleet/src/loadpacer.ts
+++ b/packages/fleet/src/loadpacer.ts
@@ -8,10 +8,10 @@
 
     /** Loads that may begin now. Before there is any demand the store has no limit. */
     allowed(loadsPerS: number, loadsAtOnce: number, hasDemand: boolean, runningCount: number, nowMs: number): number {
-        const places = Math.max(0, loadsAtOnce - runningCount);
         if (!hasDemand) {
-            return places;
+            return Infinity;
         }
+        const places = Math.max(0, loadsAtOnce - runningCount);
         this.#startedAtMs = this.#startedAtMs.filter((atMs) => nowMs - atMs < WINDOW_MS);
         const rate = Math.floor(loadsPerS * RATE_SHARE * WINDOW_MS / 1_000) - this.#startedAtMs.length;
         return Math.max(0, Math.min(places, rate));
--- a/packages/fleet/src/planner.ts
+++ b/packages/fleet/src/planner.ts
@@ -55,15 +55,62 @@
 /** Whether a join would load from the weight store. */
 export const needsLoad = (vm: FreeVm, model: ModelSpec): boolean => joinTimeMs(vm, model) === model.loadMs;
 
+/** Groups of each model that each fabric domain should have: count by `memberKey(domain, model)`. */
+export type GroupTargets = ReadonlyMap<string, number>;
+
+/**
+ * Shares the VMs of the fabric domains out among the models. Answers domains that have room for either one large group
+ * or several small ones: the model that is covered least for its need comes first, in the domain that it fills best.
+ */
+export const planTargets = (
+    profile: EngineProfile,
+    needs: ReadonlyMap<string, number>,
+    vmCounts: ReadonlyMap<string, number>,
+): GroupTargets => {
+    const left = new Map(vmCounts);
+    const targets = new Map<string, number>();
+    const totals = new Map<string, number>();
+    for (;;) {
+        const byCoverage = [...profile.models].sort((a, b) => coverage(totals, needs, a) - coverage(totals, needs, b));
+        const next = byCoverage.map((model) => ({ model, domain: bestFit(left, model) }))
+            .find(({ domain }) => domain !== undefined);
+        if (next?.domain === undefined) {
+            return targets;
+        }
+        const { model, domain } = next;
+        const key = memberKey(domain, model.name);
+        left.set(domain, (left.get(domain) ?? 0) - model.vmCount);
+        targets.set(key, (targets.get(key) ?? 0) + 1);
+        totals.set(model.name, (totals.get(model.name) ?? 0) + 1);
+    }
+};
+
+/** VMs of a model's groups in relation to its need, which is a share of the work. */
+const coverage = (totals: ReadonlyMap<string, number>, needs: ReadonlyMap<string, number>, model: ModelSpec): number =>
+    (totals.get(model.name) ?? 0) * model.vmCount / Math.max(1e-9, needs.get(model.name) ?? model.share);
+
+/** The domain with the fewest VMs that has room for a group and its spares. */
+const bestFit = (left: ReadonlyMap<string, number>, model: ModelSpec): string | undefined =>
+    [...left].filter(([, count]) => count >= model.vmCount + SPARES_PER_DOMAIN)
+        .sort((a, b) => a[1] - b[1])[0]?.[0]
+        // A domain that has lost its spares still restores its groups.
+        ?? [...left].find(([, count]) => count >= model.vmCount && count < model.vmCount + SPARES_PER_DOMAIN)?.[0];
+
 /**
  * The next group to form, or undefined. Answers the loss of members: the model that is served least for its need comes
  * first, in the fabric domain where its members are ready soonest, so that survivors and staged spares are used before
  * VMs that must load.
  */
-export const planGroup = (input: PlanInput): GroupPlan | undefined => {
-    const byNeed = [...input.profile.models].sort((a, b) => coverage(input, a) - coverage(input, b));
+export const planGroup = (input: PlanInput, targets: GroupTargets): GroupPlan | undefined => {
+    const totals = new Map<string, number>();
+    for (const { model } of input.groups) {
+        totals.set(model, (totals.get(model) ?? 0) + 1);
+    }
+    const byNeed = [...input.profile.models].sort((a, b) =>
+        coverage(totals, input.needs, a) - coverage(totals, input.needs, b)
+    );
     for (const model of byNeed) {
-        const plans = domainsOf(input.freeVms).map((domain) => planInDomain(input, model, domain))
+        const plans = domainsOf(input.freeVms).map((domain) => planInDomain(input, targets, model, domain))
             .filter((plan) => plan !== undefined);
         plans.sort((a, b) => a.readyInMs - b.readyInMs || a.loadCount - b.loadCount);
         if (plans[0] !== undefined) {
@@ -73,21 +120,17 @@
     return undefined;
 };
 
-/** Groups of a model in relation to its need. */
-const coverage = ({ groups, needs }: PlanInput, model: ModelSpec): number => {
-    const count = groups.filter((group) => group.model === model.name).length;
-    const need = Math.max(1e-9, needs.get(model.name) ?? model.share);
-    // Need is counted in VMs, as the shares of the work are.
-    return count * model.vmCount / need;
-};
-
 const domainsOf = (vms: readonly FreeVm[]): string[] => [...new Set(vms.map((vm) => vm.fabricDomain))];
 
-const planInDomain = (input: PlanInput, model: ModelSpec, domain: string): GroupPlan | undefined => {
+const planInDomain = (
+    input: PlanInput,
+    targets: GroupTargets,
+    model: ModelSpec,
+    domain: string,
+): GroupPlan | undefined => {
     const free = input.freeVms.filter((vm) => vm.fabricDomain === domain);
-    const isRestoring = !input.groups.some((group) => group.fabricDomain === domain && group.model === model.name);
-    const spares = isRestoring ? 0 : SPARES_PER_DOMAIN;
-    if (free.length < model.vmCount + spares) {
+    const present = input.groups.filter((group) => group.fabricDomain === domain && group.model === model.name).length;
+    if (free.length < model.vmCount || present >= (targets.get(memberKey(domain, model.name)) ?? 0)) {
         return undefined;
     }
     const candidates = [...free].sort((a, b) => joinTimeMs(a, model) - joinTimeMs(b, model));
--- a/packages/fleet/src/supervision.ts
+++ b/packages/fleet/src/supervision.ts
@@ -44,6 +44,9 @@
 const isDraining = (state: FleetState, group: ManagedGroup): boolean =>
     group.memberIds.some((serverId) => memberOf(state, group, serverId)?.report.isDraining === true);
 
+const vmCountOf = (state: FleetState, { service, model }: ManagedGroup): number | undefined =>
+    state.routing()?.service(service)?.engine?.models.find(({ name }) => name === model)?.vmCount;
+
 const superviseJoining = ({ state, forming, group, nowMs }: Supervision): void => {
     const missingMs = MISSING_HEARTBEATS * state.timing.heartbeatMs;
     const members = group.memberIds.map((serverId) => memberOf(state, group, serverId));
@@ -56,7 +59,8 @@
         state.groups.remove(group, `lost ${unusable.join(" ")} before it was ready`);
         return;
     }
-    if (members.every((member) => reportsState(member, group, MemberState.Ready))) {
+    const isWhole = group.memberIds.length === vmCountOf(state, group);
+    if (isWhole && members.every((member) => reportsState(member, group, MemberState.Ready))) {
         state.groups.setPhase(group, GroupPhase.Opening, "every member is ready", nowMs);
         forming.open(group);
         return;
--- a/packages/fleet/src/suspicion.ts
+++ b/packages/fleet/src/suspicion.ts
@@ -56,6 +56,7 @@
     group: ManagedGroup;
     results: readonly ProbeResult[];
     nowMs: number;
+    suspicion: GroupSuspicion;
 }
 
 /** Checks the groups that entry daemons have seen stand still. */
@@ -104,7 +105,7 @@
         if (verdict !== SuspicionVerdict.Unknown) {
             failed.forEach((serverId) => this.#state.distrustedAtMs.set(serverId, nowMs));
         }
-        this.#handlers[verdict]({ group, results, nowMs });
+        this.#handlers[verdict]({ group, results, nowMs, suspicion });
     }
 
     readonly #handlers: Record<SuspicionVerdict, (finding: Finding) => void> = {
@@ -115,7 +116,7 @@
         [SuspicionVerdict.HeadSilent]: ({ group, nowMs }) =>
             this.#ending.beginWaiting(group, "the head is silent", nowMs),
         [SuspicionVerdict.Slow]: (finding) => this.#replaceSlow(finding),
-        [SuspicionVerdict.Healthy]: ({ group, nowMs }) => this.#countSuspicion(group, nowMs),
+        [SuspicionVerdict.Healthy]: (finding) => this.#countSuspicion(finding),
     };
 
     #endHead(group: ManagedGroup, nowMs: number): void {
@@ -133,7 +134,10 @@
         this.#ending.beginClosing(group, "a member is slow", nowMs);
     }
 
-    #countSuspicion(group: ManagedGroup, nowMs: number): void {
+    #countSuspicion({ group, nowMs, suspicion }: Finding): void {
+        if (!suspicion.hasRunningStream) {
+            return;
+        }
         group.suspicionCount += 1;
         if (group.suspicionCount >= SUSPICIONS_TO_REFORM) {
             this.#ending.beginLeaving(group, "it stands still though every member answers", nowMs);
--- a/packages/fleet/src/timing.ts
+++ b/packages/fleet/src/timing.ts
@@ -9,13 +9,13 @@
 /** Control steps come at least this often; reports and suspicions bring them forward. */
 export const STEP_MS = 200;
 /** A new leader listens for this many report periods before it decides. */
-export const SETTLE_HEARTBEATS = 1.5;
+export const SETTLE_HEARTBEATS = 1.25;
 /** A backend server without a report for this many periods gets no new part in a group. */
 export const MISSING_HEARTBEATS = 2.5;
 /** A plain service without a report for this many periods is no longer offered; daemons see its failures sooner. */
 export const FORGOTTEN_HEARTBEATS = 12;
 /** Margin on `stallMs` for the time that an order and a notice take on their way. */
-export const STALL_MARGIN_MS = 700;
+export const STALL_MARGIN_MS = 300;
 /** Pause before an order without a clear answer is sent again. */
 export const ORDER_RETRY_MS = 250;
 /** Orders to leave that may fail before the head counts as unreachable. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -185,11 +185,11 @@
     #checkStalls(): void {
         const nowMs = monotonicMs();
         for (const group of this.#parts.groups.all()) {
-            const { isSuspect, mustMove, silentMs } = group.stall(nowMs);
+            const { isSuspect, mustMove, silentMs, hasRunningStream } = group.stall(nowMs);
             if (!isSuspect) {
                 continue;
             }
-            this.#noteStall(group, silentMs, nowMs);
+            this.#noteStall(group, silentMs, hasRunningStream, nowMs);
             if (mustMove) {
                 [...group.uses].forEach((use) => use.move(`the group made no progress for ${Math.round(silentMs)} ms`));
             }
@@ -197,14 +197,14 @@
         this.#parts.pools.closeIdle(nowMs);
     }
 
-    #noteStall(group: GroupState, silentMs: number, nowMs: number): void {
+    #noteStall(group: GroupState, silentMs: number, hasRunningStream: boolean, nowMs: number): void {
         if (group.suspectedAtMs !== undefined && nowMs - group.suspectedAtMs < REPEAT_SUSPICION_MS) {
             return;
         }
         group.suspectedAtMs = nowMs;
         const { groupName, epoch } = group.target;
         const reason = `no progress for ${Math.round(silentMs)} ms`;
-        this.#suspect({ groupName, epoch, reason, isHeadGone: false });
+        this.#suspect({ groupName, epoch, reason, hasRunningStream, isHeadGone: false });
     }
 
     #suspect(suspicion: GroupSuspicion): void {
--- a/packages/gateway/src/groups.ts
+++ b/packages/gateway/src/groups.ts
@@ -10,8 +10,8 @@
 const REPORT_LIFE_MS = 2_000;
 /** A running stream writes an event in each pass, which takes up to 0.2 s with a full batch and long prompts. */
 const STALL_MS = 450;
-/** Without a running stream, silence may be a queue in the engine. */
-const FIRST_EVENT_STALL_MS = 900;
+/** Without a running stream, silence may be a queue in the engine that the prediction has missed. */
+const FIRST_EVENT_STALL_MS = 700;
 /** Streams are moved after this silence of their group: callers leave after two seconds. */
 const MOVE_MS = 700;
 /** A suspected group is left out until it makes progress, or for this long. */
@@ -23,6 +23,8 @@
 export interface GroupUse {
     promptTokens: number;
     sentAtMs: number;
+    /** Predicted time of the first event. */
+    expectedAtMs: number;
     /** Time of the last event; undefined before the first one. */
     eventAtMs?: number;
     /** Ends the exchange, so that the request goes on elsewhere. */
@@ -111,18 +113,28 @@
     }
 
     /** How long the group has made no progress though it should, and whether its streams are to be moved. */
-    stall(nowMs: number): { silentMs: number; isSuspect: boolean; mustMove: boolean; } {
-        const running = [...this.uses].filter((use) => use.eventAtMs !== undefined);
-        const oldestMs = running.length > 0
-            ? Math.max(...running.map((use) => use.eventAtMs ?? 0))
-            : Math.max(this.#progressAtMs, Math.min(...[...this.uses].map((use) => use.sentAtMs)));
-        const silentMs = this.uses.size === 0 ? 0 : nowMs - oldestMs;
-        const limitMs = running.length > 0 ? STALL_MS : FIRST_EVENT_STALL_MS;
-        const moveMs = running.length > 0 ? MOVE_MS : FIRST_EVENT_STALL_MS;
-        return { silentMs, isSuspect: silentMs > limitMs, mustMove: silentMs > moveMs };
+    stall(nowMs: number): Stall {
+        const uses = [...this.uses];
+        const running = uses.filter((use) => use.eventAtMs !== undefined);
+        if (running.length > 0) {
+            const silentMs = nowMs - Math.max(...running.map((use) => use.eventAtMs ?? 0));
+            return { silentMs, isSuspect: silentMs > STALL_MS, mustMove: silentMs > MOVE_MS, hasRunningStream: true };
+        }
+        const expectedAtMs = Math.min(...uses.map((use) => use.expectedAtMs));
+        const silentMs = uses.length === 0 ? 0 : nowMs - Math.max(expectedAtMs, this.#progressAtMs);
+        const isSuspect = silentMs > FIRST_EVENT_STALL_MS;
+        return { silentMs, isSuspect, mustMove: isSuspect, hasRunningStream: false };
     }
 }
 
+/** Whether a group makes progress. */
+export interface Stall {
+    silentMs: number;
+    isSuspect: boolean;
+    mustMove: boolean;
+    hasRunningStream: boolean;
+}
+
 /** All groups of the last view. */
 export class GroupStates {
     readonly #states = new Map<string, GroupState>();
--- a/packages/gateway/src/streamcall.ts
+++ b/packages/gateway/src/streamcall.ts
@@ -65,13 +65,13 @@
     async #runAttempts(): Promise<void> {
         const tried = new Set<string>();
         while (this.#endReason === undefined) {
-            const group = this.#place(tried);
+            const { group, predictedMs } = this.#place(tried);
             if (this.#attemptCount > 0 && !this.#parts.budget.takeRetry(monotonicMs())) {
                 throw this.#giveUp("the budget for retries is spent");
             }
             tried.add(group.target.groupName);
             this.#attemptCount += 1;
-            const outcome = await this.#runAt(group);
+            const outcome = await this.#runAt(group, predictedMs);
             if (this.#endReason !== undefined) {
                 break;
             }
@@ -93,7 +93,7 @@
     }
 
     /** Chooses a group, or throws the rejection. */
-    #place(tried: ReadonlySet<string>): GroupState {
+    #place(tried: ReadonlySet<string>): { group: GroupState; predictedMs: number; } {
         const { groups, context, random } = this.#parts;
         const { route, service, request } = this.#call;
         const nowMs = monotonicMs();
@@ -135,10 +135,10 @@
             predictedMs: Math.round(place?.firstTokenMs ?? 0),
             candidates: loads.length,
         });
-        return group;
+        return { group, predictedMs: place?.firstTokenMs ?? 0 };
     }
 
-    async #runAt(group: GroupState): Promise<AttemptOutcome> {
+    async #runAt(group: GroupState, predictedMs: number): Promise<AttemptOutcome> {
         const { pools, dialect, groups } = this.#parts;
         const { request, organisation, priority, deadlineAtMs } = this.#call;
         const { target } = group;
@@ -164,6 +164,7 @@
         const use: GroupUse = {
             promptTokens: this.#generation.promptTokens,
             sentAtMs,
+            expectedAtMs: sentAtMs + predictedMs,
             move: (reason) => attempt.fail(FailureKind.Stalled, reason),
         };
         group.add(use);
@@ -238,7 +239,8 @@
         const isUnreachable = outcome.kind === "notRun" && outcome.head === undefined;
         if (isHeadGone || culpritId !== undefined || isUnreachable) {
             const { groupName, epoch } = group.target;
-            this.#parts.suspect({ groupName, epoch, reason: outcome.reason, isHeadGone, culpritId });
+            const { reason } = outcome;
+            this.#parts.suspect({ groupName, epoch, reason, hasRunningStream: false, isHeadGone, culpritId });
         }
     }
 
--- a/packages/protocol/src/fleet.ts
+++ b/packages/protocol/src/fleet.ts
@@ -120,6 +120,8 @@
     groupName: string;
     epoch: number;
     reason: string;
+    /** Whether a stream that had begun stands still; a request that waits may only be queued. */
+    hasRunningStream: boolean;
     /** Whether connections to the head are refused or reset: then the head's process has ended. */
     isHeadGone: boolean;
     /** Server that an answer named as the one at fault. */
