Hand the groups to the next leader, and keep suspicions until they are cleared

Cause: a new leader learned groups from reports alone, so that loads under way were thrown away and a group whose head was silent was held for another 6 s; a group that stood still without requests was forgotten.

--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -119,15 +119,21 @@
         }
     }
 
-    #passOn(suspicion: GroupSuspicion): void {
+    /** Tells the leader of a suspicion. Resolves to whether the group is in order. */
+    async #passOn(suspicion: GroupSuspicion): Promise<boolean> {
         const { leaderId } = this.#watcher;
         if (leaderId === undefined) {
-            return;
+            return false;
+        }
+        const options = { timeoutMs: SUSPECT_TIMEOUT_MS };
+        try {
+            return (await this.#peers.call(leaderId, "fleet.suspect", suspicion, options)).isCleared;
         }
-        this.#peers.call(leaderId, "fleet.suspect", suspicion, { timeoutMs: SUSPECT_TIMEOUT_MS }).catch((error) => {
+        catch (error) {
             const fields = { group: suspicion.groupName, leaderId, reason: messageOf(error) };
             this.#options.context.decisions.record("group.suspicionLost", fields);
-        });
+            return false;
+        }
     }
 }
 
--- a/packages/fleet/src/adoption.ts
+++ b/packages/fleet/src/adoption.ts
@@ -1,8 +1,48 @@
-import { MemberState } from "@greengage/protocol";
+import { type GroupRecords, MemberState } from "@greengage/protocol";
 import type { FleetState } from "./controller.ts";
 import { GroupPhase, type ManagedGroup } from "./group.ts";
+import type { GroupTable } from "./groups.ts";
 import type { BackendServer } from "./registry.ts";
 
+/** Time for an adopted group to become ready: the longest load, with others beside it. */
+const ADOPTED_JOIN_MS = 20_000;
+
+/** What a successor of this leader needs to know of the groups. */
+export const recordsOf = (groups: GroupTable, nowMs: number): GroupRecords => ({
+    groups: groups.all().map((group) => ({
+        groupName: group.groupName,
+        epoch: group.epoch,
+        service: group.service,
+        model: group.model,
+        zone: group.zone,
+        fabricDomain: group.fabricDomain,
+        headAddress: group.headAddress,
+        members: group.memberIds.map((serverId) => ({ serverId, bornMs: group.bornMs.get(serverId) ?? 0 })),
+        phase: group.phase,
+        ...(Number.isFinite(group.freeAtMs) ? { freeInMs: group.freeAtMs - nowMs } : {}),
+    })),
+    endedNames: groups.endedNames(),
+});
+
+/** Takes over the groups that the former leader has told of. `ageMs` is the time since it did. */
+export const restoreGroups = (state: FleetState, records: GroupRecords, ageMs: number, nowMs: number): void => {
+    records.endedNames.forEach((groupName) => state.groups.markEnded(groupName));
+    for (const { members, phase, freeInMs, ...record } of records.groups) {
+        state.groups.add({
+            ...record,
+            memberIds: members.map(({ serverId }) => serverId),
+            bornMs: new Map(members.map(({ serverId, bornMs }) => [serverId, bornMs])),
+            phase: phase as GroupPhase,
+            phaseSinceMs: nowMs,
+            readyByMs: nowMs + ADOPTED_JOIN_MS,
+            reason: "taken over",
+            freeAtMs: freeInMs === undefined ? Infinity : nowMs + freeInMs - ageMs,
+            suspicionCount: 0,
+            probedAtMs: 0,
+        });
+    }
+};
+
 interface FoundGroup {
     groupName: string;
     epoch: number;
@@ -32,7 +72,7 @@
         const { groupName, epoch } = membership;
         const known = groups.get(groupName);
         if (known !== undefined) {
-            if (known.epoch === epoch) {
+            if (known.epoch === epoch && !known.memberIds.includes(server.report.serverId)) {
                 groups.addMember(known, server.report.serverId, server.report.bornMs);
             }
             continue;
@@ -75,6 +115,7 @@
         model: loadedModels[0] ?? stagedModels[0] ?? "",
         zone,
         fabricDomain,
+        headAddress: hasHead ? first.report.address : "",
         // A head that reports nothing may serve on, so its place is kept.
         memberIds: [...(hasHead ? [] : [""]), ...members.map(({ report }) => report.serverId)],
         bornMs: new Map(members.map(({ report }) => [report.serverId, report.bornMs])),
@@ -89,7 +130,4 @@
     state.groups.add(group);
 };
 
-/** Time for an adopted group to become ready: the longest load, with others beside it. */
-const ADOPTED_JOIN_MS = 20_000;
-
 const rankOf = (server: BackendServer): number => server.report.membership?.rank ?? Infinity;
--- a/packages/fleet/src/controller.ts
+++ b/packages/fleet/src/controller.ts
@@ -1,8 +1,8 @@
 import { type Context, Lifecycle, LogPart, messageOf, monotonicMs } from "@greengage/base";
 import type { RoutingTable } from "@greengage/configuration";
 import { ChangeSignal } from "@greengage/consensus";
-import type { GroupSuspicion, ModelDemand } from "@greengage/protocol";
-import { adoptGroups } from "./adoption.ts";
+import type { GroupRecords, GroupSuspicion, ModelDemand } from "@greengage/protocol";
+import { adoptGroups, recordsOf, restoreGroups } from "./adoption.ts";
 import { GroupEnding } from "./ending.ts";
 import { GroupForming } from "./forming.ts";
 import { GroupTable } from "./groups.ts";
@@ -91,13 +91,25 @@
         await closed;
     }
 
-    /** Takes over with a new term. Groups are learned anew from the reports of their members. */
-    activate(term: number): void {
+    /** What a successor needs to know of the groups. */
+    records(): GroupRecords {
+        return recordsOf(this.#state.groups, monotonicMs());
+    }
+
+    /**
+     * Takes over with a new term. Groups are those that the former leader has told of, and those that members report.
+     * `ageMs` is the time since the former leader's word.
+     */
+    activate(term: number, records: GroupRecords | undefined, ageMs: number): void {
         this.#term = term;
         this.#epochCount = 0;
         this.#state.groups.clear();
+        if (records !== undefined) {
+            restoreGroups(this.#state, records, ageMs, monotonicMs());
+            this.#state.hasDemand = true;
+        }
         this.#settledAtMs = monotonicMs() + SETTLE_HEARTBEATS * this.#options.timing.heartbeatMs;
-        this.#options.context.decisions.record("controller.active", { term });
+        this.#options.context.decisions.record("controller.active", { term, knownGroups: records?.groups.length, ageMs });
     }
 
     deactivate(): void {
@@ -111,8 +123,9 @@
         this.#state.changed.notify();
     }
 
-    suspect(suspicion: GroupSuspicion): void {
-        this.#suspicions.take(suspicion);
+    /** Checks a suspected group. Returns whether it is in order. */
+    suspect(suspicion: GroupSuspicion): Promise<boolean> {
+        return this.#suspicions.take(suspicion);
     }
 
     noteDemand(demand: readonly ModelDemand[]): void {
--- a/packages/fleet/src/ending.ts
+++ b/packages/fleet/src/ending.ts
@@ -46,12 +46,12 @@
 
     leave(group: ManagedGroup): void {
         this.#once(group, async () => {
-            const head = this.#reportOf(group, headOf(group));
-            if (head === undefined) {
+            if (this.#hasEnded(group, headOf(group))) {
                 this.#free(group, "the head has ended");
                 return;
             }
-            for (let attempt = 0; attempt < LEAVE_ATTEMPTS && this.#state.mayAct(); attempt += 1) {
+            const head = this.#reportOf(group, headOf(group));
+            for (let attempt = 0; attempt < LEAVE_ATTEMPTS && head !== undefined && this.#state.mayAct(); attempt += 1) {
                 const outcome = await this.#state.orders.leave(head, group);
                 if (isHeadOut[outcome]) {
                     this.#free(group, outcome === OrderOutcome.Accepted ? "the head has left" : "the head has ended");
@@ -67,7 +67,7 @@
 
     wait(group: ManagedGroup, nowMs: number): void {
         const headId = headOf(group);
-        if (group.bornMs.has(headId) && this.#reportOf(group, headId) === undefined) {
+        if (this.#hasEnded(group, headId)) {
             this.#free(group, "the head has ended");
             return;
         }
@@ -90,8 +90,9 @@
     #removeOneMember(group: ManagedGroup): void {
         this.#once(group, async () => {
             const { timing, orders, mayAct, lifecycle } = this.#state;
-            const others = group.memberIds.slice(1).map((serverId) => this.#reportOf(group, serverId));
-            if (others.length > 0 && others.some((report) => report === undefined)) {
+            const otherIds = group.memberIds.slice(1);
+            const others = otherIds.map((serverId) => this.#reportOf(group, serverId));
+            if (otherIds.some((serverId) => this.#hasEnded(group, serverId))) {
                 group.freeAtMs = monotonicMs() + timing.stallMs + STALL_MARGIN_MS;
                 return;
             }
@@ -118,9 +119,11 @@
     }
 
     #reportOf(group: ManagedGroup, serverId: string): ServerReport | undefined {
-        const bornMs = group.bornMs.get(serverId);
-        const { registry } = this.#state;
-        return bornMs === undefined || registry.isGone(serverId, bornMs) ? undefined : registry.get(serverId)?.report;
+        return this.#state.registry.incarnation(serverId, group.bornMs.get(serverId) ?? NaN)?.report;
+    }
+
+    #hasEnded(group: ManagedGroup, serverId: string): boolean {
+        return this.#state.registry.hasEnded(serverId, group.bornMs.get(serverId) ?? NaN);
     }
 
     #once(group: ManagedGroup, task: () => Promise<void>): void {
--- a/packages/fleet/src/forming.ts
+++ b/packages/fleet/src/forming.ts
@@ -22,6 +22,8 @@
 /** Part of the loads at once that is never used to stage spares. */
 const LOADS_KEPT_SHARE = 0.4;
 
+/** Time from an accepted order to join until the VM has reported it. */
+const JOIN_REPORT_MS = 1_500;
 /** VMs of a new fleet appear within a period of their reports, most of them close together. */
 const APPEARANCE_GAP_MS = 300;
 
@@ -29,6 +31,8 @@
 export class GroupForming {
     readonly #state: FleetState;
     readonly #pacers = new Map<string, LoadPacer>();
+    /** Orders to join that are under way, by group and VM. */
+    readonly #joins = new Set<string>();
     /** Loads that run, by VM, with the time by which they must have ended. */
     readonly #loads = new Map<string, { model: string; untilMs: number; }>();
 
@@ -125,10 +129,11 @@
         const groups = this.#state.groups.all().filter((group) => group.service === service.name && isProvided(group));
         return {
             profile,
-            freeVms: free.map((server) => this.#freeVm(server)),
+            freeVms: free.map((server) => this.#freeVm(server, nowMs)),
             groups,
             needs: needsOf(profile),
             loadsAllowed: this.#loadsAllowed(service.name, profile, nowMs),
+            hasDemand: this.#state.hasDemand,
         };
     }
 
@@ -141,11 +146,12 @@
             && (distrustedAt === undefined || receivedAtMs > distrustedAt + DISTRUST_MS);
     }
 
-    #freeVm({ report }: BackendServer): FreeVm {
+    #freeVm({ report, firstSeenAtMs }: BackendServer, nowMs: number): FreeVm {
         const { serverId, fabricDomain = "", zone, loadedModels, stagedModels } = report;
         const load = this.#loads.get(serverId);
         const isStaging = load !== undefined && !stagedModels.includes(load.model);
-        return { serverId, fabricDomain, zone, lastModel: loadedModels[0], stagedModels, isStaging };
+        const seenForMs = nowMs - firstSeenAtMs;
+        return { serverId, fabricDomain, zone, lastModel: loadedModels[0], stagedModels, isStaging, seenForMs };
     }
 
     #loadsAllowed(service: string, profile: EngineProfile, nowMs: number): number {
@@ -175,6 +181,7 @@
             model: model.name,
             zone: members[0]?.zone ?? "",
             fabricDomain,
+            headAddress: this.#state.registry.get(members[0]?.serverId ?? "")?.report.address ?? "",
             memberIds: members.map((vm) => vm.serverId),
             bornMs: new Map(members.map((vm) => [
                 vm.serverId,
@@ -192,8 +199,17 @@
         for (const vm of members.filter((member) => needsLoad(member, model))) {
             this.#loads.set(vm.serverId, { model: model.name, untilMs: group.readyByMs });
         }
-        for (const vm of members) {
-            this.#run(() => this.#join(group, vm.serverId));
+        this.joinMembers(group);
+    }
+
+    /** Orders the members to join that don't report it, also those that a former leader has not reached. */
+    joinMembers(group: ManagedGroup): void {
+        for (const serverId of group.memberIds) {
+            const key = `${group.groupName} ${serverId}`;
+            if (!this.#joins.has(key)) {
+                this.#joins.add(key);
+                this.#run(() => this.#join(group, serverId).finally(() => this.#joins.delete(key)));
+            }
         }
     }
 
@@ -207,7 +223,9 @@
             }
             const outcome = await orders.join(server.report, group);
             if (outcome === OrderOutcome.Accepted) {
-                return;
+                // The report of the change comes at once; without it the order is sent again.
+                await sleep(JOIN_REPORT_MS, lifecycle.signal);
+                continue;
             }
             context.decisions.record("group.join.failed", { group: group.groupName, server: serverId, outcome });
             if (outcome === OrderOutcome.WrongServer || outcome === OrderOutcome.NoListener) {
--- a/packages/fleet/src/group.ts
+++ b/packages/fleet/src/group.ts
@@ -23,6 +23,7 @@
     model: string;
     zone: string;
     fabricDomain: string;
+    headAddress: string;
     /** In rank order; the first is the head. */
     memberIds: string[];
     /** Incarnation of each member, by id. */
--- a/packages/fleet/src/groups.ts
+++ b/packages/fleet/src/groups.ts
@@ -1,6 +1,9 @@
 import type { Context } from "@greengage/base";
 import { type GroupPhase, headOf, type ManagedGroup } from "./group.ts";
 
+/** Names of ended groups that a successor is told. Their members report them for a moment only. */
+const REMEMBERED_ENDS = 60;
+
 /** The groups of all zones, and the names of those that have ended. */
 export class GroupTable {
     readonly #context: Context;
@@ -29,6 +32,15 @@
         return this.#endedNames.has(groupName);
     }
 
+    /** Groups that ended lately. */
+    endedNames(): string[] {
+        return [...this.#endedNames].slice(-REMEMBERED_ENDS);
+    }
+
+    markEnded(groupName: string): void {
+        this.#endedNames.add(groupName);
+    }
+
     add(group: ManagedGroup): void {
         this.#groups.set(group.groupName, group);
         for (const serverId of group.memberIds) {
--- a/packages/fleet/src/planner.ts
+++ b/packages/fleet/src/planner.ts
@@ -10,6 +10,8 @@
     stagedModels: readonly string[];
     /** Whether it loads weights onto its host now. */
     isStaging: boolean;
+    /** Time since its first report. */
+    seenForMs: number;
 }
 
 /** What the planner decides on for one service. */
@@ -22,6 +24,8 @@
     needs: ReadonlyMap<string, number>;
     /** Loads from the weight store that may begin now. */
     loadsAllowed: number;
+    /** Whether callers have sent requests. */
+    hasDemand: boolean;
 }
 
 export interface GroupPlan {
@@ -44,6 +48,11 @@
 /** VMs that a fabric domain keeps as spares when groups are added: a lost member is replaced in about two seconds. */
 const SPARES_PER_DOMAIN = 1;
 
+/** Above 1, so that spares of equal use are staged with different models: any first loss then finds its spare. */
+const VARIETY = 1.2;
+/** VMs of a domain that returns appear within a period of their reports; before that, none of them loads. */
+const RETURN_GAP_MS = 1_500;
+
 /** Time until a VM is ready in a group of the model. */
 export const joinTimeMs = (vm: FreeVm, model: ModelSpec): number => {
     if (vm.lastModel === model.name) {
@@ -109,17 +118,20 @@
     const byNeed = [...input.profile.models].sort((a, b) =>
         coverage(totals, input.needs, a) - coverage(totals, input.needs, b)
     );
-    for (const model of byNeed) {
-        const plans = domainsOf(input.freeVms).map((domain) => planInDomain(input, targets, model, domain))
-            .filter((plan) => plan !== undefined);
-        plans.sort((a, b) => a.readyInMs - b.readyInMs || a.loadCount - b.loadCount);
-        if (plans[0] !== undefined) {
-            return plans[0];
-        }
-    }
-    return undefined;
+    const plans = byNeed.flatMap((model) => bestPlan(input, targets, model) ?? []);
+    // VMs whose weights are at hand come first, so that none of them loads what another one has.
+    return plans.find((plan) => plan.loadCount === 0) ?? plans.find((plan) => hasSettled(input, plan.fabricDomain));
 };
 
+const bestPlan = (input: PlanInput, targets: GroupTargets, model: ModelSpec): GroupPlan | undefined =>
+    domainsOf(input.freeVms).map((domain) => planInDomain(input, targets, model, domain))
+        .filter((plan) => plan !== undefined)
+        .sort((a, b) => a.readyInMs - b.readyInMs || a.loadCount - b.loadCount)[0];
+
+/** Whether no VM of a domain has just appeared. Before there is demand, loads take little time. */
+const hasSettled = ({ freeVms, hasDemand }: PlanInput, domain: string): boolean =>
+    !hasDemand || freeVms.every((vm) => vm.fabricDomain !== domain || vm.seenForMs >= RETURN_GAP_MS);
+
 const domainsOf = (vms: readonly FreeVm[]): string[] => [...new Set(vms.map((vm) => vm.fabricDomain))];
 
 const planInDomain = (
@@ -133,7 +145,10 @@
     if (free.length < model.vmCount || present >= (targets.get(memberKey(domain, model.name)) ?? 0)) {
         return undefined;
     }
-    const candidates = [...free].sort((a, b) => joinTimeMs(a, model) - joinTimeMs(b, model));
+    const isStagedForOther = (vm: FreeVm): number => Number(vm.stagedModels.length > 0);
+    const candidates = [...free].sort((a, b) =>
+        joinTimeMs(a, model) - joinTimeMs(b, model) || isStagedForOther(a) - isStagedForOther(b)
+    );
     const members = candidates.slice(0, model.vmCount);
     const loadCount = members.filter((vm) => needsLoad(vm, model)).length;
     if (loadCount > input.loadsAllowed) {
@@ -184,7 +199,7 @@
 ): ModelSpec | undefined => {
     const exposure = (model: ModelSpec): number =>
         (memberCounts.get(memberKey(domain, model.name)) ?? model.vmCount * model.share)
-        / ((staged.get(model.name) ?? 0) + 1);
+        / ((staged.get(model.name) ?? 0) + 1) ** VARIETY;
     return [...models].sort((a, b) => exposure(b) - exposure(a))[0];
 };
 
--- a/packages/fleet/src/registry.ts
+++ b/packages/fleet/src/registry.ts
@@ -40,9 +40,17 @@
         return this.#servers.get(serverId);
     }
 
-    /** Whether the incarnation has ended, or was never seen. */
-    isGone(serverId: string, bornMs: number): boolean {
-        return this.#servers.get(serverId)?.report.bornMs !== bornMs;
+    /** Whether the incarnation is known to have ended. */
+    hasEnded(serverId: string, bornMs: number): boolean {
+        const endedBornMs = this.#ended.get(serverId)?.bornMs ?? -Infinity;
+        const knownBornMs = this.#servers.get(serverId)?.report.bornMs ?? -Infinity;
+        return endedBornMs >= bornMs || knownBornMs > bornMs;
+    }
+
+    /** The server, if it is this incarnation. */
+    incarnation(serverId: string, bornMs: number): BackendServer | undefined {
+        const server = this.#servers.get(serverId);
+        return server?.report.bornMs === bornMs ? server : undefined;
     }
 
     accept(report: ServerReport, nowMs: number): ReportEffect {
--- a/packages/fleet/src/service.ts
+++ b/packages/fleet/src/service.ts
@@ -3,10 +3,12 @@
 import { ChangeSignal, type RaftLog } from "@greengage/consensus";
 import type {
     FleetView,
+    GroupRecords,
     GroupSuspicion,
     ModelDemand,
     Peers,
     ServerReport,
+    SuspicionAnswer,
     WatchRequest,
     WatchResponse,
 } from "@greengage/protocol";
@@ -55,6 +57,8 @@
     #routing: RoutingTable | undefined;
     #compressed: { version: number; document: Uint8Array; } | undefined;
     #demand: ModelDemand[] = [];
+    /** What the leader has told of its groups, and when. */
+    #records: { records: GroupRecords; atMs: number; } | undefined;
 
     constructor(options: FleetServiceOptions) {
         this.#options = options;
@@ -82,6 +86,9 @@
             }),
             onConfiguration: () => undefined,
             onView: (view) => this.#takeView(view),
+            onRecords: (records) => {
+                this.#records = { records, atMs: monotonicMs() };
+            },
         });
         register.onChange(() => this.#takeConfiguration());
         peers.handle("fleet.watch", (request, from) => this.#answerWatch(request, from));
@@ -186,13 +193,12 @@
         return { isAccepted: true };
     }
 
-    #acceptSuspicion(suspicion: GroupSuspicion): { isAccepted: boolean; leaderId?: string; } {
+    async #acceptSuspicion(suspicion: GroupSuspicion): Promise<SuspicionAnswer> {
         const { log } = this.#options;
         if (!log.holdsLeaderLease) {
-            return { isAccepted: false, leaderId: log.status().leaderId };
+            return { isAccepted: false, leaderId: log.status().leaderId, isCleared: false };
         }
-        this.#controller.suspect(suspicion);
-        return { isAccepted: true };
+        return { isAccepted: true, isCleared: await this.#controller.suspect(suspicion) };
     }
 
     #checkRole(): void {
@@ -208,7 +214,7 @@
         if (leadingTerm !== undefined) {
             this.#viewVersion = 0;
             this.#viewKey = "";
-            this.#controller.activate(leadingTerm);
+            this.#controller.activate(leadingTerm, this.#records?.records, monotonicMs() - (this.#records?.atMs ?? 0));
         }
     }
 
@@ -280,7 +286,8 @@
         while (!this.#hasNews(request) && monotonicMs() < untilMs && !this.#lifecycle.isClosed) {
             await this.#changed.wait(untilMs - monotonicMs());
         }
-        return this.#watchResponse(request);
+        const records = !request.isEntry && this.#leadingTerm !== undefined ? this.#controller.records() : undefined;
+        return { ...this.#watchResponse(request), ...(records === undefined ? {} : { records }) };
     }
 
     #noteWatcher(request: WatchRequest, from: string, nowMs: number): void {
--- a/packages/fleet/src/supervision.ts
+++ b/packages/fleet/src/supervision.ts
@@ -32,14 +32,12 @@
     [GroupPhase.Waiting]: ({ ending, group, nowMs }) => ending.wait(group, nowMs),
 };
 
-const memberOf = (state: FleetState, group: ManagedGroup, serverId: string): BackendServer | undefined => {
-    const bornMs = group.bornMs.get(serverId);
-    return bornMs === undefined || state.registry.isGone(serverId, bornMs) ? undefined : state.registry.get(serverId);
-};
+const memberOf = (state: FleetState, group: ManagedGroup, serverId: string): BackendServer | undefined =>
+    state.registry.incarnation(serverId, group.bornMs.get(serverId) ?? NaN);
 
 /** Whether the process of a member has ended or restarted, or has announced its end. */
 const hasEnded = (state: FleetState, group: ManagedGroup, serverId: string): boolean =>
-    group.bornMs.has(serverId) && memberOf(state, group, serverId) === undefined;
+    state.registry.hasEnded(serverId, group.bornMs.get(serverId) ?? NaN);
 
 const isDraining = (state: FleetState, group: ManagedGroup): boolean =>
     group.memberIds.some((serverId) => memberOf(state, group, serverId)?.report.isDraining === true);
@@ -65,6 +63,7 @@
         forming.open(group);
         return;
     }
+    forming.joinMembers(group);
     if (nowMs > group.readyByMs) {
         const late = group.memberIds.filter((_, index) => !reportsState(members[index], group, MemberState.Ready));
         late.forEach((serverId) => state.distrustedAtMs.set(serverId, nowMs));
--- a/packages/fleet/src/suspicion.ts
+++ b/packages/fleet/src/suspicion.ts
@@ -63,34 +63,35 @@
 export class SuspicionCheck {
     readonly #state: FleetState;
     readonly #ending: GroupEnding;
+    readonly #checks = new WeakMap<ManagedGroup, Promise<boolean>>();
 
     constructor(state: FleetState, ending: GroupEnding) {
         this.#state = state;
         this.#ending = ending;
     }
 
-    take(suspicion: GroupSuspicion): void {
-        const { groups, context, lifecycle } = this.#state;
-        const group = groups.get(suspicion.groupName);
+    /** Checks a group, unless that is under way. Returns whether it is in order. */
+    async take(suspicion: GroupSuspicion): Promise<boolean> {
+        const group = this.#state.groups.get(suspicion.groupName);
         const nowMs = monotonicMs();
-        const isOpen = group?.phase === GroupPhase.Open && group.epoch === suspicion.epoch;
-        if (group === undefined || !isOpen || nowMs - group.probedAtMs < PROBE_PERIOD_MS) {
-            return;
+        if (group === undefined || group.phase !== GroupPhase.Open || group.epoch !== suspicion.epoch) {
+            return false;
         }
-        group.probedAtMs = nowMs;
-        lifecycle.run(() => this.#check(group, suspicion), (error) => {
-            context.decisions.record("group.probe.failed", { group: group.groupName, reason: String(error) });
-        });
+        if (nowMs - group.probedAtMs >= PROBE_PERIOD_MS) {
+            group.probedAtMs = nowMs;
+            this.#checks.set(group, this.#check(group, suspicion));
+        }
+        return await this.#checks.get(group) ?? false;
     }
 
-    async #check(group: ManagedGroup, suspicion: GroupSuspicion): Promise<void> {
+    async #check(group: ManagedGroup, suspicion: GroupSuspicion): Promise<boolean> {
         const { registry, orders, context } = this.#state;
         const results = await Promise.all(group.memberIds.map(async (serverId): Promise<ProbeResult> => {
             const server = registry.get(serverId);
-            return { serverId, probe: server === undefined ? { kind: "ended" } : await orders.probe(server.report) };
+            return { serverId, probe: server === undefined ? { kind: "silent" } : await orders.probe(server.report) };
         }));
         if (!this.#state.mayAct() || group.phase !== GroupPhase.Open) {
-            return;
+            return false;
         }
         const verdict = judgeProbes(results);
         const failed = results.filter(({ probe }) => probe.kind !== "answered").map(({ serverId }) => serverId);
@@ -106,6 +107,7 @@
             failed.forEach((serverId) => this.#state.distrustedAtMs.set(serverId, nowMs));
         }
         this.#handlers[verdict]({ group, results, nowMs, suspicion });
+        return verdict === SuspicionVerdict.Healthy;
     }
 
     readonly #handlers: Record<SuspicionVerdict, (finding: Finding) => void> = {
--- a/packages/fleet/src/view.ts
+++ b/packages/fleet/src/view.ts
@@ -14,20 +14,12 @@
 }
 
 /** Groups that take requests. */
-export const groupTargets = ({ registry, groups }: ViewInput): GroupTarget[] =>
-    groups.all().filter((group) => group.phase === GroupPhase.Open).flatMap((group) => {
-        const head = registry.get(headOf(group))?.report;
-        const { groupName, epoch, service, model } = group;
-        return head === undefined ? [] : [{
-            groupName,
-            epoch,
-            service,
-            model,
-            headId: head.serverId,
-            headAddress: head.address,
-            zone: head.zone,
-        }];
-    });
+export const groupTargets = ({ groups }: ViewInput): GroupTarget[] =>
+    groups.all().filter((group) => group.phase === GroupPhase.Open && group.headAddress !== "")
+        .map((group) => {
+            const { groupName, epoch, service, model, headAddress, zone } = group;
+            return { groupName, epoch, service, model, headId: headOf(group), headAddress, zone };
+        });
 
 /** Backend servers that take requests by themselves. */
 export const serverTargets = ({ registry, routing, heartbeatMs, nowMs }: ViewInput): ServerTarget[] =>
--- a/packages/fleet/src/watcher.ts
+++ b/packages/fleet/src/watcher.ts
@@ -1,5 +1,5 @@
 import { type Context, Lifecycle, LogPart, messageOf, monotonicMs, sleep } from "@greengage/base";
-import type { FleetView, Peers, WatchRequest, WatchResponse } from "@greengage/protocol";
+import type { FleetView, GroupRecords, Peers, WatchRequest, WatchResponse } from "@greengage/protocol";
 import { isNewerView } from "./view.ts";
 
 /** Wait of one call. The answering daemon sends changes at once, so it only bounds how long a lost call goes unnoticed. */
@@ -17,6 +17,8 @@
     request: () => Pick<WatchRequest, "configurationVersion" | "isEntry" | "entryIds" | "demand">;
     onConfiguration: (configuration: { version: number; document: Uint8Array; }) => void;
     onView: (view: FleetView) => void;
+    /** Takes the leader's record of its groups, on daemons that may succeed it. */
+    onRecords?: (records: GroupRecords) => void;
 }
 
 /** Follows the fleet and the configuration at one daemon that serves control, and changes to another when it lags. */
@@ -100,6 +102,9 @@
         if (response.configuration !== undefined) {
             onConfiguration(response.configuration);
         }
+        if (response.records !== undefined) {
+            this.#options.onRecords?.(response.records);
+        }
         if (response.view !== undefined && isNewerView(response.view, this.#view)) {
             this.#view = response.view;
             onView(response.view);
--- a/packages/gateway/src/deps.ts
+++ b/packages/gateway/src/deps.ts
@@ -3,7 +3,7 @@
 import type { GroupSuspicion } from "@greengage/protocol";
 import type { Pools, RetryBudget } from "@greengage/routing";
 import type { DemandMeter } from "./demand.ts";
-import type { GroupStates } from "./groups.ts";
+import type { GroupState, GroupStates } from "./groups.ts";
 import type { ServerStates } from "./servers.ts";
 import type { ServerDialect } from "./types.ts";
 
@@ -18,5 +18,6 @@
     demand: DemandMeter;
     random: Random;
     routing: () => RoutingTable | undefined;
-    suspect: (suspicion: GroupSuspicion) => void;
+    /** Tells the controller that a group may be lost. */
+    suspect: (group: GroupState, suspicion: Omit<GroupSuspicion, "groupName" | "epoch">) => void;
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,7 +5,7 @@
 import { type Call, deadlineOf } from "./call.ts";
 import { DemandMeter } from "./demand.ts";
 import type { GatewayParts } from "./deps.ts";
-import { type GroupState, GroupStates } from "./groups.ts";
+import { type GroupState, GroupStates, type SuspicionDetails } from "./groups.ts";
 import { ServerCall } from "./servercall.ts";
 import { ServerStates } from "./servers.ts";
 import { StreamCall } from "./streamcall.ts";
@@ -23,8 +23,8 @@
     context: Context;
     dialect: ServerDialect;
     retries: RetryLimits;
-    /** Tells the controller that a group stands still. */
-    onSuspicion: (suspicion: GroupSuspicion) => void;
+    /** Tells the controller that a group may be lost. Resolves to whether it is in order. */
+    onSuspicion: (suspicion: GroupSuspicion) => Promise<boolean>;
 }
 
 /** Stalls are looked for this often; it adds to the time until streams move. */
@@ -58,7 +58,7 @@
             demand: new DemandMeter(),
             random: this.#random,
             routing: () => this.#routing,
-            suspect: (suspicion) => this.#suspect(suspicion),
+            suspect: (group, details) => this.#suspect(group, details),
         };
     }
 
@@ -186,32 +186,43 @@
         const nowMs = monotonicMs();
         for (const group of this.#parts.groups.all()) {
             const { isSuspect, mustMove, silentMs, hasRunningStream } = group.stall(nowMs);
-            if (!isSuspect) {
-                continue;
+            if (isSuspect && !group.isSuspected(nowMs)) {
+                const reason = `no progress for ${Math.round(silentMs)} ms`;
+                this.#suspect(group, { reason, hasRunningStream, isHeadGone: false });
             }
-            this.#noteStall(group, silentMs, hasRunningStream, nowMs);
-            if (mustMove) {
+            if (isSuspect && mustMove) {
                 [...group.uses].forEach((use) => use.move(`the group made no progress for ${Math.round(silentMs)} ms`));
             }
+            this.#repeatSuspicion(group, nowMs);
         }
         this.#parts.pools.closeIdle(nowMs);
     }
 
-    #noteStall(group: GroupState, silentMs: number, hasRunningStream: boolean, nowMs: number): void {
-        if (group.suspectedAtMs !== undefined && nowMs - group.suspectedAtMs < REPEAT_SUSPICION_MS) {
-            return;
+    /** A suspicion is told again until the group makes progress, the controller clears it or the group is withdrawn. */
+    #repeatSuspicion(group: GroupState, nowMs: number): void {
+        const { suspicion } = group;
+        if (suspicion !== undefined && nowMs - suspicion.toldAtMs >= REPEAT_SUSPICION_MS) {
+            this.#tell(group, suspicion.details, nowMs);
         }
-        group.suspectedAtMs = nowMs;
-        const { groupName, epoch } = group.target;
-        const reason = `no progress for ${Math.round(silentMs)} ms`;
-        this.#suspect({ groupName, epoch, reason, hasRunningStream, isHeadGone: false });
     }
 
-    #suspect(suspicion: GroupSuspicion): void {
-        const { groupName, epoch, reason } = suspicion;
-        this.#options.context.decisions.record("group.suspected", { group: groupName, epoch, reason });
+    #suspect(group: GroupState, details: SuspicionDetails): void {
+        const { groupName, epoch } = group.target;
+        const { reason, hasRunningStream, isHeadGone, culpritId } = details;
+        const fields = { group: groupName, epoch, reason, hasRunningStream, isHeadGone, culprit: culpritId };
+        this.#options.context.decisions.record("group.suspected", fields);
         this.#options.context.metrics.count("gateway.suspicions");
-        this.#options.onSuspicion(suspicion);
+        this.#tell(group, details, monotonicMs());
+    }
+
+    #tell(group: GroupState, details: SuspicionDetails, nowMs: number): void {
+        const { groupName, epoch } = group.target;
+        group.suspect(details, nowMs);
+        void this.#options.onSuspicion({ ...details, groupName, epoch }).then((isCleared) => {
+            if (isCleared) {
+                group.clear();
+            }
+        });
     }
 }
 
--- a/packages/gateway/src/groups.ts
+++ b/packages/gateway/src/groups.ts
@@ -1,4 +1,4 @@
-import type { FleetView, GroupTarget } from "@greengage/protocol";
+import type { FleetView, GroupSuspicion, GroupTarget } from "@greengage/protocol";
 import type { GroupLoad } from "./placement.ts";
 import type { ReportedLoad } from "./types.ts";
 
@@ -14,11 +14,14 @@
 const FIRST_EVENT_STALL_MS = 700;
 /** Streams are moved after this silence of their group: callers leave after two seconds. */
 const MOVE_MS = 700;
-/** A suspected group is left out until it makes progress, or for this long. */
-const SUSPECT_MS = 2_000;
+/** A suspected group is left out until it makes progress or the controller clears it, or for this long. */
+const SUSPECT_MS = 5_000;
 /** A group that a request failed on is left out for a short time, unless another request makes progress there. */
 const AVOID_MS = 500;
 
+/** What is told of a group that may be lost. */
+export type SuspicionDetails = Omit<GroupSuspicion, "groupName" | "epoch">;
+
 /** One own request at a group. */
 export interface GroupUse {
     promptTokens: number;
@@ -42,7 +45,7 @@
     #placeMs = FIRST_PLACE_MS;
     #progressAtMs = -Infinity;
     #avoidUntilMs = -Infinity;
-    suspectedAtMs: number | undefined;
+    #suspicion: { details: SuspicionDetails; sinceMs: number; toldAtMs: number; } | undefined;
 
     constructor(target: GroupTarget) {
         this.target = target;
@@ -61,7 +64,7 @@
         }
         use.eventAtMs = nowMs;
         this.#progressAtMs = nowMs;
-        this.suspectedAtMs = undefined;
+        this.clear();
         this.#avoidUntilMs = -Infinity;
     }
 
@@ -89,8 +92,27 @@
     }
 
     isUsable(nowMs: number): boolean {
-        const isSuspected = this.suspectedAtMs !== undefined && nowMs - this.suspectedAtMs < SUSPECT_MS;
-        return !isSuspected && nowMs >= this.#avoidUntilMs;
+        return !this.isSuspected(nowMs) && nowMs >= this.#avoidUntilMs;
+    }
+
+    isSuspected(nowMs: number): boolean {
+        if (this.#suspicion !== undefined && nowMs - this.#suspicion.sinceMs >= SUSPECT_MS) {
+            this.#suspicion = undefined;
+        }
+        return this.#suspicion !== undefined;
+    }
+
+    /** What the controller has been told of this group, and when. */
+    get suspicion(): { details: SuspicionDetails; toldAtMs: number; } | undefined {
+        return this.#suspicion;
+    }
+
+    suspect(details: SuspicionDetails, nowMs: number): void {
+        this.#suspicion = { details, sinceMs: this.#suspicion?.sinceMs ?? nowMs, toldAtMs: nowMs };
+    }
+
+    clear(): void {
+        this.#suspicion = undefined;
     }
 
     load(nowMs: number): GroupLoad {
--- a/packages/gateway/src/streamcall.ts
+++ b/packages/gateway/src/streamcall.ts
@@ -238,9 +238,8 @@
         const culpritId = outcome.kind === "notRun" ? outcome.head?.culpritId : undefined;
         const isUnreachable = outcome.kind === "notRun" && outcome.head === undefined;
         if (isHeadGone || culpritId !== undefined || isUnreachable) {
-            const { groupName, epoch } = group.target;
             const { reason } = outcome;
-            this.#parts.suspect({ groupName, epoch, reason, hasRunningStream: false, isHeadGone, culpritId });
+            this.#parts.suspect(group, { reason, hasRunningStream: false, isHeadGone, culpritId });
         }
     }
 
--- a/packages/protocol/src/fleet.ts
+++ b/packages/protocol/src/fleet.ts
@@ -77,6 +77,29 @@
     controllers: { daemonId: string; zone: string; }[];
 }
 
+/** A replica group as the leader knows it, for its successor. */
+export interface GroupRecord {
+    groupName: string;
+    epoch: number;
+    service: string;
+    model: string;
+    zone: string;
+    fabricDomain: string;
+    headAddress: string;
+    /** In rank order, with the start of each member's process. */
+    members: { serverId: string; bornMs: number; }[];
+    phase: string;
+    /** Time until the members of a group whose head can't be reached are free; missing while that isn't known. */
+    freeInMs?: number;
+}
+
+/** What a successor of the leader needs to go on at once. */
+export interface GroupRecords {
+    groups: GroupRecord[];
+    /** Groups that ended lately, whose former members may still report them. */
+    endedNames: string[];
+}
+
 /** A daemon asks for what has changed, and waits for it. */
 export interface WatchRequest {
     /** Version of the configuration that the daemon holds; 0 without one. */
@@ -109,12 +132,22 @@
     configuration?: { version: number; document: Uint8Array; };
     /** Set when it is newer than the caller's. */
     view?: FleetView;
+    /** Set for daemons that serve control, together with each answer. */
+    records?: GroupRecords;
     zone: string;
     leaderId?: string;
     /** Time since the answering daemon last heard from the leader; undefined when it never did. */
     leaderContactAgeMs?: number;
 }
 
+/** What the controller has found out about a suspected group. */
+export interface SuspicionAnswer {
+    isAccepted: boolean;
+    leaderId?: string;
+    /** Whether the group is in order, so that the suspicion ends. */
+    isCleared: boolean;
+}
+
 /** An entry daemon has seen a group stand still, or its head fail. */
 export interface GroupSuspicion {
     groupName: string;
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -1,5 +1,5 @@
 import type { HlcTimestamp, Verdict } from "@greengage/base";
-import type { GroupSuspicion, ServerReport, WatchRequest, WatchResponse } from "./fleet.ts";
+import type { GroupSuspicion, ServerReport, SuspicionAnswer, WatchRequest, WatchResponse } from "./fleet.ts";
 import type {
     Grant,
     InFlightCount,
@@ -237,7 +237,7 @@
     };
     "fleet.suspect": {
         request: GroupSuspicion;
-        response: { isAccepted: boolean; leaderId?: string; };
+        response: SuspicionAnswer;
     };
     "operator.forward": {
         request: { method: string; path: string; body?: unknown; };
