Tell followers of each change of the groups, and end heads whose address has a new server

Cause: groups of a fabric domain that came back stayed in the view, because the new leader had never heard their heads.

--- a/packages/fleet/src/adoption.ts
+++ b/packages/fleet/src/adoption.ts
@@ -1,14 +1,14 @@
 import { type GroupRecords, MemberState } from "@greengage/protocol";
 import type { FleetState } from "./controller.ts";
 import { GroupPhase, type ManagedGroup } from "./group.ts";
-import type { GroupTable } from "./groups.ts";
 import type { BackendServer } from "./registry.ts";
 
 /** Time for an adopted group to become ready: the longest load, with others beside it. */
 const ADOPTED_JOIN_MS = 20_000;
 
 /** What a successor of this leader needs to know of the groups. */
-export const recordsOf = (groups: GroupTable, nowMs: number): GroupRecords => ({
+export const recordsOf = ({ groups, registry }: FleetState, nowMs: number): GroupRecords => ({
+    version: groups.version,
     groups: groups.all().map((group) => ({
         groupName: group.groupName,
         epoch: group.epoch,
@@ -17,7 +17,11 @@
         zone: group.zone,
         fabricDomain: group.fabricDomain,
         headAddress: group.headAddress,
-        members: group.memberIds.map((serverId) => ({ serverId, bornMs: group.bornMs.get(serverId) ?? 0 })),
+        members: group.memberIds.map((serverId) => ({
+            serverId,
+            bornMs: group.bornMs.get(serverId) ?? 0,
+            address: registry.get(serverId)?.report.address ?? "",
+        })),
         phase: group.phase,
         ...(Number.isFinite(group.freeAtMs) ? { freeInMs: group.freeAtMs - nowMs } : {}),
     })),
@@ -28,6 +32,7 @@
 export const restoreGroups = (state: FleetState, records: GroupRecords, ageMs: number, nowMs: number): void => {
     records.endedNames.forEach((groupName) => state.groups.markEnded(groupName));
     for (const { members, phase, freeInMs, ...record } of records.groups) {
+        members.forEach((member) => state.registry.expect(member));
         state.groups.add({
             ...record,
             memberIds: members.map(({ serverId }) => serverId),
--- a/packages/fleet/src/controller.ts
+++ b/packages/fleet/src/controller.ts
@@ -93,7 +93,7 @@
 
     /** What a successor needs to know of the groups. */
     records(): GroupRecords {
-        return recordsOf(this.#state.groups, monotonicMs());
+        return recordsOf(this.#state, monotonicMs());
     }
 
     /**
--- a/packages/fleet/src/groups.ts
+++ b/packages/fleet/src/groups.ts
@@ -10,11 +10,17 @@
     readonly #groups = new Map<string, ManagedGroup>();
     readonly #groupByMember = new Map<string, ManagedGroup>();
     readonly #endedNames = new Set<string>();
+    #version = 1;
 
     constructor(context: Context) {
         this.#context = context;
     }
 
+    /** Grows with each change of a group. */
+    get version(): number {
+        return this.#version;
+    }
+
     all(): ManagedGroup[] {
         return [...this.#groups.values()];
     }
@@ -82,6 +88,7 @@
     }
 
     #record(event: string, group: ManagedGroup, fields: Record<string, string | number>): void {
+        this.#version += 1;
         const { groupName, epoch, model, fabricDomain, zone, memberIds } = group;
         const details = { group: groupName, epoch, model, fabricDomain, groupZone: zone, head: headOf(group) };
         this.#context.decisions.record(event, { ...details, ...fields, members: memberIds });
--- a/packages/fleet/src/registry.ts
+++ b/packages/fleet/src/registry.ts
@@ -28,6 +28,8 @@
 /** All backend servers that announce themselves, one incarnation for each id and address. */
 export class ServerRegistry {
     readonly #servers = new Map<string, BackendServer>();
+    /** Incarnations that a former leader knew and that have not reported here. */
+    readonly #expected = new Map<string, { serverId: string; bornMs: number; address: string; }>();
     readonly #idsByAddress = new Map<string, string>();
     /** Start of the newest incarnation that has ended, by id. */
     readonly #ended = new Map<string, { bornMs: number; atMs: number; }>();
@@ -40,6 +42,13 @@
         return this.#servers.get(serverId);
     }
 
+    /** Takes over an incarnation that another daemon knew. It ends when a newer one reports from its address. */
+    expect(server: { serverId: string; bornMs: number; address: string; }): void {
+        if (!this.#servers.has(server.serverId) && server.address !== "") {
+            this.#expected.set(server.address, server);
+        }
+    }
+
     /** Whether the incarnation is known to have ended. */
     hasEnded(serverId: string, bornMs: number): boolean {
         const endedBornMs = this.#ended.get(serverId)?.bornMs ?? -Infinity;
@@ -97,6 +106,13 @@
             }
             this.#remove(holder, nowMs);
         }
+        const expected = this.#expected.get(report.address);
+        if (expected !== undefined) {
+            this.#expected.delete(report.address);
+            if (expected.serverId !== report.serverId && expected.bornMs < report.bornMs) {
+                this.#ended.set(expected.serverId, { bornMs: expected.bornMs, atMs: nowMs });
+            }
+        }
         const former = this.#servers.get(report.serverId);
         if (former !== undefined && former.report.address !== report.address) {
             this.#idsByAddress.delete(former.report.address);
--- a/packages/fleet/src/service.ts
+++ b/packages/fleet/src/service.ts
@@ -53,6 +53,7 @@
     #view: FleetView | undefined;
     #viewKey = "";
     #viewVersion = 0;
+    #toldRecordsVersion = 0;
     #leadingTerm: number | undefined;
     #routing: RoutingTable | undefined;
     #compressed: { version: number; document: Uint8Array; } | undefined;
@@ -235,6 +236,10 @@
             entryDaemonCount: Math.max(1, this.#entryIds().length),
             controllers: this.#controllers(),
         };
+        if (this.#controller.groups.version !== this.#toldRecordsVersion) {
+            this.#toldRecordsVersion = this.#controller.groups.version;
+            this.#changed.notify();
+        }
         const key = JSON.stringify(view);
         if (key === this.#viewKey) {
             return;
@@ -302,10 +307,12 @@
         this.#controller.noteDemand(request.demand);
     }
 
-    #hasNews({ configurationVersion, viewTerm, viewVersion }: WatchRequest): boolean {
+    #hasNews({ configurationVersion, viewTerm, viewVersion, isEntry, recordsVersion }: WatchRequest): boolean {
+        const areRecordsNewer = !isEntry && this.#leadingTerm !== undefined
+            && this.#controller.groups.version !== recordsVersion;
         const isViewNewer = this.#view !== undefined
             && isNewerView(this.#view, { term: viewTerm, version: viewVersion });
-        return isViewNewer || this.#options.register.version > configurationVersion;
+        return isViewNewer || areRecordsNewer || this.#options.register.version > configurationVersion;
     }
 
     #watchResponse({ configurationVersion, viewTerm, viewVersion }: WatchRequest): WatchResponse {
--- a/packages/fleet/src/watcher.ts
+++ b/packages/fleet/src/watcher.ts
@@ -28,6 +28,7 @@
     #view: FleetView | undefined;
     #target: string | undefined;
     #leaderId: string | undefined;
+    #recordsVersion = 0;
     #answeredAtMs = -Infinity;
     #failedAtMs = new Map<string, number>();
 
@@ -93,6 +94,7 @@
             zone: this.#options.context.zone,
             viewTerm: this.#view?.term ?? 0,
             viewVersion: this.#view?.version ?? 0,
+            recordsVersion: this.#recordsVersion,
             waitMs: WATCH_WAIT_MS,
         }, { timeoutMs: WATCH_TIMEOUT_MS }).catch(() => undefined);
         if (response === undefined) {
@@ -103,6 +105,7 @@
             onConfiguration(response.configuration);
         }
         if (response.records !== undefined) {
+            this.#recordsVersion = response.records.version;
             this.#options.onRecords?.(response.records);
         }
         if (response.view !== undefined && isNewerView(response.view, this.#view)) {
@@ -124,6 +127,8 @@
             this.#options.context.decisions.record("control.lost", { target, reason });
         }
         this.#target = undefined;
+        // Another leader counts anew.
+        this.#recordsVersion = 0;
         this.#failedAtMs.set(target, monotonicMs());
     }
 }
--- a/packages/gateway/src/streamcall.ts
+++ b/packages/gateway/src/streamcall.ts
@@ -20,6 +20,10 @@
 interface Delivered {
     hasHead: boolean;
     lastEventId: string | undefined;
+    /** Time from the request to the first event. */
+    firstEventMs: number | undefined;
+    eventAtMs: number;
+    longestGapMs: number;
 }
 
 /** A request to a replica group, answered by a stream that goes on at another group when its own fails. */
@@ -42,7 +46,13 @@
         this.#generation = generation;
         this.#profile = profile;
         this.#model = model;
-        this.#delivered = { hasHead: false, lastEventId: call.request.lastEventId };
+        this.#delivered = {
+            hasHead: false,
+            lastEventId: call.request.lastEventId,
+            firstEventMs: undefined,
+            eventAtMs: 0,
+            longestGapMs: 0,
+        };
     }
 
     async run(): Promise<void> {
@@ -189,9 +199,14 @@
     #onEvents(group: GroupState, use: GroupUse, events: Buffer): void {
         const { response, request } = this.#call;
         const nowMs = monotonicMs();
-        if (use.eventAtMs === undefined && !this.#delivered.hasHead) {
-            this.#parts.context.metrics.durationMs("gateway.first_event", nowMs - request.receivedAtMs);
+        if (this.#delivered.firstEventMs === undefined) {
+            this.#delivered.firstEventMs = nowMs - request.receivedAtMs;
+            this.#parts.context.metrics.durationMs("gateway.first_event", this.#delivered.firstEventMs);
+        }
+        else {
+            this.#delivered.longestGapMs = Math.max(this.#delivered.longestGapMs, nowMs - this.#delivered.eventAtMs);
         }
+        this.#delivered.eventAtMs = nowMs;
         group.progress(use, nowMs);
         if (!this.#delivered.hasHead && this.#head !== undefined) {
             this.#delivered.hasHead = true;
@@ -214,7 +229,13 @@
                 response.sendHead(head.status, head.headers);
             }
             response.end();
-            this.#record("request.answered", { attempts: this.#attemptCount });
+            this.#record("request.answered", {
+                attempts: this.#attemptCount,
+                firstEventMs: Math.round(this.#delivered.firstEventMs ?? 0),
+                longestGapMs: Math.round(this.#delivered.longestGapMs),
+                targetMs: this.#call.route.targetMs,
+                gapTargetMs: this.#call.route.gapTargetMs,
+            });
             return true;
         }
         if (this.#delivered.hasHead) {
--- a/packages/protocol/src/fleet.ts
+++ b/packages/protocol/src/fleet.ts
@@ -87,7 +87,7 @@
     fabricDomain: string;
     headAddress: string;
     /** In rank order, with the start of each member's process. */
-    members: { serverId: string; bornMs: number; }[];
+    members: { serverId: string; bornMs: number; address: string; }[];
     phase: string;
     /** Time until the members of a group whose head can't be reached are free; missing while that isn't known. */
     freeInMs?: number;
@@ -95,6 +95,8 @@
 
 /** What a successor of the leader needs to go on at once. */
 export interface GroupRecords {
+    /** Grows with each change of a group. */
+    version: number;
     groups: GroupRecord[];
     /** Groups that ended lately, whose former members may still report them. */
     endedNames: string[];
@@ -106,6 +108,8 @@
     configurationVersion: number;
     viewTerm: number;
     viewVersion: number;
+    /** Version of the records that a daemon that serves control holds; 0 without any. */
+    recordsVersion: number;
     waitMs: number;
     /** Zone of the daemon. */
     zone: string;
