--- a/packages/base/src/lifecycle.ts
+++ b/packages/base/src/lifecycle.ts
@@ -1,3 +1,5 @@
+import { setMaxListeners } from "node:events";
+
 export type Cleanup = () => void | Promise<void>;
 
 /**
@@ -9,6 +11,11 @@
     readonly #controller = new AbortController();
     #closing: Promise<void> | undefined;
 
+    constructor() {
+        // Each sleeping task listens; the count is bounded by the tasks, so the usual warning would be wrong.
+        setMaxListeners(0, this.#controller.signal);
+    }
+
     /** Aborted as soon as `close` is called. */
     get signal(): AbortSignal {
         return this.#controller.signal;
--- a/packages/fleet/src/adoption.ts
+++ b/packages/fleet/src/adoption.ts
@@ -7,7 +7,7 @@
 const ADOPTED_JOIN_MS = 20_000;
 
 /** What a successor of this leader needs to know of the groups. */
-export const recordsOf = ({ groups, registry }: FleetState, nowMs: number): GroupRecords => ({
+export const recordsOf = ({ groups, registry }: FleetState): GroupRecords => ({
     version: groups.version,
     groups: groups.all().map((group) => ({
         groupName: group.groupName,
@@ -17,21 +17,21 @@
         zone: group.zone,
         fabricDomain: group.fabricDomain,
         headAddress: group.headAddress,
-        members: group.memberIds.map((serverId) => ({
+        members: group.memberIds.filter((serverId) => !group.leftIds.has(serverId)).map((serverId) => ({
             serverId,
             bornMs: group.bornMs.get(serverId) ?? 0,
             address: registry.get(serverId)?.report.address ?? "",
+            sequence: registry.get(serverId)?.report.sequence ?? 0,
         })),
         phase: group.phase,
-        ...(Number.isFinite(group.freeAtMs) ? { freeInMs: group.freeAtMs - nowMs } : {}),
     })),
     endedNames: groups.endedNames(),
 });
 
-/** Takes over the groups that the former leader has told of. `ageMs` is the time since it did. */
-export const restoreGroups = (state: FleetState, records: GroupRecords, ageMs: number, nowMs: number): void => {
+/** Takes over the groups that the former leader has told of. */
+export const restoreGroups = (state: FleetState, records: GroupRecords, nowMs: number): void => {
     records.endedNames.forEach((groupName) => state.groups.markEnded(groupName));
-    for (const { members, phase, freeInMs, ...record } of records.groups) {
+    for (const { members, phase, ...record } of records.groups) {
         members.forEach((member) => state.registry.expect(member));
         state.groups.add({
             ...record,
@@ -41,7 +41,8 @@
             phaseSinceMs: nowMs,
             readyByMs: nowMs + ADOPTED_JOIN_MS,
             reason: "taken over",
-            freeAtMs: freeInMs === undefined ? Infinity : nowMs + freeInMs - ageMs,
+            mayBeOpen: true,
+            leftIds: new Set(),
             suspicionCount: 0,
             probedAtMs: 0,
         });
@@ -124,11 +125,12 @@
         // A head that reports nothing may serve on, so its place is kept.
         memberIds: [...(hasHead ? [] : [""]), ...members.map(({ report }) => report.serverId)],
         bornMs: new Map(members.map(({ report }) => [report.serverId, report.bornMs])),
-        phase: hasHead ? phaseByHeadState[headState] : GroupPhase.Waiting,
+        phase: hasHead ? phaseByHeadState[headState] : GroupPhase.Dissolving,
         phaseSinceMs: nowMs,
         readyByMs: nowMs + ADOPTED_JOIN_MS,
         reason: "adopted",
-        freeAtMs: Infinity,
+        mayBeOpen: true,
+        leftIds: new Set(),
         suspicionCount: 0,
         probedAtMs: 0,
     };
--- a/packages/fleet/src/controller.ts
+++ b/packages/fleet/src/controller.ts
@@ -93,23 +93,22 @@
 
     /** What a successor needs to know of the groups. */
     records(): GroupRecords {
-        return recordsOf(this.#state, monotonicMs());
+        return recordsOf(this.#state);
     }
 
     /**
      * Takes over with a new term. Groups are those that the former leader has told of, and those that members report.
-     * `ageMs` is the time since the former leader's word.
      */
-    activate(term: number, records: GroupRecords | undefined, ageMs: number): void {
+    activate(term: number, records: GroupRecords | undefined): void {
         this.#term = term;
         this.#epochCount = 0;
         this.#state.groups.clear();
         if (records !== undefined) {
-            restoreGroups(this.#state, records, ageMs, monotonicMs());
+            restoreGroups(this.#state, records, monotonicMs());
             this.#state.hasDemand = true;
         }
         this.#settledAtMs = monotonicMs() + SETTLE_HEARTBEATS * this.#options.timing.heartbeatMs;
-        this.#options.context.decisions.record("controller.active", { term, knownGroups: records?.groups.length, ageMs });
+        this.#options.context.decisions.record("controller.active", { term, knownGroups: records?.groups.length });
     }
 
     deactivate(): void {
--- a/packages/fleet/src/ending.ts
+++ b/packages/fleet/src/ending.ts
@@ -3,11 +3,11 @@
 import type { FleetState } from "./controller.ts";
 import { GroupPhase, headOf, type ManagedGroup } from "./group.ts";
 import { OrderOutcome } from "./orders.ts";
-import { LEAVE_ATTEMPTS, ORDER_RETRY_MS, STALL_MARGIN_MS } from "./timing.ts";
+import { LEAVE_ATTEMPTS, ORDER_RETRY_MS } from "./timing.ts";
 
 /**
- * Ends groups so that no head can serve while its members are used elsewhere: the head finishes or leaves first, and
- * where it can't be reached, its members are held until it must stand still for good.
+ * Ends groups so that no VM is used elsewhere while its head may serve with it: either the head leaves, and then nothing
+ * can be served under the group's name, or each member leaves by itself before it is free.
  */
 export class GroupEnding {
     readonly #state: FleetState;
@@ -28,12 +28,22 @@
         this.leave(group);
     }
 
-    /** The head is lost for this daemon, but may serve on for others. */
-    beginWaiting(group: ManagedGroup, reason: string, nowMs: number): void {
-        this.#state.groups.setPhase(group, GroupPhase.Waiting, reason, nowMs);
-        this.wait(group, nowMs);
+    /** The head doesn't answer this daemon, but may serve on for others. */
+    beginDissolving(group: ManagedGroup, reason: string, nowMs: number): void {
+        this.#state.groups.setPhase(group, GroupPhase.Dissolving, reason, nowMs);
+        this.dissolve(group, nowMs);
     }
 
+    /** Ends a group that is not ready. Its members are free at once if its head was never ordered to open. */
+    giveUp(group: ManagedGroup, reason: string, nowMs: number): void {
+        if (group.mayBeOpen) {
+            this.beginLeaving(group, reason, nowMs);
+            return;
+        }
+        this.#state.groups.remove(group, reason);
+    }
+
+    /** Lets the head finish what it has. */
     close(group: ManagedGroup): void {
         this.#once(group, async () => {
             const head = this.#reportOf(group, headOf(group));
@@ -46,65 +56,58 @@
 
     leave(group: ManagedGroup): void {
         this.#once(group, async () => {
-            if (this.#hasEnded(group, headOf(group))) {
+            const headId = headOf(group);
+            if (this.#hasEnded(group, headId)) {
                 this.#free(group, "the head has ended");
                 return;
             }
-            const head = this.#reportOf(group, headOf(group));
-            for (let attempt = 0; attempt < LEAVE_ATTEMPTS && head !== undefined && this.#state.mayAct(); attempt += 1) {
-                const outcome = await this.#state.orders.leave(head, group);
-                if (isHeadOut[outcome]) {
+            const head = this.#reportOf(group, headId);
+            for (let attempt = 0; attempt < LEAVE_ATTEMPTS && head !== undefined; attempt += 1) {
+                const outcome = await this.#orderToLeave(group, head);
+                if (outcome !== undefined && isOut[outcome]) {
                     this.#free(group, outcome === OrderOutcome.Accepted ? "the head has left" : "the head has ended");
                     return;
                 }
                 await sleep(ORDER_RETRY_MS, this.#state.lifecycle.signal);
             }
             if (this.#isIn(group, GroupPhase.Leaving) && this.#state.mayAct()) {
-                this.#state.groups.setPhase(group, GroupPhase.Waiting, "the head doesn't answer", monotonicMs());
+                const reason = "the head doesn't answer";
+                this.#state.groups.setPhase(group, GroupPhase.Dissolving, reason, monotonicMs());
             }
         });
     }
 
-    wait(group: ManagedGroup, nowMs: number): void {
+    /** Frees the members of a group whose head doesn't answer, each after it has left. */
+    dissolve(group: ManagedGroup, nowMs: number): void {
         const headId = headOf(group);
         if (this.#hasEnded(group, headId)) {
             this.#free(group, "the head has ended");
             return;
         }
-        if (nowMs >= group.freeAtMs) {
-            this.#free(group, "the head must stand still");
-            return;
-        }
         const head = this.#state.registry.get(headId);
         if (head !== undefined && head.receivedAtMs > group.phaseSinceMs) {
-            // It reports again, so it can be told.
             this.beginLeaving(group, "the head is back", nowMs);
             return;
         }
-        if (group.freeAtMs === Infinity) {
-            this.#removeOneMember(group);
+        this.#once(group, async () => {
+            const remaining = group.memberIds.slice(1).filter((serverId) => !group.leftIds.has(serverId));
+            await Promise.all(remaining.map((serverId) => this.#removeMember(group, serverId)));
+            await sleep(ORDER_RETRY_MS, this.#state.lifecycle.signal);
+        });
+    }
+
+    async #removeMember(group: ManagedGroup, serverId: string): Promise<void> {
+        const report = this.#reportOf(group, serverId);
+        const outcome = report === undefined ? undefined : await this.#orderToLeave(group, report);
+        const isMember = this.#isIn(group, GroupPhase.Dissolving) && !group.leftIds.has(serverId);
+        if (isMember && outcome !== undefined && isOut[outcome]) {
+            this.#state.groups.release(group, serverId);
+            this.#state.changed.notify();
         }
     }
 
-    /** The loss of a member makes the head stand still, wherever it is. */
-    #removeOneMember(group: ManagedGroup): void {
-        this.#once(group, async () => {
-            const { timing, orders, mayAct, lifecycle } = this.#state;
-            const otherIds = group.memberIds.slice(1);
-            const others = otherIds.map((serverId) => this.#reportOf(group, serverId));
-            if (otherIds.some((serverId) => this.#hasEnded(group, serverId))) {
-                group.freeAtMs = monotonicMs() + timing.stallMs + STALL_MARGIN_MS;
-                return;
-            }
-            for (const report of others) {
-                const outcome = report !== undefined && mayAct() ? await orders.leave(report, group) : undefined;
-                if (outcome !== undefined && isHeadOut[outcome]) {
-                    group.freeAtMs = monotonicMs() + timing.stallMs + STALL_MARGIN_MS;
-                    return;
-                }
-            }
-            await sleep(ORDER_RETRY_MS, lifecycle.signal);
-        });
+    async #orderToLeave(group: ManagedGroup, report: ServerReport): Promise<OrderOutcome | undefined> {
+        return this.#state.mayAct() ? await this.#state.orders.leave(report, group) : undefined;
     }
 
     #free(group: ManagedGroup, reason: string): void {
@@ -146,7 +149,7 @@
 }
 
 /** Whether a server is no longer a member after an order to leave. */
-const isHeadOut: Record<OrderOutcome, boolean> = {
+const isOut: Record<OrderOutcome, boolean> = {
     [OrderOutcome.Accepted]: true,
     [OrderOutcome.Refused]: false,
     [OrderOutcome.WrongServer]: true,
--- a/packages/fleet/src/forming.ts
+++ b/packages/fleet/src/forming.ts
@@ -85,6 +85,7 @@
             const { registry, orders, lifecycle } = this.#state;
             while (this.#isIn(group, GroupPhase.Opening) && this.#state.mayAct()) {
                 const head = registry.get(headOf(group));
+                group.mayBeOpen = true;
                 if (head === undefined || await orders.open(head.report, group) === OrderOutcome.Accepted) {
                     return;
                 }
@@ -190,7 +191,8 @@
             phase: GroupPhase.Joining,
             phaseSinceMs: nowMs,
             readyByMs: nowMs + JOIN_PATIENCE * readyInMs + JOIN_MARGIN_MS,
-            freeAtMs: Infinity,
+            mayBeOpen: false,
+            leftIds: new Set(),
             suspicionCount: 0,
             probedAtMs: 0,
         };
--- a/packages/fleet/src/group.ts
+++ b/packages/fleet/src/group.ts
@@ -9,8 +9,8 @@
     Closing: "closing",
     /** A member is lost; the head is ordered to leave, so that it can't serve when the others are used elsewhere. */
     Leaving: "leaving",
-    /** The head can't be reached. Its members are not used elsewhere until it must have noticed the loss of one. */
-    Waiting: "waiting",
+    /** The head doesn't answer. The other members are ordered to leave, one by one; without them it stands still. */
+    Dissolving: "dissolving",
 } as const;
 
 export type GroupPhase = typeof GroupPhase[keyof typeof GroupPhase];
@@ -34,8 +34,10 @@
     readyByMs: number;
     /** Why the group ends, for logs. */
     reason?: string;
-    /** When the members of a group whose head can't be reached are free; Infinity until it must stand still. */
-    freeAtMs: number;
+    /** Whether the head may have been ordered to open. Only then can it serve. */
+    mayBeOpen: boolean;
+    /** Members that have left by order. */
+    leftIds: Set<string>;
     /** Number of the suspicions that have not led to a change. */
     suspicionCount: number;
     /** Monotonic time of the last probe of all members. */
--- a/packages/fleet/src/groups.ts
+++ b/packages/fleet/src/groups.ts
@@ -55,6 +55,15 @@
         this.#record("group.added", group, {});
     }
 
+    /** Frees a member that has left by order, while the rest of its group is still held. */
+    release(group: ManagedGroup, serverId: string): void {
+        group.leftIds.add(serverId);
+        if (this.#groupByMember.get(serverId) === group) {
+            this.#groupByMember.delete(serverId);
+        }
+        this.#record("group.memberLeft", group, { server: serverId });
+    }
+
     addMember(group: ManagedGroup, serverId: string, bornMs: number): void {
         group.memberIds.push(serverId);
         group.bornMs.set(serverId, bornMs);
--- a/packages/fleet/src/registry.ts
+++ b/packages/fleet/src/registry.ts
@@ -1,4 +1,4 @@
-import type { MemberState, ServerReport } from "@greengage/protocol";
+import type { MemberRecord, MemberState, ServerReport } from "@greengage/protocol";
 
 /** A backend server as its reports tell it. */
 export interface BackendServer {
@@ -29,7 +29,7 @@
 export class ServerRegistry {
     readonly #servers = new Map<string, BackendServer>();
     /** Incarnations that a former leader knew and that have not reported here. */
-    readonly #expected = new Map<string, { serverId: string; bornMs: number; address: string; }>();
+    readonly #expected = new Map<string, MemberRecord>();
     readonly #idsByAddress = new Map<string, string>();
     /** Start of the newest incarnation that has ended, by id. */
     readonly #ended = new Map<string, { bornMs: number; atMs: number; }>();
@@ -43,7 +43,7 @@
     }
 
     /** Takes over an incarnation that another daemon knew. It ends when a newer one reports from its address. */
-    expect(server: { serverId: string; bornMs: number; address: string; }): void {
+    expect(server: MemberRecord): void {
         if (!this.#servers.has(server.serverId) && server.address !== "") {
             this.#expected.set(server.address, server);
         }
@@ -70,7 +70,7 @@
         if (known !== undefined && isOlder(report, known.report)) {
             return ReportEffect.Ignored;
         }
-        if (!this.#takeAddress(report, nowMs)) {
+        if (this.#isOutdated(report) || !this.#takeAddress(report, nowMs)) {
             return ReportEffect.Ignored;
         }
         const isSameIncarnation = known !== undefined && known.report.bornMs === report.bornMs;
@@ -92,6 +92,13 @@
         return server;
     }
 
+    /** Whether the former leader had a later report of this incarnation. */
+    #isOutdated(report: ServerReport): boolean {
+        const expected = this.#expected.get(report.address);
+        return expected?.serverId === report.serverId && expected.bornMs === report.bornMs
+            && report.sequence < expected.sequence;
+    }
+
     #isEnded(report: ServerReport): boolean {
         const ended = this.#ended.get(report.serverId);
         return ended !== undefined && report.bornMs <= ended.bornMs;
--- a/packages/fleet/src/service.ts
+++ b/packages/fleet/src/service.ts
@@ -58,8 +58,8 @@
     #routing: RoutingTable | undefined;
     #compressed: { version: number; document: Uint8Array; } | undefined;
     #demand: ModelDemand[] = [];
-    /** What the leader has told of its groups, and when. */
-    #records: { records: GroupRecords; atMs: number; } | undefined;
+    /** What the leader has told of its groups. */
+    #records: GroupRecords | undefined;
 
     constructor(options: FleetServiceOptions) {
         this.#options = options;
@@ -88,7 +88,7 @@
             onConfiguration: () => undefined,
             onView: (view) => this.#takeView(view),
             onRecords: (records) => {
-                this.#records = { records, atMs: monotonicMs() };
+                this.#records = records;
             },
         });
         register.onChange(() => this.#takeConfiguration());
@@ -215,7 +215,7 @@
         if (leadingTerm !== undefined) {
             this.#viewVersion = 0;
             this.#viewKey = "";
-            this.#controller.activate(leadingTerm, this.#records?.records, monotonicMs() - (this.#records?.atMs ?? 0));
+            this.#controller.activate(leadingTerm, this.#records);
         }
     }
 
--- a/packages/fleet/src/supervision.ts
+++ b/packages/fleet/src/supervision.ts
@@ -29,7 +29,7 @@
     [GroupPhase.Open]: (supervision) => superviseOpen(supervision),
     [GroupPhase.Closing]: (supervision) => superviseClosing(supervision),
     [GroupPhase.Leaving]: ({ ending, group }) => ending.leave(group),
-    [GroupPhase.Waiting]: ({ ending, group, nowMs }) => ending.wait(group, nowMs),
+    [GroupPhase.Dissolving]: ({ ending, group, nowMs }) => ending.dissolve(group, nowMs),
 };
 
 const memberOf = (state: FleetState, group: ManagedGroup, serverId: string): BackendServer | undefined =>
@@ -45,7 +45,7 @@
 const vmCountOf = (state: FleetState, { service, model }: ManagedGroup): number | undefined =>
     state.routing()?.service(service)?.engine?.models.find(({ name }) => name === model)?.vmCount;
 
-const superviseJoining = ({ state, forming, group, nowMs }: Supervision): void => {
+const superviseJoining = ({ state, ending, forming, group, nowMs }: Supervision): void => {
     const missingMs = MISSING_HEARTBEATS * state.timing.heartbeatMs;
     const members = group.memberIds.map((serverId) => memberOf(state, group, serverId));
     const unusable = group.memberIds.filter((_, index) => {
@@ -53,8 +53,7 @@
         return member === undefined || member.report.isDraining || nowMs - member.receivedAtMs > missingMs;
     });
     if (unusable.length > 0) {
-        // The head was never ordered to open, so the others can be used at once.
-        state.groups.remove(group, `lost ${unusable.join(" ")} before it was ready`);
+        ending.giveUp(group, `lost ${unusable.join(" ")} before it was ready`, nowMs);
         return;
     }
     const isWhole = group.memberIds.length === vmCountOf(state, group);
@@ -67,7 +66,7 @@
     if (nowMs > group.readyByMs) {
         const late = group.memberIds.filter((_, index) => !reportsState(members[index], group, MemberState.Ready));
         late.forEach((serverId) => state.distrustedAtMs.set(serverId, nowMs));
-        state.groups.remove(group, `${late.join(" ")} not ready in time`);
+        ending.giveUp(group, `${late.join(" ")} not ready in time`, nowMs);
     }
 };
 
@@ -101,7 +100,7 @@
     const membership = head?.report.membership;
     const isElsewhere = membership?.groupName !== group.groupName || membership.epoch !== group.epoch;
     if (head !== undefined && isElsewhere) {
-        state.groups.remove(group, "the head has left");
+        ending.beginLeaving(group, "the head reports another group", nowMs);
         return;
     }
     if (membership !== undefined && lostHeadStates.includes(membership.state)) {
--- a/packages/fleet/src/suspicion.ts
+++ b/packages/fleet/src/suspicion.ts
@@ -116,7 +116,7 @@
             this.#ending.beginLeaving(group, "a member is lost", nowMs),
         [SuspicionVerdict.HeadEnded]: ({ group, nowMs }) => this.#endHead(group, nowMs),
         [SuspicionVerdict.HeadSilent]: ({ group, nowMs }) =>
-            this.#ending.beginWaiting(group, "the head is silent", nowMs),
+            this.#ending.beginDissolving(group, "the head is silent", nowMs),
         [SuspicionVerdict.Slow]: (finding) => this.#replaceSlow(finding),
         [SuspicionVerdict.Healthy]: (finding) => this.#countSuspicion(finding),
     };
--- a/packages/fleet/src/timing.ts
+++ b/packages/fleet/src/timing.ts
@@ -2,8 +2,6 @@
 export interface FleetTiming {
     /** Period of the reports of a backend server. */
     heartbeatMs: number;
-    /** Time for which a head that has lost a member accepts requests before it knows. */
-    stallMs: number;
 }
 
 /** Control steps come at least this often; reports and suspicions bring them forward. */
@@ -14,8 +12,6 @@
 export const MISSING_HEARTBEATS = 2.5;
 /** A plain service without a report for this many periods is no longer offered; daemons see its failures sooner. */
 export const FORGOTTEN_HEARTBEATS = 12;
-/** Margin on `stallMs` for the time that an order and a notice take on their way. */
-export const STALL_MARGIN_MS = 300;
 /** Pause before an order without a clear answer is sent again. */
 export const ORDER_RETRY_MS = 250;
 /** Orders to leave that may fail before the head counts as unreachable. */
--- a/packages/protocol/src/fleet.ts
+++ b/packages/protocol/src/fleet.ts
@@ -87,10 +87,16 @@
     fabricDomain: string;
     headAddress: string;
     /** In rank order, with the start of each member's process. */
-    members: { serverId: string; bornMs: number; address: string; }[];
+    members: MemberRecord[];
     phase: string;
-    /** Time until the members of a group whose head can't be reached are free; missing while that isn't known. */
-    freeInMs?: number;
+}
+
+/** A member of a group, with the last report that the leader had of it. */
+export interface MemberRecord {
+    serverId: string;
+    bornMs: number;
+    address: string;
+    sequence: number;
 }
 
 /** What a successor of the leader needs to go on at once. */
