Take a reset of a response without a length as a broken response

Change: the connector notes failures before undici handles them, and the exchange asks for them at the end of a response.

--- a/packages/routing/src/exchange.ts
+++ b/packages/routing/src/exchange.ts
@@ -1,4 +1,5 @@
 import type { Dispatcher as HttpDispatcher } from "undici";
+import { isConnectionFailing } from "./connector.ts";
 import { ExchangeError, FailureKind } from "./failures.ts";
 
 /** A response whose content is complete must end within this time, or its connection is destroyed. */
@@ -140,6 +141,10 @@
 
     onResponseEnd(): void {
         clearTimeout(this.#endTimer);
+        if (isConnectionFailing()) {
+            this.fail(FailureKind.Broken, "the connection failed before the end of the response");
+            return;
+        }
         this.#end(() => this.#options.onEnd());
     }
 
--- a/packages/routing/src/pools.ts
+++ b/packages/routing/src/pools.ts
@@ -1,4 +1,5 @@
 import { Client, Pool } from "undici";
+import { createConnector } from "./connector.ts";
 
 const CONNECT_TIMEOUT_MS = 2_000;
 const KEEP_ALIVE_MS = 10_000;
@@ -7,7 +8,7 @@
 
 const connectionOptions = {
     pipelining: 1,
-    connect: { timeout: CONNECT_TIMEOUT_MS },
+    connect: createConnector(CONNECT_TIMEOUT_MS),
     keepAliveTimeout: KEEP_ALIVE_MS,
 } as const;
 
