--- a/packages/routing/src/connector.ts
+++ b/packages/routing/src/connector.ts
@@ -1,5 +1,9 @@
+import type { Socket } from "node:net";
 import { buildConnector } from "undici";
 
+/** Ignored by HTTP servers between requests. */
+const PROBE = "\r\n";
+
 let isFailing = false;
 
 /**
@@ -15,12 +19,26 @@
     });
 };
 
+/**
+ * Node.js reports a reset as an ordinary end when data arrived together with it, and only a write tells them apart: it
+ * fails at once after a reset.
+ */
+const probeEnd = (socket: Socket): void => {
+    socket.write(PROBE);
+    if (socket.errored !== null) {
+        noteFailure();
+    }
+};
+
 /** Opens connections whose failures are noted before undici handles them. */
 export const createConnector = (timeoutMs: number): buildConnector.connector => {
-    const connect = buildConnector({ timeout: timeoutMs });
+    // A socket that may be half open can still be written to at its end.
+    const connect = buildConnector({ timeout: timeoutMs, allowHalfOpen: true } as buildConnector.BuildOptions);
     return (options, callback) =>
         connect(options, (...result) => {
-            result[1]?.on("error", noteFailure);
+            const socket = result[1] as Socket | null;
+            socket?.on("error", noteFailure);
+            socket?.on("end", () => probeEnd(socket));
             callback(...result);
         });
 };
