Serve at once after a restart of all daemons

Cause: after kill_all a new leader took 1.7 s to learn the groups, and the daemons 0.4 s to decode every configuration of the log. Change: what a successor needs is kept on the disk; configurations are decoded when needed; the first of the restarted voters campaigns at once; configurations are handed out only once a daemon has caught up.

--- a/packages/consensus/src/index.ts
+++ b/packages/consensus/src/index.ts
@@ -1,8 +1,10 @@
 export * from "./composite.ts";
 export * from "./errors.ts";
+export { readRecordFile, replaceFile, syncFile } from "./files.ts";
 export * from "./log.ts";
 export type { DynamicVoters } from "./members.ts";
 export * from "./memory.ts";
 export * from "./raft.ts";
+export { RecordCodec } from "./records.ts";
 export * from "./timing.ts";
 export { ChangeSignal } from "./signal.ts";
--- a/packages/consensus/src/members.ts
+++ b/packages/consensus/src/members.ts
@@ -34,8 +34,8 @@
     dynamicVoters?: DynamicVoters;
     /** Whether this daemon may found a cluster together with the other voters of the settings. */
     bootstrap: boolean;
-    /** Called when this daemon has written the first entry of a new cluster. */
-    onBootstrapped: () => void;
+    /** Called when this daemon should campaign at once: no other voter does, and there is no leader. */
+    onLeaderNeeded: () => void;
 }
 
 /** Identity of this member: check-in after a start, first start, joining, and replacement of voters. */
@@ -160,12 +160,24 @@
             if (answers.length === others.length || (isMajority && hasWaited)) {
                 state.isCheckedIn = true;
                 state.changed.notify();
+                this.#campaignAfterRestart(answers);
                 return;
             }
             await sleep(CHECK_IN_RETRY_MS, signal);
         }
     }
 
+    /** After a restart of all voters, the first of those that answer campaigns without the election timeout. */
+    #campaignAfterRestart(answers: readonly StatusResponse[]): void {
+        const { memberId, isVoter, voters } = this.#state;
+        const answered = new Set(answers.map((answer) => answer.memberId));
+        const present = voters.filter((voter) => voter.memberId === memberId || answered.has(voter.memberId));
+        const isFirst = present.every((voter) => memberId <= voter.memberId);
+        if (isVoter && isFirst && answers.every(({ leaderId }) => leaderId === undefined)) {
+            this.#options.onLeaderNeeded();
+        }
+    }
+
     async #askAll(daemonIds: readonly string[]): Promise<StatusResponse[]> {
         const { memberId, term, entries, peers, timing } = this.#state;
         const request = { memberId, term, lastLogIndex: entries.lastIndex };
@@ -216,7 +228,7 @@
         await state.metadataSaved();
         await state.putEntries([{ index: 1, term: 1, kind: "configuration", payload }]);
         state.log.info("founded a cluster", { voters: this.#voterIds });
-        this.#options.onBootstrapped();
+        this.#options.onLeaderNeeded();
         return true;
     }
 
--- a/packages/consensus/src/raft.ts
+++ b/packages/consensus/src/raft.ts
@@ -93,7 +93,7 @@
             daemons,
             dynamicVoters: options.dynamicVoters,
             bootstrap: options.bootstrap ?? false,
-            onBootstrapped: () => election.campaignNow(),
+            onLeaderNeeded: () => election.campaignNow(),
         });
     }
 
--- a/packages/consensus/src/storage.ts
+++ b/packages/consensus/src/storage.ts
@@ -53,6 +53,9 @@
     sync?: SyncFile;
 }
 
+/** Files that belong to an identity. Others in the folder are of no concern here. */
+const FILES_OF_AN_IDENTITY: readonly string[] = ["metadata", "marks", "snapshot", "log"];
+
 /** Files of one member of the replicated log. Writes are done in order, and those that wait share one sync. */
 export class RaftStorage {
     readonly #options: StorageOptions;
@@ -223,7 +226,7 @@
         if (stored !== undefined) {
             return stored;
         }
-        const leftovers = (await readdir(folder)).filter((name) => name !== "identity.new");
+        const leftovers = (await readdir(folder)).filter((name) => FILES_OF_AN_IDENTITY.includes(name));
         if (leftovers.length > 0) {
             throw new StorageError(`${folder} has files but no identity file: ${leftovers.join(", ")}`);
         }
--- a/packages/daemon/src/control.ts
+++ b/packages/daemon/src/control.ts
@@ -10,6 +10,7 @@
 import { CompositeStateMachine, RaftLog } from "@greengage/consensus";
 import { type EngineOrders, FleetService, type FleetTiming } from "@greengage/fleet";
 import { PeerNetwork, type ServerReport } from "@greengage/protocol";
+import { join } from "node:path";
 import { addressOfPeer } from "./peerid.ts";
 
 /** A lost voter is replaced after this time, if a daemon waits: a new daemon must take part within four seconds. */
@@ -21,6 +22,13 @@
 const READ_TIMEOUT_MS = 900;
 const REPLACE_TIMEOUT_MS = 2_500;
 
+/** Groups can't be repaired without a leader, so elections take about a second, within one region. */
+const LOG_HEARTBEAT_MS = 150;
+const ELECTION_TIMEOUT_MS = 700;
+/** Voters of a region answer within milliseconds once they run. */
+const CHECK_IN_MS = 1_200;
+const RECORD_FILE = "groups";
+
 export interface ControlDaemonOptions {
     context: Context;
     listen: { host: string; port: number; };
@@ -64,7 +72,13 @@
             },
             dataFolder,
             bootstrap,
-            timing: { snapshotEveryEntries: SNAPSHOT_EVERY_ENTRIES, keepEntries: KEEP_ENTRIES },
+            timing: {
+                heartbeatMs: LOG_HEARTBEAT_MS,
+                electionTimeoutMs: ELECTION_TIMEOUT_MS,
+                checkInMs: CHECK_IN_MS,
+                snapshotEveryEntries: SNAPSHOT_EVERY_ENTRIES,
+                keepEntries: KEEP_ENTRIES,
+            },
         });
         this.fleet = new FleetService({
             context,
@@ -74,6 +88,7 @@
             decode: (document) => new RoutingTable(decode(document)),
             orders: options.orders,
             timing: options.timing,
+            recordPath: join(dataFolder, RECORD_FILE),
         });
     }
 
@@ -87,7 +102,7 @@
         this.#lifecycle.onClose(() => this.#log.close());
         await this.#peers.start();
         this.#lifecycle.onClose(() => this.#peers.close());
-        this.fleet.start();
+        await this.fleet.start();
         this.#lifecycle.onClose(() => this.fleet.close());
         context.decisions.record("daemon.start", {
             role: "control",
--- a/packages/fleet/src/controller.ts
+++ b/packages/fleet/src/controller.ts
@@ -35,6 +35,8 @@
     /** Whether any daemon has seen requests. */
     hasDemand: boolean;
     nextEpoch: () => number;
+    /** When this leader had heard enough reports. */
+    settledAtMs: () => number;
 }
 
 /** Epochs of one term. An epoch of a later term is higher than any of an earlier one. */
@@ -63,6 +65,7 @@
             distrustedAtMs: new Map(),
             hasDemand: false,
             nextEpoch: () => this.#nextEpoch(),
+            settledAtMs: () => this.#settledAtMs,
         };
         this.#ending = new GroupEnding(this.#state);
         this.#forming = new GroupForming(this.#state);
@@ -92,7 +95,7 @@
     }
 
     /** What a successor needs to know of the groups. */
-    records(): GroupRecords {
+    records(): Omit<GroupRecords, "servers"> {
         return recordsOf(this.#state);
     }
 
--- a/packages/fleet/src/forming.ts
+++ b/packages/fleet/src/forming.ts
@@ -151,7 +151,8 @@
         const { serverId, fabricDomain = "", zone, loadedModels, stagedModels } = report;
         const load = this.#loads.get(serverId);
         const isStaging = load !== undefined && !stagedModels.includes(load.model);
-        const seenForMs = nowMs - firstSeenAtMs;
+        // A new leader hears of every VM for the first time.
+        const seenForMs = firstSeenAtMs <= this.#state.settledAtMs() ? Infinity : nowMs - firstSeenAtMs;
         return { serverId, fabricDomain, zone, lastModel: loadedModels[0], stagedModels, isStaging, seenForMs };
     }
 
--- /dev/null
+++ b/packages/fleet/src/recordfile.ts
@@ -0,0 +1,55 @@
+import { type Context, messageOf } from "@greengage/base";
+import { readRecordFile, RecordCodec, replaceFile, syncFile } from "@greengage/consensus";
+import type { GroupRecords } from "@greengage/protocol";
+
+/**
+ * Keeps the records of the groups over a restart. They only save time: a daemon without them, or with old ones, learns
+ * the groups from the reports of their members.
+ */
+export class GroupRecordFile {
+    readonly #context: Context;
+    readonly #path: string;
+    #codec: RecordCodec | undefined;
+    #waiting: GroupRecords | undefined;
+    #isWriting = false;
+
+    constructor(context: Context, path: string) {
+        this.#context = context;
+        this.#path = path;
+    }
+
+    /** The records of the last run, or undefined when there are none that can be read. */
+    async read(): Promise<GroupRecords | undefined> {
+        this.#codec = await RecordCodec.create();
+        try {
+            return await readRecordFile(this.#path, this.#codec) as GroupRecords | undefined;
+        }
+        catch (error) {
+            this.#context.decisions.record("groupRecords.unreadable", { reason: messageOf(error) });
+            return undefined;
+        }
+    }
+
+    /** Replaces the records. While a write is under way, only the newest ones wait. */
+    write(records: GroupRecords): void {
+        this.#waiting = records;
+        if (!this.#isWriting) {
+            void this.#writeWaiting();
+        }
+    }
+
+    async #writeWaiting(): Promise<void> {
+        this.#isWriting = true;
+        while (this.#waiting !== undefined && this.#codec !== undefined) {
+            const records = this.#waiting;
+            this.#waiting = undefined;
+            try {
+                await replaceFile(this.#path, this.#codec.write(records), syncFile);
+            }
+            catch (error) {
+                this.#context.decisions.record("groupRecords.notWritten", { reason: messageOf(error) });
+            }
+        }
+        this.#isWriting = false;
+    }
+}
--- a/packages/fleet/src/service.ts
+++ b/packages/fleet/src/service.ts
@@ -8,6 +8,7 @@
     ModelDemand,
     Peers,
     ServerReport,
+    ServerTarget,
     SuspicionAnswer,
     WatchRequest,
     WatchResponse,
@@ -15,6 +16,7 @@
 import { deflateRawSync } from "node:zlib";
 import { GroupController } from "./controller.ts";
 import type { EngineOrders } from "./orders.ts";
+import { GroupRecordFile } from "./recordfile.ts";
 import { ReportEffect, ServerRegistry } from "./registry.ts";
 import type { FleetTiming } from "./timing.ts";
 import { groupTargets, isNewerView, serverTargets } from "./view.ts";
@@ -38,6 +40,8 @@
     decode: (document: Uint8Array) => RoutingTable;
     orders: EngineOrders;
     timing: FleetTiming;
+    /** File for what a successor of the leader needs to know of the groups. */
+    recordPath: string;
 }
 
 /** The control daemons' part of the fleet: reports come in, views and configurations go out. */
@@ -48,6 +52,7 @@
     readonly #controller: GroupController;
     readonly #changed = new ChangeSignal();
     readonly #watcher: FleetWatcher;
+    readonly #recordFile: GroupRecordFile;
     readonly #entries = new Map<string, number>();
     readonly #zones = new Map<string, string>();
     #view: FleetView | undefined;
@@ -56,6 +61,7 @@
     #toldRecordsVersion = 0;
     #leadingTerm: number | undefined;
     #routing: RoutingTable | undefined;
+    #decodedVersion = 0;
     #compressed: { version: number; document: Uint8Array; } | undefined;
     #demand: ModelDemand[] = [];
     /** What the leader has told of its groups. */
@@ -63,14 +69,15 @@
 
     constructor(options: FleetServiceOptions) {
         this.#options = options;
-        const { context, peers, orders, timing, log, register } = options;
+        const { context, peers, orders, timing, log } = options;
+        this.#recordFile = new GroupRecordFile(context, options.recordPath);
         this.#zones.set(context.daemonId, context.zone);
         this.#controller = new GroupController({
             context,
             registry: this.#registry,
             orders,
             timing,
-            routing: () => this.#routing,
+            routing: () => this.#currentRouting(),
             mayAct: () => log.holdsLeaderLease,
             onStep: () => this.#publish(),
         });
@@ -87,11 +94,8 @@
             }),
             onConfiguration: () => undefined,
             onView: (view) => this.#takeView(view),
-            onRecords: (records) => {
-                this.#records = records;
-            },
+            onRecords: (records) => this.#keepRecords(records),
         });
-        register.onChange(() => this.#takeConfiguration());
         peers.handle("fleet.watch", (request, from) => this.#answerWatch(request, from));
         peers.handle("fleet.report", ({ reports }) => this.#acceptReports(reports));
         peers.handle("fleet.depart", ({ serverId, bornMs }) => this.#acceptDeparture(serverId, bornMs));
@@ -106,8 +110,10 @@
         return this.#controller;
     }
 
-    start(): void {
+    async start(): Promise<void> {
+        this.#options.register.onChange(() => this.#takeConfiguration());
         this.#takeConfiguration();
+        this.#records = await this.#recordFile.read();
         this.#controller.start();
         this.#watcher.start();
         this.#lifecycle.every(ROLE_CHECK_MS, () => this.#checkRole(), (error) => {
@@ -202,6 +208,22 @@
         return { isAccepted: true, isCleared: await this.#controller.suspect(suspicion) };
     }
 
+    #ownRecords(): GroupRecords {
+        return { ...this.#controller.records(), servers: this.#view?.servers ?? [] };
+    }
+
+    /** Servers that the former leader knew and that have not yet had the time to report here. */
+    #inheritedServers(): ServerTarget[] {
+        const servers = this.#controller.isSettled ? [] : this.#records?.servers ?? [];
+        return servers.filter(({ serverId }) => this.#registry.get(serverId) === undefined);
+    }
+
+    /** Keeps what a successor needs, also over a restart of all daemons. */
+    #keepRecords(records: GroupRecords): void {
+        this.#records = records;
+        this.#recordFile.write(records);
+    }
+
     #checkRole(): void {
         const { role, term } = this.#options.log.status();
         const leadingTerm = role === "leader" ? term : undefined;
@@ -216,6 +238,9 @@
             this.#viewVersion = 0;
             this.#viewKey = "";
             this.#controller.activate(leadingTerm, this.#records);
+            if (this.#records !== undefined) {
+                this.#publish();
+            }
         }
     }
 
@@ -226,18 +251,19 @@
         const input = {
             registry: this.#registry,
             groups: this.#controller.groups,
-            routing: this.#routing,
+            routing: this.#currentRouting(),
             heartbeatMs: timing.heartbeatMs,
             nowMs,
         };
         const view = {
             groups: groupTargets(input),
-            servers: serverTargets(input),
+            servers: [...serverTargets(input), ...this.#inheritedServers()],
             entryDaemonCount: Math.max(1, this.#entryIds().length),
             controllers: this.#controllers(),
         };
         if (this.#controller.groups.version !== this.#toldRecordsVersion) {
             this.#toldRecordsVersion = this.#controller.groups.version;
+            this.#keepRecords(this.#ownRecords());
             this.#changed.notify();
         }
         const key = JSON.stringify(view);
@@ -264,11 +290,20 @@
     }
 
     #takeConfiguration(): void {
+        const { register, context } = this.#options;
+        context.decisions.record("configuration.inForce", { version: register.version });
+        this.#changed.notify();
+        this.#controller.wake();
+    }
+
+    /** The configuration in force, decoded when it is first needed: a start replays many. */
+    #currentRouting(): RoutingTable | undefined {
         const { register, decode, context } = this.#options;
         const { held } = register;
-        if (held === undefined) {
-            return;
+        if (held === undefined || held.version === this.#decodedVersion) {
+            return this.#routing;
         }
+        this.#decodedVersion = held.version;
         try {
             this.#routing = decode(held.document);
         }
@@ -278,10 +313,7 @@
                 reason: messageOf(error),
             });
         }
-        this.#compressed = undefined;
-        context.decisions.record("configuration.inForce", { version: held.version });
-        this.#changed.notify();
-        this.#controller.wake();
+        return this.#routing;
     }
 
     async #answerWatch(request: WatchRequest, from: string): Promise<WatchResponse> {
@@ -291,7 +323,7 @@
         while (!this.#hasNews(request) && monotonicMs() < untilMs && !this.#lifecycle.isClosed) {
             await this.#changed.wait(untilMs - monotonicMs());
         }
-        const records = !request.isEntry && this.#leadingTerm !== undefined ? this.#controller.records() : undefined;
+        const records = !request.isEntry && this.#leadingTerm !== undefined ? this.#ownRecords() : undefined;
         return { ...this.#watchResponse(request), ...(records === undefined ? {} : { records }) };
     }
 
@@ -312,12 +344,13 @@
             && this.#controller.groups.version !== recordsVersion;
         const isViewNewer = this.#view !== undefined
             && isNewerView(this.#view, { term: viewTerm, version: viewVersion });
-        return isViewNewer || areRecordsNewer || this.#options.register.version > configurationVersion;
+        return isViewNewer || areRecordsNewer || this.#newerConfiguration(configurationVersion) !== undefined;
     }
 
     #watchResponse({ configurationVersion, viewTerm, viewVersion }: WatchRequest): WatchResponse {
-        const { context, register, log } = this.#options;
+        const { context, log } = this.#options;
         const { leaderId, leaderContactAgeMs } = log.status();
+        const configuration = this.#newerConfiguration(configurationVersion);
         const view = this.#view;
         const hasView = view !== undefined && isNewerView(view, { term: viewTerm, version: viewVersion });
         return {
@@ -325,10 +358,16 @@
             leaderId,
             leaderContactAgeMs: Number.isFinite(leaderContactAgeMs) ? leaderContactAgeMs : undefined,
             ...(hasView ? { view } : {}),
-            ...(register.version > configurationVersion ? { configuration: this.#compress() } : {}),
+            ...(configuration === undefined ? {} : { configuration }),
         };
     }
 
+    /** A configuration newer than `version`, unless this daemon has just started and may hold an older one itself. */
+    #newerConfiguration(version: number): { version: number; document: Uint8Array; } | undefined {
+        const { register, log } = this.#options;
+        return register.version > version && log.isCurrent ? this.#compress() : undefined;
+    }
+
     /** The configuration in force, compressed once for all daemons that ask. */
     #compress(): { version: number; document: Uint8Array; } | undefined {
         const { held } = this.#options.register;
--- a/packages/protocol/src/fleet.ts
+++ b/packages/protocol/src/fleet.ts
@@ -99,13 +99,15 @@
     sequence: number;
 }
 
-/** What a successor of the leader needs to go on at once. */
+/** What a successor of the leader needs to go on at once, before servers have reported to it. */
 export interface GroupRecords {
     /** Grows with each change of a group. */
     version: number;
     groups: GroupRecord[];
     /** Groups that ended lately, whose former members may still report them. */
     endedNames: string[];
+    /** Backend servers that take requests by themselves. */
+    servers: ServerTarget[];
 }
 
 /** A daemon asks for what has changed, and waits for it. */
