--- a/eslint.config.js
+++ b/eslint.config.js
@@ -6,8 +6,11 @@
     "protocol",
     "consensus",
     "table",
+    "configuration",
     "membership",
+    "fleet",
     "routing",
+    "gateway",
     "actions",
     "http",
     "daemon",
@@ -48,8 +51,27 @@
     },
 }));
 
+const houseSyntax = [
+    { selector: "TSEnumDeclaration", message: "Use a constant object instead of an enum." },
+    {
+        selector: "PropertyDefinition[accessibility='private'], MethodDefinition[accessibility='private']",
+        message: "Use a #private member.",
+    },
+    { selector: "TSNullKeyword", message: "Use undefined instead of null." },
+];
+
+// Names that only the platform uses. platform/ translates them.
+const platformNames =
+    "/greengageridge-|GREENGAGERIDGE_|Instances\\.|Config\\.(Replace|Describe)|heartbeat_url/i";
+const platformSyntax = ["Literal", "TemplateElement"].map((node) => ({
+    selector: node === "Literal"
+        ? `Literal[value=${platformNames}]`
+        : `TemplateElement[value.raw=${platformNames}]`,
+    message: "Names of the users' platform belong in platform/.",
+}));
+
 export default tseslint.config(
-    { ignores: ["**/node_modules/**", "dist/**"] },
+    { ignores: ["**/node_modules/**", "dist/**", "target/**"] },
     ...tseslint.configs.recommended,
     {
         files: ["**/*.ts"],
@@ -69,18 +91,13 @@
                 caughtErrors: "none",
                 varsIgnorePattern: "^_$",
             }],
-            "no-restricted-syntax": [
-                "error",
-                { selector: "TSEnumDeclaration", message: "Use a constant object instead of an enum." },
-                {
-                    selector:
-                        "PropertyDefinition[accessibility='private'], MethodDefinition[accessibility='private']",
-                    message: "Use a #private member.",
-                },
-                { selector: "TSNullKeyword", message: "Use undefined instead of null." },
-            ],
+            "no-restricted-syntax": ["error", ...houseSyntax],
         },
     },
+    {
+        files: ["packages/**/*.ts"],
+        rules: { "no-restricted-syntax": ["error", ...houseSyntax, ...platformSyntax] },
+    },
     ...directionRules,
     { files: ["eslint.config.js", "ava.config.js", "scripts/**"], ...tseslint.configs.disableTypeChecked },
 );
--- a/packages/base/src/metrics.ts
+++ b/packages/base/src/metrics.ts
@@ -49,6 +49,8 @@
 
     close(): Promise<void> {
         const client = this.#client;
-        return client === undefined ? Promise.resolve() : new Promise((resolve) => client.close(() => resolve()));
+        return client === undefined
+            ? Promise.resolve()
+            : new Promise((resolve) => client.close(() => resolve()));
     }
 }
--- a/packages/configuration/src/router.ts
+++ b/packages/configuration/src/router.ts
@@ -39,7 +39,11 @@
         }
         const queryAt = target.indexOf("?");
         const path = queryAt < 0 ? target : target.slice(0, queryAt);
-        for (let end = path.lastIndexOf("/"); end >= 0; end = end === 0 ? -1 : path.lastIndexOf("/", end - 1)) {
+        for (
+            let end = path.lastIndexOf("/");
+            end >= 0;
+            end = end === 0 ? -1 : path.lastIndexOf("/", end - 1)
+        ) {
             const route = byPrefix.get(path.slice(0, end + 1));
             if (route !== undefined) {
                 return route;
--- a/packages/configuration/src/validate.ts
+++ b/packages/configuration/src/validate.ts
@@ -35,11 +35,17 @@
     const totalWeight = shares.reduce((sum, share) => sum + share.weight, 0);
     const checks: [boolean, string][] = [
         [pathPrefix.startsWith("/") && pathPrefix.endsWith("/"), "has a prefix without slashes at both ends"],
-        [totalWeight > 0 && shares.every(({ weight }) => weight >= 0), "has no service with a weight above 0"],
+        [
+            totalWeight > 0 && shares.every(({ weight }) => weight >= 0),
+            "has no service with a weight above 0",
+        ],
         [timeoutMs > 0, "has no timeout above 0"],
         [maxAttempts >= 1, "allows no attempt"],
     ];
-    return [...problems, ...checks.filter(([holds]) => !holds).map(([, reason]) => `route ${name} ${reason}`)];
+    return [
+        ...problems,
+        ...checks.filter(([holds]) => !holds).map(([, reason]) => `route ${name} ${reason}`),
+    ];
 };
 
 const keyProblems = ({ organisations = [] }: Configuration): string[] => {
--- a/packages/consensus/src/index.ts
+++ b/packages/consensus/src/index.ts
@@ -6,5 +6,5 @@
 export * from "./memory.ts";
 export * from "./raft.ts";
 export { RecordCodec } from "./records.ts";
-export * from "./timing.ts";
 export { ChangeSignal } from "./signal.ts";
+export * from "./timing.ts";
--- a/packages/consensus/src/members.ts
+++ b/packages/consensus/src/members.ts
@@ -50,7 +50,9 @@
     constructor(options: MembersOptions) {
         this.#options = options;
         this.#state = options.state;
-        this.#settingsVoterIds = options.daemons.filter((daemon) => daemon.voter).map(({ daemonId }) => daemonId);
+        this.#settingsVoterIds = options.daemons.filter((daemon) => daemon.voter).map(({ daemonId }) =>
+            daemonId
+        );
         const { peers } = this.#state;
         peers.handle("raft.status", (request) => this.#status(request));
         peers.handle("raft.joinAs", (request, from) => this.#joinAs(request, from));
@@ -236,7 +238,9 @@
         const { daemonId, memberId, leaderId, peers, timing } = this.#state;
         const request: Member = { daemonId, memberId, voter: true };
         const knownIds = this.#state.voters.map((voter) => voter.daemonId);
-        const candidates = [...new Set([leaderId, ...knownIds, ...this.#voterIds])].filter((id) => id !== undefined);
+        const candidates = [...new Set([leaderId, ...knownIds, ...this.#voterIds])].filter((id) =>
+            id !== undefined
+        );
         for (const id of candidates.filter((candidate) => candidate !== daemonId)) {
             const answer = await peers.call(id, "raft.joinAs", request, { timeoutMs: timing.callTimeoutMs })
                 .catch(() => undefined);
@@ -253,7 +257,8 @@
         if (!state.isLeader) {
             return { ok: false, leaderId, reason: "this daemon is not the leader" };
         }
-        const isAllowed = this.#options.dynamicVoters !== undefined || this.#voterIds.includes(member.daemonId);
+        const isAllowed = this.#options.dynamicVoters !== undefined
+            || this.#voterIds.includes(member.daemonId);
         if (from !== member.daemonId || !isAllowed) {
             return { ok: false, leaderId, reason: `daemon ${member.daemonId} is no voter in the settings` };
         }
--- a/packages/daemon/src/control.ts
+++ b/packages/daemon/src/control.ts
@@ -56,10 +56,17 @@
     #seedIds: readonly string[];
 
     constructor(options: ControlDaemonOptions) {
-        const { context, listen, peersKey, seedIds, dataFolder, bootstrap, toleratedLosses, decode } = options;
+        const { context, listen, peersKey, seedIds, dataFolder, bootstrap, toleratedLosses, decode } =
+            options;
         this.#options = options;
         this.#seedIds = seedIds;
-        this.#peers = new PeerNetwork({ context, listen, addresses: [], key: peersKey, resolve: addressOfPeer });
+        this.#peers = new PeerNetwork({
+            context,
+            listen,
+            addresses: [],
+            key: peersKey,
+            resolve: addressOfPeer,
+        });
         this.#log = new RaftLog({
             context,
             peers: this.#peers,
@@ -133,7 +140,10 @@
         const problems = findProblems(configuration);
         if (problems.length > 0) {
             context.decisions.record("configuration.rejected", { version: configuration.version, problems });
-            throw new GreengageError(problems.join("; "), { code: ErrorCode.Invalid, verdict: Verdict.NotRun });
+            throw new GreengageError(problems.join("; "), {
+                code: ErrorCode.Invalid,
+                verdict: Verdict.NotRun,
+            });
         }
         const { version } = configuration;
         const command = { type: "configuration.replace", version, document };
--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -34,7 +34,13 @@
         const { context, listen, peersKey, seedIds, dialect, retries } = options;
         this.#options = options;
         this.#seedIds = seedIds;
-        this.#peers = new PeerNetwork({ context, listen, addresses: [], key: peersKey, resolve: addressOfPeer });
+        this.#peers = new PeerNetwork({
+            context,
+            listen,
+            addresses: [],
+            key: peersKey,
+            resolve: addressOfPeer,
+        });
         this.gateway = new Gateway({
             context,
             dialect,
@@ -51,7 +57,8 @@
                 entryIds: [],
                 demand: this.gateway.takeDemand(),
             }),
-            onConfiguration: ({ version, document }) => this.#takeConfiguration(version, inflateRawSync(document)),
+            onConfiguration: ({ version, document }) =>
+                this.#takeConfiguration(version, inflateRawSync(document)),
             onView: (view) => this.#takeView(view),
         });
     }
@@ -115,7 +122,10 @@
         }
         catch (error) {
             const reason = messageOf(error);
-            this.#options.context.logs(LogPart.Table).error("a configuration can't be read", { version, reason });
+            this.#options.context.logs(LogPart.Table).error("a configuration can't be read", {
+                version,
+                reason,
+            });
         }
     }
 
--- a/packages/fleet/src/controller.ts
+++ b/packages/fleet/src/controller.ts
@@ -8,9 +8,9 @@
 import { GroupTable } from "./groups.ts";
 import type { EngineOrders } from "./orders.ts";
 import type { ServerRegistry } from "./registry.ts";
+import { superviseGroup } from "./supervision.ts";
 import { SuspicionCheck } from "./suspicion.ts";
 import { type FleetTiming, SETTLE_HEARTBEATS, STEP_MS } from "./timing.ts";
-import { superviseGroup } from "./supervision.ts";
 
 export interface GroupControllerOptions {
     context: Context;
@@ -111,7 +111,10 @@
             this.#state.hasDemand = true;
         }
         this.#settledAtMs = monotonicMs() + SETTLE_HEARTBEATS * this.#options.timing.heartbeatMs;
-        this.#options.context.decisions.record("controller.active", { term, knownGroups: records?.groups.length });
+        this.#options.context.decisions.record("controller.active", {
+            term,
+            knownGroups: records?.groups.length,
+        });
     }
 
     deactivate(): void {
--- a/packages/fleet/src/ending.ts
+++ b/packages/fleet/src/ending.ts
@@ -65,7 +65,10 @@
             for (let attempt = 0; attempt < LEAVE_ATTEMPTS && head !== undefined; attempt += 1) {
                 const outcome = await this.#orderToLeave(group, head);
                 if (outcome !== undefined && isOut[outcome]) {
-                    this.#free(group, outcome === OrderOutcome.Accepted ? "the head has left" : "the head has ended");
+                    this.#free(
+                        group,
+                        outcome === OrderOutcome.Accepted ? "the head has left" : "the head has ended",
+                    );
                     return;
                 }
                 await sleep(ORDER_RETRY_MS, this.#state.lifecycle.signal);
--- a/packages/fleet/src/forming.ts
+++ b/packages/fleet/src/forming.ts
@@ -64,15 +64,24 @@
             }
             const input = this.#planInput(service, service.engine, nowMs);
             // Some loads stay free for members of groups, which are missed now.
-            const stagingAllowed = input.loadsAllowed - Math.floor(service.engine.loadsAtOnce * LOADS_KEPT_SHARE);
+            const stagingAllowed = input.loadsAllowed
+                - Math.floor(service.engine.loadsAtOnce * LOADS_KEPT_SHARE);
             const memberCounts = new Map<string, number>();
             for (const { fabricDomain, model, memberIds } of this.#state.groups.all()) {
                 const key = memberKey(fabricDomain, model);
                 memberCounts.set(key, (memberCounts.get(key) ?? 0) + memberIds.length);
             }
-            for (const { serverId, model } of planStaging({ ...input, loadsAllowed: stagingAllowed }, memberCounts)) {
+            for (
+                const { serverId, model } of planStaging(
+                    { ...input, loadsAllowed: stagingAllowed },
+                    memberCounts,
+                )
+            ) {
                 this.#pacer(service.name).started(1, nowMs);
-                this.#loads.set(serverId, { model: model.name, untilMs: nowMs + JOIN_PATIENCE * model.loadMs });
+                this.#loads.set(serverId, {
+                    model: model.name,
+                    untilMs: nowMs + JOIN_PATIENCE * model.loadMs,
+                });
                 this.#state.context.decisions.record("vm.stage", { server: serverId, model: model.name });
                 this.#run(() => this.#stage(serverId, model.name));
             }
@@ -127,7 +136,9 @@
 
     #planInput(service: ServiceSpec, profile: EngineProfile, nowMs: number): PlanInput {
         const free = this.#state.registry.all().filter((server) => this.#isFree(server, service.name, nowMs));
-        const groups = this.#state.groups.all().filter((group) => group.service === service.name && isProvided(group));
+        const groups = this.#state.groups.all().filter((group) =>
+            group.service === service.name && isProvided(group)
+        );
         return {
             profile,
             freeVms: free.map((server) => this.#freeVm(server, nowMs)),
@@ -153,7 +164,15 @@
         const isStaging = load !== undefined && !stagedModels.includes(load.model);
         // A new leader hears of every VM for the first time.
         const seenForMs = firstSeenAtMs <= this.#state.settledAtMs() ? Infinity : nowMs - firstSeenAtMs;
-        return { serverId, fabricDomain, zone, lastModel: loadedModels[0], stagedModels, isStaging, seenForMs };
+        return {
+            serverId,
+            fabricDomain,
+            zone,
+            lastModel: loadedModels[0],
+            stagedModels,
+            isStaging,
+            seenForMs,
+        };
     }
 
     #loadsAllowed(service: string, profile: EngineProfile, nowMs: number): number {
@@ -164,7 +183,13 @@
             }
         }
         const { loadsPerS, loadsAtOnce } = profile;
-        return this.#pacer(service).allowed(loadsPerS, loadsAtOnce, this.#state.hasDemand, this.#loads.size, nowMs);
+        return this.#pacer(service).allowed(
+            loadsPerS,
+            loadsAtOnce,
+            this.#state.hasDemand,
+            this.#loads.size,
+            nowMs,
+        );
     }
 
     #pacer(service: string): LoadPacer {
@@ -230,7 +255,11 @@
                 await sleep(JOIN_REPORT_MS, lifecycle.signal);
                 continue;
             }
-            context.decisions.record("group.join.failed", { group: group.groupName, server: serverId, outcome });
+            context.decisions.record("group.join.failed", {
+                group: group.groupName,
+                server: serverId,
+                outcome,
+            });
             if (outcome === OrderOutcome.WrongServer || outcome === OrderOutcome.NoListener) {
                 registry.end(serverId, server.report.bornMs, monotonicMs());
                 this.#state.changed.notify();
@@ -258,7 +287,10 @@
 
     #run(task: () => Promise<void>): void {
         const { lifecycle, context } = this.#state;
-        lifecycle.run(task, (error) => context.decisions.record("group.task.failed", { reason: String(error) }));
+        lifecycle.run(
+            task,
+            (error) => context.decisions.record("group.task.failed", { reason: String(error) }),
+        );
     }
 }
 
--- a/packages/fleet/src/group.ts
+++ b/packages/fleet/src/group.ts
@@ -48,4 +48,5 @@
 
 /** Whether the group counts towards the capacity of its model. */
 export const isProvided = (group: ManagedGroup): boolean =>
-    group.phase === GroupPhase.Joining || group.phase === GroupPhase.Opening || group.phase === GroupPhase.Open;
+    group.phase === GroupPhase.Joining || group.phase === GroupPhase.Opening
+    || group.phase === GroupPhase.Open;
--- a/packages/fleet/src/groups.ts
+++ b/packages/fleet/src/groups.ts
@@ -99,7 +99,14 @@
     #record(event: string, group: ManagedGroup, fields: Record<string, string | number>): void {
         this.#version += 1;
         const { groupName, epoch, model, fabricDomain, zone, memberIds } = group;
-        const details = { group: groupName, epoch, model, fabricDomain, groupZone: zone, head: headOf(group) };
+        const details = {
+            group: groupName,
+            epoch,
+            model,
+            fabricDomain,
+            groupZone: zone,
+            head: headOf(group),
+        };
         this.#context.decisions.record(event, { ...details, ...fields, members: memberIds });
         this.#context.timeline.record("groups", event, { ...details, ...fields });
     }
--- a/packages/fleet/src/loadpacer.ts
+++ b/packages/fleet/src/loadpacer.ts
@@ -7,7 +7,13 @@
     #startedAtMs: number[] = [];
 
     /** Loads that may begin now. Before there is any demand the store has no limit. */
-    allowed(loadsPerS: number, loadsAtOnce: number, hasDemand: boolean, runningCount: number, nowMs: number): number {
+    allowed(
+        loadsPerS: number,
+        loadsAtOnce: number,
+        hasDemand: boolean,
+        runningCount: number,
+        nowMs: number,
+    ): number {
         if (!hasDemand) {
             return Infinity;
         }
--- a/packages/fleet/src/planner.ts
+++ b/packages/fleet/src/planner.ts
@@ -80,7 +80,9 @@
     const targets = new Map<string, number>();
     const totals = new Map<string, number>();
     for (;;) {
-        const byCoverage = [...profile.models].sort((a, b) => coverage(totals, needs, a) - coverage(totals, needs, b));
+        const byCoverage = [...profile.models].sort((a, b) =>
+            coverage(totals, needs, a) - coverage(totals, needs, b)
+        );
         const next = byCoverage.map((model) => ({ model, domain: bestFit(left, model) }))
             .find(({ domain }) => domain !== undefined);
         if (next?.domain === undefined) {
@@ -95,7 +97,11 @@
 };
 
 /** VMs of a model's groups in relation to its need, which is a share of the work. */
-const coverage = (totals: ReadonlyMap<string, number>, needs: ReadonlyMap<string, number>, model: ModelSpec): number =>
+const coverage = (
+    totals: ReadonlyMap<string, number>,
+    needs: ReadonlyMap<string, number>,
+    model: ModelSpec,
+): number =>
     (totals.get(model.name) ?? 0) * model.vmCount / Math.max(1e-9, needs.get(model.name) ?? model.share);
 
 /** The domain with the fewest VMs that has room for a group and its spares. */
@@ -103,7 +109,8 @@
     [...left].filter(([, count]) => count >= model.vmCount + SPARES_PER_DOMAIN)
         .sort((a, b) => a[1] - b[1])[0]?.[0]
         // A domain that has lost its spares still restores its groups.
-        ?? [...left].find(([, count]) => count >= model.vmCount && count < model.vmCount + SPARES_PER_DOMAIN)?.[0];
+        ?? [...left].find(([, count]) => count >= model.vmCount && count < model.vmCount + SPARES_PER_DOMAIN)
+            ?.[0];
 
 /**
  * The next group to form, or undefined. Answers the loss of members: the model that is served least for its need comes
@@ -120,7 +127,8 @@
     );
     const plans = byNeed.flatMap((model) => bestPlan(input, targets, model) ?? []);
     // VMs whose weights are at hand come first, so that none of them loads what another one has.
-    return plans.find((plan) => plan.loadCount === 0) ?? plans.find((plan) => hasSettled(input, plan.fabricDomain));
+    return plans.find((plan) => plan.loadCount === 0)
+        ?? plans.find((plan) => hasSettled(input, plan.fabricDomain));
 };
 
 const bestPlan = (input: PlanInput, targets: GroupTargets, model: ModelSpec): GroupPlan | undefined =>
@@ -141,7 +149,8 @@
     domain: string,
 ): GroupPlan | undefined => {
     const free = input.freeVms.filter((vm) => vm.fabricDomain === domain);
-    const present = input.groups.filter((group) => group.fabricDomain === domain && group.model === model.name).length;
+    const present =
+        input.groups.filter((group) => group.fabricDomain === domain && group.model === model.name).length;
     if (free.length < model.vmCount || present >= (targets.get(memberKey(domain, model.name)) ?? 0)) {
         return undefined;
     }
--- a/packages/fleet/src/registry.ts
+++ b/packages/fleet/src/registry.ts
@@ -152,7 +152,9 @@
     && a.loadedModels.join() === b.loadedModels.join() && a.stagedModels.join() === b.stagedModels.join();
 
 const membershipKey = ({ membership }: ServerReport): string =>
-    membership === undefined ? "" : `${membership.groupName} ${membership.epoch} ${membership.rank} ${membership.state}`;
+    membership === undefined
+        ? ""
+        : `${membership.groupName} ${membership.epoch} ${membership.rank} ${membership.state}`;
 
 /** Whether the server reports that it is in this state of this group and epoch. */
 export const reportsState = (
--- a/packages/fleet/src/service.ts
+++ b/packages/fleet/src/service.ts
@@ -1,5 +1,6 @@
 import { type Context, Lifecycle, LogPart, messageOf, monotonicMs } from "@greengage/base";
-import { type ConfigurationRegister, RoutingTable } from "@greengage/configuration";
+import type { RoutingTable } from "@greengage/configuration";
+import { type ConfigurationRegister } from "@greengage/configuration";
 import { ChangeSignal, type RaftLog } from "@greengage/consensus";
 import type {
     FleetView,
@@ -117,7 +118,9 @@
         this.#controller.start();
         this.#watcher.start();
         this.#lifecycle.every(ROLE_CHECK_MS, () => this.#checkRole(), (error) => {
-            this.#options.context.logs(LogPart.Groups).error("checking the role failed", { reason: messageOf(error) });
+            this.#options.context.logs(LogPart.Groups).error("checking the role failed", {
+                reason: messageOf(error),
+            });
         });
     }
 
@@ -184,7 +187,10 @@
         return { isAccepted };
     }
 
-    #acceptDeparture(serverId: string, bornMs: number | undefined): { isAccepted: boolean; leaderId?: string; } {
+    #acceptDeparture(
+        serverId: string,
+        bornMs: number | undefined,
+    ): { isAccepted: boolean; leaderId?: string; } {
         const { log, context } = this.#options;
         if (!log.holdsLeaderLease || !this.#controller.isSettled) {
             return { isAccepted: false, leaderId: log.status().leaderId };
@@ -339,7 +345,9 @@
         this.#controller.noteDemand(request.demand);
     }
 
-    #hasNews({ configurationVersion, viewTerm, viewVersion, isEntry, recordsVersion }: WatchRequest): boolean {
+    #hasNews(
+        { configurationVersion, viewTerm, viewVersion, isEntry, recordsVersion }: WatchRequest,
+    ): boolean {
         const areRecordsNewer = !isEntry && this.#leadingTerm !== undefined
             && this.#controller.groups.version !== recordsVersion;
         const isViewNewer = this.#view !== undefined
--- a/packages/fleet/src/supervision.ts
+++ b/packages/fleet/src/supervision.ts
@@ -64,7 +64,9 @@
     }
     forming.joinMembers(group);
     if (nowMs > group.readyByMs) {
-        const late = group.memberIds.filter((_, index) => !reportsState(members[index], group, MemberState.Ready));
+        const late = group.memberIds.filter((_, index) =>
+            !reportsState(members[index], group, MemberState.Ready)
+        );
         late.forEach((serverId) => state.distrustedAtMs.set(serverId, nowMs));
         ending.giveUp(group, `${late.join(" ")} not ready in time`, nowMs);
     }
--- a/packages/fleet/src/suspicion.ts
+++ b/packages/fleet/src/suspicion.ts
@@ -88,13 +88,18 @@
         const { registry, orders, context } = this.#state;
         const results = await Promise.all(group.memberIds.map(async (serverId): Promise<ProbeResult> => {
             const server = registry.get(serverId);
-            return { serverId, probe: server === undefined ? { kind: "silent" } : await orders.probe(server.report) };
+            return {
+                serverId,
+                probe: server === undefined ? { kind: "silent" } : await orders.probe(server.report),
+            };
         }));
         if (!this.#state.mayAct() || group.phase !== GroupPhase.Open) {
             return false;
         }
         const verdict = judgeProbes(results);
-        const failed = results.filter(({ probe }) => probe.kind !== "answered").map(({ serverId }) => serverId);
+        const failed = results.filter(({ probe }) => probe.kind !== "answered").map(({ serverId }) =>
+            serverId
+        );
         context.decisions.record("group.suspected", {
             group: group.groupName,
             epoch: group.epoch,
--- a/packages/fleet/src/watcher.ts
+++ b/packages/fleet/src/watcher.ts
@@ -48,7 +48,9 @@
 
     start(): void {
         this.#lifecycle.run((signal) => this.#run(signal), (error) => {
-            this.#options.context.logs(LogPart.Groups).error("watching the fleet failed", { reason: messageOf(error) });
+            this.#options.context.logs(LogPart.Groups).error("watching the fleet failed", {
+                reason: messageOf(error),
+            });
         });
     }
 
--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -35,7 +35,11 @@
 export const admit = (input: AdmissionInput): AdmissionVerdict => {
     const { firstTokenMs, waitedMs, targetMs, remainingMs, isReturning, placeMs } = input;
     if (firstTokenMs === undefined) {
-        return { kind: "reject", retryAfterMs: retryAfter(remainingMs, placeMs), reason: "no group takes requests" };
+        return {
+            kind: "reject",
+            retryAfterMs: retryAfter(remainingMs, placeMs),
+            reason: "no group takes requests",
+        };
     }
     const limitMs = isReturning
         ? Math.min(PATIENCE_MS, remainingMs * RETURNING_SHARE)
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -128,7 +128,8 @@
 
     #isEventStream(): boolean {
         const head = this.#head;
-        return this.#options.onEvents !== undefined && head !== undefined && head.status < 300 && !head.isNotRun;
+        return this.#options.onEvents !== undefined && head !== undefined && head.status < 300
+            && !head.isNotRun;
     }
 
     #onEnd(): void {
@@ -143,7 +144,11 @@
             return;
         }
         if (this.#isEventStream() && this.#scanner.hasPartial) {
-            this.#settle({ kind: "failed", reason: "the stream ended inside an event", failure: FailureKind.NoEndMarker });
+            this.#settle({
+                kind: "failed",
+                reason: "the stream ended inside an event",
+                failure: FailureKind.NoEndMarker,
+            });
             return;
         }
         this.#settle({ kind: "complete", head, body: Buffer.concat(this.#chunks) });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,4 +1,12 @@
-import { type Context, ErrorCode, GreengageError, Lifecycle, monotonicMs, Random, Verdict } from "@greengage/base";
+import {
+    type Context,
+    ErrorCode,
+    GreengageError,
+    Lifecycle,
+    monotonicMs,
+    Random,
+    Verdict,
+} from "@greengage/base";
 import { type Organisation, pickService, type Route, type RoutingTable } from "@greengage/configuration";
 import type { FleetView, GroupSuspicion, ModelDemand } from "@greengage/protocol";
 import { Pools, RetryBudget } from "@greengage/routing";
@@ -191,7 +199,9 @@
                 this.#suspect(group, { reason, hasRunningStream, isHeadGone: false });
             }
             if (isSuspect && mustMove) {
-                [...group.uses].forEach((use) => use.move(`the group made no progress for ${Math.round(silentMs)} ms`));
+                [...group.uses].forEach((use) =>
+                    use.move(`the group made no progress for ${Math.round(silentMs)} ms`)
+                );
             }
             this.#repeatSuspicion(group, nowMs);
         }
--- a/packages/gateway/src/groups.ts
+++ b/packages/gateway/src/groups.ts
@@ -121,7 +121,8 @@
         const reported = this.#reported;
         const isFresh = reported !== undefined && nowMs - reported.atMs < REPORT_LIFE_MS;
         const total = isFresh
-            ? reported.load.runningCount + reported.load.waitingCount + this.#sentSinceReport - this.#endedSinceReport
+            ? reported.load.runningCount + reported.load.waitingCount + this.#sentSinceReport
+                - this.#endedSinceReport
             : own;
         const runningCount = Math.max(own, total);
         return {
@@ -140,7 +141,12 @@
         const running = uses.filter((use) => use.eventAtMs !== undefined);
         if (running.length > 0) {
             const silentMs = nowMs - Math.max(...running.map((use) => use.eventAtMs ?? 0));
-            return { silentMs, isSuspect: silentMs > STALL_MS, mustMove: silentMs > MOVE_MS, hasRunningStream: true };
+            return {
+                silentMs,
+                isSuspect: silentMs > STALL_MS,
+                mustMove: silentMs > MOVE_MS,
+                hasRunningStream: true,
+            };
         }
         const expectedAtMs = Math.min(...uses.map((use) => use.expectedAtMs));
         const silentMs = uses.length === 0 ? 0 : nowMs - Math.max(expectedAtMs, this.#progressAtMs);
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -55,7 +55,8 @@
     const queuedTokens = group.pendingPromptTokens + promptTokens;
     const passMs = profile.stepsPerPass * stepMs(profile, model, group.runningCount);
     const passCount = Math.ceil(queuedTokens / profile.prefillChunkTokens);
-    const readMs = prefillMs(profile, model, group.pendingPromptTokens) + prefillMs(profile, model, promptTokens);
+    const readMs = prefillMs(profile, model, group.pendingPromptTokens)
+        + prefillMs(profile, model, promptTokens);
     const writeMs = group.runningCount > 0 ? passMs * passCount : 0;
     const ahead = group.runningCount + group.waitingCount + 1 - profile.slotCount;
     const waitMs = ahead > 0 ? ahead * group.placeMs / profile.slotCount : 0;
--- a/packages/gateway/src/servercall.ts
+++ b/packages/gateway/src/servercall.ts
@@ -57,7 +57,11 @@
                 return;
             }
             reason = outcome.kind === "complete" ? `answered ${outcome.head.status}` : outcome.reason;
-            this.#record("request.attemptFailed", { server: server.target.serverId, outcome: outcome.kind, reason });
+            this.#record("request.attemptFailed", {
+                server: server.target.serverId,
+                outcome: outcome.kind,
+                reason,
+            });
             if (!this.#canTryAgain(outcome)) {
                 throw this.#giveUp(reason);
             }
@@ -155,7 +159,13 @@
     #fail(error: unknown): void {
         const failure = error instanceof GreengageError ? error : backendError(String(error));
         const { code, verdict, message, retryAfterMs } = failure;
-        this.#record("request.failed", { code, verdict, reason: message, attempts: this.#attemptCount, retryAfterMs });
+        this.#record("request.failed", {
+            code,
+            verdict,
+            reason: message,
+            attempts: this.#attemptCount,
+            retryAfterMs,
+        });
         this.#parts.context.metrics.count("gateway.failed", 1, { code });
         this.#call.response.fail(failure);
     }
--- a/packages/gateway/src/servers.ts
+++ b/packages/gateway/src/servers.ts
@@ -44,7 +44,8 @@
         const running = isFresh ? reported.load.runningCount + reported.load.waitingCount : 0;
         const load = Math.max(this.#inFlight, running) / Math.max(1, this.target.slotCount);
         const isFailing = this.#failureShare > FAILING_SHARE && nowMs - this.#usedAtMs < RETRY_FAILING_MS;
-        return load + this.#failureShare + (isFailing ? 10 : 0) + (this.target.zone === zone ? 0 : OTHER_ZONE_COST);
+        return load + this.#failureShare + (isFailing ? 10 : 0)
+            + (this.target.zone === zone ? 0 : OTHER_ZONE_COST);
     }
 }
 
@@ -68,7 +69,12 @@
     }
 
     /** The server of a service with the lowest cost, without those that were tried already. */
-    choose(service: string, zone: string, triedIds: ReadonlySet<string>, nowMs: number): ServerState | undefined {
+    choose(
+        service: string,
+        zone: string,
+        triedIds: ReadonlySet<string>,
+        nowMs: number,
+    ): ServerState | undefined {
         let best: ServerState | undefined;
         let bestCost = Infinity;
         for (const state of this.#states.values()) {
--- a/packages/gateway/src/streamcall.ts
+++ b/packages/gateway/src/streamcall.ts
@@ -40,7 +40,13 @@
     #endReason: "closed" | "deadline" | undefined;
     #lastReason = "";
 
-    constructor(parts: GatewayParts, call: Call, generation: Generation, profile: EngineProfile, model: ModelSpec) {
+    constructor(
+        parts: GatewayParts,
+        call: Call,
+        generation: Generation,
+        profile: EngineProfile,
+        model: ModelSpec,
+    ) {
         this.#parts = parts;
         this.#call = call;
         this.#generation = generation;
@@ -88,7 +94,9 @@
             if (outcome.kind === "complete" && this.#finish(outcome)) {
                 return;
             }
-            this.#lastReason = outcome.kind === "complete" ? `answered ${outcome.head.status}` : outcome.reason;
+            this.#lastReason = outcome.kind === "complete"
+                ? `answered ${outcome.head.status}`
+                : outcome.reason;
             this.#record("request.attemptFailed", { outcome: outcome.kind, reason: this.#lastReason });
             if (!this.#canTryAgain(outcome)) {
                 throw this.#giveUp(this.#lastReason);
@@ -204,7 +212,10 @@
             this.#parts.context.metrics.durationMs("gateway.first_event", this.#delivered.firstEventMs);
         }
         else {
-            this.#delivered.longestGapMs = Math.max(this.#delivered.longestGapMs, nowMs - this.#delivered.eventAtMs);
+            this.#delivered.longestGapMs = Math.max(
+                this.#delivered.longestGapMs,
+                nowMs - this.#delivered.eventAtMs,
+            );
         }
         this.#delivered.eventAtMs = nowMs;
         group.progress(use, nowMs);
--- a/packages/routing/src/connector.ts
+++ b/packages/routing/src/connector.ts
@@ -33,12 +33,16 @@
 /** Opens connections whose failures are noted before undici handles them. */
 export const createConnector = (timeoutMs: number): buildConnector.connector => {
     // A socket that may be half open can still be written to at its end.
-    const connect = buildConnector({ timeout: timeoutMs, allowHalfOpen: true } as buildConnector.BuildOptions);
+    const connect = buildConnector(
+        { timeout: timeoutMs, allowHalfOpen: true } as buildConnector.BuildOptions,
+    );
     return (options, callback) =>
         connect(options, (...result) => {
-            const socket = result[1] as Socket | null;
-            socket?.on("error", noteFailure);
-            socket?.on("end", () => probeEnd(socket));
+            const [error, socket] = result;
+            if (error === null) {
+                socket.on("error", noteFailure);
+                socket.on("end", () => probeEnd(socket));
+            }
             callback(...result);
         });
 };
--- /dev/null
+++ b/test/configuration/configuration.test.ts
@@ -0,0 +1,79 @@
+import { ConfigurationRegister, findProblems, pickService, RoutingTable } from "@greengage/configuration";
+import test from "ava";
+import { configurationOf, routeOf } from "./fixtures.ts";
+
+test("a valid configuration has no problems", (t) => {
+    t.deepEqual(findProblems(configurationOf()), []);
+});
+
+// Guards against an invalid configuration that is accepted and then in force.
+const invalid: Record<string, [Parameters<typeof configurationOf>[0], RegExp]> = {
+    "an unknown service": [
+        { routes: [routeOf({ shares: [{ service: "nowhere", weight: 1 }] })] },
+        /unknown service nowhere/,
+    ],
+    "two routes at one place": [{ routes: [routeOf(), routeOf({ name: "other" })] }, /same host and prefix/],
+    "weights that add up to 0": [
+        { routes: [routeOf({ shares: [{ service: "llm", weight: 0 }] })] },
+        /weight above 0/,
+    ],
+    "a route without a service": [{ routes: [routeOf({ shares: [] })] }, /weight above 0/],
+    "a timeout of 0": [{ routes: [routeOf({ timeoutMs: 0 })] }, /no timeout above 0/],
+    "a prefix without slashes": [{ routes: [routeOf({ pathPrefix: "chat" })] }, /without slashes/],
+    "a key of two organisations": [
+        { organisations: [{ name: "a", apiKeys: ["k"] }, { name: "b", apiKeys: ["k"] }] },
+        /share a key/,
+    ],
+    "a version of 0": [{ version: 0 }, /not a positive integer/],
+};
+
+for (const [title, [fields, problem]] of Object.entries(invalid)) {
+    test(`a configuration with ${title} is invalid`, (t) => {
+        t.regex(findProblems(configurationOf(fields)).join("; "), problem);
+    });
+}
+
+test("the longest prefix of the host wins, and a query is no part of the path", (t) => {
+    const table = new RoutingTable(configurationOf({
+        routes: [
+            routeOf({ name: "root", pathPrefix: "/" }),
+            routeOf({ name: "chat" }),
+            routeOf({ name: "deep", pathPrefix: "/chat/deep/" }),
+            routeOf({ name: "elsewhere", host: "b.example" }),
+        ],
+    }));
+    const matched = (host: string, target: string): string | undefined => table.match(host, target)?.name;
+    t.is(matched("a.example", "/chat/deep/1?x=/chat/"), "deep");
+    t.is(matched("a.example:80", "/chat/1"), "chat");
+    t.is(matched("a.example", "/chat?x=/chat/1"), "root");
+    t.is(matched("b.example", "/chat/"), "elsewhere");
+    t.is(matched("c.example", "/chat/"), undefined);
+});
+
+test("services are picked by weight, and never with a weight of 0", (t) => {
+    const route = routeOf({
+        shares: [{ service: "a", weight: 90 }, { service: "b", weight: 10 }, { service: "c", weight: 0 }],
+    });
+    t.is(pickService(route, 0), "a");
+    t.is(pickService(route, 0.89), "a");
+    t.is(pickService(route, 0.91), "b");
+    t.is(pickService(route, 0.9999), "b");
+});
+
+// Guards against a configuration that goes back, or that changes under the version it has.
+test("the highest version holds, whatever order the commands come in", (t) => {
+    const register = new ConfigurationRegister();
+    const replace = (version: number, text: string): boolean =>
+        register.apply(1, { type: "configuration.replace", version, document: Buffer.from(text) } as never)
+            .isChanged;
+    t.true(replace(3, "three"));
+    t.false(replace(2, "two"));
+    t.false(replace(3, "other content"));
+    t.true(replace(9, "nine"));
+    t.is(Buffer.from(register.held?.document ?? []).toString(), "nine");
+    const copy = new ConfigurationRegister();
+    copy.restore(register.snapshot());
+    t.is(copy.version, 9);
+    copy.restore(new ConfigurationRegister().snapshot());
+    t.is(copy.version, 9);
+});
--- /dev/null
+++ b/test/fleet/controller.test.ts
@@ -0,0 +1,117 @@
+import { waitFor } from "@greengage/faults";
+import { MemberState } from "@greengage/protocol";
+import test from "ava";
+import { fleetOf } from "./fixtures.ts";
+
+const until = (what: string, holds: () => boolean): Promise<true> =>
+    waitFor(what, () => holds() || undefined);
+
+const ids = (count: number): string[] => Array.from({ length: count }, (_, index) => `e${index}`);
+
+test("a fabric domain of 11 VMs gets a group of each model and keeps two spares with different weights", async (t) => {
+    const fleet = fleetOf(t, ids(11));
+    await until("two open groups", () => fleet.openGroups().length === 2);
+    await until("two staged spares", () => {
+        const spares = [...fleet.engines.values()].filter(({ membership }) => membership === undefined);
+        return spares.map(({ report }) => report.stagedModels.join()).sort().join() === "large,small";
+    });
+    t.deepEqual(fleet.violations, []);
+});
+
+// Guards against a group that stays down when a member goes dark, and against a VM in two groups.
+test("a member that goes dark is replaced by the staged spare under a new epoch", async (t) => {
+    const fleet = fleetOf(t, ids(11));
+    await until("two open groups", () => fleet.openGroups().length === 2);
+    const group = fleet.controller.groups.all().find(({ model }) => model === "large");
+    const lostId = group?.memberIds[3] ?? "";
+    fleet.darken(lostId);
+    const isHealthy = await fleet.controller.suspect({
+        groupName: group?.groupName ?? "",
+        epoch: group?.epoch ?? 0,
+        reason: "no progress",
+        hasRunningStream: true,
+        isHeadGone: false,
+    });
+    t.false(isHealthy);
+    await until(
+        "another group of the model",
+        () =>
+            fleet.controller.groups.all().some(({ model, phase, groupName }) =>
+                model === "large" && phase === "open" && groupName !== group?.groupName
+            ),
+    );
+    const next = fleet.controller.groups.all().find(({ model, phase }) =>
+        model === "large" && phase === "open"
+    );
+    t.false(next?.memberIds.includes(lostId));
+    t.true((next?.epoch ?? 0) > (group?.epoch ?? 0));
+    t.deepEqual(fleet.violations, []);
+});
+
+// Guards against members that are used elsewhere while a head that can't be reached may serve on with them.
+test("the members of a silent head leave before they are used again", async (t) => {
+    const fleet = fleetOf(t, ids(11));
+    await until("two open groups", () => fleet.openGroups().length === 2);
+    const group = fleet.controller.groups.all().find(({ model }) => model === "large");
+    const headId = group?.memberIds[0] ?? "";
+    fleet.engine(headId).isCutFromControl = true;
+    await fleet.controller.suspect({
+        groupName: group?.groupName ?? "",
+        epoch: group?.epoch ?? 0,
+        reason: "no progress",
+        hasRunningStream: true,
+        isHeadGone: false,
+    });
+    await until(
+        "another group of the model",
+        () =>
+            fleet.controller.groups.all().some(({ model, phase, groupName }) =>
+                model === "large" && phase === "open" && groupName !== group?.groupName
+            ),
+    );
+    t.is(fleet.engine(headId).membership?.state, MemberState.Open, "the head was not told");
+    t.deepEqual(fleet.violations, []);
+});
+
+// Guards against a new leader that takes apart what serves, or uses members of a head that it hasn't heard yet.
+test("a new leader keeps the groups that serve, also when a head reports late", async (t) => {
+    const fleet = fleetOf(t, ids(11));
+    await until("two open groups", () => fleet.openGroups().length === 2);
+    const names = fleet.openGroups().sort();
+    const headId = fleet.controller.groups.all()[0]?.memberIds[0] ?? "";
+    fleet.engine(headId).isCutFromControl = true;
+    const joins = fleet.counts.get("join");
+    fleet.controller.activate(2, { ...fleet.controller.records(), servers: [] });
+    await until("a settled leader", () => fleet.controller.isSettled);
+    fleet.engine(headId).isCutFromControl = false;
+    await until("the same groups", () => fleet.openGroups().sort().join() === names.join());
+    t.is(fleet.counts.get("join"), joins);
+    t.deepEqual(fleet.violations, []);
+});
+
+test("a new leader without records learns the groups from the reports", async (t) => {
+    const fleet = fleetOf(t, ids(11));
+    await until("two open groups", () => fleet.openGroups().length === 2);
+    const names = fleet.openGroups().sort();
+    fleet.controller.activate(2, undefined);
+    await until("the same groups", () => fleet.openGroups().sort().join() === names.join());
+    t.deepEqual(fleet.violations, []);
+});
+
+// Guards against requests that reach a server after its drain was acknowledged, and against a group that is cut off.
+test("a group closes when a member drains, and is formed anew with a spare", async (t) => {
+    const fleet = fleetOf(t, ids(11));
+    await until("two open groups", () => fleet.openGroups().length === 2);
+    const group = fleet.controller.groups.all().find(({ model }) => model === "small");
+    const drainingId = group?.memberIds[1] ?? "";
+    fleet.engine(drainingId).report.isDraining = true;
+    await until(
+        "another group of the model",
+        () =>
+            fleet.controller.groups.all().some(({ model, phase, memberIds }) =>
+                model === "small" && phase === "open" && !memberIds.includes(drainingId)
+            ),
+    );
+    t.true((fleet.counts.get("close") ?? 0) > 0);
+    t.deepEqual(fleet.violations, []);
+});
--- /dev/null
+++ b/test/fleet/fixtures.ts
@@ -0,0 +1,251 @@
+import { createContext, Lifecycle } from "@greengage/base";
+import { RoutingTable } from "@greengage/configuration";
+import {
+    type EngineOrders,
+    type EngineProbe,
+    GroupController,
+    type GroupName,
+    type GroupRoster,
+    OrderOutcome,
+    ServerRegistry,
+} from "@greengage/fleet";
+import { type GroupMembership, MemberState, type ServerReport } from "@greengage/protocol";
+import type { ExecutionContext } from "ava";
+import { configurationOf, profileOf } from "../configuration/fixtures.ts";
+
+/** Short times, so that a test takes a fraction of a second. */
+const HEARTBEAT_MS = 60;
+const LOAD_MS = 40;
+
+export const reportOf = (serverId: string, fields: Partial<ServerReport> = {}): ServerReport => ({
+    serverId,
+    bornMs: 1,
+    service: "llm",
+    address: `${serverId}:1`,
+    zone: "z",
+    isDraining: false,
+    slotCount: 18,
+    sequence: 1,
+    fabricDomain: "d",
+    loadedModels: [],
+    stagedModels: [],
+    ...fields,
+});
+
+/** A model engine in this process: follows orders by epoch, as the engines of the users' platform do. */
+class FakeEngine {
+    readonly report: ServerReport;
+    isDark = false;
+    isCutFromControl = false;
+    /** Rosters of the groups that it joined, in order. */
+    readonly joined: GroupRoster[] = [];
+    highestEpoch = 0;
+
+    constructor(serverId: string, fields: Partial<ServerReport>) {
+        this.report = reportOf(serverId, fields);
+    }
+
+    get membership(): GroupMembership | undefined {
+        return this.report.membership;
+    }
+}
+
+/** A violation of the rules of groups that the fleet has seen. */
+export type FleetViolation = string;
+
+export interface FleetFixture {
+    controller: GroupController;
+    engines: Map<string, FakeEngine>;
+    violations: FleetViolation[];
+    /** Orders by name. */
+    counts: Map<string, number>;
+    openGroups(): string[];
+    engine(serverId: string): FakeEngine;
+    /** Ends a process without a sign. */
+    darken(serverId: string): void;
+}
+
+/** Engines, their reports and a controller that leads. */
+export const fleetOf = (
+    t: ExecutionContext,
+    engineIds: readonly string[],
+    fields: (serverId: string) => Partial<ServerReport> = () => ({}),
+): FleetFixture => {
+    const context = createContext({ daemonId: "c", zone: "z" });
+    const registry = new ServerRegistry();
+    const lifecycle = new Lifecycle();
+    const engines = new Map(engineIds.map((id) => [id, new FakeEngine(id, fields(id))]));
+    const violations: FleetViolation[] = [];
+    const counts = new Map<string, number>();
+    const routing = new RoutingTable(configurationOf({
+        services: [{
+            name: "llm",
+            maxConnections: 400,
+            engine: profileOf({
+                models: [
+                    { name: "large", vmCount: 6, share: 0.67, pace: 1, loadMs: LOAD_MS, warmLoadMs: 10 },
+                    { name: "small", vmCount: 3, share: 0.33, pace: 0.6, loadMs: LOAD_MS, warmLoadMs: 10 },
+                ],
+            }),
+        }],
+    }));
+    const orders = createOrders({ engines, violations, counts, lifecycle });
+    const controller = new GroupController({
+        context,
+        registry,
+        orders,
+        timing: { heartbeatMs: HEARTBEAT_MS },
+        routing: () => routing,
+        mayAct: () => true,
+        onStep: () => undefined,
+    });
+    const report = (): void => {
+        for (const engine of engines.values()) {
+            if (!engine.isDark && !engine.isCutFromControl) {
+                engine.report.sequence += 1;
+                registry.accept({ ...engine.report }, performance.now());
+            }
+        }
+        controller.wake();
+    };
+    lifecycle.every(HEARTBEAT_MS / 3, report, (error) => t.fail(String(error)));
+    t.teardown(async () => {
+        await controller.close();
+        await lifecycle.close();
+    });
+    controller.activate(1, undefined);
+    controller.start();
+    return {
+        controller,
+        engines,
+        violations,
+        counts,
+        openGroups: () =>
+            controller.groups.all().filter(({ phase }) => phase === "open").map(({ groupName }) => groupName),
+        engine: (serverId) => engines.get(serverId) as FakeEngine,
+        darken: (serverId) => {
+            (engines.get(serverId) as FakeEngine).isDark = true;
+        },
+    };
+};
+
+interface OrderWorld {
+    engines: Map<string, FakeEngine>;
+    violations: FleetViolation[];
+    counts: Map<string, number>;
+    lifecycle: Lifecycle;
+}
+
+const createOrders = ({ engines, violations, counts, lifecycle }: OrderWorld): EngineOrders => {
+    const reached = (server: ServerReport, order: string): FakeEngine | undefined => {
+        counts.set(order, (counts.get(order) ?? 0) + 1);
+        const engine = engines.get(server.serverId);
+        return engine === undefined || engine.isDark || engine.isCutFromControl ? undefined : engine;
+    };
+    const isIn = (engine: FakeEngine, { groupName, epoch }: GroupName): boolean =>
+        engine.membership?.groupName === groupName && engine.membership.epoch === epoch;
+    const later = (task: () => void): void =>
+        void lifecycle.run(async () => {
+            await new Promise((resolve) => setTimeout(resolve, LOAD_MS));
+            task();
+        }, () => undefined);
+    return {
+        join: async (server, roster) => {
+            const engine = reached(server, "join");
+            if (engine === undefined) {
+                return OrderOutcome.Unknown;
+            }
+            if (roster.epoch < engine.highestEpoch) {
+                return OrderOutcome.Refused;
+            }
+            noteTakenFromOpenGroup(engines, violations, engine, roster);
+            engine.highestEpoch = roster.epoch;
+            engine.joined.push(roster);
+            const rank = roster.memberIds.indexOf(server.serverId);
+            engine.report.membership = { ...roster, rank, state: MemberState.Joining };
+            later(() => {
+                if (isIn(engine, roster) && engine.membership?.state === MemberState.Joining) {
+                    engine.report.membership = { ...roster, rank, state: MemberState.Ready };
+                    engine.report.loadedModels = [roster.model];
+                    engine.report.stagedModels = [roster.model];
+                }
+            });
+            return OrderOutcome.Accepted;
+        },
+        open: async (server, group) => {
+            const engine = reached(server, "open");
+            if (engine === undefined || !isIn(engine, group)) {
+                return engine === undefined ? OrderOutcome.Unknown : OrderOutcome.Refused;
+            }
+            notePartialGroup(engines, violations, engine);
+            engine.report.membership = { ...engine.membership as GroupMembership, state: MemberState.Open };
+            return OrderOutcome.Accepted;
+        },
+        close: async (server, group) => {
+            const engine = reached(server, "close");
+            if (engine !== undefined && isIn(engine, group)) {
+                engine.report.membership = {
+                    ...engine.membership as GroupMembership,
+                    state: MemberState.Ready,
+                };
+            }
+            return engine === undefined ? OrderOutcome.Unknown : OrderOutcome.Accepted;
+        },
+        leave: async (server, group) => {
+            const engine = reached(server, "leave");
+            if (engine !== undefined && isIn(engine, group)) {
+                engine.report.membership = undefined;
+            }
+            return engine === undefined ? OrderOutcome.Unknown : OrderOutcome.Accepted;
+        },
+        stage: async (server, model) => {
+            const engine = reached(server, "stage");
+            later(() => {
+                if (engine !== undefined) {
+                    engine.report.stagedModels = [model];
+                }
+            });
+            return engine === undefined ? OrderOutcome.Unknown : OrderOutcome.Accepted;
+        },
+        probe: async (server): Promise<EngineProbe> =>
+            reached(server, "probe") === undefined ? { kind: "silent" } : { kind: "answered", pace: 1 },
+    };
+};
+
+/** A VM must not be in two groups: it may join another one only after it has left, or its head no longer serves. */
+const noteTakenFromOpenGroup = (
+    engines: Map<string, FakeEngine>,
+    violations: FleetViolation[],
+    engine: FakeEngine,
+    roster: GroupRoster,
+): void => {
+    const { membership } = engine;
+    if (membership === undefined || membership.groupName === roster.groupName) {
+        return;
+    }
+    const isHeadOpen = [...engines.values()].some((other) =>
+        other.membership?.groupName === membership.groupName && other.membership.rank === 0
+        && other.membership.state === MemberState.Open
+    );
+    if (isHeadOpen) {
+        violations.push(`${engine.report.serverId} was taken from ${membership.groupName}, which is open`);
+    }
+};
+
+/** A head may open only when each member is ready under the same name and epoch. */
+const notePartialGroup = (
+    engines: Map<string, FakeEngine>,
+    violations: FleetViolation[],
+    head: FakeEngine,
+): void => {
+    const roster = head.joined.at(-1);
+    for (const serverId of roster?.memberIds ?? []) {
+        const member = engines.get(serverId);
+        const { groupName, epoch, state } = member?.membership ?? {};
+        const isReady = groupName === roster?.groupName && epoch === roster?.epoch
+            && state !== MemberState.Joining;
+        if (!isReady) {
+            violations.push(`${roster?.groupName} was opened without ${serverId}`);
+        }
+    }
+};
--- /dev/null
+++ b/test/fleet/planner.test.ts
@@ -0,0 +1,78 @@
+import {
+    type FreeVm,
+    memberKey,
+    planGroup,
+    type PlanInput,
+    planStaging,
+    planTargets,
+} from "@greengage/fleet";
+import test from "ava";
+import { profileOf } from "../configuration/fixtures.ts";
+
+const profile = profileOf();
+const needs = new Map([["large", 0.67], ["small", 0.33]]);
+
+const vmOf = (serverId: string, fields: Partial<FreeVm> = {}): FreeVm => ({
+    serverId,
+    fabricDomain: "d",
+    zone: "z",
+    lastModel: undefined,
+    stagedModels: [],
+    isStaging: false,
+    seenForMs: Infinity,
+    ...fields,
+});
+
+const inputOf = (freeVms: FreeVm[], fields: Partial<PlanInput> = {}): PlanInput => ({
+    profile,
+    freeVms,
+    groups: [],
+    needs,
+    loadsAllowed: 8,
+    hasDemand: true,
+    ...fields,
+});
+
+const vms = (count: number, fields: Partial<FreeVm> = {}): FreeVm[] =>
+    Array.from({ length: count }, (_, index) => vmOf(`v${index}`, fields));
+
+// Guards against small groups that fill a domain before the large model has its share.
+test("six domains of 11 VMs get one group of each model each", (t) => {
+    const domains = new Map(Array.from({ length: 6 }, (_, index) => [`d${index}`, 11]));
+    const targets = planTargets(profile, needs, domains);
+    for (const domain of domains.keys()) {
+        t.is(targets.get(memberKey(domain, "large")), 1);
+        t.is(targets.get(memberKey(domain, "small")), 1);
+    }
+});
+
+test("survivors and the staged spare come before VMs that must load", (t) => {
+    const survivors = vms(5, { lastModel: "large", stagedModels: ["large"] });
+    const spares = [vmOf("fresh"), vmOf("staged", { stagedModels: ["large"] })];
+    const targets = new Map([[memberKey("d", "large"), 1]]);
+    const plan = planGroup(inputOf([...spares, ...survivors]), targets);
+    t.is(plan?.loadCount, 0);
+    t.is(plan?.readyInMs, 1_600);
+    t.true(plan?.members.some(({ serverId }) => serverId === "staged"));
+});
+
+// Guards against VMs of a domain that returns in parts: those staged for one model must not load the other one.
+test("VMs of a returning domain wait for those that have the weights", (t) => {
+    const back = vms(3, { stagedModels: ["large"], seenForMs: 100 });
+    const targets = new Map([[memberKey("d", "small"), 1]]);
+    t.is(planGroup(inputOf(back), targets), undefined);
+    const staged = [0, 1, 2].map((index) => vmOf(`s${index}`, { stagedModels: ["small"], seenForMs: 100 }));
+    t.is(planGroup(inputOf([...back, ...staged]), targets)?.loadCount, 0);
+    t.is(planGroup(inputOf(back.map((vm) => ({ ...vm, seenForMs: 2_000 }))), targets)?.loadCount, 3);
+});
+
+test("no group is planned beyond the loads that may begin", (t) => {
+    const targets = new Map([[memberKey("d", "small"), 1]]);
+    t.is(planGroup(inputOf(vms(3), { loadsAllowed: 2 }), targets), undefined);
+});
+
+test("two spares stage different models, the more exposed one first", (t) => {
+    const counts = new Map([[memberKey("d", "large"), 6], [memberKey("d", "small"), 3]]);
+    t.deepEqual(planStaging(inputOf(vms(2)), counts).map(({ model }) => model.name), ["large", "small"]);
+    t.deepEqual(planStaging(inputOf(vms(1)), counts).map(({ model }) => model.name), ["large"]);
+});
--- /dev/null
+++ b/test/fleet/registry.test.ts
@@ -0,0 +1,43 @@
+import { ReportEffect, ServerRegistry } from "@greengage/fleet";
+import test from "ava";
+import { reportOf } from "./fixtures.ts";
+
+// Guards against a late report that revives a server which has ended, or that hides its successor.
+test("the newest incarnation holds an id and an address", (t) => {
+    const registry = new ServerRegistry();
+    t.is(registry.accept(reportOf("a", { bornMs: 10, sequence: 4 }), 0), ReportEffect.Appeared);
+    t.is(
+        registry.accept(reportOf("a", { bornMs: 10, sequence: 3, isDraining: true }), 1),
+        ReportEffect.Ignored,
+    );
+    t.is(registry.accept(reportOf("a", { bornMs: 20, sequence: 1 }), 2), ReportEffect.Appeared);
+    t.is(registry.accept(reportOf("a", { bornMs: 10, sequence: 9 }), 3), ReportEffect.Ignored);
+    t.is(registry.accept(reportOf("b", { bornMs: 30, address: "a:1" }), 4), ReportEffect.Appeared);
+    t.true(registry.hasEnded("a", 20));
+    t.is(registry.accept(reportOf("a", { bornMs: 20, sequence: 9 }), 5), ReportEffect.Ignored);
+    t.deepEqual(registry.all().map(({ report }) => report.serverId), ["b"]);
+});
+
+test("a server that has announced its end stays gone", (t) => {
+    const registry = new ServerRegistry();
+    registry.accept(reportOf("a", { bornMs: 10 }), 0);
+    registry.end("a", 10, 1);
+    t.is(registry.accept(reportOf("a", { bornMs: 10, sequence: 99 }), 2), ReportEffect.Ignored);
+    t.is(registry.accept(reportOf("a", { bornMs: 11 }), 3), ReportEffect.Appeared);
+});
+
+// Guards against a report held up by a partition that tells a new leader of an older state.
+test("a report older than what the former leader had is ignored", (t) => {
+    const registry = new ServerRegistry();
+    registry.expect({ serverId: "a", bornMs: 10, address: "a:1", sequence: 7 });
+    t.is(registry.accept(reportOf("a", { bornMs: 10, sequence: 6 }), 0), ReportEffect.Ignored);
+    t.is(registry.accept(reportOf("a", { bornMs: 10, sequence: 8 }), 1), ReportEffect.Appeared);
+});
+
+test("an expected incarnation ends when a newer one reports from its address", (t) => {
+    const registry = new ServerRegistry();
+    registry.expect({ serverId: "a", bornMs: 10, address: "x:1", sequence: 7 });
+    t.false(registry.hasEnded("a", 10));
+    registry.accept(reportOf("b", { bornMs: 20, address: "x:1" }), 0);
+    t.true(registry.hasEnded("a", 10));
+});
