--- /dev/null
+++ b/test/platform/decode.test.ts
@@ -0,0 +1,113 @@
+import { ErrorCode, GreengageError, Verdict } from "@greengage/base";
+import test from "ava";
+import { decodeConfiguration } from "../../platform/configuration.ts";
+import { decodeGeneration, platformDialect } from "../../platform/dialect.ts";
+import { decodeDeregistration, decodeHeartbeat } from "../../platform/reports.ts";
+import { statusOf } from "../../platform/status.ts";
+import { wireConfiguration } from "./fixtures.ts";
+
+const bytes = (value: unknown): Buffer => Buffer.from(JSON.stringify(value));
+
+test("a configuration is decoded into the project's names", (t) => {
+    const { routes, services, organisations } = decodeConfiguration(bytes(wireConfiguration(7)));
+    t.like(routes[0], {
+        pathPrefix: "/chat/",
+        kind: "stream",
+        canResume: true,
+        gapTargetMs: 250,
+        maxAttempts: 2,
+    });
+    t.deepEqual(routes[1]?.shares, [{ service: "ledger", weight: 1 }]);
+    t.like(services[0]?.engine, { prefillTokensPerMs: 56.1, stepsPerPass: 6, loadsPerS: 5.5 });
+    t.deepEqual(services[0]?.engine?.models[0], {
+        name: "m",
+        vmCount: 2,
+        share: 1,
+        pace: 1,
+        loadMs: 16_000,
+        warmLoadMs: 1_600,
+    });
+    t.deepEqual(organisations, [{ name: "kiosks", apiKeys: ["key"], priority: 1 }]);
+});
+
+const heartbeat = {
+    service: "llm",
+    address: "10.0.0.1:80",
+    zone: "z",
+    slots: 18,
+    state: "ready",
+    sequence: 4,
+    born: 17,
+    domain: "d",
+    staged: ["m"],
+    models: [{ name: "m", version: 1, adapters: [] }],
+    group: { name: "g", epoch: 3, rank: 0, state: "open" },
+};
+
+test("a registration is decoded into a report", (t) => {
+    t.like(decodeHeartbeat("e1", bytes(heartbeat)), {
+        serverId: "e1",
+        bornMs: 17,
+        fabricDomain: "d",
+        stagedModels: ["m"],
+        loadedModels: ["m"],
+        membership: { groupName: "g", epoch: 3, rank: 0, state: "open" },
+    });
+    t.is(
+        decodeHeartbeat("e1", bytes({ ...heartbeat, domain: undefined, group: null })).membership,
+        undefined,
+    );
+    t.is(decodeDeregistration(Buffer.alloc(0)), undefined);
+    t.is(decodeDeregistration(bytes({ born: 17 })), 17);
+});
+
+// Guards against a registration of another writer that names a server to use.
+const foreign: Record<string, unknown> = {
+    "a missing service": { ...heartbeat, service: undefined },
+    "an unknown state": { ...heartbeat, state: "asleep" },
+    "an address that is none": { ...heartbeat, address: "somewhere" },
+    "a sequence that is no number": { ...heartbeat, sequence: "4" },
+};
+
+for (const [title, value] of Object.entries(foreign)) {
+    test(`a registration with ${title} is refused`, (t) => {
+        const error = t.throws(() => decodeHeartbeat("e1", bytes(value)), { instanceOf: GreengageError });
+        t.is(error?.code, ErrorCode.BadRequest);
+    });
+}
+
+test("bytes that can't be read are refused", (t) => {
+    t.throws(() => decodeHeartbeat("e1", Buffer.from("{")), { instanceOf: GreengageError });
+    t.throws(() => decodeConfiguration(Buffer.from("{\"version\":")), { instanceOf: GreengageError });
+});
+
+test("the load and the work of a request are read from their headers", (t) => {
+    const head = platformDialect.decode(200, {
+        "greengageridge-engine-load": "3,1,18",
+        "greengageridge-response-stamp": "s",
+        connection: "close",
+        "content-type": "text/plain",
+    });
+    t.deepEqual(head.load, { runningCount: 3, waitingCount: 1, slotCount: 18 });
+    t.deepEqual(head.headers, { "greengageridge-response-stamp": "s", "content-type": "text/plain" });
+    t.true(platformDialect.decode(421, {}).isNotRun);
+    const work = decodeGeneration({
+        "greengageridge-model": "m",
+        "greengageridge-token-usage": "1460,80",
+        "greengageridge-prompt-prefix": "5c:800,91:410",
+    });
+    t.deepEqual(work, {
+        model: "m",
+        promptTokens: 1_460,
+        maxAnswerTokens: 80,
+        parts: [{ id: "5c", tokens: 800 }, { id: "91", tokens: 410 }],
+    });
+});
+
+// Guards against a status that promises "not run" for a request that may have run.
+test("no error of a request that may have run gets a status that promises the opposite", (t) => {
+    for (const code of Object.values(ErrorCode)) {
+        const status = statusOf(new GreengageError("", { code, verdict: Verdict.MayHaveRun }));
+        t.false([408, 421, 429, 503].includes(status), code);
+    }
+});
--- /dev/null
+++ b/test/platform/fixtures.ts
@@ -0,0 +1,193 @@
+import { freePorts, waitFor } from "@greengage/faults";
+import type { ExecutionContext } from "ava";
+import { type ChildProcess, spawn } from "node:child_process";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { request } from "undici";
+import { HEARTBEAT_MS } from "./engine.ts";
+
+/** Daemons of one test are told apart by their loopback addresses, as their ports are the same. */
+const CONTROL_HOST = "127.0.0.1";
+const ENTRY_HOST = "127.0.0.2";
+
+export interface PlatformFixture {
+    /** `host:port` of the surfaces. */
+    control: string;
+    callers: string;
+    readiness: string;
+    metrics: string;
+    entry: ChildProcess;
+    /** Lines that the entry daemon has written. */
+    entryLog: () => string;
+}
+
+/** Starts a control daemon and an entry daemon as the platform does. */
+export const startPlatform = async (t: ExecutionContext): Promise<PlatformFixture> => {
+    const folder = mkdtempSync(join(tmpdir(), "greengage-platform-"));
+    const [peerPort = 0, control = 0, callers = 0, readiness = 0] = await freePorts(4);
+    const common = {
+        zone: "z",
+        internal_ports: [peerPort, peerPort],
+        seeds: [`${CONTROL_HOST}:${control}`],
+        bootstrap: true,
+        heartbeat_ms: HEARTBEAT_MS,
+        fault_tolerance: { machines: 1 },
+        bounds: { grace_s: 8, retry_budget_ratio: 0.2, retry_budget_slack: 132 },
+        unknown_field: "ignored",
+    };
+    const settings = {
+        control: {
+            ...common,
+            node_name: "core-z-1",
+            ip: CONTROL_HOST,
+            listen: { control: `${CONTROL_HOST}:${control}` },
+            data_dir: join(folder, "data"),
+        },
+        entry: {
+            ...common,
+            node_name: "front-z-1",
+            ip: ENTRY_HOST,
+            listen: { front: `${ENTRY_HOST}:${callers}`, ready: `${ENTRY_HOST}:${readiness}` },
+            data_dir: null,
+        },
+    };
+    const start = (role: keyof typeof settings): { child: ChildProcess; log: () => string; } => {
+        const path = join(folder, `${role}.json`);
+        writeFileSync(path, JSON.stringify(settings[role]));
+        const child = spawn(process.execPath, ["--import=tsx", "platform/main.ts", role], {
+            env: { ...process.env, GREENGAGERIDGE_SETTINGS: path },
+            stdio: ["ignore", "pipe", "inherit"],
+        });
+        let text = "";
+        child.stdout?.on("data", (chunk: Buffer) => {
+            text += chunk.toString();
+        });
+        t.teardown(() => void child.kill("SIGKILL"));
+        return { child, log: () => text };
+    };
+    t.teardown(() => rmSync(folder, { recursive: true, force: true }));
+    start("control");
+    const entry = start("entry");
+    return {
+        control: `${CONTROL_HOST}:${control}`,
+        callers: `${ENTRY_HOST}:${callers}`,
+        readiness: `${ENTRY_HOST}:${readiness}`,
+        metrics: `${ENTRY_HOST}:9464`,
+        entry: entry.child,
+        entryLog: entry.log,
+    };
+};
+
+export interface CallResult {
+    status: number;
+    text: string;
+    headers: Record<string, string | string[] | undefined>;
+}
+
+/** One call; undefined while nothing listens. */
+export const call = async (
+    url: string,
+    options: { method?: "GET" | "POST"; body?: string; headers?: Record<string, string>; } = {},
+): Promise<CallResult | undefined> => {
+    try {
+        const { statusCode, headers, body } = await request(url, options);
+        return { status: statusCode, headers, text: await body.text() };
+    }
+    catch (error) {
+        const { code } = error as { code?: string; };
+        if (code === "ECONNREFUSED") {
+            return undefined;
+        }
+        throw error;
+    }
+};
+
+/** Repeats a call until its answer has this status. */
+export const callUntil = async (
+    status: number,
+    url: string,
+    options: Parameters<typeof call>[1] = {},
+): Promise<CallResult> =>
+    await waitFor(`status ${status} of ${url}`, async () => {
+        const result = await call(url, options);
+        return result?.status === status ? result : undefined;
+    });
+
+/** A configuration as an operator writes it: one model of two VMs and a ledger. */
+export const wireConfiguration = (version: number, fields: object = {}): Record<string, unknown> => ({
+    version,
+    routes: [
+        {
+            name: "chat",
+            host: "a.example",
+            path_prefix: "/chat/",
+            kind: "streaming",
+            timeout_ms: 8_000,
+            target_latency_ms: 400,
+            priority: 1,
+            service: "llm",
+            attempts: 2,
+            allow_anonymous: false,
+            sticky_sessions: true,
+            enable_resume: true,
+            gap_target_ms: 250,
+        },
+        {
+            name: "pay",
+            host: "a.example",
+            path_prefix: "/pay/",
+            kind: "unsafe",
+            timeout_ms: 1_200,
+            target_latency_ms: 193,
+            priority: 2,
+            traffic_split: [{ service: "ledger", weight: 1 }],
+            attempts: 1,
+            allow_anonymous: false,
+        },
+    ],
+    services: [
+        {
+            name: "llm",
+            health_path: "/health",
+            max_connections: 400,
+            engine: {
+                slots: 18,
+                kv_capacity_tokens: 1_710_000,
+                stride: 6,
+                models: [{ name: "m", size: 2, share: 1, pace: 1, load_s: 16, warm_s: 1.6 }],
+                step_ms: 6.45,
+                per_seq_ms: 0.14,
+                context_per_k: 0.0042,
+                read_per_s: 56_100,
+                pairs_per_m: 0.309,
+                chunk: 2_048,
+                loads_per_s: 5.5,
+                loads_at_once: 8,
+                usual: { prompt: 1_115, answer: 152 },
+                keeps: 1,
+                form_ms: 300,
+            },
+        },
+        { name: "ledger", health_path: "/health", max_connections: 100 },
+    ],
+    limits: {
+        max_header_bytes: 16_384,
+        max_body_bytes: 4_194_304,
+        header_timeout_ms: 3_000,
+        idle_timeout_ms: 15_000,
+    },
+    tenants: [{ name: "kiosks", api_keys: ["key"], priority: 1 }],
+    ...fields,
+});
+
+export const chatHeaders = (requestId: string): Record<string, string> => ({
+    host: "a.example",
+    "greengageridge-request-id": requestId,
+    "greengageridge-model": "m",
+    "greengageridge-token-usage": "1460,80",
+    "greengageridge-prompt-prefix": "5c1e07a2:800",
+    "greengageridge-deadline-ms": "8000",
+    "greengageridge-tenant": "forged",
+    authorization: "Bearer key",
+});
