--- /dev/null
+++ b/test/consensus/dynamic.test.ts
@@ -0,0 +1,77 @@
+import test from "ava";
+import { noteIds, TestCluster } from "./fixture.ts";
+
+const SEEDS = ["d1", "d2", "d3"];
+
+/** Daemons that find each other by seeds. `d4` and `d5` are not started. */
+const startSeeded = async (t: { teardown(cleanup: () => Promise<void>): void; }): Promise<TestCluster> => {
+    const cluster = new TestCluster({
+        voters: 5,
+        raft: {
+            daemons: [],
+            dynamicVoters: { seedIds: () => SEEDS, targetCount: 3, replaceLostAfterMs: 400 },
+        },
+    });
+    t.teardown(() => cluster.stop());
+    await Promise.all(SEEDS.map((id) => cluster.startMember(id)));
+    await cluster.leader();
+    return cluster;
+};
+
+const votersOf = (cluster: TestCluster): string =>
+    [...cluster.members.values()].find(({ log }) => log.role === "leader")?.log.status().voterIds?.slice()
+        .sort().join()
+        ?? "";
+
+// Guards against a cluster that loses its last spare vote: a lost disk must be made up for without an operator.
+test("a new daemon with an empty folder takes the vote of one that is lost", async (t) => {
+    const cluster = await startSeeded(t);
+    const ids = noteIds("n", 5);
+    for (const id of ids) {
+        await cluster.add(id, "d1");
+    }
+    await cluster.stopMember("d3");
+    await cluster.startMember("d4", { bootstrap: false });
+    await cluster.waitFor("d4 as a voter", () => votersOf(cluster) === "d1,d2,d4" ? true : undefined);
+    await cluster.waitForAll(ids);
+    await cluster.stopMember("d1");
+    await cluster.add("after", "d2", 10_000);
+    await cluster.waitForAll([...ids, "after"]);
+    t.is(votersOf(cluster), "d1,d2,d4");
+});
+
+test("a daemon that waits does not take the vote of one that is only slow to answer", async (t) => {
+    const cluster = await startSeeded(t);
+    await cluster.startMember("d4", { bootstrap: false });
+    await cluster.add("one", "d1");
+    await cluster.waitForAll(["one"]);
+    t.is(votersOf(cluster), "d1,d2,d3");
+});
+
+// Guards against a replaced voter that returns, believes itself a voter and holds up the others.
+test("a voter that was replaced while it was cut off learns of it and takes part as a spare", async (t) => {
+    const cluster = await startSeeded(t);
+    await cluster.add("one", "d1");
+    const lostId = SEEDS.find((id) => cluster.member(id).log.role !== "leader") ?? "";
+    cluster.network.isolate(lostId, [...SEEDS, "d4"]);
+    await cluster.startMember("d4", { bootstrap: false });
+    await cluster.waitFor("the replacement", () => votersOf(cluster).includes("d4") ? true : undefined);
+    await cluster.add("two", "d4");
+    cluster.network.heal();
+    await cluster.waitForAll(["one", "two"]);
+    t.false(votersOf(cluster).includes(lostId));
+    await cluster.add("three", lostId, 10_000);
+    await cluster.waitForAll(["one", "two", "three"]);
+});
+
+test("a daemon whose folder was emptied returns under a new identity", async (t) => {
+    const cluster = await startSeeded(t);
+    await cluster.add("one", "d1");
+    await cluster.stopMember("d2");
+    cluster.emptyFolder("d2");
+    const identity = votersOf(cluster);
+    await cluster.startMember("d2", { bootstrap: false });
+    await cluster.waitForAll(["one"]);
+    t.is(identity, SEEDS.join());
+    await cluster.waitFor("three voters", () => votersOf(cluster) === SEEDS.join() ? true : undefined);
+});
