--- a/packages/fleet/src/planner.ts
+++ b/packages/fleet/src/planner.ts
@@ -168,38 +168,54 @@
 };
 
 /**
- * Which spare loads which model onto its host, in advance of a loss. A fabric domain stages the model that has the
- * most members for each staged spare, since each member is lost equally often.
+ * Which spare loads which model onto its host, in advance of a loss. A fabric domain stages the model that has the most
+ * members for each staged spare, since each member is lost equally often. Answers a second loss: when the only spare
+ * left has the weights of the less exposed model, it loads the other ones.
  */
 export const planStaging = (input: PlanInput, memberCounts: ReadonlyMap<string, number>): StagePlan[] => {
     const plans: StagePlan[] = [];
-    let allowed = input.loadsAllowed;
     for (const domain of domainsOf(input.freeVms)) {
         const spares = input.freeVms.filter((vm) => vm.fabricDomain === domain);
-        const staged = new Map<string, number>();
-        const idle: FreeVm[] = [];
-        for (const vm of spares) {
-            const model = input.profile.models.find(({ name }) => vm.stagedModels.includes(name));
-            if (model !== undefined) {
-                staged.set(model.name, (staged.get(model.name) ?? 0) + 1);
-            }
-            else if (!vm.isStaging) {
-                idle.push(vm);
+        const missing = wantedModels(input.profile.models, domain, memberCounts, spares.length);
+        const surplus: FreeVm[] = [];
+        // Spares with nothing staged are the first to load.
+        for (const vm of [...spares].sort((a, b) => b.stagedModels.length - a.stagedModels.length)) {
+            const at = missing.findIndex((model) => vm.isStaging || vm.stagedModels.includes(model.name));
+            if (at < 0) {
+                surplus.unshift(vm);
+                continue;
             }
+            missing.splice(at, 1);
         }
-        for (const vm of idle.slice(0, Math.max(0, allowed))) {
-            const model = mostExposed(input.profile.models, domain, memberCounts, staged);
-            if (model === undefined) {
-                break;
+        for (const [index, model] of missing.entries()) {
+            const vm = surplus[index];
+            if (vm !== undefined && plans.length < input.loadsAllowed) {
+                plans.push({ serverId: vm.serverId, model });
             }
-            staged.set(model.name, (staged.get(model.name) ?? 0) + 1);
-            plans.push({ serverId: vm.serverId, model });
-            allowed -= 1;
         }
     }
     return plans;
 };
 
+/** Models that `count` spares of a domain should have staged. */
+const wantedModels = (
+    models: readonly ModelSpec[],
+    domain: string,
+    memberCounts: ReadonlyMap<string, number>,
+    count: number,
+): ModelSpec[] => {
+    const staged = new Map<string, number>();
+    const wanted: ModelSpec[] = [];
+    for (let index = 0; index < count; index += 1) {
+        const model = mostExposed(models, domain, memberCounts, staged);
+        if (model !== undefined) {
+            staged.set(model.name, (staged.get(model.name) ?? 0) + 1);
+            wanted.push(model);
+        }
+    }
+    return wanted;
+};
+
 const mostExposed = (
     models: readonly ModelSpec[],
     domain: string,
--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -55,9 +55,19 @@
     };
 };
 
+/** Callers that are turned away in one moment come back over this many times the time that one of them needs. */
+const SPREAD_FACTOR = 6;
+const MIN_SPREAD_MS = 600;
+
 const retryAfter = (remainingMs: number, neededMs: number): number =>
     Math.round(Math.max(MIN_RETRY_MS, Math.min(neededMs, remainingMs * RETRY_SHARE)));
 
-/** Spreads the returns of callers that are turned away together. `fraction` is in `[0, 1)`. */
-export const spreadRetryAfterMs = (retryAfterMs: number, fraction: number): number =>
-    Math.round(retryAfterMs * (0.75 + 0.5 * fraction));
+/**
+ * Spreads the returns of callers that are turned away together over the time that the queue needs. Answers the second
+ * burst that they would make: a caller comes back once, so it should find a place then. `fraction` is in `[0, 1)`.
+ */
+export const spreadRetryAfterMs = (retryAfterMs: number, remainingMs: number, fraction: number): number => {
+    const latestMs = Math.max(MIN_RETRY_MS, remainingMs * RETRY_SHARE);
+    const windowMs = Math.min(latestMs, Math.max(MIN_SPREAD_MS, retryAfterMs * SPREAD_FACTOR));
+    return Math.round(Math.min(latestMs, retryAfterMs + fraction * Math.max(0, windowMs - retryAfterMs)));
+};
--- a/packages/gateway/src/streamcall.ts
+++ b/packages/gateway/src/streamcall.ts
@@ -1,7 +1,7 @@
 import { GreengageError, monotonicMs, Verdict } from "@greengage/base";
 import type { EngineProfile, ModelSpec } from "@greengage/configuration";
 import { FailureKind, noCapacity } from "@greengage/routing";
-import { admit, spreadRetryAfterMs } from "./admission.ts";
+import { type AdmissionVerdict, admit, spreadRetryAfterMs } from "./admission.ts";
 import { Attempt, type AttemptOutcome, leftMs } from "./attempt.ts";
 import { backendError, type Call, isReturning, remainingMs, timeoutError, watchDeadline } from "./call.ts";
 import type { GatewayParts } from "./deps.ts";
@@ -11,11 +11,18 @@
 
 /** Wait before the same request is tried again when every group was busy or out of reach at once. */
 const NEXT_TRY_MS = 30;
+/** Callers leave a stream after a pause of two seconds, so it must be resumed before. */
+const RESUME_LIMIT_MS = 1_700;
+/** A stream that has begun goes to the best group whatever its load: its caller has waited already. */
+const SEND: AdmissionVerdict = { kind: "send" };
 /** Below this rest of its time a request isn't sent again. */
 const MIN_RETRY_MS = 100;
 /** Id of the last event in a run of whole events. */
 const EVENT_ID = /(?:^|\n)id: ?([^\r\n]*)/g;
 
+/** Failures by which a group shows that it is lost. */
+const LOSS_KINDS: readonly FailureKind[] = [FailureKind.Stalled, FailureKind.Broken];
+
 /** What the caller has received so far. */
 interface Delivered {
     hasHead: boolean;
@@ -37,6 +44,7 @@
     #attempt: Attempt | undefined;
     #attemptCount = 0;
     #mayHaveRun = false;
+    #hasLostGroup = false;
     #endReason: "closed" | "deadline" | undefined;
     #lastReason = "";
 
@@ -81,7 +89,7 @@
     async #runAttempts(): Promise<void> {
         const tried = new Set<string>();
         while (this.#endReason === undefined) {
-            const { group, predictedMs } = this.#place(tried);
+            const { group, predictedMs } = await this.#findPlace(tried);
             if (this.#attemptCount > 0 && !this.#parts.budget.takeRetry(monotonicMs())) {
                 throw this.#giveUp("the budget for retries is spent");
             }
@@ -110,6 +118,22 @@
         }
     }
 
+    /** A stream that has begun waits for a group, as long as its caller does; other requests are turned away at once. */
+    async #findPlace(tried: ReadonlySet<string>): Promise<{ group: GroupState; predictedMs: number; }> {
+        for (;;) {
+            try {
+                return this.#place(tried);
+            }
+            catch (error) {
+                const silentMs = monotonicMs() - this.#delivered.eventAtMs;
+                if (!this.#delivered.hasHead || this.#endReason !== undefined || silentMs > RESUME_LIMIT_MS) {
+                    throw error;
+                }
+            }
+            await new Promise((resolve) => setTimeout(resolve, NEXT_TRY_MS));
+        }
+    }
+
     /** Chooses a group, or throws the rejection. */
     #place(tried: ReadonlySet<string>): { group: GroupState; predictedMs: number; } {
         const { groups, context, random } = this.#parts;
@@ -126,7 +150,7 @@
             promptTokens: this.#generation.promptTokens,
             zone: context.zone,
         }, random.fraction());
-        const verdict = admit({
+        const verdict = this.#delivered.hasHead && place !== undefined ? SEND : admit({
             firstTokenMs: place?.firstTokenMs,
             waitedMs: nowMs - request.receivedAtMs,
             targetMs: route.targetMs,
@@ -142,7 +166,10 @@
             if (this.#mayHaveRun) {
                 throw backendError(reason);
             }
-            throw noCapacity(reason, spreadRetryAfterMs(retryAfterMs, random.fraction()));
+            throw noCapacity(
+                reason,
+                spreadRetryAfterMs(retryAfterMs, remainingMs(this.#call), random.fraction()),
+            );
         }
         const load = loads.find(({ groupName }) => groupName === group.target.groupName);
         this.#record("request.placed", {
@@ -191,6 +218,8 @@
         this.#attempt = undefined;
         group.end(use, outcome.kind === "complete", monotonicMs());
         this.#judge(group, outcome);
+        const isLost = outcome.kind === "failed" && LOSS_KINDS.includes(outcome.failure);
+        this.#hasLostGroup ||= outcome.kind === "notRun" || isLost;
         return outcome;
     }
 
@@ -275,8 +304,10 @@
         }
     }
 
+    /** Attempts at groups that were lost, or that rejected the request, leave one more. */
     #mayRepeat(): boolean {
-        return this.#attemptCount < this.#call.route.maxAttempts && remainingMs(this.#call) > MIN_RETRY_MS;
+        const allowedCount = this.#call.route.maxAttempts + (this.#hasLostGroup ? 1 : 0);
+        return this.#attemptCount < allowedCount && remainingMs(this.#call) > MIN_RETRY_MS;
     }
 
     #canTryAgain(outcome: AttemptOutcome): boolean {
@@ -293,7 +324,8 @@
     #giveUp(reason: string): GreengageError {
         if (!this.#mayHaveRun && !this.#delivered.hasHead) {
             const { random } = this.#parts;
-            return noCapacity(reason, spreadRetryAfterMs(MIN_RETRY_MS * 2, random.fraction()));
+            const retryAfterMs = spreadRetryAfterMs(MIN_RETRY_MS, remainingMs(this.#call), random.fraction());
+            return noCapacity(reason, retryAfterMs);
         }
         return backendError(reason);
     }
--- a/test/fleet/planner.test.ts
+++ b/test/fleet/planner.test.ts
@@ -76,3 +76,13 @@
     t.deepEqual(planStaging(inputOf(vms(2)), counts).map(({ model }) => model.name), ["large", "small"]);
     t.deepEqual(planStaging(inputOf(vms(1)), counts).map(({ model }) => model.name), ["large"]);
 });
+
+// Guards against a spare that keeps the weights of the model that is lost less often.
+test("the last spare of a domain loads the more exposed model", (t) => {
+    const counts = new Map([[memberKey("d", "large"), 6], [memberKey("d", "small"), 3]]);
+    const last = [vmOf("last", { stagedModels: ["small"] })];
+    t.deepEqual(planStaging(inputOf(last), counts).map(({ model }) => model.name), ["large"]);
+    t.deepEqual(planStaging(inputOf([{ ...last[0] as FreeVm, isStaging: true }]), counts), []);
+    const both = [...last, vmOf("other", { stagedModels: ["large"] })];
+    t.deepEqual(planStaging(inputOf(both), counts), []);
+});
--- a/test/gateway/overload.test.ts
+++ b/test/gateway/overload.test.ts
@@ -4,6 +4,7 @@
     choosePlace,
     type GroupLoad,
     predictFirstTokenMs,
+    spreadRetryAfterMs,
 } from "@greengage/gateway";
 import test from "ava";
 import { profileOf } from "../configuration/fixtures.ts";
@@ -94,3 +95,10 @@
         t.true(verdict.kind === "reject" && verdict.retryAfterMs <= Math.max(150, remainingMs / 3));
     }
 });
+
+// Replays callers that are turned away in one moment: without the spread they come back as the same burst.
+test("callers that are turned away together come back over the time that the queue needs", (t) => {
+    const returns = Array.from({ length: 100 }, (_, index) => spreadRetryAfterMs(400, 8_000, index / 100));
+    t.true(Math.max(...returns) - Math.min(...returns) >= 1_800);
+    t.true(returns.every((atMs) => atMs >= 400 && atMs <= 8_000 / 3));
+});
