Move a request whose answer hangs, and forget servers and groups that are gone for good

Cause: a hung answer at a group that went on was noticed by nobody, and its caller left after two seconds; registry and names of ended groups grew without a bound.

--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -116,9 +116,10 @@
         if (version <= this.#configurationVersion) {
             return;
         }
+        // One that can't be read is not asked for again; it was validated before it was accepted.
+        this.#configurationVersion = version;
         try {
             this.gateway.takeConfiguration(new RoutingTable(this.#options.decode(document)));
-            this.#configurationVersion = version;
         }
         catch (error) {
             const reason = messageOf(error);
--- a/packages/fleet/src/controller.ts
+++ b/packages/fleet/src/controller.ts
@@ -10,7 +10,7 @@
 import type { ServerRegistry } from "./registry.ts";
 import { superviseGroup } from "./supervision.ts";
 import { SuspicionCheck } from "./suspicion.ts";
-import { type FleetTiming, SETTLE_HEARTBEATS, STEP_MS } from "./timing.ts";
+import { type FleetTiming, FORGET_SERVER_MS, SETTLE_HEARTBEATS, STEP_MS } from "./timing.ts";
 
 export interface GroupControllerOptions {
     context: Context;
@@ -158,6 +158,8 @@
             return;
         }
         const nowMs = monotonicMs();
+        const { registry, groups } = this.#state;
+        registry.expire(nowMs, FORGET_SERVER_MS, (serverId) => groups.groupOf(serverId) !== undefined);
         adoptGroups(this.#state, nowMs);
         for (const group of this.#state.groups.all()) {
             superviseGroup(this.#state, this.#ending, this.#forming, group, nowMs);
--- a/packages/fleet/src/ending.ts
+++ b/packages/fleet/src/ending.ts
@@ -3,7 +3,7 @@
 import type { FleetState } from "./controller.ts";
 import { GroupPhase, headOf, type ManagedGroup } from "./group.ts";
 import { OrderOutcome } from "./orders.ts";
-import { LEAVE_ATTEMPTS, ORDER_RETRY_MS } from "./timing.ts";
+import { FORGET_SERVER_MS, LEAVE_ATTEMPTS, ORDER_RETRY_MS } from "./timing.ts";
 
 /**
  * Ends groups so that no VM is used elsewhere while its head may serve with it: either the head leaves, and then nothing
@@ -92,8 +92,14 @@
             this.beginLeaving(group, "the head is back", nowMs);
             return;
         }
+        const remaining = group.memberIds.slice(1).filter((serverId) =>
+            !group.leftIds.has(serverId) && !this.#hasEnded(group, serverId)
+        );
+        if (remaining.length === 0 && nowMs - group.phaseSinceMs > FORGET_SERVER_MS) {
+            this.#free(group, "the head has not reported any more");
+            return;
+        }
         this.#once(group, async () => {
-            const remaining = group.memberIds.slice(1).filter((serverId) => !group.leftIds.has(serverId));
             await Promise.all(remaining.map((serverId) => this.#removeMember(group, serverId)));
             await sleep(ORDER_RETRY_MS, this.#state.lifecycle.signal);
         });
--- a/packages/fleet/src/groups.ts
+++ b/packages/fleet/src/groups.ts
@@ -3,6 +3,8 @@
 
 /** Names of ended groups that a successor is told. Their members report them for a moment only. */
 const REMEMBERED_ENDS = 60;
+/** A member reports an ended group until it joins another one or restarts. */
+const MAX_ENDED_NAMES = 2_000;
 
 /** The groups of all zones, and the names of those that have ended. */
 export class GroupTable {
@@ -45,6 +47,10 @@
 
     markEnded(groupName: string): void {
         this.#endedNames.add(groupName);
+        const [oldest] = this.#endedNames;
+        if (oldest !== undefined && this.#endedNames.size > MAX_ENDED_NAMES) {
+            this.#endedNames.delete(oldest);
+        }
     }
 
     add(group: ManagedGroup): void {
@@ -81,7 +87,7 @@
     /** Removes a group under whose name nothing can be served any more. Its members are free. */
     remove(group: ManagedGroup, reason: string): void {
         this.#groups.delete(group.groupName);
-        this.#endedNames.add(group.groupName);
+        this.markEnded(group.groupName);
         for (const serverId of group.memberIds) {
             if (this.#groupByMember.get(serverId) === group) {
                 this.#groupByMember.delete(serverId);
--- a/packages/fleet/src/registry.ts
+++ b/packages/fleet/src/registry.ts
@@ -99,6 +99,15 @@
             && report.sequence < expected.sequence;
     }
 
+    /** Forgets servers that have not reported for `maxAgeMs` and that `isKept` doesn't name. */
+    expire(nowMs: number, maxAgeMs: number, isKept: (serverId: string) => boolean): void {
+        for (const server of this.#servers.values()) {
+            if (nowMs - server.receivedAtMs > maxAgeMs && !isKept(server.report.serverId)) {
+                this.#remove(server, nowMs);
+            }
+        }
+    }
+
     #isEnded(report: ServerReport): boolean {
         const ended = this.#ended.get(report.serverId);
         return ended !== undefined && report.bornMs <= ended.bornMs;
--- a/packages/fleet/src/timing.ts
+++ b/packages/fleet/src/timing.ts
@@ -31,3 +31,5 @@
 export const SUSPICIONS_TO_REFORM = 4;
 /** A member that was silent or late is not used again before it has reported for this long. */
 export const DISTRUST_MS = 1_500;
+/** A server that has not reported for this long is forgotten. Partitions are over by then, or it is gone. */
+export const FORGET_SERVER_MS = 60_000;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -13,7 +13,7 @@
 import { type Call, deadlineOf } from "./call.ts";
 import { DemandMeter } from "./demand.ts";
 import type { GatewayParts } from "./deps.ts";
-import { type GroupState, GroupStates, type SuspicionDetails } from "./groups.ts";
+import { type GroupState, GroupStates, isHanging, type SuspicionDetails } from "./groups.ts";
 import { ServerCall } from "./servercall.ts";
 import { ServerStates } from "./servers.ts";
 import { StreamCall } from "./streamcall.ts";
@@ -203,6 +203,9 @@
                     use.move(`the group made no progress for ${Math.round(silentMs)} ms`)
                 );
             }
+            [...group.uses].filter((use) => isHanging(use, nowMs)).forEach((use) =>
+                use.move("the answer hangs")
+            );
             this.#repeatSuspicion(group, nowMs);
         }
         this.#parts.pools.closeIdle(nowMs);
--- a/packages/gateway/src/groups.ts
+++ b/packages/gateway/src/groups.ts
@@ -34,6 +34,13 @@
     move: (reason: string) => void;
 }
 
+/** A single request that makes no progress for this long is moved, though its group goes on: its answer hangs. */
+const HANG_MS = 1_000;
+
+/** Whether a request makes no progress though it should. */
+export const isHanging = ({ eventAtMs, expectedAtMs }: GroupUse, nowMs: number): boolean =>
+    nowMs - (eventAtMs ?? expectedAtMs) > HANG_MS;
+
 /** State of one group at this daemon. */
 export class GroupState {
     readonly target: GroupTarget;
--- a/test/gateway/fixtures.ts
+++ b/test/gateway/fixtures.ts
@@ -184,7 +184,7 @@
 };
 
 /** The first group is in the daemon's own zone, so that requests prefer it. */
-const viewOf = ({ heads = [], servers = [] }: GatewayFixtureOptions): FleetView => ({
+export const viewOf = ({ heads = [], servers = [] }: GatewayFixtureOptions): FleetView => ({
     term: 1,
     version: 1,
     groups: heads.map(({ address }, index) => ({
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -3,7 +3,16 @@
 import { freePorts, waitFor } from "@greengage/faults";
 import test from "ava";
 import { routeOf } from "../configuration/fixtures.ts";
-import { type Answer, eventOf, events, type FakeServer, gatewayOf, serverOf, writeHead } from "./fixtures.ts";
+import {
+    type Answer,
+    eventOf,
+    events,
+    type FakeServer,
+    gatewayOf,
+    serverOf,
+    viewOf,
+    writeHead,
+} from "./fixtures.ts";
 
 const WHOLE = [1, 2, 3, 4].map(eventOf).join("");
 
@@ -241,3 +250,32 @@
     gateway.takeConfiguration(new RoutingTable(configurationOf({ version: 4, routes: [] })));
     t.is((await send()).text, WHOLE);
 });
+
+// Guards against a single answer that hangs while its group goes on.
+test("a request whose answer hangs goes on elsewhere, and its group stays in use", async (t) => {
+    let count = 0;
+    const first = await serverOf(t, (request, response) => {
+        count += 1;
+        if (count === 1) {
+            writeHead(request, response);
+            response.write(eventOf(1));
+            return;
+        }
+        writeHead(request, response);
+        const timer = setInterval(() => response.write(`id: ${Date.now()}\ndata: x\n\n`), 50);
+        response.on("close", () => clearInterval(timer));
+    });
+    const second = await serverOf(t, events(4));
+    const fixture = gatewayOf(t, { heads: [first] });
+    const hanging = fixture.begin();
+    await waitFor("its first event", () => hanging.response.text === "" ? undefined : true);
+    const other = fixture.begin();
+    await waitFor("the other's first event", () => other.response.text === "" ? undefined : true);
+    fixture.gateway.takeView({ ...viewOf({ heads: [first, second] }), version: 2 });
+    await hanging.done;
+    t.is(hanging.response.text, WHOLE);
+    t.false(other.response.isDestroyed);
+    t.deepEqual(fixture.suspicions, []);
+    other.response.leave();
+    await other.done;
+});
