--- a/packages/gateway/src/servercall.ts
+++ b/packages/gateway/src/servercall.ts
@@ -1,8 +1,8 @@
-import { GreengageError, monotonicMs, Verdict } from "@greengage/base";
+import { type GreengageError, monotonicMs } from "@greengage/base";
 import { RouteKind } from "@greengage/configuration";
-import { FailureKind, noCapacity } from "@greengage/routing";
+import { noCapacity } from "@greengage/routing";
 import { Attempt, type AttemptOutcome, leftMs } from "./attempt.ts";
-import { backendError, type Call, remainingMs, timeoutError, watchDeadline } from "./call.ts";
+import { backendError, type Call, CallRun, remainingMs } from "./call.ts";
 import type { GatewayParts } from "./deps.ts";
 import type { ServerState } from "./servers.ts";
 
@@ -14,50 +14,38 @@
 export class ServerCall {
     readonly #parts: GatewayParts;
     readonly #call: Call;
+    readonly #run: CallRun;
     readonly #triedIds = new Set<string>();
-    #attempt: Attempt | undefined;
-    #attemptCount = 0;
-    #mayHaveRun = false;
-    #endReason: "closed" | "deadline" | undefined;
 
     constructor(parts: GatewayParts, call: Call) {
         this.#parts = parts;
         this.#call = call;
+        this.#run = new CallRun(parts, call);
     }
 
-    async run(): Promise<void> {
-        this.#call.response.onClosed(() => this.#stop("closed", FailureKind.Cancelled));
-        const cancelDeadline = watchDeadline(this.#call, () => this.#stop("deadline", FailureKind.Deadline));
-        try {
-            await this.#runAttempts();
-        }
-        catch (error) {
-            this.#fail(error);
-        }
-        finally {
-            cancelDeadline();
-        }
+    run(): Promise<void> {
+        return this.#run.run(() => this.#runAttempts());
     }
 
     async #runAttempts(): Promise<void> {
         let reason = "no server of the service is known";
-        while (this.#endReason === undefined) {
+        while (this.#run.endReason === undefined) {
             const server = this.#choose();
             if (server === undefined) {
                 throw this.#giveUp(reason);
             }
-            if (this.#attemptCount > 0 && !this.#parts.budget.takeRetry(monotonicMs())) {
+            if (!this.#run.takeAttempt()) {
                 throw this.#giveUp(`${reason}; the budget for retries is spent`);
             }
             const outcome = await this.#runAt(server);
-            if (this.#endReason !== undefined) {
+            if (this.#run.endReason !== undefined) {
                 break;
             }
             if (outcome.kind === "complete" && this.#finish(outcome)) {
                 return;
             }
             reason = outcome.kind === "complete" ? `answered ${outcome.head.status}` : outcome.reason;
-            this.#record("request.attemptFailed", {
+            this.#run.record("request.attemptFailed", {
                 server: server.target.serverId,
                 outcome: outcome.kind,
                 reason,
@@ -66,9 +54,6 @@
                 throw this.#giveUp(reason);
             }
         }
-        if (this.#endReason === "deadline") {
-            throw timeoutError(this.#mayHaveRun ? Verdict.MayHaveRun : Verdict.NotRun);
-        }
     }
 
     #choose(): ServerState | undefined {
@@ -82,8 +67,8 @@
         const { serverId, address } = server.target;
         const nowMs = monotonicMs();
         this.#triedIds.add(serverId);
-        this.#attemptCount += 1;
-        this.#record("request.placed", { server: serverId, attempt: this.#attemptCount });
+        this.#run.attemptCount += 1;
+        this.#run.record("request.placed", { server: serverId, attempt: this.#run.attemptCount });
         const isRepeatable = route.kind === RouteKind.Safe;
         const origin = `http://${address}`;
         const single = isRepeatable ? undefined : pools.single(origin);
@@ -101,7 +86,7 @@
             },
             closesConnection: !isRepeatable,
             mayWrite: () => {
-                this.#mayHaveRun = true;
+                this.#run.mayHaveRun = true;
                 return true;
             },
             onHead: (head) => {
@@ -111,15 +96,15 @@
             },
         });
         server.begin(nowMs);
-        this.#attempt = attempt;
+        this.#run.attempt = attempt;
         const outcome = await attempt.run();
-        this.#attempt = undefined;
+        this.#run.attempt = undefined;
         if (single !== undefined) {
             void single.destroy();
         }
         server.end(outcome.kind !== "complete" || outcome.head.status >= 500);
         if (outcome.kind === "notRun") {
-            this.#mayHaveRun = false;
+            this.#run.mayHaveRun = false;
         }
         return outcome;
     }
@@ -131,12 +116,12 @@
             return false;
         }
         response.send(head.status, head.headers, body);
-        this.#record("request.answered", { status: head.status, attempts: this.#attemptCount });
+        this.#run.record("request.answered", { status: head.status, attempts: this.#run.attemptCount });
         return true;
     }
 
     #mayRepeat(): boolean {
-        return this.#attemptCount < this.#call.route.maxAttempts && remainingMs(this.#call) > MIN_RETRY_MS
+        return this.#run.attemptCount < this.#call.route.maxAttempts && remainingMs(this.#call) > MIN_RETRY_MS
             && this.#choose() !== undefined;
     }
 
@@ -146,37 +131,8 @@
     }
 
     #giveUp(reason: string): GreengageError {
-        return this.#mayHaveRun
+        return this.#run.mayHaveRun
             ? backendError(reason)
             : noCapacity(reason, Math.round(BUSY_RETRY_MS * (0.5 + this.#parts.random.fraction())));
     }
-
-    #stop(reason: "closed" | "deadline", kind: FailureKind): void {
-        this.#endReason ??= reason;
-        this.#attempt?.fail(kind, reason === "closed" ? "the caller has left" : "the time is over");
-    }
-
-    #fail(error: unknown): void {
-        const failure = error instanceof GreengageError ? error : backendError(String(error));
-        const { code, verdict, message, retryAfterMs } = failure;
-        this.#record("request.failed", {
-            code,
-            verdict,
-            reason: message,
-            attempts: this.#attemptCount,
-            retryAfterMs,
-        });
-        this.#parts.context.metrics.count("gateway.failed", 1, { code });
-        this.#call.response.fail(failure);
-    }
-
-    #record(event: string, fields: Record<string, string | number | undefined>): void {
-        const { request, route } = this.#call;
-        this.#parts.context.decisions.record(event, {
-            request: request.requestId,
-            route: route.name,
-            ageMs: Math.round(monotonicMs() - request.receivedAtMs),
-            ...fields,
-        });
-    }
 }
--- a/packages/gateway/src/streamcall.ts
+++ b/packages/gateway/src/streamcall.ts
@@ -1,9 +1,9 @@
-import { GreengageError, monotonicMs, Verdict } from "@greengage/base";
+import { type GreengageError, monotonicMs } from "@greengage/base";
 import type { EngineProfile, ModelSpec } from "@greengage/configuration";
 import { FailureKind, noCapacity } from "@greengage/routing";
 import { type AdmissionVerdict, admit, spreadRetryAfterMs } from "./admission.ts";
 import { Attempt, type AttemptOutcome, leftMs } from "./attempt.ts";
-import { backendError, type Call, isReturning, remainingMs, timeoutError, watchDeadline } from "./call.ts";
+import { backendError, type Call, CallRun, isReturning, remainingMs } from "./call.ts";
 import type { GatewayParts } from "./deps.ts";
 import type { GroupState, GroupUse } from "./groups.ts";
 import { choosePlace } from "./placement.ts";
@@ -40,13 +40,10 @@
     readonly #generation: Generation;
     readonly #profile: EngineProfile;
     readonly #model: ModelSpec;
+    readonly #run: CallRun;
     readonly #delivered: Delivered;
-    #attempt: Attempt | undefined;
-    #attemptCount = 0;
-    #mayHaveRun = false;
+    #head: ServerHead | undefined;
     #hasLostGroup = false;
-    #endReason: "closed" | "deadline" | undefined;
-    #lastReason = "";
 
     constructor(
         parts: GatewayParts,
@@ -57,6 +54,7 @@
     ) {
         this.#parts = parts;
         this.#call = call;
+        this.#run = new CallRun(parts, call);
         this.#generation = generation;
         this.#profile = profile;
         this.#model = model;
@@ -69,53 +67,37 @@
         };
     }
 
-    async run(): Promise<void> {
-        const { response, service } = this.#call;
+    run(): Promise<void> {
         const { promptTokens, maxAnswerTokens, model } = this.#generation;
-        this.#parts.demand.add(service.name, model, promptTokens + maxAnswerTokens);
-        response.onClosed(() => this.#stop("closed", FailureKind.Cancelled));
-        const cancelDeadline = watchDeadline(this.#call, () => this.#stop("deadline", FailureKind.Deadline));
-        try {
-            await this.#runAttempts();
-        }
-        catch (error) {
-            this.#fail(error);
-        }
-        finally {
-            cancelDeadline();
-        }
+        this.#parts.demand.add(this.#call.service.name, model, promptTokens + maxAnswerTokens);
+        return this.#run.run(() => this.#runAttempts());
     }
 
     async #runAttempts(): Promise<void> {
         const tried = new Set<string>();
-        while (this.#endReason === undefined) {
+        while (this.#run.endReason === undefined) {
             const { group, predictedMs } = await this.#findPlace(tried);
-            if (this.#attemptCount > 0 && !this.#parts.budget.takeRetry(monotonicMs())) {
+            if (!this.#run.takeAttempt()) {
                 throw this.#giveUp("the budget for retries is spent");
             }
             tried.add(group.target.groupName);
-            this.#attemptCount += 1;
+            this.#run.attemptCount += 1;
             const outcome = await this.#runAt(group, predictedMs);
-            if (this.#endReason !== undefined) {
+            if (this.#run.endReason !== undefined) {
                 break;
             }
             if (outcome.kind === "complete" && this.#finish(outcome)) {
                 return;
             }
-            this.#lastReason = outcome.kind === "complete"
-                ? `answered ${outcome.head.status}`
-                : outcome.reason;
-            this.#record("request.attemptFailed", { outcome: outcome.kind, reason: this.#lastReason });
+            const reason = outcome.kind === "complete" ? `answered ${outcome.head.status}` : outcome.reason;
+            this.#run.record("request.attemptFailed", { outcome: outcome.kind, reason });
             if (!this.#canTryAgain(outcome)) {
-                throw this.#giveUp(this.#lastReason);
+                throw this.#giveUp(reason);
             }
             if (outcome.kind === "notRun") {
                 await new Promise((resolve) => setTimeout(resolve, NEXT_TRY_MS));
             }
         }
-        if (this.#endReason === "deadline") {
-            throw timeoutError(this.#mayHaveRun ? Verdict.MayHaveRun : Verdict.NotRun);
-        }
     }
 
     /** A stream that has begun waits for a group, as long as its caller does; other requests are turned away at once. */
@@ -126,7 +108,10 @@
             }
             catch (error) {
                 const silentMs = monotonicMs() - this.#delivered.eventAtMs;
-                if (!this.#delivered.hasHead || this.#endReason !== undefined || silentMs > RESUME_LIMIT_MS) {
+                if (
+                    !this.#delivered.hasHead || this.#run.endReason !== undefined
+                    || silentMs > RESUME_LIMIT_MS
+                ) {
                     throw error;
                 }
             }
@@ -155,7 +140,7 @@
             waitedMs: nowMs - request.receivedAtMs,
             targetMs: route.targetMs,
             remainingMs: remainingMs(this.#call),
-            isReturning: isReturning(this.#call) || this.#attemptCount > 0,
+            isReturning: isReturning(this.#call) || this.#run.attemptCount > 0,
             placeMs: loads[0]?.placeMs ?? 1_000,
         });
         const group = place === undefined ? undefined : groups.get(place.groupName);
@@ -163,7 +148,7 @@
             this.#parts.demand.addRejected(service.name, this.#model.name);
             const retryAfterMs = verdict.kind === "reject" ? verdict.retryAfterMs : MIN_RETRY_MS;
             const reason = verdict.kind === "reject" ? verdict.reason : "no group takes requests";
-            if (this.#mayHaveRun) {
+            if (this.#run.mayHaveRun) {
                 throw backendError(reason);
             }
             throw noCapacity(
@@ -172,7 +157,7 @@
             );
         }
         const load = loads.find(({ groupName }) => groupName === group.target.groupName);
-        this.#record("request.placed", {
+        this.#run.record("request.placed", {
             group: group.target.groupName,
             epoch: group.target.epoch,
             groupZone: group.target.zone,
@@ -213,9 +198,9 @@
             move: (reason) => attempt.fail(FailureKind.Stalled, reason),
         };
         group.add(use);
-        this.#attempt = attempt;
+        this.#run.attempt = attempt;
         const outcome = await attempt.run();
-        this.#attempt = undefined;
+        this.#run.attempt = undefined;
         group.end(use, outcome.kind === "complete", monotonicMs());
         this.#judge(group, outcome);
         const isLost = outcome.kind === "failed" && LOSS_KINDS.includes(outcome.failure);
@@ -224,15 +209,13 @@
     }
 
     #onHead(group: GroupState, head: ServerHead): void {
-        this.#mayHaveRun = true;
+        this.#run.mayHaveRun = true;
         if (head.load !== undefined) {
             group.report(head.load, monotonicMs());
         }
         this.#head = head;
     }
 
-    #head: ServerHead | undefined;
-
     #onEvents(group: GroupState, use: GroupUse, events: Buffer): void {
         const { response, request } = this.#call;
         const nowMs = monotonicMs();
@@ -254,7 +237,7 @@
         }
         this.#delivered.lastEventId = lastIdOf(events) ?? this.#delivered.lastEventId;
         if (!response.write(events)) {
-            const attempt = this.#attempt;
+            const attempt = this.#run.attempt;
             attempt?.pause();
             response.onDrained(() => attempt?.resume());
         }
@@ -269,8 +252,8 @@
                 response.sendHead(head.status, head.headers);
             }
             response.end();
-            this.#record("request.answered", {
-                attempts: this.#attemptCount,
+            this.#run.record("request.answered", {
+                attempts: this.#run.attemptCount,
                 firstEventMs: Math.round(this.#delivered.firstEventMs ?? 0),
                 longestGapMs: Math.round(this.#delivered.longestGapMs),
                 targetMs: this.#call.route.targetMs,
@@ -285,12 +268,15 @@
             return false;
         }
         response.send(head.status, head.headers, body);
-        this.#record("request.answeredFailure", { status: head.status, attempts: this.#attemptCount });
+        this.#run.record("request.answeredFailure", {
+            status: head.status,
+            attempts: this.#run.attemptCount,
+        });
         return true;
     }
 
     #judge(group: GroupState, outcome: AttemptOutcome): void {
-        if (outcome.kind === "complete" || this.#endReason !== undefined) {
+        if (outcome.kind === "complete" || this.#run.endReason !== undefined) {
             return;
         }
         const nowMs = monotonicMs();
@@ -307,7 +293,7 @@
     /** Attempts at groups that were lost, or that rejected the request, leave one more. */
     #mayRepeat(): boolean {
         const allowedCount = this.#call.route.maxAttempts + (this.#hasLostGroup ? 1 : 0);
-        return this.#attemptCount < allowedCount && remainingMs(this.#call) > MIN_RETRY_MS;
+        return this.#run.attemptCount < allowedCount && remainingMs(this.#call) > MIN_RETRY_MS;
     }
 
     #canTryAgain(outcome: AttemptOutcome): boolean {
@@ -322,42 +308,13 @@
     }
 
     #giveUp(reason: string): GreengageError {
-        if (!this.#mayHaveRun && !this.#delivered.hasHead) {
+        if (!this.#run.mayHaveRun && !this.#delivered.hasHead) {
             const { random } = this.#parts;
             const retryAfterMs = spreadRetryAfterMs(MIN_RETRY_MS, remainingMs(this.#call), random.fraction());
             return noCapacity(reason, retryAfterMs);
         }
         return backendError(reason);
     }
-
-    #stop(reason: "closed" | "deadline", kind: FailureKind): void {
-        this.#endReason ??= reason;
-        this.#attempt?.fail(kind, reason === "closed" ? "the caller has left" : "the time is over");
-    }
-
-    #fail(error: unknown): void {
-        const failure = error instanceof GreengageError ? error : backendError(String(error));
-        this.#record("request.failed", {
-            code: failure.code,
-            verdict: failure.verdict,
-            reason: failure.message,
-            attempts: this.#attemptCount,
-            retryAfterMs: failure.retryAfterMs,
-            lastReason: this.#lastReason,
-        });
-        this.#parts.context.metrics.count("gateway.failed", 1, { code: failure.code });
-        this.#call.response.fail(failure);
-    }
-
-    #record(event: string, fields: Record<string, string | number | undefined>): void {
-        const { request, route } = this.#call;
-        this.#parts.context.decisions.record(event, {
-            request: request.requestId,
-            route: route.name,
-            ageMs: Math.round(monotonicMs() - request.receivedAtMs),
-            ...fields,
-        });
-    }
 }
 
 const lastIdOf = (events: Buffer): string | undefined =>
