--- a/packages/fleet/src/ending.ts
+++ b/packages/fleet/src/ending.ts
@@ -162,6 +162,5 @@
     [OrderOutcome.Accepted]: true,
     [OrderOutcome.Refused]: false,
     [OrderOutcome.WrongServer]: true,
-    [OrderOutcome.NoListener]: true,
     [OrderOutcome.Unknown]: false,
 };
--- a/packages/fleet/src/forming.ts
+++ b/packages/fleet/src/forming.ts
@@ -260,7 +260,7 @@
                 server: serverId,
                 outcome,
             });
-            if (outcome === OrderOutcome.WrongServer || outcome === OrderOutcome.NoListener) {
+            if (outcome === OrderOutcome.WrongServer) {
                 registry.end(serverId, server.report.bornMs, monotonicMs());
                 this.#state.changed.notify();
                 return;
--- a/packages/fleet/src/orders.ts
+++ b/packages/fleet/src/orders.ts
@@ -8,9 +8,7 @@
     Refused: "refused",
     /** Another server has the address. */
     WrongServer: "wrongServer",
-    /** The connection was refused: no process listens there. */
-    NoListener: "noListener",
-    /** No answer. The order may have been accepted, and may be carried out later. */
+    /** No answer, or no connection. The order may have been accepted, and may be carried out later. */
     Unknown: "unknown",
 } as const;
 
@@ -35,9 +33,9 @@
         /** Above 1 when the engine is slow. */
         pace: number;
     }
-    /** The connection was refused, or another server has the address: the process has ended. */
+    /** Another server has the address: the process has ended. */
     | { kind: "ended"; }
-    /** No answer in time. */
+    /** No answer in time, or no connection. A partition may refuse connections to a process that goes on. */
     | { kind: "silent"; };
 
 /** Sends orders to backend servers. */
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -13,7 +13,7 @@
     /** The answer is complete. */
     | { kind: "complete"; head: ServerHead; body: Buffer; }
     /** The server has not run the request, and never will. */
-    | { kind: "notRun"; reason: string; head?: ServerHead; isConnectionRefused: boolean; }
+    | { kind: "notRun"; reason: string; head?: ServerHead; }
     /** The server may have run the request, or part of it. */
     | { kind: "failed"; reason: string; failure: FailureKind; };
 
@@ -140,7 +140,7 @@
         }
         if (head.isNotRun) {
             const reason = `${this.#options.name} answered ${head.status}, not run`;
-            this.#settle({ kind: "notRun", reason, head, isConnectionRefused: false });
+            this.#settle({ kind: "notRun", reason, head });
             return;
         }
         if (this.#isEventStream() && this.#scanner.hasPartial) {
@@ -156,14 +156,13 @@
 
     #onFailure(error: ExchangeError): void {
         if (!this.#exchange.hasWritten) {
-            const isConnectionRefused = codeOf(error.cause) === "ECONNREFUSED";
-            this.#settle({ kind: "notRun", reason: error.message, isConnectionRefused });
+            this.#settle({ kind: "notRun", reason: error.message });
             return;
         }
         // An answer that says "not run" may lose its last bytes; its head is a promise already.
         if (this.#head?.isNotRun) {
             const reason = `${this.#options.name} answered ${this.#head.status}, not run`;
-            this.#settle({ kind: "notRun", reason, head: this.#head, isConnectionRefused: false });
+            this.#settle({ kind: "notRun", reason, head: this.#head });
             return;
         }
         this.#settle({ kind: "failed", reason: error.message, failure: error.kind });
@@ -175,7 +174,5 @@
     }
 }
 
-const codeOf = (cause: unknown): string | undefined => (cause as { code?: string; } | undefined)?.code;
-
 /** Time left in whole milliseconds for a backend server; never below 1. */
 export const leftMs = (deadlineAtMs: number): number => Math.max(1, Math.floor(deadlineAtMs - monotonicMs()));
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -196,7 +196,7 @@
             const { isSuspect, mustMove, silentMs, hasRunningStream } = group.stall(nowMs);
             if (isSuspect && !group.isSuspected(nowMs)) {
                 const reason = `no progress for ${Math.round(silentMs)} ms`;
-                this.#suspect(group, { reason, hasRunningStream, isHeadGone: false });
+                this.#suspect(group, { reason, hasRunningStream });
             }
             if (isSuspect && mustMove) {
                 [...group.uses].forEach((use) =>
@@ -221,8 +221,8 @@
 
     #suspect(group: GroupState, details: SuspicionDetails): void {
         const { groupName, epoch } = group.target;
-        const { reason, hasRunningStream, isHeadGone, culpritId } = details;
-        const fields = { group: groupName, epoch, reason, hasRunningStream, isHeadGone, culprit: culpritId };
+        const { reason, hasRunningStream, culpritId } = details;
+        const fields = { group: groupName, epoch, reason, hasRunningStream, culprit: culpritId };
         this.#options.context.decisions.record("group.suspected", fields);
         this.#options.context.metrics.count("gateway.suspicions");
         this.#tell(group, details, monotonicMs());
--- a/packages/gateway/src/streamcall.ts
+++ b/packages/gateway/src/streamcall.ts
@@ -281,12 +281,11 @@
         }
         const nowMs = monotonicMs();
         group.avoid(nowMs);
-        const isHeadGone = outcome.kind === "notRun" && outcome.isConnectionRefused;
         const culpritId = outcome.kind === "notRun" ? outcome.head?.culpritId : undefined;
         const isUnreachable = outcome.kind === "notRun" && outcome.head === undefined;
-        if (isHeadGone || culpritId !== undefined || isUnreachable) {
+        if (culpritId !== undefined || isUnreachable) {
             const { reason } = outcome;
-            this.#parts.suspect(group, { reason, hasRunningStream: false, isHeadGone, culpritId });
+            this.#parts.suspect(group, { reason, hasRunningStream: false, culpritId });
         }
     }
 
--- a/packages/protocol/src/fleet.ts
+++ b/packages/protocol/src/fleet.ts
@@ -167,8 +167,6 @@
     reason: string;
     /** Whether a stream that had begun stands still; a request that waits may only be queued. */
     hasRunningStream: boolean;
-    /** Whether connections to the head are refused or reset: then the head's process has ended. */
-    isHeadGone: boolean;
     /** Server that an answer named as the one at fault. */
     culpritId?: string;
 }
--- a/test/fleet/controller.test.ts
+++ b/test/fleet/controller.test.ts
@@ -30,7 +30,6 @@
         epoch: group?.epoch ?? 0,
         reason: "no progress",
         hasRunningStream: true,
-        isHeadGone: false,
     });
     t.false(isHealthy);
     await until(
@@ -60,7 +59,6 @@
         epoch: group?.epoch ?? 0,
         reason: "no progress",
         hasRunningStream: true,
-        isHeadGone: false,
     });
     await until(
         "another group of the model",
--- a/test/platform/engine.ts
+++ b/test/platform/engine.ts
@@ -55,6 +55,11 @@
         return engine;
     }
 
+    /** `host:port`. */
+    get address(): string {
+        return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+    }
+
     stop(): void {
         clearInterval(this.#timer);
         this.#server.closeAllConnections();
@@ -66,7 +71,7 @@
         this.#sequence += 1;
         const body = JSON.stringify({
             service,
-            address: `127.0.0.1:${(this.#server.address() as AddressInfo).port}`,
+            address: this.address,
             zone: "z",
             version: "v1",
             slots: 18,
--- a/test/platform/path.test.ts
+++ b/test/platform/path.test.ts
@@ -1,3 +1,4 @@
+import { waitFor } from "@greengage/faults";
 import test from "ava";
 import { once } from "node:events";
 import { PlatformEngine } from "./engine.ts";
@@ -68,7 +69,7 @@
     t.regex(text, /greengage_gateway_first_event\{quantile="0.95"\} \d+/);
 
     for (const engine of engines) {
-        engine.eventCount = 40;
+        engine.eventCount = 100;
         engine.eventGapMs = 50;
     }
     const inFlight = call(chatUrl, { method: "POST", headers: chatHeaders("r5") });
@@ -76,7 +77,12 @@
     const exited = once(entry, "exit");
     entry.kill("SIGTERM");
     await callUntil(503, `http://${readiness}/greengageridge/ready`);
-    t.is((await inFlight)?.text.match(/data:/g)?.length, 40, "a stream in flight is finished");
+    await waitFor(
+        "the end of new connections",
+        async () => await call(chatUrl) === undefined ? true : undefined,
+    );
+    t.is(entry.exitCode ?? undefined, undefined, "no request is taken that could not be finished");
+    t.is((await inFlight)?.text.match(/data:/g)?.length, 100, "a stream in flight is finished");
     const [code] = await exited;
     t.is(code, 0);
     const events = entryLog().split("\n").filter((line) => line !== "").map((line) =>
