--- a/test/platform/engine.ts
+++ b/test/platform/engine.ts
@@ -108,9 +108,7 @@
         }
         const expected = message.headers["greengageridge-expect-instance"];
         if (expected !== undefined && expected !== this.#options.id) {
-            response.writeHead(421, {
-                "greengageridge-request-id": message.headers["greengageridge-request-id"],
-            }).end();
+            response.writeHead(421, idHeader(message)).end();
             return;
         }
         if (message.url === "/greengageridge/order") {
@@ -176,7 +174,7 @@
         const isHead = this.#options.domain === undefined
             || (this.#group?.state === "open" && this.#group.rank === 0);
         if (!isHead) {
-            response.writeHead(421, { "greengageridge-request-id": id }).end();
+            response.writeHead(421, idHeader(message)).end();
             return;
         }
         this.ran.push(message.headers);
@@ -198,6 +196,11 @@
     }
 }
 
+const idHeader = ({ headers }: IncomingMessage): Record<string, string> => {
+    const id = headers["greengageridge-request-id"];
+    return id === undefined ? {} : { "greengageridge-request-id": String(id) };
+};
+
 interface Order {
     operation: string;
     group: string;
