--- a/packages/gateway/src/streamcall.ts
+++ b/packages/gateway/src/streamcall.ts
@@ -20,9 +20,6 @@
 /** Id of the last event in a run of whole events. */
 const EVENT_ID = /(?:^|\n)id: ?([^\r\n]*)/g;
 
-/** Failures by which a group shows that it is lost. */
-const LOSS_KINDS: readonly FailureKind[] = [FailureKind.Stalled, FailureKind.Broken];
-
 /** What the caller has received so far. */
 interface Delivered {
     hasHead: boolean;
@@ -43,7 +40,7 @@
     readonly #run: CallRun;
     readonly #delivered: Delivered;
     #head: ServerHead | undefined;
-    #hasLostGroup = false;
+    #wasRejected = false;
 
     constructor(
         parts: GatewayParts,
@@ -203,8 +200,7 @@
         this.#run.attempt = undefined;
         group.end(use, outcome.kind === "complete", monotonicMs());
         this.#judge(group, outcome);
-        const isLost = outcome.kind === "failed" && LOSS_KINDS.includes(outcome.failure);
-        this.#hasLostGroup ||= outcome.kind === "notRun" || isLost;
+        this.#wasRejected ||= outcome.kind === "notRun";
         return outcome;
     }
 
@@ -289,9 +285,9 @@
         }
     }
 
-    /** Attempts at groups that were lost, or that rejected the request, leave one more. */
+    /** A group that has rejected the request has not run it, so it leaves one more attempt. */
     #mayRepeat(): boolean {
-        const allowedCount = this.#call.route.maxAttempts + (this.#hasLostGroup ? 1 : 0);
+        const allowedCount = this.#call.route.maxAttempts + (this.#wasRejected ? 1 : 0);
         return this.#run.attemptCount < allowedCount && remainingMs(this.#call) > MIN_RETRY_MS;
     }
 
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -279,3 +279,13 @@
     other.response.leave();
     await other.done;
 });
+
+// Guards against a request that runs on more groups than its route allows.
+test("a stream is sent to no more groups than its route allows, however its attempts fail", async (t) => {
+    const groups = await Promise.all(
+        [1, 2, 3, 4].map(() => serverOf(t, brokenStreams["breaks inside an event"] as Answer)),
+    );
+    const response = await gatewayOf(t, { heads: groups }).send();
+    t.is(groups.reduce((sum, group) => sum + group.received.length, 0), 2);
+    t.true(response.isDestroyed);
+});
