Let a restarted voter hear of the new term after the first commit

Cause: the test read the term of d1 as soon as an entry was committed, but the other two voters are a majority, and the first voter now campaigns without waiting for d1. The check stays: d1 must reach a higher term; it is waited for.

--- a/test/consensus/election.test.ts
+++ b/test/consensus/election.test.ts
@@ -77,7 +77,12 @@
     await Promise.all(cluster.ids.map((id) => cluster.startMember(id)));
     await cluster.waitForAll(ids);
     await cluster.add("after", "d4");
-    t.true(cluster.member("d1").log.status().term > termBefore);
+    // The other two voters are a majority, so d1 may hear of the new term after the entry is committed.
+    const termAfter = await cluster.waitFor("a new term on d1", () => {
+        const { term } = cluster.member("d1").log.status();
+        return term > termBefore ? term : undefined;
+    });
+    t.true(termAfter > termBefore);
 });
 
 // Guards against reads that a deposed leader answers from its own state.
