Bound the demand that a leader keeps, and log calls to the leader that fail

Cause: read as a newcomer: a leader kept every report of demand for good, and two failures of calls were swallowed.

--- a/packages/fleet/src/controller.ts
+++ b/packages/fleet/src/controller.ts
@@ -99,9 +99,7 @@
         return recordsOf(this.#state);
     }
 
-    /**
-     * Takes over with a new term. Groups are those that the former leader has told of, and those that members report.
-     */
+    /** Takes over with a new term. Groups are those that the former leader has told of, and those that members report. */
     activate(term: number, records: GroupRecords | undefined): void {
         this.#term = term;
         this.#epochCount = 0;
@@ -158,7 +156,12 @@
             return;
         }
         const nowMs = monotonicMs();
-        const { registry, groups } = this.#state;
+        const { registry, groups, distrustedAtMs } = this.#state;
+        for (const serverId of distrustedAtMs.keys()) {
+            if (registry.get(serverId) === undefined) {
+                distrustedAtMs.delete(serverId);
+            }
+        }
         registry.expire(nowMs, FORGET_SERVER_MS, (serverId) => groups.groupOf(serverId) !== undefined);
         adoptGroups(this.#state, nowMs);
         for (const group of this.#state.groups.all()) {
--- a/packages/fleet/src/service.ts
+++ b/packages/fleet/src/service.ts
@@ -29,8 +29,8 @@
 const ROLE_CHECK_MS = 50;
 /** Longest wait of a watch, which also bounds how long a daemon takes to notice a daemon that hangs. */
 const MAX_WATCH_MS = 1_000;
-/** An answer that engines and operators wait for must come within a second. */
-const FORWARD_TIMEOUT_MS = 700;
+/** An answer that backend servers wait for must come within a second. */
+const FORWARD_OPTIONS = { timeoutMs: 700 };
 
 export interface FleetServiceOptions {
     context: Context;
@@ -133,27 +133,34 @@
     }
 
     /** Passes a report to the leader. Returns false when it could not be, so that the server tries another daemon. */
-    async report(report: ServerReport): Promise<boolean> {
-        return await this.#atLeader("fleet.report", { reports: [report] });
+    report(report: ServerReport): Promise<boolean> {
+        return this.#forward((leaderId) =>
+            this.#options.peers.call(leaderId, "fleet.report", { reports: [report] }, FORWARD_OPTIONS)
+        );
     }
 
     /** Passes on that a server has announced its end. */
-    async depart(serverId: string, bornMs: number | undefined): Promise<boolean> {
-        return await this.#atLeader("fleet.depart", { serverId, bornMs });
+    depart(serverId: string, bornMs: number | undefined): Promise<boolean> {
+        return this.#forward((leaderId) =>
+            this.#options.peers.call(leaderId, "fleet.depart", { serverId, bornMs }, FORWARD_OPTIONS)
+        );
     }
 
-    async #atLeader<T extends "fleet.report" | "fleet.depart">(
-        type: T,
-        request: Parameters<Peers["call"]>[2],
-    ): Promise<boolean> {
-        const { peers, log } = this.#options;
-        const { leaderId } = log.status();
+    async #forward(send: (leaderId: string) => Promise<{ isAccepted: boolean; }>): Promise<boolean> {
+        const { leaderId } = this;
         if (leaderId === undefined) {
             return false;
         }
-        const answer = await peers.call(leaderId, type, request as never, { timeoutMs: FORWARD_TIMEOUT_MS })
-            .catch(() => undefined);
-        return (answer as { isAccepted: boolean; } | undefined)?.isAccepted === true;
+        try {
+            return (await send(leaderId)).isAccepted;
+        }
+        catch (error) {
+            this.#options.context.decisions.record("leader.unreachable", {
+                leaderId,
+                reason: messageOf(error),
+            });
+            return false;
+        }
     }
 
     #acceptReports(reports: readonly ServerReport[]): { isAccepted: boolean; leaderId?: string; } {
@@ -341,8 +348,11 @@
         for (const entryId of ids) {
             this.#entries.set(entryId, nowMs);
         }
-        this.#demand.push(...request.demand);
         this.#controller.noteDemand(request.demand);
+        if (this.#leadingTerm === undefined) {
+            // The leader is where demand goes; the others pass it on.
+            this.#demand = sumDemand([...this.#demand, ...request.demand]);
+        }
     }
 
     #hasNews(
@@ -387,11 +397,16 @@
 
     #entryIds(): string[] {
         const oldestMs = monotonicMs() - ENTRY_MEMORY_MS;
-        return [...this.#entries].filter(([, atMs]) => atMs >= oldestMs).map(([entryId]) => entryId);
+        for (const [entryId, atMs] of this.#entries) {
+            if (atMs < oldestMs) {
+                this.#entries.delete(entryId);
+            }
+        }
+        return [...this.#entries.keys()];
     }
 
     #takeDemand(): ModelDemand[] {
-        const demand = sumDemand(this.#demand);
+        const demand = this.#demand;
         this.#demand = [];
         return demand;
     }
--- a/packages/fleet/src/watcher.ts
+++ b/packages/fleet/src/watcher.ts
@@ -28,6 +28,8 @@
     #view: FleetView | undefined;
     #target: string | undefined;
     #leaderId: string | undefined;
+    /** Why the last call failed. */
+    #failure = "";
     #recordsVersion = 0;
     #answeredAtMs = -Infinity;
     #failedAtMs = new Map<string, number>();
@@ -70,7 +72,7 @@
                 return;
             }
             if (response === undefined || isStale(response)) {
-                this.#leave(target, response === undefined ? "no answer" : "it has lost the leader");
+                this.#leave(target, response === undefined ? this.#failure : "it has lost the leader");
                 await sleep(RETRY_DELAY_MS, signal);
                 continue;
             }
@@ -98,7 +100,10 @@
             viewVersion: this.#view?.version ?? 0,
             recordsVersion: this.#recordsVersion,
             waitMs: WATCH_WAIT_MS,
-        }, { timeoutMs: WATCH_TIMEOUT_MS }).catch(() => undefined);
+        }, { timeoutMs: WATCH_TIMEOUT_MS }).catch((error: unknown) => {
+            this.#failure = messageOf(error);
+            return undefined;
+        });
         if (response === undefined) {
             return undefined;
         }
