--- a/packages/fleet/src/service.ts
+++ b/packages/fleet/src/service.ts
@@ -1,12 +1,9 @@
-import { type Context, Lifecycle, LogPart, messageOf, monotonicMs } from "@greengage/base";
-import type { RoutingTable } from "@greengage/configuration";
-import { type ConfigurationRegister } from "@greengage/configuration";
-import { ChangeSignal, type RaftLog } from "@greengage/consensus";
+import { Lifecycle, LogPart, messageOf, monotonicMs } from "@greengage/base";
+import { ChangeSignal } from "@greengage/consensus";
 import type {
     FleetView,
     GroupRecords,
     GroupSuspicion,
-    ModelDemand,
     Peers,
     ServerReport,
     ServerTarget,
@@ -14,7 +11,7 @@
     WatchRequest,
     WatchResponse,
 } from "@greengage/protocol";
-import { deflateRawSync } from "node:zlib";
+import { ConfigurationSource, type ConfigurationSourceOptions } from "./configurations.ts";
 import { GroupController } from "./controller.ts";
 import type { EngineOrders } from "./orders.ts";
 import { GroupRecordFile } from "./recordfile.ts";
@@ -22,9 +19,8 @@
 import type { FleetTiming } from "./timing.ts";
 import { groupTargets, isNewerView, serverTargets } from "./view.ts";
 import { FleetWatcher } from "./watcher.ts";
+import { Watchers } from "./watchers.ts";
 
-/** An entry daemon counts for this long after its last watch. */
-const ENTRY_MEMORY_MS = 5_000;
 /** Period at which leadership is noticed. */
 const ROLE_CHECK_MS = 50;
 /** Longest wait of a watch, which also bounds how long a daemon takes to notice a daemon that hangs. */
@@ -32,13 +28,8 @@
 /** An answer that backend servers wait for must come within a second. */
 const FORWARD_OPTIONS = { timeoutMs: 700 };
 
-export interface FleetServiceOptions {
-    context: Context;
+export interface FleetServiceOptions extends ConfigurationSourceOptions {
     peers: Peers;
-    log: RaftLog;
-    register: ConfigurationRegister;
-    /** Decodes a configuration that was accepted. Throws when it can't be read. */
-    decode: (document: Uint8Array) => RoutingTable;
     orders: EngineOrders;
     timing: FleetTiming;
     /** File for what a successor of the leader needs to know of the groups. */
@@ -54,17 +45,13 @@
     readonly #changed = new ChangeSignal();
     readonly #watcher: FleetWatcher;
     readonly #recordFile: GroupRecordFile;
-    readonly #entries = new Map<string, number>();
-    readonly #zones = new Map<string, string>();
+    readonly #watchers = new Watchers();
+    readonly #configurations: ConfigurationSource;
     #view: FleetView | undefined;
     #viewKey = "";
     #viewVersion = 0;
     #toldRecordsVersion = 0;
     #leadingTerm: number | undefined;
-    #routing: RoutingTable | undefined;
-    #decodedVersion = 0;
-    #compressed: { version: number; document: Uint8Array; } | undefined;
-    #demand: ModelDemand[] = [];
     /** What the leader has told of its groups. */
     #records: GroupRecords | undefined;
 
@@ -72,13 +59,14 @@
         this.#options = options;
         const { context, peers, orders, timing, log } = options;
         this.#recordFile = new GroupRecordFile(context, options.recordPath);
-        this.#zones.set(context.daemonId, context.zone);
+        this.#watchers.setZone(context.daemonId, context.zone);
+        this.#configurations = new ConfigurationSource(options);
         this.#controller = new GroupController({
             context,
             registry: this.#registry,
             orders,
             timing,
-            routing: () => this.#currentRouting(),
+            routing: () => this.#configurations.routing(),
             mayAct: () => log.holdsLeaderLease,
             onStep: () => this.#publish(),
         });
@@ -90,8 +78,8 @@
                 // Configurations come by the replicated log.
                 configurationVersion: Number.MAX_SAFE_INTEGER,
                 isEntry: false,
-                entryIds: this.#entryIds(),
-                demand: this.#takeDemand(),
+                entryIds: this.#watchers.entryIds(),
+                demand: this.#watchers.takeDemand(),
             }),
             onConfiguration: () => undefined,
             onView: (view) => this.#takeView(view),
@@ -264,14 +252,14 @@
         const input = {
             registry: this.#registry,
             groups: this.#controller.groups,
-            routing: this.#currentRouting(),
+            routing: this.#configurations.routing(),
             heartbeatMs: timing.heartbeatMs,
             nowMs,
         };
         const view = {
             groups: groupTargets(input),
             servers: [...serverTargets(input), ...this.#inheritedServers()],
-            entryDaemonCount: Math.max(1, this.#entryIds().length),
+            entryDaemonCount: Math.max(1, this.#watchers.entryIds().length),
             controllers: this.#controllers(),
         };
         if (this.#controller.groups.version !== this.#toldRecordsVersion) {
@@ -299,7 +287,7 @@
     #controllers(): FleetView["controllers"] {
         const { voterIds = [], joiningIds } = this.#options.log.status();
         return [...new Set([...voterIds, ...joiningIds])].sort()
-            .map((daemonId) => ({ daemonId, zone: this.#zones.get(daemonId) ?? "" }));
+            .map((daemonId) => ({ daemonId, zone: this.#watchers.zoneOf(daemonId) }));
     }
 
     #takeConfiguration(): void {
@@ -309,29 +297,10 @@
         this.#controller.wake();
     }
 
-    /** The configuration in force, decoded when it is first needed: a start replays many. */
-    #currentRouting(): RoutingTable | undefined {
-        const { register, decode, context } = this.#options;
-        const { held } = register;
-        if (held === undefined || held.version === this.#decodedVersion) {
-            return this.#routing;
-        }
-        this.#decodedVersion = held.version;
-        try {
-            this.#routing = decode(held.document);
-        }
-        catch (error) {
-            context.logs(LogPart.Table).error("an accepted configuration can't be read", {
-                version: held.version,
-                reason: messageOf(error),
-            });
-        }
-        return this.#routing;
-    }
-
     async #answerWatch(request: WatchRequest, from: string): Promise<WatchResponse> {
         const nowMs = monotonicMs();
-        this.#noteWatcher(request, from, nowMs);
+        this.#watchers.note(request, from);
+        this.#controller.noteDemand(request.demand);
         const untilMs = nowMs + Math.min(request.waitMs, MAX_WATCH_MS);
         while (!this.#hasNews(request) && monotonicMs() < untilMs && !this.#lifecycle.isClosed) {
             await this.#changed.wait(untilMs - monotonicMs());
@@ -340,21 +309,6 @@
         return { ...this.#watchResponse(request), ...(records === undefined ? {} : { records }) };
     }
 
-    #noteWatcher(request: WatchRequest, from: string, nowMs: number): void {
-        const ids = request.isEntry ? [from] : request.entryIds;
-        if (!request.isEntry) {
-            this.#zones.set(from, request.zone);
-        }
-        for (const entryId of ids) {
-            this.#entries.set(entryId, nowMs);
-        }
-        this.#controller.noteDemand(request.demand);
-        if (this.#leadingTerm === undefined) {
-            // The leader is where demand goes; the others pass it on.
-            this.#demand = sumDemand([...this.#demand, ...request.demand]);
-        }
-    }
-
     #hasNews(
         { configurationVersion, viewTerm, viewVersion, isEntry, recordsVersion }: WatchRequest,
     ): boolean {
@@ -362,13 +316,14 @@
             && this.#controller.groups.version !== recordsVersion;
         const isViewNewer = this.#view !== undefined
             && isNewerView(this.#view, { term: viewTerm, version: viewVersion });
-        return isViewNewer || areRecordsNewer || this.#newerConfiguration(configurationVersion) !== undefined;
+        return isViewNewer || areRecordsNewer
+            || this.#configurations.newerThan(configurationVersion) !== undefined;
     }
 
     #watchResponse({ configurationVersion, viewTerm, viewVersion }: WatchRequest): WatchResponse {
         const { context, log } = this.#options;
         const { leaderId, leaderContactAgeMs } = log.status();
-        const configuration = this.#newerConfiguration(configurationVersion);
+        const configuration = this.#configurations.newerThan(configurationVersion);
         const view = this.#view;
         const hasView = view !== undefined && isNewerView(view, { term: viewTerm, version: viewVersion });
         return {
@@ -380,51 +335,9 @@
         };
     }
 
-    /** A configuration newer than `version`, unless this daemon has just started and may hold an older one itself. */
-    #newerConfiguration(version: number): { version: number; document: Uint8Array; } | undefined {
-        const { register, log } = this.#options;
-        return register.version > version && log.isCurrent ? this.#compress() : undefined;
-    }
-
-    /** The configuration in force, compressed once for all daemons that ask. */
-    #compress(): { version: number; document: Uint8Array; } | undefined {
-        const { held } = this.#options.register;
-        if (held !== undefined && this.#compressed?.version !== held.version) {
-            this.#compressed = { version: held.version, document: deflateRawSync(held.document) };
-        }
-        return this.#compressed;
-    }
-
-    #entryIds(): string[] {
-        const oldestMs = monotonicMs() - ENTRY_MEMORY_MS;
-        for (const [entryId, atMs] of this.#entries) {
-            if (atMs < oldestMs) {
-                this.#entries.delete(entryId);
-            }
-        }
-        return [...this.#entries.keys()];
-    }
-
-    #takeDemand(): ModelDemand[] {
-        const demand = this.#demand;
-        this.#demand = [];
-        return demand;
-    }
-
     /** The leader, while another daemon leads. */
     #leaderTarget(): string[] {
         const { role, leaderId } = this.#options.log.status();
         return role === "leader" || leaderId === undefined ? [] : [leaderId];
     }
 }
-
-/** Adds up demand by service and model. */
-export const sumDemand = (demand: readonly ModelDemand[]): ModelDemand[] => {
-    const sums = new Map<string, ModelDemand>();
-    for (const { service, model, tokens, rejected } of demand) {
-        const key = `${service}\n${model}`;
-        const sum = sums.get(key) ?? { service, model, tokens: 0, rejected: 0 };
-        sums.set(key, { ...sum, tokens: sum.tokens + tokens, rejected: sum.rejected + rejected });
-    }
-    return [...sums.values()];
-};
--- /dev/null
+++ b/packages/fleet/src/watchers.ts
@@ -0,0 +1,62 @@
+import { monotonicMs } from "@greengage/base";
+import type { ModelDemand, WatchRequest } from "@greengage/protocol";
+
+/** An entry daemon counts for this long after its last watch. */
+const ENTRY_MEMORY_MS = 5_000;
+
+/** What a control daemon learns of the daemons that watch it. */
+export class Watchers {
+    readonly #entries = new Map<string, number>();
+    readonly #zones = new Map<string, string>();
+    #demand: ModelDemand[] = [];
+
+    note({ isEntry, entryIds, zone, demand }: WatchRequest, from: string): void {
+        const nowMs = monotonicMs();
+        for (const entryId of isEntry ? [from] : entryIds) {
+            this.#entries.set(entryId, nowMs);
+        }
+        if (!isEntry) {
+            this.setZone(from, zone);
+        }
+        this.#demand = sumDemand([...this.#demand, ...demand]);
+    }
+
+    /** Zone of a daemon that serves control. */
+    setZone(daemonId: string, zone: string): void {
+        this.#zones.set(daemonId, zone);
+    }
+
+    /** The zone, or an empty string while it isn't known. */
+    zoneOf(daemonId: string): string {
+        return this.#zones.get(daemonId) ?? "";
+    }
+
+    /** Entry daemons that watch this daemon, or one that passes the fleet on. */
+    entryIds(): string[] {
+        const oldestMs = monotonicMs() - ENTRY_MEMORY_MS;
+        for (const [entryId, atMs] of this.#entries) {
+            if (atMs < oldestMs) {
+                this.#entries.delete(entryId);
+            }
+        }
+        return [...this.#entries.keys()];
+    }
+
+    /** Demand since the last call. */
+    takeDemand(): ModelDemand[] {
+        const demand = this.#demand;
+        this.#demand = [];
+        return demand;
+    }
+}
+
+/** Adds up demand by service and model. */
+const sumDemand = (demand: readonly ModelDemand[]): ModelDemand[] => {
+    const sums = new Map<string, ModelDemand>();
+    for (const { service, model, tokens, rejected } of demand) {
+        const key = `${service}\n${model}`;
+        const sum = sums.get(key) ?? { service, model, tokens: 0, rejected: 0 };
+        sums.set(key, { ...sum, tokens: sum.tokens + tokens, rejected: sum.rejected + rejected });
+    }
+    return [...sums.values()];
+};
