Count votes that a slow disk delays beyond the limit of one call

Cause: a candidate asked each voter once a term, and an answer later than the limit of a call was lost. A voter answers only after two syncs, so with syncs slower than half the limit no leader was ever elected: each try raised the term and cost another write. A disk that is slow for some seconds (write-back after an installation) is enough in the tests, whose limit is 120 ms.

Now a candidate asks again in the same term, a voter that has stored the vote only confirms it, and the patience of elections and leaders grows with the duration of the last write of term and vote.

--- a/packages/consensus/src/election.ts
+++ b/packages/consensus/src/election.ts
@@ -1,9 +1,11 @@
-import { monotonicMs, Random, sleep } from "@greengage/base";
+import { messageOf, monotonicMs, Random, sleep } from "@greengage/base";
 import type { Member, VoteRequest, VoteResponse } from "@greengage/protocol";
 import { LogRole } from "./log.ts";
 import type { RaftState } from "./state.ts";
 
 const POLL_MS = 50;
+/** Pause before an unreachable voter is asked again; a connection that is being opened needs a few ms. */
+const VOTE_RETRY_MS = 20;
 
 type VoteType = "raft.preVote" | "raft.vote";
 
@@ -32,11 +34,11 @@
 
     /** Task that campaigns whenever this voter has had no leader for a while. */
     async run(signal: AbortSignal): Promise<void> {
-        const { timing } = this.#state;
         while (!signal.aborted) {
-            const timeoutMs = timing.electionTimeoutMs * (1 + this.#random.fraction());
-            while (!signal.aborted && this.#quietMs() < timeoutMs) {
-                await sleep(Math.max(1, Math.min(POLL_MS, timeoutMs - this.#quietMs())), signal);
+            const spread = 1 + this.#random.fraction();
+            const timeoutMs = (): number => this.#state.electionPatienceMs * spread;
+            while (!signal.aborted && this.#quietMs() < timeoutMs()) {
+                await sleep(Math.max(1, Math.min(POLL_MS, timeoutMs() - this.#quietMs())), signal);
             }
             if (!signal.aborted && this.#mayCampaign()) {
                 await this.#campaign();
@@ -125,9 +127,7 @@
             lastLogIndex: state.entries.lastIndex,
             lastLogTerm: state.entries.lastTerm,
         };
-        const response = await state.peers.call(member.daemonId, type, request, {
-            timeoutMs: state.timing.callTimeoutMs,
-        }).catch(() => undefined);
+        const response = await this.#callForVote(type, member, request);
         if (response === undefined || response.memberId !== member.memberId) {
             return false;
         }
@@ -152,6 +152,37 @@
         return response.granted;
     }
 
+    /**
+     * Asks until the member answers or the election has taken too long. A voter on a slow disk answers after the time
+     * limit of a call; asked again in the same term, it only has to confirm the vote that it has stored meanwhile.
+     */
+    async #callForVote(
+        type: VoteType,
+        member: Member,
+        request: VoteRequest,
+    ): Promise<VoteResponse | undefined> {
+        const state = this.#state;
+        const { callTimeoutMs } = state.timing;
+        const isOpen = (): boolean =>
+            type === "raft.vote" && state.term === request.term && state.role === LogRole.Candidate;
+        const untilMs = monotonicMs() + state.electionPatienceMs;
+        for (;;) {
+            const response = await state.peers.call(member.daemonId, type, request, {
+                timeoutMs: callTimeoutMs,
+            })
+                .catch((error: unknown) => {
+                    state.log.debug(`no answer to ${type} from ${member.daemonId}`, {
+                        reason: messageOf(error),
+                    });
+                    return undefined;
+                });
+            if (response !== undefined || !isOpen() || monotonicMs() >= untilMs) {
+                return response;
+            }
+            await sleep(VOTE_RETRY_MS, state.lifecycle.signal);
+        }
+    }
+
     #refusal(mustRejoin = false): VoteResponse {
         const { term, memberId, entries } = this.#state;
         return { term, memberId, granted: false, lastLogIndex: entries.lastIndex, mustRejoin };
@@ -200,7 +231,9 @@
         const isFree = state.votedFor === undefined || state.votedFor === request.memberId;
         const isGranted = isFree && this.#isUpToDate(request);
         if (isGranted) {
-            state.voteFor(request.memberId);
+            if (state.votedFor === undefined) {
+                state.voteFor(request.memberId);
+            }
             this.#quietFromMs = monotonicMs();
         }
         await state.metadataSaved();
--- a/packages/consensus/src/replication.ts
+++ b/packages/consensus/src/replication.ts
@@ -105,7 +105,7 @@
     }
 
     #hasMajority(): boolean {
-        const oldestMs = monotonicMs() - this.#state.timing.electionTimeoutMs;
+        const oldestMs = monotonicMs() - this.#state.electionPatienceMs;
         const answering = this.#state.otherVoters.filter((member) =>
             (this.#progress.get(member.memberId)?.answeredAtMs ?? 0) >= oldestMs
         );
--- a/packages/consensus/src/state.ts
+++ b/packages/consensus/src/state.ts
@@ -8,6 +8,11 @@
 import type { RaftStorage, StoredState } from "./storage.ts";
 import type { RaftTiming } from "./timing.ts";
 
+/** Durable writes in a row: candidate's term, vote, first entry, and one that was under way before. */
+const WRITES_PER_ELECTION = 4;
+/** Bound on the writes' part of the patience, in election timeouts: a longer stall is treated as a lost disk. */
+const MAX_WRITE_SHARE = 20;
+
 export interface RaftStateOptions {
     context: Context;
     peers: Peers;
@@ -46,6 +51,8 @@
     isCheckedIn = false;
     /** Identity of the cluster of the entries that a learner holds. */
     learnedClusterId: string | undefined;
+    /** Duration of the last write of term and vote. */
+    #lastSaveMs = 0;
     #metadataSaved: Promise<void> = Promise.resolve();
 
     constructor(options: RaftStateOptions) {
@@ -132,9 +139,22 @@
         if (this.storage === undefined) {
             return;
         }
+        const startedAtMs = monotonicMs();
         this.#metadataSaved = this.storage.saveMetadata({ term, votedFor });
         // Whoever depends on the write awaits `metadataSaved`; the storage reports the failure.
-        this.#metadataSaved.catch(() => undefined);
+        this.#metadataSaved.then(() => {
+            this.#lastSaveMs = monotonicMs() - startedAtMs;
+        }, () => undefined);
+    }
+
+    /**
+     * Time in ms that an election may take before it counts as failed: the election timeout, and the writes of
+     * candidate and voters on a disk as slow as this one has lately been.
+     */
+    get electionPatienceMs(): number {
+        const { electionTimeoutMs } = this.timing;
+        const writesMs = WRITES_PER_ELECTION * this.#lastSaveMs;
+        return electionTimeoutMs + Math.min(writesMs, MAX_WRITE_SHARE * electionTimeoutMs);
     }
 
     /** Resolves when the present term and vote are durable. */
--- a/test/consensus/election.test.ts
+++ b/test/consensus/election.test.ts
@@ -1,4 +1,6 @@
+import { sleep } from "@greengage/base";
 import test from "ava";
+import type { FileHandle } from "node:fs/promises";
 import { noteIds, startCluster } from "./fixture.ts";
 
 // Guards against a cluster that accepts nothing after the loss of its leader, and against lost committed entries.
@@ -112,3 +114,20 @@
     await Promise.all(noteIds("n", 300).map((id) => cluster.add(id, leader.daemonId)));
     t.true(syncCount - before < 300, `${syncCount - before} syncs on three voters for 300 commands`);
 });
+
+// Guards against a cluster without a leader on slow disks: a vote that comes after the time limit of one call must
+// count. One write of term and vote takes two syncs, here almost six times the limit.
+test.serial("a leader is elected while a vote takes longer to store than a call may take", async (t) => {
+    const syncMs = 350;
+    const syncFile = async (file: FileHandle): Promise<void> => {
+        await sleep(syncMs);
+        await file.sync();
+    };
+    const cluster = await startCluster(t, { raft: { syncFile } });
+    await cluster.leader();
+    await cluster.add("a", "d1", 10_000);
+    await cluster.waitForAll(["a"]);
+    const elections = cluster.leaders.length;
+    await sleep(2_000);
+    t.is(cluster.leaders.length, elections, "a leader on a slow disk stays");
+});
