Wait for what daemons hear of a late order before the test reads it

The test read the serving group of the successor's view, and the orders of the spare, in the moment of the detection. The cause is from reading: suspension and event are one step on the controller, the view is not.

Replaced by waits for the order to the spare and for a serving group other than the first, with the number of its members; a successor that goes on with the old group fails it as before, after the limit of the wait.

--- a/test/membership/takeover.test.ts
+++ b/test/membership/takeover.test.ts
@@ -44,9 +44,16 @@
     // The held orders of the former controller arrive now: generation 2 with the spare.
     gate?.waiting.splice(0).forEach((resume) => resume());
     await waitFor("detection", () => eventKinds(zone).includes("vm.lateOrder") || undefined);
-    t.true(vmOf(zone, spareId).orders.length > 0);
-    const after = await servingOne(zone, successor.daemonId);
-    t.true(after.generation !== 1 || after.groupId !== first.groupId);
+    // The held orders are carried out one by one, and daemons hear of the suspension with the next view.
+    await waitFor("the order to the spare", () => vmOf(zone, spareId).orders.length > 0 || undefined);
+    const after = await waitFor(
+        "another serving group",
+        () =>
+            zone.serving(successor.daemonId, "assistant").find(({ generation, groupId }) =>
+                generation !== 1 || groupId !== first.groupId
+            ),
+    );
+    t.is(after.memberVmIds.length, 2);
     t.is(zone.violations, 0);
 });
 
