--- a/test/membership/directory.test.ts
+++ b/test/membership/directory.test.ts
@@ -1,4 +1,4 @@
-import { createContext } from "@greengage/base";
+import { createContext, sleep } from "@greengage/base";
 import { Hub, SHORT_TIMING } from "@greengage/bench";
 import { waitFor } from "@greengage/faults";
 import { GroupDirectory } from "@greengage/membership";
@@ -62,3 +62,29 @@
     await waitFor("the last push", () => changes.length >= 2 || undefined);
     t.deepEqual(changes, [false, false]);
 });
+
+// Guards against a send on an expired grant: the choice of a group and the write are apart by a wait for a place, and
+// the zone's next controller may have formed another group of these VMs meanwhile.
+test("a group that was chosen under a valid grant doesn't serve after the grant has run out", async (t) => {
+    const hub = new Hub();
+    const peers = hub.join({ daemonId: "daemon-1", zone: ZONE, host: "", port: 0 });
+    const controller = hub.join({ daemonId: "daemon-2", zone: ZONE, host: "", port: 0 });
+    const validForMs = 300;
+    controller.handle("zone.holder", () => ({ holderId: "daemon-2", highestFence: 1 }));
+    controller.handle("grant.renew", () => ({ grant: { ...grantOf(1, GroupState.Serving), validForMs } }));
+    const directory = new GroupDirectory({
+        context: createContext({ daemonId: "daemon-1", zone: ZONE }),
+        peers,
+        timing: { ...SHORT_TIMING, grantMs: validForMs, grantRenewMs: 30_000 },
+        zones: [ZONE],
+        acceptorsOf: () => ["daemon-2"],
+        tableVersion: () => 0,
+    });
+    t.teardown(() => directory.close());
+    directory.start();
+    const chosen = await waitFor("the group", () => directory.servingGroups("assistant")[0]);
+    t.true(directory.isServing(chosen.zone, chosen.groupId, chosen.generation));
+    await sleep(validForMs + 50);
+    t.false(directory.isServing(chosen.zone, chosen.groupId, chosen.generation));
+    t.deepEqual(directory.servingGroups("assistant"), []);
+});
