--- /dev/null
+++ b/test/fleet/loadpacer.test.ts
@@ -0,0 +1,34 @@
+import { LoadPacer } from "@greengage/fleet";
+import test from "ava";
+
+const LOADS_PER_S = 2;
+const LOADS_AT_ONCE = 8;
+
+const WINDOW_MS = 5_000;
+
+// Guards against more loads than the weight store bears: a domain that returns asks for all of its VMs at once.
+test("the loads of any window stay below the store's rate, however many VMs wait", (t) => {
+    const pacer = new LoadPacer();
+    const startsMs: number[] = [];
+    for (let nowMs = 0; nowMs < 60_000; nowMs += 200) {
+        const runningCount = startsMs.filter((atMs) => nowMs - atMs < 1_000).length;
+        const allowed = pacer.allowed(LOADS_PER_S, LOADS_AT_ONCE, true, runningCount, nowMs);
+        t.true(runningCount + allowed <= LOADS_AT_ONCE);
+        pacer.started(allowed, nowMs);
+        startsMs.push(...Array.from({ length: allowed }, () => nowMs));
+    }
+    for (const fromMs of startsMs) {
+        const inWindow = startsMs.filter((atMs) => atMs >= fromMs && atMs < fromMs + WINDOW_MS).length;
+        t.true(inWindow <= LOADS_PER_S * WINDOW_MS / 1_000, `${inWindow} loads from ${fromMs} ms`);
+    }
+    t.true(startsMs.length >= 60_000 / 1_000 * LOADS_PER_S * 0.8, "most of the rate is used");
+});
+
+// Guards against a slow first start: before there are callers, the store's rate bounds nothing.
+test("loads before any demand have no limit, and count once there is demand", (t) => {
+    const pacer = new LoadPacer();
+    t.is(pacer.allowed(LOADS_PER_S, LOADS_AT_ONCE, false, 40, 0), Infinity);
+    pacer.started(50, 0);
+    t.is(pacer.allowed(LOADS_PER_S, LOADS_AT_ONCE, true, 0, 1_000), 0);
+    t.true(pacer.allowed(LOADS_PER_S, LOADS_AT_ONCE, true, 0, WINDOW_MS + 1) > 0);
+});
