Soak of the platform's programs, as a second system of the chaos run

The randomised run knew only the project's own daemons. It now also starts the programs for the users' platform (three control daemons, three entry daemons) and stand-ins of 16 engines behind fault proxies, under kills, SIGTERM, freezes, emptied disks, changed settings, and resets, delays, holds and silence of connections.

A daemon is now under one fault of its process at a time.

--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,5 +1,6 @@
 export * from "./chaos/plan.ts";
 export * from "./chaos/run.ts";
+export * from "./chaos/violations.ts";
 export * from "./cluster.ts";
 export * from "./links.ts";
 export * from "./requests.ts";
--- /dev/null
+++ b/test/platform/soak/operators.ts
@@ -0,0 +1,112 @@
+import { monotonicMs, type Random, sleep } from "@greengage/base";
+import type { Violations } from "@greengage/bench";
+import { request } from "undici";
+import { wireConfiguration } from "../fixtures.ts";
+import type { SoakDaemon } from "./system.ts";
+
+const PAUSE_MS = 900;
+const ANSWER_LIMIT_MS = 3_000;
+/** Time after an acknowledgement in which a read may still give an older configuration. */
+const IN_FORCE_MS = 2_500;
+
+/** Two models, in place of the one of the tests. */
+const MODELS = [
+    { name: "large", size: 3, share: 0.6, pace: 1, load_s: 1, warm_s: 0.2 },
+    { name: "small", size: 2, share: 0.4, pace: 0.6, load_s: 1, warm_s: 0.2 },
+];
+
+const documentOf = (version: number): string => {
+    const configuration = wireConfiguration(version) as { services: { engine?: object; }[]; };
+    const services = configuration.services.map((service) =>
+        service.engine === undefined ? service : { ...service, engine: { ...service.engine, models: MODELS } }
+    );
+    return JSON.stringify({ ...configuration, services });
+};
+
+/** Operators that send and read configurations at any control daemon, and check that none is lost. */
+export class SoakOperators {
+    readonly #controls: readonly SoakDaemon[];
+    readonly #random: Random;
+    readonly #violations: Violations;
+    readonly #acknowledged: { version: number; atMs: number; }[] = [];
+    #version = 1;
+
+    constructor(controls: readonly SoakDaemon[], random: Random, violations: Violations) {
+        this.#controls = controls;
+        this.#random = random;
+        this.#violations = violations;
+    }
+
+    get acknowledgedCount(): number {
+        return this.#acknowledged.length;
+    }
+
+    async run(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            await this.replace();
+            await this.read(this.#random.pick(this.#controls));
+            await sleep(this.#random.below(PAUSE_MS), signal);
+        }
+    }
+
+    /** Sends the next version to one daemon. Returns whether it was acknowledged. */
+    async replace(): Promise<boolean> {
+        this.#version += 1 + this.#random.below(3);
+        const version = this.#version;
+        const control = this.#random.pick(this.#controls);
+        const answer = await call(control, "Config.Replace", documentOf(version));
+        if (answer?.status === 200) {
+            this.#acknowledged.push({ version, atMs: monotonicMs() });
+        }
+        if (answer !== undefined && answer.status >= 400 && answer.status < 500) {
+            this.#violations.add(
+                "CONFIG",
+                `a valid configuration is answered ${answer.status}: ${answer.text}`,
+            );
+        }
+        return answer?.status === 200;
+    }
+
+    /** Reads the configuration at one daemon. Returns whether it came. */
+    async read(control: SoakDaemon): Promise<boolean> {
+        const sentAtMs = monotonicMs();
+        const answer = await call(control, "Config.Describe");
+        if (answer?.status !== 200) {
+            return false;
+        }
+        const { version } = JSON.parse(answer.text) as { version: number; };
+        const oldest = Math.max(
+            0,
+            ...this.#acknowledged.filter(({ atMs }) => atMs < sentAtMs - IN_FORCE_MS).map((known) =>
+                known.version
+            ),
+        );
+        if (version < oldest) {
+            this.#violations.add("CONFIG", `${control.name} gives version ${version} after ${oldest}`);
+        }
+        if (answer.text !== documentOf(version)) {
+            this.#violations.add("CONFIG", `${control.name} gives other content under version ${version}`);
+        }
+        return true;
+    }
+}
+
+const call = async (
+    { address }: SoakDaemon,
+    method: string,
+    body?: string,
+): Promise<{ status: number; text: string; } | undefined> => {
+    try {
+        const response = await request(`http://${address}/greengageridge/${method}`, {
+            method: body === undefined ? "GET" : "POST",
+            body,
+            headers: { "content-type": "application/json" },
+            signal: AbortSignal.timeout(ANSWER_LIMIT_MS),
+        });
+        return { status: response.statusCode, text: await response.body.text() };
+    }
+    catch {
+        // A daemon under a fault does not answer; operators go on to the next one.
+        return undefined;
+    }
+};
--- /dev/null
+++ b/test/platform/soak/system.ts
@@ -0,0 +1,199 @@
+import { sleep } from "@greengage/base";
+import { FaultProxy, freePorts, ManagedProcess } from "@greengage/faults";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { type EngineFleet, HEARTBEAT_MS, PlatformEngine } from "../engine.ts";
+
+const CONTROL_COUNT = 3;
+const ENTRY_COUNT = 3;
+const DOMAINS = ["d0", "d1"];
+const ENGINES_PER_DOMAIN = 7;
+const LEDGER_COUNT = 2;
+/** Time between SIGTERM and SIGKILL. */
+const GRACE_S = 8;
+/** Each run has its own loopback network, so that runs beside each other don't meet. */
+const NETWORK = `127.${1 + process.pid % 250}.${1 + Math.floor(process.pid / 250) % 250}`;
+const PEER_PORT = 7_001;
+
+export const MODEL_SIZES: Record<string, number> = { large: 3, small: 2 };
+
+/** One process of the project. */
+export interface SoakDaemon {
+    name: string;
+    role: "control" | "entry";
+    process: ManagedProcess;
+    /** Surface of callers or of operators, `host:port`. */
+    address: string;
+    /** Between callers and an entry daemon. */
+    proxy?: FaultProxy;
+    /** A fault holds the process; another one would undo it. */
+    isHeld: boolean;
+}
+
+/** An engine behind a proxy. It returns under a new id after its end. */
+export interface SoakEngine {
+    name: string;
+    service: string;
+    domain?: string;
+    engine: PlatformEngine;
+    proxy: FaultProxy;
+    port: number;
+}
+
+export interface SoakSystemOptions {
+    fleet: EngineFleet;
+    /** Gets the log lines of all processes. */
+    onLine?: (source: string, line: string) => void;
+}
+
+/** The project's processes as the platform starts them, and stand-ins of the engines. */
+export class SoakSystem {
+    readonly daemons: SoakDaemon[] = [];
+    readonly engines: SoakEngine[] = [];
+    readonly #options: SoakSystemOptions;
+    readonly #folder = mkdtempSync(join(tmpdir(), "greengage-soak-"));
+    readonly #settings = new Map<string, object>();
+    #incarnation = 0;
+
+    constructor(options: SoakSystemOptions) {
+        this.#options = options;
+    }
+
+    get controls(): SoakDaemon[] {
+        return this.daemons.filter(({ role }) => role === "control");
+    }
+
+    get entries(): SoakDaemon[] {
+        return this.daemons.filter(({ role }) => role === "entry");
+    }
+
+    async start(): Promise<void> {
+        const controlPorts = await freePorts(CONTROL_COUNT);
+        const seeds = controlPorts.map((port, index) => `${NETWORK}.${index + 1}:${port}`);
+        for (const [index, address] of seeds.entries()) {
+            this.#addDaemon("control", index + 1, address, seeds);
+        }
+        const entryPorts = await freePorts(2 * ENTRY_COUNT);
+        for (let index = 0; index < ENTRY_COUNT; index += 1) {
+            const [callersPort = 0, readyPort = 0] = entryPorts.slice(2 * index);
+            const proxy = new FaultProxy({ targetPort: callersPort });
+            await proxy.start();
+            const number = CONTROL_COUNT + index + 1;
+            this.#addDaemon("entry", number, `127.0.0.1:${callersPort}`, seeds, { proxy, readyPort });
+        }
+        for (const domain of DOMAINS) {
+            for (let index = 0; index < ENGINES_PER_DOMAIN; index += 1) {
+                await this.#addEngine({ name: `${domain}-${index}`, service: "llm", domain });
+            }
+        }
+        for (let index = 0; index < LEDGER_COUNT; index += 1) {
+            await this.#addEngine({ name: `ledger-${index}`, service: "ledger" });
+        }
+    }
+
+    async stop(): Promise<void> {
+        await Promise.all(this.daemons.map((daemon) => daemon.process.kill()));
+        for (const { engine, proxy } of this.engines) {
+            engine.stop();
+            await proxy.close();
+        }
+        await Promise.all(this.entries.map(({ proxy }) => proxy?.close()));
+        rmSync(this.#folder, { recursive: true, force: true });
+    }
+
+    /** Starts a daemon again that has ended. */
+    restart(daemon: SoakDaemon, { emptiesFolder = false } = {}): void {
+        if (emptiesFolder) {
+            rmSync(this.#dataFolder(daemon.name), { recursive: true, force: true });
+        }
+        this.writeSettings(daemon, { bootstrap: false });
+        daemon.process = this.#spawn(daemon.name, daemon.role);
+    }
+
+    /** Changes the settings file of a daemon. */
+    writeSettings(daemon: SoakDaemon, change: object): void {
+        const settings = { ...this.#settings.get(daemon.name), ...change };
+        this.#settings.set(daemon.name, settings);
+        writeFileSync(this.#settingsPath(daemon.name), JSON.stringify(settings));
+    }
+
+    seedsOf(daemon: SoakDaemon): string[] {
+        return (this.#settings.get(daemon.name) as { seeds: string[]; }).seeds;
+    }
+
+    /** An engine's process ends; another one starts at its address. */
+    async replaceEngine(slot: SoakEngine, pauseMs: number): Promise<void> {
+        slot.engine.stop();
+        slot.proxy.reset();
+        await sleep(pauseMs);
+        slot.engine = this.#createEngine(slot);
+        await slot.engine.listen();
+    }
+
+    #addDaemon(
+        role: SoakDaemon["role"],
+        number: number,
+        address: string,
+        seeds: string[],
+        entry?: { proxy: FaultProxy; readyPort: number; },
+    ): void {
+        const name = `${role}-${number}`;
+        this.#settings.set(name, {
+            node_name: name,
+            zone: "z",
+            ip: `${NETWORK}.${number}`,
+            internal_ports: [PEER_PORT, PEER_PORT],
+            seeds,
+            bootstrap: true,
+            heartbeat_ms: HEARTBEAT_MS,
+            fault_tolerance: { machines: 1 },
+            bounds: { grace_s: GRACE_S, retry_budget_ratio: 0.2, retry_budget_slack: 132 },
+            ...(entry === undefined
+                ? { listen: { control: address }, data_dir: this.#dataFolder(name) }
+                : { listen: { front: address, ready: `127.0.0.1:${entry.readyPort}` } }),
+        });
+        writeFileSync(this.#settingsPath(name), JSON.stringify(this.#settings.get(name)));
+        const process = this.#spawn(name, role);
+        this.daemons.push({ name, role, address, process, proxy: entry?.proxy, isHeld: false });
+    }
+
+    #spawn(name: string, role: string): ManagedProcess {
+        return new ManagedProcess({
+            command: process.execPath,
+            args: ["--import=tsx", "platform/main.ts", role],
+            environment: { GREENGAGERIDGE_SETTINGS: this.#settingsPath(name) },
+            onLine: (line) => this.#options.onLine?.(name, line),
+        });
+    }
+
+    async #addEngine(slot: Pick<SoakEngine, "name" | "service" | "domain">): Promise<void> {
+        const [port = 0] = await freePorts(1);
+        const proxy = new FaultProxy({ targetPort: port });
+        await proxy.start();
+        const engine = this.#createEngine({ ...slot, proxy, port });
+        await engine.listen();
+        this.engines.push({ ...slot, proxy, port, engine });
+    }
+
+    #createEngine({ name, service, domain, proxy, port }: Omit<SoakEngine, "engine">): PlatformEngine {
+        this.#incarnation += 1;
+        return new PlatformEngine({
+            id: `${name}-${this.#incarnation}`,
+            service,
+            domain,
+            control: this.controls.map(({ address }) => address),
+            advertised: `127.0.0.1:${proxy.port}`,
+            port,
+            fleet: this.#options.fleet,
+        });
+    }
+
+    #dataFolder(name: string): string {
+        return join(this.#folder, `${name}-data`);
+    }
+
+    #settingsPath(name: string): string {
+        return join(this.#folder, `${name}.json`);
+    }
+}
