--- a/test/platform/engine.ts
+++ b/test/platform/engine.ts
@@ -69,6 +69,8 @@
     /** Pause between two events of a stream. */
     eventGapMs = 5;
     eventCount = 4;
+    /** Work of a request to a plain service. */
+    workMs = 0;
     /** The process stands still: it answers nothing and sends nothing. */
     isFrozen = false;
     /** Orders get no answer and are carried out this much later. */
@@ -353,13 +355,14 @@
         this.#checkGroup();
         this.ran.push(message.headers);
         fleet?.onRun(id, message);
-        const head = { "greengageridge-request-id": requestId, "greengageridge-response-stamp": "stamp" };
+        const head = { ...idHeader(message), "greengageridge-response-stamp": "stamp" };
         if (domain === undefined) {
             if (this.losesAnswers) {
                 message.socket.resetAndDestroy();
                 return;
             }
-            response.writeHead(200, head).end(body === "amount" ? "done" : `done ${body}`);
+            const text = body === "amount" ? "done" : `done ${body}`;
+            setTimeout(() => response.writeHead(200, head).end(text), this.workMs);
             return;
         }
         response.writeHead(200, { ...head, "content-type": "text/event-stream" });
--- a/test/platform/soak/faults.ts
+++ b/test/platform/soak/faults.ts
@@ -13,6 +13,7 @@
 const MAX_DURATION_MS = 5_000;
 /** A lost disk needs time to be replaced; two of three at once lose what was acknowledged. */
 const DISK_PAUSE_MS = 12_000;
+const RESET_GAP_MS = 150;
 const NOTHING: End = () => undefined;
 
 /** Daemons that run and are under no other fault of their process. */
@@ -78,6 +79,20 @@
         return () => proxy.heal();
     });
 
+const crash = async (slot: SoakEngine, system: SoakSystem, durationMs: number): Promise<End> => {
+    await system.replaceEngine(slot, durationMs);
+    return NOTHING;
+};
+
+/** Connections break several times in a row, as requests of the next ones are under way. */
+const resetLink = async ({ proxy }: SoakEngine, _: SoakSystem, durationMs: number): Promise<End> => {
+    for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += RESET_GAP_MS) {
+        proxy.reset();
+        await sleep(RESET_GAP_MS);
+    }
+    return NOTHING;
+};
+
 const drain = async (slot: SoakEngine, system: SoakSystem): Promise<End> => {
     await slot.engine.announceDrain();
     await sleep(3_000);
@@ -112,11 +127,8 @@
         proxy?.setFault(LOOPBACK, { toTarget: { delayMs: 120 }, toSource: { delayMs: 120 } });
         return () => proxy?.heal();
     },
-    engineCrashed: withEngine(isAny, async (slot, system, durationMs) => {
-        await system.replaceEngine(slot, durationMs);
-        return NOTHING;
-    }),
-    engineFrozen: withEngine(isAny, ({ engine }) => {
+    engineCrashed: withEngine(isModel, crash),
+    engineFrozen: withEngine(isModel, ({ engine }) => {
         engine.isFrozen = true;
         return () => {
             engine.isFrozen = false;
@@ -145,10 +157,10 @@
         const timer = setInterval(() => engine.dropIdleConnections(), 20);
         return () => clearInterval(timer);
     }),
-    linkReset: withEngine(isAny, ({ proxy }) => {
-        proxy.reset();
-        return NOTHING;
-    }),
+    linkReset: withEngine(isModel, resetLink),
+    ledgerLinkReset: withEngine(isLedger, resetLink),
+    ledgerCrashed: withEngine(isLedger, crash),
+    ledgerLinkSilent: link(isLedger, { toSource: { mode: LinkMode.Swallow } }),
     linkRefused: link(isAny, { refuse: true }),
     linkDelayed: link(isAny, { toTarget: { delayMs: 150 }, toSource: { delayMs: 150, reorderMs: 100 } }),
     linkHeldOneWay: link(isAny, { toSource: { mode: LinkMode.Hold } }),
--- a/test/platform/soak/run.ts
+++ b/test/platform/soak/run.ts
@@ -6,7 +6,7 @@
 import { SoakOperators } from "./operators.ts";
 import { MODEL_SIZES, type SoakDaemon, SoakSystem } from "./system.ts";
 
-const CALLER_COUNT = 10;
+const CALLER_COUNT = 20;
 const START_LIMIT_MS = 30_000;
 /** All daemons must serve again this long after the last fault. */
 const RECOVER_MS = 15_000;
--- a/test/platform/soak/system.ts
+++ b/test/platform/soak/system.ts
@@ -10,6 +10,10 @@
 const DOMAINS = ["d0", "d1"];
 const ENGINES_PER_DOMAIN = 7;
 const LEDGER_COUNT = 2;
+/** Streams of up to a second, so that most faults of an engine meet one. */
+const EVENT_GAP_MS = 20;
+/** Payments last long enough to be met by a reset. */
+const WORK_MS = 40;
 /** Time between SIGTERM and SIGKILL. */
 const GRACE_S = 8;
 /** Each run has its own loopback network, so that runs beside each other don't meet. */
@@ -178,7 +182,7 @@
 
     #createEngine({ name, service, domain, proxy, port }: Omit<SoakEngine, "engine">): PlatformEngine {
         this.#incarnation += 1;
-        return new PlatformEngine({
+        const engine = new PlatformEngine({
             id: `${name}-${this.#incarnation}`,
             service,
             domain,
@@ -187,6 +191,9 @@
             port,
             fleet: this.#options.fleet,
         });
+        engine.eventGapMs = EVENT_GAP_MS;
+        engine.workMs = WORK_MS;
+        return engine;
     }
 
     #dataFolder(name: string): string {
