--- a/packages/daemon/src/control.ts
+++ b/packages/daemon/src/control.ts
@@ -9,9 +9,9 @@
 } from "@greengage/configuration";
 import { CompositeStateMachine, RaftLog } from "@greengage/consensus";
 import { type EngineOrders, FleetService, type FleetTiming } from "@greengage/fleet";
-import { PeerNetwork, type ServerReport } from "@greengage/protocol";
+import type { PeerNetwork, ServerReport } from "@greengage/protocol";
 import { join } from "node:path";
-import { addressOfPeer } from "./peerid.ts";
+import { createPeerNetwork } from "./peerid.ts";
 
 /** A lost voter is replaced after this time, if a daemon waits: a new daemon must take part within four seconds. */
 const REPLACE_LOST_AFTER_MS = 2_500;
@@ -60,13 +60,7 @@
             options;
         this.#options = options;
         this.#seedIds = seedIds;
-        this.#peers = new PeerNetwork({
-            context,
-            listen,
-            addresses: [],
-            key: peersKey,
-            resolve: addressOfPeer,
-        });
+        this.#peers = createPeerNetwork({ context, listen, peersKey });
         this.#log = new RaftLog({
             context,
             peers: this.#peers,
--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -2,9 +2,9 @@
 import { type Configuration, RoutingTable } from "@greengage/configuration";
 import { FleetWatcher } from "@greengage/fleet";
 import { Gateway, type RetryLimits, type ServerDialect } from "@greengage/gateway";
-import { type FleetView, type GroupSuspicion, PeerNetwork } from "@greengage/protocol";
+import type { FleetView, GroupSuspicion, PeerNetwork } from "@greengage/protocol";
 import { inflateRawSync } from "node:zlib";
-import { addressOfPeer } from "./peerid.ts";
+import { createPeerNetwork } from "./peerid.ts";
 
 export interface EntryDaemonOptions {
     context: Context;
@@ -34,13 +34,7 @@
         const { context, listen, peersKey, seedIds, dialect, retries } = options;
         this.#options = options;
         this.#seedIds = seedIds;
-        this.#peers = new PeerNetwork({
-            context,
-            listen,
-            addresses: [],
-            key: peersKey,
-            resolve: addressOfPeer,
-        });
+        this.#peers = createPeerNetwork({ context, listen, peersKey });
         this.gateway = new Gateway({
             context,
             dialect,
--- a/packages/daemon/src/peerid.ts
+++ b/packages/daemon/src/peerid.ts
@@ -1,4 +1,5 @@
-import type { PeerAddress } from "@greengage/protocol";
+import type { Context } from "@greengage/base";
+import { type PeerAddress, PeerNetwork } from "@greengage/protocol";
 
 /** Id of a daemon that is found by its address: `host:port` of its inner protocol. */
 export const peerIdOf = (host: string, port: number): string => `${host}:${port}`;
@@ -12,3 +13,12 @@
     }
     return { daemonId, zone: "", host: daemonId.slice(0, portAt), port };
 };
+
+/** Peers that are found by their ids, so that no table of addresses is needed. */
+export const createPeerNetwork = (
+    { context, listen, peersKey }: {
+        context: Context;
+        listen: { host: string; port: number; };
+        peersKey: string;
+    },
+): PeerNetwork => new PeerNetwork({ context, listen, addresses: [], key: peersKey, resolve: addressOfPeer });
