Acknowledge no end of a server that the leader can't act on; take back the shared loads

Cause: the leader was frozen at 2.5 s; its successor knew the member i-87b43f408a only from the former leader's records when the member announced its end at 6.855 s. The announcement was acknowledged and changed nothing, as the server was not in the registry; the group closed only at 10.58 s, after a report. Ruled out: late views (those of 7.1 to 9.3 s had reached the daemons), a lost order. The successor now refuses the acknowledgement until it knows the member, so the server asks again. The test fails without the refusal.

The former leader's number is now kept in the records and holds until each entry daemon has had the time to watch.

The retry budget by service stays.

--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -50,12 +50,10 @@
                 isEntry: true,
                 entryIds: [],
                 demand: this.gateway.takeDemand(),
-                loads: this.gateway.takeOwnLoads(),
             }),
             onConfiguration: ({ version, document }) =>
                 this.#takeConfiguration(version, inflateRawSync(document)),
             onView: (view) => this.#takeView(view),
-            onLoads: (loads) => this.gateway.takeLoads(loads),
         });
     }
 
--- a/packages/fleet/src/adoption.ts
+++ b/packages/fleet/src/adoption.ts
@@ -7,7 +7,9 @@
 const ADOPTED_JOIN_MS = 20_000;
 
 /** What a successor of this leader needs to know of the groups. */
-export const recordsOf = ({ groups, registry }: FleetState): Omit<GroupRecords, "servers"> => ({
+export const recordsOf = (
+    { groups, registry }: FleetState,
+): Omit<GroupRecords, "servers" | "entryDaemonCount"> => ({
     version: groups.version,
     groups: groups.all().map((group) => ({
         groupName: group.groupName,
--- a/packages/fleet/src/controller.ts
+++ b/packages/fleet/src/controller.ts
@@ -95,7 +95,7 @@
     }
 
     /** What a successor needs to know of the groups. */
-    records(): Omit<GroupRecords, "servers"> {
+    records(): Omit<GroupRecords, "servers" | "entryDaemonCount"> {
         return recordsOf(this.#state);
     }
 
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,6 +1,6 @@
 export * from "./controller.ts";
+export * from "./departure.ts";
 export * from "./group.ts";
-export * from "./loadboard.ts";
 export * from "./loadpacer.ts";
 export * from "./orders.ts";
 export * from "./planner.ts";
@@ -10,3 +10,4 @@
 export * from "./timing.ts";
 export * from "./view.ts";
 export * from "./watcher.ts";
+export * from "./watchers.ts";
--- a/packages/fleet/src/service.ts
+++ b/packages/fleet/src/service.ts
@@ -13,14 +13,14 @@
 } from "@greengage/protocol";
 import { ConfigurationSource, type ConfigurationSourceOptions } from "./configurations.ts";
 import { GroupController } from "./controller.ts";
-import { LoadBoard } from "./loadboard.ts";
+import { applyDeparture, DepartureEffect } from "./departure.ts";
 import type { EngineOrders } from "./orders.ts";
 import { GroupRecordFile } from "./recordfile.ts";
 import { ReportEffect, ServerRegistry } from "./registry.ts";
 import type { FleetTiming } from "./timing.ts";
 import { groupTargets, isNewerView, serverTargets } from "./view.ts";
 import { FleetWatcher } from "./watcher.ts";
-import { Watchers } from "./watchers.ts";
+import { expectedEntryCount, Watchers } from "./watchers.ts";
 
 /** Period at which leadership is noticed. */
 const ROLE_CHECK_MS = 50;
@@ -47,13 +47,13 @@
     readonly #watcher: FleetWatcher;
     readonly #recordFile: GroupRecordFile;
     readonly #watchers = new Watchers();
-    readonly #loads = new LoadBoard();
     readonly #configurations: ConfigurationSource;
     #view: FleetView | undefined;
     #viewKey = "";
     #viewVersion = 0;
     #toldRecordsVersion = 0;
     #leadingTerm: number | undefined;
+    #leadingSinceMs = 0;
     /** What the leader has told of its groups. */
     #records: GroupRecords | undefined;
 
@@ -82,11 +82,9 @@
                 isEntry: false,
                 entryIds: this.#watchers.entryIds(),
                 demand: this.#watchers.takeDemand(),
-                loads: this.#loads.takeFresh(monotonicMs()),
             }),
             onConfiguration: () => undefined,
             onView: (view) => this.#takeView(view),
-            onLoads: (loads) => this.#loads.take(loads, monotonicMs()),
             onRecords: (records) => this.#keepRecords(records),
         });
         peers.handle("fleet.watch", (request, from) => this.#answerWatch(request, from));
@@ -194,14 +192,13 @@
         if (!log.holdsLeaderLease || !this.#controller.isSettled) {
             return { isAccepted: false, leaderId: log.status().leaderId };
         }
-        const server = this.#registry.get(serverId);
-        if (server !== undefined && (bornMs === undefined || bornMs === server.report.bornMs)) {
-            // It serves on for a while, as a server does that drains.
-            const report = { ...server.report, isDraining: true, sequence: Number.MAX_SAFE_INTEGER };
-            this.#registry.accept(report, monotonicMs());
-            context.decisions.record("server.departs", { server: serverId });
-            this.#controller.wake();
+        const departing = { serverId, bornMs };
+        const effect = applyDeparture(this.#registry, this.#controller.groups, departing, monotonicMs());
+        context.decisions.record("server.departs", { server: serverId, effect });
+        if (effect === DepartureEffect.UnknownMember) {
+            return { isAccepted: false, leaderId: context.daemonId };
         }
+        this.#controller.wake();
         return { isAccepted: true };
     }
 
@@ -214,7 +211,8 @@
     }
 
     #ownRecords(): GroupRecords {
-        return { ...this.#controller.records(), servers: this.#view?.servers ?? [] };
+        const { servers = [], entryDaemonCount = 1 } = this.#view ?? {};
+        return { ...this.#controller.records(), servers, entryDaemonCount };
     }
 
     /** Servers that the former leader knew and that have not yet had the time to report here. */
@@ -240,6 +238,7 @@
         }
         this.#leadingTerm = leadingTerm;
         if (leadingTerm !== undefined) {
+            this.#leadingSinceMs = monotonicMs();
             this.#viewVersion = 0;
             this.#viewKey = "";
             this.#controller.activate(leadingTerm, this.#records);
@@ -263,7 +262,7 @@
         const view = {
             groups: groupTargets(input),
             servers: [...serverTargets(input), ...this.#inheritedServers()],
-            entryDaemonCount: Math.max(1, this.#watchers.entryIds().length),
+            entryDaemonCount: this.#entryDaemonCount(nowMs),
             controllers: this.#controllers(),
         };
         if (this.#controller.groups.version !== this.#toldRecordsVersion) {
@@ -288,6 +287,14 @@
         this.#changed.notify();
     }
 
+    #entryDaemonCount(nowMs: number): number {
+        return expectedEntryCount({
+            watchingCount: this.#watchers.entryIds().length,
+            inheritedCount: this.#records?.entryDaemonCount ?? 1,
+            leadingForMs: nowMs - this.#leadingSinceMs,
+        });
+    }
+
     #controllers(): FleetView["controllers"] {
         const { voterIds = [], joiningIds } = this.#options.log.status();
         return [...new Set([...voterIds, ...joiningIds])].sort()
@@ -305,7 +312,6 @@
         const nowMs = monotonicMs();
         this.#watchers.note(request, from);
         this.#controller.noteDemand(request.demand);
-        this.#loads.take(request.loads, nowMs);
         const untilMs = nowMs + Math.min(request.waitMs, MAX_WATCH_MS);
         while (!this.#hasNews(request) && monotonicMs() < untilMs && !this.#lifecycle.isClosed) {
             await this.#changed.wait(untilMs - monotonicMs());
@@ -332,7 +338,6 @@
         const view = this.#view;
         const hasView = view !== undefined && isNewerView(view, { term: viewTerm, version: viewVersion });
         return {
-            loads: this.#loads.all(monotonicMs()),
             zone: context.zone,
             leaderId,
             leaderContactAgeMs: Number.isFinite(leaderContactAgeMs) ? leaderContactAgeMs : undefined,
--- a/packages/fleet/src/watcher.ts
+++ b/packages/fleet/src/watcher.ts
@@ -1,19 +1,9 @@
 import { type Context, Lifecycle, LogPart, messageOf, monotonicMs, sleep } from "@greengage/base";
-import type {
-    FleetView,
-    GroupLoadReport,
-    GroupRecords,
-    Peers,
-    WatchRequest,
-    WatchResponse,
-} from "@greengage/protocol";
-import { hasManyEntryDaemons } from "./loadboard.ts";
+import type { FleetView, GroupRecords, Peers, WatchRequest, WatchResponse } from "@greengage/protocol";
 import { isNewerView } from "./view.ts";
 
 /** Wait of one call. The answering daemon sends changes at once, so it only bounds how long a lost call goes unnoticed. */
 const WATCH_WAIT_MS = 700;
-/** Wait while loads of groups go with each call; it bounds their age. */
-const LOADS_WAIT_MS = 250;
 const WATCH_TIMEOUT_MS = 1_300;
 const RETRY_DELAY_MS = 100;
 /** A daemon that has not heard from the leader for this long may lag, so another one is asked. */
@@ -24,10 +14,9 @@
     peers: Peers;
     /** Daemons that can be watched, best first. */
     targets: () => readonly string[];
-    request: () => Pick<WatchRequest, "configurationVersion" | "isEntry" | "entryIds" | "demand" | "loads">;
+    request: () => Pick<WatchRequest, "configurationVersion" | "isEntry" | "entryIds" | "demand">;
     onConfiguration: (configuration: { version: number; document: Uint8Array; }) => void;
     onView: (view: FleetView) => void;
-    onLoads: (loads: GroupLoadReport[]) => void;
     /** Takes the leader's record of its groups, on daemons that may succeed it. */
     onRecords?: (records: GroupRecords) => void;
 }
@@ -110,9 +99,7 @@
             viewTerm: this.#view?.term ?? 0,
             viewVersion: this.#view?.version ?? 0,
             recordsVersion: this.#recordsVersion,
-            waitMs: this.#view !== undefined && hasManyEntryDaemons(this.#view)
-                ? LOADS_WAIT_MS
-                : WATCH_WAIT_MS,
+            waitMs: WATCH_WAIT_MS,
         }, { timeoutMs: WATCH_TIMEOUT_MS }).catch((error: unknown) => {
             this.#failure = messageOf(error);
             return undefined;
@@ -121,7 +108,6 @@
             return undefined;
         }
         this.#leaderId = response.leaderId ?? this.#leaderId;
-        this.#options.onLoads(response.loads);
         if (response.configuration !== undefined) {
             onConfiguration(response.configuration);
         }
--- a/packages/fleet/src/watchers.ts
+++ b/packages/fleet/src/watchers.ts
@@ -4,6 +4,18 @@
 /** An entry daemon counts for this long after its last watch. */
 const ENTRY_MEMORY_MS = 5_000;
 
+/**
+ * Number of entry daemons that share limits. Those that a new leader has not heard yet still use their part, so the
+ * former leader's number holds until each of them has had the time to watch.
+ */
+export const expectedEntryCount = (
+    { watchingCount, inheritedCount, leadingForMs }: {
+        watchingCount: number;
+        inheritedCount: number;
+        leadingForMs: number;
+    },
+): number => Math.max(1, watchingCount, leadingForMs < ENTRY_MEMORY_MS ? inheritedCount : 0);
+
 /** What a control daemon learns of the daemons that watch it. */
 export class Watchers {
     readonly #entries = new Map<string, number>();
--- a/packages/gateway/src/deps.ts
+++ b/packages/gateway/src/deps.ts
@@ -18,8 +18,6 @@
     budgets: ServiceBudgets;
     demand: DemandMeter;
     random: Random;
-    /** Whether entry daemons are so many that they share what they see of the groups' loads. */
-    areLoadsShared: () => boolean;
     routing: () => RoutingTable | undefined;
     /** Tells the controller that a group may be lost. */
     suspect: (group: GroupState, suspicion: Omit<GroupSuspicion, "groupName" | "epoch">) => void;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -8,8 +8,7 @@
     Verdict,
 } from "@greengage/base";
 import { type Organisation, pickService, type Route, type RoutingTable } from "@greengage/configuration";
-import { hasManyEntryDaemons } from "@greengage/fleet";
-import type { FleetView, GroupLoadReport, GroupSuspicion, ModelDemand } from "@greengage/protocol";
+import type { FleetView, GroupSuspicion, ModelDemand } from "@greengage/protocol";
 import { Pools } from "@greengage/routing";
 import { type RetryLimits, ServiceBudgets } from "./budgets.ts";
 import { type Call, deadlineOf } from "./call.ts";
@@ -42,7 +41,6 @@
     readonly #lifecycle = new Lifecycle();
     readonly #random = new Random();
     #routing: RoutingTable | undefined;
-    #areLoadsShared = false;
     #inFlight = 0;
     #hasView = false;
 
@@ -57,7 +55,6 @@
             budgets: new ServiceBudgets(options.retries),
             demand: new DemandMeter(),
             random: this.#random,
-            areLoadsShared: () => this.#areLoadsShared,
             routing: () => this.#routing,
             suspect: (group, details) => this.#suspect(group, details),
         };
@@ -94,7 +91,6 @@
         this.#hasView = true;
         this.#parts.groups.take(view);
         this.#parts.servers.take(view);
-        this.#areLoadsShared = hasManyEntryDaemons(view);
         this.#parts.budgets.setDaemonCount(view.entryDaemonCount);
         this.#options.context.decisions.record("fleet.view", {
             term: view.term,
@@ -105,24 +101,6 @@
         });
     }
 
-    /** Takes what other daemons have seen of the groups' loads. */
-    takeLoads(loads: readonly GroupLoadReport[]): void {
-        const nowMs = monotonicMs();
-        for (const load of loads) {
-            this.#parts.groups.get(load.groupName)?.reportShared(load, nowMs);
-        }
-    }
-
-    /** Loads that answers have told here since the last call. */
-    takeOwnLoads(): GroupLoadReport[] {
-        if (!this.#areLoadsShared) {
-            return [];
-        }
-        const nowMs = monotonicMs();
-        return this.#parts.groups.all().map((group) => group.takeOwnReport(nowMs))
-            .filter((report) => report !== undefined);
-    }
-
     takeDemand(): ModelDemand[] {
         return this.#parts.demand.take();
     }
--- a/packages/gateway/src/groups.ts
+++ b/packages/gateway/src/groups.ts
@@ -1,4 +1,4 @@
-import type { FleetView, GroupLoadReport, GroupSuspicion, GroupTarget } from "@greengage/protocol";
+import type { FleetView, GroupSuspicion, GroupTarget } from "@greengage/protocol";
 import type { GroupLoad } from "./placement.ts";
 import type { ReportedLoad } from "./types.ts";
 
@@ -45,13 +45,9 @@
 export class GroupState {
     readonly target: GroupTarget;
     readonly uses = new Set<GroupUse>();
-    #reported: { load: Pick<ReportedLoad, "runningCount" | "waitingCount">; atMs: number; } | undefined;
-    /** Whether other daemons lack the last report. */
-    #isReportOwn = false;
+    #reported: { load: ReportedLoad; atMs: number; } | undefined;
     #sentSinceReport = 0;
     #endedSinceReport = 0;
-    /** When own requests ended lately. */
-    #endedAtMs: number[] = [];
     #pendingPromptTokens = 0;
     #placeMs = FIRST_PLACE_MS;
     #progressAtMs = -Infinity;
@@ -84,7 +80,6 @@
             return;
         }
         this.#endedSinceReport += 1;
-        this.#endedAtMs = [...this.#endedAtMs.filter((atMs) => nowMs - atMs < REPORT_LIFE_MS), nowMs];
         if (use.eventAtMs === undefined) {
             this.#pendingPromptTokens -= use.promptTokens;
         }
@@ -95,35 +90,10 @@
 
     report(load: ReportedLoad, nowMs: number): void {
         this.#reported = { load, atMs: nowMs };
-        this.#isReportOwn = true;
         this.#sentSinceReport = 0;
         this.#endedSinceReport = 0;
     }
 
-    /** Takes what another daemon has seen, if it is newer than what is known here. */
-    reportShared({ runningCount, waitingCount, ageMs }: GroupLoadReport, nowMs: number): void {
-        const atMs = nowMs - ageMs;
-        if (this.#reported !== undefined && atMs <= this.#reported.atMs) {
-            return;
-        }
-        this.#reported = { load: { runningCount, waitingCount }, atMs };
-        this.#isReportOwn = false;
-        this.#sentSinceReport = [...this.uses].filter((use) => use.sentAtMs > atMs).length;
-        this.#endedSinceReport = this.#endedAtMs.filter((endedAtMs) => endedAtMs > atMs).length;
-    }
-
-    /** The last report, if it came from an answer here and no other daemon has it yet. */
-    takeOwnReport(nowMs: number): GroupLoadReport | undefined {
-        if (!this.#isReportOwn || this.#reported === undefined) {
-            return undefined;
-        }
-        this.#isReportOwn = false;
-        const { load, atMs } = this.#reported;
-        const { runningCount, waitingCount } = load;
-        const ageMs = Math.ceil(nowMs - atMs);
-        return { groupName: this.target.groupName, runningCount, waitingCount, ageMs };
-    }
-
     avoid(nowMs: number): void {
         this.#avoidUntilMs = nowMs + AVOID_MS;
     }
@@ -152,48 +122,26 @@
         this.#suspicion = undefined;
     }
 
-    /** Requests that ran at the last report, and its age; undefined when there is no recent one. */
-    reported(nowMs: number): { count: number; ageMs: number; } | undefined {
-        const reported = this.#reported;
-        if (reported === undefined || nowMs - reported.atMs >= REPORT_LIFE_MS) {
-            return undefined;
-        }
-        const { runningCount, waitingCount } = reported.load;
-        return { count: runningCount + waitingCount, ageMs: nowMs - reported.atMs };
-    }
-
-    /**
-     * Load as this daemon expects it. `meanCount` is the mean of the groups of the model: with the age of the report
-     * the requests that ran then are replaced by new ones, of which other daemons send this group its usual share.
-     * Undefined when loads are not shared; then the report and what this daemon has done since count.
-     */
-    load(nowMs: number, meanCount: number | undefined): GroupLoad {
+    load(nowMs: number): GroupLoad {
         const { groupName, zone } = this.target;
         const own = this.uses.size;
+        const reported = this.#reported;
+        const isFresh = reported !== undefined && nowMs - reported.atMs < REPORT_LIFE_MS;
+        const total = isFresh
+            ? reported.load.runningCount + reported.load.waitingCount + this.#sentSinceReport
+                - this.#endedSinceReport
+            : own;
+        const runningCount = Math.max(own, total);
         return {
             groupName,
             zone,
-            runningCount: Math.max(own, this.#expectedCount(nowMs, meanCount)),
+            runningCount,
             waitingCount: 0,
             pendingPromptTokens: Math.max(0, this.#pendingPromptTokens),
             placeMs: this.#placeMs,
         };
     }
 
-    #expectedCount(nowMs: number, meanCount: number | undefined): number {
-        const reported = this.reported(nowMs);
-        if (meanCount === undefined) {
-            return reported === undefined
-                ? 0
-                : reported.count + this.#sentSinceReport - this.#endedSinceReport;
-        }
-        if (reported === undefined) {
-            return meanCount;
-        }
-        const remainingShare = Math.exp(-reported.ageMs / this.#placeMs);
-        return reported.count * remainingShare + meanCount * (1 - remainingShare) + this.#sentSinceReport;
-    }
-
     /** How long the group has made no progress though it should, and whether its streams are to be moved. */
     stall(nowMs: number): Stall {
         const uses = [...this.uses];
@@ -222,17 +170,6 @@
     hasRunningStream: boolean;
 }
 
-/** Loads of the groups of one model. */
-export const groupLoads = (
-    states: readonly GroupState[],
-    nowMs: number,
-    areLoadsShared: boolean,
-): GroupLoad[] => {
-    const counts = states.map((state) => state.reported(nowMs)?.count).filter((count) => count !== undefined);
-    const meanCount = counts.reduce((sum, count) => sum + count, 0) / Math.max(1, counts.length);
-    return states.map((state) => state.load(nowMs, areLoadsShared ? meanCount : undefined));
-};
-
 /** All groups of the last view. */
 export class GroupStates {
     readonly #states = new Map<string, GroupState>();
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -20,8 +20,6 @@
     groups: readonly GroupLoad[];
     promptTokens: number;
     zone: string;
-    /** Whether many daemons place requests by the same loads. */
-    areLoadsShared: boolean;
 }
 
 export interface Placement {
@@ -65,56 +63,17 @@
     return waitMs + readMs + writeMs;
 };
 
-/** A group that needs longer is full or reads many prompts. Callers expect the first token after 300 ms and more. */
-const SLOW_FIRST_TOKEN_MS = 150;
-const COMPARED_GROUPS = 2;
-/** Power of the free places by which one of two groups is preferred: 1 fills up slow groups, 4 follows old news. */
-const PREFERENCE = 2;
-/** A first token that takes this long halves the preference of a group with equal places. */
-const HALVING_MS = 100;
-/** A full group keeps a small chance, as its load may be old news. */
-const MIN_FREE_PLACES = 0.3;
-
 /**
- * Chooses the group for a request. One of few daemons knows the loads by its own requests, and takes the group with the
- * shortest predicted time to the first token. Answers uneven load: groups fill up at different times, and a group that has just
- * read many prompts is slower than its count of requests tells.
- *
- * Many daemons know the same loads, some tenths of a second old: if each took the best group, that group would get
- * the requests of all of them until the next news. So a request compares two groups of its zone and prefers the one
- * with more free places. Two of other zones are compared when the choice is slow, and then all groups, so that nothing
- * is turned away beside free places.
+ * Chooses the group with the shortest predicted time to the first token. Answers uneven load: groups fill up at
+ * different times, and a group that has just read many prompts is slower than its count of requests tells.
  */
 export const choosePlace = (input: PlacementInput, fraction: number): Placement | undefined => {
-    const { groups, zone, areLoadsShared } = input;
-    if (!areLoadsShared) {
-        return bestOf(input, groups, fraction);
-    }
-    const own = pickOfTwo(input, groups.filter((group) => group.zone === zone), fraction);
-    if (own !== undefined && own.firstTokenMs <= SLOW_FIRST_TOKEN_MS) {
-        return own;
-    }
-    const other = pickOfTwo(input, groups.filter((group) => group.zone !== zone), fraction);
-    const place =
-        own === undefined || (other !== undefined && other.firstTokenMs + OTHER_ZONE_MS < own.firstTokenMs)
-            ? other
-            : own;
-    return place !== undefined && place.firstTokenMs <= SLOW_FIRST_TOKEN_MS
-        ? place
-        : bestOf(input, groups, fraction);
-};
-
-const bestOf = (
-    input: PlacementInput,
-    groups: readonly GroupLoad[],
-    fraction: number,
-): Placement | undefined => {
     let best: Placement | undefined;
     let bestCostMs = Infinity;
     // Groups with equal cost are taken in turn from a random one on, so that daemons don't act in step.
-    const offset = Math.floor(fraction * groups.length);
-    for (let index = 0; index < groups.length; index += 1) {
-        const group = groups[(index + offset) % groups.length];
+    const offset = Math.floor(fraction * input.groups.length);
+    for (let index = 0; index < input.groups.length; index += 1) {
+        const group = input.groups[(index + offset) % input.groups.length];
         if (group === undefined) {
             continue;
         }
@@ -127,30 +86,3 @@
     }
     return best;
 };
-
-/** One of two random groups, more often the one with more free places. */
-const pickOfTwo = (
-    input: PlacementInput,
-    groups: readonly GroupLoad[],
-    fraction: number,
-): Placement | undefined => {
-    const left = [...groups];
-    const compared: { place: Placement; weight: number; }[] = [];
-    // Each choice uses the digits of the fraction that the one before has left over.
-    let rest = fraction;
-    while (left.length > 0 && compared.length < COMPARED_GROUPS) {
-        const position = rest * left.length;
-        rest = position - Math.floor(position);
-        for (const group of left.splice(Math.floor(position), 1)) {
-            const firstTokenMs = predictFirstTokenMs(input, group);
-            const freePlaces = Math.max(MIN_FREE_PLACES, input.profile.slotCount - group.runningCount);
-            const weight = (freePlaces * HALVING_MS / (HALVING_MS + firstTokenMs)) ** PREFERENCE;
-            compared.push({ place: { groupName: group.groupName, firstTokenMs }, weight });
-        }
-    }
-    const [first, second] = compared;
-    if (first === undefined || second === undefined) {
-        return first?.place;
-    }
-    return rest * (first.weight + second.weight) < first.weight ? first.place : second.place;
-};
--- a/packages/gateway/src/streamcall.ts
+++ b/packages/gateway/src/streamcall.ts
@@ -5,7 +5,7 @@
 import { Attempt, type AttemptOutcome, leftMs } from "./attempt.ts";
 import { backendError, type Call, CallRun, isReturning, remainingMs } from "./call.ts";
 import type { GatewayParts } from "./deps.ts";
-import { groupLoads, type GroupState, type GroupUse } from "./groups.ts";
+import type { GroupState, GroupUse } from "./groups.ts";
 import { choosePlace } from "./placement.ts";
 import type { Generation, ServerHead } from "./types.ts";
 
@@ -124,15 +124,13 @@
         const all = groups.ofModel(service.name, this.#model.name).filter((state) => state.isUsable(nowMs));
         const untried = all.filter((state) => !tried.has(state.target.groupName));
         const usable = untried.length > 0 ? untried : all;
-        const areLoadsShared = this.#parts.areLoadsShared();
-        const loads = groupLoads(usable, nowMs, areLoadsShared);
+        const loads = usable.map((state) => state.load(nowMs));
         const place = choosePlace({
             profile: this.#profile,
             model: this.#model,
             groups: loads,
             promptTokens: this.#generation.promptTokens,
             zone: context.zone,
-            areLoadsShared,
         }, random.fraction());
         const verdict = this.#delivered.hasHead && place !== undefined ? SEND : admit({
             firstTokenMs: place?.firstTokenMs,
--- a/packages/protocol/src/fleet.ts
+++ b/packages/protocol/src/fleet.ts
@@ -108,15 +108,8 @@
     endedNames: string[];
     /** Backend servers that take requests by themselves. */
     servers: ServerTarget[];
-}
-
-/** Load of a replica group, as an answer of its head told a daemon. */
-export interface GroupLoadReport {
-    groupName: string;
-    runningCount: number;
-    waitingCount: number;
-    /** Time since the answer. */
-    ageMs: number;
+    /** Entry daemons that watched the fleet lately. */
+    entryDaemonCount: number;
 }
 
 /** A daemon asks for what has changed, and waits for it. */
@@ -136,8 +129,6 @@
     entryIds: string[];
     /** Demand since the last call. */
     demand: ModelDemand[];
-    /** Newest loads that the daemon has learned since the last call. */
-    loads: GroupLoadReport[];
 }
 
 /** Demand for one model, as one daemon or several have seen it. */
@@ -157,8 +148,6 @@
     view?: FleetView;
     /** Set for daemons that serve control, together with each answer. */
     records?: GroupRecords;
-    /** Newest loads of all groups that the answering daemon knows. */
-    loads: GroupLoadReport[];
     zone: string;
     leaderId?: string;
     /** Time since the answering daemon last heard from the leader; undefined when it never did. */
--- a/test/fleet/controller.test.ts
+++ b/test/fleet/controller.test.ts
@@ -1,4 +1,5 @@
 import { waitFor } from "@greengage/faults";
+import { applyDeparture, DepartureEffect, ServerRegistry } from "@greengage/fleet";
 import { MemberState } from "@greengage/protocol";
 import test from "ava";
 import { fleetOf } from "./fixtures.ts";
@@ -79,7 +80,7 @@
     const headId = fleet.controller.groups.all()[0]?.memberIds[0] ?? "";
     fleet.engine(headId).isCutFromControl = true;
     const joins = fleet.counts.get("join");
-    fleet.controller.activate(2, { ...fleet.controller.records(), servers: [] });
+    fleet.controller.activate(2, { ...fleet.controller.records(), servers: [], entryDaemonCount: 1 });
     await until("a settled leader", () => fleet.controller.isSettled);
     fleet.engine(headId).isCutFromControl = false;
     await until("the same groups", () => fleet.openGroups().sort().join() === names.join());
@@ -113,3 +114,19 @@
     t.true((fleet.counts.get("close") ?? 0) > 0);
     t.deepEqual(fleet.violations, []);
 });
+
+// Guards against requests to a server that has left: a new leader that has acknowledged the end of a member it knows
+// from records only did not close its group (seen on ucf-kiosk-grown trouble-1, DRAIN).
+test("the end of a member that has not reported to the new leader is not acknowledged", async (t) => {
+    const fleet = fleetOf(t, ids(11));
+    await until("two open groups", () => fleet.openGroups().length === 2);
+    const { groups } = fleet.controller;
+    const serverId = groups.all()[0]?.memberIds[0] ?? "";
+    const registry = new ServerRegistry();
+    const departure = { serverId, bornMs: undefined };
+    t.is(applyDeparture(registry, groups, departure, 0), DepartureEffect.UnknownMember);
+    t.is(applyDeparture(registry, groups, { serverId: "x", bornMs: 1 }, 0), DepartureEffect.Nothing);
+    registry.accept(fleet.engine(serverId).report, 0);
+    t.is(applyDeparture(registry, groups, departure, 0), DepartureEffect.Draining);
+    t.true(registry.get(serverId)?.report.isDraining);
+});
--- a/test/gateway/overload.test.ts
+++ b/test/gateway/overload.test.ts
@@ -31,7 +31,6 @@
     groups,
     promptTokens,
     zone: "z",
-    areLoadsShared: false,
 });
 
 const admissionOf = (fields: Partial<AdmissionInput> = {}): AdmissionInput => ({
