--- a/test/platform/engine.ts
+++ b/test/platform/engine.ts
@@ -81,7 +81,7 @@
     constructor(options: PlatformEngineOptions) {
         this.#options = options;
         this.#server = createServer((message, response) => void this.#handle(message, response));
-        // A wait by the length of the pause makes callers meet a close at any moment of their next request.
+        // Short, so that idle connections close while callers still want to use them.
         this.#server.keepAliveTimeout = 1_000;
         options.fleet?.engines.set(options.id, this);
     }
