Measure the disk at every write, and forget how slow it was at the start

Cause, found in reading: elections waited by the last write of term and vote, and that is written at elections only. A disk that was slow for the first election therefore delayed the next one, however long ago that was. New test: syncs of 350 ms until the first leader, none after it; the loss of the leader was noticed after 4,800 ms, the limit is 2,000 ms.

Now the storage measures each write, and its figure counts for ten election timeouts. A first try with the age alone made the leader on a slow disk step down after a pause (test of votes slower than a call: "no commit within 10000 ms"), because its next write was under way and not yet measured. Writes under way count as well.

--- a/packages/consensus/src/state.ts
+++ b/packages/consensus/src/state.ts
@@ -10,6 +10,8 @@
 
 /** Durable writes in a row: candidate's term, vote, first entry, and one that was under way before. */
 const WRITES_PER_ELECTION = 4;
+/** A write that ended longer ago, in election timeouts, tells nothing of the disk any more. */
+const WRITE_MEMORY_TIMEOUTS = 10;
 /** Bound on the writes' part of the patience, in election timeouts: a longer stall is treated as a lost disk. */
 const MAX_WRITE_SHARE = 20;
 
@@ -51,8 +53,6 @@
     isCheckedIn = false;
     /** Identity of the cluster of the entries that a learner holds. */
     learnedClusterId: string | undefined;
-    /** Duration of the last write of term and vote. */
-    #lastSaveMs = 0;
     #metadataSaved: Promise<void> = Promise.resolve();
 
     constructor(options: RaftStateOptions) {
@@ -139,12 +139,9 @@
         if (this.storage === undefined) {
             return;
         }
-        const startedAtMs = monotonicMs();
         this.#metadataSaved = this.storage.saveMetadata({ term, votedFor });
         // Whoever depends on the write awaits `metadataSaved`; the storage reports the failure.
-        this.#metadataSaved.then(() => {
-            this.#lastSaveMs = monotonicMs() - startedAtMs;
-        }, () => undefined);
+        this.#metadataSaved.catch(() => undefined);
     }
 
     /**
@@ -153,7 +150,8 @@
      */
     get electionPatienceMs(): number {
         const { electionTimeoutMs } = this.timing;
-        const writesMs = WRITES_PER_ELECTION * this.#lastSaveMs;
+        const writeMs = this.storage?.writeMs(WRITE_MEMORY_TIMEOUTS * electionTimeoutMs) ?? 0;
+        const writesMs = WRITES_PER_ELECTION * writeMs;
         return electionTimeoutMs + Math.min(writesMs, MAX_WRITE_SHARE * electionTimeoutMs);
     }
 
--- a/packages/consensus/src/storage.ts
+++ b/packages/consensus/src/storage.ts
@@ -1,4 +1,4 @@
-import { newId } from "@greengage/base";
+import { monotonicMs, newId } from "@greengage/base";
 import type { LogEntry, MemberMark } from "@greengage/protocol";
 import { type FileHandle, mkdir, open, readdir } from "node:fs/promises";
 import { join } from "node:path";
@@ -64,11 +64,13 @@
     #logFile: FileHandle | undefined;
     #pending: LogChange[] = [];
     #batch: Promise<void> | undefined;
-    #lastWrite: Promise<void> = Promise.resolve();
+    #lastAppend: Promise<void> = Promise.resolve();
     #replacing: Promise<void> = Promise.resolve();
     #newestSnapshotIndex = 0;
     #failure: unknown;
     #syncCount = 0;
+    #lastWrite = { durationMs: 0, endedAtMs: -Infinity };
+    readonly #openWrites = new Set<{ startedAtMs: number; }>();
 
     constructor(options: StorageOptions, codec: RecordCodec) {
         this.#options = options;
@@ -87,19 +89,30 @@
         return this.#syncCount;
     }
 
+    /**
+     * How long a write takes at present, syncs included: as the last one, unless it ended more than `maxAgeMs` ago, and
+     * at least as long as the oldest one that is under way.
+     */
+    writeMs(maxAgeMs: number): number {
+        const nowMs = monotonicMs();
+        const { durationMs, endedAtMs } = this.#lastWrite;
+        const lastMs = nowMs - endedAtMs <= maxAgeMs ? durationMs : 0;
+        return Math.max(lastMs, ...[...this.#openWrites].map(({ startedAtMs }) => nowMs - startedAtMs));
+    }
+
     /** Resolves when the change and all changes before it are durable. */
     append(change: LogChange): Promise<void> {
         this.#pending.push(change);
         if (this.#batch === undefined) {
-            this.#batch = this.#writeBatch(this.#lastWrite);
-            this.#lastWrite = this.#batch;
+            this.#batch = this.#writeBatch(this.#lastAppend);
+            this.#lastAppend = this.#batch;
         }
         return this.#batch;
     }
 
     /** Resolves when everything appended so far is durable. */
     flushed(): Promise<void> {
-        return this.#lastWrite;
+        return this.#lastAppend;
     }
 
     saveMetadata(metadata: Metadata): Promise<void> {
@@ -126,14 +139,14 @@
     /** Replaces the log file by the entries that are in `log` when the write begins. */
     rewriteLog(log: EntryList, commitIndex: () => number): Promise<void> {
         this.#batch = undefined;
-        this.#lastWrite = this.#lastWrite.then(() => this.#rewrite(log, commitIndex()));
-        return this.#lastWrite;
+        this.#lastAppend = this.#lastAppend.then(() => this.#rewrite(log, commitIndex()));
+        return this.#lastAppend;
     }
 
     /** Refuses further writes and waits for those that have begun. */
     async close(): Promise<void> {
         this.#failure ??= new StorageError("the data folder is closed");
-        await this.#lastWrite.catch(() => undefined);
+        await this.#lastAppend.catch(() => undefined);
         await this.#replacing.catch(() => undefined);
         await this.#logFile?.close();
         this.#logFile = undefined;
@@ -180,14 +193,21 @@
         if (this.#failure !== undefined) {
             throw new StorageError("an earlier write failed, or the data folder is closed", this.#failure);
         }
+        const open = { startedAtMs: monotonicMs() };
+        this.#openWrites.add(open);
         try {
             await write();
+            const endedAtMs = monotonicMs();
+            this.#lastWrite = { durationMs: endedAtMs - open.startedAtMs, endedAtMs };
         }
         catch (error) {
             this.#failure ??= error;
             this.#options.onFailure(error);
             throw new StorageError("a write to the data folder failed", error);
         }
+        finally {
+            this.#openWrites.delete(open);
+        }
     }
 
     async #load(): Promise<StoredState> {
--- a/test/consensus/election.test.ts
+++ b/test/consensus/election.test.ts
@@ -131,3 +131,21 @@
     await sleep(2_000);
     t.is(cluster.leaders.length, elections, "a leader on a slow disk stays");
 });
+
+// Guards against a slow start that delays all later elections: term and vote are written at elections only.
+test.serial("a leader's loss is noticed soon on disks that were slow at the start only", async (t) => {
+    let syncMs = 350;
+    const syncFile = async (file: FileHandle): Promise<void> => {
+        await sleep(syncMs);
+        await file.sync();
+    };
+    const cluster = await startCluster(t, { raft: { syncFile } });
+    const first = await cluster.leader();
+    syncMs = 0;
+    await sleep(2_000);
+    await cluster.stopMember(first.daemonId);
+    const startedAtMs = performance.now();
+    await cluster.leader(cluster.ids.filter((id) => id !== first.daemonId));
+    const elapsedMs = performance.now() - startedAtMs;
+    t.true(elapsedMs < 2_000, `${elapsedMs} ms; elections take two seconds at most`);
+});
