--- a/packages/fleet/src/group.ts
+++ b/packages/fleet/src/group.ts
@@ -1,3 +1,5 @@
+import type { GroupIdentity } from "@greengage/protocol";
+
 /** Phase of a replica group, as its controller sees it. */
 export const GroupPhase = {
     /** Members load the model and join. */
@@ -16,14 +18,7 @@
 export type GroupPhase = typeof GroupPhase[keyof typeof GroupPhase];
 
 /** A replica group under its controller. */
-export interface ManagedGroup {
-    groupName: string;
-    epoch: number;
-    service: string;
-    model: string;
-    zone: string;
-    fabricDomain: string;
-    headAddress: string;
+export interface ManagedGroup extends GroupIdentity {
     /** In rank order; the first is the head. */
     memberIds: string[];
     /** Incarnation of each member, by id. */
--- a/packages/protocol/src/fleet.ts
+++ b/packages/protocol/src/fleet.ts
@@ -43,15 +43,8 @@
 }
 
 /** A replica group that takes requests. */
-export interface GroupTarget {
-    groupName: string;
-    epoch: number;
-    service: string;
-    model: string;
+export interface GroupTarget extends Omit<GroupIdentity, "fabricDomain"> {
     headId: string;
-    /** `host:port` of the head. */
-    headAddress: string;
-    zone: string;
 }
 
 /** A backend server that takes requests by itself. */
@@ -77,15 +70,20 @@
     controllers: { daemonId: string; zone: string; }[];
 }
 
-/** A replica group as the leader knows it, for its successor. */
-export interface GroupRecord {
+/** A replica group with what it runs, and where. */
+export interface GroupIdentity {
     groupName: string;
     epoch: number;
     service: string;
     model: string;
     zone: string;
     fabricDomain: string;
+    /** `host:port` of the head; empty while it isn't known. */
     headAddress: string;
+}
+
+/** A replica group as the leader knows it, for its successor. */
+export interface GroupRecord extends GroupIdentity {
     /** In rank order, with the start of each member's process. */
     members: MemberRecord[];
     phase: string;
--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -1,8 +1,7 @@
 /** Builds `dist/greengage`: one bundle, turned into a Node.js single executable application. */
-import { build } from "esbuild";
 import { execFileSync } from "node:child_process";
 import { chmodSync, copyFileSync, mkdirSync, writeFileSync } from "node:fs";
-import { optionalAddons } from "./addons.ts";
+import { bundle } from "./bundle.ts";
 
 const SENTINEL_FUSE = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
 const BUNDLE_PATH = "dist/greengage.cjs";
@@ -11,18 +10,7 @@
 const EXECUTABLE_PATH = "dist/greengage";
 
 mkdirSync("dist", { recursive: true });
-await build({
-    entryPoints: ["packages/cli/src/main.ts"],
-    outfile: BUNDLE_PATH,
-    bundle: true,
-    platform: "node",
-    format: "cjs",
-    target: "node20",
-    // jsonc-parser's default entry point hides its requires from the bundler.
-    mainFields: ["module", "main"],
-    plugins: [optionalAddons],
-    logLevel: "error",
-});
+await bundle("packages/cli/src/main.ts", BUNDLE_PATH);
 writeFileSync(
     CONFIG_PATH,
     JSON.stringify({ main: BUNDLE_PATH, output: BLOB_PATH, disableExperimentalSEAWarning: true }),
