Let a restarted leader keep what it has only inherited in its records

Cause, found in reading: a leader wrote its records before it took its first view. After a restart of all daemons there is no view yet, so the records on the disk lost the plain servers and the number of entry daemons: a second restart within the settling time had no ledger to name and one entry daemon, and a successor got the same. New test: without the change the kept records name no server and one daemon.

The view is now made first.

--- a/packages/daemon/src/control.ts
+++ b/packages/daemon/src/control.ts
@@ -9,7 +9,7 @@
 } from "@greengage/configuration";
 import { CompositeStateMachine, RaftLog } from "@greengage/consensus";
 import { type EngineOrders, FleetService, type FleetTiming } from "@greengage/fleet";
-import type { PeerNetwork, ServerReport } from "@greengage/protocol";
+import type { PeerNetwork } from "@greengage/protocol";
 import { join } from "node:path";
 import { createPeerNetwork } from "./peerid.ts";
 
@@ -160,9 +160,4 @@
         }
         return held;
     }
-
-    /** Takes a report of a backend server. Returns false when no leader has it. */
-    async report(report: ServerReport): Promise<boolean> {
-        return await this.fleet.report(report);
-    }
 }
--- a/packages/fleet/src/service.ts
+++ b/packages/fleet/src/service.ts
@@ -5,7 +5,6 @@
     GroupRecords,
     GroupSuspicion,
     Peers,
-    ServerReport,
     ServerTarget,
     SuspicionAnswer,
     WatchRequest,
@@ -13,10 +12,10 @@
 } from "@greengage/protocol";
 import { ConfigurationSource, type ConfigurationSourceOptions } from "./configurations.ts";
 import { GroupController } from "./controller.ts";
-import { applyDeparture, DepartureEffect } from "./departure.ts";
+import { ServerIntake } from "./intake.ts";
 import type { EngineOrders } from "./orders.ts";
 import { GroupRecordFile } from "./recordfile.ts";
-import { ReportEffect, ServerRegistry } from "./registry.ts";
+import { ServerRegistry } from "./registry.ts";
 import type { FleetTiming } from "./timing.ts";
 import { groupTargets, isNewerView, serverTargets } from "./view.ts";
 import { FleetWatcher } from "./watcher.ts";
@@ -26,8 +25,6 @@
 const ROLE_CHECK_MS = 50;
 /** Longest wait of a watch, which also bounds how long a daemon takes to notice a daemon that hangs. */
 const MAX_WATCH_MS = 1_000;
-/** An answer that backend servers wait for must come within a second. */
-const FORWARD_OPTIONS = { timeoutMs: 700 };
 
 export interface FleetServiceOptions extends ConfigurationSourceOptions {
     peers: Peers;
@@ -39,6 +36,8 @@
 
 /** The control daemons' part of the fleet: reports come in, views and configurations go out. */
 export class FleetService {
+    /** Takes what backend servers announce. */
+    readonly intake: ServerIntake;
     readonly #options: FleetServiceOptions;
     readonly #lifecycle = new Lifecycle();
     readonly #registry = new ServerRegistry();
@@ -88,15 +87,16 @@
             onRecords: (records) => this.#keepRecords(records),
         });
         peers.handle("fleet.watch", (request, from) => this.#answerWatch(request, from));
-        peers.handle("fleet.report", ({ reports }) => this.#acceptReports(reports));
-        peers.handle("fleet.depart", ({ serverId, bornMs }) => this.#acceptDeparture(serverId, bornMs));
+        this.intake = new ServerIntake({
+            context,
+            peers,
+            log,
+            registry: this.#registry,
+            controller: this.#controller,
+        });
         peers.handle("fleet.suspect", (suspicion) => this.#acceptSuspicion(suspicion));
     }
 
-    get leaderId(): string | undefined {
-        return this.#options.log.status().leaderId;
-    }
-
     get groupController(): GroupController {
         return this.#controller;
     }
@@ -122,86 +122,6 @@
         await this.#controller.close();
     }
 
-    /** Passes a report to the leader. Returns false when it could not be, so that the server tries another daemon. */
-    report(report: ServerReport): Promise<boolean> {
-        return this.#forward((leaderId) =>
-            this.#options.peers.call(leaderId, "fleet.report", { reports: [report] }, FORWARD_OPTIONS)
-        );
-    }
-
-    /** Passes on that a server has announced its end. */
-    depart(serverId: string, bornMs: number | undefined): Promise<boolean> {
-        return this.#forward((leaderId) =>
-            this.#options.peers.call(leaderId, "fleet.depart", { serverId, bornMs }, FORWARD_OPTIONS)
-        );
-    }
-
-    async #forward(send: (leaderId: string) => Promise<{ isAccepted: boolean; }>): Promise<boolean> {
-        const { leaderId } = this;
-        if (leaderId === undefined) {
-            return false;
-        }
-        try {
-            return (await send(leaderId)).isAccepted;
-        }
-        catch (error) {
-            this.#options.context.decisions.record("leader.unreachable", {
-                leaderId,
-                reason: messageOf(error),
-            });
-            return false;
-        }
-    }
-
-    #acceptReports(reports: readonly ServerReport[]): { isAccepted: boolean; leaderId?: string; } {
-        const { log, context } = this.#options;
-        if (!log.holdsLeaderLease) {
-            return { isAccepted: false, leaderId: log.status().leaderId };
-        }
-        const nowMs = monotonicMs();
-        // A server that drains is acknowledged only when all daemons hear of it at once.
-        const isAccepted = this.#controller.isSettled || !reports.some((report) => report.isDraining);
-        for (const report of reports) {
-            const effect = this.#registry.accept(report, nowMs);
-            if (effect === ReportEffect.Changed || effect === ReportEffect.Appeared) {
-                const { membership } = report;
-                context.decisions.record("server.report", {
-                    effect,
-                    server: report.serverId,
-                    service: report.service,
-                    address: report.address,
-                    serverZone: report.zone,
-                    sequence: report.sequence,
-                    isDraining: report.isDraining,
-                    group: membership?.groupName,
-                    epoch: membership?.epoch,
-                    rank: membership?.rank,
-                    state: membership?.state,
-                });
-                this.#controller.wake();
-            }
-        }
-        return { isAccepted };
-    }
-
-    #acceptDeparture(
-        serverId: string,
-        bornMs: number | undefined,
-    ): { isAccepted: boolean; leaderId?: string; } {
-        const { log, context } = this.#options;
-        if (!log.holdsLeaderLease || !this.#controller.isSettled) {
-            return { isAccepted: false, leaderId: log.status().leaderId };
-        }
-        const departing = { serverId, bornMs };
-        const effect = applyDeparture(this.#registry, this.#controller.groups, departing, monotonicMs());
-        context.decisions.record("server.departs", { server: serverId, effect });
-        if (effect === DepartureEffect.UnknownMember) {
-            return { isAccepted: false, leaderId: context.daemonId };
-        }
-        this.#controller.wake();
-        return { isAccepted: true };
-    }
-
     async #acceptSuspicion(suspicion: GroupSuspicion): Promise<SuspicionAnswer> {
         const { log } = this.#options;
         if (!log.holdsLeaderLease) {
@@ -265,18 +185,18 @@
             entryDaemonCount: this.#entryDaemonCount(nowMs),
             controllers: this.#controllers(),
         };
+        const key = JSON.stringify(view);
+        if (key !== this.#viewKey) {
+            this.#viewKey = key;
+            this.#viewVersion += 1;
+            this.#takeView({ ...view, term: this.#leadingTerm ?? 0, version: this.#viewVersion });
+        }
+        // After the view: what a new leader has only inherited must be in its own records too.
         if (this.#controller.groups.version !== this.#toldRecordsVersion) {
             this.#toldRecordsVersion = this.#controller.groups.version;
             this.#keepRecords(this.#ownRecords());
             this.#changed.notify();
         }
-        const key = JSON.stringify(view);
-        if (key === this.#viewKey) {
-            return;
-        }
-        this.#viewKey = key;
-        this.#viewVersion += 1;
-        this.#takeView({ ...view, term: this.#leadingTerm ?? 0, version: this.#viewVersion });
     }
 
     #takeView(view: FleetView): void {
--- /dev/null
+++ b/test/fleet/service.test.ts
@@ -0,0 +1,101 @@
+import { createContext } from "@greengage/base";
+import { Hub } from "@greengage/bench";
+import { ConfigurationRegister, RoutingTable } from "@greengage/configuration";
+import { type RaftLog, readRecordFile, RecordCodec, replaceFile, syncFile } from "@greengage/consensus";
+import { waitFor } from "@greengage/faults";
+import { type EngineOrders, FleetService } from "@greengage/fleet";
+import type { GroupRecords } from "@greengage/protocol";
+import test from "ava";
+import { mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { profileOf, routeOf } from "../configuration/fixtures.ts";
+
+const ID = "daemon-1";
+
+const recordsOf = (): GroupRecords => ({
+    version: 4,
+    groups: [{
+        groupName: "g1",
+        epoch: 7,
+        service: "llm",
+        model: "small",
+        zone: "z",
+        fabricDomain: "d",
+        headAddress: "127.0.0.1:1",
+        members: [{ serverId: "e1", bornMs: 1, address: "127.0.0.1:1", sequence: 3 }],
+        phase: "open",
+    }],
+    endedNames: [],
+    servers: [{ serverId: "l1", service: "ledger", address: "127.0.0.1:2", zone: "z", slotCount: 1 }],
+    entryDaemonCount: 5,
+});
+
+/** The part of the log that the service uses, of a daemon that leads. */
+const leadingLog = (): RaftLog =>
+    ({
+        holdsLeaderLease: true,
+        isCurrent: true,
+        status: () => ({
+            role: "leader",
+            term: 3,
+            leaderId: ID,
+            leaderContactAgeMs: 0,
+            voterIds: [ID],
+            joiningIds: [],
+        }),
+    }) as unknown as RaftLog;
+
+// Guards against a second restart of all daemons that knows less than the first one did: the ledger would be missing,
+// and each entry daemon would take the whole retry budget.
+test("a leader that has restarted keeps what it has only inherited in its records", async (t) => {
+    const folder = mkdtempSync(join(tmpdir(), "greengage-fleet-"));
+    t.teardown(() => rmSync(folder, { recursive: true, force: true }));
+    const recordPath = join(folder, "groups");
+    const codec = await RecordCodec.create();
+    await replaceFile(recordPath, codec.write(recordsOf()), syncFile);
+    const hub = new Hub();
+    const peers = hub.join({ daemonId: ID, zone: "z", host: "", port: 0 });
+    const watcher = hub.join({ daemonId: "daemon-2", zone: "z", host: "", port: 0 });
+    const service = new FleetService({
+        context: createContext({ daemonId: ID, zone: "z" }),
+        peers,
+        log: leadingLog(),
+        register: new ConfigurationRegister(),
+        decode: () =>
+            new RoutingTable({
+                version: 1,
+                routes: [routeOf()],
+                services: [{ name: "llm", maxConnections: 1, engine: profileOf() }],
+                limits: { headerBytes: 1, bodyBytes: 1, headersMs: 1, idleMs: 1 },
+            }),
+        orders: {} as EngineOrders,
+        // Long, so that the leader still waits for reports.
+        timing: { heartbeatMs: 60_000 },
+        recordPath,
+    });
+    t.teardown(() => service.close());
+    await service.start();
+    const view = await waitFor("the first view", async () => {
+        const { view } = await watcher.call(ID, "fleet.watch", {
+            configurationVersion: 0,
+            viewTerm: 0,
+            viewVersion: 0,
+            recordsVersion: 0,
+            waitMs: 50,
+            zone: "z",
+            isEntry: true,
+            entryIds: [],
+            demand: [],
+        });
+        return view;
+    });
+    t.is(view.entryDaemonCount, 5);
+    t.deepEqual(view.servers.map(({ serverId }) => serverId), ["l1"]);
+    const kept = await waitFor("records of the new term", async () => {
+        const records = await readRecordFile(recordPath, codec) as GroupRecords;
+        return records.version === recordsOf().version ? undefined : records;
+    });
+    t.deepEqual(kept.servers, view.servers);
+    t.is(kept.entryDaemonCount, 5);
+});
