--- a/test/platform/engine.test.ts
+++ b/test/platform/engine.test.ts
@@ -3,14 +3,7 @@
 import { request } from "undici";
 import { type EngineFleet, PlatformEngine } from "./engine.ts";
 import { callUntil } from "./fixtures.ts";
-
-interface Order {
-    operation: string;
-    group: string;
-    epoch: number;
-    model?: string;
-    members?: string[];
-}
+import type { Order } from "./member.ts";
 
 const startEngines = async (
     t: ExecutionContext,
--- a/test/platform/soak/callers.ts
+++ b/test/platform/soak/callers.ts
@@ -2,7 +2,7 @@
 import type { Violations } from "@greengage/bench";
 import type { IncomingMessage } from "node:http";
 import { request } from "undici";
-import { wholeStream } from "../engine.ts";
+import { wholeStream } from "../content.ts";
 import { chatHeaders } from "../fixtures.ts";
 import { MODEL_SIZES, type SoakDaemon } from "./system.ts";
 
