--- a/scripts/bundle.ts
+++ b/scripts/bundle.ts
@@ -1,4 +1,5 @@
 import { build, type Plugin } from "esbuild";
+import { resolve } from "node:path";
 
 /**
  * Libraries try to load these native add-ons and go on without them. Inside the executable a failed `require` prints a
@@ -15,11 +16,22 @@
     },
 };
 
+/** Libraries of which a daemon needs a part only, replaced by `scripts/slim/NAME.mjs`. */
+const slimLibraries: Plugin = {
+    name: "slim-libraries",
+    setup: (build) => {
+        build.onResolve(
+            { filter: /^(undici|hdr-histogram-js)$/ },
+            ({ path }) => ({ path: resolve(`scripts/slim/${path}.mjs`) }),
+        );
+    },
+};
+
 /** Bundles a program and its libraries into one file for Node.js. */
 export const bundle = async (
     entryPoint: string,
     outfile: string,
-    { minifySyntax = false } = {},
+    { startsFast = false } = {},
 ): Promise<void> => {
     await build({
         entryPoints: [entryPoint],
@@ -30,8 +42,10 @@
         target: "node20",
         // jsonc-parser's default entry point hides its requires from the bundler.
         mainFields: ["module", "main"],
-        plugins: [optionalAddons],
-        minifySyntax,
+        plugins: [optionalAddons, ...(startsFast ? [slimLibraries] : [])],
+        minify: startsFast,
+        // Names show in errors and in profiles.
+        keepNames: startsFast,
         logLevel: "error",
     });
 };
