Count the check-in answers of several rounds when all voters restart

A check-in ended early only when every other voter answered in one round of 0.15 to 0.4 s; each is busy with its start and with the daemons that connect.

Ruled out: a voter that had been replaced (all five were running), the votes themselves (a few ms).

Answers now count once they have come, and only the missing voters are asked again.

--- a/packages/consensus/src/members.ts
+++ b/packages/consensus/src/members.ts
@@ -151,8 +151,12 @@
             return;
         }
         const others = (known.length > 0 ? known : this.#voterIds).filter((id) => id !== state.daemonId);
+        // After a restart of all voters each of them is busy, so a single round rarely gets every answer in time.
+        const answerById = new Map<string, StatusResponse>();
         while (!signal.aborted && !state.isCheckedIn) {
-            const answers = await this.#askAll(others);
+            const missing = others.filter((id) => !answerById.has(id));
+            (await this.#askAll(missing)).forEach(([id, answer]) => answerById.set(id, answer));
+            const answers = [...answerById.values()];
             if (answers.some((answer) => answer.mustRejoin)) {
                 await this.rejoin();
                 return;
@@ -180,12 +184,16 @@
         }
     }
 
-    async #askAll(daemonIds: readonly string[]): Promise<StatusResponse[]> {
+    /** Answers by daemon. Those that don't answer in time are left out. */
+    async #askAll(daemonIds: readonly string[]): Promise<[string, StatusResponse][]> {
         const { memberId, term, entries, peers, timing } = this.#state;
         const request = { memberId, term, lastLogIndex: entries.lastIndex };
         const options = { timeoutMs: timing.callTimeoutMs };
         const answers = await Promise.all(
-            daemonIds.map((id) => peers.call(id, "raft.status", request, options).catch(() => undefined)),
+            daemonIds.map(async (id): Promise<[string, StatusResponse] | undefined> => {
+                const answer = await peers.call(id, "raft.status", request, options).catch(() => undefined);
+                return answer === undefined ? undefined : [id, answer];
+            }),
         );
         return answers.filter((answer) => answer !== undefined);
     }
@@ -215,7 +223,7 @@
         }
         const others = this.#voterIds.slice(1);
         const members = await Promise.all(others.map(async (daemonId): Promise<Member | undefined> => {
-            const [answer] = await this.#askAll([daemonId]);
+            const [[, answer] = []] = await this.#askAll([daemonId]);
             return answer === undefined || answer.clusterExists
                 ? undefined
                 : { daemonId, memberId: answer.memberId, voter: true };
--- a/test/consensus/dynamic.test.ts
+++ b/test/consensus/dynamic.test.ts
@@ -75,3 +75,22 @@
     t.is(identity, SEEDS.join());
     await cluster.waitFor("three voters", () => votersOf(cluster) === SEEDS.join() ? true : undefined);
 });
+
+/** Longer than the test waits, so that a restart must not depend on it. */
+const LONG_CHECK_IN_MS = 60_000;
+
+// Guards against a restart of all voters that waits for a round in which every one of them answers in time: each is busy
+// then, and the longest wait for a check-in passed without a leader.
+test("voters that restart together count the answers of several rounds", async (t) => {
+    const cluster = new TestCluster({ voters: 5, raft: { timing: { checkInMs: LONG_CHECK_IN_MS } } });
+    t.teardown(() => cluster.stop());
+    await cluster.start();
+    await cluster.add("one", "d1");
+    await Promise.all(cluster.ids.map((id) => cluster.stopMember(id)));
+    cluster.network.lostAnswerType = "raft.status";
+    cluster.network.lostAnswerShare = 0.75;
+    await Promise.all(cluster.ids.map((id) => cluster.startMember(id)));
+    await cluster.leader();
+    await cluster.waitForAll(["one"]);
+    t.pass();
+});
--- a/test/consensus/fixture.ts
+++ b/test/consensus/fixture.ts
@@ -48,6 +48,8 @@
     maxDelayMs = 1;
     /** Share of the calls whose answer is lost after the call was handled. */
     lostAnswerShare = 0;
+    /** Type of the calls whose answers are lost; all types without one. */
+    lostAnswerType: CallType | undefined;
 
     constructor(seed = 1) {
         this.random = new Random(seed);
@@ -111,7 +113,8 @@
         const response = await Promise.race([Promise.resolve(handler(copy, from)), late]);
         await sleep(this.random.fraction() * this.maxDelayMs);
         const isGone = this.#handlers.get(target) !== handlers || this.#cuts.has(`${target}/${from}`);
-        if (isGone || this.random.fraction() < this.lostAnswerShare) {
+        const canBeLost = this.lostAnswerType === undefined || this.lostAnswerType === type;
+        if (isGone || (canBeLost && this.random.fraction() < this.lostAnswerShare)) {
             await late;
         }
         return decode(encode(response));
