Let VMs serve either model, and form groups from what is at hand before waiting for a load

By the controller's lines, eight groups stood 12 to 17 s each while one member loaded and five to eleven survivors waited; two closed for 9 s because a member was gone that nobody asked for, as the group had no streams.

A member joins its own model again without weights on its host, so members of open groups now stage the other model there: before any demand at once, later with what the store leaves. A group that waits for a load is given up for one that needs none, an open group for one of a model that is covered clearly worse, and a group that closes ends when a member has been silent for 2.5 report periods or a suspicion finds it lost. Each has a test; the ones of the closing group and of the losses beyond the spares fail without their rule.

--- a/packages/fleet/src/controller.ts
+++ b/packages/fleet/src/controller.ts
@@ -68,7 +68,7 @@
             settledAtMs: () => this.#settledAtMs,
         };
         this.#ending = new GroupEnding(this.#state);
-        this.#forming = new GroupForming(this.#state);
+        this.#forming = new GroupForming(this.#state, this.#ending);
         this.#suspicions = new SuspicionCheck(this.#state, this.#ending);
     }
 
--- a/packages/fleet/src/forming.ts
+++ b/packages/fleet/src/forming.ts
@@ -2,10 +2,12 @@
 import type { EngineProfile, ServiceSpec } from "@greengage/configuration";
 import { MemberState } from "@greengage/protocol";
 import type { FleetState } from "./controller.ts";
+import type { GroupEnding } from "./ending.ts";
 import { GroupPhase, headOf, isProvided, type ManagedGroup } from "./group.ts";
 import { LoadPacer } from "./loadpacer.ts";
 import { OrderOutcome } from "./orders.ts";
 import {
+    type DonorGroup,
     type FreeVm,
     type GroupPlan,
     type GroupTargets,
@@ -13,8 +15,11 @@
     needsLoad,
     planGroup,
     type PlanInput,
+    planMemberStaging,
     planStaging,
     planTargets,
+    planTransfer,
+    type StagePlan,
 } from "./planner.ts";
 import { type BackendServer, reportsState } from "./registry.ts";
 import { DISTRUST_MS, JOIN_MARGIN_MS, JOIN_PATIENCE, MISSING_HEARTBEATS, ORDER_RETRY_MS } from "./timing.ts";
@@ -27,17 +32,40 @@
 /** VMs of a new fleet appear within a period of their reports, most of them close together. */
 const APPEARANCE_GAP_MS = 300;
 
+/** A service of model engines. */
+type ModelService = ServiceSpec & { engine: EngineProfile; };
+
+/** A group that waits at least this much longer for a load is given up for one that needs none; that takes two seconds. */
+const MIN_GAIN_MS = 2_500;
+/** A group that is given up first finishes its streams, which takes up to four seconds. */
+const MIN_TRANSFER_GAIN_MS = 6_000;
+
+/** Whether a group counts when groups are planned. */
+const takesPlace = (group: ManagedGroup): boolean => isProvided(group) || group.isGivenUp === true;
+
+/** Whether a group waits for a load that has long to go. Its head was never ordered to open. */
+const isWaiting = (
+    { phase, mayBeOpen, readyAtMs }: ManagedGroup,
+    minGainMs: number,
+    nowMs: number,
+): boolean => phase === GroupPhase.Joining && !mayBeOpen && readyAtMs - nowMs > minGainMs;
+
+/** Phases of groups that are not about to free their members. */
+const settledPhases: readonly GroupPhase[] = [GroupPhase.Joining, GroupPhase.Open, GroupPhase.Dissolving];
+
 /** Forms groups from free VMs, opens them, and has spares load weights in advance. */
 export class GroupForming {
     readonly #state: FleetState;
+    readonly #ending: GroupEnding;
     readonly #pacers = new Map<string, LoadPacer>();
     /** Orders to join that are under way, by group and VM. */
     readonly #joins = new Set<string>();
     /** Loads that run, by VM, with the time by which they must have ended. */
     readonly #loads = new Map<string, { model: string; untilMs: number; }>();
 
-    constructor(state: FleetState) {
+    constructor(state: FleetState, ending: GroupEnding) {
         this.#state = state;
+        this.#ending = ending;
     }
 
     formGroups(nowMs: number): void {
@@ -46,15 +74,91 @@
                 continue;
             }
             const targets = this.#targets(service, service.engine, nowMs);
-            for (;;) {
-                const input = this.#planInput(service, service.engine, nowMs);
-                const plan = planGroup(input, targets);
-                if (plan === undefined) {
-                    break;
-                }
-                this.#form(service, plan, nowMs);
+            let hasFormed = true;
+            while (hasFormed) {
+                hasFormed = this.#formFromHeld(service, targets, nowMs)
+                    || this.#formFromFree(service, targets, nowMs);
             }
+            this.#transfer(service, targets, nowMs);
+        }
+    }
+
+    #formFromFree(service: ModelService, targets: GroupTargets, nowMs: number): boolean {
+        const plan = planGroup(this.#planInput(service, nowMs), targets);
+        if (plan === undefined) {
+            return false;
+        }
+        this.#form(service, plan, nowMs);
+        return true;
+    }
+
+    /**
+     * Forms a group that needs no load, also from VMs that other groups hold while they wait for one. Those groups start
+     * again from what is left; the loads go on.
+     */
+    #formFromHeld(service: ModelService, targets: GroupTargets, nowMs: number): boolean {
+        const { input, waiting } = this.#inputWithHeld(service, MIN_GAIN_MS, nowMs);
+        const plan = waiting.length === 0 ? undefined : planGroup(input, targets);
+        if (plan === undefined) {
+            return false;
         }
+        const givenUp = new Set(plan.members.map(({ heldBy }) => heldBy));
+        for (const group of waiting.filter(({ groupName }) => givenUp.has(groupName))) {
+            this.#state.groups.remove(group, "its members serve sooner in another group");
+        }
+        this.#form(service, plan, nowMs);
+        return true;
+    }
+
+    /** Gives up one group at a time for a model that is served less. */
+    #transfer(service: ModelService, targets: GroupTargets, nowMs: number): void {
+        const { groups, hasDemand } = this.#state;
+        const own = groups.all().filter((group) => group.service === service.name);
+        if (!hasDemand || own.some(({ phase }) => !settledPhases.includes(phase))) {
+            return;
+        }
+        const donors = own.filter(({ phase }) => phase === GroupPhase.Open).map((group): DonorGroup => ({
+            ...group,
+            members: this.#vmsOf(group, nowMs),
+        }));
+        const { input } = this.#inputWithHeld(service, MIN_TRANSFER_GAIN_MS, nowMs);
+        const donor = planTransfer(input, targets, donors);
+        const group = donor === undefined ? undefined : groups.get(donor.groupName);
+        if (group !== undefined) {
+            group.isGivenUp = true;
+            this.#ending.beginClosing(group, "its VMs complete a group of another model", nowMs);
+        }
+    }
+
+    /** Plans without loads may use VMs of groups that wait for a load for at least `minGainMs` more. */
+    #inputWithHeld(
+        service: ModelService,
+        minGainMs: number,
+        nowMs: number,
+    ): { input: PlanInput; waiting: ManagedGroup[]; } {
+        const own = this.#state.groups.all().filter((group) => group.service === service.name);
+        const waiting = own.filter((group) => isWaiting(group, minGainMs, nowMs));
+        const input = this.#planInput(service, nowMs);
+        const held = waiting.flatMap((group) =>
+            this.#vmsOf(group, nowMs).map((vm): FreeVm => ({ ...vm, heldBy: group.groupName }))
+        );
+        return {
+            waiting,
+            input: {
+                ...input,
+                freeVms: [...input.freeVms, ...held],
+                groups: own.filter((group) => takesPlace(group) && !waiting.includes(group)),
+                loadsAllowed: 0,
+            },
+        };
+    }
+
+    /** Members of a group that stay. */
+    #vmsOf({ memberIds }: ManagedGroup, nowMs: number): FreeVm[] {
+        return memberIds.map((serverId) => this.#state.registry.get(serverId))
+            .filter((server) => server !== undefined)
+            .filter(({ report }) => !report.isDraining)
+            .map((server) => this.#freeVm(server, nowMs));
     }
 
     stageSpares(nowMs: number): void {
@@ -62,7 +166,7 @@
             if (!this.#isComplete(service.name, nowMs)) {
                 continue;
             }
-            const input = this.#planInput(service, service.engine, nowMs);
+            const input = this.#planInput(service, nowMs);
             // Some loads stay free for members of groups, which are missed now.
             const stagingAllowed = input.loadsAllowed
                 - Math.floor(service.engine.loadsAtOnce * LOADS_KEPT_SHARE);
@@ -71,23 +175,30 @@
                 const key = memberKey(fabricDomain, model);
                 memberCounts.set(key, (memberCounts.get(key) ?? 0) + memberIds.length);
             }
-            for (
-                const { serverId, model } of planStaging(
-                    { ...input, loadsAllowed: stagingAllowed },
-                    memberCounts,
-                )
-            ) {
-                this.#pacer(service.name).started(1, nowMs);
-                this.#loads.set(serverId, {
-                    model: model.name,
-                    untilMs: nowMs + JOIN_PATIENCE * model.loadMs,
-                });
-                this.#state.context.decisions.record("vm.stage", { server: serverId, model: model.name });
-                this.#run(() => this.#stage(serverId, model.name));
-            }
+            const plans = planStaging({ ...input, loadsAllowed: stagingAllowed }, memberCounts);
+            plans.forEach((plan) => this.#beginStaging(service.name, plan, nowMs));
+            this.#stageMembers(service, stagingAllowed - plans.length, nowMs);
         }
     }
 
+    /** Members of open groups load another model onto their hosts, so that the domain can form groups of either. */
+    #stageMembers(service: ModelService, loadsAllowed: number, nowMs: number): void {
+        const members = this.#state.groups.all()
+            .filter((group) => group.service === service.name && group.phase === GroupPhase.Open)
+            .flatMap((group) => this.#vmsOf(group, nowMs));
+        const input = { ...this.#planInput(service, nowMs), loadsAllowed };
+        for (const plan of planMemberStaging(input, members)) {
+            this.#beginStaging(service.name, plan, nowMs);
+        }
+    }
+
+    #beginStaging(service: string, { serverId, model }: StagePlan, nowMs: number): void {
+        this.#pacer(service).started(1, nowMs);
+        this.#loads.set(serverId, { model: model.name, untilMs: nowMs + JOIN_PATIENCE * model.loadMs });
+        this.#state.context.decisions.record("vm.stage", { server: serverId, model: model.name });
+        this.#run(() => this.#stage(serverId, model.name));
+    }
+
     /** Orders the head to open, until it does or the group ends. */
     open(group: ManagedGroup): void {
         this.#run(async () => {
@@ -103,9 +214,9 @@
         });
     }
 
-    #modelServices(): (ServiceSpec & { engine: EngineProfile; })[] {
+    #modelServices(): ModelService[] {
         const services = this.#state.routing()?.configuration.services ?? [];
-        return services.filter((service): service is ServiceSpec & { engine: EngineProfile; } =>
+        return services.filter((service): service is ModelService =>
             service.engine !== undefined && service.engine.models.length > 0
         );
     }
@@ -134,10 +245,11 @@
         return planTargets(profile, needsOf(profile), vmCounts);
     }
 
-    #planInput(service: ServiceSpec, profile: EngineProfile, nowMs: number): PlanInput {
+    #planInput(service: ModelService, nowMs: number): PlanInput {
+        const profile = service.engine;
         const free = this.#state.registry.all().filter((server) => this.#isFree(server, service.name, nowMs));
         const groups = this.#state.groups.all().filter((group) =>
-            group.service === service.name && isProvided(group)
+            group.service === service.name && takesPlace(group)
         );
         return {
             profile,
@@ -217,6 +329,7 @@
             phase: GroupPhase.Joining,
             phaseSinceMs: nowMs,
             readyByMs: nowMs + JOIN_PATIENCE * readyInMs + JOIN_MARGIN_MS,
+            readyAtMs: nowMs + readyInMs,
             mayBeOpen: false,
             leftIds: new Set(),
             suspicionCount: 0,
--- a/packages/fleet/src/group.ts
+++ b/packages/fleet/src/group.ts
@@ -27,12 +27,16 @@
     phaseSinceMs: number;
     /** Time by which a joining group should be ready; late members are replaced. */
     readyByMs: number;
+    /** Time at which a joining group is ready if its loads are not slowed down. */
+    readyAtMs: number;
     /** Why the group ends, for logs. */
     reason?: string;
     /** Whether the head may have been ordered to open. Only then can it serve. */
     mayBeOpen: boolean;
     /** Members that have left by order. */
     leftIds: Set<string>;
+    /** Whether it ends so that its VMs serve another model. Until it has ended, none takes its place. */
+    isGivenUp?: boolean;
     /** Number of the suspicions that have not led to a change. */
     suspicionCount: number;
     /** Monotonic time of the last probe of all members. */
--- a/packages/fleet/src/planner.ts
+++ b/packages/fleet/src/planner.ts
@@ -12,6 +12,8 @@
     isStaging: boolean;
     /** Time since its first report. */
     seenForMs: number;
+    /** Group that holds the VM while another member loads from the weight store. */
+    heldBy?: string;
 }
 
 /** What the planner decides on for one service. */
@@ -50,6 +52,8 @@
 
 /** Above 1, so that spares of equal use are staged with different models: any first loss then finds its spare. */
 const VARIETY = 1.2;
+/** Ratio by which the coverage of the worse covered model must grow when a group is given up for it. */
+const MIN_TRANSFER_GAIN = 1.2;
 /** VMs of a domain that returns appear within a period of their reports; before that, none of them loads. */
 const RETURN_GAP_MS = 1_500;
 
@@ -118,10 +122,7 @@
  * VMs that must load.
  */
 export const planGroup = (input: PlanInput, targets: GroupTargets): GroupPlan | undefined => {
-    const totals = new Map<string, number>();
-    for (const { model } of input.groups) {
-        totals.set(model, (totals.get(model) ?? 0) + 1);
-    }
+    const totals = groupTotals(input.groups);
     const byNeed = [...input.profile.models].sort((a, b) =>
         coverage(totals, input.needs, a) - coverage(totals, input.needs, b)
     );
@@ -131,6 +132,15 @@
         ?? plans.find((plan) => hasSettled(input, plan.fabricDomain));
 };
 
+/** Number of groups by model. */
+const groupTotals = (groups: PlanInput["groups"]): Map<string, number> => {
+    const totals = new Map<string, number>();
+    for (const { model } of groups) {
+        totals.set(model, (totals.get(model) ?? 0) + 1);
+    }
+    return totals;
+};
+
 const bestPlan = (input: PlanInput, targets: GroupTargets, model: ModelSpec): GroupPlan | undefined =>
     domainsOf(input.freeVms).map((domain) => planInDomain(input, targets, model, domain))
         .filter((plan) => plan !== undefined)
@@ -167,6 +177,69 @@
     return { model, fabricDomain: domain, members, loadCount, readyInMs };
 };
 
+/** A group that serves, with what its members could join. */
+export interface DonorGroup {
+    groupName: string;
+    model: string;
+    fabricDomain: string;
+    members: readonly FreeVm[];
+}
+
+/**
+ * The group to give up so that its VMs complete one of a model that is served less for its need, or undefined. Answers
+ * losses that use up the staged spares of a domain: the survivors of a large group would stand idle while one VM loads.
+ * The worse covered of the two models must gain clearly, as the group that is given up stands still for some seconds.
+ */
+export const planTransfer = (
+    input: PlanInput,
+    targets: GroupTargets,
+    donors: readonly DonorGroup[],
+): DonorGroup | undefined => {
+    const totals = groupTotals(input.groups);
+    const without = (model: ModelSpec): ReadonlyMap<string, number> =>
+        new Map(totals).set(model.name, (totals.get(model.name) ?? 0) - 1);
+    const coverageOf = (model: ModelSpec): number => coverage(totals, input.needs, model);
+    const byNeed = [...input.profile.models].sort((a, b) => coverageOf(a) - coverageOf(b));
+    for (const model of byNeed) {
+        const donor = donors.find((group) => {
+            const own = input.profile.models.find(({ name }) => name === group.model);
+            if (own === undefined || own === model) {
+                return false;
+            }
+            const freeVms = [...input.freeVms, ...group.members];
+            const plan = planInDomain(
+                { ...input, freeVms, loadsAllowed: 0 },
+                targets,
+                model,
+                group.fabricDomain,
+            );
+            const ownCoverage = coverage(without(own), input.needs, own);
+            return plan !== undefined && ownCoverage >= MIN_TRANSFER_GAIN * coverageOf(model);
+        });
+        if (donor !== undefined) {
+            return donor;
+        }
+    }
+    return undefined;
+};
+
+/**
+ * Which member of a serving group loads which other model onto its host. It joins its own model again without the
+ * weights on the host, so it can then be used for either. Answers losses beyond the spares of a domain.
+ */
+export const planMemberStaging = (input: PlanInput, members: readonly FreeVm[]): StagePlan[] => {
+    const plans: StagePlan[] = [];
+    for (const vm of members) {
+        const others = input.profile.models.filter(({ name }) => name !== vm.lastModel);
+        const isStaged = others.some(({ name }) => vm.stagedModels.includes(name));
+        const [model] = others.sort((a, b) => b.loadMs - a.loadMs);
+        if (model !== undefined && !isStaged && !vm.isStaging && plans.length < input.loadsAllowed) {
+            plans.push({ serverId: vm.serverId, model });
+        }
+    }
+    return plans;
+};
+
 /**
  * Which spare loads which model onto its host, in advance of a loss. A fabric domain stages the model that has the most
  * members for each staged spare, since each member is lost equally often. Answers a second loss: when the only spare
--- a/packages/fleet/src/supervision.ts
+++ b/packages/fleet/src/supervision.ts
@@ -122,7 +122,13 @@
     }
     const membership = memberOf(state, group, headId)?.report.membership;
     const isDone = membership?.state !== MemberState.Open && membership?.state !== MemberState.Closing;
-    const isMemberLost = group.memberIds.some((serverId) => hasEnded(state, group, serverId));
+    // Daemons see no streams of a group that has none, so only its reports tell that a member is gone.
+    const missingMs = MISSING_HEARTBEATS * state.timing.heartbeatMs;
+    const isMemberLost = group.memberIds.some((serverId) =>
+        hasEnded(state, group, serverId)
+        || nowMs - Math.max(group.phaseSinceMs, memberOf(state, group, serverId)?.receivedAtMs ?? 0)
+            > missingMs
+    );
     if (isDone || isMemberLost || nowMs - group.phaseSinceMs > CLOSE_LIMIT_MS) {
         ending.beginLeaving(group, isDone ? "the head has finished" : "the head could not finish", nowMs);
         return;
--- a/packages/fleet/src/suspicion.ts
+++ b/packages/fleet/src/suspicion.ts
@@ -52,6 +52,15 @@
     return isSlow ? SuspicionVerdict.Slow : SuspicionVerdict.Healthy;
 };
 
+/** Phases in which a group has streams. */
+const checkedPhases: readonly GroupPhase[] = [GroupPhase.Open, GroupPhase.Closing];
+
+const losses: readonly SuspicionVerdict[] = [
+    SuspicionVerdict.MemberLost,
+    SuspicionVerdict.HeadEnded,
+    SuspicionVerdict.HeadSilent,
+];
+
 interface Finding {
     group: ManagedGroup;
     results: readonly ProbeResult[];
@@ -74,7 +83,7 @@
     async take(suspicion: GroupSuspicion): Promise<boolean> {
         const group = this.#state.groups.get(suspicion.groupName);
         const nowMs = monotonicMs();
-        if (group === undefined || group.phase !== GroupPhase.Open || group.epoch !== suspicion.epoch) {
+        if (group === undefined || !checkedPhases.includes(group.phase) || group.epoch !== suspicion.epoch) {
             return false;
         }
         if (nowMs - group.probedAtMs >= PROBE_PERIOD_MS) {
@@ -93,7 +102,7 @@
                 probe: server === undefined ? { kind: "silent" } : await orders.probe(server.report),
             };
         }));
-        if (!this.#state.mayAct() || group.phase !== GroupPhase.Open) {
+        if (!this.#state.mayAct() || !checkedPhases.includes(group.phase)) {
             return false;
         }
         const verdict = judgeProbes(results);
@@ -111,7 +120,10 @@
         if (verdict !== SuspicionVerdict.Unknown) {
             failed.forEach((serverId) => this.#state.distrustedAtMs.set(serverId, nowMs));
         }
-        this.#handlers[verdict]({ group, results, nowMs, suspicion });
+        // A group that closes ends anyway; only a loss makes that urgent.
+        if (group.phase === GroupPhase.Open || losses.includes(verdict)) {
+            this.#handlers[verdict]({ group, results, nowMs, suspicion });
+        }
         return verdict === SuspicionVerdict.Healthy;
     }
 
--- a/test/fleet/controller.test.ts
+++ b/test/fleet/controller.test.ts
@@ -1,11 +1,11 @@
 import { waitFor } from "@greengage/faults";
-import { applyDeparture, DepartureEffect, ServerRegistry } from "@greengage/fleet";
+import { applyDeparture, DepartureEffect, type ManagedGroup, ServerRegistry } from "@greengage/fleet";
 import { MemberState } from "@greengage/protocol";
 import test from "ava";
 import { fleetOf } from "./fixtures.ts";
 
-const until = (what: string, holds: () => boolean): Promise<true> =>
-    waitFor(what, () => holds() || undefined);
+const until = (what: string, holds: () => boolean, limitMs?: number): Promise<true> =>
+    waitFor(what, () => holds() || undefined, limitMs);
 
 const ids = (count: number): string[] => Array.from({ length: count }, (_, index) => `e${index}`);
 
@@ -130,3 +130,56 @@
     t.is(applyDeparture(registry, groups, departure, 0), DepartureEffect.Draining);
     t.true(registry.get(serverId)?.report.isDraining);
 });
+
+/** Loads during the test take far longer than the test. */
+const SLOW_LOAD_MS = 600_000;
+
+const twoDomains = (serverId: string): { fabricDomain: string; } => ({
+    fabricDomain: Number(serverId.slice(1)) < 11 ? "d0" : "d1",
+});
+
+// Guards against a domain whose spares are used up: the survivors of the large group would wait for a load.
+test("losses beyond the spares are covered by a group of the other model", async (t) => {
+    const fleet = fleetOf(t, ids(22), twoDomains, SLOW_LOAD_MS);
+    await until("four open groups", () => fleet.openGroups().length === 4);
+    const canRunBoth = (): boolean =>
+        [...fleet.engines.values()].every(({ report, membership }) =>
+            membership === undefined
+            || !report.stagedModels.includes(report.loadedModels[0] ?? "") && report.stagedModels.length > 0
+        );
+    await until("members that have both models at hand", canRunBoth);
+    fleet.slowLoads();
+    fleet.controller.noteDemand([{ service: "llm", model: "large", tokens: 1, rejected: 0 }]);
+    // The one spare of each domain that has the weights covers the first loss there.
+    for (const domain of ["d0", "d0", "d1", "d1"]) {
+        const isOpen = ({ model, fabricDomain, phase }: ManagedGroup): boolean =>
+            model === "large" && fabricDomain === domain && phase === "open";
+        await until(`a large group in ${domain}`, () => fleet.controller.groups.all().some(isOpen));
+        const group = fleet.controller.groups.all().find(isOpen);
+        const { groupName = "", epoch = 0, memberIds = [] } = group ?? {};
+        fleet.darken(memberIds[3] ?? "");
+        await fleet.controller.suspect({ groupName, epoch, reason: "no progress", hasRunningStream: true });
+    }
+    await until(
+        "a large group after all losses",
+        () => fleet.controller.groups.all().some(({ model, phase }) => model === "large" && phase === "open"),
+    );
+    t.deepEqual(fleet.violations, []);
+});
+
+// Guards against a group that closes for as long as its head could work, though it waits for a lost member.
+test("a group that closes ends when a member falls silent", async (t) => {
+    const fleet = fleetOf(t, ids(11));
+    await until("two open groups", () => fleet.openGroups().length === 2);
+    const group = fleet.controller.groups.all().find(({ model }) => model === "large");
+    const [headId = "", drainingId = "", lostId = ""] = group?.memberIds ?? [];
+    fleet.engine(headId).keepsWorking = true;
+    fleet.engine(drainingId).report.isDraining = true;
+    await until("the group closes", () => group?.phase === "closing");
+    fleet.darken(lostId);
+    const isAnother = ({ model, groupName }: { model: string; groupName: string; }): boolean =>
+        model === "large" && groupName !== group?.groupName;
+    // A head may take nine seconds to finish its requests.
+    await until("another large group", () => fleet.controller.groups.all().some(isAnother), 5_000);
+    t.deepEqual(fleet.violations, []);
+});
--- a/test/fleet/fixtures.ts
+++ b/test/fleet/fixtures.ts
@@ -1,4 +1,4 @@
-import { createContext, Lifecycle } from "@greengage/base";
+import { createContext, Lifecycle, sleep } from "@greengage/base";
 import { RoutingTable } from "@greengage/configuration";
 import {
     type EngineOrders,
@@ -37,6 +37,8 @@
     readonly report: ServerReport;
     isDark = false;
     isCutFromControl = false;
+    /** As a head it never finishes its requests after an order to close. */
+    keepsWorking = false;
     /** Rosters of the groups that it joined, in order. */
     readonly joined: GroupRoster[] = [];
     highestEpoch = 0;
@@ -61,6 +63,8 @@
     counts: Map<string, number>;
     openGroups(): string[];
     engine(serverId: string): FakeEngine;
+    /** From now on loads from the weight store take their configured time. */
+    slowLoads(): void;
     /** Ends a process without a sign. */
     darken(serverId: string): void;
 }
@@ -70,6 +74,8 @@
     t: ExecutionContext,
     engineIds: readonly string[],
     fields: (serverId: string) => Partial<ServerReport> = () => ({}),
+    /** Time of a load from the weight store once `slowLoads` was called. */
+    slowLoadMs = LOAD_MS,
 ): FleetFixture => {
     const context = createContext({ daemonId: "c", zone: "z" });
     const registry = new ServerRegistry();
@@ -83,13 +89,14 @@
             maxConnections: 400,
             engine: profileOf({
                 models: [
-                    { name: "large", vmCount: 6, share: 0.67, pace: 1, loadMs: LOAD_MS, warmLoadMs: 10 },
-                    { name: "small", vmCount: 3, share: 0.33, pace: 0.6, loadMs: LOAD_MS, warmLoadMs: 10 },
+                    { name: "large", vmCount: 6, share: 0.67, pace: 1, loadMs: slowLoadMs, warmLoadMs: 10 },
+                    { name: "small", vmCount: 3, share: 0.33, pace: 0.6, loadMs: slowLoadMs, warmLoadMs: 10 },
                 ],
             }),
         }],
     }));
-    const orders = createOrders({ engines, violations, counts, lifecycle });
+    const loads = { durationMs: LOAD_MS };
+    const orders = createOrders({ engines, violations, counts, lifecycle, loads });
     const controller = new GroupController({
         context,
         registry,
@@ -123,6 +130,9 @@
         openGroups: () =>
             controller.groups.all().filter(({ phase }) => phase === "open").map(({ groupName }) => groupName),
         engine: (serverId) => engines.get(serverId) as FakeEngine,
+        slowLoads: () => {
+            loads.durationMs = slowLoadMs;
+        },
         darken: (serverId) => {
             (engines.get(serverId) as FakeEngine).isDark = true;
         },
@@ -134,9 +144,10 @@
     violations: FleetViolation[];
     counts: Map<string, number>;
     lifecycle: Lifecycle;
+    loads: { durationMs: number; };
 }
 
-const createOrders = ({ engines, violations, counts, lifecycle }: OrderWorld): EngineOrders => {
+const createOrders = ({ engines, violations, counts, lifecycle, loads }: OrderWorld): EngineOrders => {
     const reached = (server: ServerReport, order: string): FakeEngine | undefined => {
         counts.set(order, (counts.get(order) ?? 0) + 1);
         const engine = engines.get(server.serverId);
@@ -144,11 +155,15 @@
     };
     const isIn = (engine: FakeEngine, { groupName, epoch }: GroupName): boolean =>
         engine.membership?.groupName === groupName && engine.membership.epoch === epoch;
-    const later = (task: () => void): void =>
-        void lifecycle.run(async () => {
-            await new Promise((resolve) => setTimeout(resolve, LOAD_MS));
-            task();
+    const later = (durationMs: number, task: () => void): void =>
+        void lifecycle.run(async (signal) => {
+            await sleep(durationMs, signal);
+            if (!signal.aborted) {
+                task();
+            }
         }, () => undefined);
+    const isWarm = ({ report }: FakeEngine, model: string): boolean =>
+        report.loadedModels.includes(model) || report.stagedModels.includes(model);
     return {
         join: async (server, roster) => {
             const engine = reached(server, "join");
@@ -163,11 +178,12 @@
             engine.joined.push(roster);
             const rank = roster.memberIds.indexOf(server.serverId);
             engine.report.membership = { ...roster, rank, state: MemberState.Joining };
-            later(() => {
+            const isLoading = !isWarm(engine, roster.model);
+            later(isLoading ? loads.durationMs : LOAD_MS, () => {
                 if (isIn(engine, roster) && engine.membership?.state === MemberState.Joining) {
                     engine.report.membership = { ...roster, rank, state: MemberState.Ready };
                     engine.report.loadedModels = [roster.model];
-                    engine.report.stagedModels = [roster.model];
+                    engine.report.stagedModels = isLoading ? [roster.model] : engine.report.stagedModels;
                 }
             });
             return OrderOutcome.Accepted;
@@ -186,7 +202,7 @@
             if (engine !== undefined && isIn(engine, group)) {
                 engine.report.membership = {
                     ...engine.membership as GroupMembership,
-                    state: MemberState.Ready,
+                    state: engine.keepsWorking ? MemberState.Closing : MemberState.Ready,
                 };
             }
             return engine === undefined ? OrderOutcome.Unknown : OrderOutcome.Accepted;
@@ -200,7 +216,7 @@
         },
         stage: async (server, model) => {
             const engine = reached(server, "stage");
-            later(() => {
+            later(loads.durationMs, () => {
                 if (engine !== undefined) {
                     engine.report.stagedModels = [model];
                 }
--- a/test/fleet/planner.test.ts
+++ b/test/fleet/planner.test.ts
@@ -3,8 +3,10 @@
     memberKey,
     planGroup,
     type PlanInput,
+    planMemberStaging,
     planStaging,
     planTargets,
+    planTransfer,
 } from "@greengage/fleet";
 import test from "ava";
 import { profileOf } from "../configuration/fixtures.ts";
@@ -86,3 +88,49 @@
     const both = [...last, vmOf("other", { stagedModels: ["large"] })];
     t.deepEqual(planStaging(inputOf(both), counts), []);
 });
+
+const bothWarm = { lastModel: "small", stagedModels: ["large"] };
+
+/** Five survivors of a large group, and a small group in the same domain whose members could join it. */
+const lossBeyondSpares = (
+    members: FreeVm[],
+    otherGroups: PlanInput["groups"] = [],
+): ReturnType<typeof planTransfer> => {
+    const survivors = vms(5, { lastModel: "large", stagedModels: ["small"], heldBy: "g1" });
+    const groups = [{ model: "small", fabricDomain: "d" }, ...otherGroups];
+    const targets = new Map([[memberKey("d", "large"), 1], [memberKey("d", "small"), 1]]);
+    const donor = { groupName: "g2", model: "small", fabricDomain: "d", members };
+    return planTransfer(inputOf(survivors, { groups, loadsAllowed: 0 }), targets, [donor]);
+};
+
+// Guards against the survivors of a large group that stand idle for a load, while the VM they lack serves a model that is
+// covered better.
+test("a small group is given up when its VMs complete a large one without a load", (t) => {
+    const members = [0, 1, 2].map((index) => vmOf(`s${index}`, bothWarm));
+    const others = [{ model: "small", fabricDomain: "e" }];
+    t.is(lossBeyondSpares(members, others)?.groupName, "g2");
+    const onlySmall = members.map((vm) => ({ ...vm, stagedModels: ["small"] }));
+    t.is(lossBeyondSpares(onlySmall, others), undefined);
+});
+
+// Guards against two models that take the VMs from each other in turn.
+test("no group is given up when its own model would be covered worse than the other one", (t) => {
+    const members = [0, 1, 2].map((index) => vmOf(`s${index}`, bothWarm));
+    const others = [{ model: "large", fabricDomain: "e" }];
+    t.is(lossBeyondSpares(members, others), undefined);
+});
+
+test("members load the model that they don't run, within the loads allowed", (t) => {
+    const members = [
+        vmOf("a", { lastModel: "small", stagedModels: ["small"] }),
+        vmOf("b", bothWarm),
+        vmOf("c", { lastModel: "large", stagedModels: [], isStaging: true }),
+        vmOf("d", { lastModel: "large", stagedModels: ["large"] }),
+    ];
+    const namesOf = (loadsAllowed: number): string[] =>
+        planMemberStaging(inputOf([], { loadsAllowed }), members).map(({ serverId, model }) =>
+            `${serverId} ${model.name}`
+        );
+    t.deepEqual(namesOf(8), ["a large", "d small"]);
+    t.deepEqual(namesOf(1), ["a large"]);
+});
