Place the requests of a model at one control daemon, by what all entry daemons have in flight

Entry daemons tell a control daemon every 200 ms what they have in flight and learn what the others have; control daemons tell each other. A place is asked for at one control daemon for each model, which counts the places given since; without an answer in 40 ms the entry daemon chooses by itself. Events of other daemons' streams show that a group goes on. The time that first tokens always take beyond the engines' figures is learned. Streams of a group that was withdrawn are watched on, as their group may stand still while it closes.

--- a/packages/daemon/src/control.ts
+++ b/packages/daemon/src/control.ts
@@ -9,6 +9,7 @@
 } from "@greengage/configuration";
 import { CompositeStateMachine, RaftLog } from "@greengage/consensus";
 import { type EngineOrders, FleetService, type FleetTiming } from "@greengage/fleet";
+import { PlacementService } from "@greengage/gateway";
 import type { PeerNetwork } from "@greengage/protocol";
 import { join } from "node:path";
 import { createPeerNetwork } from "./peerid.ts";
@@ -91,6 +92,12 @@
             timing: options.timing,
             recordPath: join(dataFolder, RECORD_FILE),
         });
+        new PlacementService({
+            peers: this.#peers,
+            view: () => this.fleet.view,
+            routing: () => this.fleet.routing(),
+            usage: () => this.fleet.usage(),
+        });
     }
 
     get log(): RaftLog {
--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -1,7 +1,7 @@
 import { type Context, Lifecycle, LogPart, messageOf } from "@greengage/base";
 import { type Configuration, RoutingTable } from "@greengage/configuration";
-import { FleetWatcher } from "@greengage/fleet";
-import { Gateway, type RetryLimits, type ServerDialect } from "@greengage/gateway";
+import { FleetWatcher, UsageClient } from "@greengage/fleet";
+import { Gateway, PLACE_TIMEOUT_MS, type RetryLimits, type ServerDialect } from "@greengage/gateway";
 import type { FleetView, GroupSuspicion, PeerNetwork } from "@greengage/protocol";
 import { inflateRawSync } from "node:zlib";
 import { createPeerNetwork } from "./peerid.ts";
@@ -24,6 +24,7 @@
     readonly #options: EntryDaemonOptions;
     readonly #peers: PeerNetwork;
     readonly #watcher: FleetWatcher;
+    readonly #usage: UsageClient;
     readonly #lifecycle = new Lifecycle();
     #seedIds: readonly string[];
     #controllers: FleetView["controllers"] = [];
@@ -40,6 +41,8 @@
             dialect,
             retries,
             onSuspicion: (suspicion) => this.#passOn(suspicion),
+            askForPlace: (controllerId, request) =>
+                this.#peers.call(controllerId, "place.choose", request, { timeoutMs: PLACE_TIMEOUT_MS }),
         });
         this.#watcher = new FleetWatcher({
             context,
@@ -55,6 +58,13 @@
                 this.#takeConfiguration(version, inflateRawSync(document)),
             onView: (view) => this.#takeView(view),
         });
+        this.#usage = new UsageClient({
+            context,
+            peers: this.#peers,
+            target: () => this.#watcher.target,
+            usage: () => this.gateway.usage(),
+            onOthers: (others) => this.gateway.takeOthersUsage(others),
+        });
     }
 
     /** Whether a load balancer should send callers here. */
@@ -73,6 +83,8 @@
         this.#lifecycle.onClose(() => this.gateway.close());
         this.#watcher.start();
         this.#lifecycle.onClose(() => this.#watcher.close());
+        this.#usage.start();
+        this.#lifecycle.onClose(() => this.#usage.close());
         this.#options.context.decisions.record("daemon.start", { role: "entry", seeds: this.#seedIds });
     }
 
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -8,6 +8,7 @@
 export * from "./service.ts";
 export * from "./suspicion.ts";
 export * from "./timing.ts";
+export * from "./usage.ts";
 export * from "./view.ts";
 export * from "./watcher.ts";
 export * from "./watchers.ts";
--- a/packages/fleet/src/service.ts
+++ b/packages/fleet/src/service.ts
@@ -1,9 +1,11 @@
 import { Lifecycle, LogPart, messageOf, monotonicMs } from "@greengage/base";
+import type { RoutingTable } from "@greengage/configuration";
 import { ChangeSignal } from "@greengage/consensus";
 import type {
     FleetView,
     GroupRecords,
     GroupSuspicion,
+    GroupUsage,
     Peers,
     ServerTarget,
     SuspicionAnswer,
@@ -17,6 +19,7 @@
 import { GroupRecordFile } from "./recordfile.ts";
 import { ServerRegistry } from "./registry.ts";
 import type { FleetTiming } from "./timing.ts";
+import { UsageRelay } from "./usage.ts";
 import { groupTargets, isNewerView, serverTargets } from "./view.ts";
 import { FleetWatcher } from "./watcher.ts";
 import { expectedEntryCount, Watchers } from "./watchers.ts";
@@ -46,6 +49,7 @@
     readonly #watcher: FleetWatcher;
     readonly #recordFile: GroupRecordFile;
     readonly #watchers = new Watchers();
+    readonly #usage: UsageRelay;
     readonly #configurations: ConfigurationSource;
     #view: FleetView | undefined;
     #viewKey = "";
@@ -86,6 +90,11 @@
             onView: (view) => this.#takeView(view),
             onRecords: (records) => this.#keepRecords(records),
         });
+        this.#usage = new UsageRelay({
+            context,
+            peers,
+            controllerIds: () => this.#view?.controllers.map(({ daemonId }) => daemonId) ?? [],
+        });
         peers.handle("fleet.watch", (request, from) => this.#answerWatch(request, from));
         this.intake = new ServerIntake({
             context,
@@ -97,6 +106,20 @@
         peers.handle("fleet.suspect", (suspicion) => this.#acceptSuspicion(suspicion));
     }
 
+    /** The last view; undefined before the first one. */
+    get view(): FleetView | undefined {
+        return this.#view;
+    }
+
+    routing(): RoutingTable | undefined {
+        return this.#configurations.routing();
+    }
+
+    /** What all entry daemons have in flight at the groups. */
+    usage(): GroupUsage[] {
+        return this.#usage.usage();
+    }
+
     get groupController(): GroupController {
         return this.#controller;
     }
@@ -107,6 +130,7 @@
         this.#records = await this.#recordFile.read();
         this.#controller.start();
         this.#watcher.start();
+        this.#usage.start();
         this.#lifecycle.every(ROLE_CHECK_MS, () => this.#checkRole(), (error) => {
             this.#options.context.logs(LogPart.Groups).error("checking the role failed", {
                 reason: messageOf(error),
@@ -118,6 +142,7 @@
         const closed = this.#lifecycle.close();
         this.#changed.notify();
         await closed;
+        await this.#usage.close();
         await this.#watcher.close();
         await this.#controller.close();
     }
--- /dev/null
+++ b/packages/fleet/src/usage.ts
@@ -0,0 +1,184 @@
+import { type Context, Lifecycle, LogPart, messageOf, monotonicMs, sleep } from "@greengage/base";
+import type { GroupUsage, Peers } from "@greengage/protocol";
+
+/** Period of the exchange. A request runs for a second or more, so a fifth of one is new enough to place the next ones. */
+const EXCHANGE_PERIOD_MS = 200;
+const EXCHANGE_TIMEOUT_MS = 400;
+/** What a daemon has told counts for this long; one that has ended has nothing in flight. */
+const USAGE_LIFE_MS = 1_000;
+
+interface Told {
+    usage: readonly GroupUsage[];
+    atMs: number;
+}
+
+/** What the daemons have in flight at the groups, as they have told it lately. */
+export class UsageBoard {
+    readonly #entries = new Map<string, Told>();
+    readonly #shares = new Map<string, Told>();
+
+    /** Takes what an entry daemon has in flight, in place of what it told before. */
+    take(daemonId: string, usage: readonly GroupUsage[], nowMs: number): void {
+        this.#entries.set(daemonId, { usage, atMs: nowMs });
+    }
+
+    /** Takes the sum of another control daemon. */
+    takeShare(daemonId: string, usage: readonly GroupUsage[], nowMs: number): void {
+        this.#shares.set(daemonId, { usage, atMs: nowMs });
+    }
+
+    /** Sum over the entry daemons that tell this daemon. */
+    ownSum(nowMs: number): GroupUsage[] {
+        return sumUsage(freshIn(this.#entries, nowMs), nowMs);
+    }
+
+    /** Sum over all entry daemons. */
+    all(nowMs: number): GroupUsage[] {
+        return sumUsage([...freshIn(this.#entries, nowMs), ...freshIn(this.#shares, nowMs)], nowMs);
+    }
+
+    /** Sum over all entry daemons but one. */
+    othersOf(daemonId: string, nowMs: number): GroupUsage[] {
+        const entries = freshIn(this.#entries, nowMs, daemonId);
+        return sumUsage([...entries, ...freshIn(this.#shares, nowMs)], nowMs);
+    }
+}
+
+/** What has been told lately, without what one daemon has told. Forgets the rest. */
+const freshIn = (told: Map<string, Told>, nowMs: number, withoutId?: string): Told[] => {
+    for (const [daemonId, { atMs }] of told) {
+        if (nowMs - atMs > USAGE_LIFE_MS) {
+            told.delete(daemonId);
+        }
+    }
+    return [...told].filter(([daemonId]) => daemonId !== withoutId).map(([, entry]) => entry);
+};
+
+const sumUsage = (told: readonly Told[], nowMs: number): GroupUsage[] => {
+    const sums = new Map<number, GroupUsage>();
+    for (const { usage, atMs } of told) {
+        for (const { epoch, inFlightCount, pendingPromptTokens, progressAgeMs } of usage) {
+            const sum = sums.get(epoch) ?? { epoch, inFlightCount: 0, pendingPromptTokens: 0 };
+            sum.inFlightCount += inFlightCount;
+            sum.pendingPromptTokens += pendingPromptTokens;
+            if (progressAgeMs !== undefined) {
+                const ageMs = Math.round(progressAgeMs + nowMs - atMs);
+                sum.progressAgeMs = Math.min(sum.progressAgeMs ?? Infinity, ageMs);
+            }
+            sums.set(epoch, sum);
+        }
+    }
+    return [...sums.values()];
+};
+
+export interface UsageRelayOptions {
+    context: Context;
+    peers: Peers;
+    /** The daemons that serve control. */
+    controllerIds: () => readonly string[];
+}
+
+/** Hands what each entry daemon has in flight to all others, by the few daemons that serve control. */
+export class UsageRelay {
+    readonly #options: UsageRelayOptions;
+    readonly #board = new UsageBoard();
+    readonly #lifecycle = new Lifecycle();
+
+    constructor(options: UsageRelayOptions) {
+        this.#options = options;
+        options.peers.handle("usage.exchange", ({ usage }, from) => {
+            const nowMs = monotonicMs();
+            this.#board.take(from, usage, nowMs);
+            return { others: this.#board.othersOf(from, nowMs) };
+        });
+        options.peers.handleNotice(
+            "usage.share",
+            ({ usage }, from) => this.#board.takeShare(from, usage, monotonicMs()),
+        );
+    }
+
+    /** What all entry daemons have in flight at the groups. */
+    usage(): GroupUsage[] {
+        return this.#board.all(monotonicMs());
+    }
+
+    start(): void {
+        this.#lifecycle.every(EXCHANGE_PERIOD_MS, () => this.#share(), (error) => {
+            this.#options.context.logs(LogPart.Groups).error("sharing the usage of groups failed", {
+                reason: messageOf(error),
+            });
+        });
+    }
+
+    close(): Promise<void> {
+        return this.#lifecycle.close();
+    }
+
+    #share(): void {
+        const { peers, controllerIds } = this.#options;
+        const usage = this.#board.ownSum(monotonicMs());
+        for (const controllerId of controllerIds()) {
+            if (controllerId !== peers.daemonId) {
+                peers.notify(controllerId, "usage.share", { usage });
+            }
+        }
+    }
+}
+
+export interface UsageClientOptions {
+    context: Context;
+    peers: Peers;
+    /** Control daemon that is watched; undefined while there is none. */
+    target: () => string | undefined;
+    usage: () => GroupUsage[];
+    onOthers: (others: readonly GroupUsage[]) => void;
+}
+
+/** Tells a control daemon what this daemon has in flight, and learns what the others have. */
+export class UsageClient {
+    readonly #options: UsageClientOptions;
+    readonly #lifecycle = new Lifecycle();
+    #hasAnswer = true;
+
+    constructor(options: UsageClientOptions) {
+        this.#options = options;
+    }
+
+    start(): void {
+        this.#lifecycle.run((signal) => this.#run(signal), (error) => {
+            this.#options.context.logs(LogPart.Groups).error("the exchange of usage failed", {
+                reason: messageOf(error),
+            });
+        });
+    }
+
+    close(): Promise<void> {
+        return this.#lifecycle.close();
+    }
+
+    async #run(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            const target = this.#options.target();
+            if (target !== undefined) {
+                await this.#exchange(target);
+            }
+            await sleep(EXCHANGE_PERIOD_MS, signal);
+        }
+    }
+
+    async #exchange(target: string): Promise<void> {
+        const { peers, usage, onOthers, context } = this.#options;
+        try {
+            const options = { timeoutMs: EXCHANGE_TIMEOUT_MS };
+            const { others } = await peers.call(target, "usage.exchange", { usage: usage() }, options);
+            this.#hasAnswer = true;
+            onOthers(others);
+        }
+        catch (error) {
+            if (this.#hasAnswer) {
+                context.decisions.record("usage.lost", { target, reason: messageOf(error) });
+            }
+            this.#hasAnswer = false;
+        }
+    }
+}
--- a/packages/fleet/src/watcher.ts
+++ b/packages/fleet/src/watcher.ts
@@ -43,6 +43,11 @@
         return this.#leaderId;
     }
 
+    /** Daemon that is watched; undefined while none answers. */
+    get target(): string | undefined {
+        return this.#target;
+    }
+
     /** Time since the last answer of a daemon that follows the leader. */
     get ageMs(): number {
         return monotonicMs() - this.#answeredAtMs;
--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -18,8 +18,6 @@
     | { kind: "send"; }
     | { kind: "reject"; retryAfterMs: number; reason: string; };
 
-/** Part of the target that a prediction may use up. The rest covers what the prediction doesn't know. */
-const TARGET_SHARE = 1;
 /** A caller that comes back waits for at most this part of its remaining time. */
 const RETURNING_SHARE = 0.25;
 /** Callers give up on a stream without an event after two seconds. */
@@ -28,12 +26,23 @@
 const RETRY_SHARE = 0.3;
 const MIN_RETRY_MS = 150;
 
+/**
+ * Longest predicted time to the first token with which a request is sent. Half of the target is always allowed, so that
+ * time lost on the way doesn't turn away a request that finds a free place.
+ */
+export const admissionLimitMs = (
+    { waitedMs, targetMs, remainingMs, isReturning }: Omit<AdmissionInput, "firstTokenMs" | "placeMs">,
+): number =>
+    isReturning
+        ? Math.min(PATIENCE_MS, remainingMs * RETURNING_SHARE)
+        : Math.max(targetMs - waitedMs, targetMs / 2);
+
 /**
  * Decides whether a request is sent to the best group or turned away at once. Answers a load above the capacity:
  * requests that would be late for sure would make those after them late too, so they come back when places are free.
  */
 export const admit = (input: AdmissionInput): AdmissionVerdict => {
-    const { firstTokenMs, waitedMs, targetMs, remainingMs, isReturning, placeMs } = input;
+    const { firstTokenMs, remainingMs, placeMs } = input;
     if (firstTokenMs === undefined) {
         return {
             kind: "reject",
@@ -41,10 +50,8 @@
             reason: "no group takes requests",
         };
     }
-    const limitMs = isReturning
-        ? Math.min(PATIENCE_MS, remainingMs * RETURNING_SHARE)
-        : targetMs * TARGET_SHARE - waitedMs;
-    if (firstTokenMs <= limitMs || (limitMs < firstTokenMs && firstTokenMs < targetMs / 2)) {
+    const limitMs = admissionLimitMs(input);
+    if (firstTokenMs <= limitMs) {
         return { kind: "send" };
     }
     const lateMs = firstTokenMs - Math.max(0, limitMs);
--- a/packages/gateway/src/deps.ts
+++ b/packages/gateway/src/deps.ts
@@ -5,6 +5,8 @@
 import type { ServiceBudgets } from "./budgets.ts";
 import type { DemandMeter } from "./demand.ts";
 import type { GroupState, GroupStates } from "./groups.ts";
+import type { FirstTokenOffsets } from "./offsets.ts";
+import type { PlacementClient } from "./placementclient.ts";
 import type { ServerStates } from "./servers.ts";
 import type { ServerDialect } from "./types.ts";
 
@@ -17,8 +19,10 @@
     servers: ServerStates;
     budgets: ServiceBudgets;
     demand: DemandMeter;
+    offsets: FirstTokenOffsets;
     random: Random;
     routing: () => RoutingTable | undefined;
+    placement: PlacementClient;
     /** Tells the controller that a group may be lost. */
     suspect: (group: GroupState, suspicion: Omit<GroupSuspicion, "groupName" | "epoch">) => void;
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,16 +5,19 @@
     Lifecycle,
     monotonicMs,
     Random,
+    sleep,
     Verdict,
 } from "@greengage/base";
 import { type Organisation, pickService, type Route, type RoutingTable } from "@greengage/configuration";
-import type { FleetView, GroupSuspicion, ModelDemand } from "@greengage/protocol";
+import type { FleetView, GroupSuspicion, GroupUsage, ModelDemand } from "@greengage/protocol";
 import { Pools } from "@greengage/routing";
 import { type RetryLimits, ServiceBudgets } from "./budgets.ts";
 import { type Call, deadlineOf } from "./call.ts";
 import { DemandMeter } from "./demand.ts";
 import type { GatewayParts } from "./deps.ts";
 import { type GroupState, GroupStates, isHanging, type SuspicionDetails } from "./groups.ts";
+import { FirstTokenOffsets } from "./offsets.ts";
+import { type AskForPlace, PlacementClient } from "./placementclient.ts";
 import { ServerCall } from "./servercall.ts";
 import { ServerStates } from "./servers.ts";
 import { StreamCall } from "./streamcall.ts";
@@ -26,6 +29,8 @@
     retries: RetryLimits;
     /** Tells the controller that a group may be lost. Resolves to whether it is in order. */
     onSuspicion: (suspicion: GroupSuspicion) => Promise<boolean>;
+    /** Asks a control daemon for a place. Throws when there is no answer in time. */
+    askForPlace: AskForPlace;
 }
 
 /** Stalls are looked for this often; it adds to the time until streams move. */
@@ -33,6 +38,14 @@
 /** A suspicion that lasts is repeated, as the first one may be lost. */
 const REPEAT_SUSPICION_MS = 500;
 const NOT_READY_RETRY_MS = 300;
+/**
+ * A daemon that has just started learns configuration and groups within about a second. Callers leave a stream without an
+ * event after two seconds, and come back once only.
+ */
+const START_WAIT_MS = 1_500;
+/** Part of its rest that a request waits for the start of the daemon. */
+const START_WAIT_SHARE = 0.5;
+const START_CHECK_MS = 10;
 
 /** Takes requests of callers to backend servers by the configuration in force. */
 export class Gateway {
@@ -54,8 +67,10 @@
             servers: new ServerStates(),
             budgets: new ServiceBudgets(options.retries),
             demand: new DemandMeter(),
+            offsets: new FirstTokenOffsets(),
             random: this.#random,
             routing: () => this.#routing,
+            placement: new PlacementClient(options.context, options.askForPlace),
             suspect: (group, details) => this.#suspect(group, details),
         };
     }
@@ -92,6 +107,7 @@
         this.#parts.groups.take(view);
         this.#parts.servers.take(view);
         this.#parts.budgets.setDaemonCount(view.entryDaemonCount);
+        this.#parts.placement.setControllers(view.controllers.map(({ daemonId }) => daemonId));
         this.#options.context.decisions.record("fleet.view", {
             term: view.term,
             version: view.version,
@@ -101,6 +117,16 @@
         });
     }
 
+    /** What this daemon has in flight at the groups. */
+    usage(): GroupUsage[] {
+        return this.#parts.groups.usage(monotonicMs());
+    }
+
+    /** Takes what all other daemons have in flight at the groups. */
+    takeOthersUsage(others: readonly GroupUsage[]): void {
+        this.#parts.groups.takeOthers(others, monotonicMs());
+    }
+
     takeDemand(): ModelDemand[] {
         return this.#parts.demand.take();
     }
@@ -111,6 +137,7 @@
         const { metrics } = this.#options.context;
         metrics.count("gateway.requests");
         try {
+            await this.#waitForStart(request, response);
             const call = this.#resolve(request, response);
             this.#parts.budgets.of(call.service.name).countRequest(monotonicMs());
             await this.#run(call);
@@ -132,6 +159,19 @@
         }
     }
 
+    /**
+     * Answers callers that come while all daemons start: turned away, they would come back too early and be lost.
+     */
+    async #waitForStart(request: CallerRequest, response: CallerResponse): Promise<void> {
+        const waitMs = Math.min(START_WAIT_MS, (request.deadlineMs ?? Infinity) * START_WAIT_SHARE);
+        while (
+            !this.isInformed && !response.isClosed && !this.#lifecycle.isClosed
+            && monotonicMs() - request.receivedAtMs < waitMs
+        ) {
+            await sleep(START_CHECK_MS);
+        }
+    }
+
     #run(call: Call): Promise<void> {
         const { engine } = call.service;
         const { generation } = call.request;
@@ -171,7 +211,7 @@
     /** Finds groups that stand still, tells the controller, and moves their streams. */
     #checkStalls(): void {
         const nowMs = monotonicMs();
-        for (const group of this.#parts.groups.all()) {
+        for (const group of this.#parts.groups.inUse()) {
             const { isSuspect, mustMove, silentMs, hasRunningStream } = group.stall(nowMs);
             if (isSuspect && !group.isSuspected(nowMs)) {
                 const reason = `no progress for ${Math.round(silentMs)} ms`;
--- a/packages/gateway/src/groups.ts
+++ b/packages/gateway/src/groups.ts
@@ -1,4 +1,4 @@
-import type { FleetView, GroupSuspicion, GroupTarget } from "@greengage/protocol";
+import type { FleetView, GroupSuspicion, GroupTarget, GroupUsage } from "@greengage/protocol";
 import type { GroupLoad } from "./placement.ts";
 import type { ReportedLoad } from "./types.ts";
 
@@ -8,6 +8,10 @@
 const FIRST_PLACE_MS = 1_200;
 /** Own requests in flight that a report of the engine does not yet contain are counted on top for this long. */
 const REPORT_LIFE_MS = 2_000;
+/** What the other daemons have in flight counts for this long after they have told it. */
+const OTHERS_LIFE_MS = 1_000;
+/** An answer that is newer than this tells the load better than what the daemons have told. */
+const NEW_REPORT_MS = 300;
 /** A running stream writes an event in each pass, which takes up to 0.2 s with a full batch and long prompts. */
 const STALL_MS = 450;
 /** Without a running stream, silence may be a queue in the engine that the prediction has missed. */
@@ -46,6 +50,7 @@
     readonly target: GroupTarget;
     readonly uses = new Set<GroupUse>();
     #reported: { load: ReportedLoad; atMs: number; } | undefined;
+    #others: { usage: GroupUsage; atMs: number; } | undefined;
     #sentSinceReport = 0;
     #endedSinceReport = 0;
     #pendingPromptTokens = 0;
@@ -94,6 +99,26 @@
         this.#endedSinceReport = 0;
     }
 
+    /** What this daemon has in flight here; undefined without anything to tell. */
+    usage(nowMs: number): GroupUsage | undefined {
+        const progressAgeMs = Math.round(nowMs - this.#progressAtMs);
+        const hasProgress = progressAgeMs < OTHERS_LIFE_MS;
+        if (this.uses.size === 0 && !hasProgress) {
+            return undefined;
+        }
+        return {
+            epoch: this.target.epoch,
+            inFlightCount: this.uses.size,
+            pendingPromptTokens: this.#pendingPromptTokens,
+            ...(hasProgress ? { progressAgeMs } : {}),
+        };
+    }
+
+    /** Takes what all other daemons have in flight here. */
+    takeOthers(usage: GroupUsage, nowMs: number): void {
+        this.#others = { usage, atMs: nowMs };
+    }
+
     avoid(nowMs: number): void {
         this.#avoidUntilMs = nowMs + AVOID_MS;
     }
@@ -109,6 +134,11 @@
         return this.#suspicion !== undefined;
     }
 
+    /** Mean time that a request held its place here. */
+    get placeMs(): number {
+        return this.#placeMs;
+    }
+
     /** What the controller has been told of this group, and when. */
     get suspicion(): { details: SuspicionDetails; toldAtMs: number; } | undefined {
         return this.#suspicion;
@@ -126,22 +156,37 @@
         const { groupName, zone } = this.target;
         const own = this.uses.size;
         const reported = this.#reported;
-        const isFresh = reported !== undefined && nowMs - reported.atMs < REPORT_LIFE_MS;
-        const total = isFresh
+        const others = this.#freshOthers(nowMs);
+        const reportLifeMs = others === undefined ? REPORT_LIFE_MS : NEW_REPORT_MS;
+        const total = reported !== undefined && nowMs - reported.atMs < reportLifeMs
             ? reported.load.runningCount + reported.load.waitingCount + this.#sentSinceReport
                 - this.#endedSinceReport
-            : own;
-        const runningCount = Math.max(own, total);
+            : 0;
         return {
             groupName,
             zone,
-            runningCount,
+            runningCount: Math.max(own + (others?.inFlightCount ?? 0), total),
             waitingCount: 0,
-            pendingPromptTokens: Math.max(0, this.#pendingPromptTokens),
+            pendingPromptTokens: Math.max(0, this.#pendingPromptTokens)
+                + (others?.pendingPromptTokens ?? 0),
             placeMs: this.#placeMs,
+            isShared: others !== undefined,
         };
     }
 
+    #freshOthers(nowMs: number): GroupUsage | undefined {
+        const others = this.#others;
+        return others !== undefined && nowMs - others.atMs < OTHERS_LIFE_MS ? others.usage : undefined;
+    }
+
+    /** Time of the last event of a stream of another daemon, as far as that is known. */
+    get #othersProgressAtMs(): number {
+        const { usage, atMs } = this.#others ?? {};
+        return usage?.progressAgeMs === undefined || atMs === undefined
+            ? -Infinity
+            : atMs - usage.progressAgeMs;
+    }
+
     /** How long the group has made no progress though it should, and whether its streams are to be moved. */
     stall(nowMs: number): Stall {
         const uses = [...this.uses];
@@ -156,12 +201,20 @@
             };
         }
         const expectedAtMs = Math.min(...uses.map((use) => use.expectedAtMs));
-        const silentMs = uses.length === 0 ? 0 : nowMs - Math.max(expectedAtMs, this.#progressAtMs);
+        // Streams of other daemons show that the requests of this one are only queued.
+        const progressAtMs = Math.max(this.#progressAtMs, this.#othersProgressAtMs);
+        const silentMs = uses.length === 0 ? 0 : nowMs - Math.max(expectedAtMs, progressAtMs);
         const isSuspect = silentMs > FIRST_EVENT_STALL_MS;
         return { silentMs, isSuspect, mustMove: isSuspect, hasRunningStream: false };
     }
 }
 
+/** Mean time that a request of one model holds its place. */
+export const meanPlaceMs = (states: readonly GroupState[]): number =>
+    states.length === 0
+        ? FIRST_PLACE_MS
+        : states.reduce((sum, state) => sum + state.placeMs, 0) / states.length;
+
 /** Whether a group makes progress. */
 export interface Stall {
     silentMs: number;
@@ -173,13 +226,16 @@
 /** All groups of the last view. */
 export class GroupStates {
     readonly #states = new Map<string, GroupState>();
+    /** Groups that take no new requests but still have streams. */
+    readonly #withdrawn = new Set<GroupState>();
 
     /** Takes a new view. Groups that it lacks take no new requests; their streams go on. */
     take(view: FleetView): void {
         const names = new Set(view.groups.map((group) => group.groupName));
-        for (const name of this.#states.keys()) {
+        for (const [name, state] of this.#states) {
             if (!names.has(name)) {
                 this.#states.delete(name);
+                this.#withdrawn.add(state);
             }
         }
         for (const target of view.groups) {
@@ -197,6 +253,30 @@
         return [...this.#states.values()];
     }
 
+    /** All groups of the last view, and those before that still have streams. */
+    inUse(): GroupState[] {
+        for (const state of this.#withdrawn) {
+            if (state.uses.size === 0) {
+                this.#withdrawn.delete(state);
+            }
+        }
+        return [...this.#states.values(), ...this.#withdrawn];
+    }
+
+    usage(nowMs: number): GroupUsage[] {
+        return this.all().map((state) => state.usage(nowMs)).filter((usage) => usage !== undefined);
+    }
+
+    /** Takes what the other daemons have in flight. A group that they don't name has nothing of theirs. */
+    takeOthers(others: readonly GroupUsage[], nowMs: number): void {
+        const byEpoch = new Map(others.map((usage) => [usage.epoch, usage]));
+        for (const state of this.#states.values()) {
+            const { epoch } = state.target;
+            const none = { epoch, inFlightCount: 0, pendingPromptTokens: 0 };
+            state.takeOthers(byEpoch.get(epoch) ?? none, nowMs);
+        }
+    }
+
     ofModel(service: string, model: string): GroupState[] {
         return this.all().filter(({ target }) => target.service === service && target.model === model);
     }
--- a/packages/gateway/src/streamcall.ts
+++ b/packages/gateway/src/streamcall.ts
@@ -1,11 +1,12 @@
 import { type GreengageError, monotonicMs } from "@greengage/base";
 import type { EngineProfile, ModelSpec } from "@greengage/configuration";
+import type { PlaceAnswer } from "@greengage/protocol";
 import { FailureKind, noCapacity } from "@greengage/routing";
-import { type AdmissionVerdict, admit, spreadRetryAfterMs } from "./admission.ts";
+import { admissionLimitMs, type AdmissionVerdict, admit, spreadRetryAfterMs } from "./admission.ts";
 import { Attempt, type AttemptOutcome, leftMs } from "./attempt.ts";
 import { backendError, type Call, CallRun, isReturning, remainingMs } from "./call.ts";
 import type { GatewayParts } from "./deps.ts";
-import type { GroupState, GroupUse } from "./groups.ts";
+import { type GroupState, type GroupUse, meanPlaceMs } from "./groups.ts";
 import { choosePlace } from "./placement.ts";
 import type { Generation, ServerHead } from "./types.ts";
 
@@ -20,6 +21,17 @@
 /** Id of the last event in a run of whole events. */
 const EVENT_ID = /(?:^|\n)id: ?([^\r\n]*)/g;
 
+/** A group for one attempt. */
+interface Place {
+    group: GroupState;
+    /** Predicted time to the first token. */
+    firstTokenMs: number;
+    /** Requests that run there, as far as is known. */
+    runningCount: number | undefined;
+    /** Daemon that chose. */
+    by: "control" | "entry";
+}
+
 /** What the caller has received so far. */
 interface Delivered {
     hasHead: boolean;
@@ -74,6 +86,10 @@
         const tried = new Set<string>();
         while (this.#run.endReason === undefined) {
             const { group, predictedMs } = await this.#findPlace(tried);
+            // The caller may have left while a place was looked for.
+            if (this.#run.endReason !== undefined) {
+                break;
+            }
             if (!this.#run.takeAttempt()) {
                 throw this.#giveUp("the budget for retries is spent");
             }
@@ -101,7 +117,7 @@
     async #findPlace(tried: ReadonlySet<string>): Promise<{ group: GroupState; predictedMs: number; }> {
         for (;;) {
             try {
-                return this.#place(tried);
+                return await this.#place(tried);
             }
             catch (error) {
                 const silentMs = monotonicMs() - this.#delivered.eventAtMs;
@@ -117,31 +133,42 @@
     }
 
     /** Chooses a group, or throws the rejection. */
-    #place(tried: ReadonlySet<string>): { group: GroupState; predictedMs: number; } {
-        const { groups, context, random } = this.#parts;
+    async #place(tried: ReadonlySet<string>): Promise<{ group: GroupState; predictedMs: number; }> {
+        const { groups, random, offsets } = this.#parts;
         const { route, service, request } = this.#call;
-        const nowMs = monotonicMs();
-        const all = groups.ofModel(service.name, this.#model.name).filter((state) => state.isUsable(nowMs));
-        const untried = all.filter((state) => !tried.has(state.target.groupName));
-        const usable = untried.length > 0 ? untried : all;
-        const loads = usable.map((state) => state.load(nowMs));
-        const place = choosePlace({
-            profile: this.#profile,
-            model: this.#model,
-            groups: loads,
-            promptTokens: this.#generation.promptTokens,
-            zone: context.zone,
-        }, random.fraction());
-        const verdict = this.#delivered.hasHead && place !== undefined ? SEND : admit({
-            firstTokenMs: place?.firstTokenMs,
-            waitedMs: nowMs - request.receivedAtMs,
+        const startMs = monotonicMs();
+        const all = groups.ofModel(service.name, this.#model.name);
+        const usable = all.filter((state) => state.isUsable(startMs));
+        const untried = usable.filter((state) => !tried.has(state.target.groupName));
+        const candidates = untried.length > 0 ? untried : usable;
+        const admission = {
+            waitedMs: startMs - request.receivedAtMs,
             targetMs: route.targetMs,
             remainingMs: remainingMs(this.#call),
             isReturning: isReturning(this.#call) || this.#run.attemptCount > 0,
-            placeMs: loads[0]?.placeMs ?? 1_000,
+        };
+        const offsetMs = offsets.get(service.name, this.#model.name);
+        const placeMs = meanPlaceMs(all);
+        const limitMs = this.#delivered.hasHead ? Infinity : admissionLimitMs(admission);
+        const answer = candidates.length === 0 ? undefined : await this.#parts.placement.place({
+            service: service.name,
+            model: this.#model.name,
+            promptTokens: this.#generation.promptTokens,
+            zone: this.#parts.context.zone,
+            offsetMs,
+            limitMs,
+            placeMs,
+            avoidedEpochs: all.filter((state) => !candidates.includes(state)).map(({ target }) =>
+                target.epoch
+            ),
         });
-        const group = place === undefined ? undefined : groups.get(place.groupName);
-        if (verdict.kind === "reject" || group === undefined) {
+        const place = this.#placeOf(answer) ?? this.#placeAlone(candidates, offsetMs);
+        const verdict = this.#delivered.hasHead && place !== undefined ? SEND : admit({
+            ...admission,
+            firstTokenMs: place?.firstTokenMs,
+            placeMs,
+        });
+        if (verdict.kind === "reject" || place === undefined) {
             this.#parts.demand.addRejected(service.name, this.#model.name);
             const retryAfterMs = verdict.kind === "reject" ? verdict.retryAfterMs : MIN_RETRY_MS;
             const reason = verdict.kind === "reject" ? verdict.reason : "no group takes requests";
@@ -153,16 +180,53 @@
                 spreadRetryAfterMs(retryAfterMs, remainingMs(this.#call), random.fraction()),
             );
         }
-        const load = loads.find(({ groupName }) => groupName === group.target.groupName);
+        const { target } = place.group;
         this.#run.record("request.placed", {
-            group: group.target.groupName,
-            epoch: group.target.epoch,
-            groupZone: group.target.zone,
-            running: load?.runningCount,
-            predictedMs: Math.round(place?.firstTokenMs ?? 0),
-            candidates: loads.length,
+            group: target.groupName,
+            epoch: target.epoch,
+            groupZone: target.zone,
+            running: place.runningCount,
+            predictedMs: Math.round(place.firstTokenMs),
+            candidates: candidates.length,
+            placedBy: place.by,
         });
-        return { group, predictedMs: place?.firstTokenMs ?? 0 };
+        return { group: place.group, predictedMs: place.firstTokenMs };
+    }
+
+    /** The place that a control daemon has chosen, unless its group has been withdrawn here. */
+    #placeOf(answer: PlaceAnswer | undefined): Place | undefined {
+        const { service } = this.#call;
+        const group = this.#parts.groups.ofModel(service.name, this.#model.name)
+            .find(({ target }) => target.epoch === answer?.epoch);
+        return group === undefined || answer === undefined
+            ? undefined
+            : {
+                group,
+                firstTokenMs: answer.firstTokenMs ?? 0,
+                runningCount: answer.runningCount,
+                by: "control",
+            };
+    }
+
+    /** Chooses by what this daemon knows. */
+    #placeAlone(candidates: readonly GroupState[], offsetMs: number): Place | undefined {
+        const { context, groups, random } = this.#parts;
+        const nowMs = monotonicMs();
+        const loads = candidates.map((state) => state.load(nowMs));
+        const place = choosePlace({
+            profile: this.#profile,
+            model: this.#model,
+            groups: loads,
+            promptTokens: this.#generation.promptTokens,
+            zone: context.zone,
+            offsetMs,
+            targetMs: this.#call.route.targetMs,
+        }, random.fraction());
+        const group = place === undefined ? undefined : groups.get(place.groupName);
+        const load = loads.find(({ groupName }) => groupName === place?.groupName);
+        return place === undefined || group === undefined
+            ? undefined
+            : { group, firstTokenMs: place.firstTokenMs, runningCount: load?.runningCount, by: "entry" };
     }
 
     async #runAt(group: GroupState, predictedMs: number): Promise<AttemptOutcome> {
@@ -184,7 +248,7 @@
             },
             closesConnection: false,
             // The group may have been withdrawn while the connection was opened.
-            mayWrite: () => groups.get(target.groupName) === group,
+            mayWrite: () => this.#run.endReason === undefined && groups.get(target.groupName) === group,
             onHead: (head) => this.#onHead(group, head),
             onEvents: (events) => this.#onEvents(group, use, events),
         });
@@ -226,6 +290,9 @@
             );
         }
         this.#delivered.eventAtMs = nowMs;
+        if (use.eventAtMs === undefined) {
+            this.#noteFirstToken(use, nowMs);
+        }
         group.progress(use, nowMs);
         if (!this.#delivered.hasHead && this.#head !== undefined) {
             this.#delivered.hasHead = true;
@@ -239,6 +306,17 @@
         }
     }
 
+    #noteFirstToken({ sentAtMs, expectedAtMs }: GroupUse, nowMs: number): void {
+        const { offsets } = this.#parts;
+        const { service, route } = this.#call;
+        const figuresMs = expectedAtMs - sentAtMs - offsets.get(service.name, this.#model.name);
+        offsets.note(service.name, this.#model.name, {
+            actualMs: nowMs - sentAtMs,
+            figuresMs,
+            targetMs: route.targetMs,
+        });
+    }
+
     /** Gives a complete answer to the caller. Returns false when another attempt may do better. */
     #finish({ head, body }: Extract<AttemptOutcome, { kind: "complete"; }>): boolean {
         const { response } = this.#call;
--- a/packages/protocol/src/fleet.ts
+++ b/packages/protocol/src/fleet.ts
@@ -129,6 +129,44 @@
     demand: ModelDemand[];
 }
 
+/** Requests that daemons have at one replica group. */
+export interface GroupUsage {
+    /** Epoch of the group, which no other group has. */
+    epoch: number;
+    /** Requests that wait or run there. */
+    inFlightCount: number;
+    /** Prompt tokens of the requests that have not begun to write. */
+    pendingPromptTokens: number;
+    /** Time since the last event of any of the group's streams, when the message was made; undefined without one. */
+    progressAgeMs?: number;
+}
+
+/** An entry daemon asks for a place for one request. */
+export interface PlaceRequest {
+    service: string;
+    model: string;
+    promptTokens: number;
+    /** Zone of the entry daemon. */
+    zone: string;
+    /** Time to the first token of an empty group beyond what its figures say. */
+    offsetMs: number;
+    /** Longest predicted time to the first token with which the request is sent. */
+    limitMs: number;
+    /** Mean time that a request of the model holds its place. */
+    placeMs: number;
+    /** Groups that don't count: those that stand still or have failed the request. */
+    avoidedEpochs: number[];
+}
+
+export interface PlaceAnswer {
+    /** Epoch of the best group; undefined without any. */
+    epoch?: number;
+    /** Predicted time to the first token there. The place counts as taken when that is within the limit. */
+    firstTokenMs?: number;
+    /** Requests that run there, as far as is known. */
+    runningCount?: number;
+}
+
 /** Demand for one model, as one daemon or several have seen it. */
 export interface ModelDemand {
     service: string;
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -1,5 +1,14 @@
 import type { HlcTimestamp, Verdict } from "@greengage/base";
-import type { GroupSuspicion, ServerReport, SuspicionAnswer, WatchRequest, WatchResponse } from "./fleet.ts";
+import type {
+    GroupSuspicion,
+    GroupUsage,
+    PlaceAnswer,
+    PlaceRequest,
+    ServerReport,
+    SuspicionAnswer,
+    WatchRequest,
+    WatchResponse,
+} from "./fleet.ts";
 import type {
     Grant,
     InFlightCount,
@@ -239,6 +248,13 @@
         request: GroupSuspicion;
         response: SuspicionAnswer;
     };
+    /** An entry daemon tells what it has at the groups, and learns what all the others have there. */
+    "usage.exchange": {
+        request: { usage: GroupUsage[]; };
+        response: { others: GroupUsage[]; };
+    };
+    /** The control daemon that places the requests of a model chooses a group. */
+    "place.choose": { request: PlaceRequest; response: PlaceAnswer; };
     "operator.forward": {
         request: { method: string; path: string; body?: unknown; };
         response: { status: number; body: unknown; };
@@ -269,6 +285,8 @@
 export interface Notices {
     /** A change that must not wait for the next renewal. It does not lengthen the grant. */
     "grant.push": { grant: Grant; };
+    /** What the entry daemons of one control daemon have at the groups, for the other control daemons. */
+    "usage.share": { usage: GroupUsage[]; };
 }
 
 export type NoticeType = keyof Notices;
--- a/packages/routing/src/affinity.ts
+++ b/packages/routing/src/affinity.ts
@@ -36,6 +36,13 @@
     return prefix.length < PREFIX_MIN_CHARS ? undefined : hasher.h32(prefix.slice(0, PREFIX_CHARS));
 };
 
+/** Rendezvous hashing: ids by preference for a key. A change of ids moves only the keys it must. */
+export const rendezvousIds = (ids: readonly string[], key: string): string[] => {
+    const weightOf = (id: string): number => hasher?.h32(`${id}\n${key}`) ?? 0;
+    return [...ids].sort().map((id) => ({ id, weight: weightOf(id) })).sort((a, b) => b.weight - a.weight)
+        .map(({ id }) => id);
+};
+
 /** Rendezvous hashing: the groups by preference for a key. A change of groups moves only the keys it must. */
 export const rendezvousOrder = (groups: readonly GroupView[], key: number): GroupView[] => {
     const api = hasher;
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,3 +1,4 @@
+export { rendezvousIds } from "./affinity.ts";
 export * from "./budget.ts";
 export * from "./chooser.ts";
 export * from "./dispatcher.ts";
--- a/test/gateway/fixtures.ts
+++ b/test/gateway/fixtures.ts
@@ -136,6 +136,8 @@
 export interface GatewayFixture {
     gateway: Gateway;
     suspicions: GroupSuspicion[];
+    /** Gives the gateway its configuration and view. */
+    inform(): void;
     send(request?: Partial<CallerRequest>): Promise<RecordedResponse>;
     begin(request?: Partial<CallerRequest>): { response: RecordedResponse; done: Promise<void>; };
 }
@@ -146,6 +148,8 @@
     servers?: readonly FakeServer[];
     configuration?: Partial<Configuration>;
     retries?: { share: number; slack: number; };
+    /** Whether the gateway knows neither configuration nor fleet yet. */
+    isStarting?: boolean;
 }
 
 export const gatewayOf = (t: ExecutionContext, options: GatewayFixtureOptions = {}): GatewayFixture => {
@@ -154,6 +158,7 @@
         context: createContext({ daemonId: "entry", zone: "z" }),
         dialect,
         retries: options.retries ?? { share: 0.2, slack: 100 },
+        askForPlace: () => Promise.reject(new Error("no control daemon in this test")),
         onSuspicion: async (suspicion) => {
             suspicions.push(suspicion);
             return false;
@@ -161,8 +166,13 @@
     });
     gateway.start();
     t.teardown(() => gateway.close());
-    gateway.takeConfiguration(new RoutingTable(configurationOf(options.configuration)));
-    gateway.takeView(viewOf(options));
+    const inform = (): void => {
+        gateway.takeConfiguration(new RoutingTable(configurationOf(options.configuration)));
+        gateway.takeView(viewOf(options));
+    };
+    if (options.isStarting !== true) {
+        inform();
+    }
     let count = 0;
     const begin = (
         fields: Partial<CallerRequest> = {},
@@ -174,6 +184,7 @@
     return {
         gateway,
         suspicions,
+        inform,
         begin,
         send: async (fields) => {
             const { response, done } = begin(fields);
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -1,4 +1,4 @@
-import { ErrorCode, Verdict } from "@greengage/base";
+import { ErrorCode, sleep, Verdict } from "@greengage/base";
 import { RouteKind } from "@greengage/configuration";
 import { freePorts, waitFor } from "@greengage/faults";
 import test from "ava";
@@ -289,3 +289,22 @@
     t.is(groups.reduce((sum, group) => sum + group.received.length, 0), 2);
     t.true(response.isDestroyed);
 });
+
+// Guards against callers that come back too early and are lost when all daemons have restarted.
+test("a request that comes while the daemon starts is answered once it knows the groups", async (t) => {
+    const head = await serverOf(t, events(3));
+    const fixture = gatewayOf(t, { heads: [head], isStarting: true });
+    const { response, done } = fixture.begin();
+    await sleep(100);
+    t.false(response.hasStarted);
+    fixture.inform();
+    await done;
+    t.is(response.text, eventOf(1) + eventOf(2) + eventOf(3));
+});
+
+test("a request is rejected as not run when the daemon's start takes half of its time", async (t) => {
+    const { send } = gatewayOf(t, { isStarting: true });
+    const { error } = await send({ deadlineMs: 200 });
+    t.is(error?.verdict, Verdict.NotRun);
+    t.true((error?.retryAfterMs ?? 0) > 0);
+});
--- a/test/gateway/overload.test.ts
+++ b/test/gateway/overload.test.ts
@@ -22,6 +22,7 @@
     waitingCount: 0,
     pendingPromptTokens: 0,
     placeMs: 1_200,
+    isShared: false,
     ...fields,
 });
 
@@ -31,6 +32,8 @@
     groups,
     promptTokens,
     zone: "z",
+    offsetMs: 0,
+    targetMs: 400,
 });
 
 const admissionOf = (fields: Partial<AdmissionInput> = {}): AdmissionInput => ({
--- /dev/null
+++ b/test/gateway/placement.test.ts
@@ -0,0 +1,71 @@
+import { createContext } from "@greengage/base";
+import { UsageBoard } from "@greengage/fleet";
+import { PlacementClient } from "@greengage/gateway";
+import type { PlaceRequest } from "@greengage/protocol";
+import test from "ava";
+
+const requestOf = (model: string): PlaceRequest => ({
+    service: "llm",
+    model,
+    promptTokens: 100,
+    zone: "z",
+    offsetMs: 0,
+    limitMs: 300,
+    placeMs: 1_200,
+    avoidedEpochs: [],
+});
+
+const context = createContext({ daemonId: "e", zone: "z" });
+const usageOf = (
+    inFlightCount: number,
+): { epoch: number; inFlightCount: number; pendingPromptTokens: number; } => ({
+    epoch: 7,
+    inFlightCount,
+    pendingPromptTokens: 100 * inFlightCount,
+});
+
+// Guards against entry daemons that place the requests of one model at different control daemons, which then fill the same
+// places.
+test("all entry daemons ask the same control daemon for a model", async (t) => {
+    const asked = new Set<string>();
+    for (const order of [["c1", "c2", "c3"], ["c3", "c1", "c2"]]) {
+        const client = new PlacementClient(context, (id) => {
+            asked.add(id);
+            return Promise.resolve({ epoch: 1, firstTokenMs: 10 });
+        });
+        client.setControllers(order);
+        t.is((await client.place(requestOf("large")))?.epoch, 1);
+    }
+    t.is(asked.size, 1);
+});
+
+// Guards against requests that wait in turn for a control daemon that is frozen.
+test("a control daemon that does not answer is left out, and the next one is asked", async (t) => {
+    const asked: string[] = [];
+    const client = new PlacementClient(context, (id) => {
+        asked.push(id);
+        return asked.length === 1 ? Promise.reject(new Error("no answer")) : Promise.resolve({ epoch: 2 });
+    });
+    client.setControllers(["c1", "c2"]);
+    t.is(await client.place(requestOf("large")), undefined);
+    t.is((await client.place(requestOf("large")))?.epoch, 2);
+    t.is(new Set(asked).size, 2);
+});
+
+test("the usage of others is that of all entry daemons but the one that asks", (t) => {
+    const board = new UsageBoard();
+    board.take("e1", [{ ...usageOf(2), progressAgeMs: 300 }], 0);
+    board.take("e2", [{ ...usageOf(3), progressAgeMs: 40 }], 0);
+    board.takeShare("c2", [usageOf(10)], 0);
+    t.deepEqual(board.othersOf("e1", 100), [{ ...usageOf(13), progressAgeMs: 140 }]);
+    t.deepEqual(board.ownSum(100).map(({ inFlightCount }) => inFlightCount), [5]);
+    t.deepEqual(board.all(100).map(({ inFlightCount }) => inFlightCount), [15]);
+});
+
+// Guards against places that stay taken by a daemon that has ended.
+test("what a daemon told before it ended stops to count", (t) => {
+    const board = new UsageBoard();
+    board.take("e1", [usageOf(2)], 0);
+    board.take("e2", [usageOf(3)], 900);
+    t.deepEqual(board.all(1_500), [usageOf(3)]);
+});
