Let the stand-in engines of the fleet's tests report a left group at once

Real engines report at once. With the report first, the test fails when the last model is forgotten (no large group within 30 s) and passes with it.

--- a/test/fleet/fixtures.ts
+++ b/test/fleet/fixtures.ts
@@ -100,7 +100,13 @@
         }],
     }));
     const loads = { durationMs: LOAD_MS };
-    const orders = createOrders({ engines, violations, counts, lifecycle, loads });
+    const announce = (engine: FakeEngine): void => {
+        if (!engine.isDark && !engine.isCutFromControl) {
+            engine.report.sequence += 1;
+            registry.accept({ ...engine.report }, performance.now());
+        }
+    };
+    const orders = createOrders({ engines, violations, counts, lifecycle, loads, announce });
     const controller = new GroupController({
         context,
         registry,
@@ -111,12 +117,7 @@
         onStep: () => undefined,
     });
     const report = (): void => {
-        for (const engine of engines.values()) {
-            if (!engine.isDark && !engine.isCutFromControl) {
-                engine.report.sequence += 1;
-                registry.accept({ ...engine.report }, performance.now());
-            }
-        }
+        engines.forEach(announce);
         controller.wake();
     };
     lifecycle.every(HEARTBEAT_MS / 3, report, (error) => t.fail(String(error)));
@@ -149,9 +150,13 @@
     counts: Map<string, number>;
     lifecycle: Lifecycle;
     loads: { durationMs: number; };
+    /** Sends a report of an engine at once, as engines do when their group changes. */
+    announce: (engine: FakeEngine) => void;
 }
 
-const createOrders = ({ engines, violations, counts, lifecycle, loads }: OrderWorld): EngineOrders => {
+const createOrders = (
+    { engines, violations, counts, lifecycle, loads, announce }: OrderWorld,
+): EngineOrders => {
     const reached = (server: ServerReport, order: string): FakeEngine | undefined => {
         counts.set(order, (counts.get(order) ?? 0) + 1);
         const engine = engines.get(server.serverId);
@@ -217,6 +222,7 @@
                 engine.report.membership = undefined;
                 engine.lastModel = engine.report.loadedModels[0] ?? engine.lastModel;
                 engine.report.loadedModels = [];
+                announce(engine);
             }
             return engine === undefined ? OrderOutcome.Unknown : OrderOutcome.Accepted;
         },
