Hand entry daemons the decoded configuration

Ruled out: a control daemon that had to catch up (the watched one held the version at its start).

The adapter of the entry daemons no longer decodes configurations.

--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -1,9 +1,8 @@
 import { type Context, Lifecycle, LogPart, messageOf } from "@greengage/base";
-import { type Configuration, RoutingTable } from "@greengage/configuration";
-import { FleetWatcher, UsageClient } from "@greengage/fleet";
+import { RoutingTable } from "@greengage/configuration";
+import { FleetWatcher, unpackConfiguration, UsageClient } from "@greengage/fleet";
 import { Gateway, PLACE_TIMEOUT_MS, type RetryLimits, type ServerDialect } from "@greengage/gateway";
-import type { FleetView, GroupSuspicion, PeerNetwork } from "@greengage/protocol";
-import { inflateRawSync } from "node:zlib";
+import type { FleetView, GroupSuspicion, PackedConfiguration, PeerNetwork } from "@greengage/protocol";
 import { createPeerNetwork } from "./peerid.ts";
 
 export interface EntryDaemonOptions {
@@ -13,8 +12,6 @@
     /** Daemons that serve control, known at the start. Any of them may be gone. */
     seedIds: readonly string[];
     dialect: ServerDialect;
-    /** Decodes a configuration. Throws when it can't be read. */
-    decode: (document: Uint8Array) => Configuration;
     retries: RetryLimits;
 }
 
@@ -54,8 +51,7 @@
                 entryIds: [],
                 demand: this.gateway.takeDemand(),
             }),
-            onConfiguration: ({ version, document }) =>
-                this.#takeConfiguration(version, inflateRawSync(document)),
+            onConfiguration: (configuration) => this.#takeConfiguration(configuration),
             onView: (view) => this.#takeView(view),
         });
         this.#usage = new UsageClient({
@@ -118,14 +114,14 @@
         this.gateway.takeView(view);
     }
 
-    #takeConfiguration(version: number, document: Uint8Array): void {
+    #takeConfiguration({ version, bytes }: PackedConfiguration): void {
         if (version <= this.#configurationVersion) {
             return;
         }
         // One that can't be read is not asked for again; it was validated before it was accepted.
         this.#configurationVersion = version;
         try {
-            this.gateway.takeConfiguration(new RoutingTable(this.#options.decode(document)));
+            this.gateway.takeConfiguration(new RoutingTable(unpackConfiguration(bytes)));
         }
         catch (error) {
             const reason = messageOf(error);
--- a/packages/fleet/src/configurations.ts
+++ b/packages/fleet/src/configurations.ts
@@ -1,7 +1,8 @@
 import { type Context, LogPart, messageOf } from "@greengage/base";
-import type { ConfigurationRegister, RoutingTable } from "@greengage/configuration";
+import type { Configuration, ConfigurationRegister, RoutingTable } from "@greengage/configuration";
 import type { RaftLog } from "@greengage/consensus";
-import { deflateRawSync } from "node:zlib";
+import { decode, encode, type PackedConfiguration } from "@greengage/protocol";
+import { deflateRawSync, inflateRawSync } from "node:zlib";
 
 export interface ConfigurationSourceOptions {
     context: Context;
@@ -16,7 +17,7 @@
     readonly #options: ConfigurationSourceOptions;
     #routing: RoutingTable | undefined;
     #decodedVersion = 0;
-    #compressed: { version: number; document: Uint8Array; } | undefined;
+    #packed: PackedConfiguration | undefined;
 
     constructor(options: ConfigurationSourceOptions) {
         this.#options = options;
@@ -43,20 +44,31 @@
     }
 
     /**
-     * The configuration, compressed with deflate, if it is newer than `version`. A daemon that has just started hands
-     * none out before it has caught up, because it may hold an older one itself.
+     * The configuration, packed, if it is newer than `version`. A daemon that has just started hands none out before it
+     * has caught up, because it may hold an older one itself.
      */
-    newerThan(version: number): { version: number; document: Uint8Array; } | undefined {
+    newerThan(version: number): PackedConfiguration | undefined {
         const { register, log } = this.#options;
-        return register.version > version && log.isCurrent ? this.#compress() : undefined;
+        return register.version > version && log.isCurrent ? this.#pack() : undefined;
     }
 
-    /** Compressed once for all daemons that ask. */
-    #compress(): { version: number; document: Uint8Array; } | undefined {
-        const { held } = this.#options.register;
-        if (held !== undefined && this.#compressed?.version !== held.version) {
-            this.#compressed = { version: held.version, document: deflateRawSync(held.document) };
+    /** Packed once for all daemons that ask. */
+    #pack(): PackedConfiguration | undefined {
+        const configuration = this.routing()?.configuration;
+        if (configuration !== undefined && this.#packed?.version !== configuration.version) {
+            this.#packed = { version: configuration.version, bytes: packConfiguration(configuration) };
         }
-        return this.#compressed;
+        return this.#packed;
     }
 }
+
+/**
+ * Packs a decoded configuration for other daemons: msgpack, compressed with deflate. An entry daemon that starts would
+ * spend ten times as long on decoding and checking the operator's document.
+ */
+export const packConfiguration = (configuration: Configuration): Uint8Array =>
+    deflateRawSync(encode(configuration));
+
+/** Throws when the bytes are not those of `packConfiguration`. */
+export const unpackConfiguration = (bytes: Uint8Array): Configuration =>
+    decode(inflateRawSync(bytes)) as Configuration;
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,3 +1,4 @@
+export { packConfiguration, unpackConfiguration } from "./configurations.ts";
 export * from "./controller.ts";
 export * from "./departure.ts";
 export * from "./group.ts";
--- a/packages/fleet/src/watcher.ts
+++ b/packages/fleet/src/watcher.ts
@@ -1,5 +1,12 @@
 import { type Context, Lifecycle, LogPart, messageOf, monotonicMs, sleep } from "@greengage/base";
-import type { FleetView, GroupRecords, Peers, WatchRequest, WatchResponse } from "@greengage/protocol";
+import type {
+    FleetView,
+    GroupRecords,
+    PackedConfiguration,
+    Peers,
+    WatchRequest,
+    WatchResponse,
+} from "@greengage/protocol";
 import { isNewerView } from "./view.ts";
 
 /** Wait of one call. The answering daemon sends changes at once, so it only bounds how long a lost call goes unnoticed. */
@@ -15,7 +22,7 @@
     /** Daemons that can be watched, best first. */
     targets: () => readonly string[];
     request: () => Pick<WatchRequest, "configurationVersion" | "isEntry" | "entryIds" | "demand">;
-    onConfiguration: (configuration: { version: number; document: Uint8Array; }) => void;
+    onConfiguration: (configuration: PackedConfiguration) => void;
     onView: (view: FleetView) => void;
     /** Takes the leader's record of its groups, on daemons that may succeed it. */
     onRecords?: (records: GroupRecords) => void;
--- a/packages/protocol/src/fleet.ts
+++ b/packages/protocol/src/fleet.ts
@@ -177,9 +177,16 @@
     rejected: number;
 }
 
+/** A whole configuration on its way between daemons. */
+export interface PackedConfiguration {
+    version: number;
+    /** Packed by `packConfiguration` of the package `fleet`. */
+    bytes: Uint8Array;
+}
+
 export interface WatchResponse {
-    /** Set when it is newer than the caller's. `document` is compressed with deflate. */
-    configuration?: { version: number; document: Uint8Array; };
+    /** Set when it is newer than the caller's. */
+    configuration?: PackedConfiguration;
     /** Set when it is newer than the caller's. */
     view?: FleetView;
     /** Set for daemons that serve control, together with each answer. */
