Let a call's time limit include the wait for its connection

The control daemon that places was frozen from 2.0 s on; once its connections had closed, 52 requests for a place in the 19 logs ended with 'no connection' and not after 40 ms, as the limit of a call began when its connection was open, and opening one to a frozen machine takes a second.

Ruled out: too few groups (22 open), refusals (none), the choice by the entry daemons (predictions of 75 to 182 ms).

The limit now covers both; the connection attempt goes on for later calls. Status and vote calls of the log gain the same.

--- a/packages/protocol/src/network.ts
+++ b/packages/protocol/src/network.ts
@@ -1,4 +1,4 @@
-import { type Context, Lifecycle, type Log, LogPart, messageOf } from "@greengage/base";
+import { type Context, Lifecycle, type Log, LogPart, messageOf, monotonicMs } from "@greengage/base";
 import { type RawData, WebSocket, WebSocketServer } from "ws";
 import { decode, encode } from "./codec.ts";
 import { isProofValid, newNonce, PeerConnection, proofOf } from "./connection.ts";
@@ -98,13 +98,23 @@
         if (daemonId === this.daemonId) {
             return await this.#dispatch(type, request, daemonId) as Calls[T]["response"];
         }
-        const connection = this.#openOutgoing.get(daemonId) ?? await this.#connectTo(daemonId);
+        const timeoutMs = options.timeoutMs ?? DEFAULT_CALL_TIMEOUT_MS;
+        const startedAtMs = monotonicMs();
+        const connection = this.#openOutgoing.get(daemonId)
+            ?? await this.#connectWithin(daemonId, timeoutMs);
         this.#traffic.sentFrames += 1;
-        return await connection.call(
-            type,
-            request,
-            options.timeoutMs ?? DEFAULT_CALL_TIMEOUT_MS,
-        ) as Calls[T]["response"];
+        const leftMs = Math.max(1, timeoutMs - (monotonicMs() - startedAtMs));
+        return await connection.call(type, request, leftMs) as Calls[T]["response"];
+    }
+
+    /** Waits for a connection within the time of a call. The attempt goes on for later calls. */
+    #connectWithin(daemonId: string, timeoutMs: number): Promise<PeerConnection> {
+        return new Promise((resolve, reject) => {
+            const timer = setTimeout(() => {
+                reject(new PeerUnreachableError(daemonId, new Error(`not connected within ${timeoutMs} ms`)));
+            }, timeoutMs);
+            this.#connectTo(daemonId).then(resolve, reject).finally(() => clearTimeout(timer));
+        });
     }
 
     notify<T extends NoticeType>(daemonId: string, type: T, notice: Notices[T]): void {
