--- a/packages/bench/src/measure.ts
+++ b/packages/bench/src/measure.ts
@@ -3,6 +3,7 @@
 import { measureDrain } from "./measure/drain.ts";
 import { measureFairness } from "./measure/fairness.ts";
 import { measureLimits } from "./measure/limits.ts";
+import { measurePlacement } from "./measure/placement.ts";
 import { measureRelay } from "./measure/relay.ts";
 import { measureRepair } from "./measure/repair.ts";
 import { measureRouting } from "./measure/routing.ts";
@@ -42,6 +43,10 @@
         description: "cost of the relay against a relay without checks, at one daemon's share of the peak",
         run: measureRelay,
     },
+    placement: {
+        description: "bytes and processor time of the exchange of loads and of asking for a place",
+        run: measurePlacement,
+    },
     routing: {
         description: "first token by strategy, with stragglers and shared prefixes",
         run: measureRouting,
