Split the forming of groups and the choice of places by their parts

Inputs of the planner (PlanSource), loads from the store (WeightLoads) and staging (WeightStaging) leave GroupForming; PlaceFinder leaves StreamCall. One change beside the moves: members of waiting and of open groups count as usable only when they have reported lately and were not found silent, as free VMs do; a group could be given up for one that needs a dark VM.

--- a/packages/fleet/src/controller.ts
+++ b/packages/fleet/src/controller.ts
@@ -7,10 +7,13 @@
 import { GroupForming } from "./forming.ts";
 import { GroupTable } from "./groups.ts";
 import type { EngineOrders } from "./orders.ts";
+import { PlanSource } from "./plansource.ts";
 import type { ServerRegistry } from "./registry.ts";
+import { WeightStaging } from "./staging.ts";
 import { superviseGroup } from "./supervision.ts";
 import { SuspicionCheck } from "./suspicion.ts";
 import { type FleetTiming, FORGET_SERVER_MS, SETTLE_HEARTBEATS, STEP_MS } from "./timing.ts";
+import { WeightLoads } from "./weightloads.ts";
 
 export interface GroupControllerOptions {
     context: Context;
@@ -49,6 +52,7 @@
     readonly #options: GroupControllerOptions;
     readonly #state: FleetState;
     readonly #forming: GroupForming;
+    readonly #staging: WeightStaging;
     readonly #ending: GroupEnding;
     readonly #suspicions: SuspicionCheck;
     #term = 0;
@@ -68,7 +72,10 @@
             settledAtMs: () => this.#settledAtMs,
         };
         this.#ending = new GroupEnding(this.#state);
-        this.#forming = new GroupForming(this.#state, this.#ending);
+        const loads = new WeightLoads(this.#state);
+        const source = new PlanSource(this.#state, loads);
+        this.#forming = new GroupForming(this.#state, this.#ending, source, loads);
+        this.#staging = new WeightStaging(this.#state, source, loads);
         this.#suspicions = new SuspicionCheck(this.#state, this.#ending);
     }
 
@@ -168,7 +175,7 @@
             superviseGroup(this.#state, this.#ending, this.#forming, group, nowMs);
         }
         this.#forming.formGroups(nowMs);
-        this.#forming.stageSpares(nowMs);
+        this.#staging.stage(nowMs);
         this.#options.onStep();
     }
 }
--- /dev/null
+++ b/packages/fleet/src/plansource.ts
@@ -0,0 +1,145 @@
+import type { EngineProfile, ServiceSpec } from "@greengage/configuration";
+import type { FleetState } from "./controller.ts";
+import { GroupPhase, isProvided, type ManagedGroup } from "./group.ts";
+import { type FreeVm, type GroupTargets, type PlanInput, planTargets } from "./planner.ts";
+import type { BackendServer } from "./registry.ts";
+import { DISTRUST_MS, MISSING_HEARTBEATS } from "./timing.ts";
+import type { WeightLoads } from "./weightloads.ts";
+
+/** VMs of a new fleet appear within a period of their reports, most of them close together. */
+const APPEARANCE_GAP_MS = 300;
+
+/** A service of model engines. */
+export type ModelService = ServiceSpec & { engine: EngineProfile; };
+
+/** Whether a group counts when groups are planned. */
+const takesPlace = (group: ManagedGroup): boolean => isProvided(group) || group.isGivenUp === true;
+
+/** Whether a group waits for a load that has long to go. Its head was never ordered to open. */
+const isWaiting = (
+    { phase, mayBeOpen, readyAtMs }: ManagedGroup,
+    minGainMs: number,
+    nowMs: number,
+): boolean => phase === GroupPhase.Joining && !mayBeOpen && readyAtMs - nowMs > minGainMs;
+
+/** What the planner decides on: the VMs and groups as reports and this controller know them. */
+export class PlanSource {
+    readonly #state: FleetState;
+    readonly #loads: WeightLoads;
+
+    constructor(state: FleetState, loads: WeightLoads) {
+        this.#state = state;
+        this.#loads = loads;
+    }
+
+    /** The services whose VMs are known well enough to plan with. */
+    services(nowMs: number): ModelService[] {
+        const services = this.#state.routing()?.configuration.services ?? [];
+        return services.filter((service): service is ModelService =>
+            service.engine !== undefined && service.engine.models.length > 0
+        ).filter(({ name }) => this.#isComplete(name, nowMs));
+    }
+
+    /** Groups that each fabric domain should have, by the VMs that are free or in a group. */
+    targets({ name, engine }: ModelService, nowMs: number): GroupTargets {
+        const { registry, groups } = this.#state;
+        const vmCounts = new Map<string, number>();
+        for (const server of registry.all()) {
+            const { serverId, fabricDomain = "" } = server.report;
+            const group = groups.groupOf(serverId);
+            const isUsed = group !== undefined && group.service === name && !server.report.isDraining;
+            if (isUsed || this.#isFree(server, name, nowMs)) {
+                vmCounts.set(fabricDomain, (vmCounts.get(fabricDomain) ?? 0) + 1);
+            }
+        }
+        return planTargets(engine, needsOf(engine), vmCounts);
+    }
+
+    input(service: ModelService, nowMs: number): PlanInput {
+        const profile = service.engine;
+        const free = this.#state.registry.all().filter((server) => this.#isFree(server, service.name, nowMs));
+        const groups = this.#state.groups.all().filter((group) =>
+            group.service === service.name && takesPlace(group)
+        );
+        return {
+            profile,
+            freeVms: free.map((server) => this.#freeVm(server, nowMs)),
+            groups,
+            needs: needsOf(profile),
+            loadsAllowed: this.#loads.allowed(service, nowMs),
+            hasDemand: this.#state.hasDemand,
+        };
+    }
+
+    /** Members of a group that another one could use. */
+    vmsOf({ memberIds }: ManagedGroup, nowMs: number): FreeVm[] {
+        return memberIds.map((serverId) => this.#state.registry.get(serverId))
+            .filter((server) => server !== undefined)
+            .filter((server) => this.#isSound(server, nowMs))
+            .map((server) => this.#freeVm(server, nowMs));
+    }
+
+    /** Plans without loads may use VMs of groups that wait for a load for at least `minGainMs` more. */
+    inputWithHeld(
+        service: ModelService,
+        minGainMs: number,
+        nowMs: number,
+    ): { input: PlanInput; waiting: ManagedGroup[]; } {
+        const own = this.#state.groups.all().filter((group) => group.service === service.name);
+        const waiting = own.filter((group) => isWaiting(group, minGainMs, nowMs));
+        const input = this.input(service, nowMs);
+        const held = waiting.flatMap((group) =>
+            this.vmsOf(group, nowMs).map((vm): FreeVm => ({ ...vm, heldBy: group.groupName }))
+        );
+        return {
+            waiting,
+            input: {
+                ...input,
+                freeVms: [...input.freeVms, ...held],
+                groups: own.filter((group) => takesPlace(group) && !waiting.includes(group)),
+                loadsAllowed: 0,
+            },
+        };
+    }
+
+    /** At the first start, groups are formed once the VMs have stopped to appear: a domain is shared out as a whole. */
+    #isComplete(service: string, nowMs: number): boolean {
+        if (this.#state.hasDemand) {
+            return true;
+        }
+        const vms = this.#state.registry.all().filter(({ report }) => report.service === service);
+        return vms.every(({ firstSeenAtMs }) => nowMs - firstSeenAtMs >= APPEARANCE_GAP_MS);
+    }
+
+    #isFree(server: BackendServer, service: string, nowMs: number): boolean {
+        const { serverId, service: ownService, fabricDomain } = server.report;
+        return ownService === service && fabricDomain !== undefined
+            && this.#state.groups.groupOf(serverId) === undefined && this.#isSound(server, nowMs);
+    }
+
+    /** Whether a VM stays, has reported lately and was not found silent or late. */
+    #isSound({ report, receivedAtMs }: BackendServer, nowMs: number): boolean {
+        const { timing, distrustedAtMs } = this.#state;
+        const distrustedAt = distrustedAtMs.get(report.serverId);
+        return !report.isDraining && nowMs - receivedAtMs <= MISSING_HEARTBEATS * timing.heartbeatMs
+            && (distrustedAt === undefined || receivedAtMs > distrustedAt + DISTRUST_MS);
+    }
+
+    #freeVm({ report, firstSeenAtMs, lastModel }: BackendServer, nowMs: number): FreeVm {
+        const { serverId, fabricDomain = "", zone, stagedModels } = report;
+        // A new leader hears of every VM for the first time.
+        const seenForMs = firstSeenAtMs <= this.#state.settledAtMs() ? Infinity : nowMs - firstSeenAtMs;
+        return {
+            serverId,
+            fabricDomain,
+            zone,
+            lastModel,
+            stagedModels,
+            isStaging: this.#loads.isLoading(serverId, stagedModels),
+            seenForMs,
+        };
+    }
+}
+
+const needsOf = (profile: EngineProfile): Map<string, number> =>
+    new Map(profile.models.map((model) => [model.name, model.share]));
--- /dev/null
+++ b/packages/fleet/src/weightloads.ts
@@ -0,0 +1,46 @@
+import type { FleetState } from "./controller.ts";
+import { LoadPacer } from "./loadpacer.ts";
+import type { ModelService } from "./plansource.ts";
+
+/** Loads from the weight store: those that run, and how many may begin. */
+export class WeightLoads {
+    readonly #state: FleetState;
+    readonly #pacers = new Map<string, LoadPacer>();
+    /** Loads that run, by VM, with the time by which they must have ended. */
+    readonly #running = new Map<string, { model: string; untilMs: number; }>();
+
+    constructor(state: FleetState) {
+        this.#state = state;
+    }
+
+    /** Loads of a service that may begin now. */
+    allowed({ name, engine }: ModelService, nowMs: number): number {
+        for (const [serverId, { model, untilMs }] of this.#running) {
+            const isStaged = this.#state.registry.get(serverId)?.report.stagedModels.includes(model) ?? true;
+            if (isStaged || nowMs > untilMs) {
+                this.#running.delete(serverId);
+            }
+        }
+        const { loadsPerS, loadsAtOnce } = engine;
+        const { hasDemand } = this.#state;
+        return this.#pacer(name).allowed(loadsPerS, loadsAtOnce, hasDemand, this.#running.size, nowMs);
+    }
+
+    /** Counts a load that begins on a VM and has ended by `untilMs`. */
+    begin(service: string, load: { serverId: string; model: string; untilMs: number; }, nowMs: number): void {
+        this.#pacer(service).started(1, nowMs);
+        this.#running.set(load.serverId, { model: load.model, untilMs: load.untilMs });
+    }
+
+    /** Whether a VM loads weights that its host doesn't hold yet. */
+    isLoading(serverId: string, stagedModels: readonly string[]): boolean {
+        const load = this.#running.get(serverId);
+        return load !== undefined && !stagedModels.includes(load.model);
+    }
+
+    #pacer(service: string): LoadPacer {
+        const pacer = this.#pacers.get(service) ?? new LoadPacer();
+        this.#pacers.set(service, pacer);
+        return pacer;
+    }
+}
--- a/packages/gateway/src/streamcall.ts
+++ b/packages/gateway/src/streamcall.ts
@@ -1,37 +1,23 @@
 import { type GreengageError, monotonicMs } from "@greengage/base";
 import type { EngineProfile, ModelSpec } from "@greengage/configuration";
-import type { PlaceAnswer } from "@greengage/protocol";
 import { FailureKind, noCapacity } from "@greengage/routing";
-import { admissionLimitMs, type AdmissionVerdict, admit, spreadRetryAfterMs } from "./admission.ts";
+import { spreadRetryAfterMs } from "./admission.ts";
 import { Attempt, type AttemptOutcome, leftMs } from "./attempt.ts";
 import { backendError, type Call, CallRun, isReturning, remainingMs } from "./call.ts";
 import type { GatewayParts } from "./deps.ts";
-import { type GroupState, type GroupUse, meanPlaceMs } from "./groups.ts";
-import { choosePlace } from "./placement.ts";
+import type { GroupState, GroupUse } from "./groups.ts";
+import { type Place, PlaceFinder } from "./placefinder.ts";
 import type { Generation, ServerHead } from "./types.ts";
 
 /** Wait before the same request is tried again when every group was busy or out of reach at once. */
 const NEXT_TRY_MS = 30;
 /** Callers leave a stream after a pause of two seconds, so it must be resumed before. */
 const RESUME_LIMIT_MS = 1_700;
-/** A stream that has begun goes to the best group whatever its load: its caller has waited already. */
-const SEND: AdmissionVerdict = { kind: "send" };
 /** Below this rest of its time a request isn't sent again. */
 const MIN_RETRY_MS = 100;
 /** Id of the last event in a run of whole events. */
 const EVENT_ID = /(?:^|\n)id: ?([^\r\n]*)/g;
 
-/** A group for one attempt. */
-interface Place {
-    group: GroupState;
-    /** Predicted time to the first token. */
-    firstTokenMs: number;
-    /** Requests that run there, as far as is known. */
-    runningCount: number | undefined;
-    /** Daemon that chose. */
-    by: "control" | "entry";
-}
-
 /** What the caller has received so far. */
 interface Delivered {
     hasHead: boolean;
@@ -47,8 +33,8 @@
     readonly #parts: GatewayParts;
     readonly #call: Call;
     readonly #generation: Generation;
-    readonly #profile: EngineProfile;
     readonly #model: ModelSpec;
+    readonly #places: PlaceFinder;
     readonly #run: CallRun;
     readonly #delivered: Delivered;
     #head: ServerHead | undefined;
@@ -65,8 +51,8 @@
         this.#call = call;
         this.#run = new CallRun(parts, call);
         this.#generation = generation;
-        this.#profile = profile;
         this.#model = model;
+        this.#places = new PlaceFinder(parts, call, { generation, profile, model });
         this.#delivered = {
             hasHead: false,
             lastEventId: call.request.lastEventId,
@@ -85,7 +71,7 @@
     async #runAttempts(): Promise<void> {
         const tried = new Set<string>();
         while (this.#run.endReason === undefined) {
-            const { group, predictedMs } = await this.#findPlace(tried);
+            const { group, firstTokenMs } = await this.#findPlace(tried);
             // The caller may have left while a place was looked for.
             if (this.#run.endReason !== undefined) {
                 break;
@@ -95,7 +81,7 @@
             }
             tried.add(group.target.groupName);
             this.#run.attemptCount += 1;
-            const outcome = await this.#runAt(group, predictedMs);
+            const outcome = await this.#runAt(group, firstTokenMs);
             if (this.#run.endReason !== undefined) {
                 break;
             }
@@ -114,7 +100,7 @@
     }
 
     /** A stream that has begun waits for a group, as long as its caller does; other requests are turned away at once. */
-    async #findPlace(tried: ReadonlySet<string>): Promise<{ group: GroupState; predictedMs: number; }> {
+    async #findPlace(tried: ReadonlySet<string>): Promise<Place> {
         for (;;) {
             try {
                 return await this.#place(tried);
@@ -133,100 +119,35 @@
     }
 
     /** Chooses a group, or throws the rejection. */
-    async #place(tried: ReadonlySet<string>): Promise<{ group: GroupState; predictedMs: number; }> {
-        const { groups, random, offsets } = this.#parts;
-        const { route, service, request } = this.#call;
-        const startMs = monotonicMs();
-        const all = groups.ofModel(service.name, this.#model.name);
-        const usable = all.filter((state) => state.isUsable(startMs));
-        const untried = usable.filter((state) => !tried.has(state.target.groupName));
-        const candidates = untried.length > 0 ? untried : usable;
-        const admission = {
-            waitedMs: startMs - request.receivedAtMs,
-            targetMs: route.targetMs,
-            remainingMs: remainingMs(this.#call),
+    async #place(tried: ReadonlySet<string>): Promise<Place> {
+        const { demand, random } = this.#parts;
+        const choice = await this.#places.choose({
+            tried,
+            hasHead: this.#delivered.hasHead,
             isReturning: isReturning(this.#call) || this.#run.attemptCount > 0,
-        };
-        const offsetMs = offsets.get(service.name, this.#model.name);
-        const placeMs = meanPlaceMs(all);
-        const limitMs = this.#delivered.hasHead ? Infinity : admissionLimitMs(admission);
-        const answer = candidates.length === 0 ? undefined : await this.#parts.placement.place({
-            service: service.name,
-            model: this.#model.name,
-            promptTokens: this.#generation.promptTokens,
-            zone: this.#parts.context.zone,
-            offsetMs,
-            limitMs,
-            placeMs,
-            avoidedEpochs: all.filter((state) => !candidates.includes(state)).map(({ target }) =>
-                target.epoch
-            ),
-        });
-        const place = this.#placeOf(answer) ?? this.#placeAlone(candidates, offsetMs);
-        const verdict = this.#delivered.hasHead && place !== undefined ? SEND : admit({
-            ...admission,
-            firstTokenMs: place?.firstTokenMs,
-            placeMs,
         });
-        if (verdict.kind === "reject" || place === undefined) {
-            this.#parts.demand.addRejected(service.name, this.#model.name);
-            const retryAfterMs = verdict.kind === "reject" ? verdict.retryAfterMs : MIN_RETRY_MS;
-            const reason = verdict.kind === "reject" ? verdict.reason : "no group takes requests";
+        if (choice.kind === "reject") {
+            demand.addRejected(this.#call.service.name, this.#model.name);
             if (this.#run.mayHaveRun) {
-                throw backendError(reason);
+                throw backendError(choice.reason);
             }
+            const leftMs = remainingMs(this.#call);
             throw noCapacity(
-                reason,
-                spreadRetryAfterMs(retryAfterMs, remainingMs(this.#call), random.fraction()),
+                choice.reason,
+                spreadRetryAfterMs(choice.retryAfterMs, leftMs, random.fraction()),
             );
         }
-        const { target } = place.group;
+        const { group, runningCount, firstTokenMs, candidateCount, by } = choice;
         this.#run.record("request.placed", {
-            group: target.groupName,
-            epoch: target.epoch,
-            groupZone: target.zone,
-            running: place.runningCount === undefined ? undefined : Math.round(place.runningCount),
-            predictedMs: Math.round(place.firstTokenMs),
-            candidates: candidates.length,
-            placedBy: place.by,
+            group: group.target.groupName,
+            epoch: group.target.epoch,
+            groupZone: group.target.zone,
+            running: runningCount === undefined ? undefined : Math.round(runningCount),
+            predictedMs: Math.round(firstTokenMs),
+            candidates: candidateCount,
+            placedBy: by,
         });
-        return { group: place.group, predictedMs: place.firstTokenMs };
-    }
-
-    /** The place that a control daemon has chosen, unless its group has been withdrawn here. */
-    #placeOf(answer: PlaceAnswer | undefined): Place | undefined {
-        const { service } = this.#call;
-        const group = this.#parts.groups.ofModel(service.name, this.#model.name)
-            .find(({ target }) => target.epoch === answer?.epoch);
-        return group === undefined || answer === undefined
-            ? undefined
-            : {
-                group,
-                firstTokenMs: answer.firstTokenMs ?? 0,
-                runningCount: answer.runningCount,
-                by: "control",
-            };
-    }
-
-    /** Chooses by what this daemon knows. */
-    #placeAlone(candidates: readonly GroupState[], offsetMs: number): Place | undefined {
-        const { context, groups, random } = this.#parts;
-        const nowMs = monotonicMs();
-        const loads = candidates.map((state) => state.load(nowMs));
-        const place = choosePlace({
-            profile: this.#profile,
-            model: this.#model,
-            groups: loads,
-            promptTokens: this.#generation.promptTokens,
-            zone: context.zone,
-            offsetMs,
-            targetMs: this.#call.route.targetMs,
-        }, random.fraction());
-        const group = place === undefined ? undefined : groups.get(place.groupName);
-        const load = loads.find(({ groupName }) => groupName === place?.groupName);
-        return place === undefined || group === undefined
-            ? undefined
-            : { group, firstTokenMs: place.firstTokenMs, runningCount: load?.runningCount, by: "entry" };
+        return choice;
     }
 
     async #runAt(group: GroupState, predictedMs: number): Promise<AttemptOutcome> {
