--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -69,15 +69,15 @@
     return input.offsetMs + waitMs + readMs + writeMs;
 };
 
-/** A full group keeps a small chance to be compared, as its load may be old news. */
+/** A full group keeps a small chance to be compared, as its load may be out of date. */
 const MIN_FREE_PLACES = 0.3;
 
 /**
  * Chooses the group for a request. Answers uneven load: groups fill up at different times, and a group that has just read
  * many prompts is slower than its count of requests tells.
  *
- * Daemons that share their loads decide on the same news, some tenths of a second old. If each took the best group, that
- * group would get the requests of all of them until the next news. So a request compares two groups, which are drawn by
+ * Daemons that share their loads decide on the same reports, some tenths of a second old. If each took the best group, that
+ * group would get the requests of all of them until the next reports. So a request compares two groups, which are drawn by
  * their free places, and looks at all groups only when it would be late at these.
  */
 export const choosePlace = (input: PlacementInput, fraction: number): Placement | undefined => {
--- a/packages/gateway/src/placer.ts
+++ b/packages/gateway/src/placer.ts
@@ -14,7 +14,7 @@
  * Mean age of what daemons have told: half a period until they tell it, and half a period until the control daemons have
  * told each other. Places that were given since count on top, and requests that have ended since are estimated.
  */
-const NEWS_AGE_MS = 180;
+const USAGE_REPORT_AGE_MS = 180;
 /** Sums are used for this long, which is short beside the age of what they contain. */
 const USAGE_AGE_MS = 20;
 
@@ -25,7 +25,7 @@
 
 /**
  * Chooses the groups for the requests of all entry daemons. Answers many daemons before few groups: each daemon alone
- * sees few answers of a group, and daemons that decide on the same news fill the best group together. What they have told
+ * sees few answers of a group, and daemons that decide on the same reports fill the best group together. What they have told
  * is some tenths of a second old, so the places that were given since count on top.
  */
 export class Placer {
@@ -71,7 +71,7 @@
         const grants = this.#grantsOf(epoch, nowMs);
         const grantedTokens = grants.reduce((sum, { promptTokens }) => sum + promptTokens, 0);
         const told = usage?.inFlightCount ?? 0;
-        const endedCount = told * Math.min(1, NEWS_AGE_MS / placeMs);
+        const endedCount = told * Math.min(1, USAGE_REPORT_AGE_MS / placeMs);
         return {
             groupName,
             zone,
@@ -84,7 +84,9 @@
     }
 
     #grantsOf(epoch: number, nowMs: number): Grant[] {
-        const grants = (this.#grants.get(epoch) ?? []).filter(({ atMs }) => nowMs - atMs < NEWS_AGE_MS);
+        const grants = (this.#grants.get(epoch) ?? []).filter(({ atMs }) =>
+            nowMs - atMs < USAGE_REPORT_AGE_MS
+        );
         this.#grants.set(epoch, grants);
         return grants;
     }
--- a/test/gateway/knowledge.test.ts
+++ b/test/gateway/knowledge.test.ts
@@ -191,7 +191,7 @@
 });
 
 // Replays half as much demand again as there are places. A daemon that doesn't know the queues sends everything, and nearly
-// all of it is late; daemons that decide on the same news fill each place several times.
+// all of it is late; daemons that decide on the same reports fill each place several times.
 test("one daemon that places all requests turns away what would be late, and fills the places", (t) => {
     const alone = sumOf(Policy.Alone, 1.5);
     const shared = sumOf(Policy.Shared, 1.5);
