--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -115,7 +115,7 @@
 };
 
 /** The group with the shortest predicted time to the first token, for a daemon that decides alone. */
-export const placeIn = (input: PlacementInput): Placement | undefined => bestOf(input, input.groups, 0);
+export const bestPlace = (input: PlacementInput): Placement | undefined => bestOf(input, input.groups, 0);
 
 /** The group with the shortest predicted time to the first token. */
 const bestOf = (
--- a/packages/gateway/src/placer.ts
+++ b/packages/gateway/src/placer.ts
@@ -8,7 +8,7 @@
     PlaceAnswer,
     PlaceRequest,
 } from "@greengage/protocol";
-import { type GroupLoad, placeIn, type PlacementInput } from "./placement.ts";
+import { bestPlace, type GroupLoad, type PlacementInput } from "./placement.ts";
 
 /**
  * Mean age of what daemons have told: half a period until they tell it, and half a period until the control daemons have
@@ -16,7 +16,7 @@
  */
 const USAGE_REPORT_AGE_MS = 180;
 /** Sums are used for this long, which is short beside the age of what they contain. */
-const USAGE_AGE_MS = 20;
+const USAGE_SUM_LIFE_MS = 20;
 
 interface Grant {
     atMs: number;
@@ -40,7 +40,7 @@
         nowMs: number,
     ): PlaceAnswer {
         const loads = groups.map((group) => this.#loadOf(group, usage.get(group.epoch), placeMs, nowMs));
-        const place = placeIn({ ...input, groups: loads });
+        const place = bestPlace({ ...input, groups: loads });
         const index = groups.findIndex(({ groupName }) => groupName === place?.groupName);
         const group = groups[index];
         if (place === undefined || group === undefined) {
@@ -128,7 +128,7 @@
 
     /** What daemons have told, summed up at most once in a short time. */
     #usageAt(nowMs: number): ReadonlyMap<number, GroupUsage> {
-        if (nowMs - this.#usage.atMs > USAGE_AGE_MS) {
+        if (nowMs - this.#usage.atMs > USAGE_SUM_LIFE_MS) {
             const byEpoch = new Map(this.#options.usage().map((usage) => [usage.epoch, usage]));
             this.#usage = { byEpoch, atMs: nowMs };
             this.#placer.retain(new Set(this.#options.view()?.groups.map(({ epoch }) => epoch)));
