Reproduce crashes of group after group by one prompt part

Callers saw sound requests fail for as long as requests with one prompt part kept coming that crashes each engine which begins to answer it: every such request took down a group, and was then sent on to a second one.

Cause: nothing relates a crash to what was being answered. The entry daemons treat it as a fault of the group, so the request is repeated elsewhere and the next request with the same part is placed like any other.

The fixture gives each test process its own loopback network, because the metrics port is fixed and test files run concurrently.

--- /dev/null
+++ b/test/platform/crashingengines.ts
@@ -0,0 +1,107 @@
+import { sleep } from "@greengage/base";
+import { waitFor } from "@greengage/faults";
+import type { ExecutionContext } from "ava";
+import type { IncomingMessage } from "node:http";
+import { type EngineFleet, PlatformEngine, sharedPartsOf } from "./engine.ts";
+import type { PlatformFixture } from "./fixtures.ts";
+
+const ENGINES_PER_GROUP = 2;
+/** Time from a crash to the start of the next engine at the same port. */
+const RESTART_MS = 3_000;
+const FIRST_EVENT_MS = 120;
+const EVENT_COUNT = 8;
+const EVENT_GAP_MS = 25;
+
+/** A request that arrived at an engine. */
+export interface Arrival {
+    requestId: string;
+    parts: string[];
+    /** From `performance.now()`. */
+    atMs: number;
+}
+
+/** Engines of one service that crash on deadly prompt parts and come back at the same port with a new id. */
+export class CrashingEngines implements EngineFleet {
+    readonly engines = new Map<string, PlatformEngine>();
+    readonly modelSizes = { m: ENGINES_PER_GROUP };
+    readonly deadlyParts = new Set<string>();
+    readonly arrivals: Arrival[] = [];
+    /** Times of crashes, from `performance.now()`. */
+    readonly crashTimesMs: number[] = [];
+    readonly violations: string[] = [];
+    readonly #control: string;
+    #startCount = 0;
+    #isStopped = false;
+
+    constructor(control: string) {
+        this.#control = control;
+    }
+
+    /** Starts engines for the given number of groups. */
+    static async start(
+        t: ExecutionContext,
+        { control }: PlatformFixture,
+        groupCount: number,
+    ): Promise<CrashingEngines> {
+        const fleet = new CrashingEngines(control);
+        t.teardown(() => fleet.stop());
+        for (let index = 0; index < groupCount * ENGINES_PER_GROUP; index += 1) {
+            await fleet.#startEngine();
+        }
+        return fleet;
+    }
+
+    stop(): void {
+        this.#isStopped = true;
+        this.engines.forEach((engine) => engine.stop());
+    }
+
+    /** Heads of the groups that are being served. */
+    get heads(): PlatformEngine[] {
+        return [...this.engines.values()].filter(({ member }) => member.acceptsRequests);
+    }
+
+    async waitForGroups(groupCount: number): Promise<void> {
+        await waitFor(`${groupCount} groups`, () => this.heads.length >= groupCount ? true : undefined);
+    }
+
+    onRun(): void {
+        // Arrivals are counted instead, as they include requests that an engine rejects.
+    }
+
+    onViolation(rule: string, detail: string): void {
+        this.violations.push(`${rule}: ${detail}`);
+    }
+
+    onArrival(_: string, message: IncomingMessage): void {
+        this.arrivals.push({
+            requestId: String(message.headers["greengageridge-request-id"]),
+            parts: sharedPartsOf(message),
+            atMs: performance.now(),
+        });
+    }
+
+    onCrash({ port }: PlatformEngine): void {
+        this.crashTimesMs.push(performance.now());
+        void sleep(RESTART_MS).then(() => this.#startEngine(port));
+    }
+
+    async #startEngine(port?: number): Promise<void> {
+        if (this.#isStopped) {
+            return;
+        }
+        this.#startCount += 1;
+        const engine = new PlatformEngine({
+            id: `e${this.#startCount}`,
+            service: "llm",
+            domain: "d0",
+            control: this.#control,
+            port,
+            fleet: this,
+        });
+        engine.firstEventMs = FIRST_EVENT_MS;
+        engine.eventCount = EVENT_COUNT;
+        engine.eventGapMs = EVENT_GAP_MS;
+        await engine.listen();
+    }
+}
--- a/test/platform/engine.ts
+++ b/test/platform/engine.ts
@@ -1,6 +1,6 @@
 import type { ExecutionContext } from "ava";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import { request } from "undici";
 import { GroupMember, type Order } from "./groupmember.ts";
 import { formatEvent, parseContent, type StreamContent } from "./streamcontent.ts";
@@ -8,6 +8,8 @@
 /** Interval between registrations. */
 export const HEARTBEAT_MS = 200;
 const MEMBER_CHECK_MS = 50;
+const ORDER_PATH = "/greengageridge/order";
+const REPORT_PATH = "/greengageridge/report";
 /** Time after the acknowledgement of a drain in which requests may still arrive. */
 const DRAIN_GRACE_MS = 2_500;
 
@@ -34,14 +36,22 @@
     /** Called when an engine begins to run a request. */
     onRun: (engineId: string, message: IncomingMessage) => void;
     onViolation: (rule: string, detail: string) => void;
+    /** Prompt parts that crash each engine at the first event of a request, unless they are its last part. */
+    readonly deadlyParts?: ReadonlySet<string>;
+    /** Called when a request arrives at an engine, whether or not the engine runs it. */
+    onArrival?: (engineId: string, message: IncomingMessage) => void;
+    /** Called when an engine has crashed. */
+    onCrash?: (engine: PlatformEngine) => void;
 }
 
 /** Stand-in for a backend server on the users' platform that speaks the platform's published protocol. */
 export class PlatformEngine {
     readonly #options: PlatformEngineOptions;
     readonly #server: Server;
+    readonly #sockets = new Set<Socket>();
     readonly #bornMs = Date.now();
     readonly member: GroupMember;
+    #port = 0;
     #sequence = 0;
     #timers: NodeJS.Timeout[] = [];
     #drainingSinceMs: number | undefined;
@@ -51,6 +61,10 @@
     acknowledgedCount = 0;
     /** Headers of the requests that this engine has run. */
     readonly executedHeaders: IncomingMessage["headers"][] = [];
+    /** Streams that have been accepted and have no event yet. */
+    waitingStreamCount = 0;
+    /** Time from the start of a stream to its first event. */
+    firstEventMs = 0;
     /** Pause between two events of a stream. */
     eventGapMs = 5;
     eventCount = 4;
@@ -74,6 +88,10 @@
         this.#server = createServer((message, response) => void this.#handle(message, response));
         // Short, so that idle connections close at times when clients are about to reuse them.
         this.#server.keepAliveTimeout = 1_000;
+        this.#server.on("connection", (socket) => {
+            this.#sockets.add(socket);
+            socket.once("close", () => this.#sockets.delete(socket));
+        });
         options.fleet?.engines.set(options.id, this);
     }
 
@@ -88,6 +106,7 @@
         await new Promise<void>((resolve) =>
             this.#server.listen(this.#options.port ?? 0, "127.0.0.1", resolve)
         );
+        this.#port = (this.#server.address() as AddressInfo).port;
         this.#timers = [
             setInterval(() => void this.register(), HEARTBEAT_MS),
             setInterval(() => this.member.checkMembers(), MEMBER_CHECK_MS),
@@ -96,13 +115,17 @@
 
     /** `host:port`. */
     get address(): string {
-        return this.#options.advertisedAddress ?? `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+        return this.#options.advertisedAddress ?? `127.0.0.1:${this.#port}`;
     }
 
     get id(): string {
         return this.#options.id;
     }
 
+    get port(): number {
+        return this.#port;
+    }
+
     stop(): void {
         this.#isStopped = true;
         if (this.#options.fleet?.engines.get(this.id) === this) {
@@ -113,6 +136,16 @@
         this.#server.close();
     }
 
+    /** Resets all connections and stops, as a process that ends by a fault does. */
+    crash(): void {
+        if (this.#isStopped) {
+            return;
+        }
+        this.#sockets.forEach((socket) => socket.resetAndDestroy());
+        this.stop();
+        this.#options.fleet?.onCrash?.(this);
+    }
+
     /** Closes idle connections without notice. */
     dropIdleConnections(): void {
         this.#server.closeIdleConnections();
@@ -191,17 +224,20 @@
         if (this.isFrozen) {
             return;
         }
+        if (message.url !== ORDER_PATH && message.url !== REPORT_PATH) {
+            this.#options.fleet?.onArrival?.(this.id, message);
+        }
         const expected = message.headers["greengageridge-expect-instance"];
         if (expected !== undefined && expected !== this.#options.id) {
             response.writeHead(421, requestIdHeader(message)).end();
             return;
         }
         const body = Buffer.concat(chunks).toString();
-        if (message.url === "/greengageridge/order") {
+        if (message.url === ORDER_PATH) {
             this.#handleOrder(JSON.parse(body) as Order, response);
             return;
         }
-        if (message.url === "/greengageridge/report") {
+        if (message.url === REPORT_PATH) {
             response.end(JSON.stringify({ pace: 1, queued: 0, running: 0 }));
             return;
         }
@@ -251,12 +287,34 @@
             setTimeout(() => response.writeHead(200, head).end(text), this.workMs);
             return;
         }
+        void this.#beginStream(message, response, head, parseContent(body, this.eventCount));
+    }
+
+    async #beginStream(
+        message: IncomingMessage,
+        response: ServerResponse,
+        head: Record<string, string>,
+        content: StreamContent,
+    ): Promise<void> {
+        this.waitingStreamCount += 1;
+        if (this.firstEventMs > 0) {
+            await new Promise((resolve) => setTimeout(resolve, this.firstEventMs));
+        }
+        this.waitingStreamCount -= 1;
+        if (response.destroyed) {
+            return;
+        }
+        if (this.#hasDeadlyPart(message)) {
+            this.crash();
+            return;
+        }
         response.writeHead(200, { ...head, "content-type": "text/event-stream" });
-        void this.#stream(
-            response,
-            Number(message.headers["last-event-id"] ?? 0),
-            parseContent(body, this.eventCount),
-        );
+        await this.#stream(response, Number(message.headers["last-event-id"] ?? 0), content);
+    }
+
+    #hasDeadlyPart(message: IncomingMessage): boolean {
+        const { deadlyParts } = this.#options.fleet ?? {};
+        return deadlyParts !== undefined && sharedPartsOf(message).some((part) => deadlyParts.has(part));
     }
 
     async #stream(response: ServerResponse, lastEventId: number, content: StreamContent): Promise<void> {
@@ -276,6 +334,11 @@
     }
 }
 
+/** Returns the prompt parts of a request except the last one, which belongs to the request itself. */
+export const sharedPartsOf = ({ headers }: IncomingMessage): string[] =>
+    String(headers["greengageridge-prompt-prefix"] ?? "").split(",").slice(0, -1)
+        .map((part) => part.trim().split(":")[0] ?? "");
+
 const requestIdHeader = ({ headers }: IncomingMessage): Record<string, string> => {
     const id = headers["greengageridge-request-id"];
     return id === undefined ? {} : { "greengageridge-request-id": String(id) };
--- a/test/platform/fixtures.ts
+++ b/test/platform/fixtures.ts
@@ -7,13 +7,16 @@
 import { request } from "undici";
 import { HEARTBEAT_MS } from "./engine.ts";
 
-/** The daemons of one test use the same ports, so each has its own loopback address. */
-const CONTROL_HOST = "127.0.0.1";
-const ENTRY_HOST = "127.0.0.2";
+/**
+ * The daemons of one test use the same ports, so each has its own loopback address. Each test process has its own
+ * network, as the metrics port is fixed.
+ */
+const LOOPBACK_NETWORK = `127.${1 + process.pid % 250}.${1 + Math.floor(process.pid / 250) % 250}`;
+const CONTROL_HOST = `${LOOPBACK_NETWORK}.1`;
+const METRICS_PORT = 9_464;
 
-export interface PlatformFixture {
-    /** `host:port` of the control daemon; the next three are those of the entry daemon. */
-    control: string;
+/** An entry daemon; its addresses are in the form `host:port`. */
+export interface EntryFixture {
     callers: string;
     readiness: string;
     metrics: string;
@@ -22,8 +25,22 @@
     entryLog: () => string;
 }
 
-/** Starts a control daemon and an entry daemon the way the platform does. */
-export const startPlatform = async (t: ExecutionContext): Promise<PlatformFixture> => {
+/** A control daemon and its first entry daemon. */
+export interface PlatformFixture extends EntryFixture {
+    /** `host:port` of the control daemon; the next one is its address for metrics. */
+    control: string;
+    controlMetrics: string;
+    /** Returns the log output of the control daemon so far. */
+    controlLog: () => string;
+    /** All entry daemons. */
+    entries: EntryFixture[];
+}
+
+/** Starts a control daemon and entry daemons the way the platform does. */
+export const startPlatform = async (
+    t: ExecutionContext,
+    { entryCount = 1 } = {},
+): Promise<PlatformFixture> => {
     const folder = mkdtempSync(join(tmpdir(), "greengage-platform-"));
     const [peerPort = 0, control = 0, callers = 0, readiness = 0] = await freePorts(4);
     const common = {
@@ -36,25 +53,9 @@
         bounds: { grace_s: 8, retry_budget_ratio: 0.2, retry_budget_slack: 132 },
         unknown_field: "ignored",
     };
-    const settings = {
-        control: {
-            ...common,
-            node_name: "core-z-1",
-            ip: CONTROL_HOST,
-            listen: { control: `${CONTROL_HOST}:${control}` },
-            data_dir: join(folder, "data"),
-        },
-        entry: {
-            ...common,
-            node_name: "front-z-1",
-            ip: ENTRY_HOST,
-            listen: { front: `${ENTRY_HOST}:${callers}`, ready: `${ENTRY_HOST}:${readiness}` },
-            data_dir: null,
-        },
-    };
-    const start = (role: keyof typeof settings): { child: ChildProcess; log: () => string; } => {
-        const path = join(folder, `${role}.json`);
-        writeFileSync(path, JSON.stringify(settings[role]));
+    const start = (name: string, role: "control" | "entry", settings: object): StartedDaemon => {
+        const path = join(folder, `${name}.json`);
+        writeFileSync(path, JSON.stringify({ ...common, node_name: name, ...settings }));
         const child = spawn(process.execPath, ["--import=tsx", "platform/main.ts", role], {
             env: { ...process.env, GREENGAGERIDGE_SETTINGS: path },
             stdio: ["ignore", "pipe", "inherit"],
@@ -66,19 +67,38 @@
         t.teardown(() => void child.kill("SIGKILL"));
         return { child, log: () => text };
     };
+    const startEntry = (number: number): EntryFixture => {
+        const host = `${LOOPBACK_NETWORK}.${1 + number}`;
+        const addresses = { callers: `${host}:${callers}`, readiness: `${host}:${readiness}` };
+        const { child, log } = start(`front-z-${number}`, "entry", {
+            ip: host,
+            listen: { front: addresses.callers, ready: addresses.readiness },
+            data_dir: null,
+        });
+        return { ...addresses, metrics: `${host}:${METRICS_PORT}`, entry: child, entryLog: log };
+    };
     t.teardown(() => rmSync(folder, { recursive: true, force: true }));
-    start("control");
-    const entry = start("entry");
+    const { log: controlLog } = start("core-z-1", "control", {
+        ip: CONTROL_HOST,
+        listen: { control: `${CONTROL_HOST}:${control}` },
+        data_dir: join(folder, "data"),
+    });
+    const first = startEntry(1);
+    const others = Array.from({ length: entryCount - 1 }, (_, index) => startEntry(index + 2));
     return {
         control: `${CONTROL_HOST}:${control}`,
-        callers: `${ENTRY_HOST}:${callers}`,
-        readiness: `${ENTRY_HOST}:${readiness}`,
-        metrics: `${ENTRY_HOST}:9464`,
-        entry: entry.child,
-        entryLog: entry.log,
+        controlMetrics: `${CONTROL_HOST}:${METRICS_PORT}`,
+        controlLog,
+        ...first,
+        entries: [first, ...others],
     };
 };
 
+interface StartedDaemon {
+    child: ChildProcess;
+    log: () => string;
+}
+
 export interface CallResult {
     status: number;
     text: string;
