Send prompt parts that crash engines in the soak of the platform

Callers of the soak have so far sent no request that harms the engine that serves it, so no soak showed that requests with a prompt part that crashes engines reach one group after the other.

The new fault sends a small share of the streams with such a part for 10 s; the engine crashes at the first event and is replaced after 3 s. More than three requests with the part that reach engines later than 3 s after the fifth crash are a violation; arrivals while a daemon has a process fault, or within 3 s of one, are not counted. An engine that is being replaced is not replaced a second time, which the longer outage makes likely and which would bind the port twice.

--- a/test/platform/engine.ts
+++ b/test/platform/engine.ts
@@ -40,8 +40,8 @@
     readonly deadlyParts?: ReadonlySet<string>;
     /** Called when a request arrives at an engine, whether or not the engine runs it. */
     onArrival?: (engineId: string, message: IncomingMessage) => void;
-    /** Called when an engine has crashed. */
-    onCrash?: (engine: PlatformEngine) => void;
+    /** Called when an engine has crashed, with the deadly part if there was one. */
+    onCrash?: (engine: PlatformEngine, part?: string) => void;
 }
 
 /** Stand-in for a backend server on the users' platform that speaks the platform's published protocol. */
@@ -137,13 +137,13 @@
     }
 
     /** Resets all connections and stops, as a process that ends by a fault does. */
-    crash(): void {
+    crash(part?: string): void {
         if (this.#isStopped) {
             return;
         }
         this.#sockets.forEach((socket) => socket.resetAndDestroy());
         this.stop();
-        this.#options.fleet?.onCrash?.(this);
+        this.#options.fleet?.onCrash?.(this, part);
     }
 
     /** Closes idle connections without notice. */
@@ -304,19 +304,16 @@
         if (response.destroyed) {
             return;
         }
-        if (this.#hasDeadlyPart(message)) {
-            this.crash();
+        const { deadlyParts } = this.#options.fleet ?? {};
+        const deadlyPart = sharedPartsOf(message).find((part) => deadlyParts?.has(part));
+        if (deadlyPart !== undefined) {
+            this.crash(deadlyPart);
             return;
         }
         response.writeHead(200, { ...head, "content-type": "text/event-stream" });
         await this.#stream(response, Number(message.headers["last-event-id"] ?? 0), content);
     }
 
-    #hasDeadlyPart(message: IncomingMessage): boolean {
-        const { deadlyParts } = this.#options.fleet ?? {};
-        return deadlyParts !== undefined && sharedPartsOf(message).some((part) => deadlyParts.has(part));
-    }
-
     async #stream(response: ServerResponse, lastEventId: number, content: StreamContent): Promise<void> {
         const { group } = this.member;
         for (let id = lastEventId + 1; id <= content.count && !response.destroyed; id += 1) {
--- a/test/platform/soak.test.ts
+++ b/test/platform/soak.test.ts
@@ -2,7 +2,9 @@
 import { runSoak } from "./soak/run.ts";
 
 /** Seeds that have failed, with the cause. They are kept after the fix. */
-const REGRESSION_SEEDS: readonly { seed: number; durationS: number; cause: string; }[] = [];
+const REGRESSION_SEEDS: readonly { seed: number; durationS: number; cause: string; }[] = [
+    { seed: 1, durationS: 12, cause: "a prompt part that crashes engines reaches group after group" },
+];
 
 // Guards against combinations of faults under which callers or engines observe a violated guarantee.
 test.serial("no guarantee is violated under the external faults of seed 4", async (t) => {
--- a/test/platform/soak/callers.ts
+++ b/test/platform/soak/callers.ts
@@ -4,6 +4,7 @@
 import { request } from "undici";
 import { chatHeaders } from "../fixtures.ts";
 import { formatStream } from "../streamcontent.ts";
+import type { DeadlyParts } from "./deadlyparts.ts";
 import { MODEL_SIZES, type SoakDaemon } from "./system.ts";
 
 const MAX_PAUSE_MS = 120;
@@ -25,13 +26,15 @@
 export class SoakCallers {
     readonly #random: Random;
     readonly #violations: Violations;
+    readonly #deadlyParts: DeadlyParts;
     readonly #issuedRequests = new Map<string, IssuedRequest>();
     readonly statusCounts = new Map<string, number>();
     #entries: readonly SoakDaemon[] = [];
 
-    constructor(random: Random, violations: Violations) {
+    constructor(random: Random, violations: Violations, deadlyParts: DeadlyParts) {
         this.#random = random;
         this.#violations = violations;
+        this.#deadlyParts = deadlyParts;
     }
 
     get requestCount(): number {
@@ -43,7 +46,9 @@
         this.#entries = entries;
         while (!signal.aborted) {
             const entry = this.#random.pick(this.#entries);
-            await (this.#random.nextInt(3) === 0 ? this.pay(entry) : this.stream(entry));
+            await (this.#random.nextInt(3) === 0
+                ? this.pay(entry)
+                : this.stream(entry, this.#deadlyParts.draw()));
             await sleep(this.#random.nextInt(MAX_PAUSE_MS), signal);
         }
     }
@@ -75,12 +80,15 @@
     }
 
     /** Sends a streaming request. Returns whether the complete stream was received. */
-    async stream(entry: SoakDaemon): Promise<boolean> {
+    async stream(entry: SoakDaemon, deadlyPart?: string): Promise<boolean> {
         const id = this.#registerRequest(false);
         const count = 1 + this.#random.nextInt(MAX_STREAM_EVENTS);
         const expectedBody = formatStream({ text: id, count });
         const model = this.#random.pick(Object.keys(MODEL_SIZES));
-        const headers = { ...chatHeaders(id), "greengageridge-model": model };
+        const headers: Record<string, string> = { ...chatHeaders(id), "greengageridge-model": model };
+        if (deadlyPart !== undefined) {
+            headers["greengageridge-prompt-prefix"] = `5c1e07a2:800,${deadlyPart}:400,${id}:100`;
+        }
         const answer = await this.#send(entry, `/chat/${id}`, `${id} ${count}`, headers, STREAM_TIMEOUT_MS);
         const isSuccess = answer.status === 200;
         if (isSuccess && !expectedBody.startsWith(answer.body)) {
@@ -92,7 +100,7 @@
                 `${id} ended as complete after ${answer.body.length} bytes but differs from the expected stream`,
             );
         }
-        this.#countStatus("stream", answer);
+        this.#countStatus(deadlyPart === undefined ? "stream" : "deadly stream", answer);
         return isSuccess && answer.isComplete;
     }
 
--- a/test/platform/soak/faults.ts
+++ b/test/platform/soak/faults.ts
@@ -1,4 +1,4 @@
-import { type Random, sleep } from "@greengage/base";
+import { monotonicMs, type Random, sleep } from "@greengage/base";
 import { LinkMode } from "@greengage/faults";
 import type { SoakDaemon, SoakEngine, SoakSystem } from "./system.ts";
 
@@ -19,6 +19,8 @@
 const RESTART_PAUSE_MS = 300;
 /** Latency added to each direction: far above the latency within a region, and below the timeouts of calls. */
 const SLOW_LINK_MS = 120;
+/** Long enough for the crashes that prove a part, for daemons to learn of it, and for late requests. */
+const POISON_MS = 10_000;
 const NO_CLEANUP: EndFault = () => undefined;
 
 /** Daemons that are running and have no other process fault. */
@@ -36,7 +38,10 @@
         for (const end of ends) {
             await end();
         }
-        daemons.forEach((daemon) => daemon.hasProcessFault = false);
+        for (const daemon of daemons) {
+            daemon.hasProcessFault = false;
+            daemon.processFaultEndedAtMs = monotonicMs();
+        }
     };
 };
 
@@ -183,6 +188,11 @@
         toTarget: { mode: LinkMode.Swallow },
         toSource: { mode: LinkMode.Swallow },
     }),
+    poison: async ({ deadlyParts }) => {
+        const end = deadlyParts.begin();
+        await sleep(POISON_MS);
+        return end;
+    },
 };
 
 const DISK_FAULT_KINDS = ["controlEmptied"];
--- a/test/platform/soak/run.ts
+++ b/test/platform/soak/run.ts
@@ -1,7 +1,8 @@
 import { monotonicMs, Random, sleep } from "@greengage/base";
 import { Violations } from "@greengage/bench";
-import type { EngineFleet } from "../engine.ts";
+import { type EngineFleet, sharedPartsOf } from "../engine.ts";
 import { SoakCallers } from "./callers.ts";
+import { CONTACT_MS, DeadlyParts } from "./deadlyparts.ts";
 import { runFaults } from "./faults.ts";
 import { SoakOperators } from "./operators.ts";
 import { MODEL_SIZES, type SoakDaemon, SoakSystem } from "./system.ts";
@@ -54,14 +55,25 @@
     constructor(options: SoakOptions) {
         this.#options = options;
         this.#violations = new Violations((line) => this.#logMessage(line));
-        this.#callers = new SoakCallers(new Random(options.seed + 1), this.#violations);
+        const deadlyParts = new DeadlyParts(
+            new Random(options.seed + 3),
+            this.#violations,
+            () => this.#system.isCalmFor(CONTACT_MS),
+        );
+        this.#callers = new SoakCallers(new Random(options.seed + 1), this.#violations, deadlyParts);
         const fleet: EngineFleet = {
             engines: new Map(),
             modelSizes: MODEL_SIZES,
             onRun: (engineId, message) => this.#callers.recordRun(engineId, message),
             onViolation: (rule, detail) => this.#violations.add(rule, detail),
+            deadlyParts: deadlyParts.parts,
+            onArrival: (engineId, message) => deadlyParts.recordArrival(engineId, sharedPartsOf(message)),
+            onCrash: (engine, part) => {
+                deadlyParts.recordCrash(part);
+                void this.#system.restartEngine(engine);
+            },
         };
-        this.#system = new SoakSystem({ fleet, onLine: options.onLine });
+        this.#system = new SoakSystem({ fleet, deadlyParts, onLine: options.onLine });
     }
 
     async run(): Promise<SoakResult> {
--- a/test/platform/soak/system.ts
+++ b/test/platform/soak/system.ts
@@ -1,9 +1,10 @@
-import { sleep } from "@greengage/base";
+import { monotonicMs, sleep } from "@greengage/base";
 import { FaultProxy, freePorts, ManagedProcess } from "@greengage/faults";
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { type EngineFleet, HEARTBEAT_MS, PlatformEngine } from "../engine.ts";
+import type { DeadlyParts } from "./deadlyparts.ts";
 
 const CONTROL_COUNT = 3;
 const ENTRY_COUNT = 3;
@@ -14,6 +15,8 @@
 const EVENT_GAP_MS = 20;
 /** Long enough for connection resets to hit payments in progress. */
 const WORK_MS = 40;
+/** Time from a crash to the start of the next engine at the same address. */
+const CRASH_RESTART_MS = 3_000;
 /** Time between SIGTERM and SIGKILL. */
 const GRACE_S = 8;
 /** Loopback network of this run, so that concurrent runs don't interfere. */
@@ -33,6 +36,8 @@
     proxy?: FaultProxy;
     /** Whether a process fault is active; a second one would end it early. */
     hasProcessFault: boolean;
+    /** End of the last process fault, on the monotonic clock. */
+    processFaultEndedAtMs: number;
 }
 
 /** An engine behind a proxy. Its replacement has the same address and a new id. */
@@ -43,10 +48,12 @@
     engine: PlatformEngine;
     proxy: FaultProxy;
     port: number;
+    isBeingReplaced: boolean;
 }
 
 export interface SoakSystemOptions {
     fleet: EngineFleet;
+    deadlyParts: DeadlyParts;
     /** Called with the log lines of all processes. */
     onLine?: (source: string, line: string) => void;
 }
@@ -59,6 +66,7 @@
     readonly #folder = mkdtempSync(join(tmpdir(), "greengage-soak-"));
     readonly #settings = new Map<string, object>();
     #incarnation = 0;
+    #isStopped = false;
 
     constructor(options: SoakSystemOptions) {
         this.#options = options;
@@ -72,6 +80,17 @@
         return this.daemons.filter(({ role }) => role === "entry");
     }
 
+    get deadlyParts(): DeadlyParts {
+        return this.#options.deadlyParts;
+    }
+
+    /** Whether no daemon has had a process fault for `durationMs`. */
+    isCalmFor(durationMs: number): boolean {
+        return this.daemons.every(({ hasProcessFault, processFaultEndedAtMs }) =>
+            !hasProcessFault && monotonicMs() - processFaultEndedAtMs >= durationMs
+        );
+    }
+
     async start(): Promise<void> {
         const controlPorts = await freePorts(CONTROL_COUNT);
         const seeds = controlPorts.map((port, index) => `${LOOPBACK_NETWORK}.${index + 1}:${port}`);
@@ -97,6 +116,7 @@
     }
 
     async stop(): Promise<void> {
+        this.#isStopped = true;
         await Promise.all(this.daemons.map((daemon) => daemon.process.kill()));
         for (const { engine, proxy } of this.engines) {
             engine.stop();
@@ -128,11 +148,26 @@
 
     /** Stops an engine, and starts another one at its address after `pauseMs`. */
     async replaceEngine(target: SoakEngine, pauseMs: number): Promise<void> {
+        if (target.isBeingReplaced) {
+            return;
+        }
+        target.isBeingReplaced = true;
         target.engine.stop();
         target.proxy.reset();
         await sleep(pauseMs);
-        target.engine = this.#createEngine(target);
-        await target.engine.listen();
+        if (!this.#isStopped) {
+            target.engine = this.#createEngine(target);
+            await target.engine.listen();
+        }
+        target.isBeingReplaced = false;
+    }
+
+    /** Starts the replacement of an engine that has crashed. */
+    async restartEngine(crashed: PlatformEngine): Promise<void> {
+        const target = this.engines.find(({ engine }) => engine === crashed);
+        if (target !== undefined) {
+            await this.replaceEngine(target, CRASH_RESTART_MS);
+        }
     }
 
     #addDaemon(
@@ -159,7 +194,15 @@
         });
         writeFileSync(this.#settingsPath(name), JSON.stringify(this.#settings.get(name)));
         const process = this.#spawn(name, role);
-        this.daemons.push({ name, role, address, process, proxy: entry?.proxy, hasProcessFault: false });
+        this.daemons.push({
+            name,
+            role,
+            address,
+            process,
+            proxy: entry?.proxy,
+            hasProcessFault: false,
+            processFaultEndedAtMs: -Infinity,
+        });
     }
 
     #spawn(name: string, role: string): ManagedProcess {
@@ -177,10 +220,12 @@
         await proxy.start();
         const engine = this.#createEngine({ ...definition, proxy, port });
         await engine.listen();
-        this.engines.push({ ...definition, proxy, port, engine });
+        this.engines.push({ ...definition, proxy, port, engine, isBeingReplaced: false });
     }
 
-    #createEngine({ name, service, domain, proxy, port }: Omit<SoakEngine, "engine">): PlatformEngine {
+    #createEngine(
+        { name, service, domain, proxy, port }: Omit<SoakEngine, "engine" | "isBeingReplaced">,
+    ): PlatformEngine {
         this.#incarnation += 1;
         const engine = new PlatformEngine({
             id: `${name}-${this.#incarnation}`,
