Reproduce crashes by a prompt part after the response head too

An engine may send the head of its response before it crashes at the first event. An entry daemon sees a broken response in that case, not a failed request, so it is a path of its own that the reproduction did not reach.

--- a/test/platform/crashingengines.ts
+++ b/test/platform/crashingengines.ts
@@ -30,20 +30,22 @@
     readonly crashTimesMs: number[] = [];
     readonly violations: string[] = [];
     readonly #control: string;
+    readonly #sendsHeadEarly: boolean;
     #startCount = 0;
     #isStopped = false;
 
-    constructor(control: string) {
+    constructor(control: string, sendsHeadEarly: boolean) {
         this.#control = control;
+        this.#sendsHeadEarly = sendsHeadEarly;
     }
 
     /** Starts engines for the given number of groups. */
     static async start(
         t: ExecutionContext,
         { control }: PlatformFixture,
-        groupCount: number,
+        { groupCount, sendsHeadEarly }: { groupCount: number; sendsHeadEarly: boolean; },
     ): Promise<CrashingEngines> {
-        const fleet = new CrashingEngines(control);
+        const fleet = new CrashingEngines(control, sendsHeadEarly);
         t.teardown(() => fleet.stop());
         for (let index = 0; index < groupCount * ENGINES_PER_GROUP; index += 1) {
             await fleet.#startEngine();
@@ -100,6 +102,7 @@
             fleet: this,
         });
         engine.firstEventMs = FIRST_EVENT_MS;
+        engine.sendsHeadEarly = this.#sendsHeadEarly;
         engine.eventCount = EVENT_COUNT;
         engine.eventGapMs = EVENT_GAP_MS;
         await engine.listen();
--- a/test/platform/engine.ts
+++ b/test/platform/engine.ts
@@ -65,6 +65,8 @@
     waitingStreamCount = 0;
     /** Time from the start of a stream to its first event. */
     firstEventMs = 0;
+    /** Whether the head of a streaming response is sent before the time of its first event. */
+    sendsHeadEarly = false;
     /** Pause between two events of a stream. */
     eventGapMs = 5;
     eventCount = 4;
@@ -297,6 +299,10 @@
         content: StreamContent,
     ): Promise<void> {
         this.waitingStreamCount += 1;
+        const streamHead = { ...head, "content-type": "text/event-stream" };
+        if (this.sendsHeadEarly) {
+            response.writeHead(200, streamHead).flushHeaders();
+        }
         if (this.firstEventMs > 0) {
             await new Promise((resolve) => setTimeout(resolve, this.firstEventMs));
         }
@@ -310,7 +316,9 @@
             this.crash(deadlyPart);
             return;
         }
-        response.writeHead(200, { ...head, "content-type": "text/event-stream" });
+        if (!response.headersSent) {
+            response.writeHead(200, streamHead);
+        }
         await this.#stream(response, Number(message.headers["last-event-id"] ?? 0), content);
     }
 
--- a/test/platform/fixtures.ts
+++ b/test/platform/fixtures.ts
@@ -7,13 +7,15 @@
 import { request } from "undici";
 import { HEARTBEAT_MS } from "./engine.ts";
 
-/**
- * The daemons of one test use the same ports, so each has its own loopback address. Each test process has its own
- * network, as the metrics port is fixed.
- */
-const LOOPBACK_NETWORK = `127.${1 + process.pid % 250}.${1 + Math.floor(process.pid / 250) % 250}`;
-const CONTROL_HOST = `${LOOPBACK_NETWORK}.1`;
 const METRICS_PORT = 9_464;
+/** Loopback network of this test process. Each daemon has an address of its own, as the metrics port is fixed. */
+const LOOPBACK_NETWORK = `127.${1 + process.pid % 250}.${1 + Math.floor(process.pid / 250) % 250}`;
+let hostCount = 0;
+
+const nextHost = (): string => {
+    hostCount += 1;
+    return `${LOOPBACK_NETWORK}.${hostCount}`;
+};
 
 /** An entry daemon; its addresses are in the form `host:port`. */
 export interface EntryFixture {
@@ -30,6 +32,7 @@
     /** `host:port` of the control daemon; the next one is its address for metrics. */
     control: string;
     controlMetrics: string;
+    controlProcess: ChildProcess;
     /** Returns the log output of the control daemon so far. */
     controlLog: () => string;
     /** All entry daemons. */
@@ -43,10 +46,11 @@
 ): Promise<PlatformFixture> => {
     const folder = mkdtempSync(join(tmpdir(), "greengage-platform-"));
     const [peerPort = 0, control = 0, callers = 0, readiness = 0] = await freePorts(4);
+    const controlHost = nextHost();
     const common = {
         zone: "z",
         internal_ports: [peerPort, peerPort],
-        seeds: [`${CONTROL_HOST}:${control}`],
+        seeds: [`${controlHost}:${control}`],
         bootstrap: true,
         heartbeat_ms: HEARTBEAT_MS,
         fault_tolerance: { machines: 1 },
@@ -68,7 +72,7 @@
         return { child, log: () => text };
     };
     const startEntry = (number: number): EntryFixture => {
-        const host = `${LOOPBACK_NETWORK}.${1 + number}`;
+        const host = nextHost();
         const addresses = { callers: `${host}:${callers}`, readiness: `${host}:${readiness}` };
         const { child, log } = start(`front-z-${number}`, "entry", {
             ip: host,
@@ -78,16 +82,17 @@
         return { ...addresses, metrics: `${host}:${METRICS_PORT}`, entry: child, entryLog: log };
     };
     t.teardown(() => rmSync(folder, { recursive: true, force: true }));
-    const { log: controlLog } = start("core-z-1", "control", {
-        ip: CONTROL_HOST,
-        listen: { control: `${CONTROL_HOST}:${control}` },
+    const { child: controlProcess, log: controlLog } = start("core-z-1", "control", {
+        ip: controlHost,
+        listen: { control: `${controlHost}:${control}` },
         data_dir: join(folder, "data"),
     });
     const first = startEntry(1);
     const others = Array.from({ length: entryCount - 1 }, (_, index) => startEntry(index + 2));
     return {
-        control: `${CONTROL_HOST}:${control}`,
-        controlMetrics: `${CONTROL_HOST}:${METRICS_PORT}`,
+        control: `${controlHost}:${control}`,
+        controlMetrics: `${controlHost}:${METRICS_PORT}`,
+        controlProcess,
         controlLog,
         ...first,
         entries: [first, ...others],
--- a/test/platform/poison.test.ts
+++ b/test/platform/poison.test.ts
@@ -111,9 +111,10 @@
 /** Starts a control daemon, two entry daemons and engines that serve `GROUP_COUNT` groups. */
 const startFleet = async (
     t: ExecutionContext,
+    { sendsHeadEarly = false } = {},
 ): Promise<{ callers: Callers; engines: CrashingEngines; }> => {
     const platform = await startPlatform(t, { entryCount: 2 });
-    const engines = await CrashingEngines.start(t, platform, GROUP_COUNT);
+    const engines = await CrashingEngines.start(t, platform, { groupCount: GROUP_COUNT, sendsHeadEarly });
     const replaceUrl = `http://${platform.control}/greengageridge/Config.Replace`;
     await callUntil(200, replaceUrl, { method: "POST", body: JSON.stringify(wireConfiguration(1)) });
     for (const { readiness, callers } of platform.entries) {
@@ -127,10 +128,12 @@
 const servedShareOf = (outcomes: Outcome[]): number =>
     outcomes.filter(({ isServed }) => isServed).length / outcomes.length;
 
-// Guards against a prompt part that crashes engines being sent on to one group after the other.
-test.serial("a prompt part that crashes engines takes down group after group and starves sound requests", async (t) => {
+const checkDeadlyPart = async (
+    t: ExecutionContext,
+    options: Parameters<typeof startFleet>[1] = {},
+): Promise<void> => {
     t.timeout(60_000);
-    const { callers, engines } = await startFleet(t);
+    const { callers, engines } = await startFleet(t, options);
     engines.deadlyParts.add(DEADLY_PART);
     await callers.run(BASELINE_MS);
     const deadlyFromMs = performance.now();
@@ -181,7 +184,15 @@
             } of ${after.length} after; ${rejectedAtOnce.length} of ${withheld.length} rejected at once`,
     );
     t.deepEqual(violations, []);
-});
+};
+
+// Guard against a prompt part that crashes engines being sent on to one group after the other. They run concurrently, as most
+// of their time is waiting.
+test("a prompt part that crashes engines takes down group after group and starves sound requests", (t) =>
+    checkDeadlyPart(t));
+
+test("a prompt part that crashes engines after the response head takes down group after group", (t) =>
+    checkDeadlyPart(t, { sendsHeadEarly: true }));
 
 const KILLED_GROUPS = 3;
 /** Pause between two kills one after the other: longer than the time in which rejections are accepted. */
