--- a/packages/base/src/errors.ts
+++ b/packages/base/src/errors.ts
@@ -25,6 +25,7 @@
     Timeout: "timeout",
     Unavailable: "unavailable",
     Draining: "draining",
+    Quarantined: "quarantined",
     BackendFailed: "backend-failed",
     OutcomeUnknown: "outcome-unknown",
     KeyReused: "key-reused",
--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -2,7 +2,14 @@
 import { RoutingTable } from "@greengage/configuration";
 import { FleetWatcher, unpackConfiguration, UsageClient } from "@greengage/fleet";
 import { Gateway, PLACEMENT_TIMEOUT_MS, type RetryLimits, type ServerDialect } from "@greengage/gateway";
-import type { FleetView, GroupSuspicion, PackedConfiguration, PeerNetwork } from "@greengage/protocol";
+import type {
+    FleetView,
+    GroupSuspicion,
+    PackedConfiguration,
+    PartReport,
+    PartReportResponse,
+    PeerNetwork,
+} from "@greengage/protocol";
 import { createPeerNetwork } from "./peerid.ts";
 
 export interface EntryDaemonOptions {
@@ -40,6 +47,10 @@
             onSuspicion: (suspicion) => this.#reportSuspicion(suspicion),
             requestPlacement: (controllerId, request) =>
                 this.#peers.call(controllerId, "place.choose", request, { timeoutMs: PLACEMENT_TIMEOUT_MS }),
+            partLeader: {
+                report: (report) => this.#reportParts(report),
+                requestTrial: (service, partId) => this.#requestTrial(service, partId),
+            },
         });
         this.#watcher = new FleetWatcher({
             context,
@@ -132,6 +143,23 @@
         }
     }
 
+    async #reportParts(report: PartReport): Promise<PartReportResponse | undefined> {
+        const { leaderId } = this.#watcher;
+        if (leaderId === undefined) {
+            return undefined;
+        }
+        const options = { timeoutMs: PART_REPORT_TIMEOUT_MS };
+        const response = await this.#peers.call(leaderId, "parts.report", report, options);
+        return response.isAccepted ? response : undefined;
+    }
+
+    async #requestTrial(service: string, partId: string): Promise<boolean> {
+        const { leaderId } = this.#watcher;
+        const options = { timeoutMs: TRIAL_REQUEST_TIMEOUT_MS };
+        return leaderId !== undefined
+            && (await this.#peers.call(leaderId, "parts.trial", { service, partId }, options)).isGranted;
+    }
+
     /** Reports a suspected group to the leader. Resolves to whether the leader cleared the suspicion. */
     async #reportSuspicion(suspicion: GroupSuspicion): Promise<boolean> {
         const { leaderId } = this.#watcher;
@@ -150,5 +178,8 @@
     }
 }
 
+/** The leader probes the head first, which takes up to 300 ms if it is silent. */
+const PART_REPORT_TIMEOUT_MS = 700;
+const TRIAL_REQUEST_TIMEOUT_MS = 100;
 /** Short, because a suspicion that persists is reported again. */
 const SUSPICION_TIMEOUT_MS = 700;
--- a/packages/fleet/src/controller.ts
+++ b/packages/fleet/src/controller.ts
@@ -4,6 +4,7 @@
 import type { GroupRecords, GroupSuspicion, ModelDemand } from "@greengage/protocol";
 import { adoptGroups, groupRecordsOf, restoreGroups } from "./adoption.ts";
 import { GroupFormation } from "./formation.ts";
+import { GroupPhase, headIdOf } from "./group.ts";
 import { GroupTable } from "./grouptable.ts";
 import type { EngineOrders } from "./orders.ts";
 import { PlannerInputs } from "./plannerinputs.ts";
@@ -143,6 +144,30 @@
         return this.#suspicionHandler.handle(suspicion);
     }
 
+    /** Whether a group has ended or its head doesn't respond, in which case its repair begins. */
+    async confirmCrash(groupName: string, epoch: number): Promise<boolean> {
+        const group = this.#state.groups.get(groupName);
+        const head = group === undefined ? undefined : this.#state.registry.get(headIdOf(group));
+        if (
+            group === undefined || group.epoch !== epoch || group.phase !== GroupPhase.Open
+            || head === undefined
+        ) {
+            return true;
+        }
+        const probe = await this.#options.orders.probe(head.report);
+        if (probe.kind === "answered") {
+            return false;
+        }
+        await this.checkSuspectedGroup({
+            groupName,
+            epoch,
+            reason: "the connections to the head failed",
+            hasRunningStream: false,
+        });
+        const hasEnded = this.#state.registry.hasEnded(head.report.serverId, head.report.bornMs);
+        return hasEnded || this.#state.groups.get(groupName) !== group || group.phase !== GroupPhase.Open;
+    }
+
     recordDemand(demand: readonly ModelDemand[]): void {
         if (demand.length > 0) {
             this.#state.hasDemand = true;
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -4,6 +4,8 @@
 export * from "./group.ts";
 export * from "./loadratelimiter.ts";
 export * from "./orders.ts";
+export * from "./partquarantine.ts";
+export * from "./partreports.ts";
 export * from "./planner.ts";
 export * from "./registry.ts";
 export * from "./service.ts";
--- /dev/null
+++ b/packages/fleet/src/partquarantine.ts
@@ -0,0 +1,286 @@
+import { type Context, monotonicMs } from "@greengage/base";
+import type { InterruptedRequest, ServedParts, SuspectPart, SuspectPartRecord } from "@greengage/protocol";
+
+interface QuarantineRule {
+    /** Crashed groups that the part needs. */
+    crashes: number;
+    /** Minimum time since the first crash, in which any request with the part can clear it. */
+    exonerationMs: number;
+}
+
+/** For a part that no request was served with before, and crashes in which the engine had begun the response. */
+export const ANSWERING_RULE: QuarantineRule = { crashes: 2, exonerationMs: 400 };
+/** For all other parts and crashes: a queued request may have been beside the cause. */
+export const WAITING_RULE: QuarantineRule = { crashes: 5, exonerationMs: 2_500 };
+/** Time after which a part that has crashed no further group is no longer a suspect. */
+const SUSPECT_TTL_MS = 10 * 60_000;
+const QUARANTINE_TTL_MS = 24 * 3_600_000;
+/** Time from the quarantine to the first trial. It doubles with each failed trial. */
+export const FIRST_TRIAL_DELAY_MS = 60_000;
+/** Delay for a part that only ever crashed groups together with a later part of the prompt. */
+export const AMBIGUOUS_TRIAL_DELAY_MS = 3_000;
+const MAX_TRIAL_DELAY_MS = 3_600_000;
+/** Time after which a trial without an outcome is repeated. */
+const TRIAL_TIMEOUT_MS = 15_000;
+/** The suspects with the oldest crashes are dropped beyond this number. */
+const MAX_SUSPECT_PARTS = 1_000;
+
+interface SuspectState {
+    service: string;
+    partId: string;
+    position: number;
+    crashedEpochs: Set<number>;
+    answeringEpochs: Set<number>;
+    firstCrashAtMs: number;
+    lastCrashAtMs: number;
+    wasServedBefore: boolean;
+    /** Time of the next trial; undefined if the part is not quarantined. */
+    nextTrialAtMs: number | undefined;
+    failedTrialCount: number;
+}
+
+/**
+ * Decides which prompt parts crash engines. A crash blames the parts of the requests that had produced no event, since an
+ * engine crashes when it begins to answer. Any event of a request clears its parts, so parts that sound requests share do
+ * not accumulate crashes.
+ */
+export class PartQuarantine {
+    readonly #context: Context;
+    readonly #suspects = new Map<string, SuspectState>();
+    #version = 0;
+
+    constructor(context: Context) {
+        this.#context = context;
+    }
+
+    /** Incremented with each change. */
+    get version(): number {
+        return this.#version;
+    }
+
+    /** Records the crash of a group with the requests that had produced no event. */
+    recordCrash(
+        service: string,
+        epoch: number,
+        requests: readonly InterruptedRequest[],
+        nowMs: number,
+    ): void {
+        for (const { partIds, hasHead } of requests) {
+            partIds.forEach((partId, position) => {
+                const suspect = this.#suspectOf({ service, partId, position }, nowMs);
+                this.#blame(suspect, epoch, hasHead, nowMs);
+            });
+        }
+        this.update(nowMs);
+    }
+
+    /** Clears parts of requests that have produced an event since the first crash. */
+    recordServed({ service, partIds, ageMs }: ServedParts, nowMs: number): void {
+        for (const partId of partIds) {
+            const key = keyOf(service, partId);
+            const suspect = this.#suspects.get(key);
+            if (suspect === undefined) {
+                continue;
+            }
+            if (nowMs - ageMs >= suspect.firstCrashAtMs) {
+                this.#clear(key, "a request with it was served");
+            }
+            else if (!suspect.wasServedBefore) {
+                suspect.wasServedBefore = true;
+                this.#version += 1;
+            }
+        }
+    }
+
+    /** Grants one request with a quarantined part if a trial is due. */
+    grantTrial(service: string, partId: string, nowMs: number): boolean {
+        const suspect = this.#suspects.get(keyOf(service, partId));
+        if (suspect?.nextTrialAtMs === undefined || nowMs < suspect.nextTrialAtMs) {
+            return false;
+        }
+        suspect.nextTrialAtMs = nowMs + TRIAL_TIMEOUT_MS;
+        this.#version += 1;
+        this.#record("part.trial", suspect, {});
+        return true;
+    }
+
+    /** Lifts the quarantine of a part on an operator's order. Returns whether the part was known. */
+    lift(service: string, partId: string): boolean {
+        return this.#clear(keyOf(service, partId), "lifted by an operator");
+    }
+
+    /** Quarantines parts whose exoneration time has passed, and drops outdated ones. */
+    update(nowMs: number): void {
+        for (const [key, suspect] of this.#suspects) {
+            const ttlMs = isQuarantined(suspect) ? QUARANTINE_TTL_MS : SUSPECT_TTL_MS;
+            if (nowMs - suspect.lastCrashAtMs > ttlMs) {
+                this.#clear(key, "no crash since");
+            }
+        }
+        const blamed = [...this.#suspects.values()].filter((suspect) =>
+            !isQuarantined(suspect) && isBlamed(suspect, nowMs)
+        );
+        for (const suspect of blamed) {
+            const isAmbiguous = blamed.some((other) =>
+                other.position > suspect.position && haveEqualCrashes(suspect, other)
+            );
+            suspect.nextTrialAtMs = nowMs + (isAmbiguous ? AMBIGUOUS_TRIAL_DELAY_MS : trialDelayMs(suspect));
+            this.#version += 1;
+            this.#record("part.quarantined", suspect, { isAmbiguous });
+        }
+        const { metrics } = this.#context;
+        const quarantinedCount = [...this.#suspects.values()].filter(isQuarantined).length;
+        metrics.gauge("fleet.quarantined_parts", quarantinedCount);
+        metrics.gauge("fleet.suspect_parts", this.#suspects.size);
+    }
+
+    /** Parts that entry daemons must reject or watch. */
+    view(nowMs: number): SuspectPart[] {
+        return [...this.#suspects.values()].map((suspect) => ({
+            service: suspect.service,
+            partId: suspect.partId,
+            isQuarantined: isQuarantined(suspect),
+            isTrialDue: suspect.nextTrialAtMs !== undefined && nowMs >= suspect.nextTrialAtMs,
+        }));
+    }
+
+    records(nowMs: number): SuspectPartRecord[] {
+        return [...this.#suspects.values()].map((suspect) => ({
+            service: suspect.service,
+            partId: suspect.partId,
+            position: suspect.position,
+            crashedEpochs: [...suspect.crashedEpochs],
+            answeringEpochs: [...suspect.answeringEpochs],
+            firstCrashAgeMs: Math.round(nowMs - suspect.firstCrashAtMs),
+            lastCrashAgeMs: Math.round(nowMs - suspect.lastCrashAtMs),
+            wasServedBefore: suspect.wasServedBefore,
+            failedTrialCount: suspect.failedTrialCount,
+            ...(suspect.nextTrialAtMs === undefined
+                ? {}
+                : { nextTrialMs: Math.max(0, Math.round(suspect.nextTrialAtMs - nowMs)) }),
+        }));
+    }
+
+    /** Replaces the state with the records of the previous leader. */
+    restore(records: readonly SuspectPartRecord[], nowMs: number): void {
+        this.#suspects.clear();
+        for (const record of records) {
+            this.#suspects.set(keyOf(record.service, record.partId), {
+                service: record.service,
+                partId: record.partId,
+                position: record.position,
+                crashedEpochs: new Set(record.crashedEpochs),
+                answeringEpochs: new Set(record.answeringEpochs),
+                firstCrashAtMs: nowMs - record.firstCrashAgeMs,
+                lastCrashAtMs: nowMs - record.lastCrashAgeMs,
+                wasServedBefore: record.wasServedBefore,
+                nextTrialAtMs: record.nextTrialMs === undefined ? undefined : nowMs + record.nextTrialMs,
+                failedTrialCount: record.failedTrialCount,
+            });
+        }
+        this.#version += 1;
+    }
+
+    #blame(suspect: SuspectState, epoch: number, hasHead: boolean, nowMs: number): void {
+        const epochs = hasHead ? suspect.answeringEpochs : suspect.crashedEpochs;
+        if (epochs.has(epoch)) {
+            return;
+        }
+        if (isQuarantined(suspect) && !suspect.crashedEpochs.has(epoch)) {
+            suspect.failedTrialCount += 1;
+            suspect.nextTrialAtMs = nowMs + trialDelayMs(suspect);
+        }
+        epochs.add(epoch);
+        suspect.crashedEpochs.add(epoch);
+        suspect.lastCrashAtMs = nowMs;
+        this.#version += 1;
+        this.#record("part.suspected", suspect, { epoch, hasHead });
+    }
+
+    #suspectOf(
+        { service, partId, position }: Pick<SuspectState, "service" | "partId" | "position">,
+        nowMs: number,
+    ): SuspectState {
+        const key = keyOf(service, partId);
+        const known = this.#suspects.get(key);
+        if (known !== undefined) {
+            return known;
+        }
+        this.#dropOldest();
+        const suspect = {
+            service,
+            partId,
+            position,
+            crashedEpochs: new Set<number>(),
+            answeringEpochs: new Set<number>(),
+            firstCrashAtMs: nowMs,
+            lastCrashAtMs: nowMs,
+            wasServedBefore: false,
+            nextTrialAtMs: undefined,
+            failedTrialCount: 0,
+        };
+        this.#suspects.set(key, suspect);
+        return suspect;
+    }
+
+    /** Makes room for one more suspect. Quarantined parts are kept as long as there are others. */
+    #dropOldest(): void {
+        if (this.#suspects.size < MAX_SUSPECT_PARTS) {
+            return;
+        }
+        const [oldest] = [...this.#suspects].sort(([, a], [, b]) =>
+            Number(isQuarantined(a)) - Number(isQuarantined(b)) || a.lastCrashAtMs - b.lastCrashAtMs
+        );
+        if (oldest !== undefined) {
+            this.#clear(oldest[0], "too many suspect parts");
+        }
+    }
+
+    #clear(key: string, reason: string): boolean {
+        const suspect = this.#suspects.get(key);
+        if (suspect === undefined) {
+            return false;
+        }
+        this.#suspects.delete(key);
+        this.#version += 1;
+        this.#record("part.cleared", suspect, { reason });
+        return true;
+    }
+
+    #record(event: string, suspect: SuspectState, fields: Record<string, string | number | boolean>): void {
+        this.#context.decisions.record(event, {
+            service: suspect.service,
+            part: suspect.partId,
+            position: suspect.position,
+            crashes: suspect.crashedEpochs.size,
+            answering: suspect.answeringEpochs.size,
+            wasServedBefore: suspect.wasServedBefore,
+            ageMs: Math.round(monotonicMs() - suspect.firstCrashAtMs),
+            isQuarantined: isQuarantined(suspect),
+            failedTrials: suspect.failedTrialCount,
+            ...fields,
+        });
+    }
+}
+
+const keyOf = (service: string, partId: string): string => `${service}\n${partId}`;
+
+const isQuarantined = ({ nextTrialAtMs }: SuspectState): boolean => nextTrialAtMs !== undefined;
+
+const isBlamed = (
+    { answeringEpochs, crashedEpochs, firstCrashAtMs, wasServedBefore }: SuspectState,
+    nowMs: number,
+): boolean => {
+    const ageMs = nowMs - firstCrashAtMs;
+    const meets = (crashes: number, rule: QuarantineRule): boolean =>
+        crashes >= rule.crashes && ageMs >= rule.exonerationMs;
+    return (!wasServedBefore && meets(answeringEpochs.size, ANSWERING_RULE))
+        || meets(crashedEpochs.size, WAITING_RULE);
+};
+
+const haveEqualCrashes = (a: SuspectState, b: SuspectState): boolean =>
+    a.service === b.service && a.crashedEpochs.size === b.crashedEpochs.size
+    && [...a.crashedEpochs].every((epoch) => b.crashedEpochs.has(epoch));
+
+const trialDelayMs = ({ failedTrialCount }: SuspectState): number =>
+    Math.min(MAX_TRIAL_DELAY_MS, FIRST_TRIAL_DELAY_MS * 2 ** failedTrialCount);
--- a/packages/fleet/src/service.ts
+++ b/packages/fleet/src/service.ts
@@ -15,6 +15,8 @@
 import { ConfigurationSource, type ConfigurationSourceOptions } from "./configurations.ts";
 import { GroupController } from "./controller.ts";
 import type { EngineOrders } from "./orders.ts";
+import { PartQuarantine } from "./partquarantine.ts";
+import { PartReportHandler } from "./partreports.ts";
 import { GroupRecordStore } from "./recordstore.ts";
 import { ServerRegistry } from "./registry.ts";
 import { ServerReportHandler } from "./reporthandler.ts";
@@ -50,6 +52,7 @@
     readonly #recordStore: GroupRecordStore;
     readonly #watcherRegistry = new WatcherRegistry();
     readonly #usageAggregator: UsageAggregator;
+    readonly #quarantine: PartQuarantine;
     readonly #configurationSource: ConfigurationSource;
     #view: FleetView | undefined;
     #viewKey = "";
@@ -66,6 +69,7 @@
         this.#recordStore = new GroupRecordStore(context, options.recordPath);
         this.#watcherRegistry.setZone(context.daemonId, context.zone);
         this.#configurationSource = new ConfigurationSource(options);
+        this.#quarantine = new PartQuarantine(context);
         this.#controller = new GroupController({
             context,
             registry: this.#registry,
@@ -104,6 +108,13 @@
             controller: this.#controller,
         });
         peers.handle("fleet.suspect", (suspicion) => this.#handleSuspicion(suspicion));
+        new PartReportHandler({
+            context,
+            peers,
+            log,
+            controller: this.#controller,
+            quarantine: this.#quarantine,
+        });
     }
 
     /** The latest view; undefined before the first one. */
@@ -157,7 +168,17 @@
 
     #buildRecords(): GroupRecords {
         const { servers = [], entryDaemonCount = 1 } = this.#view ?? {};
-        return { ...this.#controller.records(), servers, entryDaemonCount };
+        return {
+            ...this.#controller.records(),
+            version: this.#recordsVersion,
+            servers,
+            entryDaemonCount,
+            suspectParts: this.#quarantine.records(monotonicMs()),
+        };
+    }
+
+    get #recordsVersion(): number {
+        return this.#controller.groups.version + this.#quarantine.version;
     }
 
     /** Servers from the previous leader's records that have not yet had time to report to this daemon. */
@@ -186,6 +207,7 @@
             this.#leadingSinceMs = monotonicMs();
             this.#viewVersion = 0;
             this.#viewKey = "";
+            this.#quarantine.restore(this.#records?.suspectParts ?? [], monotonicMs());
             this.#controller.activate(leadingTerm, this.#records);
             if (this.#records !== undefined) {
                 this.#publish();
@@ -193,10 +215,11 @@
         }
     }
 
-    /** Publishes a new view if the available groups or servers have changed, and new records if the groups have. */
+    /** Publishes a new view if the available groups, servers or suspect parts have changed, and new records if groups or parts have. */
     #publish(): void {
         const { timing } = this.#options;
         const nowMs = monotonicMs();
+        this.#quarantine.update(nowMs);
         const input = {
             registry: this.#registry,
             groups: this.#controller.groups,
@@ -209,6 +232,7 @@
             servers: [...serverTargets(input), ...this.#inheritedServers()],
             entryDaemonCount: this.#entryDaemonCount(nowMs),
             controllers: this.#controllers(),
+            suspectParts: this.#quarantine.view(nowMs),
         };
         const key = JSON.stringify(view);
         if (key !== this.#viewKey) {
@@ -217,8 +241,8 @@
             this.#applyView({ ...view, term: this.#leadingTerm ?? 0, version: this.#viewVersion });
         }
         // Records come after the view, because they include inherited servers and the entry count from it.
-        if (this.#controller.groups.version !== this.#publishedRecordsVersion) {
-            this.#publishedRecordsVersion = this.#controller.groups.version;
+        if (this.#recordsVersion !== this.#publishedRecordsVersion) {
+            this.#publishedRecordsVersion = this.#recordsVersion;
             this.#storeRecords(this.#buildRecords());
             this.#changeSignal.notify();
         }
@@ -271,7 +295,7 @@
         { configurationVersion, viewTerm, viewVersion, isEntry, recordsVersion }: WatchRequest,
     ): boolean {
         const areRecordsNewer = !isEntry && this.#leadingTerm !== undefined
-            && this.#controller.groups.version !== recordsVersion;
+            && this.#recordsVersion !== recordsVersion;
         const isViewNewer = this.#view !== undefined
             && isNewerView(this.#view, { term: viewTerm, version: viewVersion });
         return isViewNewer || areRecordsNewer
--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -1,4 +1,11 @@
-import { ErrorCode, GreengageError, messageOf, monotonicMs, Verdict } from "@greengage/base";
+import {
+    type DecisionFields,
+    ErrorCode,
+    GreengageError,
+    messageOf,
+    monotonicMs,
+    Verdict,
+} from "@greengage/base";
 import type { Organisation, Route, ServiceSpec } from "@greengage/configuration";
 import { FailureKind } from "@greengage/routing";
 import type { Attempt } from "./attempt.ts";
@@ -84,7 +91,7 @@
             || this.deps.retryBudgets.forService(this.call.service.name).takeRetry(monotonicMs());
     }
 
-    record(event: string, fields: Record<string, string | number | undefined>): void {
+    record(event: string, fields: DecisionFields): void {
         const { request, route } = this.call;
         this.deps.context.decisions.record(event, {
             request: request.requestId,
--- a/packages/gateway/src/dependencies.ts
+++ b/packages/gateway/src/dependencies.ts
@@ -6,6 +6,7 @@
 import type { FirstTokenOffsets } from "./firsttokenoffsets.ts";
 import type { GroupState, GroupStates } from "./groupstates.ts";
 import type { PlacementClient } from "./placementclient.ts";
+import type { PromptParts } from "./promptparts.ts";
 import type { ServiceRetryBudgets } from "./retrybudgets.ts";
 import type { ServerStates } from "./serverstates.ts";
 import type { ServerDialect } from "./types.ts";
@@ -23,6 +24,7 @@
     random: Random;
     routing: () => RoutingTable | undefined;
     placementClient: PlacementClient;
+    promptParts: PromptParts;
     /** Marks a group as suspected and reports it to the controller. */
     suspect: (group: GroupState, suspicion: Omit<GroupSuspicion, "groupName" | "epoch">) => void;
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -17,6 +17,7 @@
 import { FirstTokenOffsets } from "./firsttokenoffsets.ts";
 import { type GroupState, GroupStates, isHanging, type SuspicionDetails } from "./groupstates.ts";
 import { PlacementClient, type RequestPlacement } from "./placementclient.ts";
+import { type PartLeader, PromptParts } from "./promptparts.ts";
 import { type RetryLimits, ServiceRetryBudgets } from "./retrybudgets.ts";
 import { ServerCall } from "./servercall.ts";
 import { ServerStates } from "./serverstates.ts";
@@ -31,6 +32,7 @@
     onSuspicion: (suspicion: GroupSuspicion) => Promise<boolean>;
     /** Asks a control daemon to place a request. Rejects if there is no answer in time. */
     requestPlacement: RequestPlacement;
+    partLeader: PartLeader;
 }
 
 /** Interval of the stall checks, which adds to the time until streams fail over. */
@@ -71,6 +73,7 @@
             random: this.#random,
             routing: () => this.#routing,
             placementClient: new PlacementClient(options.context, options.requestPlacement),
+            promptParts: new PromptParts(options.context, options.partLeader),
             suspect: (group, details) => this.#suspect(group, details),
         };
     }
@@ -106,6 +109,7 @@
         this.#hasView = true;
         this.#deps.groups.applyView(view);
         this.#deps.servers.applyView(view);
+        this.#deps.promptParts.setSuspects(view.suspectParts ?? []);
         this.#deps.retryBudgets.setDaemonCount(view.entryDaemonCount);
         this.#deps.placementClient.setControllers(view.controllers.map(({ daemonId }) => daemonId));
         this.#options.context.decisions.record("fleet.view", {
@@ -114,6 +118,9 @@
             groups: view.groups.length,
             servers: view.servers.length,
             entryDaemons: view.entryDaemonCount,
+            quarantined: view.suspectParts?.filter(({ isQuarantined }) => isQuarantined).map(({ partId }) =>
+                partId
+            ),
         });
     }
 
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -5,5 +5,6 @@
 export * from "./placement.ts";
 export { PLACEMENT_TIMEOUT_MS, PlacementClient, type RequestPlacement } from "./placementclient.ts";
 export * from "./placementservice.ts";
+export { type PartLeader, PromptParts, sharedPartIds } from "./promptparts.ts";
 export * from "./retrybudgets.ts";
 export * from "./types.ts";
--- a/packages/gateway/src/streamcall.ts
+++ b/packages/gateway/src/streamcall.ts
@@ -1,4 +1,4 @@
-import { type GreengageError, monotonicMs } from "@greengage/base";
+import { type GreengageError, messageOf, monotonicMs } from "@greengage/base";
 import type { EngineProfile, ModelSpec } from "@greengage/configuration";
 import { FailureKind, noCapacity } from "@greengage/routing";
 import { spreadRetryAfterMs } from "./admission.ts";
@@ -7,6 +7,7 @@
 import type { GatewayDependencies } from "./dependencies.ts";
 import type { GroupState, InFlightRequest } from "./groupstates.ts";
 import { PlacementFinder, type ResolvedPlacement } from "./placementfinder.ts";
+import { sharedPartIds } from "./promptparts.ts";
 import type { GenerationParameters, ServerHead } from "./types.ts";
 
 /** Delay before another attempt after a rejection or a failed placement. */
@@ -28,6 +29,21 @@
     longestGapMs: number;
 }
 
+/** How far the response of an attempt has come. */
+const AttemptProgress = {
+    None: "none",
+    /** The engine has begun to answer. */
+    Head: "head",
+    Events: "events",
+} as const;
+
+type AttemptProgress = typeof AttemptProgress[keyof typeof AttemptProgress];
+
+interface AttemptResult {
+    outcome: AttemptOutcome;
+    progress: AttemptProgress;
+}
+
 /** Handles a request to a replica group, and resumes its event stream at another group if the group fails. */
 export class StreamCall {
     readonly #deps: GatewayDependencies;
@@ -37,6 +53,7 @@
     readonly #placementFinder: PlacementFinder;
     readonly #execution: CallExecution;
     readonly #delivery: DeliveryState;
+    readonly #partIds: readonly string[];
     #head: ServerHead | undefined;
     #hasBeenRejected = false;
 
@@ -51,6 +68,7 @@
         this.#call = call;
         this.#execution = new CallExecution(deps, call);
         this.#generation = generation;
+        this.#partIds = sharedPartIds(generation.parts);
         this.#model = model;
         this.#placementFinder = new PlacementFinder(deps, call, { generation, profile, model });
         this.#delivery = {
@@ -71,6 +89,7 @@
     async #runAttempts(): Promise<void> {
         const tried = new Set<string>();
         while (this.#execution.endReason === undefined) {
+            await this.#checkQuarantine();
             const { group, firstTokenMs } = await this.#waitForPlacement(tried);
             // The caller may have disconnected during placement.
             if (this.#execution.endReason !== undefined) {
@@ -81,7 +100,7 @@
             }
             tried.add(group.target.groupName);
             this.#execution.attemptCount += 1;
-            const outcome = await this.#runAttempt(group, firstTokenMs);
+            const { outcome, progress } = await this.#runAttempt(group, firstTokenMs);
             if (this.#execution.endReason !== undefined) {
                 break;
             }
@@ -92,7 +111,8 @@
                 ? `responded with status ${outcome.head.status}`
                 : outcome.reason;
             this.#execution.record("request.attemptFailed", { outcome: outcome.kind, reason });
-            if (!this.#mayRetry(outcome)) {
+            const mayRepeat = this.#mayRepeat(group, outcome, progress);
+            if (!this.#mayRetry(outcome) || !await mayRepeat) {
                 throw this.#finalError(reason);
             }
             if (outcome.kind === "notRun") {
@@ -101,6 +121,19 @@
         }
     }
 
+    /** Throws if the request has produced no event and one of its prompt parts is quarantined. */
+    async #checkQuarantine(): Promise<void> {
+        if (this.#delivery.hasHead) {
+            return;
+        }
+        try {
+            await this.#deps.promptParts.admit(this.#call.service.name, this.#partIds);
+        }
+        catch (error) {
+            throw this.#execution.mayHaveRun ? backendError(messageOf(error)) : error;
+        }
+    }
+
     /** Waits for a group for a stream that has begun, as long as its caller waits; rejects other requests immediately. */
     async #waitForPlacement(tried: ReadonlySet<string>): Promise<ResolvedPlacement> {
         for (;;) {
@@ -152,11 +185,12 @@
         return decision;
     }
 
-    async #runAttempt(group: GroupState, predictedMs: number): Promise<AttemptOutcome> {
+    async #runAttempt(group: GroupState, predictedMs: number): Promise<AttemptResult> {
         const { pools, dialect, groups } = this.#deps;
         const { request, organisation, priority, deadlineAtMs } = this.#call;
         const { target } = group;
         const sentAtMs = monotonicMs();
+        let progress: AttemptProgress = AttemptProgress.None;
         const attempt = new Attempt({
             client: pools.get(`http://${target.headAddress}`, sentAtMs),
             dialect,
@@ -172,8 +206,14 @@
             closesConnection: false,
             // The group may have been withdrawn while the connection was opening.
             mayWrite: () => this.#execution.endReason === undefined && groups.get(target.groupName) === group,
-            onHead: (head) => this.#onHead(group, head),
-            onEvents: (events) => this.#onEvents(group, inFlight, events),
+            onHead: (head) => {
+                progress = AttemptProgress.Head;
+                this.#onHead(group, head);
+            },
+            onEvents: (events) => {
+                progress = AttemptProgress.Events;
+                this.#onEvents(group, inFlight, events);
+            },
         });
         const inFlight: InFlightRequest = {
             promptTokens: this.#generation.promptTokens,
@@ -188,7 +228,30 @@
         group.end(inFlight, outcome.kind === "complete", monotonicMs());
         this.#penalizeGroup(group, outcome);
         this.#hasBeenRejected ||= outcome.kind === "notRun";
-        return outcome;
+        return { outcome, progress };
+    }
+
+    /** Whether a request that has lost its connection may be sent to another group, which it could crash too. */
+    async #mayRepeat(
+        group: GroupState,
+        outcome: AttemptOutcome,
+        progress: AttemptProgress,
+    ): Promise<boolean> {
+        const isInterrupted = outcome.kind === "failed" && outcome.failure === FailureKind.Broken;
+        if (!isInterrupted || progress === AttemptProgress.Events) {
+            return true;
+        }
+        const { promptParts } = this.#deps;
+        const { service } = this.#call;
+        const mayRepeat = await promptParts.mayRepeatAfterFailure(service.name, group.target, {
+            partIds: [...this.#partIds],
+            hasHead: progress === AttemptProgress.Head,
+        });
+        if (!mayRepeat) {
+            const { groupName } = group.target;
+            this.#execution.record("request.notRepeated", { group: groupName, parts: this.#partIds });
+        }
+        return mayRepeat;
     }
 
     #onHead(group: GroupState, head: ServerHead): void {
@@ -215,6 +278,7 @@
         this.#delivery.lastEventAtMs = nowMs;
         if (inFlight.lastEventAtMs === undefined) {
             this.#recordFirstToken(inFlight, nowMs);
+            this.#deps.promptParts.recordServed(this.#call.service.name, this.#partIds, nowMs);
         }
         group.recordProgress(inFlight, nowMs);
         if (!this.#delivery.hasHead && this.#head !== undefined) {
--- a/packages/http/src/problem.ts
+++ b/packages/http/src/problem.ts
@@ -23,6 +23,7 @@
     [ErrorCode.NoCapacity]: 503,
     [ErrorCode.Unavailable]: 503,
     [ErrorCode.Draining]: 503,
+    [ErrorCode.Quarantined]: 503,
     [ErrorCode.Timeout]: 504,
 };
 
--- a/packages/protocol/src/fleet.ts
+++ b/packages/protocol/src/fleet.ts
@@ -68,6 +68,76 @@
     entryDaemonCount: number;
     /** Control daemons with their zones. */
     controllers: { daemonId: string; zone: string; }[];
+    /** Prompt parts that may crash engines. Absent in views of daemons that don't track them. */
+    suspectParts?: SuspectPart[];
+}
+
+/** Prompt part of requests that had produced no event when their groups crashed. */
+export interface SuspectPart {
+    service: string;
+    partId: string;
+    /** Whether requests with this part are rejected. */
+    isQuarantined: boolean;
+    /** Whether one request may be sent, with the leader's permission, to check whether the part still crashes engines. */
+    isTrialDue: boolean;
+}
+
+/** Report that the connections to a group failed before some of its requests had produced an event. */
+export interface GroupCrash {
+    service: string;
+    groupName: string;
+    epoch: number;
+    requests: InterruptedRequest[];
+}
+
+/** Request without an event whose connection failed. */
+export interface InterruptedRequest {
+    /** Prompt parts that other requests may share, in order. */
+    partIds: string[];
+    /** Whether the engine had begun its response; otherwise the request may have been queued. */
+    hasHead: boolean;
+}
+
+/** Prompt parts of requests that have produced an event. */
+export interface ServedParts {
+    service: string;
+    partIds: string[];
+    /** Time since the event. */
+    ageMs: number;
+}
+
+/** Observations of an entry daemon about prompt parts. */
+export interface PartReport {
+    crashes: GroupCrash[];
+    /** Suspect parts only. */
+    served: ServedParts[];
+}
+
+export interface PartReportResponse {
+    isAccepted: boolean;
+    leaderId?: string;
+    /** Epochs of the reported groups that have ended or whose head doesn't respond. */
+    crashedEpochs: number[];
+}
+
+/** State of a suspect part, kept for the leader's successor and shown to operators. Times are ages, as clocks differ. */
+export interface SuspectPartRecord {
+    service: string;
+    partId: string;
+    /** Index in the prompt. */
+    position: number;
+    /** Epochs of the groups that crashed since a request with the part last produced an event. */
+    crashedEpochs: number[];
+    /** Those in which the engine had begun the response to a request with the part. */
+    answeringEpochs: number[];
+    firstCrashAgeMs: number;
+    lastCrashAgeMs: number;
+    /** Whether a request with the part had produced an event shortly before the first crash. */
+    wasServedBefore: boolean;
+    /** Number of trials that have failed. */
+    failedTrialCount: number;
+    /** Time until the next trial, 0 if one is due. Undefined if the part is not quarantined. */
+    nextTrialMs?: number;
 }
 
 /** Identity, model and location of a replica group. */
@@ -100,7 +170,7 @@
 
 /** State that lets a new leader manage the groups immediately, before any server has reported to it. */
 export interface GroupRecords {
-    /** Increases with each change of a group. */
+    /** Increases with each change of a group or a suspect part. */
     version: number;
     groups: GroupRecord[];
     /** Groups that ended recently. Former members may still report them. */
@@ -109,6 +179,8 @@
     servers: ServerTarget[];
     /** Number of entry daemons that watched the fleet recently. */
     entryDaemonCount: number;
+    /** Absent in records that were written by daemons that don't track suspect parts. */
+    suspectParts?: SuspectPartRecord[];
 }
 
 /** Long poll for changes of the configuration, fleet view and group records. */
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -2,6 +2,8 @@
 import type {
     GroupSuspicion,
     GroupUsage,
+    PartReport,
+    PartReportResponse,
     PlacementRequest,
     PlacementResponse,
     ServerReport,
@@ -252,6 +254,10 @@
         request: GroupSuspicion;
         response: SuspicionResponse;
     };
+    /** Reports crashes of groups, and successes of suspect parts, to the leader. */
+    "parts.report": { request: PartReport; response: PartReportResponse; };
+    /** Asks the leader for permission to send one request with a quarantined part. */
+    "parts.trial": { request: { service: string; partId: string; }; response: { isGranted: boolean; }; };
     /** An entry daemon sends its usage of the groups and receives that of all other entry daemons. */
     "usage.exchange": {
         request: { usage: GroupUsage[]; };
--- /dev/null
+++ b/test/fleet/partquarantine.test.ts
@@ -0,0 +1,168 @@
+import { createContext } from "@greengage/base";
+import {
+    AMBIGUOUS_TRIAL_DELAY_MS,
+    ANSWERING_RULE,
+    FIRST_TRIAL_DELAY_MS,
+    PartQuarantine,
+    WAITING_RULE,
+} from "@greengage/fleet";
+import test from "ava";
+
+const SERVICE = "llm";
+
+const createQuarantine = (): PartQuarantine =>
+    new PartQuarantine(createContext({ daemonId: "leader", zone: "z" }));
+
+const quarantinedIds = (quarantine: PartQuarantine, nowMs: number): string[] =>
+    quarantine.view(nowMs).filter(({ isQuarantined }) => isQuarantined).map(({ partId }) => partId);
+
+interface CrashOptions {
+    epoch: number;
+    atMs: number;
+    hasHead?: boolean;
+}
+
+/** Records the crash of a group that had begun to answer one request. */
+const recordCrash = (
+    quarantine: PartQuarantine,
+    partIds: string[],
+    { epoch, atMs, hasHead = true }: CrashOptions,
+): void => quarantine.recordCrash(SERVICE, epoch, [{ partIds, hasHead }], atMs);
+
+const recordServed = (quarantine: PartQuarantine, partId: string, nowMs: number, ageMs = 0): void =>
+    quarantine.recordServed({ service: SERVICE, partIds: [partId], ageMs }, nowMs);
+
+/** Crashes two groups, so that the parts are quarantined. Returns the time of the second crash. */
+const quarantineParts = (quarantine: PartQuarantine, ...partIds: string[]): number => {
+    recordCrash(quarantine, partIds, { epoch: 1, atMs: 0 });
+    recordCrash(quarantine, partIds, { epoch: 2, atMs: ANSWERING_RULE.exonerationMs });
+    return ANSWERING_RULE.exonerationMs;
+};
+
+// Replays a poison request every half second among sound ones with the same first part.
+test("a part that crashes one group after the other is quarantined, and parts beside it are not", (t) => {
+    const quarantine = createQuarantine();
+    recordCrash(quarantine, ["shared", "deadly"], { epoch: 1, atMs: 0 });
+    recordServed(quarantine, "shared", 100);
+    recordCrash(quarantine, ["shared", "deadly"], { epoch: 2, atMs: 500 });
+    t.deepEqual(quarantinedIds(quarantine, 500), ["deadly"]);
+});
+
+test("a first part that was served before is not quarantined with the part that crashes engines", (t) => {
+    const quarantine = createQuarantine();
+    recordCrash(quarantine, ["shared", "deadly"], { epoch: 1, atMs: 0 });
+    recordServed(quarantine, "shared", 20, 5_000);
+    recordCrash(quarantine, ["shared", "deadly"], { epoch: 2, atMs: 500 });
+    t.deepEqual(quarantinedIds(quarantine, 500), ["deadly"]);
+});
+
+test("reports of one crash by several daemons count once", (t) => {
+    const quarantine = createQuarantine();
+    for (let report = 0; report < 10; report += 1) {
+        recordCrash(quarantine, ["part"], { epoch: 1, atMs: report * ANSWERING_RULE.exonerationMs });
+    }
+    t.deepEqual(quarantinedIds(quarantine, 10 * ANSWERING_RULE.exonerationMs), []);
+});
+
+// A dark fabric domain takes several groups down at once while requests with a popular part are queued in all of them.
+test("a popular part is not quarantined when a fabric domain goes dark", (t) => {
+    const quarantine = createQuarantine();
+    for (let epoch = 1; epoch <= 2 * WAITING_RULE.crashes; epoch += 1) {
+        recordCrash(quarantine, ["popular"], { epoch, atMs: epoch, hasHead: false });
+    }
+    recordCrash(quarantine, ["popular"], { epoch: 100, atMs: 100 });
+    recordCrash(quarantine, ["popular"], { epoch: 101, atMs: 101 });
+    t.deepEqual(quarantinedIds(quarantine, ANSWERING_RULE.exonerationMs - 1), []);
+    recordServed(quarantine, "popular", 300);
+    quarantine.update(WAITING_RULE.exonerationMs);
+    t.deepEqual(quarantine.view(WAITING_RULE.exonerationMs), []);
+});
+
+test("a part that crashes engines before they begin to answer is quarantined", (t) => {
+    const quarantine = createQuarantine();
+    for (let epoch = 1; epoch <= WAITING_RULE.crashes; epoch += 1) {
+        recordCrash(quarantine, ["deadly", "beside"], { epoch, atMs: epoch * 100, hasHead: false });
+        recordServed(quarantine, "beside", epoch * 100 + 50);
+    }
+    quarantine.update(100 + WAITING_RULE.exonerationMs);
+    t.deepEqual(quarantinedIds(quarantine, 100 + WAITING_RULE.exonerationMs), ["deadly"]);
+});
+
+test("a part that was sound once is quarantined if it crashes engines now", (t) => {
+    const quarantine = createQuarantine();
+    for (let epoch = 1; epoch <= WAITING_RULE.crashes; epoch += 1) {
+        recordCrash(quarantine, ["part"], { epoch, atMs: epoch * 1_000 });
+        recordServed(quarantine, "part", epoch * 1_000, 60_000);
+    }
+    t.deepEqual(quarantinedIds(quarantine, WAITING_RULE.crashes * 1_000), ["part"]);
+});
+
+test("a request that was in flight when its part was quarantined clears it", (t) => {
+    const quarantine = createQuarantine();
+    const crashedAtMs = quarantineParts(quarantine, "part");
+    t.deepEqual(quarantinedIds(quarantine, crashedAtMs), ["part"]);
+    recordServed(quarantine, "part", crashedAtMs + 100);
+    t.deepEqual(quarantine.view(crashedAtMs + 100), []);
+});
+
+test("a quarantined part is tried with one request at a time, and less often after each crash", (t) => {
+    const quarantine = createQuarantine();
+    const firstTrialAtMs = quarantineParts(quarantine, "deadly") + FIRST_TRIAL_DELAY_MS;
+    t.false(quarantine.grantTrial(SERVICE, "deadly", firstTrialAtMs - 1));
+    t.true(quarantine.view(firstTrialAtMs)[0]?.isTrialDue);
+    t.true(quarantine.grantTrial(SERVICE, "deadly", firstTrialAtMs));
+    t.false(quarantine.grantTrial(SERVICE, "deadly", firstTrialAtMs + 1), "the first trial is still running");
+    recordCrash(quarantine, ["deadly"], { epoch: 9, atMs: firstTrialAtMs + 100 });
+    t.false(quarantine.grantTrial(SERVICE, "deadly", firstTrialAtMs + 100 + FIRST_TRIAL_DELAY_MS));
+    t.true(quarantine.grantTrial(SERVICE, "deadly", firstTrialAtMs + 100 + 2 * FIRST_TRIAL_DELAY_MS));
+});
+
+test("a trial without an outcome does not leave the part quarantined for good", (t) => {
+    const quarantine = createQuarantine();
+    const firstTrialAtMs = quarantineParts(quarantine, "part") + FIRST_TRIAL_DELAY_MS;
+    t.true(quarantine.grantTrial(SERVICE, "part", firstTrialAtMs));
+    t.true(quarantine.grantTrial(SERVICE, "part", firstTrialAtMs + FIRST_TRIAL_DELAY_MS));
+});
+
+// Without the early trial, sound requests with the first part would be rejected as long as those with the second one.
+test("a first part that was quarantined together with a later one is tried soon", (t) => {
+    const quarantine = createQuarantine();
+    const trialAtMs = quarantineParts(quarantine, "first", "second") + AMBIGUOUS_TRIAL_DELAY_MS;
+    t.false(quarantine.grantTrial(SERVICE, "second", trialAtMs));
+    t.true(quarantine.grantTrial(SERVICE, "first", trialAtMs));
+    recordServed(quarantine, "first", trialAtMs + 100);
+    t.deepEqual(quarantinedIds(quarantine, trialAtMs + 100), ["second"]);
+});
+
+test("a new leader keeps quarantined parts, crash counts and times of trials", (t) => {
+    const former = createQuarantine();
+    const crashedAtMs = quarantineParts(former, "deadly");
+    recordCrash(former, ["suspect"], { epoch: 7, atMs: crashedAtMs });
+    const successor = createQuarantine();
+    const restoredAtMs = 1_000_000;
+    successor.restore(former.records(crashedAtMs), restoredAtMs);
+    t.deepEqual(successor.view(restoredAtMs), former.view(crashedAtMs));
+    t.false(successor.grantTrial(SERVICE, "deadly", restoredAtMs + FIRST_TRIAL_DELAY_MS - 1));
+    t.true(successor.grantTrial(SERVICE, "deadly", restoredAtMs + FIRST_TRIAL_DELAY_MS));
+    const secondCrashAtMs = restoredAtMs + ANSWERING_RULE.exonerationMs;
+    recordCrash(successor, ["suspect"], { epoch: 8, atMs: secondCrashAtMs });
+    t.deepEqual(quarantinedIds(successor, secondCrashAtMs), ["deadly", "suspect"]);
+});
+
+test("many suspects do not evict a quarantined part", (t) => {
+    const quarantine = createQuarantine();
+    quarantineParts(quarantine, "deadly");
+    for (let index = 0; index < 2_000; index += 1) {
+        recordCrash(quarantine, [`suspect-${index}`], { epoch: 100 + index, atMs: 1_000 + index });
+    }
+    t.deepEqual(quarantinedIds(quarantine, 3_000), ["deadly"]);
+    t.true(quarantine.view(3_000).length <= 1_000);
+});
+
+test("an operator lifts a quarantine", (t) => {
+    const quarantine = createQuarantine();
+    const crashedAtMs = quarantineParts(quarantine, "part");
+    t.true(quarantine.lift(SERVICE, "part"));
+    t.deepEqual(quarantine.view(crashedAtMs), []);
+    t.false(quarantine.lift(SERVICE, "part"));
+});
--- a/test/gateway/fixtures.ts
+++ b/test/gateway/fixtures.ts
@@ -4,6 +4,7 @@
     type CallerRequest,
     type CallerResponse,
     Gateway,
+    type PartLeader,
     type RequestPlacement,
     type ResponseHeaders,
     type ServerDialect,
@@ -151,6 +152,8 @@
     retries?: { share: number; slack: number; };
     /** Placement answers of a single control daemon; without it there is no control daemon. */
     requestPlacement?: RequestPlacement;
+    /** Leader for observations about prompt parts; without it no report is accepted. */
+    partLeader?: PartLeader;
     /** Whether the gateway starts without configuration and fleet view. */
     isUninitialized?: boolean;
 }
@@ -163,6 +166,8 @@
         retries: options.retries ?? { share: 0.2, slack: 100 },
         requestPlacement: options.requestPlacement
             ?? (() => Promise.reject(new Error("no control daemon in this test"))),
+        partLeader: options.partLeader
+            ?? { report: () => Promise.resolve(undefined), requestTrial: () => Promise.resolve(false) },
         onSuspicion: async (suspicion) => {
             suspicions.push(suspicion);
             return false;
--- /dev/null
+++ b/test/gateway/promptparts.test.ts
@@ -0,0 +1,236 @@
+import { ErrorCode, Verdict } from "@greengage/base";
+import { waitFor } from "@greengage/faults";
+import type { CallerRequest, PartLeader } from "@greengage/gateway";
+import type { PartReport, SuspectPart } from "@greengage/protocol";
+import test, { type ExecutionContext } from "ava";
+import { buildRoute } from "../configuration/fixtures.ts";
+import {
+    createGateway,
+    eventOf,
+    type FakeServer,
+    type GatewayFixture,
+    type RequestHandler,
+    startServer,
+    streamEvents,
+    viewOf,
+    writeHead,
+} from "./fixtures.ts";
+
+const COMPLETE_STREAM = [1, 2, 3, 4].map(eventOf).join("");
+
+/** Resets the connection, like an engine that crashes while it begins to answer. */
+const crash: RequestHandler = (request, response) => {
+    writeHead(request, response);
+    response.flushHeaders();
+    setTimeout(() => response.socket?.resetAndDestroy(), 20);
+};
+
+/** Resets the connection, like an engine that crashes while the request is queued. */
+const crashWhileQueued: RequestHandler = (_, response) => response.socket?.resetAndDestroy();
+
+const requestWith = (...partIds: string[]): Partial<CallerRequest> => ({
+    generation: {
+        model: "large",
+        promptTokens: 100,
+        maxAnswerTokens: 50,
+        parts: partIds.map((id) => ({ id, tokens: 10 })),
+    },
+});
+
+interface RecordingLeader extends PartLeader {
+    reports: PartReport[];
+    /** Whether reported groups have crashed. */
+    confirms: boolean;
+    accepts: boolean;
+    trialCount: number;
+}
+
+const createLeader = (fields: Partial<RecordingLeader> = {}): RecordingLeader => {
+    const leader: RecordingLeader = {
+        reports: [],
+        confirms: true,
+        accepts: true,
+        trialCount: 0,
+        report: async (report) => {
+            leader.reports.push(report);
+            const crashedEpochs = leader.confirms ? report.crashes.map(({ epoch }) => epoch) : [];
+            return leader.accepts ? { isAccepted: true, crashedEpochs } : undefined;
+        },
+        requestTrial: async () => {
+            leader.trialCount += 1;
+            return leader.trialCount === 1;
+        },
+        ...fields,
+    };
+    return leader;
+};
+
+interface PartsFixture extends GatewayFixture {
+    first: FakeServer;
+    second: FakeServer;
+    leader: RecordingLeader;
+    publish: (suspectParts: SuspectPart[]) => void;
+}
+
+/** A gateway before two groups, of which the first handles requests with `handler`. */
+const startFixture = async (
+    t: ExecutionContext,
+    handler: RequestHandler,
+    leader: RecordingLeader = createLeader(),
+): Promise<PartsFixture> => {
+    const first = await startServer(t, handler);
+    const second = await startServer(t, streamEvents(4));
+    const options = { groupHeads: [first, second], partLeader: leader };
+    const fixture = createGateway(t, options);
+    let version = 1;
+    return {
+        ...fixture,
+        first,
+        second,
+        leader,
+        publish: (suspectParts) => {
+            version += 1;
+            fixture.gateway.applyView({ ...viewOf(options), version, suspectParts });
+        },
+    };
+};
+
+const quarantinedPart = (partId: string, fields: Partial<SuspectPart> = {}): SuspectPart => ({
+    service: "llm",
+    partId,
+    isQuarantined: true,
+    isTrialDue: false,
+    ...fields,
+});
+
+// Guards against a poison request that crashes a second group.
+test("a request that its engine had begun to answer when it crashed is not sent to another one", async (t) => {
+    const { send, second, leader } = await startFixture(t, crash);
+    const { error } = await send(requestWith("shared", "deadly", "own"));
+    t.is(error?.verdict, Verdict.MayHaveRun);
+    t.is(second.received.length, 0);
+    t.deepEqual(leader.reports.flatMap(({ crashes }) => crashes), [
+        {
+            service: "llm",
+            groupName: "g0",
+            epoch: 1,
+            requests: [{ partIds: ["shared", "deadly"], hasHead: true }],
+        },
+    ]);
+});
+
+test("a request that was queued beside a poison request moves to another group", async (t) => {
+    const { send, leader } = await startFixture(t, crashWhileQueued);
+    t.is((await send(requestWith("shared", "subject", "own"))).text, COMPLETE_STREAM);
+    await waitFor("the report", () => leader.reports.length > 0 || undefined);
+    t.false(leader.reports[0]?.crashes[0]?.requests[0]?.hasHead);
+});
+
+test("a crash is reported also when the request has no attempt left", async (t) => {
+    const { send, leader, first } = await startFixture(t, crash);
+    const configuration = { routes: [buildRoute({ maxAttempts: 1 })] };
+    const single = createGateway(t, { groupHeads: [first], configuration, partLeader: leader });
+    await send(requestWith("shared", "deadly", "own"));
+    await single.send(requestWith("shared", "deadly", "other"));
+    await waitFor("both reports", () => leader.reports.length === 2 || undefined);
+    t.pass();
+});
+
+test("requests beside a poison request move to another group if their parts have been served", async (t) => {
+    let isCrashing = false;
+    const { send, second } = await startFixture(
+        t,
+        (request, response) => (isCrashing ? crash : streamEvents(4))(request, response),
+    );
+    await send(requestWith("shared", "subject", "own"));
+    isCrashing = true;
+    t.is((await send(requestWith("shared", "subject", "other"))).text, COMPLETE_STREAM);
+    t.is(second.received.length, 1);
+});
+
+test("a request without shared parts moves to another group", async (t) => {
+    const { send, leader } = await startFixture(t, crash);
+    t.is((await send(requestWith("own"))).text, COMPLETE_STREAM);
+    t.deepEqual(leader.reports, []);
+});
+
+test("a broken connection to a group that has not crashed does not fail the request", async (t) => {
+    const { send } = await startFixture(t, crash, createLeader({ confirms: false }));
+    t.is((await send(requestWith("shared", "subject", "own"))).text, COMPLETE_STREAM);
+});
+
+test("a stream that has begun resumes at another group after a crash, and blames no part", async (t) => {
+    const { send, leader } = await startFixture(t, (request, response) => {
+        writeHead(request, response);
+        response.write(eventOf(1), () => response.socket?.resetAndDestroy());
+    });
+    t.is((await send(requestWith("shared", "subject", "own"))).text, COMPLETE_STREAM);
+    t.deepEqual(leader.reports, []);
+});
+
+test("a request with a quarantined part is rejected at once, others with the same first part are served", async (t) => {
+    const { send, publish, first, second } = await startFixture(t, streamEvents(4));
+    publish([quarantinedPart("deadly")]);
+    const startedAtMs = performance.now();
+    const { error } = await send(requestWith("shared", "deadly", "own"));
+    t.true(performance.now() - startedAtMs < 100);
+    t.is(error?.code, ErrorCode.Quarantined);
+    t.is(error?.verdict, Verdict.NotRun);
+    t.regex(error?.message ?? "", /deadly/);
+    t.is(first.received.length + second.received.length, 0);
+    t.is((await send(requestWith("shared", "subject", "own"))).text, COMPLETE_STREAM);
+    t.is((await send(requestWith("shared", "deadly"))).text, COMPLETE_STREAM, "the last part is not shared");
+});
+
+test("a lifted quarantine is in force with the next view", async (t) => {
+    const { send, publish } = await startFixture(t, streamEvents(4));
+    publish([quarantinedPart("part")]);
+    t.is((await send(requestWith("part", "own"))).error?.code, ErrorCode.Quarantined);
+    publish([]);
+    t.is((await send(requestWith("part", "own"))).text, COMPLETE_STREAM);
+});
+
+test("only the request to which the leader grants a trial is sent", async (t) => {
+    const { send, publish, leader, first } = await startFixture(t, streamEvents(4));
+    publish([quarantinedPart("part", { isTrialDue: true })]);
+    t.is((await send(requestWith("part", "own"))).text, COMPLETE_STREAM);
+    t.is((await send(requestWith("part", "other"))).error?.code, ErrorCode.Quarantined);
+    t.is(first.received.length, 1);
+    await waitFor(
+        "the report that clears the part",
+        () =>
+            leader.reports.some(({ served }) => served.some(({ partIds }) => partIds.includes("part")))
+            || undefined,
+    );
+});
+
+test("a part that was served before it became a suspect is reported with the time since then", async (t) => {
+    const { send, publish, leader } = await startFixture(t, streamEvents(4));
+    await send(requestWith("shared", "own"));
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    publish([quarantinedPart("shared", { isQuarantined: false })]);
+    await waitFor("the report", () => leader.reports.length > 0 || undefined);
+    const [served] = leader.reports.flatMap(({ served }) => served);
+    t.deepEqual(served?.partIds, ["shared"]);
+    t.true((served?.ageMs ?? 0) >= 50);
+});
+
+test("a success of a suspect is reported once per view", async (t) => {
+    const { send, publish, leader } = await startFixture(t, streamEvents(4));
+    publish([quarantinedPart("shared", { isQuarantined: false })]);
+    for (let count = 0; count < 3; count += 1) {
+        await send(requestWith("shared", `own-${count}`));
+    }
+    await waitFor("the report", () => leader.reports.length > 0 || undefined);
+    t.deepEqual(leader.reports.flatMap(({ served }) => served).map(({ partIds }) => partIds), [["shared"]]);
+});
+
+test("a crash is reported until a leader accepts it", async (t) => {
+    const { send, leader, second } = await startFixture(t, crash, createLeader({ accepts: false }));
+    t.is((await send(requestWith("shared", "deadly", "own"))).error?.verdict, Verdict.MayHaveRun);
+    t.is(second.received.length, 0, "the cause is unknown without a leader");
+    leader.accepts = true;
+    const count = leader.reports.length;
+    await waitFor("the second report", () => leader.reports.length > count || undefined);
+    t.deepEqual(leader.reports.at(-1)?.crashes[0]?.requests[0]?.partIds, ["shared", "deadly"]);
+});
