--- a/test/platform/poison.test.ts
+++ b/test/platform/poison.test.ts
@@ -27,6 +27,8 @@
 const REJECTION_MS = 100;
 /** Number of requests from which a share is compared. */
 const MIN_SAMPLE = 20;
+/** Long, so that no request is rejected because the predicted latency of the remaining groups is too high. */
+const TARGET_LATENCY_MS = 4_000;
 const DEADLY_PART = "dead0001";
 const SHARED_PARTS = ["5c1e07a2", "91bd3f06"];
 
@@ -38,6 +40,7 @@
     answeredAtMs: number;
     /** HTTP status, or 0 if the connection failed. */
     status: number;
+    text: string;
     isServed: boolean;
 }
 
@@ -103,6 +106,7 @@
             sentAtMs,
             answeredAtMs: answeredAtMs ?? performance.now(),
             status,
+            text,
             isServed: status === 200 && text === formatStream({ text: requestId, count: EVENT_COUNT }),
         };
     }
@@ -116,7 +120,12 @@
     const platform = await startPlatform(t, { entryCount: 2 });
     const engines = await CrashingEngines.start(t, platform, { groupCount: GROUP_COUNT, sendsHeadEarly });
     const replaceUrl = `http://${platform.control}/greengageridge/Config.Replace`;
-    await callUntil(200, replaceUrl, { method: "POST", body: JSON.stringify(wireConfiguration(1)) });
+    const { routes, ...configuration } = wireConfiguration(1);
+    const body = JSON.stringify({
+        ...configuration,
+        routes: (routes as object[]).map((route) => ({ ...route, target_latency_ms: TARGET_LATENCY_MS })),
+    });
+    await callUntil(200, replaceUrl, { method: "POST", body });
     for (const { readiness, callers } of platform.entries) {
         await callUntil(200, `http://${readiness}/greengageridge/ready`);
         await callUntil(200, `http://${callers}/chat/0`, { method: "POST", headers: chatHeaders("r0") });
