--- a/packages/gateway/src/streamcall.ts
+++ b/packages/gateway/src/streamcall.ts
@@ -344,7 +344,10 @@
         group.avoid(nowMs);
         const culpritId = outcome.kind === "notRun" ? outcome.head?.culpritId : undefined;
         const isUnreachable = outcome.kind === "notRun" && outcome.head === undefined;
-        if (culpritId !== undefined || isUnreachable) {
+        // A head that crashes breaks all its connections at once, so one report is enough.
+        const isBroken = outcome.kind === "failed" && outcome.failure === FailureKind.Broken
+            && !group.isSuspected(nowMs);
+        if (culpritId !== undefined || isUnreachable || isBroken) {
             const { reason } = outcome;
             this.#deps.suspect(group, { reason, hasRunningStream: false, culpritId });
         }
