Revert "Report a group to the leader when the connections to its head break"

Crashes during the answer to a request with shared prompt parts are confirmed by the leader at once anyway.

--- a/packages/gateway/src/streamcall.ts
+++ b/packages/gateway/src/streamcall.ts
@@ -344,10 +344,7 @@
         group.avoid(nowMs);
         const culpritId = outcome.kind === "notRun" ? outcome.head?.culpritId : undefined;
         const isUnreachable = outcome.kind === "notRun" && outcome.head === undefined;
-        // A head that crashes breaks all its connections at once, so one report is enough.
-        const isBroken = outcome.kind === "failed" && outcome.failure === FailureKind.Broken
-            && !group.isSuspected(nowMs);
-        if (culpritId !== undefined || isUnreachable || isBroken) {
+        if (culpritId !== undefined || isUnreachable) {
             const { reason } = outcome;
             this.#deps.suspect(group, { reason, hasRunningStream: false, culpritId });
         }
