--- a/packages/fleet/src/partquarantine.ts
+++ b/packages/fleet/src/partquarantine.ts
@@ -1,5 +1,5 @@
 import { type Context, monotonicMs } from "@greengage/base";
-import type { InterruptedRequest, ServedParts, SuspectPart, SuspectPartRecord } from "@greengage/protocol";
+import type { ServedParts, SuspectPart, SuspectPartRecord, UnservedRequest } from "@greengage/protocol";
 
 interface QuarantineRule {
     /** Crashed groups that the part needs. */
@@ -62,7 +62,7 @@
     recordCrash(
         service: string,
         epoch: number,
-        requests: readonly InterruptedRequest[],
+        requests: readonly UnservedRequest[],
         nowMs: number,
     ): void {
         for (const { partIds, hasHead } of requests) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -118,9 +118,7 @@
             groups: view.groups.length,
             servers: view.servers.length,
             entryDaemons: view.entryDaemonCount,
-            quarantined: view.suspectParts?.filter(({ isQuarantined }) => isQuarantined).map(({ partId }) =>
-                partId
-            ),
+            quarantined: view.suspectParts?.filter(({ isQuarantined }) => isQuarantined).length,
         });
     }
 
--- a/packages/gateway/src/promptparts.ts
+++ b/packages/gateway/src/promptparts.ts
@@ -2,10 +2,10 @@
 import type {
     GroupCrash,
     GroupTarget,
-    InterruptedRequest,
     PartReport,
     PartReportResponse,
     SuspectPart,
+    UnservedRequest,
 } from "@greengage/protocol";
 import type { PromptPart } from "./types.ts";
 
@@ -119,7 +119,7 @@
     async mayRepeatAfterFailure(
         service: string,
         { groupName, epoch }: GroupTarget,
-        request: InterruptedRequest,
+        request: UnservedRequest,
     ): Promise<boolean> {
         if (request.partIds.length === 0) {
             return true;
--- a/packages/protocol/src/fleet.ts
+++ b/packages/protocol/src/fleet.ts
@@ -87,11 +87,11 @@
     service: string;
     groupName: string;
     epoch: number;
-    requests: InterruptedRequest[];
+    requests: UnservedRequest[];
 }
 
 /** Request without an event whose connection failed. */
-export interface InterruptedRequest {
+export interface UnservedRequest {
     /** Prompt parts that other requests may share, in order. */
     partIds: string[];
     /** Whether the engine had begun its response; otherwise the request may have been queued. */
