Report a stream as possibly run once its request has been written

Callers of a stream got 503, the promise that it has not run and never will, although its request had been written to one or two groups and no group had said that it was not run: after a broken or endless head, a connection lost before the head, or silence until the deadline. A stream that may not be resumed could run and be sent again by its caller.

Cause: StreamCall set mayHaveRun when the response head arrived, ServerCall at the write. Now both set it at the write, and a rejection takes it back to what it was before that attempt, so that the next group's rejection doesn't hide an earlier attempt.

--- a/packages/gateway/src/streamcall.ts
+++ b/packages/gateway/src/streamcall.ts
@@ -157,6 +157,7 @@
         const { request, organisation, priority, deadlineAtMs } = this.#call;
         const { target } = group;
         const sentAtMs = monotonicMs();
+        const mayHaveRunBefore = this.#execution.mayHaveRun;
         const attempt = new Attempt({
             client: pools.get(`http://${target.headAddress}`, sentAtMs),
             dialect,
@@ -171,7 +172,13 @@
             },
             closesConnection: false,
             // The group may have been withdrawn while the connection was opening.
-            mayWrite: () => this.#execution.endReason === undefined && groups.get(target.groupName) === group,
+            mayWrite: () => {
+                if (this.#execution.endReason !== undefined || groups.get(target.groupName) !== group) {
+                    return false;
+                }
+                this.#execution.mayHaveRun = true;
+                return true;
+            },
             onHead: (head) => this.#onHead(group, head),
             onEvents: (events) => this.#onEvents(group, inFlight, events),
         });
@@ -185,6 +192,9 @@
         this.#execution.attempt = attempt;
         const outcome = await attempt.run();
         this.#execution.attempt = undefined;
+        if (outcome.kind === "notRun") {
+            this.#execution.mayHaveRun = mayHaveRunBefore;
+        }
         group.end(inFlight, outcome.kind === "complete", monotonicMs());
         this.#penalizeGroup(group, outcome);
         this.#hasBeenRejected ||= outcome.kind === "notRun";
@@ -192,7 +202,6 @@
     }
 
     #onHead(group: GroupState, head: ServerHead): void {
-        this.#execution.mayHaveRun = true;
         if (head.load !== undefined) {
             group.recordLoad(head.load, monotonicMs());
         }
--- /dev/null
+++ b/test/gateway/rawserver.ts
@@ -0,0 +1,127 @@
+import type { ExecutionContext } from "ava";
+import { type AddressInfo, createServer, type Socket } from "node:net";
+
+/** What a raw server sends after the last scripted byte. */
+export const Finish = {
+    /** Leaves the connection open. */
+    Open: "open",
+    End: "end",
+    Reset: "reset",
+} as const;
+
+export type Finish = typeof Finish[keyof typeof Finish];
+
+/** Bytes that a raw server sends in response to one request. */
+export interface ByteScript {
+    /** Sent once. `{id}` stands for the id of the request. */
+    text: string;
+    /** Sent over and over after `text` until the peer closes the connection. */
+    endless?: string;
+    /** Interval between repetitions of `endless`. Default: as fast as the peer reads. */
+    intervalMs?: number;
+    /** What follows `text` if there is no `endless`. */
+    finish?: Finish;
+}
+
+export interface RawServer {
+    address: string;
+    /** Ids of the received requests, in order. */
+    receivedIds: string[];
+    /** Value of `x-last-event` of each received request. */
+    lastEventIds: (string | undefined)[];
+    /** Number of open connections that have carried a request. */
+    openConnectionCount: number;
+    /** Number of bytes that left this process towards the gateway. */
+    sentBytes: number;
+}
+
+/** Size of one write of an endless script. */
+const BLOCK_BYTES = 64 * 1024;
+/** Delay between the last byte and the end of a connection, so that the peer reads them separately. */
+const FINISH_DELAY_MS = 20;
+const HEAD_END = "\r\n\r\n";
+
+/** Starts a TCP server that responds to each HTTP request with the bytes of `script`. */
+export const startRawServer = async (t: ExecutionContext, script: ByteScript): Promise<RawServer> => {
+    const raw: RawServer = {
+        address: "",
+        receivedIds: [],
+        lastEventIds: [],
+        openConnectionCount: 0,
+        sentBytes: 0,
+    };
+    const sockets = new Set<Socket>();
+    const server = createServer({ noDelay: true }, (socket) => {
+        let received = "";
+        let hasRequest = false;
+        sockets.add(socket);
+        socket.on("error", () => undefined);
+        socket.on("close", () => {
+            raw.openConnectionCount -= hasRequest ? 1 : 0;
+            raw.sentBytes += Math.max(0, socket.bytesWritten - socket.writableLength);
+            sockets.delete(socket);
+        });
+        socket.on("data", (chunk) => {
+            received += chunk.toString("latin1");
+            for (let length = requestLength(received); length > 0; length = requestLength(received)) {
+                raw.openConnectionCount += hasRequest ? 0 : 1;
+                hasRequest = true;
+                const request = received.slice(0, length);
+                received = received.slice(length);
+                const id = headerOf(request, "x-id") ?? "";
+                raw.receivedIds.push(id);
+                raw.lastEventIds.push(headerOf(request, "x-last-event"));
+                send(socket, { ...script, text: script.text.replaceAll("{id}", id) });
+            }
+        });
+    });
+    await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+    raw.address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+    t.teardown(() => {
+        sockets.forEach((socket) => socket.destroy());
+        server.close();
+    });
+    return raw;
+};
+
+const headerOf = (request: string, name: string): string | undefined =>
+    new RegExp(`\\r\\n${name}: ?([^\\r\\n]*)`, "i").exec(request)?.[1];
+
+/** Length of the first request in `received`; 0 while it is incomplete. */
+const requestLength = (received: string): number => {
+    const start = /^[\r\n]*/.exec(received)?.[0].length ?? 0;
+    const headEnd = received.indexOf(HEAD_END, start);
+    if (headEnd < 0) {
+        return 0;
+    }
+    const length = headEnd + HEAD_END.length
+        + Number(headerOf(received.slice(0, headEnd), "content-length") ?? 0);
+    return received.length < length ? 0 : length;
+};
+
+const send = (socket: Socket, { text, endless, intervalMs, finish = Finish.Open }: ByteScript): void => {
+    socket.write(text, "latin1");
+    if (endless !== undefined && intervalMs !== undefined) {
+        const timer = setInterval(() => socket.write(endless, "latin1"), intervalMs);
+        socket.on("close", () => clearInterval(timer));
+    }
+    else if (endless !== undefined) {
+        sendEndlessly(socket, endless);
+    }
+    else if (finish === Finish.End) {
+        setTimeout(() => socket.end(), FINISH_DELAY_MS);
+    }
+    else if (finish === Finish.Reset) {
+        setTimeout(() => socket.resetAndDestroy(), FINISH_DELAY_MS);
+    }
+};
+
+const sendEndlessly = (socket: Socket, repeated: string): void => {
+    const block = Buffer.from(repeated.repeat(Math.ceil(BLOCK_BYTES / repeated.length)), "latin1");
+    const sendBlock = (): void => {
+        if (!socket.destroyed) {
+            socket.write(block, () => setImmediate(sendBlock));
+        }
+    };
+    sendBlock();
+};
