Keep an earlier attempt in the verdict when the next server rejects a call

Callers of a safe call got 503, the promise that it has not run and never will, when a first server may have run it and a second one rejected it. Cause: ServerCall cleared mayHaveRun on every rejection, also for attempts before it. It is now put back to its value before the rejected attempt.

Unsafe calls were not affected, as they aren't repeated after a failure.

--- a/packages/gateway/src/servercall.ts
+++ b/packages/gateway/src/servercall.ts
@@ -74,6 +74,7 @@
         this.#execution.record("request.placed", { server: serverId, attempt: this.#execution.attemptCount });
         const isSafe = route.kind === RouteKind.Safe;
         const origin = `http://${address}`;
+        const mayHaveRunBefore = this.#execution.mayHaveRun;
         const singleUseClient = isSafe ? undefined : pools.createSingleUse(origin);
         const attempt = new Attempt({
             client: singleUseClient ?? pools.get(origin, nowMs),
@@ -107,7 +108,7 @@
         }
         server.end(outcome.kind !== "complete" || outcome.head.status >= 500);
         if (outcome.kind === "notRun") {
-            this.#execution.mayHaveRun = false;
+            this.#execution.mayHaveRun = mayHaveRunBefore;
         }
         return outcome;
     }
--- a/test/gateway/brokenservers.test.ts
+++ b/test/gateway/brokenservers.test.ts
@@ -147,7 +147,7 @@
 }
 
 // Guards against a rejection that hides that an earlier attempt may have run the request.
-for (const kind of [RequestKind.Stream]) {
+for (const kind of repeatableKinds) {
     test.serial(`${kind} that a server may have run isn't reported as not run when the next rejects it`, async (t) => {
         const broken = await startRawServer(t, { text: "HTTP/1.1 200 OK\r\n", finish: Finish.End });
         const rejecting = await startRawServer(t, {
