Limit the informational responses of one exchange

A server that sent 102 or 103 heads without end kept a call until its route's time limit and its connection and the parser busy until then: 4,061 to 4,072 ms of 4,000 ms, 124 to 178 MiB sent; a stream 725 to 1,434 ms, until the stall check ended it. Callers got a late failure in place of an attempt at another server. Cause: undici counts the size of a head for each informational response anew, and Exchange ignored them. Exchange now treats the response as broken after 100 of them.

Evidence: the eight tests of brokenservers with 102 and 103 heads failed before and pass now (npx ava test/gateway/brokenservers.test.ts, 38 of 38).

--- a/packages/routing/src/exchange.ts
+++ b/packages/routing/src/exchange.ts
@@ -4,6 +4,8 @@
 
 /** Time for a response to end after its content is complete; after that the connection is destroyed. */
 const RESPONSE_END_TIMEOUT_MS = 1_000;
+/** A server that sends more informational responses than this before its response is treated as broken. */
+const MAX_INFORMATIONAL_RESPONSES = 100;
 
 export interface ExchangeOptions {
     /** Pool or client that runs one exchange at a time on each connection (no pipelining). */
@@ -38,6 +40,7 @@
     #hasWritten = false;
     #hasEnded = false;
     #hasMatchingId = false;
+    #informationalCount = 0;
     #endTimer: NodeJS.Timeout | undefined;
 
     constructor(options: ExchangeOptions) {
@@ -122,7 +125,14 @@
         status: number,
         headers: Record<string, string | string[] | undefined>,
     ): void {
-        if (this.#hasEnded || status < 200) {
+        if (this.#hasEnded) {
+            return;
+        }
+        if (status < 200) {
+            this.#informationalCount += 1;
+            if (this.#informationalCount > MAX_INFORMATIONAL_RESPONSES) {
+                this.fail(FailureKind.Broken, "sent too many informational responses");
+            }
             return;
         }
         if (headers[this.#idHeader] !== this.#options.requestId) {
--- a/test/gateway/brokenservers.test.ts
+++ b/test/gateway/brokenservers.test.ts
@@ -76,6 +76,18 @@
 const endlessCases: Record<string, EndlessCase> = {
     "header lines": { kinds: allKinds, text: HEAD, endless: "x-more: 0123456789\r\n", maxBytes: 1 * MIB },
     "a header value": { kinds: allKinds, text: `${HEAD}x-more: `, endless: "0123456789", maxBytes: 1 * MIB },
+    "103 heads": {
+        kinds: allKinds,
+        text: "",
+        endless: "HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n",
+        maxBytes: 1 * MIB,
+    },
+    "102 heads": {
+        kinds: allKinds,
+        text: "",
+        endless: "HTTP/1.1 102 Processing\r\n\r\n",
+        maxBytes: 1 * MIB,
+    },
     "100 heads": { kinds: allKinds, text: "", endless: "HTTP/1.1 100 Continue\r\n\r\n", maxBytes: 1 * MIB },
     "a body with content-length": {
         kinds: callKinds,
