Limit the bytes of one response on the wire

A server that sent a status line, blank lines before the head, spaces before a header value or a chunk extension without end kept a call until its route's time limit (4,060 ms of 4,000 ms), while the daemon read 1.7 to 2.8 GB of it at full speed; a stream lasted 0.7 to 1.5 s, until the stall check. Cause: the HTTP parser skips these bytes without reporting them, so that no limit on heads, bodies or events counts them. A connection is now destroyed once it has received 32 MiB since the last write to it, that is, for one response. Buffered bodies are limited to 1 MiB (gateway) and 16 MiB (service calls), so only streams beyond 32 MiB are newly cut off.

Evidence: 16 tests of brokenservers failed before; now a request ends after 31 to 223 ms with 32 MiB read per attempt (npx ava test/gateway/brokenservers.test.ts).

--- a/packages/routing/src/connector.ts
+++ b/packages/routing/src/connector.ts
@@ -1,6 +1,8 @@
 import type { Socket } from "node:net";
 import { buildConnector } from "undici";
 
+/** Limit for the bytes of one response, including those that the HTTP parser skips without counting. */
+const MAX_RESPONSE_BYTES = 32 * 1024 * 1024;
 /** HTTP servers ignore an empty line between requests. */
 const RESET_PROBE = "\r\n";
 
@@ -30,6 +32,23 @@
     }
 };
 
+/** Destroys a connection that has received too many bytes since the last write to it. */
+const limitResponseBytes = (socket: Socket): void => {
+    let bytesWritten = 0;
+    let bytesReadBefore = 0;
+    let bytesRead = 0;
+    socket.on("readable", () => {
+        if (socket.bytesWritten !== bytesWritten) {
+            bytesWritten = socket.bytesWritten;
+            bytesReadBefore = bytesRead;
+        }
+        bytesRead = socket.bytesRead;
+        if (bytesRead - bytesReadBefore > MAX_RESPONSE_BYTES) {
+            socket.destroy(new Error("the response is too large"));
+        }
+    });
+};
+
 /** Creates a connector whose sockets record their failures before undici handles them. */
 export const createConnector = (timeoutMs: number): buildConnector.connector => {
     // With `allowHalfOpen` the socket stays writable when the peer ends it, which `detectReset` needs.
@@ -42,6 +61,7 @@
             if (error === null) {
                 socket.on("error", markConnectionFailing);
                 socket.on("end", () => detectReset(socket));
+                limitResponseBytes(socket);
             }
             callback(...result);
         });
--- a/test/gateway/brokenservers.test.ts
+++ b/test/gateway/brokenservers.test.ts
@@ -10,7 +10,7 @@
 /** Time limit of the routes; longer than any response that ends by a size limit takes. */
 const ROUTE_TIMEOUT_MS = 4_000;
 /** Bytes that the kernel's socket buffers hold in addition to those that the gateway has read. */
-const SOCKET_BUFFER_BYTES = 16 * MIB;
+const SOCKET_BUFFER_BYTES = 4 * MIB;
 
 const STATUS_LINE = "HTTP/1.1 200 OK\r\n";
 const HEAD = `${STATUS_LINE}x-id: {id}\r\nx-signature: s\r\n`;
@@ -89,6 +89,14 @@
         maxBytes: 1 * MIB,
     },
     "100 heads": { kinds: allKinds, text: "", endless: "HTTP/1.1 100 Continue\r\n\r\n", maxBytes: 1 * MIB },
+    "a status line": { kinds: allKinds, text: "HTTP/1.1 200 ", endless: "OK", maxBytes: 32 * MIB },
+    "blank lines before the head": { kinds: allKinds, text: "", endless: "\r\n", maxBytes: 32 * MIB },
+    "spaces before a header value": {
+        kinds: allKinds,
+        text: `${HEAD}x-more:`,
+        endless: " ",
+        maxBytes: 32 * MIB,
+    },
     "a body with content-length": {
         kinds: callKinds,
         text: `${HEAD}content-length: 999999999999\r\n\r\n`,
@@ -113,6 +121,7 @@
         endless: "0123456789",
         maxBytes: 2 * MIB,
     },
+    "a chunk extension": { kinds: allKinds, text: `${HEAD}${CHUNKED}5;`, endless: "x", maxBytes: 32 * MIB },
     trailers: {
         kinds: allKinds,
         text: `${HEAD}${CHUNKED}0\r\n`,
