Don't count comments of an event stream as progress

Cause: EventScanner counts a block of comments as an event, and each event resets the stall checks and sets the time of the first token. The scanner now says whether the events contain fields; comments are relayed as before, but only fields count as progress, in the gateway and in the daemons.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -28,8 +28,11 @@
     mayWrite: () => boolean;
     /** Called with the response head, unless it says that the request was not run. */
     onHead: (head: ServerHead) => void;
-    /** Called with complete events of a successful response. If absent, or for an error status, the body is buffered. */
-    onEvents?: (events: Buffer) => void;
+    /**
+     * Called with complete events of a successful response, and whether they contain more than comments. If absent, or for
+     * an error status, the body is buffered.
+     */
+    onEvents?: (events: Buffer, hasFields: boolean) => void;
 }
 
 /** One attempt at a request: a single exchange with one backend server. */
@@ -115,7 +118,7 @@
                 return;
             }
             if (this.#scanner.count > 0) {
-                this.#options.onEvents?.(this.#scanner.events);
+                this.#options.onEvents?.(this.#scanner.events, this.#scanner.hasFields);
             }
             return;
         }
--- a/packages/gateway/src/streamcall.ts
+++ b/packages/gateway/src/streamcall.ts
@@ -57,7 +57,7 @@
             hasHead: false,
             lastEventId: call.request.lastEventId,
             firstEventMs: undefined,
-            lastEventAtMs: 0,
+            lastEventAtMs: call.request.receivedAtMs,
             longestGapMs: 0,
         };
     }
@@ -180,7 +180,7 @@
                 return true;
             },
             onHead: (head) => this.#onHead(group, head),
-            onEvents: (events) => this.#onEvents(group, inFlight, events),
+            onEvents: (events, hasFields) => this.#onEvents(group, inFlight, events, hasFields),
         });
         const inFlight: InFlightRequest = {
             promptTokens: this.#generation.promptTokens,
@@ -208,11 +208,27 @@
         this.#head = head;
     }
 
-    #onEvents(group: GroupState, inFlight: InFlightRequest, events: Buffer): void {
-        const { response, request } = this.#call;
+    #onEvents(group: GroupState, inFlight: InFlightRequest, events: Buffer, hasFields: boolean): void {
+        const { response } = this.#call;
+        if (hasFields) {
+            this.#recordProgress(group, inFlight);
+        }
+        if (!this.#delivery.hasHead && this.#head !== undefined) {
+            this.#delivery.hasHead = true;
+            response.sendHead(this.#head.status, this.#head.headers);
+        }
+        this.#delivery.lastEventId = lastEventIdOf(events) ?? this.#delivery.lastEventId;
+        if (!response.write(events)) {
+            const attempt = this.#execution.attempt;
+            attempt?.pause();
+            response.onDrained(() => attempt?.resume());
+        }
+    }
+
+    #recordProgress(group: GroupState, inFlight: InFlightRequest): void {
         const nowMs = monotonicMs();
         if (this.#delivery.firstEventMs === undefined) {
-            this.#delivery.firstEventMs = nowMs - request.receivedAtMs;
+            this.#delivery.firstEventMs = nowMs - this.#call.request.receivedAtMs;
             this.#deps.context.metrics.durationMs("gateway.first_event", this.#delivery.firstEventMs);
         }
         else {
@@ -226,16 +242,6 @@
             this.#recordFirstToken(inFlight, nowMs);
         }
         group.recordProgress(inFlight, nowMs);
-        if (!this.#delivery.hasHead && this.#head !== undefined) {
-            this.#delivery.hasHead = true;
-            response.sendHead(this.#head.status, this.#head.headers);
-        }
-        this.#delivery.lastEventId = lastEventIdOf(events) ?? this.#delivery.lastEventId;
-        if (!response.write(events)) {
-            const attempt = this.#execution.attempt;
-            attempt?.pause();
-            response.onDrained(() => attempt?.resume());
-        }
     }
 
     #recordFirstToken({ sentAtMs, expectedAtMs }: InFlightRequest, nowMs: number): void {
--- a/packages/routing/src/eventscanner.ts
+++ b/packages/routing/src/eventscanner.ts
@@ -1,5 +1,6 @@
 const LINE_FEED = 10;
 const CARRIAGE_RETURN = 13;
+const COLON = 58;
 /** Maximum length of the end marker including its line ends. */
 const MAX_END_MARKER_BYTES = 20;
 const MAX_EVENT_BYTES = 1024 * 1024;
@@ -12,6 +13,8 @@
     events: Buffer = Buffer.alloc(0);
     /** Number of events in `events`. */
     count = 0;
+    /** Whether `events` contains more than comments, which don't show that a stream makes progress. */
+    hasFields = false;
     /** Whether the end marker has arrived. */
     hasEndMarker = false;
 
@@ -27,10 +30,13 @@
         let eventStart = 0;
         let lineStart = 0;
         let count = 0;
+        let eventHasFields = false;
+        this.hasFields = false;
         // `indexOf` is native: 0.11 µs for an event of 101 bytes, compared with 0.37 µs for a loop over the bytes.
         for (let at = chunk.indexOf(LINE_FEED); at >= 0; at = chunk.indexOf(LINE_FEED, lineStart)) {
             const isEmptyLine = at === lineStart
                 || (at === lineStart + 1 && chunk[lineStart] === CARRIAGE_RETURN);
+            eventHasFields ||= !isEmptyLine && chunk[lineStart] !== COLON;
             lineStart = at + 1;
             if (!isEmptyLine || eventStart === at) {
                 continue;
@@ -41,6 +47,8 @@
             }
             eventStart = lineStart;
             count += 1;
+            this.hasFields ||= eventHasFields;
+            eventHasFields = false;
         }
         this.count = count;
         this.events = eventStart === length ? chunk : chunk.subarray(0, eventStart);
--- a/packages/routing/src/streamattempt.ts
+++ b/packages/routing/src/streamattempt.ts
@@ -51,6 +51,7 @@
     #callbacks: { resolve: () => void; reject: (error: ExchangeError) => void; } | undefined;
     #firstEventAtMs: number | undefined;
     #lastEventAtMs = this.#startedAtMs;
+    #hasDelivered = false;
     #isPaused = false;
     #hasEndMarker = false;
     #eventCount = 0;
@@ -128,7 +129,7 @@
             return;
         }
         if (scanner.count > 0) {
-            this.#deliver(scanner.events, scanner.count);
+            this.#deliver(scanner);
         }
         if (scanner.hasEndMarker) {
             this.#complete();
@@ -136,16 +137,19 @@
         }
     }
 
-    #deliver(events: Buffer, count: number): void {
-        const nowMs = monotonicMs();
-        if (this.#firstEventAtMs === undefined) {
-            this.#firstEventAtMs = nowMs;
+    #deliver({ events, count, hasFields }: EventScanner): void {
+        if (!this.#hasDelivered) {
+            this.#hasDelivered = true;
             this.#options.onFirstEvents();
         }
-        this.#lastEventAtMs = nowMs;
-        this.#eventCount += count;
+        if (hasFields) {
+            const nowMs = monotonicMs();
+            this.#firstEventAtMs ??= nowMs;
+            this.#lastEventAtMs = nowMs;
+            this.#eventCount += count;
+            this.dueAtMs = nowMs + this.#options.limits.suspendedGapMs;
+        }
         this.#options.delivered.add(events);
-        this.dueAtMs = nowMs + this.#options.limits.suspendedGapMs;
         if (!this.#options.sink.write(events) && !this.#isPaused) {
             this.#pauseUntilDrained();
         }
--- a/test/gateway/brokenservers.test.ts
+++ b/test/gateway/brokenservers.test.ts
@@ -3,14 +3,19 @@
 import { waitFor } from "@greengage/faults";
 import test, { type ExecutionContext } from "ava";
 import { buildRoute } from "../configuration/fixtures.ts";
-import { createGateway, type GatewayFixture } from "./fixtures.ts";
+import { createGateway, eventOf, type GatewayFixture, startServer, streamEvents } from "./fixtures.ts";
 import { type ByteScript, Finish, type RawServer, startRawServer } from "./rawserver.ts";
 
 const MIB = 1024 * 1024;
 /** Time limit of the routes; longer than any response that ends by a size limit takes. */
 const ROUTE_TIMEOUT_MS = 4_000;
+/** Time limit of the routes for responses that drip until it has passed. */
+const SHORT_ROUTE_TIMEOUT_MS = 900;
+/** Time that a request may end after its route's time limit. */
+const TIMEOUT_SLACK_MS = 1_000;
 /** Bytes that the kernel's socket buffers hold in addition to those that the gateway has read. */
 const SOCKET_BUFFER_BYTES = 4 * MIB;
+const DRIP_INTERVAL_MS = 20;
 
 const STATUS_LINE = "HTTP/1.1 200 OK\r\n";
 const HEAD = `${STATUS_LINE}x-id: {id}\r\nx-signature: s\r\n`;
@@ -41,8 +46,11 @@
     [RequestKind.SingleStream]: { target: "/once/1" },
 };
 
-const createFixture = (t: ExecutionContext, servers: readonly { address: string; }[]): GatewayFixture => {
-    const timeoutMs = ROUTE_TIMEOUT_MS;
+const createFixture = (
+    t: ExecutionContext,
+    servers: readonly { address: string; }[],
+    timeoutMs = ROUTE_TIMEOUT_MS,
+): GatewayFixture => {
     const targets = servers.map(({ address }) => ({ address, received: [], abortedCount: 0 }));
     const plain = { shares: [{ service: "ledger", weight: 1 }], canResume: false, timeoutMs };
     return createGateway(t, {
@@ -167,16 +175,232 @@
     }
 }
 
+const EVENTS = [1, 2, 3, 4].map(eventOf).join("");
+const COMMENT = ": 0123456789\n\n";
+
+interface DripCase extends ByteScript {
+    kinds: readonly RequestKind[];
+    /** Text whose repetitions the caller of a stream may receive. Default: none. */
+    delivered?: string;
+}
+
+/** Responses that never end and arrive slowly, so that only the time limits end them. */
+const dripCases: Record<string, DripCase> = {
+    "no byte": { kinds: allKinds, text: "" },
+    "header lines": { kinds: allKinds, text: HEAD, endless: "x-more: 0123456789\r\n" },
+    "a status line": { kinds: allKinds, text: "HTTP/1.1 200 ", endless: "OK" },
+    "102 heads": { kinds: allKinds, text: "", endless: "HTTP/1.1 102 Processing\r\n\r\n" },
+    "a body with content-length": {
+        kinds: callKinds,
+        text: `${HEAD}content-length: 999999\r\n\r\n`,
+        endless: "x",
+    },
+    "a body in chunks": { kinds: callKinds, text: HEAD + CHUNKED, endless: chunkOf("x") },
+    "a body that ends with its connection": { kinds: callKinds, text: `${HEAD}\r\n`, endless: "x" },
+    trailers: { kinds: allKinds, text: `${HEAD}${CHUNKED}0\r\n`, endless: "x-more: 0123456789\r\n" },
+    "an event": { kinds: streamKinds, text: `${EVENT_STREAM_HEAD}\r\ndata: `, endless: "x" },
+    "comment lines": { kinds: streamKinds, text: `${EVENT_STREAM_HEAD}\r\n`, endless: ": 0123456789\n" },
+    comments: {
+        kinds: streamKinds,
+        text: `${EVENT_STREAM_HEAD}\r\n`,
+        endless: COMMENT,
+        delivered: COMMENT,
+    },
+};
+
+// Guards against requests that outlast their route's time limit, and against a partial response that looks complete.
+for (const [title, { kinds, delivered = "", ...script }] of Object.entries(dripCases)) {
+    for (const kind of kinds) {
+        test(`${kind} ends within its route's time limit when servers drip ${title} without end`, async (t) => {
+            const drip = { ...script, intervalMs: DRIP_INTERVAL_MS };
+            const servers = [await startRawServer(t, drip), await startRawServer(t, drip)];
+            const startedAtMs = performance.now();
+            const response = await createFixture(t, servers, SHORT_ROUTE_TIMEOUT_MS).send(
+                requestFields[kind],
+            );
+            const durationMs = performance.now() - startedAtMs;
+            await waitUntilClosed(servers);
+            const sentCount = servers.reduce((sum, { receivedIds }) => sum + receivedIds.length, 0);
+            t.log(`${Math.round(durationMs)} ms, sent to ${sentCount}`);
+            t.true(durationMs < SHORT_ROUTE_TIMEOUT_MS + TIMEOUT_SLACK_MS);
+            t.false(response.isEnded);
+            t.is(response.text.replaceAll(delivered, ""), "");
+            t.is(response.isDestroyed, response.hasStarted);
+            t.is(response.error?.verdict, Verdict.MayHaveRun);
+            t.true(sentCount === 1 || (sentCount === 2 && repeatableKinds.has(kind)));
+        });
+    }
+}
+
+// Guards against comments that count as progress and hide a stalled stream.
+for (const [title, first] of Object.entries({ "before the first event": "", "between events": eventOf(1) })) {
+    test(`a stream of a group that only sends comments ${title} fails over`, async (t) => {
+        const text = `${EVENT_STREAM_HEAD}\r\n${first}`;
+        const stalled = await startRawServer(t, { text, endless: COMMENT, intervalMs: DRIP_INTERVAL_MS });
+        const sound = await startServer(t, streamEvents(4));
+        const response = await createFixture(t, [stalled, sound]).send(requestFields[RequestKind.Stream]);
+        t.true(response.isEnded);
+        t.is(response.text.replaceAll(COMMENT, ""), EVENTS);
+        t.is(stalled.receivedIds.length, 1);
+        await waitUntilClosed([stalled]);
+    });
+}
+
+const REJECTION = "HTTP/1.1 503 Busy\r\nx-id: {id}\r\nx-not-run: 1\r\n";
+
 // Guards against a rejection that hides that an earlier attempt may have run the request.
 for (const kind of repeatableKinds) {
-    test.serial(`${kind} that a server may have run isn't reported as not run when the next rejects it`, async (t) => {
+    test(`${kind} that a server may have run isn't reported as not run when the next rejects it`, async (t) => {
         const broken = await startRawServer(t, { text: "HTTP/1.1 200 OK\r\n", finish: Finish.End });
-        const rejecting = await startRawServer(t, {
-            text: "HTTP/1.1 503 Busy\r\nx-id: {id}\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n",
-        });
+        const rejecting = await startRawServer(t, { text: `${REJECTION}content-length: 0\r\n\r\n` });
         const response = await createFixture(t, [broken, rejecting]).send(requestFields[kind]);
         t.is(broken.receivedIds.length, 1);
         t.true(rejecting.receivedIds.length >= 1);
         t.is(response.error?.verdict, Verdict.MayHaveRun);
     });
 }
+
+interface WholeCase extends ByteScript {
+    kinds: readonly RequestKind[];
+    delivered: string;
+}
+
+/** Responses that are whole although something about them is unusual. */
+const wholeCases: Record<string, WholeCase> = {
+    "neither length nor chunks": {
+        kinds: allKinds,
+        text: `${HEAD}\r\n${EVENTS}`,
+        finish: Finish.End,
+        delivered: EVENTS,
+    },
+    "neither length nor chunks and a close header": {
+        kinds: allKinds,
+        text: `${HEAD}connection: close\r\n\r\n${EVENTS}`,
+        finish: Finish.End,
+        delivered: EVENTS,
+    },
+    "no body, neither length nor chunks": {
+        kinds: callKinds,
+        text: `${HEAD}\r\n`,
+        finish: Finish.End,
+        delivered: "",
+    },
+    "informational responses before it": {
+        kinds: allKinds,
+        text: `HTTP/1.1 102 Processing\r\n\r\n`.repeat(20)
+            + `${HEAD}content-length: ${EVENTS.length}\r\n\r\n${EVENTS}`,
+        delivered: EVENTS,
+    },
+    "endless bytes after it": {
+        kinds: allKinds,
+        text: `${HEAD}content-length: ${EVENTS.length}\r\n\r\n${EVENTS}`,
+        endless: "0123456789",
+        delivered: EVENTS,
+    },
+    "endless blank lines after it": {
+        kinds: allKinds,
+        text: `${HEAD}content-length: ${EVENTS.length}\r\n\r\n${EVENTS}`,
+        endless: "\r\n",
+        delivered: EVENTS,
+    },
+    "a second response after it": {
+        kinds: allKinds,
+        text: (`${HEAD}content-length: ${EVENTS.length}\r\n\r\n${EVENTS}`).repeat(2),
+        delivered: EVENTS,
+    },
+    "endless bytes after its chunks": {
+        kinds: allKinds,
+        text: `${HEAD}${CHUNKED}${chunkOf(EVENTS)}0\r\n\r\n`,
+        endless: "0123456789",
+        delivered: EVENTS,
+    },
+};
+
+// Guards against whole responses that are lost, and against bytes after a response that reach a caller.
+for (const [title, { kinds, delivered, ...script }] of Object.entries(wholeCases)) {
+    for (const kind of kinds) {
+        test.serial(`${kind} gets exactly its whole response when it has ${title}`, async (t) => {
+            const server = await startRawServer(t, script);
+            const { send } = createFixture(t, [server]);
+            for (const _ of [1, 2]) {
+                const response = await send(requestFields[kind]);
+                t.is(response.error, undefined);
+                t.is(response.text, delivered);
+                t.true(response.isEnded);
+            }
+            t.is(server.receivedIds.length, 2);
+        });
+    }
+}
+
+/** Responses that break off, with the events that arrive before that. */
+const brokenCases: Record<string, ByteScript & { events: string; }> = {
+    "is reset between events": {
+        text: `${HEAD}\r\n${eventOf(1)}${eventOf(2)}`,
+        finish: Finish.Reset,
+        events: eventOf(1) + eventOf(2),
+    },
+    "is reset inside an event": {
+        text: `${HEAD}\r\n${eventOf(1)}id: 2\nda`,
+        finish: Finish.Reset,
+        events: eventOf(1),
+    },
+    "ends before its last chunk": {
+        text: `${HEAD}${CHUNKED}${chunkOf(eventOf(1))}`,
+        finish: Finish.End,
+        events: eventOf(1),
+    },
+    "ends before its content-length": {
+        text: `${HEAD}content-length: 999\r\n\r\n${eventOf(1)}`,
+        finish: Finish.End,
+        events: eventOf(1),
+    },
+    "ends inside its trailers": {
+        text: `${HEAD}${CHUNKED}${chunkOf(eventOf(1))}0\r\nx-more: 1\r\n`,
+        finish: Finish.End,
+        events: eventOf(1),
+    },
+};
+
+// Guards against a response that was broken off and looks complete, and against lost, repeated or joined events.
+for (const [title, { events, ...script }] of Object.entries(brokenCases)) {
+    for (const kind of allKinds) {
+        test(`${kind} never gets a response as complete that ${title}`, async (t) => {
+            const servers = [await startRawServer(t, script), await startRawServer(t, script)];
+            const response = await createFixture(t, servers).send(requestFields[kind]);
+            await waitUntilClosed(servers);
+            t.false(response.isEnded);
+            t.is(response.isDestroyed, response.hasStarted);
+            t.is(response.error?.verdict, Verdict.MayHaveRun);
+            const lastEventId = events === "" ? undefined : String(events.split("id: ").length - 1);
+            const isStream = streamKinds.includes(kind);
+            t.true(response.text.startsWith(isStream ? events : ""));
+            t.deepEqual(
+                servers.flatMap(({ lastEventIds }) => lastEventIds),
+                repeatableKinds.has(kind) ? [undefined, isStream ? lastEventId : undefined] : [undefined],
+            );
+        });
+    }
+
+    test(`a stream is resumed when its first response ${title}`, async (t) => {
+        const broken = await startRawServer(t, script);
+        const sound = await startServer(t, streamEvents(4));
+        const response = await createFixture(t, [broken, sound]).send(requestFields[RequestKind.Stream]);
+        t.is(response.text, EVENTS);
+        t.true(response.isEnded);
+    });
+}
+
+// Guards against late failures when another server could still respond in time.
+for (const [title, { kinds, ...script }] of Object.entries(endlessCases)) {
+    for (const kind of kinds.filter((candidate) => repeatableKinds.has(candidate))) {
+        test.serial(`${kind} is served by another server when the first sends ${title} without end`, async (t) => {
+            const broken = await startRawServer(t, script);
+            const sound = await startServer(t, streamEvents(4));
+            const response = await createFixture(t, [broken, sound]).send(requestFields[kind]);
+            t.is(response.text, EVENTS);
+            t.true(response.isEnded);
+            t.is(broken.receivedIds.length, 1);
+        });
+    }
+}
