Act on a rejection when its head arrives

A request whose server rejected it with a body that is slow or never ends waited for that body: until its route's time limit (a call) or the stall check (a stream), although another server could have run it. Cause: Attempt settled a rejection at the end of the response, while the head alone says that the request was not run. It now settles at the head; the rest of the response has one second to end, then its connection is destroyed (Exchange.finish), so that connections of ordinary rejections are reused as before.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -105,10 +105,16 @@
             this.fail(FailureKind.BadStatus, "the response carries no signature of the server");
             return;
         }
-        this.#head = head;
-        if (!head.isNotRun) {
-            this.#options.onHead(head);
+        if (head.isNotRun) {
+            // The head alone guarantees that the request was not run; its body may be slow or never end.
+            const reason =
+                `${this.#options.name} responded with status ${status} and did not run the request`;
+            this.#settle({ kind: "notRun", reason, head });
+            this.#exchange.finish();
+            return;
         }
+        this.#head = head;
+        this.#options.onHead(head);
     }
 
     #onBody(chunk: Buffer): void {
@@ -131,8 +137,7 @@
 
     #isEventStream(): boolean {
         const head = this.#head;
-        return this.#options.onEvents !== undefined && head !== undefined && head.status < 300
-            && !head.isNotRun;
+        return this.#options.onEvents !== undefined && head !== undefined && head.status < 300;
     }
 
     #onEnd(): void {
@@ -141,12 +146,6 @@
             this.#settle({ kind: "failed", reason: "the response has no head", failure: FailureKind.Broken });
             return;
         }
-        if (head.isNotRun) {
-            const reason =
-                `${this.#options.name} responded with status ${head.status} and did not run the request`;
-            this.#settle({ kind: "notRun", reason, head });
-            return;
-        }
         if (this.#isEventStream() && this.#scanner.hasPartial) {
             this.#settle({
                 kind: "failed",
@@ -163,13 +162,6 @@
             this.#settle({ kind: "notRun", reason: error.message });
             return;
         }
-        // The head alone guarantees that the request was not run, even if the rest of the response is lost.
-        if (this.#head?.isNotRun) {
-            const reason =
-                `${this.#options.name} responded with status ${this.#head.status} and did not run the request`;
-            this.#settle({ kind: "notRun", reason, head: this.#head });
-            return;
-        }
         this.#settle({ kind: "failed", reason: error.message, failure: error.kind });
     }
 
--- a/test/gateway/brokenservers.test.ts
+++ b/test/gateway/brokenservers.test.ts
@@ -248,6 +248,21 @@
 
 const REJECTION = "HTTP/1.1 503 Busy\r\nx-id: {id}\r\nx-not-run: 1\r\n";
 
+// Guards against a rejection that is held back until its body ends.
+for (const kind of allKinds) {
+    test(`${kind} goes to another server when a rejection has an endless body`, async (t) => {
+        const text = `${REJECTION}content-length: 999999\r\n\r\n`;
+        const rejecting = await startRawServer(t, { text, endless: "x", intervalMs: DRIP_INTERVAL_MS });
+        const sound = await startServer(t, streamEvents(4));
+        const startedAtMs = performance.now();
+        const response = await createFixture(t, [rejecting, sound]).send(requestFields[kind]);
+        t.is(response.text, EVENTS);
+        t.true(performance.now() - startedAtMs < ROUTE_TIMEOUT_MS / 8);
+        t.is(sound.received.length, 1);
+        await waitUntilClosed([rejecting]);
+    });
+}
+
 // Guards against a rejection that hides that an earlier attempt may have run the request.
 for (const kind of repeatableKinds) {
     test(`${kind} that a server may have run isn't reported as not run when the next rejects it`, async (t) => {
