List and lift quarantines of prompt parts on the metrics address

Operators could see which prompt parts are rejected only in the leader's log, and could not end a quarantine before its trial, a minute or more later: callers of a part that no longer crashes engines got 503 for all that time.

Cause: the leader's list had no call for reading or changing it. Any control daemon now forwards both to the leader: GET /quarantine lists the quarantined parts and the suspects, DELETE /quarantine/PART forgets the crashes that blame a part. A daemon without a leader, or a leader without its lease, answers 503 and changes nothing.

--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -4,6 +4,7 @@
 export * from "./group.ts";
 export * from "./loadratelimiter.ts";
 export * from "./orders.ts";
+export * from "./partoperations.ts";
 export * from "./partquarantine.ts";
 export * from "./partreports.ts";
 export * from "./planner.ts";
--- a/packages/fleet/src/service.ts
+++ b/packages/fleet/src/service.ts
@@ -15,6 +15,7 @@
 import { ConfigurationSource, type ConfigurationSourceOptions } from "./configurations.ts";
 import { GroupController } from "./controller.ts";
 import type { EngineOrders } from "./orders.ts";
+import { PartOperations } from "./partoperations.ts";
 import { PartQuarantine } from "./partquarantine.ts";
 import { PartReportHandler } from "./partreports.ts";
 import { GroupRecordStore } from "./recordstore.ts";
@@ -43,6 +44,8 @@
 export class FleetService {
     /** Handles reports and shutdown announcements of backend servers. */
     readonly reportHandler: ServerReportHandler;
+    /** Lists and lifts quarantines of prompt parts for operators. */
+    readonly partOperations: PartOperations;
     readonly #options: FleetServiceOptions;
     readonly #lifecycle = new Lifecycle();
     readonly #registry = new ServerRegistry();
@@ -108,13 +111,15 @@
             controller: this.#controller,
         });
         peers.handle("fleet.suspect", (suspicion) => this.#handleSuspicion(suspicion));
-        new PartReportHandler({
+        const partOptions = {
             context,
             peers,
             log,
             controller: this.#controller,
             quarantine: this.#quarantine,
-        });
+        };
+        new PartReportHandler(partOptions);
+        this.partOperations = new PartOperations(partOptions);
     }
 
     /** The latest view; undefined before the first one. */
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -7,6 +7,7 @@
     PlacementRequest,
     PlacementResponse,
     ServerReport,
+    SuspectPartRecord,
     SuspicionResponse,
     WatchRequest,
     WatchResponse,
@@ -258,6 +259,10 @@
     "parts.report": { request: PartReport; response: PartReportResponse; };
     /** Asks the leader for permission to send one request with a quarantined part. */
     "parts.trial": { request: { service: string; partId: string; }; response: { isGranted: boolean; }; };
+    /** Returns the suspect parts of the leader. */
+    "parts.list": { request: object; response: { isAccepted: boolean; parts: SuspectPartRecord[]; }; };
+    /** Clears a part on an operator's order. Returns the services in which it was a suspect. */
+    "parts.lift": { request: { partId: string; }; response: { isAccepted: boolean; services: string[]; }; };
     /** An entry daemon sends its usage of the groups and receives that of all other entry daemons. */
     "usage.exchange": {
         request: { usage: GroupUsage[]; };
--- a/test/platform/fixtures.ts
+++ b/test/platform/fixtures.ts
@@ -113,7 +113,7 @@
 /** Sends one request. Returns undefined if the connection is refused. */
 export const call = async (
     url: string,
-    options: { method?: "GET" | "POST"; body?: string; headers?: Record<string, string>; } = {},
+    options: { method?: "GET" | "POST" | "DELETE"; body?: string; headers?: Record<string, string>; } = {},
 ): Promise<CallResult | undefined> => {
     try {
         const { statusCode, headers, body } = await request(url, options);
--- a/test/platform/poison.test.ts
+++ b/test/platform/poison.test.ts
@@ -4,6 +4,7 @@
 import { request } from "undici";
 import { CrashingEngines } from "./crashingengines.ts";
 import {
+    call,
     callUntil,
     chatHeaders,
     type PlatformFixture,
@@ -32,6 +33,20 @@
 const DEADLY_PART = "dead0001";
 const SHARED_PARTS = ["5c1e07a2", "91bd3f06"];
 
+const LIFT_AFTER_MS = 4_000;
+/** Time by which all entry daemons know of a lift. */
+const LIFT_PROPAGATION_MS = 500;
+
+/** Prompt part as listed for operators. */
+interface ListedPart {
+    part: string;
+    service: string;
+    state: string;
+    since: string;
+    crashes: number;
+    next_trial?: string;
+}
+
 /** Outcome of a request; times are from `performance.now()`. */
 interface Outcome {
     requestId: string;
@@ -116,7 +131,7 @@
 const startFleet = async (
     t: ExecutionContext,
     { sendsHeadEarly = false } = {},
-): Promise<{ callers: Callers; engines: CrashingEngines; }> => {
+): Promise<{ callers: Callers; engines: CrashingEngines; platform: PlatformFixture; }> => {
     const platform = await startPlatform(t, { entryCount: 2 });
     const engines = await CrashingEngines.start(t, platform, { groupCount: GROUP_COUNT, sendsHeadEarly });
     const replaceUrl = `http://${platform.control}/greengageridge/Config.Replace`;
@@ -131,7 +146,7 @@
         await callUntil(200, `http://${callers}/chat/0`, { method: "POST", headers: chatHeaders("r0") });
     }
     await engines.waitForGroups(GROUP_COUNT);
-    return { callers: new Callers(platform), engines };
+    return { callers: new Callers(platform), engines, platform };
 };
 
 const servedShareOf = (outcomes: Outcome[]): number =>
@@ -203,6 +218,43 @@
 test("a prompt part that crashes engines after the response head takes down group after group", (t) =>
     checkDeadlyPart(t, { sendsHeadEarly: true }));
 
+// Guards against a quarantine that operators can't see, or that outlasts its lift at an entry daemon.
+test("a prompt part is still rejected after an operator has lifted its quarantine", async (t) => {
+    t.timeout(60_000);
+    const { callers, engines, platform } = await startFleet(t, { sendsHeadEarly: true });
+    const quarantineUrl = `http://${platform.controlMetrics}/quarantine`;
+    t.deepEqual(JSON.parse((await call(quarantineUrl))?.text ?? ""), { parts: [] });
+    engines.deadlyParts.add(DEADLY_PART);
+    const load = callers.run(LIFT_AFTER_MS, { withDeadly: true });
+    const quarantined = await waitFor("a quarantined part", async () => {
+        const { parts } = JSON.parse((await call(quarantineUrl))?.text ?? "") as { parts: ListedPart[]; };
+        return parts.find(({ state }) => state === "quarantined");
+    });
+    t.like(quarantined, { part: DEADLY_PART, service: "llm", crashes: engines.crashTimesMs.length });
+    t.true(Date.parse(quarantined.since) <= Date.now());
+    t.true(Date.parse(quarantined.next_trial ?? "") > Date.now());
+    await load;
+
+    engines.deadlyParts.clear();
+    const lift = (part: string): ReturnType<typeof call> =>
+        call(`${quarantineUrl}/${part}`, { method: "DELETE" });
+    t.is((await lift("unknown"))?.status, 404);
+    const answer = await lift(DEADLY_PART);
+    t.is(answer?.status, 200);
+    t.deepEqual(JSON.parse(answer?.text ?? ""), { part: DEADLY_PART, services: ["llm"] });
+    await sleep(LIFT_PROPAGATION_MS);
+    const liftedAtMs = performance.now();
+    platform.entries.forEach(() => callers.send(true));
+    await callers.settle();
+    const afterLift = callers.outcomes.filter(({ isDeadly, sentAtMs }) => isDeadly && sentAtMs >= liftedAtMs);
+    t.deepEqual(afterLift.map(({ isServed }) => isServed), platform.entries.map(() => true));
+    t.deepEqual(JSON.parse((await call(quarantineUrl))?.text ?? ""), { parts: [] });
+    t.regex(
+        (await call(`http://${platform.controlMetrics}/metrics`))?.text ?? "",
+        /fleet_quarantined_parts 0/,
+    );
+});
+
 const KILLED_GROUPS = 3;
 /** Pause between two kills one after the other: longer than the time in which rejections are accepted. */
 const KILL_PAUSE_MS = 1_500;
