--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -1,4 +1,4 @@
-import { type Context, Lifecycle, LogPart, messageOf } from "@greengage/base";
+import { type ConnectionCounts, type Context, Lifecycle, LogPart, messageOf } from "@greengage/base";
 import { RoutingTable } from "@greengage/configuration";
 import { FleetWatcher, unpackConfiguration, UsageClient } from "@greengage/fleet";
 import { Gateway, PLACEMENT_TIMEOUT_MS, type RetryLimits, type ServerDialect } from "@greengage/gateway";
@@ -91,16 +91,21 @@
     }
 
     /** Makes the readiness check fail. Requests are still served. */
-    drain(): void {
+    drain(connections: ConnectionCounts): void {
         this.#isDraining = true;
-        this.#options.context.decisions.record("daemon.drain", { inFlight: this.gateway.inFlight });
+        this.gateway.drain();
+        this.#record("daemon.drain", connections);
     }
 
-    async close(): Promise<void> {
-        this.#options.context.decisions.record("daemon.stop", { inFlight: this.gateway.inFlight });
+    async close(connections: ConnectionCounts): Promise<void> {
+        this.#record("daemon.stop", connections);
         await this.#lifecycle.close();
     }
 
+    #record(event: string, connections: ConnectionCounts): void {
+        this.#options.context.decisions.record(event, { inFlight: this.gateway.inFlight, ...connections });
+    }
+
     /** Control daemons in order of preference: the own zone, other zones, then seeds missing from the fleet view. */
     #controlDaemonIds(): string[] {
         const { zone } = this.#options.context;
--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -90,6 +90,7 @@
             request: request.requestId,
             route: route.name,
             ageMs: Math.round(monotonicMs() - request.receivedAtMs),
+            drainMs: this.deps.drainMs(),
             ...fields,
         });
     }
--- a/packages/gateway/src/dependencies.ts
+++ b/packages/gateway/src/dependencies.ts
@@ -21,6 +21,8 @@
     demandMeter: DemandMeter;
     firstTokenOffsets: FirstTokenOffsets;
     random: Random;
+    /** Time since the start of the drain; undefined unless the daemon is draining. */
+    drainMs: () => number | undefined;
     routing: () => RoutingTable | undefined;
     placementClient: PlacementClient;
     /** Marks a group as suspected and reports it to the controller. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -55,6 +55,7 @@
     readonly #random = new Random();
     #routing: RoutingTable | undefined;
     #inFlight = 0;
+    #drainStartedAtMs: number | undefined;
     #hasView = false;
 
     constructor(options: GatewayOptions) {
@@ -70,6 +71,7 @@
             firstTokenOffsets: new FirstTokenOffsets(),
             random: this.#random,
             routing: () => this.#routing,
+            drainMs: () => this.drainMs,
             placementClient: new PlacementClient(options.context, options.requestPlacement),
             suspect: (group, details) => this.#suspect(group, details),
         };
@@ -84,6 +86,17 @@
         return this.#inFlight;
     }
 
+    /** Time since the start of the drain; undefined unless the daemon is draining. */
+    get drainMs(): number | undefined {
+        return this.#drainStartedAtMs === undefined
+            ? undefined
+            : Math.round(monotonicMs() - this.#drainStartedAtMs);
+    }
+
+    drain(): void {
+        this.#drainStartedAtMs ??= monotonicMs();
+    }
+
     start(): void {
         this.#lifecycle.every(STALL_CHECK_INTERVAL_MS, () => this.#checkStalls(), (error) => {
             this.#options.context.decisions.record("gateway.stallCheck.failed", { reason: String(error) });
@@ -149,6 +162,7 @@
                 code: failure.code,
                 reason: failure.message,
                 configuration: this.#routing?.version,
+                drainMs: this.drainMs,
             });
             metrics.count("gateway.failed", 1, { code: failure.code });
             response.fail(failure);
