--- a/test/platform/fixtures.ts
+++ b/test/platform/fixtures.ts
@@ -30,6 +30,7 @@
     /** `host:port` of the control daemon; the next one is its address for metrics. */
     control: string;
     controlMetrics: string;
+    controlProcess: ChildProcess;
     /** Returns the log output of the control daemon so far. */
     controlLog: () => string;
     /** All entry daemons. */
@@ -78,7 +79,7 @@
         return { ...addresses, metrics: `${host}:${METRICS_PORT}`, entry: child, entryLog: log };
     };
     t.teardown(() => rmSync(folder, { recursive: true, force: true }));
-    const { log: controlLog } = start("core-z-1", "control", {
+    const { child: controlProcess, log: controlLog } = start("core-z-1", "control", {
         ip: CONTROL_HOST,
         listen: { control: `${CONTROL_HOST}:${control}` },
         data_dir: join(folder, "data"),
@@ -88,6 +89,7 @@
     return {
         control: `${CONTROL_HOST}:${control}`,
         controlMetrics: `${CONTROL_HOST}:${METRICS_PORT}`,
+        controlProcess,
         controlLog,
         ...first,
         entries: [first, ...others],
