Close the gaps in blame and trials that the review of the quarantine found

A review that had not seen the work found cases in which a poison request would still be sent on, or sound requests with a part be rejected for long; each was seen in a trial test on before:

- a crash within 500 ms of another probe of the group was denied, and the denial kept for a second.
The probe of the head decides alone now, which also covers groups of one VM, and a denial isn't kept
- a response that ended inside its first event, or fell silent after its head, was not reported, and its request sent on
- a request with a trial lost it when its first group did not run it; the trial then blocked others for 15 s, now 3 s
- any crash by a request that had been sent before counted as a failed trial, so a sound first part stayed rejected for minutes
- parts beside a quarantined part were blamed as well; an earlier crash of a queued neighbour hid that two parts can't be told apart
- a report that a part was served before came too late to end its quarantine
- a leader that was collecting reports after an election published no quarantine until it had settled
- Retry-After named a minute also where the trial is due after 3 s; requests already placed were sent after the quarantine; 500 parts of one request could evict the evidence; reports were repeated after the close

Left open by the review, see the postmortem: callers that leave just before the crash, the retries of the product's own daemons (packages/routing).

--- a/packages/fleet/src/controller.ts
+++ b/packages/fleet/src/controller.ts
@@ -158,14 +158,18 @@
         if (probe.kind === "answered") {
             return false;
         }
-        await this.checkSuspectedGroup({
+        const suspicion = {
             groupName,
             epoch,
             reason: "the connections to the head failed",
             hasRunningStream: false,
+        };
+        const { lifecycle } = this.#state;
+        lifecycle.run(async () => void await this.checkSuspectedGroup(suspicion), (error) => {
+            const fields = { group: groupName, reason: messageOf(error) };
+            this.#options.context.decisions.record("group.checkFailed", fields);
         });
-        const hasEnded = this.#state.registry.hasEnded(head.report.serverId, head.report.bornMs);
-        return hasEnded || this.#state.groups.get(groupName) !== group || group.phase !== GroupPhase.Open;
+        return true;
     }
 
     recordDemand(demand: readonly ModelDemand[]): void {
--- a/packages/fleet/src/partquarantine.ts
+++ b/packages/fleet/src/partquarantine.ts
@@ -17,11 +17,13 @@
 const QUARANTINE_TTL_MS = 24 * 3_600_000;
 /** Time from the quarantine to the first trial. It doubles with each failed trial. */
 export const FIRST_TRIAL_DELAY_MS = 60_000;
-/** Delay for a part that only ever crashed groups together with a later part of the prompt. */
+/** Delay for parts that can't be told from each other, so that the sound ones are cleared soon. */
 export const AMBIGUOUS_TRIAL_DELAY_MS = 3_000;
 const MAX_TRIAL_DELAY_MS = 3_600_000;
 /** Time after which a trial without an outcome is repeated. */
-const TRIAL_TIMEOUT_MS = 15_000;
+export const TRIAL_TIMEOUT_MS = 3_000;
+/** Limits what one request can add to the suspects. */
+const MAX_BLAMED_PARTS = 32;
 /** The suspects with the oldest crashes are dropped beyond this number. */
 const MAX_SUSPECT_PARTS = 1_000;
 
@@ -36,7 +38,10 @@
     wasServedBefore: boolean;
     /** Time of the next trial; undefined if the part is not quarantined. */
     nextTrialAtMs: number | undefined;
+    /** Time until which a granted trial may fail. */
+    trialEndsAtMs: number;
     failedTrialCount: number;
+    isAmbiguous: boolean;
 }
 
 /**
@@ -65,11 +70,16 @@
         requests: readonly UnservedRequest[],
         nowMs: number,
     ): void {
+        const quarantined = new Set(
+            [...this.#suspects].filter(([, suspect]) => isQuarantined(suspect)).map(([key]) => key),
+        );
         for (const { partIds, hasHead } of requests) {
-            partIds.forEach((partId, position) => {
+            const causes = partIds.filter((partId) => quarantined.has(keyOf(service, partId)));
+            for (const partId of (causes.length > 0 ? causes : partIds).slice(0, MAX_BLAMED_PARTS)) {
+                const position = partIds.indexOf(partId);
                 const suspect = this.#suspectOf({ service, partId, position }, nowMs);
                 this.#blame(suspect, epoch, hasHead, nowMs);
-            });
+            }
         }
         this.update(nowMs);
     }
@@ -86,8 +96,7 @@
                 this.#clear(key, "a request with it was served");
             }
             else if (!suspect.wasServedBefore) {
-                suspect.wasServedBefore = true;
-                this.#version += 1;
+                this.#markServedBefore(suspect, nowMs);
             }
         }
     }
@@ -99,6 +108,7 @@
             return false;
         }
         suspect.nextTrialAtMs = nowMs + TRIAL_TIMEOUT_MS;
+        suspect.trialEndsAtMs = suspect.nextTrialAtMs;
         this.#version += 1;
         this.#record("part.trial", suspect, {});
         return true;
@@ -120,13 +130,16 @@
         const blamed = [...this.#suspects.values()].filter((suspect) =>
             !isQuarantined(suspect) && isBlamed(suspect, nowMs)
         );
+        const candidates = [...this.#suspects.values()].filter((suspect) =>
+            isQuarantined(suspect) || blamed.includes(suspect)
+        );
         for (const suspect of blamed) {
-            const isAmbiguous = blamed.some((other) =>
-                other.position > suspect.position && haveEqualCrashes(suspect, other)
+            suspect.isAmbiguous = candidates.some((other) =>
+                other !== suspect && haveCommonCrashes(suspect, other)
             );
-            suspect.nextTrialAtMs = nowMs + (isAmbiguous ? AMBIGUOUS_TRIAL_DELAY_MS : trialDelayMs(suspect));
+            suspect.nextTrialAtMs = nowMs + trialDelayMs(suspect);
             this.#version += 1;
-            this.#record("part.quarantined", suspect, { isAmbiguous });
+            this.#record("part.quarantined", suspect, { isAmbiguous: suspect.isAmbiguous });
         }
         const { metrics } = this.#context;
         const quarantinedCount = [...this.#suspects.values()].filter(isQuarantined).length;
@@ -141,6 +154,7 @@
             partId: suspect.partId,
             isQuarantined: isQuarantined(suspect),
             isTrialDue: suspect.nextTrialAtMs !== undefined && nowMs >= suspect.nextTrialAtMs,
+            trialDelayMs: trialDelayMs(suspect),
         }));
     }
 
@@ -155,6 +169,7 @@
             lastCrashAgeMs: Math.round(nowMs - suspect.lastCrashAtMs),
             wasServedBefore: suspect.wasServedBefore,
             failedTrialCount: suspect.failedTrialCount,
+            isAmbiguous: suspect.isAmbiguous,
             ...(suspect.nextTrialAtMs === undefined
                 ? {}
                 : { nextTrialMs: Math.max(0, Math.round(suspect.nextTrialAtMs - nowMs)) }),
@@ -175,7 +190,9 @@
                 lastCrashAtMs: nowMs - record.lastCrashAgeMs,
                 wasServedBefore: record.wasServedBefore,
                 nextTrialAtMs: record.nextTrialMs === undefined ? undefined : nowMs + record.nextTrialMs,
+                trialEndsAtMs: -Infinity,
                 failedTrialCount: record.failedTrialCount,
+                isAmbiguous: record.isAmbiguous,
             });
         }
         this.#version += 1;
@@ -186,7 +203,8 @@
         if (epochs.has(epoch)) {
             return;
         }
-        if (isQuarantined(suspect) && !suspect.crashedEpochs.has(epoch)) {
+        if (hasHead && nowMs < suspect.trialEndsAtMs) {
+            suspect.trialEndsAtMs = -Infinity;
             suspect.failedTrialCount += 1;
             suspect.nextTrialAtMs = nowMs + trialDelayMs(suspect);
         }
@@ -197,6 +215,16 @@
         this.#record("part.suspected", suspect, { epoch, hasHead });
     }
 
+    /** A part that was served before needs more crashes, so this can lift its quarantine. */
+    #markServedBefore(suspect: SuspectState, nowMs: number): void {
+        suspect.wasServedBefore = true;
+        this.#version += 1;
+        if (isQuarantined(suspect) && !isBlamed(suspect, nowMs)) {
+            suspect.nextTrialAtMs = undefined;
+            this.#record("part.released", suspect, { reason: "it was served before the first crash" });
+        }
+    }
+
     #suspectOf(
         { service, partId, position }: Pick<SuspectState, "service" | "partId" | "position">,
         nowMs: number,
@@ -217,7 +245,9 @@
             lastCrashAtMs: nowMs,
             wasServedBefore: false,
             nextTrialAtMs: undefined,
+            trialEndsAtMs: -Infinity,
             failedTrialCount: 0,
+            isAmbiguous: false,
         };
         this.#suspects.set(key, suspect);
         return suspect;
@@ -278,9 +308,10 @@
         || meets(crashedEpochs.size, WAITING_RULE);
 };
 
-const haveEqualCrashes = (a: SuspectState, b: SuspectState): boolean =>
-    a.service === b.service && a.crashedEpochs.size === b.crashedEpochs.size
-    && [...a.crashedEpochs].every((epoch) => b.crashedEpochs.has(epoch));
+const haveCommonCrashes = (a: SuspectState, b: SuspectState): boolean =>
+    a.service === b.service && [...a.answeringEpochs].some((epoch) => b.answeringEpochs.has(epoch));
 
-const trialDelayMs = ({ failedTrialCount }: SuspectState): number =>
-    Math.min(MAX_TRIAL_DELAY_MS, FIRST_TRIAL_DELAY_MS * 2 ** failedTrialCount);
+const trialDelayMs = ({ failedTrialCount, isAmbiguous }: SuspectState): number =>
+    isAmbiguous && failedTrialCount === 0
+        ? AMBIGUOUS_TRIAL_DELAY_MS
+        : Math.min(MAX_TRIAL_DELAY_MS, FIRST_TRIAL_DELAY_MS * 2 ** failedTrialCount);
--- a/packages/fleet/src/partreports.ts
+++ b/packages/fleet/src/partreports.ts
@@ -11,8 +11,10 @@
     context: Context;
     peers: Peers;
     log: Pick<RaftLog, "holdsLeaderLease" | "status">;
-    controller: Pick<GroupController, "confirmCrash" | "wake">;
+    controller: Pick<GroupController, "confirmCrash">;
     quarantine: PartQuarantine;
+    /** Called after each report. */
+    onReported: () => void;
 }
 
 /** Handles the observations of entry daemons about prompt parts on the leader. */
@@ -30,7 +32,7 @@
     }
 
     async #handleReport({ crashes, served }: PartReport): Promise<PartReportResponse> {
-        const { log, controller, quarantine } = this.#options;
+        const { log, quarantine, onReported } = this.#options;
         if (!log.holdsLeaderLease) {
             return { isAccepted: false, leaderId: log.status().leaderId, crashedEpochs: [] };
         }
@@ -45,7 +47,7 @@
             quarantine.recordCrash(service, epoch, requests, nowMs)
         );
         served.forEach((parts) => quarantine.recordServed(parts, nowMs));
-        controller.wake();
+        onReported();
         return { isAccepted: true, crashedEpochs: confirmed.map(({ epoch }) => epoch) };
     }
 
@@ -61,14 +63,27 @@
         if (known !== undefined) {
             return known.result;
         }
-        const result = this.#options.controller.confirmCrash(groupName, epoch).catch((error: unknown) => {
+        const result = this.#probe(groupName, epoch);
+        this.#confirmations.set(epoch, { result, atMs: nowMs });
+        return result;
+    }
+
+    async #probe(groupName: string, epoch: number): Promise<boolean> {
+        try {
+            const hasCrashed = await this.#options.controller.confirmCrash(groupName, epoch);
+            if (!hasCrashed) {
+                // The group may crash at any time.
+                this.#confirmations.delete(epoch);
+            }
+            return hasCrashed;
+        }
+        catch (error) {
+            this.#confirmations.delete(epoch);
             this.#options.context.decisions.record("group.crashUnconfirmed", {
                 group: groupName,
                 reason: messageOf(error),
             });
             return false;
-        });
-        this.#confirmations.set(epoch, { result, atMs: nowMs });
-        return result;
+        }
     }
 }
--- a/packages/fleet/src/service.ts
+++ b/packages/fleet/src/service.ts
@@ -114,6 +114,7 @@
             log,
             controller: this.#controller,
             quarantine: this.#quarantine,
+            onReported: () => this.#publishSuspects(),
         });
     }
 
@@ -215,6 +216,14 @@
         }
     }
 
+    /** Publishes changed suspects, also before this leader has settled. A view without any group would stop all requests. */
+    #publishSuspects(): void {
+        const hasGroups = this.#controller.isSettled || this.#records !== undefined;
+        if (this.#leadingTerm !== undefined && hasGroups) {
+            this.#publish();
+        }
+    }
+
     /** Publishes a new view if the available groups, servers or suspect parts have changed, and new records if groups or parts have. */
     #publish(): void {
         const { timing } = this.#options;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -118,6 +118,7 @@
 
     async close(): Promise<void> {
         await this.#lifecycle.close();
+        await this.#deps.promptParts.close();
         await this.#deps.pools.close();
     }
 
--- a/packages/gateway/src/promptparts.ts
+++ b/packages/gateway/src/promptparts.ts
@@ -1,4 +1,13 @@
-import { type Context, ErrorCode, GreengageError, messageOf, monotonicMs, Verdict } from "@greengage/base";
+import {
+    type Context,
+    ErrorCode,
+    GreengageError,
+    Lifecycle,
+    messageOf,
+    monotonicMs,
+    sleep,
+    Verdict,
+} from "@greengage/base";
 import type {
     GroupCrash,
     GroupTarget,
@@ -20,8 +29,6 @@
 /** Interval at which a report without an answer is sent again. */
 const REPORT_RETRY_MS = 250;
 const REPORT_LIFETIME_MS = 5_000;
-/** The earliest time at which a trial can clear a quarantined part. */
-const QUARANTINE_RETRY_AFTER_MS = 60_000;
 
 /** Connection to the leader for observations about prompt parts. */
 export interface PartLeader {
@@ -41,6 +48,7 @@
 export class PromptParts {
     readonly #context: Context;
     readonly #leader: PartLeader;
+    readonly #lifecycle = new Lifecycle();
     /** Time at which a request with the part last produced an event, in order of that time. */
     readonly #servedAtMs = new Map<string, number>();
     #suspects = new Map<string, SuspectPart>();
@@ -55,6 +63,11 @@
         this.#leader = leader;
     }
 
+    close(): Promise<void> {
+        clearTimeout(this.#servedTimer);
+        return this.#lifecycle.close();
+    }
+
     setSuspects(suspects: readonly SuspectPart[]): void {
         const former = this.#suspects;
         this.#suspects = new Map(
@@ -70,26 +83,27 @@
 
     /**
      * Throws an error that rejects the request if one of its parts is quarantined, unless the leader grants a trial.
+     * Resolves to whether the request is a trial.
      */
-    async admit(service: string, partIds: readonly string[]): Promise<void> {
-        const quarantined = partIds.map((partId) => this.#suspects.get(keyOf(service, partId)))
-            .filter((suspect) => suspect?.isQuarantined === true);
+    async admit(service: string, partIds: readonly string[]): Promise<boolean> {
+        const quarantined = this.#quarantined(service, partIds);
         const [suspect] = quarantined;
         if (suspect === undefined) {
-            return;
+            return false;
         }
-        const isTrial = quarantined.length === 1 && suspect.isTrialDue && await this.#requestTrial(suspect);
-        if (!isTrial) {
-            this.#context.metrics.count("gateway.quarantined");
-            throw new GreengageError(
-                `prompt part ${suspect.partId} is quarantined because it crashes engines`,
-                {
-                    code: ErrorCode.Quarantined,
-                    verdict: Verdict.NotRun,
-                    retryAfterMs: QUARANTINE_RETRY_AFTER_MS,
-                },
-            );
+        if (quarantined.length === 1 && suspect.isTrialDue && await this.#requestTrial(suspect)) {
+            return true;
         }
+        this.#context.metrics.count("gateway.quarantined");
+        throw new GreengageError(`prompt part ${suspect.partId} is quarantined because it crashes engines`, {
+            code: ErrorCode.Quarantined,
+            verdict: Verdict.NotRun,
+            retryAfterMs: suspect.trialDelayMs,
+        });
+    }
+
+    hasQuarantined(service: string, partIds: readonly string[]): boolean {
+        return this.#quarantined(service, partIds).length > 0;
     }
 
     /** Records that a request with these parts has produced its first event. */
@@ -137,6 +151,11 @@
         return !request.hasHead || isCleared || !await hasCrashed;
     }
 
+    #quarantined(service: string, partIds: readonly string[]): SuspectPart[] {
+        return partIds.map((partId) => this.#suspects.get(keyOf(service, partId)))
+            .filter((suspect) => suspect !== undefined).filter(({ isQuarantined }) => isQuarantined);
+    }
+
     #wasServedWithin(key: string, ttlMs: number, nowMs: number): boolean {
         return nowMs - (this.#servedAtMs.get(key) ?? -Infinity) < ttlMs;
     }
@@ -154,19 +173,22 @@
     }
 
     async #sendCrash(crash: GroupCrash): Promise<boolean> {
-        await delay(REPORT_DELAY_MS);
+        await sleep(REPORT_DELAY_MS);
         this.#pendingCrashes.delete(crash.epoch);
         const response = await this.#send({ crashes: [crash], served: [] });
         if (response === undefined) {
-            void this.#resend(crash, monotonicMs() + REPORT_LIFETIME_MS);
+            this.#lifecycle.run((signal) => this.#resend(crash, signal), (error) => {
+                this.#context.decisions.record("part.reportFailed", { reason: messageOf(error) });
+            });
             return true;
         }
         return response.crashedEpochs.includes(crash.epoch);
     }
 
-    async #resend(crash: GroupCrash, untilMs: number): Promise<void> {
-        while (monotonicMs() < untilMs) {
-            await delay(REPORT_RETRY_MS);
+    async #resend(crash: GroupCrash, signal: AbortSignal): Promise<void> {
+        const untilMs = monotonicMs() + REPORT_LIFETIME_MS;
+        while (monotonicMs() < untilMs && !signal.aborted) {
+            await sleep(REPORT_RETRY_MS, signal);
             if (await this.#send({ crashes: [crash], served: [] }) !== undefined) {
                 return;
             }
@@ -220,6 +242,3 @@
 }
 
 const keyOf = (service: string, partId: string): string => `${service}\n${partId}`;
-
-const delay = (durationMs: number): Promise<void> =>
-    new Promise((resolve) => setTimeout(resolve, durationMs));
--- a/packages/gateway/src/streamcall.ts
+++ b/packages/gateway/src/streamcall.ts
@@ -19,6 +19,13 @@
 /** Matches the id field of each server-sent event. */
 const EVENT_ID_PATTERN = /(?:^|\n)id: ?([^\r\n]*)/g;
 
+/** Failures of an attempt that the crash of an engine can cause. */
+const INTERRUPTIONS: ReadonlySet<FailureKind> = new Set([
+    FailureKind.Broken,
+    FailureKind.NoEndMarker,
+    FailureKind.Stalled,
+]);
+
 /** What has been delivered to the caller so far. */
 interface DeliveryState {
     hasHead: boolean;
@@ -56,6 +63,8 @@
     readonly #partIds: readonly string[];
     #head: ServerHead | undefined;
     #hasBeenRejected = false;
+    /** Whether the leader lets the request find out whether a quarantined part still crashes engines. */
+    #isTrial = false;
 
     constructor(
         deps: GatewayDependencies,
@@ -121,13 +130,18 @@
         }
     }
 
+    #isQuarantined(): boolean {
+        return !this.#delivery.hasHead && !this.#isTrial
+            && this.#deps.promptParts.hasQuarantined(this.#call.service.name, this.#partIds);
+    }
+
     /** Throws if the request has produced no event and one of its prompt parts is quarantined. */
     async #checkQuarantine(): Promise<void> {
-        if (this.#delivery.hasHead) {
+        if (this.#delivery.hasHead || this.#isTrial) {
             return;
         }
         try {
-            await this.#deps.promptParts.admit(this.#call.service.name, this.#partIds);
+            this.#isTrial = await this.#deps.promptParts.admit(this.#call.service.name, this.#partIds);
         }
         catch (error) {
             throw this.#execution.mayHaveRun ? backendError(messageOf(error)) : error;
@@ -207,7 +221,10 @@
             closesConnection: false,
             // The group may have been withdrawn while the connection was opening.
             mayWrite: () => {
-                if (this.#execution.endReason !== undefined || groups.get(target.groupName) !== group) {
+                if (
+                    this.#execution.endReason !== undefined || groups.get(target.groupName) !== group
+                    || this.#isQuarantined()
+                ) {
                     return false;
                 }
                 this.#execution.mayHaveRun = true;
@@ -249,8 +266,9 @@
         outcome: AttemptOutcome,
         progress: AttemptProgress,
     ): Promise<boolean> {
-        const isInterrupted = outcome.kind === "failed" && outcome.failure === FailureKind.Broken;
-        if (!isInterrupted || progress === AttemptProgress.Events) {
+        const isInterrupted = outcome.kind === "failed" && INTERRUPTIONS.has(outcome.failure);
+        // A stream with events was served, so its resumption blames no part.
+        if (!isInterrupted || this.#delivery.firstEventMs !== undefined) {
             return true;
         }
         const { promptParts } = this.#deps;
--- a/packages/protocol/src/fleet.ts
+++ b/packages/protocol/src/fleet.ts
@@ -80,6 +80,8 @@
     isQuarantined: boolean;
     /** Whether one request may be sent, with the leader's permission, to check whether the part still crashes engines. */
     isTrialDue: boolean;
+    /** Time between the quarantine, or a failed trial, and the next trial. */
+    trialDelayMs: number;
 }
 
 /** Report that the connections to a group failed before some of its requests had produced an event. */
@@ -136,6 +138,8 @@
     wasServedBefore: boolean;
     /** Number of trials that have failed. */
     failedTrialCount: number;
+    /** Whether the part can't be told from another one of the same requests. */
+    isAmbiguous: boolean;
     /** Time until the next trial, 0 if one is due. Undefined if the part is not quarantined. */
     nextTrialMs?: number;
 }
--- a/test/gateway/promptparts.test.ts
+++ b/test/gateway/promptparts.test.ts
@@ -100,6 +100,7 @@
     partId,
     isQuarantined: true,
     isTrialDue: false,
+    trialDelayMs: 60_000,
     ...fields,
 });
 
@@ -177,6 +178,7 @@
     t.is(error?.code, ErrorCode.Quarantined);
     t.is(error?.verdict, Verdict.NotRun);
     t.regex(error?.message ?? "", /deadly/);
+    t.is(error?.retryAfterMs, 60_000);
     t.is(first.received.length + second.received.length, 0);
     t.is((await send(requestWith("shared", "subject", "own"))).text, COMPLETE_STREAM);
     t.is((await send(requestWith("shared", "deadly"))).text, COMPLETE_STREAM, "the last part is not shared");
@@ -215,6 +217,55 @@
     t.true((served?.ageMs ?? 0) >= 50);
 });
 
+// Guards against trials without an outcome, which keep sound requests rejected.
+test("a trial that its first group does not run goes to the next group", async (t) => {
+    const reject: RequestHandler = (request, response) => {
+        response.writeHead(503, { "x-id": request.headers["x-id"], "x-not-run": "1" }).end();
+    };
+    const { send, publish, leader } = await startFixture(t, reject);
+    publish([quarantinedPart("part", { isTrialDue: true })]);
+    t.is((await send(requestWith("part", "own"))).text, COMPLETE_STREAM);
+    t.is(leader.trialCount, 1);
+});
+
+const interruptedHandlers: Record<string, RequestHandler> = {
+    "ends inside an event": (request, response) => {
+        response.shouldKeepAlive = false;
+        response.useChunkedEncodingByDefault = false;
+        writeHead(request, response);
+        response.write("id: 1\nda");
+        setTimeout(() => response.socket?.end(), 20);
+    },
+    "falls silent after its head": (request, response) => {
+        writeHead(request, response);
+        response.flushHeaders();
+    },
+};
+
+for (const [name, handler] of Object.entries(interruptedHandlers)) {
+    test(`a request whose response ${name} is not sent on if its group has crashed`, async (t) => {
+        const { send, second, leader } = await startFixture(t, handler);
+        t.is((await send(requestWith("shared", "deadly", "own"))).error?.verdict, Verdict.MayHaveRun);
+        t.is(second.received.length, 0);
+        t.true(leader.reports[0]?.crashes[0]?.requests[0]?.hasHead);
+    });
+}
+
+test("a request whose part is quarantined while it is being placed is not sent", async (t) => {
+    const engine = await startServer(t, streamEvents(4));
+    const options = {
+        groupHeads: [engine],
+        requestPlacement: async () => {
+            const suspectParts = [quarantinedPart("deadly")];
+            gateway.applyView({ ...viewOf(options), version: 2, suspectParts });
+            return {};
+        },
+    };
+    const { gateway, send } = createGateway(t, options);
+    t.is((await send(requestWith("deadly", "own"))).error?.code, ErrorCode.Quarantined);
+    t.is(engine.received.length, 0);
+});
+
 test("a success of a suspect is reported once per view", async (t) => {
     const { send, publish, leader } = await startFixture(t, streamEvents(4));
     publish([quarantinedPart("shared", { isQuarantined: false })]);
