--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -22,7 +22,7 @@
 import { ServerCall } from "./servercall.ts";
 import { ServerStates } from "./serverstates.ts";
 import { StreamCall } from "./streamcall.ts";
-import type { CallerRequest, CallerResponse, ServerDialect } from "./types.ts";
+import type { CallerRequest, CallerResponse, InterruptedCall, ServerDialect } from "./types.ts";
 
 export interface GatewayOptions {
     context: Context;
@@ -184,6 +184,19 @@
         }
     }
 
+    recordInterrupted({ requestId, progress, ageMs, isClosedByCaller }: InterruptedCall): void {
+        const { decisions, metrics } = this.#options.context;
+        const closedBy = isClosedByCaller ? "caller" : "daemon";
+        decisions.record("request.interrupted", {
+            request: requestId,
+            progress,
+            closedBy,
+            ageMs: Math.round(ageMs),
+            drainMs: this.drainMs,
+        });
+        metrics.count("gateway.interrupted", 1, { progress, closedBy });
+    }
+
     /**
      * Holds requests that arrive while the daemon starts. If all daemons start together, rejected callers would use up their
      * single retry before any daemon is ready.
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -1,4 +1,4 @@
-import type { GreengageError } from "@greengage/base";
+import type { GreengageError, RequestProgress } from "@greengage/base";
 
 /** Part of a prompt, such as a prefix, that requests may share. */
 export interface PromptPart {
@@ -36,6 +36,16 @@
     lastEventId?: string;
 }
 
+/** A request whose connection closed before the response was complete. */
+export interface InterruptedCall {
+    /** Undefined if the head of the request had not been read. */
+    requestId: string | undefined;
+    progress: RequestProgress;
+    /** Time since the head was read, or since the connection was last idle. */
+    ageMs: number;
+    isClosedByCaller: boolean;
+}
+
 export type ResponseHeaders = Record<string, string | string[]>;
 
 /** Response to a caller. */
