Let the tests of server connections end responses themselves

Two tests failed in 2 of 5 runs at a load average of 27 to 35: their server ended its response 100 or 200 ms after the request, and on a busy machine that came before the test had begun to close the connections, so another state was checked than the test names. The responses now end when the test says so. The checks are the same: with the request after the announced close handled, the connection not ended after its response, or the wrong one of two pipelined responses announcing the close, they fail.

--- a/test/base/serverconnections.test.ts
+++ b/test/base/serverconnections.test.ts
@@ -1,7 +1,7 @@
 import { type InterruptedRequest, ServerConnections, sleep } from "@greengage/base";
 import { waitFor } from "@greengage/faults";
 import test, { type ExecutionContext } from "ava";
-import { createServer, type RequestListener } from "node:http";
+import { createServer, type RequestListener, type ServerResponse } from "node:http";
 import { type AddressInfo, connect, type Socket } from "node:net";
 
 const GET = "GET / HTTP/1.1\r\nhost: a\r\n\r\n";
@@ -99,32 +99,32 @@
 
 // Guards against clients that keep a connection busy and so are never found idle.
 test("a connection with request after request closes after its current response", async (t) => {
-    let handled = 0;
+    const responses: ServerResponse[] = [];
     const { connections, open } = await startServer(t, (_, response) => {
-        handled += 1;
+        responses.push(response);
         response.write("part");
-        setTimeout(() => response.end("rest"), 200);
     });
     const client = await open();
     client.socket.write(GET);
     await waitFor("a response head", async () => client.received().includes("part") ? true : undefined);
     connections.closeAfterResponses();
     client.socket.write(GET);
+    await sleep(50);
+    responses[0]?.end("rest");
     await client.closed;
     t.regex(client.received(), /rest/);
     t.is(client.received().match(/HTTP\/1\.1/g)?.length, 1);
-    t.is(handled, 1, "a request that can't be answered is not handled");
+    t.is(responses.length, 1, "a request that can't be answered is not handled");
 });
 
 test("pipelined requests that were read before the close are all answered", async (t) => {
-    const { connections, open } = await startServer(t, (_, response) => {
-        setTimeout(() => response.end("ok"), 100);
-    });
+    const responses: ServerResponse[] = [];
+    const { connections, open } = await startServer(t, (_, response) => responses.push(response));
     const client = await open();
     client.socket.write(GET + GET);
-    await waitFor("a request", async () => connections.counts().answering === 1 ? true : undefined);
-    await sleep(20);
+    await waitFor("two requests", async () => responses.length === 2 ? true : undefined);
     connections.closeAfterResponses();
+    responses.forEach((response) => response.end("ok"));
     await client.closed;
     t.is(client.received().match(/HTTP\/1\.1 200/g)?.length, 2);
     t.is(client.received().match(/connection: close/gi)?.length, 1);
