Track the connections of an HTTP server by their requests

node:http tells a server too little to close it without a loss: `closeIdleConnections` skips a connection that was never used, a body that is still being read isn't visible, and `Server.close` itself destroys a connection whose response has ended but is still buffered.

`ServerConnections` counts a request as in progress from its first byte until its response has been flushed. It closes idle connections on demand, never-used ones included, ends the others after their response, rejects heads that stay incomplete, and reports every request that is interrupted. A request that follows the response that announces the close isn't handled, as it couldn't be answered.

Seen red with one part taken out each: the comparison of the bytes read ("an incomplete request head is not closed as idle"), `Server.close` in place of the close of the listener only ("a response that its client reads slowly is complete after the close"), requests after the announced close handled ("a connection with request after request closes after its current response"). Nothing uses the class yet.

--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -8,4 +8,5 @@
 export * from "./logwriter.ts";
 export * from "./metrics.ts";
 export * from "./random.ts";
+export * from "./serverconnections.ts";
 export * from "./timeline.ts";
--- /dev/null
+++ b/packages/base/src/serverconnections.ts
@@ -0,0 +1,241 @@
+import type { IncomingMessage, RequestListener, Server, ServerResponse } from "node:http";
+import { Server as NetServer, type Socket } from "node:net";
+import { monotonicMs } from "./clock.ts";
+import { sleep } from "./lifecycle.ts";
+
+const IDLE_CHECK_INTERVAL_MS = 50;
+
+/** How far a request had come when its connection closed. */
+export const RequestProgress = {
+    ReadingHead: "readingHead",
+    ReadingBody: "readingBody",
+    /** The request has been read, and no part of its response has been sent. */
+    Unanswered: "unanswered",
+    /** A part of the response has been sent. */
+    Answering: "answering",
+} as const;
+
+export type RequestProgress = typeof RequestProgress[keyof typeof RequestProgress];
+
+/** A request whose connection closed before the response was complete. */
+export interface InterruptedRequest {
+    progress: RequestProgress;
+    /** Undefined if the head had not been read completely. */
+    request: IncomingMessage | undefined;
+    /** Time since the head was read, or since the connection was last idle. */
+    ageMs: number;
+    /** Whether the client closed the connection. */
+    isClosedByClient: boolean;
+}
+
+export interface ConnectionCounts {
+    open: number;
+    /** Connections on which a head or a body is being received. */
+    reading: number;
+    /** Connections with a complete request whose response is not complete. */
+    answering: number;
+}
+
+interface OpenRequest {
+    request: IncomingMessage;
+    response: ServerResponse;
+    startedAtMs: number;
+}
+
+interface Connection {
+    socket: Socket;
+    /** More than one if the client pipelines requests. */
+    requests: OpenRequest[];
+    idleSinceMs: number;
+    /** Value of `socket.bytesRead` when the connection was last idle. */
+    idleBytesRead: number;
+    closesAfterResponse: boolean;
+    /** Whether a response was sent to a request whose head is incomplete. */
+    isRejected: boolean;
+}
+
+/**
+ * Tracks the connections of an HTTP server, so that it can be closed without interrupting a request. A request is in progress
+ * from its first byte until its response has been flushed.
+ */
+export class ServerConnections {
+    readonly #server: Server;
+    readonly #onRequest: RequestListener;
+    readonly #onInterrupted: (interrupted: InterruptedRequest) => void;
+    readonly #connections = new Map<Socket, Connection>();
+    #closesAfterResponses = false;
+
+    /** Passes the requests of `server`, which must not have a request listener, to `onRequest`. */
+    constructor(
+        server: Server,
+        onRequest: RequestListener,
+        onInterrupted: (interrupted: InterruptedRequest) => void = () => undefined,
+    ) {
+        this.#server = server;
+        this.#onRequest = onRequest;
+        this.#onInterrupted = onInterrupted;
+        server.on("connection", (socket) => this.#add(socket));
+        server.on("request", (request, response) => this.#begin(request, response));
+    }
+
+    counts(): ConnectionCounts {
+        const connections = [...this.#connections.values()];
+        const reading = connections.filter(isReading).length;
+        const idle = connections.filter(isIdle).length;
+        return { open: connections.length, reading, answering: connections.length - reading - idle };
+    }
+
+    /** From now on, every connection closes after its next response, which announces this if it has not begun. */
+    closeAfterResponses(): void {
+        this.#closesAfterResponses = true;
+        for (const connection of this.#connections.values()) {
+            if (connection.requests.length > 0) {
+                closeAfterResponse(connection);
+            }
+        }
+    }
+
+    /** Stops listening. Unlike `Server.close`, this leaves responses alone that have ended but are not flushed. */
+    stopListening(): void {
+        if (this.#server.listening) {
+            NetServer.prototype.close.call(this.#server);
+        }
+    }
+
+    /** Closes the connections without a request in progress, including those that were never used. */
+    closeIdle(): void {
+        for (const connection of this.#connections.values()) {
+            if (isIdle(connection)) {
+                connection.socket.destroy();
+            }
+        }
+    }
+
+    /**
+     * Closes connections as they become idle, for at most `limitMs`. Resolves to whether all have closed. The caller is
+     * expected to have called `closeAfterResponses` and `stopListening`.
+     */
+    async closeWhenIdle(limitMs: number): Promise<boolean> {
+        const deadlineAtMs = monotonicMs() + limitMs;
+        this.closeIdle();
+        while (this.#connections.size > 0 && monotonicMs() < deadlineAtMs) {
+            await sleep(Math.min(IDLE_CHECK_INTERVAL_MS, deadlineAtMs - monotonicMs()));
+            this.closeIdle();
+        }
+        return this.#connections.size === 0;
+    }
+
+    /** Sends `response`, a complete HTTP message, to clients whose request head is incomplete, and disconnects them. */
+    rejectIncompleteHeads(response: string): void {
+        for (const connection of this.#connections.values()) {
+            if (connection.requests.length === 0 && !isIdle(connection) && !connection.isRejected) {
+                connection.closesAfterResponse = true;
+                connection.isRejected = true;
+                connection.socket.write(response);
+                connection.socket.destroySoon();
+            }
+        }
+    }
+
+    /** Closes all connections, including those with a request in progress. */
+    closeAll(): void {
+        for (const { socket } of this.#connections.values()) {
+            socket.destroy();
+        }
+    }
+
+    #add(socket: Socket): void {
+        const connection: Connection = {
+            socket,
+            requests: [],
+            idleSinceMs: monotonicMs(),
+            idleBytesRead: 0,
+            closesAfterResponse: false,
+            isRejected: false,
+        };
+        this.#connections.set(socket, connection);
+        socket.once("close", () => this.#remove(connection));
+    }
+
+    #begin(request: IncomingMessage, response: ServerResponse): void {
+        const connection = this.#connections.get(request.socket);
+        if (connection === undefined) {
+            // The client reset the connection in the meantime.
+            return;
+        }
+        if (connection.closesAfterResponse) {
+            // The connection closes after the response to an earlier request, so this one can't be answered.
+            request.resume();
+            return;
+        }
+        const open: OpenRequest = { request, response, startedAtMs: monotonicMs() };
+        connection.requests.push(open);
+        response.once("close", () => this.#end(connection, open));
+        if (this.#closesAfterResponses) {
+            closeAfterResponse(connection);
+        }
+        this.#onRequest(request, response);
+    }
+
+    #end(connection: Connection, open: OpenRequest): void {
+        const { socket } = connection;
+        connection.requests = connection.requests.filter((other) => other !== open);
+        if (connection.requests.length > 0) {
+            return;
+        }
+        connection.idleSinceMs = monotonicMs();
+        connection.idleBytesRead = socket.bytesRead;
+        if (connection.closesAfterResponse) {
+            socket.destroySoon();
+        }
+    }
+
+    #remove(connection: Connection): void {
+        this.#connections.delete(connection.socket);
+        const isClosedByClient = isClosedByPeer(connection.socket);
+        for (const { request, response, startedAtMs } of connection.requests) {
+            if (!response.writableFinished) {
+                this.#onInterrupted({
+                    progress: progressOf(request, response),
+                    request,
+                    ageMs: monotonicMs() - startedAtMs,
+                    isClosedByClient,
+                });
+            }
+        }
+        if (connection.requests.length === 0 && isReading(connection) && !connection.isRejected) {
+            this.#onInterrupted({
+                progress: RequestProgress.ReadingHead,
+                request: undefined,
+                ageMs: monotonicMs() - connection.idleSinceMs,
+                isClosedByClient,
+            });
+        }
+    }
+}
+
+const isIdle = ({ socket, requests, idleBytesRead }: Connection): boolean =>
+    requests.length === 0 && socket.bytesRead === idleBytesRead;
+
+const isReading = (connection: Connection): boolean =>
+    connection.requests.length === 0
+        ? !isIdle(connection)
+        : connection.requests.some(({ request }) => !request.complete);
+
+const isClosedByPeer = ({ readableEnded, errored }: Socket): boolean => readableEnded || errored !== null;
+
+const progressOf = (request: IncomingMessage, response: ServerResponse): RequestProgress => {
+    if (response.headersSent) {
+        return RequestProgress.Answering;
+    }
+    return request.complete ? RequestProgress.Unanswered : RequestProgress.ReadingBody;
+};
+
+/** The last response announces the close; a client that pipelines also gets the responses before it. */
+const closeAfterResponse = (connection: Connection): void => {
+    const last = connection.requests.at(-1);
+    connection.closesAfterResponse = true;
+    if (last !== undefined && !last.response.headersSent) {
+        last.response.shouldKeepAlive = false;
+    }
+};
--- /dev/null
+++ b/test/base/serverconnections.test.ts
@@ -0,0 +1,195 @@
+import { type InterruptedRequest, ServerConnections, sleep } from "@greengage/base";
+import { waitFor } from "@greengage/faults";
+import test, { type ExecutionContext } from "ava";
+import { createServer, type RequestListener } from "node:http";
+import { type AddressInfo, connect, type Socket } from "node:net";
+
+const GET = "GET / HTTP/1.1\r\nhost: a\r\n\r\n";
+const LARGE_BODY_BYTES = 32 * 1024 * 1024;
+const CLOSE_LIMIT_MS = 5_000;
+
+interface Client {
+    socket: Socket;
+    received: () => string;
+    closed: Promise<void>;
+}
+
+interface Fixture {
+    connections: ServerConnections;
+    interrupted: InterruptedRequest[];
+    open: () => Promise<Client>;
+}
+
+const startServer = async (t: ExecutionContext, onRequest: RequestListener): Promise<Fixture> => {
+    const interrupted: InterruptedRequest[] = [];
+    const server = createServer();
+    const connections = new ServerConnections(server, onRequest, (request) => interrupted.push(request));
+    await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+    t.teardown(() => {
+        connections.stopListening();
+        connections.closeAll();
+    });
+    const { port } = server.address() as AddressInfo;
+    const open = async (): Promise<Client> => {
+        const openBefore = connections.counts().open;
+        const socket = connect({ host: "127.0.0.1", port });
+        let text = "";
+        socket.on("data", (chunk) => {
+            text += chunk.toString("latin1");
+        });
+        socket.on("error", () => undefined);
+        const closed = new Promise<void>((resolve) => socket.once("close", () => resolve()));
+        t.teardown(() => socket.destroy());
+        await waitFor(
+            "an accepted connection",
+            async () => connections.counts().open > openBefore ? true : undefined,
+        );
+        return { socket, received: () => text, closed };
+    };
+    return { connections, interrupted, open };
+};
+
+const waitForReading = (connections: ServerConnections, count: number): Promise<boolean> =>
+    waitFor(
+        `${count} connections being read`,
+        async () => connections.counts().reading === count ? true : undefined,
+    );
+
+// Guards against a later request on a connection that was overlooked because it never had one.
+test("a connection on which nothing was sent is closed as idle", async (t) => {
+    const { connections, interrupted, open } = await startServer(t, (_, response) => response.end("ok"));
+    const client = await open();
+    t.deepEqual(connections.counts(), { open: 1, reading: 0, answering: 0 });
+    connections.closeIdle();
+    await client.closed;
+    t.is(client.received(), "");
+    t.deepEqual(interrupted, []);
+});
+
+test("an incomplete request head is not closed as idle", async (t) => {
+    const { connections, open } = await startServer(t, (_, response) => response.end("ok"));
+    const client = await open();
+    client.socket.write(GET.slice(0, 10));
+    await waitForReading(connections, 1);
+    connections.closeAfterResponses();
+    connections.closeIdle();
+    client.socket.write(GET.slice(10));
+    await client.closed;
+    t.regex(client.received(), /^HTTP\/1\.1 200 OK\r\n[^]*connection: close\r\n[^]*ok/i);
+});
+
+test("an incomplete request head is rejected once, and its rest is not handled", async (t) => {
+    let handled = 0;
+    const { connections, interrupted, open } = await startServer(t, (_, response) => {
+        handled += 1;
+        response.end("ok");
+    });
+    const client = await open();
+    client.socket.write(GET.slice(0, 10));
+    await waitForReading(connections, 1);
+    const rejection = "HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+    connections.rejectIncompleteHeads(rejection);
+    client.socket.write(GET.slice(10));
+    connections.rejectIncompleteHeads(rejection);
+    await client.closed;
+    t.is(client.received(), rejection);
+    t.is(handled, 0);
+    t.deepEqual(interrupted, []);
+});
+
+// Guards against clients that keep a connection busy and so are never found idle.
+test("a connection with request after request closes after its current response", async (t) => {
+    let handled = 0;
+    const { connections, open } = await startServer(t, (_, response) => {
+        handled += 1;
+        response.write("part");
+        setTimeout(() => response.end("rest"), 200);
+    });
+    const client = await open();
+    client.socket.write(GET);
+    await waitFor("a response head", async () => client.received().includes("part") ? true : undefined);
+    connections.closeAfterResponses();
+    client.socket.write(GET);
+    await client.closed;
+    t.regex(client.received(), /rest/);
+    t.is(client.received().match(/HTTP\/1\.1/g)?.length, 1);
+    t.is(handled, 1, "a request that can't be answered is not handled");
+});
+
+test("pipelined requests that were read before the close are all answered", async (t) => {
+    const { connections, open } = await startServer(t, (_, response) => {
+        setTimeout(() => response.end("ok"), 100);
+    });
+    const client = await open();
+    client.socket.write(GET + GET);
+    await waitFor("a request", async () => connections.counts().answering === 1 ? true : undefined);
+    await sleep(20);
+    connections.closeAfterResponses();
+    await client.closed;
+    t.is(client.received().match(/HTTP\/1\.1 200/g)?.length, 2);
+    t.is(client.received().match(/connection: close/gi)?.length, 1);
+});
+
+// Guards against `Server.close`, which destroys connections whose response has ended but is still buffered.
+test("a response that its client reads slowly is complete after the close", async (t) => {
+    const { connections, interrupted, open } = await startServer(t, (_, response) => {
+        response.end(Buffer.alloc(LARGE_BODY_BYTES, "a"));
+    });
+    const client = await open();
+    client.socket.pause();
+    client.socket.write(GET);
+    await waitFor("a request", async () => connections.counts().answering === 1 ? true : undefined);
+    connections.closeAfterResponses();
+    connections.stopListening();
+    const allClosed = connections.closeWhenIdle(CLOSE_LIMIT_MS);
+    await sleep(200);
+    client.socket.resume();
+    await client.closed;
+    t.true(await allClosed);
+    t.is(client.received().split("\r\n\r\n")[1]?.length, LARGE_BODY_BYTES);
+    t.deepEqual(interrupted, []);
+});
+
+test("interrupted requests are reported with their progress", async (t) => {
+    const { connections, interrupted, open } = await startServer(t, (request, response) => {
+        if (request.url === "/answering") {
+            response.write("part");
+        }
+    });
+    const sent = [
+        "GET / HT",
+        "POST /body HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\nab",
+        "GET /unanswered HTTP/1.1\r\nhost: a\r\n\r\n",
+        "GET /answering HTTP/1.1\r\nhost: a\r\n\r\n",
+    ];
+    const clients: Client[] = [];
+    for (const text of sent) {
+        const client = await open();
+        client.socket.write(text);
+        clients.push(client);
+    }
+    await waitForReading(connections, 2);
+    await waitFor("two requests", async () => connections.counts().answering === 2 ? true : undefined);
+    t.false(await connections.closeWhenIdle(100));
+    clients[2]?.socket.destroy();
+    await clients[2]?.closed;
+    await waitFor("a closed connection", async () => interrupted.length === 1 ? true : undefined);
+    connections.closeAll();
+    await waitFor(
+        "all connections closed",
+        async () => interrupted.length === sent.length ? true : undefined,
+    );
+    t.deepEqual(
+        interrupted.map(({ progress, request, isClosedByClient }) => ({
+            progress,
+            url: request?.url,
+            isClosedByClient,
+        })).sort((a, b) => a.progress < b.progress ? -1 : 1),
+        [
+            { progress: "answering", url: "/answering", isClosedByClient: false },
+            { progress: "readingBody", url: "/body", isClosedByClient: false },
+            { progress: "readingHead", url: undefined, isClosedByClient: false },
+            { progress: "unanswered", url: "/unanswered", isClosedByClient: true },
+        ],
+    );
+});
