Record requests that the close of the daemon's HTTP server interrupts

The server now tracks its connections with ServerConnections. It logs the open, reading and answering connections when it closes, warns about each request that it interrupts (target, progress, age), and counts it in `http.interrupted` by progress and by the side that closed.

No behaviour changes: all connections are still closed at once.

--- a/packages/http/src/listener.ts
+++ b/packages/http/src/listener.ts
@@ -1,5 +1,5 @@
 import { ErrorCode, type GreengageError } from "@greengage/base";
-import { createServer, type RequestListener, type Server } from "node:http";
+import { createServer, type Server } from "node:http";
 import type { Socket } from "node:net";
 import { notRunError } from "./errors.ts";
 import type { HttpLimits } from "./limits.ts";
@@ -29,14 +29,14 @@
     notRunError(ErrorCode.BadRequest, "the request is not valid HTTP/1.1");
 
 /** Creates the HTTP server with its limits. Malformed and slow requests get an error and are disconnected. */
-export const createListener = (limits: HttpLimits, onRequest: RequestListener): Server => {
+export const createListener = (limits: HttpLimits): Server => {
     const server = createServer({
         maxHeaderSize: limits.headerBytes,
         headersTimeout: limits.headersMs,
         requestTimeout: limits.headersMs + limits.bodyMs + BODY_TIMEOUT_MARGIN_MS,
         connectionsCheckingInterval: Math.min(CHECK_INTERVAL_MS, limits.headersMs),
         keepAliveTimeout: 65_000,
-    }, onRequest);
+    });
     server.maxConnections = limits.connections;
     server.on(
         "clientError",
--- a/packages/http/src/server.ts
+++ b/packages/http/src/server.ts
@@ -3,10 +3,12 @@
     type Context,
     ErrorCode,
     GreengageError,
+    type InterruptedRequest,
     type Log,
     LogPart,
     messageOf,
     monotonicMs,
+    ServerConnections,
 } from "@greengage/base";
 import type { ReportResponse } from "@greengage/membership";
 import type { VmReport } from "@greengage/protocol";
@@ -54,11 +56,13 @@
     readonly #log: Log;
     readonly #keys: ApiKeys;
     readonly #server: Server;
+    readonly #connections: ServerConnections;
     readonly #router = findMyWay({
         defaultRoute: (request, response) =>
             this.#handleUnmatchedRequest(request, response as ServerResponse),
     });
     #stopWatchingTable: () => void = () => undefined;
+    #isClosing = false;
 
     constructor(options: HttpServerOptions) {
         this.#options = options;
@@ -69,9 +73,11 @@
                 void this.#serve(route, createExchange(request, response as ServerResponse, params));
             });
         }
-        this.#server = createListener(
-            options.limits,
+        this.#server = createListener(options.limits);
+        this.#connections = new ServerConnections(
+            this.#server,
             (request, response) => this.#router.lookup(request, response),
+            (interrupted) => this.#recordInterrupted(interrupted),
         );
     }
 
@@ -91,10 +97,12 @@
 
     /** Stops listening and closes all connections. Requests in flight are aborted. */
     async close(): Promise<void> {
+        this.#isClosing = true;
         this.#stopWatchingTable();
+        this.#log.info("closing all connections", { ...this.#connections.counts() });
         await new Promise<void>((resolve) => {
             this.#server.close(() => resolve());
-            this.#server.closeAllConnections();
+            this.#connections.closeAll();
         });
     }
 
@@ -175,6 +183,19 @@
         return this.#options.admission.run(exchange.request.socket, () => route.handler(exchange));
     }
 
+    #recordInterrupted({ progress, request, ageMs, isClosedByClient }: InterruptedRequest): void {
+        const closedBy = isClosedByClient ? "client" : "daemon";
+        this.#options.context.metrics.count("http.interrupted", 1, { progress, closedBy });
+        if (this.#isClosing && !isClosedByClient) {
+            const target = request === undefined ? "" : `${request.method} ${request.url?.split("?", 1)[0]}`;
+            this.#log.warn("the shutdown interrupted a request", {
+                target,
+                progress,
+                ageMs: Math.round(ageMs),
+            });
+        }
+    }
+
     #recordMetrics(surface: Surface, status: number, durationMs: number): void {
         const { metrics } = this.#options.context;
         metrics.count("http.requests", 1, { surface, status: String(status) });
--- a/test/http/fixture.ts
+++ b/test/http/fixture.ts
@@ -1,4 +1,4 @@
-import { createContext, monotonicMs } from "@greengage/base";
+import { createContext, type Metrics, monotonicMs } from "@greengage/base";
 import {
     Admission,
     DEFAULT_LIMITS,
@@ -81,6 +81,8 @@
     reports: VmReport[];
     /** Idempotency keys of the actions that ran. */
     actionKeys: string[];
+    server: HttpServer;
+    metrics: Metrics;
     setReadiness(readiness: Readiness): void;
 }
 
@@ -103,8 +105,9 @@
     const actionKeys: string[] = [];
     let readiness: Readiness = { ready: true };
     const operators = { daemonId: "a-1", table, admission, ...options.operators?.(table, admission) };
+    const context = createContext({ daemonId: "a-1", zone: "zone-a" });
     const server = new HttpServer({
-        context: createContext({ daemonId: "a-1", zone: "zone-a" }),
+        context,
         listen: { host: "127.0.0.1", port: 0 },
         keys: { backendServers: BACKEND_KEY, operators: OPERATOR_KEY, platform: options.platformKey },
         limits,
@@ -131,7 +134,17 @@
         readiness = newReadiness;
     };
     const { port } = server;
-    return { url: `http://127.0.0.1:${port}`, port, admission, table, reports, actionKeys, setReadiness };
+    return {
+        url: `http://127.0.0.1:${port}`,
+        port,
+        admission,
+        table,
+        reports,
+        actionKeys,
+        server,
+        metrics: context.metrics,
+        setReadiness,
+    };
 };
 
 export interface TestResponse {
