Answer the requests that a stopping daemon interrupts at its limit

Seen by callers: whatever still ran at `drainLimitMs` was closed without an answer: a call, an action, a request whose body was still being sent, a stream without its error event. A caller couldn't tell "not run" from "may have run", and an action's caller had nothing to settle by.

Cause: the only way to end a request early was to close its connection.

Each exchange now carries an interruption signal, which `finishRequests` aborts at the limit. A stream ends with its error event, an incomplete head with 503. Connections then have 2 s to flush. The exit code stays 1.

--- a/packages/http/src/body.ts
+++ b/packages/http/src/body.ts
@@ -1,7 +1,7 @@
-import { ErrorCode } from "@greengage/base";
-import type { IncomingMessage } from "node:http";
+import { ErrorCode, Verdict } from "@greengage/base";
 import { notRunError } from "./errors.ts";
 import type { Exchange } from "./exchange.ts";
+import { shutdownError } from "./interruption.ts";
 
 interface BodyLimits {
     limitBytes: number;
@@ -11,21 +11,22 @@
 const tooLargeError = (limitBytes: number): Error =>
     notRunError(ErrorCode.TooLarge, `the body is larger than ${limitBytes} bytes`);
 
-/** Reads a complete request body. Throws `too-large`, `slow-request` or `cancelled`. */
-export const readBody = ({ request }: Exchange, limits: BodyLimits): Promise<Buffer> => {
-    if (Number(request.headers["content-length"] ?? 0) > limits.limitBytes) {
+/** Reads a complete request body. Throws `too-large`, `slow-request`, `draining` or `cancelled`. */
+export const readBody = (exchange: Exchange, limits: BodyLimits): Promise<Buffer> => {
+    if (Number(exchange.request.headers["content-length"] ?? 0) > limits.limitBytes) {
         return Promise.reject(tooLargeError(limits.limitBytes));
     }
-    return collectBody(request, limits);
+    return collectBody(exchange, limits);
 };
 
-const collectBody = (request: IncomingMessage, limits: BodyLimits): Promise<Buffer> =>
+const collectBody = ({ request, interruption }: Exchange, limits: BodyLimits): Promise<Buffer> =>
     new Promise((resolve, reject) => {
         const chunks: Buffer[] = [];
         let sizeBytes = 0;
         const finish = (settle: () => void): void => {
             clearTimeout(timer);
             request.off("data", onData).off("end", onEnd).off("close", onClose);
+            interruption.signal.removeEventListener("abort", onInterrupted);
             settle();
         };
         const onData = (chunk: Buffer): void => {
@@ -38,11 +39,16 @@
         const onEnd = (): void => finish(() => resolve(Buffer.concat(chunks)));
         const onClose = (): void =>
             finish(() => reject(notRunError(ErrorCode.Cancelled, "the connection was closed")));
+        const onInterrupted = (): void => finish(() => reject(shutdownError(Verdict.NotRun)));
         const timer = setTimeout(() => {
             const message = `the body did not arrive within ${limits.limitMs} ms`;
             finish(() => reject(notRunError(ErrorCode.SlowRequest, message)));
         }, limits.limitMs);
         request.on("data", onData).on("end", onEnd).on("close", onClose);
+        interruption.signal.addEventListener("abort", onInterrupted, { once: true });
+        if (interruption.signal.aborted) {
+            onInterrupted();
+        }
     });
 
 /** Reads a JSON object. Throws `unsupported-media-type` or `bad-request` for anything else. */
--- a/packages/http/src/chat.ts
+++ b/packages/http/src/chat.ts
@@ -1,4 +1,4 @@
-import { ErrorCode, GreengageError } from "@greengage/base";
+import { ErrorCode } from "@greengage/base";
 import type { Dispatcher, GenerateRequest } from "@greengage/routing";
 import type { OrganisationRow, TableState } from "@greengage/table";
 import { z } from "zod";
@@ -8,6 +8,7 @@
 import { parseDeadlineMs, runWithDeadline } from "./deadline.ts";
 import { notRunError, validateFields } from "./errors.ts";
 import { disconnectSignal, type Exchange, type ExchangeHandler, sendJson } from "./exchange.ts";
+import { interruptionError } from "./interruption.ts";
 import type { ApiKeys } from "./keys.ts";
 import type { HttpLimits } from "./limits.ts";
 import { toGreengageError } from "./problem.ts";
@@ -47,7 +48,8 @@
         const work = createWork(options, exchange, organisation, body);
         const subject = { organisation: organisation.name, row: `model/${body.model}` };
         const disconnected = disconnectSignal(exchange.response);
-        await admission.trackInFlight(subject, () => runWithDeadline({ deadlineMs, disconnected }, work));
+        const limitsOfWork = { deadlineMs, interrupted: exchange.interruption.signal, disconnected };
+        await admission.trackInFlight(subject, () => runWithDeadline(limitsOfWork, work));
     };
 };
 
@@ -98,7 +100,7 @@
         if (!sink.hasStarted) {
             throw error;
         }
-        sink.fail(error instanceof GreengageError ? error : toGreengageError(error));
+        sink.fail(exchange.interruption.signal.aborted ? interruptionError(error) : toGreengageError(error));
         return;
     }
     sink.end();
--- a/packages/http/src/deadline.ts
+++ b/packages/http/src/deadline.ts
@@ -1,6 +1,7 @@
 import { ErrorCode, GreengageError, monotonicMs, Verdict } from "@greengage/base";
 import { notRunError } from "./errors.ts";
 import type { Exchange } from "./exchange.ts";
+import { interruptionError, settleInterrupted } from "./interruption.ts";
 import type { HttpLimits } from "./limits.ts";
 
 const WHOLE_NUMBER = /^\d{1,9}$/;
@@ -19,21 +20,34 @@
     return deadlineMs;
 };
 
-/** Runs work that is aborted at a deadline or when the client disconnects. Throws `timeout` at the deadline. */
+interface WorkLimits {
+    deadlineMs: number;
+    interrupted: AbortSignal;
+    disconnected?: AbortSignal;
+}
+
+/**
+ * Runs work that is aborted at a deadline, by a shutdown, or when the client disconnects. Throws `timeout` at the
+ * deadline.
+ */
 export const runWithDeadline = async <T>(
-    options: { deadlineMs: number; disconnected?: AbortSignal; },
+    { deadlineMs, interrupted, disconnected }: WorkLimits,
     work: (signal: AbortSignal, deadlineAtMs: number) => Promise<T>,
 ): Promise<T> => {
-    const expired = AbortSignal.timeout(options.deadlineMs);
-    const signals = options.disconnected === undefined ? [expired] : [expired, options.disconnected];
+    const expired = AbortSignal.timeout(deadlineMs);
+    const signals = [expired, interrupted, disconnected].filter((signal) => signal !== undefined);
     try {
-        return await work(AbortSignal.any(signals), monotonicMs() + options.deadlineMs);
+        const result = work(AbortSignal.any(signals), monotonicMs() + deadlineMs);
+        return await settleInterrupted(result, interrupted);
     }
     catch (error) {
+        if (interrupted.aborted) {
+            throw interruptionError(error);
+        }
         if (error instanceof GreengageError || !expired.aborted) {
             throw error;
         }
-        throw new GreengageError(`no complete response within ${options.deadlineMs} ms`, {
+        throw new GreengageError(`no complete response within ${deadlineMs} ms`, {
             code: ErrorCode.Timeout,
             verdict: Verdict.MayHaveRun,
             cause: error,
--- a/packages/http/src/exchange.ts
+++ b/packages/http/src/exchange.ts
@@ -11,6 +11,8 @@
     requestId: string;
     /** Headers added to every response, including errors. */
     extraHeaders: Record<string, string>;
+    /** Aborted when a shutdown ends the time for requests in progress. The request then needs its final response. */
+    interruption: AbortController;
 }
 
 export type ExchangeHandler = (exchange: Exchange) => Promise<void>;
@@ -21,7 +23,14 @@
     params: Exchange["params"],
 ): Exchange => {
     const requestId = newId();
-    return { request, response, params, requestId, extraHeaders: { "x-request-id": requestId } };
+    return {
+        request,
+        response,
+        params,
+        requestId,
+        extraHeaders: { "x-request-id": requestId },
+        interruption: new AbortController(),
+    };
 };
 
 export const sendJson = (
--- a/packages/http/src/listener.ts
+++ b/packages/http/src/listener.ts
@@ -53,8 +53,13 @@
         socket.destroy();
         return;
     }
-    const problem = problemResponse((errorsByCode[error.code ?? ""] ?? badRequest)(limits));
+    socket.end(errorMessage((errorsByCode[error.code ?? ""] ?? badRequest)(limits)));
+};
+
+/** Complete HTTP message with an error, for a connection whose request has no response object. */
+export const errorMessage = (error: GreengageError): string => {
+    const problem = problemResponse(error);
     const headers = Object.entries({ ...problem.headers, connection: "close" });
     const head = headers.map(([name, value]) => `${name}: ${value}\r\n`).join("");
-    socket.end(`HTTP/1.1 ${problem.status} Error\r\n${head}\r\n${problem.body.toString("utf8")}`);
+    return `HTTP/1.1 ${problem.status} Error\r\n${head}\r\n${problem.body.toString("utf8")}`;
 };
--- a/packages/http/src/server.ts
+++ b/packages/http/src/server.ts
@@ -9,6 +9,7 @@
     messageOf,
     monotonicMs,
     ServerConnections,
+    Verdict,
 } from "@greengage/base";
 import type { ReportResponse } from "@greengage/membership";
 import type { VmReport } from "@greengage/protocol";
@@ -23,15 +24,19 @@
 import { notRunError } from "./errors.ts";
 import { createExchange, type Exchange, sendJson } from "./exchange.ts";
 import { liveHandler, type Readiness, readyHandler } from "./health.ts";
+import { interruptionError, settleInterrupted, shutdownError } from "./interruption.ts";
 import { ApiKeys, requireKey } from "./keys.ts";
 import type { HttpLimits } from "./limits.ts";
-import { createListener } from "./listener.ts";
+import { createListener, errorMessage } from "./listener.ts";
+import type { OperatorResponse } from "./operators/api.ts";
 import type { OperatorRouter } from "./operators/router.ts";
 import { sendProblem, toGreengageError } from "./problem.ts";
 import { reportHandler } from "./reports.ts";
 import { METHODS, type Route, Surface } from "./routes.ts";
 import { servicesHandler } from "./services.ts";
 
+/** Time for the final responses to interrupted requests. Longer than the discard timeout of an incomplete body. */
+const FINAL_RESPONSE_TIMEOUT_MS = 2_000;
 const OPERATOR_PREFIX = "/operator/v1/";
 
 interface HttpServerOptions {
@@ -98,13 +103,22 @@
 
     /**
      * Stops listening and finishes the requests in progress on all APIs, for at most `limitMs`. Closes idle connections
-     * at once and the others after their response. Resolves to the number of requests that are not finished.
+     * at once and the others after their response. Requests that are not finished by then are interrupted and get a
+     * final response. Resolves to their number.
      */
     async finishRequests(limitMs: number): Promise<number> {
         this.#connections.closeAfterResponses();
         this.#connections.stopListening();
-        await this.#connections.closeWhenIdle(limitMs);
-        return this.#exchanges.size;
+        if (await this.#connections.closeWhenIdle(limitMs)) {
+            return 0;
+        }
+        const interruptedCount = this.#exchanges.size;
+        this.#connections.rejectIncompleteHeads(errorMessage(shutdownError(Verdict.NotRun)));
+        for (const { interruption } of this.#exchanges) {
+            interruption.abort();
+        }
+        await this.#connections.closeWhenIdle(FINAL_RESPONSE_TIMEOUT_MS);
+        return interruptedCount;
     }
 
     /** Stops listening and closes all connections. Requests in flight are aborted. */
@@ -255,6 +269,21 @@
         sendProblem(request, response, error, extraHeaders);
     }
 
+    async #runOperatorRequest(
+        { request, interruption }: Exchange,
+        path: string,
+        body: unknown,
+    ): Promise<OperatorResponse> {
+        const method = request.method ?? "GET";
+        const response = this.#options.operators.handle({ method, path, body });
+        try {
+            return await settleInterrupted(response, interruption.signal);
+        }
+        catch (error) {
+            throw method === "GET" ? shutdownError(Verdict.NotRun) : interruptionError(error);
+        }
+    }
+
     async #handleOperatorRequest(exchange: Exchange): Promise<void> {
         const { request } = exchange;
         requireKey(request, this.#options.keys.operators);
@@ -263,11 +292,7 @@
             ? undefined
             : await readJson(exchange, { limitBytes: bodyBytes, limitMs: bodyMs });
         const path = (request.url ?? "").slice(OPERATOR_PREFIX.length);
-        const response = await this.#options.operators.handle({
-            method: request.method ?? "GET",
-            path,
-            body,
-        });
+        const response = await this.#runOperatorRequest(exchange, path, body);
         const contentType = response.status < 400 ? "application/json" : "application/problem+json";
         sendJson(exchange, response.status, response.body, contentType);
     }
--- a/packages/http/src/services.ts
+++ b/packages/http/src/services.ts
@@ -104,17 +104,18 @@
     deadlineMs: number,
     createCall: (deadlineAtMs: number) => ServiceCall,
 ): Promise<ServiceResponse> => {
+    const interrupted = exchange.interruption.signal;
     if (!isNonIdempotent(service, exchange.request.method ?? "GET")) {
         const disconnected = disconnectSignal(exchange.response);
         return runWithDeadline(
-            { deadlineMs, disconnected },
+            { deadlineMs, interrupted, disconnected },
             (signal, deadlineAtMs) => options.dispatcher.callService(createCall(deadlineAtMs), signal),
         );
     }
     const key = readIdempotencyKey(exchange);
     // A disconnect does not abort an action, because the outcome of an aborted action is unknown.
     return runWithDeadline(
-        { deadlineMs },
+        { deadlineMs, interrupted },
         (signal, deadlineAtMs) => options.actions.run(createCall(deadlineAtMs), key, signal),
     );
 };
--- a/test/daemon/fixture.ts
+++ b/test/daemon/fixture.ts
@@ -2,7 +2,7 @@
 import { waitFor } from "@greengage/faults";
 import type { ExecutionContext } from "ava";
 import { createServer, type ServerResponse } from "node:http";
-import { type AddressInfo, connect } from "node:net";
+import type { AddressInfo } from "node:net";
 import { request } from "undici";
 import { type DaemonFixture, OPERATOR_KEY, startDaemon } from "../cli/fixture.ts";
 import { BACKEND_KEY, CALLER_KEY, createReport } from "../http/fixture.ts";
@@ -108,36 +108,6 @@
     return { daemon, service, port: Number(new URL(daemon.url).port) };
 };
 
-/** Raw TCP connection to a daemon, for requests that are sent in parts. */
-export interface RawConnection {
-    write(data: string): void;
-    /** Everything received so far. */
-    text(): string;
-    pause(): void;
-    resume(): void;
-    /** Resolves with everything received when the connection is closed. */
-    closed: Promise<string>;
-}
-
-export const openConnection = async (t: ExecutionContext, port: number): Promise<RawConnection> => {
-    let text = "";
-    const socket = connect({ port, host: "127.0.0.1" });
-    socket.on("error", () => undefined);
-    t.teardown(() => void socket.destroy());
-    await new Promise<void>((resolve) => socket.once("connect", () => resolve()));
-    socket.on("data", (chunk: Buffer) => {
-        text += chunk.toString("latin1");
-    });
-    const closed = new Promise<string>((resolve) => socket.once("close", () => resolve(text)));
-    return {
-        write: (data) => void socket.write(data),
-        text: () => text,
-        pause: () => void socket.pause(),
-        resume: () => void socket.resume(),
-        closed,
-    };
-};
-
 export interface HeadOptions {
     key?: string;
     headers?: string[];
--- a/test/daemon/shutdown.test.ts
+++ b/test/daemon/shutdown.test.ts
@@ -2,14 +2,8 @@
 import { freePorts, waitFor } from "@greengage/faults";
 import test, { type ExecutionContext } from "ava";
 import { OPERATOR_KEY } from "../cli/fixture.ts";
-import { BACKEND_KEY, createReport } from "../http/fixture.ts";
-import {
-    openConnection,
-    type RawConnection,
-    requestHead,
-    startServingDaemon,
-    waitForDrain,
-} from "./fixture.ts";
+import { BACKEND_KEY, createReport, openConnection, type RawConnection } from "../http/fixture.ts";
+import { requestHead, startServingDaemon, waitForDrain } from "./fixture.ts";
 
 const GRACE_MS = 300;
 const LIMIT_MS = 2_500;
@@ -72,6 +66,44 @@
     t.is((await serving.daemon.exited).exitCode, 0);
 });
 
+test("a call whose body is incomplete at the limit is not left without an answer", async (t) => {
+    const serving = await startServingDaemon(t, SETTINGS);
+    const connection = await openConnection(t, serving.port);
+    connection.write(
+        `${requestHead("PUT", SERVICE_PATH, { bodyBytes: 8, headers: ["idempotency-key: k-1"] })}1234`,
+    );
+    await sleep(100);
+    serving.daemon.process.kill("SIGTERM");
+    const text = await connection.closed;
+    t.deepEqual(statusLines(text), ["HTTP/1.1 503"]);
+    t.regex(text, /"verdict":"notRun"/);
+    t.regex(text, /retry-after: 1/i);
+    t.is(serving.service.receivedCount(), 0);
+});
+
+test("a call in progress at the limit is not left without an answer", async (t) => {
+    const serving = await startServingDaemon(t, SETTINGS);
+    const call = await startCall(t, serving);
+    serving.daemon.process.kill("SIGTERM");
+    const text = await call.closed;
+    t.deepEqual(statusLines(text), ["HTTP/1.1 504"]);
+    t.regex(text, /"verdict":"mayHaveRun"/);
+    t.is((await serving.daemon.exited).exitCode, 1);
+});
+
+test("an action in progress at the limit is not left without an answer", async (t) => {
+    const serving = await startServingDaemon(t, SETTINGS);
+    const connection = await openConnection(t, serving.port);
+    connection.write(
+        `${requestHead("PUT", SERVICE_PATH, { bodyBytes: 2, headers: ["idempotency-key: k-1"] })}{}`,
+    );
+    await waitFor("the call", () => serving.service.pendingCount() === 1 || undefined);
+    serving.daemon.process.kill("SIGTERM");
+    const text = await connection.closed;
+    t.deepEqual(statusLines(text), ["HTTP/1.1 504"]);
+    t.regex(text, /"verdict":"mayHaveRun"/);
+});
+
 test("a late call that ends within the limit is answered in the grace period", async (t) => {
     const serving = await startServingDaemon(t, { ...SETTINGS, drainGraceMs: 2_000 });
     serving.daemon.process.kill("SIGTERM");
--- a/test/http/fixture.ts
+++ b/test/http/fixture.ts
@@ -207,6 +207,36 @@
         socket.on("close", () => resolve({ text, durationMs: monotonicMs() - startedAtMs }));
     });
 
+/** Raw TCP connection to a daemon, for requests that are sent in parts. */
+export interface RawConnection {
+    write(data: string): void;
+    /** Everything received so far. */
+    text(): string;
+    pause(): void;
+    resume(): void;
+    /** Resolves with everything received when the connection is closed. */
+    closed: Promise<string>;
+}
+
+export const openConnection = async (t: ExecutionContext, port: number): Promise<RawConnection> => {
+    let text = "";
+    const socket = connect({ port, host: "127.0.0.1" });
+    socket.on("error", () => undefined);
+    t.teardown(() => void socket.destroy());
+    await new Promise<void>((resolve) => socket.once("connect", () => resolve()));
+    socket.on("data", (chunk: Buffer) => {
+        text += chunk.toString("latin1");
+    });
+    const closed = new Promise<string>((resolve) => socket.once("close", () => resolve(text)));
+    return {
+        write: (data) => void socket.write(data),
+        text: () => text,
+        pause: () => void socket.pause(),
+        resume: () => void socket.resume(),
+        closed,
+    };
+};
+
 /** Creates a valid report of a model engine, with changed fields. */
 export const createReport = (changes: object = {}): object => ({
     vmId: "vm-1",
