Refuse late requests that a stopping daemon can't finish in time

Cause: admission knew that the daemon drains, but not until when.

The drain now sets `Admission.interruptsAtMs` at SIGTERM. A chat or service request whose deadline lies past it is rejected before its body is read: 503 `draining`, not run, retry-after, connection closed, so its caller can turn to another daemon. A drain by an operator has no limit and refuses nothing early.

--- a/packages/daemon/src/drain.ts
+++ b/packages/daemon/src/drain.ts
@@ -68,8 +68,9 @@
      * finished within the limit.
      */
     async drainAndWait(): Promise<boolean> {
-        const { context, finishRequests, graceMs, limitMs } = this.#options;
+        const { admission, context, finishRequests, graceMs, limitMs } = this.#options;
         const limitAtMs = monotonicMs() + graceMs + limitMs;
+        admission.interruptsAtMs = limitAtMs;
         this.#isStopping = true;
         this.drain();
         const timeoutCancellation = new AbortController();
--- a/packages/http/src/admission.ts
+++ b/packages/http/src/admission.ts
@@ -1,4 +1,4 @@
-import { ErrorCode, GreengageError, Verdict } from "@greengage/base";
+import { ErrorCode, GreengageError, monotonicMs, Verdict } from "@greengage/base";
 import type { Socket } from "node:net";
 import { notRunError } from "./errors.ts";
 import type { HttpLimits } from "./limits.ts";
@@ -28,6 +28,9 @@
     /** Whether responses close their connection, so that clients reconnect to other daemons. */
     closesConnections = false;
 
+    /** Time at which a shutdown interrupts the requests in flight. */
+    interruptsAtMs = Infinity;
+
     /** `checkServing` throws while the daemon must not serve callers. */
     constructor(limits: HttpLimits, checkServing: () => void = () => undefined) {
         this.#limits = limits;
@@ -53,6 +56,14 @@
         this.#isClosed = false;
     }
 
+    /** Rejects a new request that may take until after its interruption, so that its caller turns to another daemon. */
+    assertEndsInTime(deadlineMs: number): void {
+        if (monotonicMs() + deadlineMs > this.interruptsAtMs) {
+            const message = "this daemon is shutting down, maybe before the deadline of the request";
+            throw retryableError(ErrorCode.Draining, message);
+        }
+    }
+
     /** Runs one request. Throws before the work starts when a limit is reached. */
     async run(socket: Socket, work: () => Promise<void>): Promise<void> {
         this.#checkServing();
--- a/packages/http/src/chat.ts
+++ b/packages/http/src/chat.ts
@@ -42,6 +42,7 @@
     return async (exchange) => {
         const organisation = keys.authenticate(exchange.request);
         const deadlineMs = parseDeadlineMs(exchange, limits);
+        admission.assertEndsInTime(deadlineMs);
         const json = await readJson(exchange, { limitBytes: limits.bodyBytes, limitMs: limits.bodyMs });
         const body = validateFields(chatBody, json, ErrorCode.BadRequest);
         requireEnabledModel(table, body.model);
--- a/packages/http/src/services.ts
+++ b/packages/http/src/services.ts
@@ -29,6 +29,7 @@
     const service = requireEnabledService(table, exchange.params["service"] ?? "");
     const callerDeadlineMs = parseDeadlineMs(exchange, { ...limits, deadlineMs: service.timeoutMs });
     const deadlineMs = Math.min(callerDeadlineMs, service.timeoutMs);
+    admission.assertEndsInTime(deadlineMs);
     const path = backendPath(exchange, service);
     const body = await readBody(exchange, { limitBytes: limits.bodyBytes, limitMs: limits.bodyMs });
     const createCall = (deadlineAtMs: number): ServiceCall => ({
--- a/test/daemon/shutdown.test.ts
+++ b/test/daemon/shutdown.test.ts
@@ -104,6 +104,18 @@
     t.regex(text, /"verdict":"mayHaveRun"/);
 });
 
+test("a late call whose deadline lies past the limit is not accepted and given up", async (t) => {
+    const serving = await startServingDaemon(t, { ...SETTINGS, drainGraceMs: 2_000, drainLimitMs: 1_000 });
+    serving.daemon.process.kill("SIGTERM");
+    await waitForDrain(serving.daemon);
+    const late = await openConnection(t, serving.port);
+    late.write(requestHead("GET", SERVICE_PATH, { headers: ["x-deadline-ms: 30000"] }));
+    const text = await late.closed;
+    t.deepEqual(statusLines(text), ["HTTP/1.1 503"]);
+    t.regex(text, /"verdict":"notRun"/);
+    t.is(serving.service.receivedCount(), 0);
+});
+
 test("a late call that ends within the limit is answered in the grace period", async (t) => {
     const serving = await startServingDaemon(t, { ...SETTINGS, drainGraceMs: 2_000 });
     serving.daemon.process.kill("SIGTERM");
