Test on the HTTP server that late requests are refused by deadline

The test of the real daemon covers a service call only; chats and actions pass through code of their own. Seen red with the check taken out of chat.ts ("a late chat is refused ...") and of services.ts ("a late action is refused ...").

--- a/test/http/shutdown.test.ts
+++ b/test/http/shutdown.test.ts
@@ -1,4 +1,4 @@
-import { ErrorCode, GreengageError, sleep, Verdict } from "@greengage/base";
+import { ErrorCode, GreengageError, monotonicMs, sleep, Verdict } from "@greengage/base";
 import { waitFor } from "@greengage/faults";
 import test from "ava";
 import {
@@ -9,6 +9,7 @@
     OPERATOR_KEY,
     send,
     startServer,
+    type TestResponse,
 } from "./fixture.ts";
 
 const LIMIT_MS = 300;
@@ -115,3 +116,24 @@
     t.regex(text, /retry-after: 1\r\n/);
     t.regex(text, /"verdict":"notRun"/);
 });
+
+/** Registers a test of requests in the time between SIGTERM and the interruption. */
+const testLateRequest = (name: string, path: string, body: object): void => {
+    test(`a late ${name} is refused if its deadline lies past the interruption, and run otherwise`, async (t) => {
+        const { admission, url } = await startServer(t);
+        admission.interruptsAtMs = monotonicMs() + 5_000;
+        const sendWithDeadline = (deadlineMs: number): Promise<TestResponse> =>
+            send(url + path, {
+                key: CALLER_KEY,
+                headers: { "x-deadline-ms": String(deadlineMs), "idempotency-key": `key-${deadlineMs}` },
+                body,
+            });
+        const refused = await sendWithDeadline(6_000);
+        t.like(refused.json, { status: 503, title: "draining", verdict: "notRun" });
+        t.is(refused.headers["retry-after"], "1");
+        t.true((await sendWithDeadline(1_000)).status < 300);
+    });
+};
+
+testLateRequest("chat", "/v1/chat/completions", chatBody());
+testLateRequest("action", "/v1/services/ledger/x", { item: "umbrella" });
