--- a/packages/http/src/listener.ts
+++ b/packages/http/src/listener.ts
@@ -1,5 +1,5 @@
 import { ErrorCode, type GreengageError } from "@greengage/base";
-import { createServer, type RequestListener, type Server } from "node:http";
+import { createServer, type Server } from "node:http";
 import type { Socket } from "node:net";
 import { notRunError } from "./errors.ts";
 import type { HttpLimits } from "./limits.ts";
@@ -29,14 +29,14 @@
     notRunError(ErrorCode.BadRequest, "the request is not valid HTTP/1.1");
 
 /** Creates the HTTP server with its limits. Malformed and slow requests get an error and are disconnected. */
-export const createListener = (limits: HttpLimits, onRequest: RequestListener): Server => {
+export const createListener = (limits: HttpLimits): Server => {
     const server = createServer({
         maxHeaderSize: limits.headerBytes,
         headersTimeout: limits.headersMs,
         requestTimeout: limits.headersMs + limits.bodyMs + BODY_TIMEOUT_MARGIN_MS,
         connectionsCheckingInterval: Math.min(CHECK_INTERVAL_MS, limits.headersMs),
         keepAliveTimeout: 65_000,
-    }, onRequest);
+    });
     server.maxConnections = limits.connections;
     server.on(
         "clientError",
@@ -53,8 +53,13 @@
         socket.destroy();
         return;
     }
-    const problem = problemResponse((errorsByCode[error.code ?? ""] ?? badRequest)(limits));
+    socket.end(errorMessage((errorsByCode[error.code ?? ""] ?? badRequest)(limits)));
+};
+
+/** Complete HTTP message with an error, for a connection whose request has no response object. */
+export const errorMessage = (error: GreengageError): string => {
+    const problem = problemResponse(error);
     const headers = Object.entries({ ...problem.headers, connection: "close" });
     const head = headers.map(([name, value]) => `${name}: ${value}\r\n`).join("");
-    socket.end(`HTTP/1.1 ${problem.status} Error\r\n${head}\r\n${problem.body.toString("utf8")}`);
+    return `HTTP/1.1 ${problem.status} Error\r\n${head}\r\n${problem.body.toString("utf8")}`;
 };
