Read requests that have arrived before idle connections are closed

A caller whose request had reached a busy process saw its connection reset at the moment of the close, although the process could still have answered: `closeWhenIdle` closed connections in the timer that woke it, before the data that had arrived meanwhile was read.

It now lets the event loop read what has arrived first. base › serverconnections › "a request that has arrived but has not been read is answered" fails without that step (nothing received) and passes with it.

--- a/packages/base/src/serverconnections.ts
+++ b/packages/base/src/serverconnections.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, RequestListener, Server, ServerResponse } from "node:http";
 import { Server as NetServer, type Socket } from "node:net";
+import { setImmediate } from "node:timers/promises";
 import { monotonicMs } from "./clock.ts";
 import { sleep } from "./lifecycle.ts";
 
@@ -117,10 +118,10 @@
      */
     async closeWhenIdle(limitMs: number): Promise<boolean> {
         const deadlineAtMs = monotonicMs() + limitMs;
-        this.closeIdle();
+        await this.#readAndCloseIdle();
         while (this.#connections.size > 0 && monotonicMs() < deadlineAtMs) {
             await sleep(Math.min(IDLE_CHECK_INTERVAL_MS, deadlineAtMs - monotonicMs()));
-            this.closeIdle();
+            await this.#readAndCloseIdle();
         }
         return this.#connections.size === 0;
     }
@@ -144,6 +145,12 @@
         }
     }
 
+    /** Closes idle connections after the data that has already arrived has been read. */
+    async #readAndCloseIdle(): Promise<void> {
+        await setImmediate();
+        this.closeIdle();
+    }
+
     #add(socket: Socket): void {
         const connection: Connection = {
             socket,
--- a/test/base/serverconnections.test.ts
+++ b/test/base/serverconnections.test.ts
@@ -78,6 +78,17 @@
     t.regex(client.received(), /^HTTP\/1\.1 200 OK\r\n[^]*connection: close\r\n[^]*ok/i);
 });
 
+// Guards against requests that a busy process has not read yet when it closes idle connections.
+test("a request that has arrived but has not been read is answered", async (t) => {
+    const { connections, open } = await startServer(t, (_, response) => response.end("ok"));
+    const client = await open();
+    connections.closeAfterResponses();
+    client.socket.write(GET);
+    t.true(await connections.closeWhenIdle(CLOSE_LIMIT_MS));
+    await client.closed;
+    t.regex(client.received(), /200 OK[^]*ok/);
+});
+
 test("an incomplete request head is rejected once, and its rest is not handled", async (t) => {
     let handled = 0;
     const { connections, interrupted, open } = await startServer(t, (_, response) => {
