Don't deliver an event stream of a plain service that ends inside an event

A caller whose event stream came from a service without a model engine got a body that ended inside an event as a complete 200 with a length, when the server's response had neither length nor chunks and its connection ended early. Cause: only streams of model engines were checked for incomplete events; Attempt buffers other responses and took the end of the connection for the end of the response. A buffered response with content type text/event-stream is now scanned as well, and a broken one fails like a broken connection.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -7,6 +7,7 @@
 const CONNECT_TIMEOUT_MS = 350;
 /** Responses up to this size are buffered until they are complete, so that a broken one can be replaced by a retry. */
 const MAX_BUFFERED_BYTES = 1024 * 1024;
+const EVENT_CONTENT_TYPE = "text/event-stream";
 
 /** How one exchange with a backend server ended. */
 export type AttemptOutcome =
@@ -43,6 +44,7 @@
     readonly #outcome: Promise<AttemptOutcome>;
     #resolve: (outcome: AttemptOutcome) => void = () => undefined;
     #head: ServerHead | undefined;
+    #hasEventContent = false;
     #chunks: Buffer[] = [];
     #bufferedBytes = 0;
     #connectTimer: NodeJS.Timeout | undefined;
@@ -114,6 +116,8 @@
             return;
         }
         this.#head = head;
+        this.#hasEventContent = status < 300
+            && String(headers["content-type"]).startsWith(EVENT_CONTENT_TYPE);
         this.#options.onHead(head);
     }
 
@@ -146,7 +150,12 @@
             this.#settle({ kind: "failed", reason: "the response has no head", failure: FailureKind.Broken });
             return;
         }
-        if (this.#isEventStream() && this.#scanner.hasPartial) {
+        const body = Buffer.concat(this.#chunks);
+        // The buffered event stream of a plain service is only checked for completeness.
+        if (this.#hasEventContent && !this.#isEventStream()) {
+            this.#scanner.push(body);
+        }
+        if (this.#scanner.hasPartial) {
             this.#settle({
                 kind: "failed",
                 reason: "the stream ended with an incomplete event",
@@ -154,7 +163,7 @@
             });
             return;
         }
-        this.#settle({ kind: "complete", head, body: Buffer.concat(this.#chunks) });
+        this.#settle({ kind: "complete", head, body });
     }
 
     #onFailure(error: ExchangeError): void {
