Test the limits on connections, buffered responses and response ends

No test failed when the time limit for connections (350 ms in the gateway, 2 s in the daemons), the size limit of service calls or the time for a response to end after its end marker was removed. New tests guard them: a listener whose queue is full, a response of 16 MiB and one byte, a response that goes on after its end marker, and the daemons' streams that only send comments.

--- a/test/gateway/brokenservers.test.ts
+++ b/test/gateway/brokenservers.test.ts
@@ -1,16 +1,30 @@
 import { Verdict } from "@greengage/base";
-import { RouteKind } from "@greengage/configuration";
 import { waitFor } from "@greengage/faults";
-import test, { type ExecutionContext } from "ava";
-import { buildRoute } from "../configuration/fixtures.ts";
-import { createGateway, eventOf, type GatewayFixture, startServer, streamEvents } from "./fixtures.ts";
-import { type ByteScript, Finish, type RawServer, startRawServer } from "./rawserver.ts";
+import test from "ava";
+import { eventOf, startServer, streamEvents } from "./fixtures.ts";
+import {
+    type ByteScript,
+    Finish,
+    type RawServer,
+    startBlockedListener,
+    startRawServer,
+} from "./rawserver.ts";
+import {
+    allKinds,
+    callKinds,
+    createFixture,
+    repeatableKinds,
+    requestFields,
+    RequestKind,
+    ROUTE_TIMEOUT_MS,
+    streamKinds,
+} from "./requestkinds.ts";
 
 const MIB = 1024 * 1024;
-/** Time limit of the routes; longer than any response that ends by a size limit takes. */
-const ROUTE_TIMEOUT_MS = 4_000;
 /** Time limit of the routes for responses that drip until it has passed. */
 const SHORT_ROUTE_TIMEOUT_MS = 900;
+/** Time limit of the routes for connections that don't open; less than undici's own time limit. */
+const CONNECT_ROUTE_TIMEOUT_MS = 1_500;
 /** Time that a request may end after its route's time limit. */
 const TIMEOUT_SLACK_MS = 1_000;
 /** Bytes that the kernel's socket buffers hold in addition to those that the gateway has read. */
@@ -23,50 +37,6 @@
 const CHUNKED = "transfer-encoding: chunked\r\n\r\n";
 const chunkOf = (text: string): string => `${text.length.toString(16)}\r\n${text}\r\n`;
 
-/** Kinds of request by what may be repeated. */
-const RequestKind = {
-    Safe: "a safe request",
-    Unsafe: "an unsafe request",
-    Stream: "a stream",
-    /** Its route doesn't allow resumption, so it runs at most once. */
-    SingleStream: "a stream that may not be resumed",
-} as const;
-
-type RequestKind = typeof RequestKind[keyof typeof RequestKind];
-
-const allKinds = Object.values(RequestKind);
-const callKinds: readonly RequestKind[] = [RequestKind.Safe, RequestKind.Unsafe];
-const streamKinds: readonly RequestKind[] = [RequestKind.Stream, RequestKind.SingleStream];
-const repeatableKinds: ReadonlySet<RequestKind> = new Set([RequestKind.Safe, RequestKind.Stream]);
-
-const requestFields: Record<RequestKind, Parameters<GatewayFixture["send"]>[0]> = {
-    [RequestKind.Safe]: { target: "/read/1", generation: undefined },
-    [RequestKind.Unsafe]: { target: "/pay/1", generation: undefined },
-    [RequestKind.Stream]: { target: "/chat/1" },
-    [RequestKind.SingleStream]: { target: "/once/1" },
-};
-
-const createFixture = (
-    t: ExecutionContext,
-    servers: readonly { address: string; }[],
-    timeoutMs = ROUTE_TIMEOUT_MS,
-): GatewayFixture => {
-    const targets = servers.map(({ address }) => ({ address, received: [], abortedCount: 0 }));
-    const plain = { shares: [{ service: "ledger", weight: 1 }], canResume: false, timeoutMs };
-    return createGateway(t, {
-        groupHeads: targets,
-        servers: targets,
-        configuration: {
-            routes: [
-                buildRoute({ ...plain, name: "read", pathPrefix: "/read/", kind: RouteKind.Safe }),
-                buildRoute({ ...plain, name: "pay", pathPrefix: "/pay/", kind: RouteKind.Unsafe }),
-                buildRoute({ timeoutMs }),
-                buildRoute({ name: "once", pathPrefix: "/once/", canResume: false, timeoutMs }),
-            ],
-        },
-    });
-};
-
 const waitUntilClosed = (servers: readonly RawServer[]): Promise<true> =>
     waitFor(
         "the end of the connections",
@@ -428,3 +398,15 @@
         });
     }
 }
+
+// Guards against requests that use up their time waiting for a connection.
+for (const kind of allKinds) {
+    test.serial(`${kind} goes to another server when a connection to the first doesn't open`, async (t) => {
+        const address = await startBlockedListener(t);
+        const sound = await startServer(t, streamEvents(4));
+        const { send } = createFixture(t, [{ address }, sound], CONNECT_ROUTE_TIMEOUT_MS);
+        const response = await send(requestFields[kind]);
+        t.is(response.error, undefined);
+        t.is(response.text, EVENTS);
+    });
+}
--- a/test/gateway/rawserver.ts
+++ b/test/gateway/rawserver.ts
@@ -1,5 +1,7 @@
 import type { ExecutionContext } from "ava";
-import { type AddressInfo, createServer, type Socket } from "node:net";
+import { spawn } from "node:child_process";
+import { once } from "node:events";
+import { type AddressInfo, connect, createServer, type Socket } from "node:net";
 
 /** What a raw server sends after the last scripted byte. */
 export const Finish = {
@@ -125,3 +127,28 @@
     };
     sendBlock();
 };
+
+/** Prints the port of a listener, then blocks, so that the kernel queues connections that nobody accepts. */
+const BLOCKED_LISTENER = `
+    require("node:net").createServer().listen({ port: 0, host: "127.0.0.1", backlog: 1 }, function () {
+        require("node:fs").writeSync(1, String(this.address().port));
+        Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0);
+    });
+`;
+/** More connections than the queue of the listener holds. */
+const QUEUED_CONNECTIONS = 8;
+
+/** Starts a listener with a full queue, to which a connection neither opens nor fails. Returns its address. */
+export const startBlockedListener = async (t: ExecutionContext): Promise<string> => {
+    const child = spawn(process.execPath, ["-e", BLOCKED_LISTENER], { stdio: ["ignore", "pipe", "inherit"] });
+    const [output] = await once(child.stdout, "data") as [Buffer];
+    const port = Number(output.toString());
+    const sockets = Array.from({ length: QUEUED_CONNECTIONS }, () => connect(port, "127.0.0.1"));
+    sockets.forEach((socket) => socket.on("error", () => undefined));
+    t.teardown(() => {
+        sockets.forEach((socket) => socket.destroy());
+        child.kill("SIGKILL");
+    });
+    await once(sockets[0] as Socket, "connect");
+    return `127.0.0.1:${port}`;
+};
--- a/test/routing/dispatch.test.ts
+++ b/test/routing/dispatch.test.ts
@@ -240,3 +240,37 @@
     await running;
     t.is(sink.tokenText, COMPLETE_TEXT);
 });
+
+// Guards against comments that count as progress and hide a stalled stream.
+test("a stream that only sends comments resumes at another group", async (t) => {
+    const comment = ": 0123456789\n\n";
+    const fixture = createDispatcher(t, { streamLimits: { tokenGapMs: 500, suspendedGapMs: 200 } });
+    const first = await startEngine(t, (request, response) => {
+        sendHead(request, response);
+        response.write(eventOf("t0 "));
+        const timer = setInterval(() => response.write(comment), 20);
+        response.on("close", () => clearInterval(timer));
+    });
+    const second = await startEngine(t, streamTokens(4));
+    setTwoGroups(fixture, first, second);
+    const sink = new CollectingSink();
+    await fixture.dispatcher.generate(fixture.request(), sink, neverAborted());
+    sink.text = sink.text.replaceAll(comment, "");
+    t.is(sink.tokenText, COMPLETE_TEXT);
+});
+
+// Guards against connections that stay busy after their response, and against bytes after the end marker.
+test("a connection whose response doesn't end after the end marker is closed", async (t) => {
+    const fixture = createDispatcher(t);
+    const engine = await startEngine(t, (request, response) => {
+        sendHead(request, response);
+        response.write(eventOf("t0 ") + END_MARKER);
+        const timer = setInterval(() => response.write(eventOf("late ")), 20);
+        response.on("close", () => clearInterval(timer));
+    });
+    fixture.directory.groups = [groupOf({ leaderUrl: engine.url })];
+    const sink = new CollectingSink();
+    await fixture.dispatcher.generate(fixture.request(), sink, neverAborted());
+    await waitFor("the end of the connection", () => engine.received[0]?.isClosed || undefined, 10_000);
+    t.is(sink.tokenText, "t0 ");
+});
--- a/test/routing/servicecalls.test.ts
+++ b/test/routing/servicecalls.test.ts
@@ -3,6 +3,7 @@
 import type { ServiceView } from "@greengage/protocol";
 import type { ServiceCall } from "@greengage/routing";
 import test from "ava";
+import { startBlockedListener } from "../gateway/rawserver.ts";
 import { createDispatcher, startEngine } from "./fixtures.ts";
 
 const serverOf = (vmId: string, url: string): ServiceView => ({
@@ -80,3 +81,29 @@
     t.is((await Promise.all(running)).length, 2);
     t.is(ledger.received.length, 2);
 });
+
+test("a response larger than 16 MiB is not buffered", async (t) => {
+    const { directory, dispatcher } = createDispatcher(t);
+    const server = await startEngine(t, (request, response) => {
+        response.writeHead(200, { "x-request-id": request.requestId });
+        response.end(Buffer.alloc(16 * 1024 * 1024 + 1));
+    });
+    directory.serviceViews = [serverOf("ledger-1", server.url)];
+    t.like(await t.throwsAsync(dispatcher.callService(callOf("POST"), neverAborted)), {
+        verdict: "mayHaveRun",
+    });
+});
+
+// Guards against calls that use up their time waiting for a connection.
+test("a call goes to another backend server when a connection to the first doesn't open", async (t) => {
+    const { directory, dispatcher } = createDispatcher(t);
+    const address = await startBlockedListener(t);
+    const server = await startEngine(t, (request, response) => {
+        response.writeHead(200, { "x-request-id": request.requestId });
+        response.end();
+    });
+    directory.serviceViews = [serverOf("ledger-1", `http://${address}`)];
+    const running = dispatcher.callService(callOf("POST"), neverAborted);
+    directory.serviceViews.push(serverOf("ledger-2", server.url));
+    t.like(await running, { status: 200, verdict: "ran" });
+});
