Don't end a stream that may not be resumed because its group is silent

Callers of a stream on a route without resumption lost it after 0.7 to 1 s of silence of its group, although the engine may still go on and no other group may continue it: the connection to the engine was closed while it was at work, and the caller got a 502 or a stream that was cut off well before the route's time limit. Cause: the stall checks fail over all requests of a group, and StreamCall ended the attempt without regard to the route. It now ends the attempt only where a stream may be resumed; the suspicion is reported as before, and the deadline or the caller ends the stream.

Evidence: brokenservers › "a stream that may not be resumed outlasts a silence of its server" (1.5 s) failed before and passes now; 239 of 239 tests of test/gateway pass.

--- a/packages/gateway/src/streamcall.ts
+++ b/packages/gateway/src/streamcall.ts
@@ -154,7 +154,7 @@
 
     async #runAttempt(group: GroupState, predictedMs: number): Promise<AttemptOutcome> {
         const { pools, dialect, groups } = this.#deps;
-        const { request, organisation, priority, deadlineAtMs } = this.#call;
+        const { request, route, organisation, priority, deadlineAtMs } = this.#call;
         const { target } = group;
         const sentAtMs = monotonicMs();
         const mayHaveRunBefore = this.#execution.mayHaveRun;
@@ -186,7 +186,11 @@
             promptTokens: this.#generation.promptTokens,
             sentAtMs,
             expectedAtMs: sentAtMs + predictedMs,
-            failOver: (reason) => attempt.fail(FailureKind.Stalled, reason),
+            failOver: (reason) => {
+                if (route.canResume) {
+                    attempt.fail(FailureKind.Stalled, reason);
+                }
+            },
         };
         group.add(inFlight);
         this.#execution.attempt = attempt;
--- a/test/gateway/brokenservers.test.ts
+++ b/test/gateway/brokenservers.test.ts
@@ -1,7 +1,7 @@
 import { Verdict } from "@greengage/base";
 import { waitFor } from "@greengage/faults";
 import test from "ava";
-import { eventOf, startServer, streamEvents } from "./fixtures.ts";
+import { eventOf, startServer, streamEvents, writeHead } from "./fixtures.ts";
 import {
     type ByteScript,
     Finish,
@@ -29,6 +29,8 @@
 const TIMEOUT_SLACK_MS = 1_000;
 /** Bytes that the kernel's socket buffers hold in addition to those that the gateway has read. */
 const SOCKET_BUFFER_BYTES = 4 * MIB;
+/** Longer than a silence after which a stream that may be resumed fails over. */
+const SILENCE_MS = 1_500;
 const DRIP_INTERVAL_MS = 20;
 
 const STATUS_LINE = "HTTP/1.1 200 OK\r\n";
@@ -399,6 +401,18 @@
     }
 }
 
+// Guards against a stream that is broken off because its server is silent, although no other server may continue it.
+test("a stream that may not be resumed outlasts a silence of its server", async (t) => {
+    const server = await startServer(t, (request, response) => {
+        writeHead(request, response);
+        response.write(eventOf(1));
+        setTimeout(() => response.end(EVENTS.slice(eventOf(1).length)), SILENCE_MS);
+    });
+    const response = await createFixture(t, [server]).send(requestFields[RequestKind.SingleStream]);
+    t.is(response.text, EVENTS);
+    t.true(response.isEnded);
+});
+
 // Guards against requests that use up their time waiting for a connection.
 for (const kind of allKinds) {
     test.serial(`${kind} goes to another server when a connection to the first doesn't open`, async (t) => {
