--- a/packages/gateway/src/streamcall.ts
+++ b/packages/gateway/src/streamcall.ts
@@ -201,7 +201,7 @@
 
     async #runAttempt(group: GroupState, predictedMs: number): Promise<AttemptResult> {
         const { pools, dialect, groups } = this.#deps;
-        const { request, organisation, priority, deadlineAtMs } = this.#call;
+        const { request, route, organisation, priority, deadlineAtMs } = this.#call;
         const { target } = group;
         const sentAtMs = monotonicMs();
         let progress: AttemptProgress = AttemptProgress.None;
@@ -245,7 +245,11 @@
             promptTokens: this.#generation.promptTokens,
             sentAtMs,
             expectedAtMs: sentAtMs + predictedMs,
-            failOver: (reason) => attempt.fail(FailureKind.Stalled, reason),
+            failOver: (reason) => {
+                if (route.canResume) {
+                    attempt.fail(FailureKind.Stalled, reason);
+                }
+            },
         };
         group.add(inFlight);
         this.#execution.attempt = attempt;
