--- a/packages/gateway/src/streamcall.ts
+++ b/packages/gateway/src/streamcall.ts
@@ -75,7 +75,7 @@
             hasHead: false,
             lastEventId: call.request.lastEventId,
             firstEventMs: undefined,
-            lastEventAtMs: 0,
+            lastEventAtMs: call.request.receivedAtMs,
             longestGapMs: 0,
         };
     }
@@ -191,6 +191,7 @@
         const { target } = group;
         const sentAtMs = monotonicMs();
         let progress: AttemptProgress = AttemptProgress.None;
+        const mayHaveRunBefore = this.#execution.mayHaveRun;
         const attempt = new Attempt({
             client: pools.get(`http://${target.headAddress}`, sentAtMs),
             dialect,
@@ -205,14 +206,22 @@
             },
             closesConnection: false,
             // The group may have been withdrawn while the connection was opening.
-            mayWrite: () => this.#execution.endReason === undefined && groups.get(target.groupName) === group,
+            mayWrite: () => {
+                if (this.#execution.endReason !== undefined || groups.get(target.groupName) !== group) {
+                    return false;
+                }
+                this.#execution.mayHaveRun = true;
+                return true;
+            },
             onHead: (head) => {
                 progress = AttemptProgress.Head;
                 this.#onHead(group, head);
             },
-            onEvents: (events) => {
-                progress = AttemptProgress.Events;
-                this.#onEvents(group, inFlight, events);
+            onEvents: (events, hasFields) => {
+                if (hasFields) {
+                    progress = AttemptProgress.Events;
+                }
+                this.#onEvents(group, inFlight, events, hasFields);
             },
         });
         const inFlight: InFlightRequest = {
@@ -225,6 +234,9 @@
         this.#execution.attempt = attempt;
         const outcome = await attempt.run();
         this.#execution.attempt = undefined;
+        if (outcome.kind === "notRun") {
+            this.#execution.mayHaveRun = mayHaveRunBefore;
+        }
         group.end(inFlight, outcome.kind === "complete", monotonicMs());
         this.#penalizeGroup(group, outcome);
         this.#hasBeenRejected ||= outcome.kind === "notRun";
@@ -255,18 +267,33 @@
     }
 
     #onHead(group: GroupState, head: ServerHead): void {
-        this.#execution.mayHaveRun = true;
         if (head.load !== undefined) {
             group.recordLoad(head.load, monotonicMs());
         }
         this.#head = head;
     }
 
-    #onEvents(group: GroupState, inFlight: InFlightRequest, events: Buffer): void {
-        const { response, request } = this.#call;
+    #onEvents(group: GroupState, inFlight: InFlightRequest, events: Buffer, hasFields: boolean): void {
+        const { response } = this.#call;
+        if (hasFields) {
+            this.#recordProgress(group, inFlight);
+        }
+        if (!this.#delivery.hasHead && this.#head !== undefined) {
+            this.#delivery.hasHead = true;
+            response.sendHead(this.#head.status, this.#head.headers);
+        }
+        this.#delivery.lastEventId = lastEventIdOf(events) ?? this.#delivery.lastEventId;
+        if (!response.write(events)) {
+            const attempt = this.#execution.attempt;
+            attempt?.pause();
+            response.onDrained(() => attempt?.resume());
+        }
+    }
+
+    #recordProgress(group: GroupState, inFlight: InFlightRequest): void {
         const nowMs = monotonicMs();
         if (this.#delivery.firstEventMs === undefined) {
-            this.#delivery.firstEventMs = nowMs - request.receivedAtMs;
+            this.#delivery.firstEventMs = nowMs - this.#call.request.receivedAtMs;
             this.#deps.context.metrics.durationMs("gateway.first_event", this.#delivery.firstEventMs);
         }
         else {
@@ -281,16 +308,6 @@
             this.#deps.promptParts.recordServed(this.#call.service.name, this.#partIds, nowMs);
         }
         group.recordProgress(inFlight, nowMs);
-        if (!this.#delivery.hasHead && this.#head !== undefined) {
-            this.#delivery.hasHead = true;
-            response.sendHead(this.#head.status, this.#head.headers);
-        }
-        this.#delivery.lastEventId = lastEventIdOf(events) ?? this.#delivery.lastEventId;
-        if (!response.write(events)) {
-            const attempt = this.#execution.attempt;
-            attempt?.pause();
-            response.onDrained(() => attempt?.resume());
-        }
     }
 
     #recordFirstToken({ sentAtMs, expectedAtMs }: InFlightRequest, nowMs: number): void {
