--- a/packages/fleet/src/partoperations.ts
+++ b/packages/fleet/src/partoperations.ts
@@ -1,7 +1,6 @@
 import { type Context, ErrorCode, GreengageError, messageOf, monotonicMs, Verdict } from "@greengage/base";
 import type { RaftLog } from "@greengage/consensus";
 import type { Peers, SuspectPartRecord } from "@greengage/protocol";
-import type { GroupController } from "./controller.ts";
 import type { PartQuarantine } from "./partquarantine.ts";
 
 const LEADER_CALL_OPTIONS = { timeoutMs: 900 };
@@ -10,8 +9,9 @@
     context: Context;
     peers: Peers;
     log: Pick<RaftLog, "holdsLeaderLease" | "status">;
-    controller: Pick<GroupController, "wake">;
     quarantine: PartQuarantine;
+    /** Called after a part was cleared. */
+    onLifted: () => void;
 }
 
 /** Lists suspect prompt parts for operators, and lifts quarantines. Forwards to the leader, which decides. */
@@ -52,7 +52,7 @@
     }
 
     #handleLift(partId: string): { isAccepted: boolean; services: string[]; } {
-        const { log, quarantine, controller } = this.#options;
+        const { log, quarantine, onLifted } = this.#options;
         if (!log.holdsLeaderLease) {
             return { isAccepted: false, services: [] };
         }
@@ -60,7 +60,7 @@
             .filter((suspect) => suspect.partId === partId)
             .map(({ service }) => service);
         services.forEach((service) => quarantine.lift(service, partId));
-        controller.wake();
+        onLifted();
         return { isAccepted: true, services };
     }
 
--- a/packages/fleet/src/service.ts
+++ b/packages/fleet/src/service.ts
@@ -111,15 +111,16 @@
             controller: this.#controller,
         });
         peers.handle("fleet.suspect", (suspicion) => this.#handleSuspicion(suspicion));
-        const partOptions = {
-            context,
-            peers,
-            log,
+        const partOptions = { context, peers, log, quarantine: this.#quarantine };
+        new PartReportHandler({
+            ...partOptions,
             controller: this.#controller,
-            quarantine: this.#quarantine,
-        };
-        new PartReportHandler(partOptions);
-        this.partOperations = new PartOperations(partOptions);
+            onReported: () => this.#publishSuspects(),
+        });
+        this.partOperations = new PartOperations({
+            ...partOptions,
+            onLifted: () => this.#publishSuspects(),
+        });
     }
 
     /** The latest view; undefined before the first one. */
@@ -220,6 +221,14 @@
         }
     }
 
+    /** Publishes changed suspects, also before this leader has settled. A view without any group would stop all requests. */
+    #publishSuspects(): void {
+        const hasGroups = this.#controller.isSettled || this.#records !== undefined;
+        if (this.#leadingTerm !== undefined && hasGroups) {
+            this.#publish();
+        }
+    }
+
     /** Publishes a new view if the available groups, servers or suspect parts have changed, and new records if groups or parts have. */
     #publish(): void {
         const { timing } = this.#options;
--- a/packages/http/src/server.ts
+++ b/packages/http/src/server.ts
@@ -3,10 +3,13 @@
     type Context,
     ErrorCode,
     GreengageError,
+    type InterruptedRequest,
     type Log,
     LogPart,
     messageOf,
     monotonicMs,
+    ServerConnections,
+    Verdict,
 } from "@greengage/base";
 import type { ReportResponse } from "@greengage/membership";
 import type { VmReport } from "@greengage/protocol";
@@ -21,15 +24,19 @@
 import { notRunError } from "./errors.ts";
 import { createExchange, type Exchange, sendJson } from "./exchange.ts";
 import { liveHandler, type Readiness, readyHandler } from "./health.ts";
+import { interruptionError, settleInterrupted, shutdownError } from "./interruption.ts";
 import { ApiKeys, requireKey } from "./keys.ts";
 import type { HttpLimits } from "./limits.ts";
-import { createListener } from "./listener.ts";
+import { createListener, errorMessage } from "./listener.ts";
+import type { OperatorResponse } from "./operators/api.ts";
 import type { OperatorRouter } from "./operators/router.ts";
 import { sendProblem, toGreengageError } from "./problem.ts";
 import { reportHandler } from "./reports.ts";
 import { METHODS, type Route, Surface } from "./routes.ts";
 import { servicesHandler } from "./services.ts";
 
+/** Time for the final responses to interrupted requests. Longer than the discard timeout of an incomplete body. */
+const FINAL_RESPONSE_TIMEOUT_MS = 2_000;
 const OPERATOR_PREFIX = "/operator/v1/";
 
 interface HttpServerOptions {
@@ -54,11 +61,14 @@
     readonly #log: Log;
     readonly #keys: ApiKeys;
     readonly #server: Server;
+    readonly #connections: ServerConnections;
     readonly #router = findMyWay({
         defaultRoute: (request, response) =>
             this.#handleUnmatchedRequest(request, response as ServerResponse),
     });
+    readonly #exchanges = new Set<Exchange>();
     #stopWatchingTable: () => void = () => undefined;
+    #isClosing = false;
 
     constructor(options: HttpServerOptions) {
         this.#options = options;
@@ -66,12 +76,14 @@
         this.#keys = new ApiKeys(options.table);
         for (const route of this.#routes()) {
             this.#router.on(route.methods as HTTPMethod[], route.path, (request, response, params) => {
-                void this.#serve(route, createExchange(request, response as ServerResponse, params));
+                void this.#serve(route, this.#createExchange(request, response as ServerResponse, params));
             });
         }
-        this.#server = createListener(
-            options.limits,
+        this.#server = createListener(options.limits);
+        this.#connections = new ServerConnections(
+            this.#server,
             (request, response) => this.#router.lookup(request, response),
+            (interrupted) => this.#recordInterrupted(interrupted),
         );
     }
 
@@ -89,12 +101,34 @@
         });
     }
 
+    /**
+     * Stops listening and finishes the requests in progress on all APIs, for at most `limitMs`. Closes idle connections
+     * at once and the others after their response. Requests that are not finished by then are interrupted and get a
+     * final response. Resolves to their number.
+     */
+    async finishRequests(limitMs: number): Promise<number> {
+        this.#connections.closeAfterResponses();
+        this.#connections.stopListening();
+        if (await this.#connections.closeWhenIdle(limitMs)) {
+            return 0;
+        }
+        const interruptedCount = this.#exchanges.size;
+        this.#connections.rejectIncompleteHeads(errorMessage(shutdownError(Verdict.NotRun)));
+        for (const { interruption } of this.#exchanges) {
+            interruption.abort();
+        }
+        await this.#connections.closeWhenIdle(FINAL_RESPONSE_TIMEOUT_MS);
+        return interruptedCount;
+    }
+
     /** Stops listening and closes all connections. Requests in flight are aborted. */
     async close(): Promise<void> {
+        this.#isClosing = true;
         this.#stopWatchingTable();
+        this.#log.info("closing all connections", { ...this.#connections.counts() });
         await new Promise<void>((resolve) => {
             this.#server.close(() => resolve());
-            this.#server.closeAllConnections();
+            this.#connections.closeAll();
         });
     }
 
@@ -156,6 +190,17 @@
         ];
     }
 
+    #createExchange(
+        request: IncomingMessage,
+        response: ServerResponse,
+        params: Exchange["params"],
+    ): Exchange {
+        const exchange = createExchange(request, response, params);
+        this.#exchanges.add(exchange);
+        response.once("close", () => this.#exchanges.delete(exchange));
+        return exchange;
+    }
+
     async #serve(route: Route, exchange: Exchange): Promise<void> {
         const startedAtMs = monotonicMs();
         exchange.response.shouldKeepAlive &&= !this.#options.admission.closesConnections;
@@ -175,6 +220,19 @@
         return this.#options.admission.run(exchange.request.socket, () => route.handler(exchange));
     }
 
+    #recordInterrupted({ progress, request, ageMs, isClosedByClient }: InterruptedRequest): void {
+        const closedBy = isClosedByClient ? "client" : "daemon";
+        this.#options.context.metrics.count("http.interrupted", 1, { progress, closedBy });
+        if (this.#isClosing && !isClosedByClient) {
+            const target = request === undefined ? "" : `${request.method} ${request.url?.split("?", 1)[0]}`;
+            this.#log.warn("the shutdown interrupted a request", {
+                target,
+                progress,
+                ageMs: Math.round(ageMs),
+            });
+        }
+    }
+
     #recordMetrics(surface: Surface, status: number, durationMs: number): void {
         const { metrics } = this.#options.context;
         metrics.count("http.requests", 1, { surface, status: String(status) });
@@ -182,7 +240,7 @@
     }
 
     #handleUnmatchedRequest(request: IncomingMessage, response: ServerResponse): void {
-        const exchange = createExchange(request, response, {});
+        const exchange = this.#createExchange(request, response, {});
         const path = (request.url ?? "").split("?", 1)[0] ?? "";
         const allowed = METHODS.filter((method) => this.#router.find(method, path));
         if (allowed.length === 0) {
@@ -211,6 +269,21 @@
         sendProblem(request, response, error, extraHeaders);
     }
 
+    async #runOperatorRequest(
+        { request, interruption }: Exchange,
+        path: string,
+        body: unknown,
+    ): Promise<OperatorResponse> {
+        const method = request.method ?? "GET";
+        const response = this.#options.operators.handle({ method, path, body });
+        try {
+            return await settleInterrupted(response, interruption.signal);
+        }
+        catch (error) {
+            throw method === "GET" ? shutdownError(Verdict.NotRun) : interruptionError(error);
+        }
+    }
+
     async #handleOperatorRequest(exchange: Exchange): Promise<void> {
         const { request } = exchange;
         requireKey(request, this.#options.keys.operators);
@@ -219,11 +292,7 @@
             ? undefined
             : await readJson(exchange, { limitBytes: bodyBytes, limitMs: bodyMs });
         const path = (request.url ?? "").slice(OPERATOR_PREFIX.length);
-        const response = await this.#options.operators.handle({
-            method: request.method ?? "GET",
-            path,
-            body,
-        });
+        const response = await this.#runOperatorRequest(exchange, path, body);
         const contentType = response.status < 400 ? "application/json" : "application/problem+json";
         sendJson(exchange, response.status, response.body, contentType);
     }
--- a/packages/http/src/services.ts
+++ b/packages/http/src/services.ts
@@ -29,6 +29,7 @@
     const service = requireEnabledService(table, exchange.params["service"] ?? "");
     const callerDeadlineMs = parseDeadlineMs(exchange, { ...limits, deadlineMs: service.timeoutMs });
     const deadlineMs = Math.min(callerDeadlineMs, service.timeoutMs);
+    admission.assertEndsInTime(deadlineMs);
     const path = backendPath(exchange, service);
     const body = await readBody(exchange, { limitBytes: limits.bodyBytes, limitMs: limits.bodyMs });
     const createCall = (deadlineAtMs: number): ServiceCall => ({
@@ -104,17 +105,18 @@
     deadlineMs: number,
     createCall: (deadlineAtMs: number) => ServiceCall,
 ): Promise<ServiceResponse> => {
+    const interrupted = exchange.interruption.signal;
     if (!isNonIdempotent(service, exchange.request.method ?? "GET")) {
         const disconnected = disconnectSignal(exchange.response);
         return runWithDeadline(
-            { deadlineMs, disconnected },
+            { deadlineMs, interrupted, disconnected },
             (signal, deadlineAtMs) => options.dispatcher.callService(createCall(deadlineAtMs), signal),
         );
     }
     const key = readIdempotencyKey(exchange);
     // A disconnect does not abort an action, because the outcome of an aborted action is unknown.
     return runWithDeadline(
-        { deadlineMs },
+        { deadlineMs, interrupted },
         (signal, deadlineAtMs) => options.actions.run(createCall(deadlineAtMs), key, signal),
     );
 };
