Take the later of two prompt parts for the cause of common crashes

Once it is quarantined, no request can clear it before the trial after a minute.

Cause: crashes that a quarantined part explains still counted against the parts beside it. A part is not quarantined any more if a quarantined part later in the prompt was in all crashes that blame it; parts later in the prompt are considered first, as earlier ones are shared by more requests. If the first part is the cause after all, the next crash without the later part shows it, and the later part is tried after 3 s.

--- a/packages/fleet/src/partquarantine.ts
+++ b/packages/fleet/src/partquarantine.ts
@@ -17,7 +17,7 @@
 const QUARANTINE_TTL_MS = 24 * 3_600_000;
 /** Time from the quarantine to the first trial. It doubles with each failed trial. */
 export const FIRST_TRIAL_DELAY_MS = 60_000;
-/** Delay for parts that can't be told from each other, so that the sound ones are cleared soon. */
+/** Delay for a part that can't be told from another one, so that it is cleared soon if the other one is the cause. */
 export const AMBIGUOUS_TRIAL_DELAY_MS = 3_000;
 const MAX_TRIAL_DELAY_MS = 3_600_000;
 /** Time after which a trial without an outcome is repeated. */
@@ -127,19 +127,23 @@
                 this.#clear(key, "no crash since");
             }
         }
-        const blamed = [...this.#suspects.values()].filter((suspect) =>
-            !isQuarantined(suspect) && isBlamed(suspect, nowMs)
-        );
-        const candidates = [...this.#suspects.values()].filter((suspect) =>
-            isQuarantined(suspect) || blamed.includes(suspect)
-        );
+        const blamed = [...this.#suspects.values()]
+            .filter((suspect) => !isQuarantined(suspect) && isBlamed(suspect, nowMs))
+            .sort((a, b) => b.position - a.position);
         for (const suspect of blamed) {
-            suspect.isAmbiguous = candidates.some((other) =>
-                other !== suspect && haveCommonCrashes(suspect, other)
+            const others = [...this.#suspects.values()].filter((other) => other !== suspect);
+            // Earlier parts are shared by more requests, so the later part is taken for the cause of common crashes.
+            const isExplained = others.some((other) =>
+                isQuarantined(other) && other.position > suspect.position && explainsCrashes(other, suspect)
             );
-            suspect.nextTrialAtMs = nowMs + trialDelayMs(suspect);
-            this.#version += 1;
-            this.#record("part.quarantined", suspect, { isAmbiguous: suspect.isAmbiguous });
+            if (!isExplained) {
+                suspect.isAmbiguous = others.some((other) =>
+                    !other.wasServedBefore && explainsCrashes(other, suspect)
+                );
+                suspect.nextTrialAtMs = nowMs + trialDelayMs(suspect);
+                this.#version += 1;
+                this.#record("part.quarantined", suspect, { isAmbiguous: suspect.isAmbiguous });
+            }
         }
         const { metrics } = this.#context;
         const quarantinedCount = [...this.#suspects.values()].filter(isQuarantined).length;
@@ -308,8 +312,11 @@
         || meets(crashedEpochs.size, WAITING_RULE);
 };
 
-const haveCommonCrashes = (a: SuspectState, b: SuspectState): boolean =>
-    a.service === b.service && [...a.answeringEpochs].some((epoch) => b.answeringEpochs.has(epoch));
+/** Whether `other` was in all crashes that blame `suspect`. */
+const explainsCrashes = (other: SuspectState, suspect: SuspectState): boolean => {
+    const epochs = suspect.answeringEpochs.size > 0 ? suspect.answeringEpochs : suspect.crashedEpochs;
+    return other.service === suspect.service && [...epochs].every((epoch) => other.crashedEpochs.has(epoch));
+};
 
 const trialDelayMs = ({ failedTrialCount, isAmbiguous }: SuspectState): number =>
     isAmbiguous && failedTrialCount === 0
