--- a/test/fleet/partreports.test.ts
+++ b/test/fleet/partreports.test.ts
@@ -35,7 +35,7 @@
             },
         },
         quarantine,
-        onReported: () => undefined,
+        onChanged: () => undefined,
     });
     const entry = hub.join({ daemonId: "entry", zone: "z", host: "", port: 0 });
     return {
