Test that a stalled group is suspected and its streams fail over with it

No test failed when the time limit for a first event (700 ms) or the one after which all streams of a silent group fail over was removed, as the longer limit for a single stream (1 s) took over, without a suspicion. Each of the two cases fails now without its limit; they compare the reason and the suspicion, not a duration. 36 of 36 tests of gateway.test.ts pass.

--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -81,6 +81,28 @@
     t.is(first.received.length, 1, "a suspected group receives no new requests");
 });
 
+// Guards against a stalled group that is noticed only when each of its streams hangs.
+for (
+    const [title, events] of Object.entries({
+        "sends no first event": "",
+        "stops after an event": eventOf(1),
+    })
+) {
+    test(`a group that ${title} is suspected, and its stream fails over with the group`, async (t) => {
+        const handler: RequestHandler = (request, response) => {
+            writeHead(request, response);
+            response.write(events);
+            response.flushHeaders();
+        };
+        const configuration = { routes: [buildRoute({ maxAttempts: 1 })] };
+        const groupHeads = [await startServer(t, handler)];
+        const { send, suspicions } = createGateway(t, { groupHeads, configuration });
+        const { error } = await send();
+        t.regex(error?.message ?? "", /the group made no progress/);
+        t.true(suspicions.some(({ hasRunningStream }) => hasRunningStream === (events !== "")));
+    });
+}
+
 test("a stream that may not be resumed is aborted instead of continued by another run", async (t) => {
     const first = await startServer(
         t,
