--- a/packages/fleet/src/partoperations.ts
+++ b/packages/fleet/src/partoperations.ts
@@ -10,8 +10,8 @@
     peers: Peers;
     log: Pick<RaftLog, "holdsLeaderLease" | "status">;
     quarantine: PartQuarantine;
-    /** Called after a part was cleared. */
-    onLifted: () => void;
+    /** Called after a part was lifted. */
+    onChanged: () => void;
 }
 
 /** Lists suspect prompt parts for operators, and lifts quarantines. Forwards to the leader, which decides. */
@@ -52,7 +52,7 @@
     }
 
     #handleLift(partId: string): { isAccepted: boolean; services: string[]; } {
-        const { log, quarantine, onLifted } = this.#options;
+        const { log, quarantine, onChanged } = this.#options;
         if (!log.holdsLeaderLease) {
             return { isAccepted: false, services: [] };
         }
@@ -60,7 +60,7 @@
             .filter((suspect) => suspect.partId === partId)
             .map(({ service }) => service);
         services.forEach((service) => quarantine.lift(service, partId));
-        onLifted();
+        onChanged();
         return { isAccepted: true, services };
     }
 
--- a/packages/fleet/src/partreports.ts
+++ b/packages/fleet/src/partreports.ts
@@ -14,7 +14,7 @@
     controller: Pick<GroupController, "confirmCrash">;
     quarantine: PartQuarantine;
     /** Called after each report. */
-    onReported: () => void;
+    onChanged: () => void;
 }
 
 /** Handles the observations of entry daemons about prompt parts on the leader. */
@@ -32,7 +32,7 @@
     }
 
     async #handleReport({ crashes, served }: PartReport): Promise<PartReportResponse> {
-        const { log, quarantine, onReported } = this.#options;
+        const { log, quarantine, onChanged } = this.#options;
         if (!log.holdsLeaderLease) {
             return { isAccepted: false, leaderId: log.status().leaderId, crashedEpochs: [] };
         }
@@ -47,7 +47,7 @@
             quarantine.recordCrash(service, epoch, requests, nowMs)
         );
         served.forEach((parts) => quarantine.recordServed(parts, nowMs));
-        onReported();
+        onChanged();
         return { isAccepted: true, crashedEpochs: confirmed.map(({ epoch }) => epoch) };
     }
 
--- a/packages/fleet/src/service.ts
+++ b/packages/fleet/src/service.ts
@@ -115,12 +115,11 @@
         new PartReportHandler({
             ...partOptions,
             controller: this.#controller,
-            onReported: () => this.#publishSuspects(),
-        });
-        this.partOperations = new PartOperations({
-            ...partOptions,
-            onLifted: () => this.#publishSuspects(),
-        });
+            quarantine: this.#quarantine,
+            onChanged: () => this.#publishSuspects(),
+        };
+        new PartReportHandler(partOptions);
+        this.partOperations = new PartOperations(partOptions);
     }
 
     /** The latest view; undefined before the first one. */
--- a/test/fleet/partoperations.test.ts
+++ b/test/fleet/partoperations.test.ts
@@ -25,6 +25,7 @@
                 holdsLeaderLease: daemonId === leaseHolderId,
                 status: () => ({ leaderId }) as ReturnType<PartOperationsLog["status"]>,
             },
+            onChanged: () => undefined,
             quarantine,
             onLifted: () => undefined,
         });
