--- a/test/platform/shutdown.test.ts
+++ b/test/platform/shutdown.test.ts
@@ -216,6 +216,41 @@
     t.regex(broken ?? "", /shut/, "the log tells why the stream was broken off");
 });
 
+// Guards against requests that arrive between the end of a stream and a check for idle connections.
+test.serial("a request sent at the end of a stream that began before SIGTERM is not taken and cut off", async (t) => {
+    const fixture = await startServing(t);
+    setStreamDuration(fixture, 4_000);
+    const caller = await fixture.open();
+    caller.send(chat("running", ROUTE_TIMEOUT_MS));
+    await waitFor("a stream", async () => caller.received.includes("piece 1") ? true : undefined);
+    const drain = startDrain(fixture);
+    await waitFor(
+        "the end of the stream",
+        async () => caller.isClosed || parseResponse(caller.received)?.isComplete ? true : undefined,
+    );
+    t.true(parseResponse(caller.received)?.isComplete, "the stream is completed");
+    const receivedLength = caller.received.length;
+    caller.send(chat("next", ROUTE_TIMEOUT_MS));
+    t.is((await drain.exited).code, 0);
+    await caller.closed;
+    t.is(caller.received.length, receivedLength);
+    t.false(fixture.ranIds().includes("next"));
+});
+
+test.serial("a second SIGTERM does not cut off requests in progress", async (t) => {
+    const fixture = await startServing(t);
+    setStreamDuration(fixture, 4_000);
+    const caller = await fixture.open();
+    caller.send(chat("running", ROUTE_TIMEOUT_MS));
+    await waitFor("a stream", async () => caller.received.includes("piece 1") ? true : undefined);
+    const drain = startDrain(fixture);
+    await drain.at(500);
+    fixture.entry.kill("SIGTERM");
+    t.is((await drain.exited).code, 0);
+    await caller.closed;
+    t.true(parseResponse(caller.received)?.isComplete);
+});
+
 // Guards against kept connections that are never idle when idle connections are closed.
 test.serial("connections with request after request move away at their first answer after SIGTERM", async (t) => {
     const fixture = await startServing(t);
