End a call at once also while it waits between two attempts

A call that waited for the leader's answer about a crashed group got its final answer up to 0.7 s late: after the connections of a stopping daemon had been closed (the answers have 0.3 s), or past its route's time limit. Cause: the end of a call only ended its running attempt.

A call now ends with its reason, whatever it waits for, and its error names that reason for deadlines too. The new test of gateway > drain fails without the change and passes with it, as do the other tests of gateway.

--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -75,6 +75,7 @@
     /** Whether a backend server may have run the request. */
     mayHaveRun = false;
     endReason: EndReason | undefined;
+    #notifyEnded: () => void = () => undefined;
 
     constructor(deps: GatewayDependencies, call: Call) {
         this.deps = deps;
@@ -90,8 +91,12 @@
             () => this.end(EndReason.Deadline),
             Math.max(0, endsAtMs(this.call) - monotonicMs()),
         );
+        const ended = new Promise<void>((resolve) => {
+            this.#notifyEnded = resolve;
+        });
         try {
-            await runAttempts();
+            // A call that waits between two attempts ends at once, too.
+            await Promise.race([runAttempts(), ended]);
             const error = this.#endError();
             if (error !== undefined) {
                 throw error;
@@ -99,7 +104,7 @@
         }
         catch (error) {
             // An error that the end of the attempt caused can have another verdict than the call.
-            this.#fail(this.endReason === EndReason.Shutdown ? this.#endError() : error);
+            this.#fail(this.#endError() ?? error);
         }
         finally {
             calls.delete(this);
@@ -116,6 +121,7 @@
     /** Ends the running attempt. The caller gets an error if it still waits for a response. */
     end(reason: EndReason): void {
         this.endReason ??= reason;
+        this.#notifyEnded();
         this.attempt?.fail(endFailures[reason].kind, endFailures[reason].message);
     }
 
--- a/test/gateway/drain.test.ts
+++ b/test/gateway/drain.test.ts
@@ -83,3 +83,33 @@
     t.true(performance.now() - startedAtMs < 300);
     t.is(response.error?.verdict, Verdict.NotRun);
 });
+
+// Guards against a final error that comes after the connections have been closed.
+test("a call that waits between two attempts gets its final error at once when the calls are ended", async (t) => {
+    const crashing = await startServer(t, (request, response) => {
+        writeHead(request, response);
+        response.flushHeaders();
+        setTimeout(() => response.socket?.resetAndDestroy(), 20);
+    });
+    let isWaiting = false;
+    const fixture = createGateway(t, {
+        groupHeads: [crashing],
+        partLeader: {
+            report: async () => {
+                isWaiting = true;
+                await sleep(2_000);
+                return undefined;
+            },
+            requestTrial: () => Promise.resolve(false),
+        },
+    });
+    const parts = ["shared", "own"].map((id) => ({ id, tokens: 10 }));
+    const generation = { model: "large", promptTokens: 100, maxAnswerTokens: 50, parts };
+    const { response, done } = fixture.startRequest({ generation });
+    await waitFor("the report of the crash", () => isWaiting || undefined);
+    fixture.gateway.endCalls();
+    const endedAtMs = performance.now();
+    await done;
+    t.true(performance.now() - endedAtMs < 300);
+    t.is(response.error?.verdict, Verdict.MayHaveRun);
+});
