--- a/packages/fleet/src/service.ts
+++ b/packages/fleet/src/service.ts
@@ -111,9 +111,10 @@
             controller: this.#controller,
         });
         peers.handle("fleet.suspect", (suspicion) => this.#handleSuspicion(suspicion));
-        const partOptions = { context, peers, log, quarantine: this.#quarantine };
-        new PartReportHandler({
-            ...partOptions,
+        const partOptions = {
+            context,
+            peers,
+            log,
             controller: this.#controller,
             quarantine: this.#quarantine,
             onChanged: () => this.#publishSuspects(),
--- a/test/fleet/partoperations.test.ts
+++ b/test/fleet/partoperations.test.ts
@@ -27,7 +27,6 @@
             },
             onChanged: () => undefined,
             quarantine,
-            onLifted: () => undefined,
         });
         return { quarantine, operations };
     };
--- a/test/platform/crashingengines.ts
+++ b/test/platform/crashingengines.ts
@@ -1,5 +1,5 @@
 import { sleep } from "@greengage/base";
-import { waitFor } from "@greengage/faults";
+import { freePorts, waitFor } from "@greengage/faults";
 import type { ExecutionContext } from "ava";
 import type { IncomingMessage } from "node:http";
 import { type EngineFleet, PlatformEngine, sharedPartsOf } from "./engine.ts";
@@ -47,8 +47,9 @@
     ): Promise<CrashingEngines> {
         const fleet = new CrashingEngines(control, sendsHeadEarly);
         t.teardown(() => fleet.stop());
-        for (let index = 0; index < groupCount * ENGINES_PER_GROUP; index += 1) {
-            await fleet.#startEngine();
+        // Ports outside of the ephemeral range, so that no outgoing connection takes one while its engine is down.
+        for (const port of await freePorts(groupCount * ENGINES_PER_GROUP)) {
+            await fleet.#startEngine(port);
         }
         return fleet;
     }
@@ -88,7 +89,7 @@
         void sleep(RESTART_MS).then(() => this.#startEngine(port));
     }
 
-    async #startEngine(port?: number): Promise<void> {
+    async #startEngine(port: number): Promise<void> {
         if (this.#isStopped) {
             return;
         }
