--- a/test/platform/engine.ts
+++ b/test/platform/engine.ts
@@ -78,6 +78,8 @@
     orderDelayMs = 0;
     /** Whether a plain service resets the connection after a request has run instead of answering. */
     dropsAnswers = false;
+    /** Requests per second that the engine takes from all daemons together, named in its answers. */
+    requestLimitPerS: number | undefined;
 
     constructor(options: PlatformEngineOptions) {
         this.#options = options;
@@ -279,7 +281,13 @@
         this.member.checkGroupReady();
         this.executedHeaders.push(message.headers);
         fleet?.onRun(id, message);
-        const head = { ...requestIdHeader(message), "greengageridge-response-stamp": "stamp" };
+        const head = {
+            ...requestIdHeader(message),
+            "greengageridge-response-stamp": "stamp",
+            ...(this.requestLimitPerS === undefined
+                ? {}
+                : { "server-limit": this.requestLimitPerS.toFixed(1) }),
+        };
         if (domain === undefined) {
             if (this.dropsAnswers) {
                 message.socket.resetAndDestroy();
