Divide the request rates that servers name among all daemons

Callers saw nothing; servers that name a limit got up to three times of it. Cause: no part of the system read the limit, so placement by load went on as before. The class is a signal of a server that nobody heeds, or that each daemon heeds alone.

The adapter decodes the limit once into a rate. Each daemon keeps the limits that it was told, and they travel with the exchange of usage, so all know of one within some 400 ms. One control daemon for each model or plain service hands out the permits of its limited servers from one token bucket a server (3 requests or one second of the rate at most, empty at first), so neither the number of entry daemons nor their bursts count. Cut apart, the other control daemons hand out half of a limit together; without any, entry daemons use half of it together. Requests go to other servers first, wait for a permit only if they can still begin in time and no more urgent one asks, and are otherwise rejected at once with the time of the next permit. A limit is no failure of a server; after its end the rate doubles every half second for two seconds. A safe request whose retry finds only limited servers gets the error response that it already has.

--- a/packages/bench/src/measure/placement.ts
+++ b/packages/bench/src/measure/placement.ts
@@ -4,6 +4,7 @@
 import { UsageAggregator } from "@greengage/fleet";
 import { PlacementService } from "@greengage/gateway";
 import { type FleetView, type GroupUsage, PeerNetwork, type PlacementRequest } from "@greengage/protocol";
+import { ServerLimitTable } from "@greengage/routing";
 
 /** Number of groups at the target size: 720 engines in groups of 32. */
 const GROUP_COUNT = 22;
@@ -90,13 +91,22 @@
         });
     const control = networkOf("control", controlPort, "entry", entryPort);
     const entry = networkOf("entry", entryPort, "control", controlPort);
+    const context = createContext({ daemonId: "control", zone: "z" });
+    const limits = new ServerLimitTable(context);
     const aggregator = new UsageAggregator({
-        context: createContext({ daemonId: "control", zone: "z" }),
+        context,
         peers: control,
         controllerIds: () => [],
+        limits: {
+            list: () => limits.list(monotonicMs()),
+            merge: (others) => limits.merge(others, monotonicMs()),
+        },
     });
     new PlacementService({
+        context,
         peers: control,
+        limits,
+        connectedIds: () => new Set(),
         view: () => view,
         routing: () => routing,
         usage: () => aggregator.usage(),
--- a/packages/daemon/src/control.ts
+++ b/packages/daemon/src/control.ts
@@ -1,4 +1,4 @@
-import { type Context, ErrorCode, GreengageError, Lifecycle, Verdict } from "@greengage/base";
+import { type Context, ErrorCode, GreengageError, Lifecycle, monotonicMs, Verdict } from "@greengage/base";
 import {
     type Configuration,
     ConfigurationState,
@@ -10,7 +10,8 @@
 import { CompositeStateMachine, RaftLog } from "@greengage/consensus";
 import { type EngineOrders, FleetService, type FleetTiming } from "@greengage/fleet";
 import { PlacementService } from "@greengage/gateway";
-import type { PeerNetwork } from "@greengage/protocol";
+import type { PeerNetwork, ServerLimit } from "@greengage/protocol";
+import { type PermitCounts, ServerLimitTable } from "@greengage/routing";
 import { join } from "node:path";
 import { createPeerNetwork } from "./peerid.ts";
 
@@ -52,6 +53,8 @@
     readonly #options: ControlDaemonOptions;
     readonly #peers: PeerNetwork;
     readonly #log: RaftLog;
+    readonly #limits: ServerLimitTable;
+    readonly #placement: PlacementService;
     readonly #configurationState = new ConfigurationState();
     readonly #lifecycle = new Lifecycle();
     #seedIds: readonly string[];
@@ -90,6 +93,7 @@
                 retainedEntries: RETAINED_ENTRIES,
             },
         });
+        this.#limits = new ServerLimitTable(context);
         this.fleet = new FleetService({
             context,
             peers: this.#peers,
@@ -98,13 +102,20 @@
             decode: (document) => new RoutingTable(decode(document)),
             orders: options.orders,
             timing: options.timing,
+            limits: {
+                list: () => this.#limits.list(monotonicMs()),
+                merge: (others) => this.#limits.merge(others, monotonicMs()),
+            },
             recordPath: join(dataFolder, GROUP_RECORD_FILE),
         });
-        new PlacementService({
+        this.#placement = new PlacementService({
+            context,
             peers: this.#peers,
+            limits: this.#limits,
             view: () => this.fleet.view,
             routing: () => this.fleet.routing(),
             usage: () => this.fleet.usage(),
+            connectedIds: () => this.fleet.connectedIds(),
         });
     }
 
@@ -112,6 +123,14 @@
         return this.#log;
     }
 
+    /** Limits that backend servers name, with the permits that this daemon has handed out since each limit began. */
+    serverLimits(): (ServerLimit & PermitCounts)[] {
+        return this.#limits.list(monotonicMs()).map((limit) => ({
+            ...limit,
+            ...this.#placement.permits.countsOf(limit.serverId),
+        }));
+    }
+
     async start(): Promise<void> {
         const { context, dataFolder, bootstrap } = this.#options;
         await this.#log.start();
--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -47,6 +47,8 @@
             onSuspicion: (suspicion) => this.#reportSuspicion(suspicion),
             requestPlacement: (controllerId, request) =>
                 this.#peers.call(controllerId, "place.choose", request, { timeoutMs: PLACEMENT_TIMEOUT_MS }),
+            requestPermit: (controllerId, request) =>
+                this.#peers.call(controllerId, "limit.acquire", request, { timeoutMs: PLACEMENT_TIMEOUT_MS }),
             partLeader: {
                 report: (report) => this.#reportParts(report),
                 requestTrial: (service, partId) => this.#requestTrial(service, partId),
@@ -71,6 +73,10 @@
             target: () => this.#watcher.target,
             usage: () => this.gateway.usage(),
             onRemoteUsage: (others) => this.gateway.setRemoteUsage(others),
+            limits: {
+                list: () => this.gateway.serverLimits(),
+                merge: (limits) => this.gateway.mergeServerLimits(limits),
+            },
         });
     }
 
--- a/packages/fleet/src/service.ts
+++ b/packages/fleet/src/service.ts
@@ -22,7 +22,7 @@
 import { ServerRegistry } from "./registry.ts";
 import { ServerReportHandler } from "./reporthandler.ts";
 import type { FleetTiming } from "./timing.ts";
-import { UsageAggregator } from "./usage.ts";
+import { type LimitSource, UsageAggregator } from "./usage.ts";
 import { groupTargets, isNewerView, serverTargets } from "./view.ts";
 import { FleetWatcher } from "./watcher.ts";
 import { expectedEntryCount, WatcherRegistry } from "./watcherregistry.ts";
@@ -36,6 +36,8 @@
     peers: Peers;
     orders: EngineOrders;
     timing: FleetTiming;
+    /** Limits of backend servers. */
+    limits: LimitSource;
     /** File of the group records from which a successor of the leader starts. */
     recordPath: string;
 }
@@ -101,6 +103,7 @@
             context,
             peers,
             controllerIds: () => this.#view?.controllers.map(({ daemonId }) => daemonId) ?? [],
+            limits: options.limits,
         });
         peers.handle("fleet.watch", (request, from) => this.#handleWatch(request, from));
         this.reportHandler = new ServerReportHandler({
@@ -137,6 +140,11 @@
         return this.#usageAggregator.usage();
     }
 
+    /** Other control daemons from which this one has received a message recently. */
+    connectedIds(): ReadonlySet<string> {
+        return this.#usageAggregator.connectedIds();
+    }
+
     get groupController(): GroupController {
         return this.#controller;
     }
--- a/packages/fleet/src/usage.ts
+++ b/packages/fleet/src/usage.ts
@@ -1,5 +1,5 @@
 import { type Context, Lifecycle, LogPart, messageOf, monotonicMs, sleep } from "@greengage/base";
-import type { GroupUsage, Peers } from "@greengage/protocol";
+import type { GroupUsage, Peers, ServerLimit } from "@greengage/protocol";
 
 /** Requests run for a second or more, so usage that is 200 ms old is recent enough for placing new ones. */
 const EXCHANGE_INTERVAL_MS = 200;
@@ -27,6 +27,12 @@
         this.#byController.set(daemonId, { usage, receivedAtMs: nowMs });
     }
 
+    /** Other control daemons from which a total has been received recently. */
+    controllerIds(nowMs: number): Set<string> {
+        unexpiredEntries(this.#byController, nowMs);
+        return new Set(this.#byController.keys());
+    }
+
     /** Total over the entry daemons that report to this control daemon. */
     ownTotal(nowMs: number): GroupUsage[] {
         return sumUsage(unexpiredEntries(this.#byEntryDaemon, nowMs), nowMs);
@@ -83,9 +89,19 @@
     peers: Peers;
     /** Ids of the control daemons. */
     controllerIds: () => readonly string[];
+    limits: LimitSource;
+}
+
+/** Limits of backend servers that a daemon knows. */
+export interface LimitSource {
+    list: () => ServerLimit[];
+    merge: (limits: readonly ServerLimit[]) => void;
 }
 
-/** Distributes the usage of each entry daemon to all others, through the few control daemons. */
+/**
+ * Distributes the usage of each entry daemon, and the limits of servers that it knows, to all others, through the few
+ * control daemons.
+ */
 export class UsageAggregator {
     readonly #options: UsageRelayOptions;
     readonly #usageTable = new UsageTable();
@@ -93,15 +109,16 @@
 
     constructor(options: UsageRelayOptions) {
         this.#options = options;
-        options.peers.handle("usage.exchange", ({ usage }, from) => {
+        options.peers.handle("usage.exchange", ({ usage, limits = [] }, from) => {
             const nowMs = monotonicMs();
             this.#usageTable.setEntryUsage(from, usage, nowMs);
-            return { others: this.#usageTable.totalExcept(from, nowMs) };
+            options.limits.merge(limits);
+            return { others: this.#usageTable.totalExcept(from, nowMs), limits: options.limits.list() };
+        });
+        options.peers.handleNotice("usage.share", ({ usage, limits = [] }, from) => {
+            this.#usageTable.setControllerUsage(from, usage, monotonicMs());
+            options.limits.merge(limits);
         });
-        options.peers.handleNotice(
-            "usage.share",
-            ({ usage }, from) => this.#usageTable.setControllerUsage(from, usage, monotonicMs()),
-        );
     }
 
     /** Total usage of the groups by all entry daemons. */
@@ -109,6 +126,11 @@
         return this.#usageTable.total(monotonicMs());
     }
 
+    /** Other control daemons from which this one has received a message recently. */
+    connectedIds(): ReadonlySet<string> {
+        return this.#usageTable.controllerIds(monotonicMs());
+    }
+
     start(): void {
         this.#lifecycle.every(EXCHANGE_INTERVAL_MS, () => this.#shareTotal(), (error) => {
             this.#options.context.logs(LogPart.Groups).error(
@@ -127,9 +149,10 @@
     #shareTotal(): void {
         const { peers, controllerIds } = this.#options;
         const usage = this.#usageTable.ownTotal(monotonicMs());
+        const limits = this.#options.limits.list();
         for (const controllerId of controllerIds()) {
             if (controllerId !== peers.daemonId) {
-                peers.notify(controllerId, "usage.share", { usage });
+                peers.notify(controllerId, "usage.share", { usage, limits });
             }
         }
     }
@@ -142,6 +165,7 @@
     target: () => string | undefined;
     usage: () => GroupUsage[];
     onRemoteUsage: (usage: readonly GroupUsage[]) => void;
+    limits: LimitSource;
 }
 
 /** Reports the usage of this entry daemon to a control daemon and receives that of the others. */
@@ -177,12 +201,14 @@
     }
 
     async #exchange(target: string): Promise<void> {
-        const { peers, usage, onRemoteUsage, context } = this.#options;
+        const { peers, usage, onRemoteUsage, limits, context } = this.#options;
         try {
             const options = { timeoutMs: EXCHANGE_TIMEOUT_MS };
-            const { others } = await peers.call(target, "usage.exchange", { usage: usage() }, options);
+            const request = { usage: usage(), limits: limits.list() };
+            const answer = await peers.call(target, "usage.exchange", request, options);
             this.#wasAnswered = true;
-            onRemoteUsage(others);
+            onRemoteUsage(answer.others);
+            limits.merge(answer.limits ?? []);
         }
         catch (error) {
             if (this.#wasAnswered) {
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -1,5 +1,12 @@
 import { monotonicMs } from "@greengage/base";
-import { EventScanner, Exchange, type ExchangeError, FailureKind } from "@greengage/routing";
+import {
+    EventScanner,
+    Exchange,
+    type ExchangeError,
+    FailureKind,
+    LimitStatement,
+    type NamedLimit,
+} from "@greengage/routing";
 import type { Dispatcher } from "undici";
 import type { ServerDialect, ServerHead, ServerRequest } from "./types.ts";
 
@@ -27,6 +34,8 @@
     closesConnection: boolean;
     /** Called synchronously before the write. Nothing is written if it returns false. */
     mayWrite: () => boolean;
+    /** Called with what any response head says about the server's limit, and the time at which the request was written. */
+    onLimit: (limit: NamedLimit, sentAtMs: number) => void;
     /** Called with the response head, unless it says that the request was not run. */
     onHead: (head: ServerHead) => void;
     /**
@@ -47,6 +56,7 @@
     #hasEventContent = false;
     #chunks: Buffer[] = [];
     #bufferedBytes = 0;
+    #sentAtMs = Infinity;
     #connectTimer: NodeJS.Timeout | undefined;
 
     constructor(options: AttemptOptions) {
@@ -98,11 +108,13 @@
 
     #onWrite(): boolean {
         clearTimeout(this.#connectTimer);
+        this.#sentAtMs = monotonicMs();
         return this.#options.mayWrite();
     }
 
     #onHead(status: number, headers: Record<string, string | string[] | undefined>): void {
         const head = this.#options.dialect.decode(status, headers);
+        this.#options.onLimit(head.limit, this.#sentAtMs);
         if (head.status < 300 && !head.hasSignature) {
             this.fail(FailureKind.BadStatus, "the response carries no signature of the server");
             return;
@@ -180,6 +192,10 @@
     }
 }
 
+/** Whether a server that names a limit has rejected the request, which is no failure of the server. */
+export const isLimitRejection = (outcome: AttemptOutcome): boolean =>
+    outcome.kind === "notRun" && outcome.head?.limit.statement === LimitStatement.Limited;
+
 /** Remaining time in whole milliseconds to send to a backend server, at least 1. */
 export const wholeMsUntil = (deadlineAtMs: number): number =>
     Math.max(1, Math.floor(deadlineAtMs - monotonicMs()));
--- a/packages/gateway/src/dependencies.ts
+++ b/packages/gateway/src/dependencies.ts
@@ -8,6 +8,7 @@
 import type { GroupState, GroupStates } from "./groupstates.ts";
 import type { PlacementClient } from "./placementclient.ts";
 import type { PromptParts } from "./promptparts.ts";
+import type { RequestLimits } from "./requestlimits.ts";
 import type { ServiceRetryBudgets } from "./retrybudgets.ts";
 import type { ServerStates } from "./serverstates.ts";
 import type { ServerDialect } from "./types.ts";
@@ -30,6 +31,7 @@
     routing: () => RoutingTable | undefined;
     placementClient: PlacementClient;
     promptParts: PromptParts;
+    requestLimits: RequestLimits;
     /** Marks a group as suspected and reports it to the controller. */
     suspect: (group: GroupState, suspicion: Omit<GroupSuspicion, "groupName" | "epoch">) => void;
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,16 +9,18 @@
     Verdict,
 } from "@greengage/base";
 import { type Organisation, pickService, type Route, type RoutingTable } from "@greengage/configuration";
-import type { FleetView, GroupSuspicion, GroupUsage, ModelDemand } from "@greengage/protocol";
+import type { FleetView, GroupSuspicion, GroupUsage, ModelDemand, ServerLimit } from "@greengage/protocol";
 import { ConnectionPools } from "@greengage/routing";
 import { type Call, deadlineOf, EndReason, endsAtMs } from "./call.ts";
+import { Controllers } from "./controllers.ts";
 import { DemandMeter } from "./demandmeter.ts";
 import type { GatewayDependencies } from "./dependencies.ts";
 import { type Drain, drainingError, isServedWhileDraining } from "./drain.ts";
 import { FirstTokenOffsets } from "./firsttokenoffsets.ts";
 import { type GroupState, GroupStates, isHanging, type SuspicionDetails } from "./groupstates.ts";
-import { PlacementClient, type RequestPlacement } from "./placementclient.ts";
+import { PlacementClient, type RequestPermit, type RequestPlacement } from "./placementclient.ts";
 import { type PartLeader, PromptParts } from "./promptparts.ts";
+import { RequestLimits } from "./requestlimits.ts";
 import { type RetryLimits, ServiceRetryBudgets } from "./retrybudgets.ts";
 import { ServerCall } from "./servercall.ts";
 import { ServerStates } from "./serverstates.ts";
@@ -33,6 +35,8 @@
     onSuspicion: (suspicion: GroupSuspicion) => Promise<boolean>;
     /** Asks a control daemon to place a request. Rejects if there is no answer in time. */
     requestPlacement: RequestPlacement;
+    /** Asks a control daemon for a permit for a limited server. Rejects if there is no answer in time. */
+    requestPermit: RequestPermit;
     partLeader: PartLeader;
 }
 
@@ -56,6 +60,7 @@
     readonly #deps: GatewayDependencies;
     readonly #lifecycle = new Lifecycle();
     readonly #random = new Random();
+    readonly #controllers: Controllers;
     #routing: RoutingTable | undefined;
     #inFlight = 0;
     #drain: Drain | undefined;
@@ -63,8 +68,11 @@
 
     constructor(options: GatewayOptions) {
         this.#options = options;
+        const { context, requestPlacement, requestPermit } = options;
+        this.#controllers = new Controllers(context);
+        const placementClient = new PlacementClient(this.#controllers, requestPlacement, requestPermit);
         this.#deps = {
-            context: options.context,
+            context,
             dialect: options.dialect,
             pools: new ConnectionPools(),
             groups: new GroupStates(),
@@ -76,8 +84,9 @@
             routing: () => this.#routing,
             drainMs: () => this.drainMs,
             calls: new Set(),
-            placementClient: new PlacementClient(options.context, options.requestPlacement),
-            promptParts: new PromptParts(options.context, options.partLeader),
+            placementClient,
+            promptParts: new PromptParts(context, options.partLeader),
+            requestLimits: new RequestLimits(context, placementClient, this.#random),
             suspect: (group, details) => this.#suspect(group, details),
         };
     }
@@ -135,7 +144,8 @@
         this.#deps.servers.applyView(view);
         this.#deps.promptParts.setSuspects(view.suspectParts ?? []);
         this.#deps.retryBudgets.setDaemonCount(view.entryDaemonCount);
-        this.#deps.placementClient.setControllers(view.controllers.map(({ daemonId }) => daemonId));
+        this.#deps.requestLimits.setDaemonCount(view.entryDaemonCount);
+        this.#controllers.setIds(view.controllers.map(({ daemonId }) => daemonId));
         this.#options.context.decisions.record("fleet.view", {
             term: view.term,
             version: view.version,
@@ -156,6 +166,16 @@
         this.#deps.groups.setRemoteUsage(remoteUsage, monotonicMs());
     }
 
+    /** Limits of servers that this daemon knows. */
+    serverLimits(): ServerLimit[] {
+        return this.#deps.requestLimits.list();
+    }
+
+    /** Merges limits of servers that other daemons know. */
+    mergeServerLimits(limits: readonly ServerLimit[]): void {
+        this.#deps.requestLimits.merge(limits);
+    }
+
     collectDemand(): ModelDemand[] {
         return this.#deps.demandMeter.collect();
     }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,10 +1,16 @@
 export * from "./admission.ts";
+export { Controllers, placementKeyOf } from "./controllers.ts";
 export * from "./drain.ts";
 export * from "./firsttokenoffsets.ts";
 export * from "./gateway.ts";
 export { GroupState, type InFlightRequest } from "./groupstates.ts";
 export * from "./placement.ts";
-export { PLACEMENT_TIMEOUT_MS, PlacementClient, type RequestPlacement } from "./placementclient.ts";
+export {
+    PLACEMENT_TIMEOUT_MS,
+    PlacementClient,
+    type RequestPermit,
+    type RequestPlacement,
+} from "./placementclient.ts";
 export * from "./placementservice.ts";
 export { type PartLeader, PromptParts, sharedPartIds } from "./promptparts.ts";
 export * from "./retrybudgets.ts";
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -14,6 +14,8 @@
     slotOccupancyMs: number;
     /** Whether the load includes usage reported by other daemons. */
     includesRemoteUsage: boolean;
+    /** Time until the group takes another request, if it names a limit. Default: 0. */
+    startDelayMs?: number;
 }
 
 export interface PlacementInput {
@@ -51,8 +53,8 @@
         + profile.prefillPairsMs * tokens * tokens / 2 / TOKEN_PAIRS_PER_UNIT);
 
 /**
- * Predicted time to the first token of a prompt: prefill of the pending prompts and of this one, interleaved decode passes
- * for the running requests, and the wait for a slot if none is free.
+ * Predicted time to the first token of a prompt: the wait for a permit of a limited group, prefill of the pending prompts
+ * and of this one, interleaved decode passes for the running requests, and the wait for a slot if none is free.
  */
 export const predictFirstTokenMs = (input: PlacementInput, group: GroupLoad): number => {
     const { profile, model, promptTokens } = input;
@@ -64,7 +66,7 @@
     const decodeMs = group.runningCount > 0 ? passMs * passCount : 0;
     const queuePosition = group.runningCount + group.waitingCount + 1 - profile.slotCount;
     const waitMs = queuePosition > 0 ? queuePosition * group.slotOccupancyMs / profile.slotCount : 0;
-    return input.offsetMs + waitMs + totalPrefillMs + decodeMs;
+    return input.offsetMs + (group.startDelayMs ?? 0) + waitMs + totalPrefillMs + decodeMs;
 };
 
 /** Minimum sampling weight of a full group, as its load data may be stale. */
--- a/packages/gateway/src/placementfinder.ts
+++ b/packages/gateway/src/placementfinder.ts
@@ -1,8 +1,10 @@
 import { monotonicMs } from "@greengage/base";
 import type { EngineProfile, ModelSpec } from "@greengage/configuration";
 import type { PlacementResponse } from "@greengage/protocol";
+import type { PermitQuery } from "@greengage/routing";
 import { type AdmissionDecision, admissionLimitMs, admit } from "./admission.ts";
 import { type Call, remainingMs } from "./call.ts";
+import { placementKeyOf } from "./controllers.ts";
 import type { GatewayDependencies } from "./dependencies.ts";
 import { type GroupState, meanSlotOccupancyMs } from "./groupstates.ts";
 import { choosePlacement } from "./placement.ts";
@@ -20,6 +22,8 @@
     firstTokenMs: number;
     /** Estimated number of requests running at the group. */
     runningCount: number | undefined;
+    /** Time until the request may be sent, which is part of `firstTokenMs`. */
+    startDelayMs: number;
     /** Kind of daemon that made the selection. */
     decidedBy: "control" | "entry";
 }
@@ -37,6 +41,12 @@
     isRetry: boolean;
 }
 
+const limitedRejection = (retryAfterMs: number): PlacementDecision => ({
+    kind: "reject",
+    reason: "all groups are at the limits that their servers name",
+    retryAfterMs,
+});
+
 /** Selects groups for the attempts of one request: asks a control daemon, or falls back to local load data. */
 export class PlacementFinder {
     readonly #deps: GatewayDependencies;
@@ -54,7 +64,7 @@
     }
 
     async choose({ tried, hasHead, isRetry }: PlacementQuery): Promise<PlacementDecision> {
-        const { groups, firstTokenOffsets, placementClient, context } = this.#deps;
+        const { groups, firstTokenOffsets, placementClient, requestLimits, context } = this.#deps;
         const { route, service, request } = this.#call;
         const { model, generation } = this.#workload;
         const startedAtMs = monotonicMs();
@@ -80,7 +90,15 @@
             limitMs: hasHead ? Infinity : admissionLimitMs(admissionInput),
             placeMs: slotOccupancyMs,
             avoidedEpochs: avoided.map(({ target }) => target.epoch),
+            priority: this.#call.priority,
+            limits: requestLimits.recent(),
         });
+        if (answer !== undefined) {
+            requestLimits.resetFallback();
+        }
+        if (answer?.retryAfterMs !== undefined) {
+            return limitedRejection(answer.retryAfterMs);
+        }
         const placement = this.#resolveAnswer(answer) ?? this.#chooseLocally(candidates, offsetMs);
         const decision = hasHead && placement !== undefined ? SEND : admit({
             ...admissionInput,
@@ -105,20 +123,25 @@
                 group,
                 firstTokenMs: answer.firstTokenMs ?? 0,
                 runningCount: answer.runningCount,
+                startDelayMs: answer.startDelayMs ?? 0,
                 decidedBy: "control",
             };
     }
 
     /** Selects a group from local load data. */
     #chooseLocally(candidates: readonly GroupState[], offsetMs: number): ResolvedPlacement | undefined {
-        const { context, groups, random } = this.#deps;
+        const { context, groups, random, requestLimits } = this.#deps;
         const { profile, model, generation } = this.#workload;
         const nowMs = monotonicMs();
-        const loads = candidates.map((state) => state.load(nowMs));
+        const loads = candidates.flatMap((state) => {
+            const startDelayMs = requestLimits.fallbackDelayMs(this.#permitFor(state));
+            return startDelayMs === undefined ? [] : [{ ...state.load(nowMs), startDelayMs }];
+        });
+        const immediate = loads.filter(({ startDelayMs }) => startDelayMs === 0);
         const placement = choosePlacement({
             profile,
             model,
-            groups: loads,
+            groups: immediate.length > 0 ? immediate : loads,
             promptTokens: generation.promptTokens,
             zone: context.zone,
             offsetMs,
@@ -126,13 +149,24 @@
         }, random.nextFloat());
         const group = placement === undefined ? undefined : groups.get(placement.groupName);
         const load = loads.find(({ groupName }) => groupName === placement?.groupName);
-        return placement === undefined || group === undefined
-            ? undefined
-            : {
-                group,
-                firstTokenMs: placement.firstTokenMs,
-                runningCount: load?.runningCount,
-                decidedBy: "entry",
-            };
+        if (placement === undefined || group === undefined) {
+            return undefined;
+        }
+        requestLimits.takeFallbackPermit(this.#permitFor(group));
+        return {
+            group,
+            firstTokenMs: placement.firstTokenMs,
+            runningCount: load?.runningCount,
+            startDelayMs: load?.startDelayMs ?? 0,
+            decidedBy: "entry",
+        };
+    }
+
+    #permitFor({ target: { service, model, headId } }: GroupState): PermitQuery {
+        return {
+            placementKey: placementKeyOf(service, model),
+            serverId: headId,
+            priority: this.#call.priority,
+        };
     }
 }
--- a/packages/gateway/src/servercall.ts
+++ b/packages/gateway/src/servercall.ts
@@ -1,9 +1,11 @@
-import { type GreengageError, monotonicMs } from "@greengage/base";
+import { type GreengageError, monotonicMs, sleep } from "@greengage/base";
 import { RouteKind } from "@greengage/configuration";
 import { noCapacity } from "@greengage/routing";
-import { Attempt, type AttemptOutcome, wholeMsUntil } from "./attempt.ts";
+import { spreadRetryAfterMs } from "./admission.ts";
+import { Attempt, type AttemptOutcome, isLimitRejection, wholeMsUntil } from "./attempt.ts";
 import { backendError, type Call, CallExecution, remainingMs } from "./call.ts";
 import type { GatewayDependencies } from "./dependencies.ts";
+import { type ServerSelection, ServerSelector } from "./serverselector.ts";
 import type { ServerState } from "./serverstates.ts";
 
 /** A request is not retried with less time than this left. */
@@ -11,15 +13,21 @@
 /** Mean `retryAfterMs` of requests for which no server is available. */
 const BUSY_RETRY_AFTER_MS = 300;
 
+type CompleteOutcome = Extract<AttemptOutcome, { kind: "complete"; }>;
+
 /** Handles a request to a plain service, that is, a service without a model engine. */
 export class ServerCall {
     readonly #deps: GatewayDependencies;
     readonly #call: Call;
     readonly #execution: CallExecution;
+    readonly #selector: ServerSelector;
     readonly #triedIds = new Set<string>();
+    /** Response with an error status of an earlier attempt. It is delivered if no other server takes the request. */
+    #errorResponse: CompleteOutcome | undefined;
 
     constructor(deps: GatewayDependencies, call: Call) {
         this.#deps = deps;
+        this.#selector = new ServerSelector(deps, call);
         this.#call = call;
         this.#execution = new CallExecution(deps, call);
     }
@@ -31,14 +39,23 @@
     async #runAttempts(): Promise<void> {
         let reason = "no server of the service is available";
         while (this.#execution.endReason === undefined) {
-            const server = this.#selectServer();
-            if (server === undefined) {
-                throw this.#finalError(reason);
+            const selection = await this.#selector.select(this.#triedIds, this.#execution.attemptCount > 0);
+            if (selection.kind !== "server") {
+                this.#endWithoutServer(selection, reason);
+                return;
+            }
+            const { server, startDelayMs } = selection;
+            if (startDelayMs > 0) {
+                await sleep(startDelayMs);
+            }
+            // The call may have ended while it waited for a permit.
+            if (this.#execution.endReason !== undefined) {
+                break;
             }
             if (!this.#execution.reserveAttempt()) {
                 throw this.#finalError(`${reason}; the retry budget is exhausted`);
             }
-            const outcome = await this.#runAttempt(server);
+            const outcome = await this.#runAttempt(server, startDelayMs);
             if (this.#execution.endReason !== undefined) {
                 break;
             }
@@ -59,19 +76,29 @@
         }
     }
 
-    #selectServer(): ServerState | undefined {
-        const { servers, context } = this.#deps;
-        return servers.select(this.#call.service.name, context.zone, this.#triedIds, monotonicMs());
+    /** Sends the response of an earlier attempt, or throws if there is none. */
+    #endWithoutServer(selection: Exclude<ServerSelection, { kind: "server"; }>, reason: string): void {
+        if (this.#errorResponse !== undefined) {
+            this.#send(this.#errorResponse);
+            return;
+        }
+        throw selection.kind === "limited"
+            ? this.#finalError("all servers of the service are at their limits", selection.retryAfterMs)
+            : this.#finalError(reason);
     }
 
-    async #runAttempt(server: ServerState): Promise<AttemptOutcome> {
-        const { pools, dialect } = this.#deps;
+    async #runAttempt(server: ServerState, startDelayMs: number): Promise<AttemptOutcome> {
+        const { pools, dialect, requestLimits } = this.#deps;
         const { request, route, organisation, priority, deadlineAtMs } = this.#call;
         const { serverId, address } = server.target;
         const nowMs = monotonicMs();
         this.#triedIds.add(serverId);
         this.#execution.attemptCount += 1;
-        this.#execution.record("request.placed", { server: serverId, attempt: this.#execution.attemptCount });
+        this.#execution.record("request.placed", {
+            server: serverId,
+            attempt: this.#execution.attemptCount,
+            startDelayMs: startDelayMs > 0 ? Math.round(startDelayMs) : undefined,
+        });
         const isSafe = route.kind === RouteKind.Safe;
         const origin = `http://${address}`;
         const mayHaveRunBefore = this.#execution.mayHaveRun;
@@ -93,6 +120,8 @@
                 this.#execution.mayHaveRun = true;
                 return true;
             },
+            onLimit: (limit, sentAtMs) =>
+                requestLimits.observe({ serverId, limit, sentAtMs, receivedAtMs: monotonicMs() }),
             onHead: (head) => {
                 if (head.load !== undefined) {
                     server.recordLoad(head.load, monotonicMs());
@@ -106,7 +135,7 @@
         if (singleUseClient !== undefined) {
             void singleUseClient.destroy();
         }
-        server.end(outcome.kind !== "complete" || outcome.head.status >= 500);
+        server.end(!isLimitRejection(outcome) && (outcome.kind !== "complete" || outcome.head.status >= 500));
         if (outcome.kind === "notRun") {
             this.#execution.mayHaveRun = mayHaveRunBefore;
         }
@@ -114,23 +143,28 @@
     }
 
     /** Sends a complete response to the caller. Returns false if the request should be retried instead. */
-    #deliverResponse({ head, body }: Extract<AttemptOutcome, { kind: "complete"; }>): boolean {
-        const { response, route } = this.#call;
-        if (head.status >= 500 && route.kind === RouteKind.Safe && this.#hasAttemptsLeft()) {
+    #deliverResponse(outcome: CompleteOutcome): boolean {
+        const { status } = outcome.head;
+        if (status >= 500 && this.#call.route.kind === RouteKind.Safe && this.#hasAttemptsLeft()) {
+            this.#errorResponse = outcome;
             return false;
         }
-        response.send(head.status, head.headers, body);
+        this.#send(outcome);
+        return true;
+    }
+
+    #send({ head, body }: CompleteOutcome): void {
+        this.#call.response.send(head.status, head.headers, body);
         this.#execution.record("request.answered", {
             status: head.status,
             attempts: this.#execution.attemptCount,
         });
-        return true;
     }
 
     #hasAttemptsLeft(): boolean {
         return this.#execution.attemptCount < this.#call.route.maxAttempts
             && remainingMs(this.#call) > MIN_REMAINING_MS
-            && this.#selectServer() !== undefined;
+            && this.#selector.candidates(this.#triedIds).length > 0;
     }
 
     #mayRetry(outcome: AttemptOutcome): boolean {
@@ -138,9 +172,17 @@
         return isAllowed && this.#hasAttemptsLeft() && !this.#call.response.isClosed;
     }
 
-    #finalError(reason: string): GreengageError {
-        return this.#execution.mayHaveRun
-            ? backendError(reason)
-            : noCapacity(reason, Math.round(BUSY_RETRY_AFTER_MS * (0.5 + this.#deps.random.nextFloat())));
+    /** `retryAfterMs`: time until a server takes another request, if that is known. */
+    #finalError(reason: string, retryAfterMs?: number): GreengageError {
+        if (this.#execution.mayHaveRun) {
+            return backendError(reason);
+        }
+        const fraction = this.#deps.random.nextFloat();
+        return noCapacity(
+            reason,
+            retryAfterMs === undefined
+                ? Math.round(BUSY_RETRY_AFTER_MS * (0.5 + fraction))
+                : spreadRetryAfterMs(retryAfterMs, remainingMs(this.#call), fraction),
+        );
     }
 }
--- a/packages/gateway/src/serverstates.ts
+++ b/packages/gateway/src/serverstates.ts
@@ -69,25 +69,12 @@
         }
     }
 
-    /** Selects the server of a service with the lowest cost, except those already tried. */
-    select(
-        service: string,
-        zone: string,
-        triedIds: ReadonlySet<string>,
-        nowMs: number,
-    ): ServerState | undefined {
-        let best: ServerState | undefined;
-        let bestCost = Infinity;
-        for (const state of this.#states.values()) {
-            if (state.target.service !== service || triedIds.has(state.target.serverId)) {
-                continue;
-            }
-            const cost = state.cost(zone, nowMs);
-            if (cost < bestCost) {
-                bestCost = cost;
-                best = state;
-            }
-        }
-        return best;
+    /** Servers of a service in order of their cost, except those already tried. */
+    ranked(service: string, zone: string, triedIds: ReadonlySet<string>, nowMs: number): ServerState[] {
+        return [...this.#states.values()]
+            .filter(({ target }) => target.service === service && !triedIds.has(target.serverId))
+            .map((state) => ({ state, cost: state.cost(zone, nowMs) }))
+            .sort((a, b) => a.cost - b.cost)
+            .map(({ state }) => state);
     }
 }
--- a/packages/gateway/src/streamcall.ts
+++ b/packages/gateway/src/streamcall.ts
@@ -1,8 +1,8 @@
-import { type GreengageError, messageOf, monotonicMs } from "@greengage/base";
+import { type GreengageError, messageOf, monotonicMs, sleep } from "@greengage/base";
 import type { EngineProfile, ModelSpec } from "@greengage/configuration";
 import { FailureKind, noCapacity } from "@greengage/routing";
 import { spreadRetryAfterMs } from "./admission.ts";
-import { Attempt, type AttemptOutcome, wholeMsUntil } from "./attempt.ts";
+import { Attempt, type AttemptOutcome, isLimitRejection, wholeMsUntil } from "./attempt.ts";
 import { backendError, type Call, CallExecution, isCallerRetry, remainingMs } from "./call.ts";
 import type { GatewayDependencies } from "./dependencies.ts";
 import type { GroupState, InFlightRequest } from "./groupstates.ts";
@@ -99,8 +99,11 @@
         const tried = new Set<string>();
         while (this.#execution.endReason === undefined) {
             await this.#checkQuarantine();
-            const { group, firstTokenMs } = await this.#waitForPlacement(tried);
-            // The caller may have disconnected during placement.
+            const { group, firstTokenMs, startDelayMs } = await this.#waitForPlacement(tried);
+            if (startDelayMs > 0) {
+                await sleep(startDelayMs);
+            }
+            // The caller may have disconnected during placement, or while the request waited for a permit.
             if (this.#execution.endReason !== undefined) {
                 break;
             }
@@ -109,7 +112,7 @@
             }
             tried.add(group.target.groupName);
             this.#execution.attemptCount += 1;
-            const { outcome, progress } = await this.#runAttempt(group, firstTokenMs);
+            const { outcome, progress } = await this.#runAttempt(group, firstTokenMs - startDelayMs);
             if (this.#execution.endReason !== undefined) {
                 break;
             }
@@ -125,7 +128,7 @@
                 throw this.#finalError(reason);
             }
             if (outcome.kind === "notRun") {
-                await new Promise((resolve) => setTimeout(resolve, RETRY_DELAY_MS));
+                await sleep(RETRY_DELAY_MS);
             }
         }
     }
@@ -163,7 +166,7 @@
                     throw error;
                 }
             }
-            await new Promise((resolve) => setTimeout(resolve, RETRY_DELAY_MS));
+            await sleep(RETRY_DELAY_MS);
         }
     }
 
@@ -186,13 +189,15 @@
                 spreadRetryAfterMs(decision.retryAfterMs, remainingTimeMs, random.nextFloat()),
             );
         }
-        const { group, runningCount, firstTokenMs, candidateCount, decidedBy } = decision;
+        const { group, runningCount, firstTokenMs, startDelayMs, candidateCount, decidedBy } = decision;
         this.#execution.record("request.placed", {
             group: group.target.groupName,
             epoch: group.target.epoch,
             groupZone: group.target.zone,
             running: runningCount === undefined ? undefined : Math.round(runningCount),
+            server: group.target.headId,
             predictedMs: Math.round(firstTokenMs),
+            startDelayMs: startDelayMs > 0 ? Math.round(startDelayMs) : undefined,
             candidates: candidateCount,
             placedBy: decidedBy,
         });
@@ -200,7 +205,7 @@
     }
 
     async #runAttempt(group: GroupState, predictedMs: number): Promise<AttemptResult> {
-        const { pools, dialect, groups } = this.#deps;
+        const { pools, dialect, groups, requestLimits } = this.#deps;
         const { request, route, organisation, priority, deadlineAtMs } = this.#call;
         const { target } = group;
         const sentAtMs = monotonicMs();
@@ -230,6 +235,13 @@
                 this.#execution.mayHaveRun = true;
                 return true;
             },
+            onLimit: (limit, writtenAtMs) =>
+                requestLimits.observe({
+                    serverId: target.headId,
+                    limit,
+                    sentAtMs: writtenAtMs,
+                    receivedAtMs: monotonicMs(),
+                }),
             onHead: (head) => {
                 progress = AttemptProgress.Head;
                 this.#onHead(group, head);
@@ -376,7 +388,10 @@
     }
 
     #penalizeGroup(group: GroupState, outcome: AttemptOutcome): void {
-        if (outcome.kind === "complete" || this.#execution.endReason !== undefined) {
+        if (
+            outcome.kind === "complete" || isLimitRejection(outcome)
+            || this.#execution.endReason !== undefined
+        ) {
             return;
         }
         const nowMs = monotonicMs();
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -1,4 +1,5 @@
 import type { GreengageError, RequestProgress } from "@greengage/base";
+import type { NamedLimit } from "@greengage/routing";
 
 /** Part of a prompt, such as a prefix, that requests may share. */
 export interface PromptPart {
@@ -84,6 +85,8 @@
     /** Whether the response carries the server's signature, which marks it as produced by the server itself. */
     hasSignature: boolean;
     load?: ReportedLoad;
+    /** Rate of requests that the server takes from all daemons together. */
+    limit: NamedLimit;
     /** Another server that prevents this one from serving the request. */
     culpritId?: string;
     /** Headers to forward to the caller. */
--- a/packages/protocol/src/fleet.ts
+++ b/packages/protocol/src/fleet.ts
@@ -206,6 +206,39 @@
     demand: ModelDemand[];
 }
 
+/** Rate of requests that a backend server takes from all daemons together, as named in its responses. */
+export interface ServerLimit {
+    serverId: string;
+    requestsPerS: number;
+    /** Time since the response that first named a limit. */
+    sinceAgeMs: number;
+    /** Time since the latest response that named the limit, or that ended it, when the message was created. */
+    ageMs: number;
+    /** Daemon that received the latest response. */
+    daemonId: string;
+    /** Whether the latest response named no limit any more. */
+    hasEnded: boolean;
+}
+
+/** Request of a daemon to send one request to a backend server that names a limit. */
+export interface LimitPermitRequest {
+    /** Name by which the control daemon that hands out the permits is selected. */
+    placementKey: string;
+    serverId: string;
+    /** Maximum delay with which a permit is still of use. */
+    maxDelayMs: number;
+    /** Lower numbers go first. */
+    priority: number;
+    /** Limits that the daemon has learnt recently. */
+    limits: ServerLimit[];
+}
+
+export interface LimitPermitResponse {
+    isGranted: boolean;
+    /** Time until the request may be sent, or until the next permit if none was granted. */
+    delayMs: number;
+}
+
 /** Load that one or more daemons have placed on a replica group. */
 export interface GroupUsage {
     /** Epoch of the group, which is unique across groups. */
@@ -233,6 +266,10 @@
     placeMs: number;
     /** Epochs of groups to exclude because they are stalled or have already failed the request. */
     avoidedEpochs: number[];
+    /** Lower numbers go first. Absent in requests of daemons that know no limits of servers. */
+    priority?: number;
+    /** Limits that the entry daemon has learnt recently. */
+    limits?: ServerLimit[];
 }
 
 export interface PlacementResponse {
@@ -242,6 +279,10 @@
     firstTokenMs?: number;
     /** Number of requests known to be running in that group. */
     runningCount?: number;
+    /** Time until the request may be sent, included in `firstTokenMs`; undefined if it may be sent at once. */
+    startDelayMs?: number;
+    /** Time until a group accepts another request, if all of them are limited. */
+    retryAfterMs?: number;
 }
 
 /** Demand for a model as measured by one or more daemons. */
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -2,10 +2,13 @@
 import type {
     GroupSuspicion,
     GroupUsage,
+    LimitPermitRequest,
+    LimitPermitResponse,
     PartReport,
     PartReportResponse,
     PlacementRequest,
     PlacementResponse,
+    ServerLimit,
     ServerReport,
     SuspectPartRecord,
     SuspicionResponse,
@@ -265,11 +268,13 @@
     "parts.lift": { request: { partId: string; }; response: { isAccepted: boolean; services: string[]; }; };
     /** An entry daemon sends its usage of the groups and receives that of all other entry daemons. */
     "usage.exchange": {
-        request: { usage: GroupUsage[]; };
-        response: { others: GroupUsage[]; };
+        request: { usage: GroupUsage[]; limits?: ServerLimit[]; };
+        response: { others: GroupUsage[]; limits?: ServerLimit[]; };
     };
     /** Asks the control daemon responsible for a model's placement to choose a group. */
     "place.choose": { request: PlacementRequest; response: PlacementResponse; };
+    /** Asks the daemon that divides the limit of a backend server for permission to send one request. */
+    "limit.acquire": { request: LimitPermitRequest; response: LimitPermitResponse; };
     "operator.forward": {
         request: { method: string; path: string; body?: unknown; };
         response: { status: number; body: unknown; };
@@ -301,7 +306,7 @@
     /** Sends a change before the next renewal. It doesn't extend the grant. */
     "grant.push": { grant: Grant; };
     /** Total usage by the entry daemons that report to a control daemon, sent to the other control daemons. */
-    "usage.share": { usage: GroupUsage[]; };
+    "usage.share": { usage: GroupUsage[]; limits?: ServerLimit[]; };
 }
 
 export type NoticeType = keyof Notices;
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -9,5 +9,7 @@
 export * from "./groupselector.ts";
 export * from "./organisationlimits.ts";
 export * from "./retrybudget.ts";
+export * from "./serverlimits.ts";
+export * from "./serverpermits.ts";
 export * from "./strategies.ts";
 export * from "./types.ts";
--- a/packages/routing/src/organisationlimits.ts
+++ b/packages/routing/src/organisationlimits.ts
@@ -1,11 +1,14 @@
 import { ErrorCode, GreengageError, monotonicMs, Verdict } from "@greengage/base";
 import type { OrganisationDemand, OrganisationShare } from "@greengage/protocol";
+import { TokenBucket } from "./tokenbucket.ts";
 
 /** Capacity of the token bucket, as time at the allowed rate. */
 const BURST_MS = 500;
 const DEMAND_WINDOW_MS = 1_000;
 /** The state of an organisation is dropped after this time without requests. */
 const IDLE_TIMEOUT_MS = 60_000;
+/** Avoids a division by zero for an organisation whose share of the rate is 0. */
+const MIN_REQUESTS_PER_S = 0.01;
 /** `retryAfterMs` of requests rejected by the concurrency limit. */
 const CONCURRENCY_RETRY_MS = 1_000;
 
@@ -21,9 +24,8 @@
 }
 
 interface Usage {
-    /** Tokens in the bucket: requests that may start now. Refilled at the allowed rate. */
-    tokens: number;
-    refilledAtMs: number;
+    /** Requests that may start now. Refilled at the allowed rate. */
+    bucket: TokenBucket;
     inFlight: number;
     windowStartMs: number;
     offeredInWindow: number;
@@ -53,11 +55,11 @@
                 CONCURRENCY_RETRY_MS,
             );
         }
-        if (usage.tokens < 1) {
-            const waitMs = (1 - usage.tokens) / Math.max(requestsPerS, 0.01) * 1_000;
-            throw limitReached(`organisation ${organisation} exceeds its request rate`, waitMs);
+        const delayMs = usage.bucket.delayMs(Math.max(requestsPerS, MIN_REQUESTS_PER_S));
+        if (delayMs > 0) {
+            throw limitReached(`organisation ${organisation} exceeds its request rate`, delayMs);
         }
-        usage.tokens -= 1;
+        usage.bucket.take();
         usage.inFlight += 1;
         let hasEnded = false;
         return () => {
@@ -98,8 +100,7 @@
     #recordRequest(organisation: string, nowMs: number, requestsPerS: number): Usage {
         const burst = Math.max(1, requestsPerS * BURST_MS / 1_000);
         const usage = this.#usage.get(organisation) ?? {
-            tokens: burst,
-            refilledAtMs: nowMs,
+            bucket: new TokenBucket(burst, nowMs),
             inFlight: 0,
             windowStartMs: nowMs,
             offeredInWindow: 0,
@@ -107,9 +108,7 @@
             lastRequestAtMs: nowMs,
         };
         this.#usage.set(organisation, usage);
-        const refill = (nowMs - usage.refilledAtMs) / 1_000 * requestsPerS;
-        usage.tokens = Math.min(burst, usage.tokens + refill);
-        usage.refilledAtMs = nowMs;
+        usage.bucket.refill(requestsPerS, burst, nowMs);
         usage.lastRequestAtMs = nowMs;
         rollWindow(usage, nowMs);
         usage.offeredInWindow += 1;
--- a/test/fleet/service.test.ts
+++ b/test/fleet/service.test.ts
@@ -73,6 +73,7 @@
         // Long, so that the leader is still collecting reports.
         timing: { heartbeatMs: 60_000 },
         recordPath,
+        limits: { list: () => [], merge: () => undefined },
     });
     t.teardown(() => service.close());
     await service.start();
--- a/test/gateway/fixtures.ts
+++ b/test/gateway/fixtures.ts
@@ -5,11 +5,13 @@
     type CallerResponse,
     Gateway,
     type PartLeader,
+    type RequestPermit,
     type RequestPlacement,
     type ResponseHeaders,
     type ServerDialect,
 } from "@greengage/gateway";
 import type { FleetView, GroupSuspicion } from "@greengage/protocol";
+import { LimitStatement } from "@greengage/routing";
 import type { ExecutionContext } from "ava";
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
@@ -28,6 +30,9 @@
         status,
         isNotRun: headers["x-not-run"] !== undefined,
         hasSignature: headers["x-signature"] !== undefined,
+        limit: headers["x-limit"] === undefined
+            ? { statement: LimitStatement.Unlimited }
+            : { statement: LimitStatement.Limited, requestsPerS: Number(headers["x-limit"]) },
         headers: { "x-signature": String(headers["x-signature"]) },
     }),
 };
@@ -152,6 +157,7 @@
     retries?: { share: number; slack: number; };
     /** Placement answers of a single control daemon; without it there is no control daemon. */
     requestPlacement?: RequestPlacement;
+    requestPermit?: RequestPermit;
     /** Leader for observations about prompt parts; without it no report is accepted. */
     partLeader?: PartLeader;
     /** Whether the gateway starts without configuration and fleet view. */
@@ -166,6 +172,8 @@
         retries: options.retries ?? { share: 0.2, slack: 100 },
         requestPlacement: options.requestPlacement
             ?? (() => Promise.reject(new Error("no control daemon in this test"))),
+        requestPermit: options.requestPermit
+            ?? (() => Promise.reject(new Error("no control daemon in this test"))),
         partLeader: options.partLeader
             ?? { report: () => Promise.resolve(undefined), requestTrial: () => Promise.resolve(false) },
         onSuspicion: async (suspicion) => {
--- a/test/gateway/placement.test.ts
+++ b/test/gateway/placement.test.ts
@@ -1,6 +1,6 @@
 import { createContext } from "@greengage/base";
 import { UsageTable } from "@greengage/fleet";
-import { PlacementClient } from "@greengage/gateway";
+import { Controllers, PlacementClient, type RequestPlacement } from "@greengage/gateway";
 import type { PlacementRequest } from "@greengage/protocol";
 import test from "ava";
 
@@ -24,15 +24,20 @@
     pendingPromptTokens: 100 * inFlightCount,
 });
 
+const createClient = (controllerIds: string[], requestPlacement: RequestPlacement): PlacementClient => {
+    const controllers = new Controllers(context);
+    controllers.setIds(controllerIds);
+    return new PlacementClient(controllers, requestPlacement, () => Promise.reject(new Error("not asked")));
+};
+
 // Guards against entry daemons that ask different control daemons about one model, which then allocate the same slots twice.
 test("all entry daemons ask the same control daemon for a model", async (t) => {
     const asked = new Set<string>();
     for (const order of [["c1", "c2", "c3"], ["c3", "c1", "c2"]]) {
-        const client = new PlacementClient(context, (id) => {
+        const client = createClient(order, (id) => {
             asked.add(id);
             return Promise.resolve({ epoch: 1, firstTokenMs: 10 });
         });
-        client.setControllers(order);
         t.is((await client.place(requestOf("large")))?.epoch, 1);
     }
     t.is(asked.size, 1);
@@ -41,11 +46,10 @@
 // Guards against a series of requests that each wait for a frozen control daemon.
 test("a control daemon that does not answer is skipped, and the next one is asked", async (t) => {
     const asked: string[] = [];
-    const client = new PlacementClient(context, (id) => {
+    const client = createClient(["c1", "c2"], (id) => {
         asked.push(id);
         return asked.length === 1 ? Promise.reject(new Error("no answer")) : Promise.resolve({ epoch: 2 });
     });
-    client.setControllers(["c1", "c2"]);
     t.is(await client.place(requestOf("large")), undefined);
     t.is((await client.place(requestOf("large")))?.epoch, 2);
     t.is(new Set(asked).size, 2);
--- a/test/platform/decode.test.ts
+++ b/test/platform/decode.test.ts
@@ -111,3 +111,25 @@
         t.false([408, 421, 429, 503].includes(status), code);
     }
 });
+
+// Guards against a malformed limit that stops all requests to a server, or lets all of them through.
+test("the limit that a server names is decoded, and unreadable ones leave the former limit in force", (t) => {
+    const decode = (limit: string | string[] | undefined, status = 200): object =>
+        platformDialect.decode(status, {
+            "greengageridge-response-stamp": "stamp",
+            ...(limit === undefined ? {} : { "server-limit": limit }),
+        }).limit;
+    t.deepEqual(decode("3.5"), { statement: "limited", requestsPerS: 3.5 });
+    t.deepEqual(decode("0"), { statement: "limited", requestsPerS: 0 });
+    t.deepEqual(decode(" 12 "), { statement: "limited", requestsPerS: 12 });
+    t.deepEqual(decode(["7", "4.0"]), { statement: "limited", requestsPerS: 4 });
+    t.deepEqual(decode("7, x"), { statement: "limited", requestsPerS: 7 });
+    t.deepEqual(decode("5", 503), { statement: "limited", requestsPerS: 5 });
+    t.deepEqual(decode(undefined), { statement: "unlimited" });
+    for (const unreadable of ["-1", "1e9", "NaN", "", "fast", "Infinity"]) {
+        t.deepEqual(decode(unreadable), { statement: "unstated" }, unreadable);
+    }
+    t.deepEqual(decode(undefined, 503), { statement: "unstated" });
+    t.deepEqual(decode("5", 421), { statement: "unstated" });
+    t.is(platformDialect.decode(200, { "server-limit": "5" }).headers["server-limit"], undefined);
+});
