Continue a broken stream only with later events of the same stream

What callers saw: a stream had begun and broke off, the next engine answered with 200, its signature and another content type (or the stream from its beginning, or events without ids), and its text was delivered inside the caller's stream, which then ended as complete. Cause: a resumption accepted any success whose body could be split at blank lines.

Defined now is what is accepted: status 200 with text/event-stream, each event with an id after the last one that the caller has. Anything else ends the attempt; another group is tried if the route allows it, or the caller's stream is broken off. A stream whose events have no ids isn't resumed at all. The product's own streams accept event streams only, and continue one only with parts of a chat completion; another content type counts as a broken connection there, so that the group is suspected instead of tried seven times.

An error status after two events (400, 500, 503) was held before and still is.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -4,17 +4,18 @@
     Exchange,
     type ExchangeError,
     FailureKind,
+    isEventStream,
     LimitStatement,
     type NamedLimit,
 } from "@greengage/routing";
 import type { Dispatcher } from "undici";
+import { continueAfter, lastEventIdOf } from "./eventsequence.ts";
 import type { ServerDialect, ServerHead, ServerRequest } from "./types.ts";
 
 /** Opening a connection within a region takes milliseconds, unless the server is unreachable. */
 const CONNECT_TIMEOUT_MS = 350;
 /** Responses up to this size are buffered until they are complete, so that a broken one can be replaced by a retry. */
 const MAX_BUFFERED_BYTES = 1024 * 1024;
-const EVENT_CONTENT_TYPE = "text/event-stream";
 
 /** How one exchange with a backend server ended. */
 export type AttemptOutcome =
@@ -32,6 +33,11 @@
     name: string;
     serverRequest: ServerRequest;
     closesConnection: boolean;
+    /**
+     * Whether the response continues one that the caller has received in part, up to `serverRequest.lastEventId`. It is then
+     * accepted as a success only if it is an event stream with status 200, all of whose events come after that one.
+     */
+    isResumption?: boolean;
     /** Called synchronously before the write. Nothing is written if it returns false. */
     mayWrite: () => boolean;
     /** Called with what any response head says about the server's limit, and the time at which the request was written. */
@@ -57,6 +63,8 @@
     #chunks: Buffer[] = [];
     #bufferedBytes = 0;
     #sentAtMs = Infinity;
+    /** Id of the last event of the resumed response. */
+    #lastEventId: string | undefined;
     #connectTimer: NodeJS.Timeout | undefined;
 
     constructor(options: AttemptOptions) {
@@ -127,9 +135,15 @@
             this.#exchange.finish();
             return;
         }
+        this.#hasEventContent = status < 300 && isEventStream(headers);
+        if (this.#options.isResumption && status < 300 && (status !== 200 || !this.#hasEventContent)) {
+            this.fail(
+                FailureKind.BadStatus,
+                `status ${status} or content type doesn't continue an event stream`,
+            );
+            return;
+        }
         this.#head = head;
-        this.#hasEventContent = status < 300
-            && String(headers["content-type"]).startsWith(EVENT_CONTENT_TYPE);
         this.#options.onHead(head);
     }
 
@@ -140,7 +154,7 @@
                 return;
             }
             if (this.#scanner.count > 0) {
-                this.#options.onEvents?.(this.#scanner.events, this.#scanner.hasFields);
+                this.#passEvents();
             }
             return;
         }
@@ -151,6 +165,22 @@
         }
     }
 
+    #passEvents(): void {
+        const { isResumption, serverRequest: { lastEventId }, onEvents } = this.#options;
+        const { events, hasFields } = this.#scanner;
+        if (isResumption && this.#lastEventId === undefined) {
+            this.#lastEventId = lastEventId;
+        }
+        if (this.#lastEventId !== undefined) {
+            if (!continueAfter(this.#lastEventId, events)) {
+                this.fail(FailureKind.Broken, `an event doesn't come after event ${this.#lastEventId}`);
+                return;
+            }
+            this.#lastEventId = lastEventIdOf(events) ?? this.#lastEventId;
+        }
+        onEvents?.(events, hasFields);
+    }
+
     #isEventStream(): boolean {
         const head = this.#head;
         return this.#options.onEvents !== undefined && head !== undefined && head.status < 300;
--- a/packages/gateway/src/streamcall.ts
+++ b/packages/gateway/src/streamcall.ts
@@ -5,6 +5,7 @@
 import { Attempt, type AttemptOutcome, isLimitRejection, wholeMsUntil } from "./attempt.ts";
 import { backendError, type Call, CallExecution, isCallerRetry, remainingMs } from "./call.ts";
 import type { GatewayDependencies } from "./dependencies.ts";
+import { lastEventIdOf } from "./eventsequence.ts";
 import type { GroupState, InFlightRequest } from "./groupstates.ts";
 import { PlacementFinder, type ResolvedPlacement } from "./placementfinder.ts";
 import { sharedPartIds } from "./promptparts.ts";
@@ -16,8 +17,6 @@
 const RESUME_TIMEOUT_MS = 1_700;
 /** Minimum remaining time for a retry; also the shortest retry delay that a rejected caller is given. */
 const MIN_RETRY_MS = 100;
-/** Matches the id field of each server-sent event. */
-const EVENT_ID_PATTERN = /(?:^|\n)id: ?([^\r\n]*)/g;
 
 /** Failures of an attempt that the crash of an engine can cause. */
 const INTERRUPTIONS: ReadonlySet<FailureKind> = new Set([
@@ -224,6 +223,7 @@
                 lastEventId: this.#delivery.lastEventId,
             },
             closesConnection: false,
+            isResumption: this.#delivery.lastEventId !== undefined,
             // The group may have been withdrawn while the connection was opening.
             mayWrite: () => {
                 if (
@@ -418,7 +418,9 @@
             return true;
         }
         // A stream that has begun can only be resumed, and one that has not begun is rerun in the same way.
-        return this.#call.route.canResume;
+        const hasEventsWithoutId = this.#delivery.firstEventMs !== undefined
+            && this.#delivery.lastEventId === undefined;
+        return this.#call.route.canResume && !hasEventsWithoutId;
     }
 
     #finalError(reason: string): GreengageError {
@@ -434,6 +436,3 @@
         return backendError(reason);
     }
 }
-
-const lastEventIdOf = (events: Buffer): string | undefined =>
-    [...events.toString("latin1").matchAll(EVENT_ID_PATTERN)].at(-1)?.[1]?.trim();
--- a/packages/routing/src/deliveredevents.ts
+++ b/packages/routing/src/deliveredevents.ts
@@ -38,12 +38,10 @@
     }
 
     #parseBuffered(): void {
-        const events = Buffer.concat(this.#chunks).toString("utf8").split(/\r?\n\r?\n/);
+        const events = splitEvents(Buffer.concat(this.#chunks));
         this.#chunks = [];
         this.#sizeBytes = 0;
-        for (const event of events) {
-            const data = event.split(/\r?\n/).filter((line) => line.startsWith("data:"))
-                .map((line) => line.slice("data:".length)).join("\n");
+        for (const data of events.map(dataOf)) {
             if (data !== "") {
                 this.#addEvent(data);
             }
@@ -70,3 +68,24 @@
         }
     }
 }
+
+/** Whether all events, except comments, carry a part of a chat completion. */
+export const areChatEvents = (events: Uint8Array): boolean =>
+    splitEvents(events).filter((event) => event.trim() !== "" && !isComment(event)).every((event) => {
+        try {
+            return Array.isArray((JSON.parse(dataOf(event)) as ChatEvent).choices);
+        }
+        catch {
+            // Data that is no JSON belongs to no completion.
+            return false;
+        }
+    });
+
+const splitEvents = (events: Uint8Array): string[] =>
+    Buffer.from(events).toString("utf8").split(/\r?\n\r?\n/);
+
+const dataOf = (event: string): string =>
+    event.split(/\r?\n/).filter((line) => line.startsWith("data:"))
+        .map((line) => line.slice("data:".length)).join("\n");
+
+const isComment = (event: string): boolean => event.split(/\r?\n/).every((line) => line.startsWith(":"));
--- a/packages/routing/src/eventscanner.ts
+++ b/packages/routing/src/eventscanner.ts
@@ -1,3 +1,4 @@
+const EVENT_STREAM_TYPE = /^text\/event-stream\s*(;|$)/i;
 const LINE_FEED = 10;
 const CARRIAGE_RETURN = 13;
 const COLON = 58;
@@ -6,6 +7,10 @@
 const MAX_EVENT_BYTES = 1024 * 1024;
 const END_MARKER = /^\s*data: ?\[DONE\]\r?\n\r?\n$/;
 
+/** Whether response headers announce server-sent events. */
+export const isEventStream = (headers: Record<string, string | string[] | undefined>): boolean =>
+    EVENT_STREAM_TYPE.test(String(headers["content-type"] ?? ""));
+
 /** Splits a byte stream of server-sent events into complete events. */
 export class EventScanner {
     #partial: Buffer | undefined;
--- a/packages/routing/src/generation.ts
+++ b/packages/routing/src/generation.ts
@@ -127,6 +127,7 @@
             },
             sink: this.#sink,
             delivered: this.#delivered,
+            isResumption: this.#hasDelivered,
             stallDetector,
             limits,
             isSuspended: () => isSuspended(directory, group),
--- a/packages/routing/src/streamattempt.ts
+++ b/packages/routing/src/streamattempt.ts
@@ -1,6 +1,6 @@
 import { monotonicMs } from "@greengage/base";
-import type { DeliveredEvents } from "./deliveredevents.ts";
-import { EventScanner } from "./eventscanner.ts";
+import { areChatEvents, type DeliveredEvents } from "./deliveredevents.ts";
+import { EventScanner, isEventStream } from "./eventscanner.ts";
 import { Exchange, type ExchangeOptions } from "./exchange.ts";
 import { ExchangeError, FailureKind } from "./failures.ts";
 import type { StallDetector, WatchedStream } from "./stalldetector.ts";
@@ -26,6 +26,8 @@
     exchange: Omit<ExchangeOptions, "onHead" | "onBody" | "onEnd" | "onFailure">;
     sink: EventSink;
     delivered: DeliveredEvents;
+    /** Whether the caller has received a part of the stream from another attempt. */
+    isResumption: boolean;
     stallDetector: StallDetector;
     limits: StreamLimits;
     /** Whether the group's controller has suspended the group. */
@@ -62,7 +64,7 @@
         this.dueAtMs = this.#startedAtMs + options.limits.firstTokenMs;
         this.#exchange = new Exchange({
             ...options.exchange,
-            onHead: (status) => this.#onHead(status),
+            onHead: (status, headers) => this.#onHead(status, headers),
             onBody: (chunk) => this.#onBody(chunk),
             onEnd: () => this.#onEnd(),
             onFailure: (error) => this.#onFailure(error),
@@ -115,11 +117,17 @@
         this.dueAtMs = Math.min(this.#lastEventAtMs + limitMs, nowMs + limits.suspendedGapMs);
     }
 
-    #onHead(status: number): void {
+    #onHead(status: number, headers: Record<string, string | string[] | undefined>): void {
         if (status !== 200) {
             const kind = statusKinds[status] ?? FailureKind.BadStatus;
             this.#exchange.fail(kind, `responded with status ${status}`);
         }
+        else if (!isEventStream(headers)) {
+            this.#exchange.fail(
+                FailureKind.Broken,
+                "responded with another content type than an event stream",
+            );
+        }
     }
 
     #onBody(chunk: Buffer): void {
@@ -138,6 +146,13 @@
     }
 
     #deliver({ events, count, hasFields }: EventScanner): void {
+        if (this.#options.isResumption && hasFields && !areChatEvents(events)) {
+            this.#exchange.fail(
+                FailureKind.Broken,
+                "continued the stream with an event that is no part of it",
+            );
+            return;
+        }
         if (!this.#hasDelivered) {
             this.#hasDelivered = true;
             this.#options.onFirstEvents();
--- a/test/gateway/fixtures.ts
+++ b/test/gateway/fixtures.ts
@@ -74,6 +74,7 @@
 
 /** Streams the events after the request's last event id, up to `last`, and ends the response. */
 export const streamEvents = (last: number): RequestHandler => (request, response) => {
+    response.setHeader("content-type", "text/event-stream");
     writeHead(request, response);
     for (let id = Number(request.headers["x-last-event"] ?? 0) + 1; id <= last; id += 1) {
         response.write(eventOf(id));
--- a/test/routing/dispatch.test.ts
+++ b/test/routing/dispatch.test.ts
@@ -73,6 +73,38 @@
     });
 }
 
+const sendAs = (contentType: string, body: string): FakeEngine["handle"] => (request, response) => {
+    response.writeHead(200, { "content-type": contentType, "x-request-id": request.requestId });
+    response.end(body);
+};
+
+const foreignContinuations: Record<string, FakeEngine["handle"]> = {
+    "plain text": sendAs("text/plain", `data: loading\n\n${END_MARKER}`),
+    "an event of something else": sendAs("text/event-stream", `data: loading\n\n${END_MARKER}`),
+};
+
+for (const [title, handler] of Object.entries(foreignContinuations)) {
+    // Guards against a foreign text in the middle of a stream that then ends as complete.
+    test(`a stream that broke off is never continued with ${title}`, async (t) => {
+        const fixture = createDispatcher(t);
+        const first = await startEngine(t, (request, response) => {
+            sendHead(request, response);
+            response.write(eventOf("t0 ") + eventOf("t1 "));
+            setImmediate(() => response.destroy());
+        });
+        const second = await startEngine(t, handler);
+        setTwoGroups(fixture, first, second);
+        const sink = new CollectingSink();
+        const error = await rejectionOf(
+            t,
+            fixture.dispatcher.generate(fixture.request(), sink, neverAborted()),
+        );
+        t.is(error.verdict, Verdict.MayHaveRun);
+        t.is(sink.tokenText, "t0 t1 ");
+        t.is(second.received.length, 1);
+    });
+}
+
 test("a request fails over from a group that refuses the connection, and the group is suspected", async (t) => {
     const fixture = createDispatcher(t);
     const [port] = await freePorts(1);
