Close the connection of a rejected request

What callers would see: "not run, try again" for a stream that an engine is running, or a second run of a stream that may not be resumed. A faulty engine writes a refusal once more on a kept connection; the caller, or the gateway itself, repeats the request with the same id on that connection, and the old refusal passes for the answer, as the id can't tell them apart. Payments were safe, as each has a connection of its own.

Now no request follows a rejection on its connection.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -132,7 +132,7 @@
             const reason =
                 `${this.#options.name} responded with status ${status} and did not run the request`;
             this.#settle({ kind: "notRun", reason, head });
-            this.#exchange.finish();
+            this.#exchange.discard();
             return;
         }
         this.#hasEventContent = status < 300 && isEventStream(headers);
--- a/packages/routing/src/exchange.ts
+++ b/packages/routing/src/exchange.ts
@@ -106,6 +106,15 @@
         );
     }
 
+    /**
+     * Ends the exchange without a callback, and closes its connection. The server may repeat a response on a connection, and a
+     * caller may repeat a request id, so that the copy could not be told from the response to the repeated request.
+     */
+    discard(): void {
+        this.#complete(() => undefined);
+        this.#controller?.abort(new Error("the connection is not used again"));
+    }
+
     onRequestStart(controller: HttpDispatcher.DispatchController): void {
         if (this.#hasEnded || this.#hasWritten) {
             // The exchange was cancelled while waiting for a connection, or undici is about to write it a second time.
