--- a/test/platform/orders.test.ts
+++ b/test/platform/orders.test.ts
@@ -2,6 +2,7 @@
 import { freePorts } from "@greengage/faults";
 import { OrderOutcome } from "@greengage/fleet";
 import test, { type ExecutionContext } from "ava";
+import { type AddressInfo, createServer, type Socket } from "node:net";
 import { HttpEngineOrders } from "../../platform/orders.ts";
 import { reportOf } from "../fleet/fixtures.ts";
 import { PlatformEngine } from "./engine.ts";
@@ -43,3 +44,33 @@
     t.is(await orders.leave(formerServer, group), OrderOutcome.WrongServer);
     t.deepEqual(await orders.probe(formerServer), { kind: "ended" });
 });
+
+// Guards against an order that counts as carried out because of the late second copy of an earlier answer.
+test("a second copy of an answer isn't taken for the answer to the next order", async (t) => {
+    const answerOf = (status: number): string => `HTTP/1.1 ${status} Status\r\ncontent-length: 0\r\n\r\n`;
+    const sockets = new Set<Socket>();
+    let orderCount = 0;
+    const server = createServer((socket) => {
+        sockets.add(socket);
+        socket.on("error", () => undefined);
+        let answeredHere = 0;
+        socket.on("data", () => {
+            orderCount += 1;
+            answeredHere += 1;
+            // The first order is accepted, all others are refused.
+            socket.write(answerOf(orderCount === 1 || answeredHere > 1 ? 202 : 409));
+        });
+    });
+    await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+    t.teardown(() => {
+        sockets.forEach((socket) => socket.destroy());
+        server.close();
+    });
+    const { port } = server.address() as AddressInfo;
+    const target = reportOf("e1", { address: `127.0.0.1:${port}` });
+    const orders = createOrders(t);
+    t.is(await orders.leave(target, group), OrderOutcome.Accepted);
+    for (let epoch = 4; epoch < 8; epoch += 1) {
+        t.is(await orders.leave(target, { ...group, epoch }), OrderOutcome.Refused);
+    }
+});
