Let engines of the soak name limits, and check what they get

Heads of groups and plain servers of the soak take turns in naming a limit of 0.5 to 4 requests a second, beside all other faults and with random numbers of their own, so that the faults of a seed stay the same. The checker sums over all daemons; a daemon that was disrupted within 3 s excuses the system.

--- a/test/platform/soak/run.ts
+++ b/test/platform/soak/run.ts
@@ -1,9 +1,11 @@
 import { monotonicMs, Random, sleep } from "@greengage/base";
 import { Violations } from "@greengage/bench";
 import { type EngineFleet, sharedPartsOf } from "../engine.ts";
+import { LimitChecker } from "../requestlimits.ts";
 import { SoakCallers } from "./callers.ts";
 import { CONTACT_MS, DeadlyParts } from "./deadlyparts.ts";
 import { runFaults } from "./faults.ts";
+import { runLimits } from "./limits.ts";
 import { SoakOperators } from "./operators.ts";
 import { MODEL_SIZES, type SoakDaemon, SoakSystem } from "./system.ts";
 
@@ -46,6 +48,7 @@
 class SoakRun {
     readonly #options: SoakOptions;
     readonly #violations: Violations;
+    readonly #limitChecker: LimitChecker;
     readonly #callers: SoakCallers;
     readonly #system: SoakSystem;
     readonly #startedAtMs = monotonicMs();
@@ -60,6 +63,10 @@
             this.#violations,
             () => this.#system.isCalmFor(CONTACT_MS),
         );
+        this.#limitChecker = new LimitChecker(
+            (detail) => this.#violations.add("LIMIT", detail),
+            () => !this.#system.isCalmFor(CONTACT_MS),
+        );
         this.#callers = new SoakCallers(new Random(options.seed + 1), this.#violations, deadlyParts);
         const fleet: EngineFleet = {
             engines: new Map(),
@@ -67,7 +74,10 @@
             onRun: (engineId, message) => this.#callers.recordRun(engineId, message),
             onViolation: (rule, detail) => this.#violations.add(rule, detail),
             deadlyParts: deadlyParts.parts,
-            onArrival: (engineId, message) => deadlyParts.recordArrival(engineId, sharedPartsOf(message)),
+            onArrival: (engineId, message) => {
+                deadlyParts.recordArrival(engineId, sharedPartsOf(message));
+                this.#limitChecker.recordArrival(engineId);
+            },
             onCrash: (engine, part) => {
                 deadlyParts.recordCrash(part);
                 void this.#system.restartEngine(engine);
@@ -88,10 +98,14 @@
             ...Array.from({ length: CALLER_COUNT }, () => this.#callers.run(entries, signal)),
             operators.run(signal),
         ];
+        const limitAbort = new AbortController();
+        const limits = runLimits(this.#system, this.#limitChecker, new Random(seed + 4), limitAbort.signal);
         await runFaults(this.#system, new Random(seed), durationS * 1_000, (kind, faultMs) => {
             this.#faultCount += 1;
             this.#logMessage(`${kind} for ${faultMs} ms`);
         });
+        limitAbort.abort();
+        await limits;
         this.#logMessage("all faults have ended");
         await this.#checkService("recovery", RECOVERY_TIMEOUT_MS);
         this.#trafficAbort.abort();
