Divide the limits of backend servers among the product's own daemons

Callers saw nothing; an engine of the product's own protocol that names a limit got the requests of every daemon. The mechanism is that of the entry daemons: RequestLimits moved to `routing`, and the controller of the server's zone, which holds a lease, hands out the permits. A new header of the product's protocol carries the limit, stand-ins can send it, and the status of a daemon lists limits. A request whose group is limited goes to another one; only if all are limited it waits up to a second, or is rejected as not run with the time of the next permit.

An end-to-end run of own daemons under a limit was not made.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -19,7 +19,7 @@
     type Readiness,
 } from "@greengage/http";
 import { Membership } from "@greengage/membership";
-import { PeerNetwork } from "@greengage/protocol";
+import { type LimitPermitRequest, type LimitPermitResponse, PeerNetwork } from "@greengage/protocol";
 import { BackendDispatcher } from "@greengage/routing";
 import { TableState } from "@greengage/table";
 import { type Component, startInOrder } from "./components.ts";
@@ -31,6 +31,9 @@
 import { type DaemonStatus, versions } from "./status.ts";
 import { TableFreshness } from "./tablefreshness.ts";
 
+/** A controller answers within milliseconds, and within some tens of them in another zone. */
+const PERMIT_TIMEOUT_MS = 150;
+
 /** Runs all components of the system on one entry VM. */
 export class Daemon {
     readonly #settings: Settings;
@@ -91,7 +94,9 @@
             table: this.#table,
             backendKey: keys.backendServers,
             knownDaemonCount: daemons.filter((daemon) => !daemon.controlOnly).length,
+            requestPermit: (request) => this.#requestPermit(request),
         });
+        this.#peers.handle("limit.acquire", (request) => this.#grantPermit(request));
         this.#actions = new ActionService({
             context,
             log: this.#log,
@@ -208,6 +213,7 @@
             unreachableZones: this.#unreachableZones(),
             groups: directory.allGroups(),
             services: directory.allServices(),
+            serverLimits: this.#dispatcher.serverLimits(),
             measures: lease.isValid ? this.#membership.stats() : undefined,
             invariants: this.#context.invariants.counts(),
             violationCount: this.#context.invariants.violationCount,
@@ -217,6 +223,35 @@
         };
     }
 
+    /** Asks the controller of the server's zone. Without one, this daemon uses its part of the limit. */
+    async #requestPermit(request: LimitPermitRequest): Promise<LimitPermitResponse | undefined> {
+        const controllerId = this.#membership.directory.controllerOf(request.placementKey);
+        if (controllerId === undefined) {
+            return undefined;
+        }
+        try {
+            return await this.#peers.call(controllerId, "limit.acquire", request, {
+                timeoutMs: PERMIT_TIMEOUT_MS,
+            });
+        }
+        catch (error) {
+            this.#context.logs(LogPart.Routing).warn("no permit for a limited backend server", {
+                controllerId,
+                server: request.serverId,
+                reason: messageOf(error),
+            });
+            return undefined;
+        }
+    }
+
+    /** Throws unless this daemon controls the zone, as two daemons would hand out twice the limit. */
+    #grantPermit(request: LimitPermitRequest): LimitPermitResponse {
+        if (request.placementKey !== this.#self.zone || !this.#membership.lease.isValid) {
+            throw new Error(`this daemon doesn't control zone ${request.placementKey}`);
+        }
+        return this.#dispatcher.grantPermit(request);
+    }
+
     #unreachableZones(): string[] {
         const reachable = this.#membership.directory.reachableZones();
         const zones = new Set(this.#settings.daemons.map((daemon) => daemon.zone));
--- a/packages/daemon/src/status.ts
+++ b/packages/daemon/src/status.ts
@@ -2,7 +2,13 @@
 import type { LogStatus } from "@greengage/consensus";
 import type { DaemonSummary, InFlightCounts } from "@greengage/http";
 import type { ZoneStats } from "@greengage/membership";
-import { type GroupView, type PeerNetwork, PROTOCOL_VERSION, type ServiceView } from "@greengage/protocol";
+import {
+    type GroupView,
+    type PeerNetwork,
+    PROTOCOL_VERSION,
+    type ServerLimit,
+    type ServiceView,
+} from "@greengage/protocol";
 import type { ProcessStats } from "./metrics.ts";
 
 export const VERSION = "0.1.0";
@@ -34,6 +40,8 @@
     unreachableZones: string[];
     groups: GroupView[];
     services: ServiceView[];
+    /** Request rates that backend servers name, as far as this daemon knows. */
+    serverLimits: ServerLimit[];
     /** Group downtime and stranded accelerators by cause. Only on a zone's controller. */
     measures?: ZoneStats;
     invariants: Partial<Record<Invariant, InvariantCounts>>;
--- a/packages/gateway/src/dependencies.ts
+++ b/packages/gateway/src/dependencies.ts
@@ -1,14 +1,13 @@
 import type { Context, Random } from "@greengage/base";
 import type { RoutingTable } from "@greengage/configuration";
 import type { GroupSuspicion } from "@greengage/protocol";
-import type { ConnectionPools } from "@greengage/routing";
+import type { ConnectionPools, RequestLimits } from "@greengage/routing";
 import type { CallExecution } from "./call.ts";
 import type { DemandMeter } from "./demandmeter.ts";
 import type { FirstTokenOffsets } from "./firsttokenoffsets.ts";
 import type { GroupState, GroupStates } from "./groupstates.ts";
 import type { PlacementClient } from "./placementclient.ts";
 import type { PromptParts } from "./promptparts.ts";
-import type { RequestLimits } from "./requestlimits.ts";
 import type { ServiceRetryBudgets } from "./retrybudgets.ts";
 import type { ServerStates } from "./serverstates.ts";
 import type { ServerDialect } from "./types.ts";
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,7 +10,7 @@
 } from "@greengage/base";
 import { type Organisation, pickService, type Route, type RoutingTable } from "@greengage/configuration";
 import type { FleetView, GroupSuspicion, GroupUsage, ModelDemand, ServerLimit } from "@greengage/protocol";
-import { ConnectionPools } from "@greengage/routing";
+import { ConnectionPools, RequestLimits } from "@greengage/routing";
 import { type Call, deadlineOf, EndReason, endsAtMs } from "./call.ts";
 import { Controllers } from "./controllers.ts";
 import { DemandMeter } from "./demandmeter.ts";
@@ -20,7 +20,6 @@
 import { type GroupState, GroupStates, isHanging, type SuspicionDetails } from "./groupstates.ts";
 import { PlacementClient, type RequestPermit, type RequestPlacement } from "./placementclient.ts";
 import { type PartLeader, PromptParts } from "./promptparts.ts";
-import { RequestLimits } from "./requestlimits.ts";
 import { type RetryLimits, ServiceRetryBudgets } from "./retrybudgets.ts";
 import { ServerCall } from "./servercall.ts";
 import { ServerStates } from "./serverstates.ts";
@@ -86,7 +85,11 @@
             calls: new Set(),
             placementClient,
             promptParts: new PromptParts(context, options.partLeader),
-            requestLimits: new RequestLimits(context, placementClient, this.#random),
+            requestLimits: new RequestLimits({
+                context,
+                random: this.#random,
+                requestPermit: (request) => placementClient.acquirePermit(request),
+            }),
             suspect: (group, details) => this.#suspect(group, details),
         };
     }
--- a/packages/gateway/src/serverselector.ts
+++ b/packages/gateway/src/serverselector.ts
@@ -62,12 +62,8 @@
         { target: { serverId } }: ServerState,
         maxDelayMs: number,
     ): Promise<{ isGranted: boolean; delayMs: number; }> {
-        const { requestLimits } = this.#deps;
-        if (!requestLimits.isLimited(serverId)) {
-            return { isGranted: true, delayMs: 0 };
-        }
         const { service, priority } = this.#call;
         const query = { placementKey: placementKeyOf(service.name), serverId, priority };
-        return await requestLimits.acquire(query, maxDelayMs);
+        return await this.#deps.requestLimits.acquire(query, maxDelayMs);
     }
 }
--- a/packages/routing/src/dispatcher.ts
+++ b/packages/routing/src/dispatcher.ts
@@ -1,5 +1,14 @@
-import { type Context, ErrorCode, GreengageError, Lifecycle, monotonicMs, Verdict } from "@greengage/base";
+import {
+    type Context,
+    ErrorCode,
+    GreengageError,
+    Lifecycle,
+    monotonicMs,
+    Random,
+    Verdict,
+} from "@greengage/base";
 import type { GroupDirectory } from "@greengage/membership";
+import type { LimitPermitRequest, LimitPermitResponse, ServerLimit } from "@greengage/protocol";
 import type { TableState } from "@greengage/table";
 import { DEFAULT_QUEUE_LIMITS, GroupAdmission, type QueueLimits } from "./admission.ts";
 import { Cancellation } from "./cancellation.ts";
@@ -8,7 +17,9 @@
 import { GroupLoads } from "./grouploads.ts";
 import { GroupSelector } from "./groupselector.ts";
 import { OrganisationLimits } from "./organisationlimits.ts";
+import { RequestLimits, type RequestLimitsOptions } from "./requestlimits.ts";
 import { RetryBudget } from "./retrybudget.ts";
+import { ServerPermits } from "./serverpermits.ts";
 import { ServiceCalls } from "./servicecalls.ts";
 import { StallDetector } from "./stalldetector.ts";
 import type { StrategyName } from "./strategies.ts";
@@ -35,6 +46,11 @@
     affinity?: boolean;
     /** Fair queueing between organisations; false serves requests in order of arrival. Default: true. */
     isFair?: boolean;
+    /**
+     * Asks the controller of a zone for a permit for a limited server of the zone, which is the request's placement key. Default:
+     * this daemon divides the limits by the number of daemons.
+     */
+    requestPermit?: RequestLimitsOptions["requestPermit"];
     streamLimits?: Partial<StreamLimits>;
     queueLimits?: Partial<QueueLimits>;
 }
@@ -45,6 +61,8 @@
     readonly #lifecycle = new Lifecycle();
     readonly #pools = new ConnectionPools();
     readonly #retryBudget = new RetryBudget();
+    readonly #requestLimits: RequestLimits;
+    readonly #zonePermits: ServerPermits;
     readonly #loads = new GroupLoads();
     readonly #stallDetector = new StallDetector(this.#lifecycle);
     readonly #streamLimits: StreamLimits;
@@ -64,6 +82,16 @@
             limit: (organisation) => table.organisation(organisation),
             daemonCount,
         });
+        this.#requestLimits = new RequestLimits({
+            context,
+            random: new Random(),
+            requestPermit: options.requestPermit ?? (() => Promise.resolve(undefined)),
+        });
+        this.#zonePermits = new ServerPermits({
+            context,
+            limits: this.#requestLimits.table,
+            share: () => 1,
+        });
         directory.setDemandSource(() => this.#organisationLimits.demand());
         this.#selector = new GroupSelector({ loads: this.#loads, zone: context.zone, strategy, affinity });
         const limits = { ...DEFAULT_QUEUE_LIMITS, ...options.queueLimits };
@@ -79,10 +107,16 @@
             directory,
             budget: this.#retryBudget,
             pools: this.#pools,
+            requestLimits: this.#requestLimits,
             backendKey,
             limitOf: (service) =>
                 Math.max(1, Math.floor((table.service(service)?.maxConcurrent ?? 1) / daemonCount())),
         });
+        this.#lifecycle.every(
+            METRICS_INTERVAL_MS,
+            () => this.#requestLimits.setDaemonCount(daemonCount()),
+            () => undefined,
+        );
         directory.setInFlightSource(() => [...this.#loads.counts(), ...this.#serviceCalls.counts()]);
         this.#lifecycle.onClose(() => this.#pools.close());
         this.#lifecycle.onClose(() => this.#admission.close());
@@ -94,6 +128,17 @@
         this.#lifecycle.every(METRICS_INTERVAL_MS, () => this.#reportMetrics(), () => undefined);
     }
 
+    /** Limits that backend servers name. */
+    serverLimits(): ServerLimit[] {
+        return this.#requestLimits.list();
+    }
+
+    /** Hands out a permit for a limited server of a zone that this daemon controls. */
+    grantPermit({ limits, maxDelayMs, ...query }: LimitPermitRequest): LimitPermitResponse {
+        this.#requestLimits.merge(limits);
+        return this.#zonePermits.acquire(query, maxDelayMs, monotonicMs());
+    }
+
     close(): Promise<void> {
         return this.#lifecycle.close();
     }
@@ -121,6 +166,7 @@
                 loads: this.#loads,
                 budget: this.#retryBudget,
                 pools: this.#pools,
+                requestLimits: this.#requestLimits,
                 stallDetector: this.#stallDetector,
                 limits: this.#streamLimits,
                 backendKey: this.#options.backendKey,
--- a/packages/routing/src/generation.ts
+++ b/packages/routing/src/generation.ts
@@ -1,4 +1,4 @@
-import { type Context, GreengageError, Invariant, monotonicMs, Verdict } from "@greengage/base";
+import { type Context, GreengageError, Invariant, monotonicMs, sleep, Verdict } from "@greengage/base";
 import type { GroupDirectory } from "@greengage/membership";
 import { GroupState, type GroupView } from "@greengage/protocol";
 import { generationKey, type GroupAdmission, type Slot } from "./admission.ts";
@@ -9,6 +9,7 @@
 import type { Flow } from "./fairqueue.ts";
 import type { GroupLoads } from "./grouploads.ts";
 import type { GroupSelector } from "./groupselector.ts";
+import type { RequestLimits } from "./requestlimits.ts";
 import type { RetryBudget } from "./retrybudget.ts";
 import type { StallDetector } from "./stalldetector.ts";
 import { StreamAttempt, type StreamLimits } from "./streamattempt.ts";
@@ -16,6 +17,8 @@
 
 const MAX_ATTEMPTS = 8;
 const RETRY_AFTER_MS = 1_000;
+/** Callers of chat completions wait a few seconds for the first token; waiting longer would hold a slot for nothing. */
+const MAX_PERMIT_WAIT_MS = 1_000;
 
 export interface GenerationOptions {
     context: Context;
@@ -25,6 +28,7 @@
     loads: GroupLoads;
     budget: RetryBudget;
     pools: ConnectionPools;
+    requestLimits: RequestLimits;
     stallDetector: StallDetector;
     limits: StreamLimits;
     backendKey: string;
@@ -75,14 +79,7 @@
     async #runAttempt(): Promise<GreengageError | undefined> {
         let slot: Slot;
         try {
-            slot = await this.#options.admission.acquire({
-                flow: this.#flow,
-                model: this.#request.model,
-                prefixKey: this.#options.selector.affinityKey(this.#request.body),
-                excluded: this.#excluded,
-                isResumed: this.#hasDelivered,
-                deadlineAtMs: this.#request.deadlineAtMs,
-            }, this.#cancellation);
+            slot = await this.#acquirePermittedSlot();
         }
         catch (error) {
             return error as GreengageError;
@@ -103,6 +100,52 @@
         }
     }
 
+    /** Acquires a slot of a group that takes the request now. Waits for a limited group only if there is no other. */
+    async #acquirePermittedSlot(): Promise<Slot> {
+        const limited = new Set<string>();
+        for (;;) {
+            const slot = await this.#acquireSlot(new Set([...this.#excluded, ...limited]));
+            const key = generationKey(slot.group);
+            // Excluded groups are offered again once there are no others.
+            const isOnlyLimited = limited.has(key);
+            const { isGranted, delayMs } = await this.#options.requestLimits.acquire({
+                placementKey: slot.group.zone,
+                serverId: headIdOf(slot.group),
+                priority: this.#flow.priority,
+            }, isOnlyLimited ? Math.min(MAX_PERMIT_WAIT_MS, this.#request.deadlineAtMs - monotonicMs()) : 0);
+            if (isGranted) {
+                await this.#waitForPermit(slot, delayMs);
+                return slot;
+            }
+            slot.release();
+            if (isOnlyLimited) {
+                throw noCapacity("all groups are at the limits that their servers name", delayMs);
+            }
+            limited.add(key);
+        }
+    }
+
+    async #waitForPermit(slot: Slot, delayMs: number): Promise<void> {
+        if (delayMs > 0) {
+            await sleep(delayMs);
+        }
+        if (this.#cancellation.kind !== undefined) {
+            slot.release();
+            throw new ExchangeError(this.#cancellation.kind, "the request ended before it was sent", false);
+        }
+    }
+
+    #acquireSlot(excluded: ReadonlySet<string>): Promise<Slot> {
+        return this.#options.admission.acquire({
+            flow: this.#flow,
+            model: this.#request.model,
+            prefixKey: this.#options.selector.affinityKey(this.#request.body),
+            excluded,
+            isResumed: this.#hasDelivered,
+            deadlineAtMs: this.#request.deadlineAtMs,
+        }, this.#cancellation);
+    }
+
     #createAttempt(group: GroupView): StreamAttempt {
         const { context, directory, pools, stallDetector, limits, backendKey } = this.#options;
         const url = new URL(group.leaderUrl);
@@ -131,6 +174,13 @@
             stallDetector,
             limits,
             isSuspended: () => isSuspended(directory, group),
+            onLimit: (limit, startedAtMs) =>
+                this.#options.requestLimits.observe({
+                    serverId: headIdOf(group),
+                    limit,
+                    sentAtMs: startedAtMs,
+                    receivedAtMs: monotonicMs(),
+                }),
             onFirstEvents: () => {
                 this.#checkResponse(stream.hasMatchingId, "carries another request's id");
                 if (!this.#hasDelivered) {
@@ -237,6 +287,9 @@
     }
 }
 
+/** Requests to a group are sent to its member of rank 0. */
+const headIdOf = ({ memberVmIds, groupId }: GroupView): string => memberVmIds[0] ?? groupId;
+
 const isSuspended = (directory: GroupDirectory, group: GroupView): boolean => {
     if (directory.isServing(group.zone, group.groupId, group.generation)) {
         return false;
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -8,6 +8,7 @@
 export * from "./grouploads.ts";
 export * from "./groupselector.ts";
 export * from "./organisationlimits.ts";
+export * from "./requestlimits.ts";
 export * from "./retrybudget.ts";
 export * from "./serverlimits.ts";
 export * from "./serverpermits.ts";
--- a/packages/routing/src/serverlimits.ts
+++ b/packages/routing/src/serverlimits.ts
@@ -19,6 +19,18 @@
 
 export const UNSTATED_LIMIT: NamedLimit = { statement: LimitStatement.Unstated };
 
+/** Requests per second, as a decimal number without sign. Exponents and other notations count as unreadable. */
+const DECIMAL = /^\d+(\.\d+)?$/;
+
+/** Decodes a header field with a limit. If it names several, the lowest one holds. */
+export const parseLimit = (field: string | string[]): NamedLimit => {
+    const rates = [field].flat().flatMap((text) => text.split(",")).map((text) => text.trim())
+        .filter((text) => DECIMAL.test(text)).map(Number);
+    return rates.length === 0
+        ? UNSTATED_LIMIT
+        : { statement: LimitStatement.Limited, requestsPerS: Math.min(...rates) };
+};
+
 /** A response with what it says about its server's limit; times are monotonic. */
 export interface LimitObservation {
     serverId: string;
--- a/packages/routing/src/servicecalls.ts
+++ b/packages/routing/src/servicecalls.ts
@@ -1,16 +1,28 @@
-import { type Context, ErrorCode, GreengageError, Invariant, monotonicMs, Verdict } from "@greengage/base";
+import {
+    type Context,
+    ErrorCode,
+    GreengageError,
+    Invariant,
+    monotonicMs,
+    sleep,
+    Verdict,
+} from "@greengage/base";
 import type { GroupDirectory } from "@greengage/membership";
 import type { ServiceView } from "@greengage/protocol";
 import type { Dispatcher as HttpDispatcher } from "undici";
+import { limitOf } from "./backendheaders.ts";
 import type { Cancellation } from "./cancellation.ts";
 import type { ConnectionPools } from "./connectionpools.ts";
 import { Exchange } from "./exchange.ts";
 import { type ExchangeError, FailureKind, noCapacity } from "./failures.ts";
+import type { RequestLimits } from "./requestlimits.ts";
 import type { RetryBudget } from "./retrybudget.ts";
 import type { ServiceCall, ServiceResponse } from "./types.ts";
 
 const MAX_ATTEMPTS = 3;
 const RETRY_AFTER_MS = 1_000;
+/** Maximum wait for a permit of a limited server; a call that waits longer is rejected at once instead. */
+const MAX_PERMIT_WAIT_MS = 1_000;
 const MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
 
 export interface ServiceCallsOptions {
@@ -18,6 +30,7 @@
     directory: Pick<GroupDirectory, "services" | "daemonCount">;
     budget: RetryBudget;
     pools: ConnectionPools;
+    requestLimits: RequestLimits;
     backendKey: string;
     /** Maximum concurrent calls of a service on this daemon: its share of the table row's `maxConcurrent`. */
     limitOf: (service: string) => number;
@@ -71,7 +84,7 @@
             );
         };
         for (let attempt = 1;; attempt += 1) {
-            const server = this.#selectServer(call.service, tried, mayHaveRun);
+            const server = await this.#selectPermittedServer(call, tried, mayHaveRun);
             tried.add(server.vmId);
             try {
                 return await this.#runExchange(call, server, cancellation, onWrite);
@@ -97,6 +110,38 @@
         return budget.takeRetry(monotonicMs());
     }
 
+    /** Selects a server that takes the call now. Waits for a limited one only if there is no other. */
+    async #selectPermittedServer(
+        { service, deadlineAtMs }: ServiceCall,
+        tried: ReadonlySet<string>,
+        mayHaveRun: boolean,
+    ): Promise<ServiceView> {
+        const limited = new Set<string>();
+        for (;;) {
+            const server = this.#selectServer(service, new Set([...tried, ...limited]), mayHaveRun);
+            const isOnlyLimited = limited.has(server.vmId);
+            const { isGranted, delayMs } = await this.#options.requestLimits.acquire({
+                placementKey: server.zone,
+                serverId: server.vmId,
+                priority: 0,
+            }, isOnlyLimited ? Math.min(MAX_PERMIT_WAIT_MS, deadlineAtMs - monotonicMs()) : 0);
+            if (isGranted) {
+                if (delayMs > 0) {
+                    await sleep(delayMs);
+                }
+                return server;
+            }
+            if (isOnlyLimited) {
+                const error = noCapacity(
+                    `all servers of service ${service} are at the limits that they name`,
+                    delayMs,
+                );
+                throw withVerdict(error, mayHaveRun);
+            }
+            limited.add(server.vmId);
+        }
+    }
+
     /** Selects the backend server with the fewest calls of this daemon among those with spare capacity. */
     #selectServer(service: string, tried: ReadonlySet<string>, mayHaveRun: boolean): ServiceView {
         const { directory } = this.#options;
@@ -159,7 +204,9 @@
     ): Promise<ServiceResponse> {
         return new Promise((resolve, reject) => {
             const chunks: Buffer[] = [];
+            const { requestLimits } = this.#options;
             let sizeBytes = 0;
+            let sentAtMs = Infinity;
             let status = 0;
             let contentType = "application/octet-stream";
             const exchange = new Exchange({
@@ -177,11 +224,18 @@
                 mayWrite: () => {
                     const isAllowed = this.#isAvailable(server) && call.mayStillSend?.() !== false;
                     if (isAllowed) {
+                        sentAtMs = monotonicMs();
                         onWrite();
                     }
                     return isAllowed;
                 },
                 onHead: (received, headers) => {
+                    requestLimits.observe({
+                        serverId: server.vmId,
+                        limit: limitOf(received, headers),
+                        sentAtMs,
+                        receivedAtMs: monotonicMs(),
+                    });
                     status = received;
                     contentType = String(headers["content-type"] ?? contentType);
                 },
--- a/packages/routing/src/streamattempt.ts
+++ b/packages/routing/src/streamattempt.ts
@@ -1,8 +1,10 @@
 import { monotonicMs } from "@greengage/base";
+import { limitOf } from "./backendheaders.ts";
 import { areChatEvents, type DeliveredEvents } from "./deliveredevents.ts";
 import { EventScanner, isEventStream } from "./eventscanner.ts";
 import { Exchange, type ExchangeOptions } from "./exchange.ts";
 import { ExchangeError, FailureKind } from "./failures.ts";
+import type { NamedLimit } from "./serverlimits.ts";
 import type { StallDetector, WatchedStream } from "./stalldetector.ts";
 import type { EventSink } from "./types.ts";
 
@@ -32,6 +34,8 @@
     limits: StreamLimits;
     /** Whether the group's controller has suspended the group. */
     isSuspended: () => boolean;
+    /** Called with what the response says about the server's limit, and the time at which the attempt started. */
+    onLimit: (limit: NamedLimit, startedAtMs: number) => void;
     /** Called before the first events are relayed to the caller. */
     onFirstEvents: () => void;
 }
@@ -118,6 +122,7 @@
     }
 
     #onHead(status: number, headers: Record<string, string | string[] | undefined>): void {
+        this.#options.onLimit(limitOf(status, headers), this.#startedAtMs);
         if (status !== 200) {
             const kind = statusKinds[status] ?? FailureKind.BadStatus;
             this.#exchange.fail(kind, `responded with status ${status}`);
--- a/packages/standins/src/backend.ts
+++ b/packages/standins/src/backend.ts
@@ -27,6 +27,9 @@
         this.options = options;
         this.agent = new Agent({ connect: { localAddress: options.sourceAddress } });
         this.#server = createServer((incoming, response) => {
+            if (this.behaviour.requestLimitPerS !== undefined) {
+                response.setHeader("x-request-limit", String(this.behaviour.requestLimitPerS));
+            }
             const handling = incoming.url === "/control"
                 ? this.#handleControl(incoming, response)
                 : this.handle(incoming, response);
--- a/packages/standins/src/options.ts
+++ b/packages/standins/src/options.ts
@@ -60,6 +60,8 @@
     lostShare: number;
     /** Whether load orders end in the state `failed`. */
     failsLoads: boolean;
+    /** Requests per second from all daemons together that answers name; undefined names no limit. */
+    requestLimitPerS?: number;
 }
 
 export const DEFAULT_BEHAVIOUR: Behaviour = { slowdown: 1, lateMs: 0, lostShare: 0, failsLoads: false };
