Drop the permit state of servers that no longer name a limit

Found on reading the diff: states of limited servers that ended without a further request stayed for good, one an incarnation, as did the times of their next permits. Both maps now drop what has passed when a new server is added. The wait for a permit is one constant for streams and plain services of the product's own daemons.

--- a/packages/routing/src/generation.ts
+++ b/packages/routing/src/generation.ts
@@ -9,7 +9,7 @@
 import type { Flow } from "./fairqueue.ts";
 import type { GroupLoads } from "./grouploads.ts";
 import type { GroupSelector } from "./groupselector.ts";
-import type { RequestLimits } from "./requestlimits.ts";
+import { MAX_PERMIT_WAIT_MS, type RequestLimits } from "./requestlimits.ts";
 import type { RetryBudget } from "./retrybudget.ts";
 import type { StallDetector } from "./stalldetector.ts";
 import { StreamAttempt, type StreamLimits } from "./streamattempt.ts";
@@ -17,8 +17,6 @@
 
 const MAX_ATTEMPTS = 8;
 const RETRY_AFTER_MS = 1_000;
-/** Callers of chat completions wait a few seconds for the first token; waiting longer would hold a slot for nothing. */
-const MAX_PERMIT_WAIT_MS = 1_000;
 
 export interface GenerationOptions {
     context: Context;
--- a/packages/routing/src/requestlimits.ts
+++ b/packages/routing/src/requestlimits.ts
@@ -6,6 +6,9 @@
 /** Part of a limit that all daemons use together while nobody hands out permits, as their clocks and counts differ. */
 const FALLBACK_SHARE = 0.5;
 
+/** Maximum wait for a permit of requests without a target latency. Longer waits would hold a slot for nothing. */
+export const MAX_PERMIT_WAIT_MS = 1_000;
+
 export interface RequestLimitsOptions {
     context: Context;
     random: Random;
@@ -96,8 +99,17 @@
         this.resetFallback();
         this.#nextPermitAtMs.delete(serverId);
         if (!answer.isGranted) {
+            this.#dropPassed(nowMs);
             this.#nextPermitAtMs.set(serverId, monotonicMs() + answer.delayMs);
         }
         return answer;
     }
+
+    #dropPassed(nowMs: number): void {
+        for (const [serverId, atMs] of this.#nextPermitAtMs) {
+            if (atMs <= nowMs) {
+                this.#nextPermitAtMs.delete(serverId);
+            }
+        }
+    }
 }
--- a/packages/routing/src/serverlimits.ts
+++ b/packages/routing/src/serverlimits.ts
@@ -44,12 +44,9 @@
 const LIMIT_TTL_MS = 60_000;
 /** Retention of ended limits, longer than the news of one takes to reach all daemons. */
 const ENDED_TTL_MS = 5_000;
-/** Reports of other daemons are seldom more recent than this, so these limits go along with each request for a permit. */
+/** Time within which the exchange of limits reaches all daemons. Younger limits are sent along with each request for a permit. */
 const RECENT_MS = 500;
-/**
- * Rate for a server that names a lower one. Some response must show that the limit has ended, and one request in four
- * seconds is less than any limit is exceeded by in practice.
- */
+/** Rate for a server that names a lower one, such as zero: only a response can show that the limit has ended. */
 const MIN_REQUESTS_PER_S = 0.25;
 /** After the end of a limit, the rate doubles in this time, so that a server that has just recovered gets no rush. */
 const RAMP_DOUBLING_MS = 500;
@@ -66,8 +63,8 @@
 }
 
 /**
- * Request rates that backend servers name in their responses, by server id. They are learnt from own responses and from
- * other daemons; for each server the latest response decides.
+ * Request rates that backend servers name in their responses, by server id. They come from own responses and from other
+ * daemons; for each server the latest response decides.
  */
 export class ServerLimitTable {
     readonly #context: Context;
--- a/packages/routing/src/serverpermits.ts
+++ b/packages/routing/src/serverpermits.ts
@@ -133,7 +133,12 @@
     }
 
     #stateOf(serverId: string, nowMs: number): PermitState {
-        const state = this.#states.get(serverId) ?? {
+        const known = this.#states.get(serverId);
+        if (known !== undefined) {
+            return known;
+        }
+        this.#dropEnded(nowMs);
+        const state: PermitState = {
             bucket: new TokenBucket(this.#options.initialTokens?.() ?? 0, nowMs),
             mostUrgent: { priority: Infinity, atMs: nowMs },
             grantedCount: 0,
@@ -144,6 +149,15 @@
         return state;
     }
 
+    /** Drops the state of servers that are unlimited now, or gone. */
+    #dropEnded(nowMs: number): void {
+        for (const serverId of this.#states.keys()) {
+            if (this.#options.limits.rateOf(serverId, nowMs) === undefined) {
+                this.#states.delete(serverId);
+            }
+        }
+    }
+
     #logCounts(serverId: string, state: PermitState, nowMs: number): void {
         if (nowMs - state.loggedAtMs < LOG_INTERVAL_MS) {
             return;
--- a/packages/routing/src/servicecalls.ts
+++ b/packages/routing/src/servicecalls.ts
@@ -15,14 +15,12 @@
 import type { ConnectionPools } from "./connectionpools.ts";
 import { Exchange } from "./exchange.ts";
 import { type ExchangeError, FailureKind, noCapacity } from "./failures.ts";
-import type { RequestLimits } from "./requestlimits.ts";
+import { MAX_PERMIT_WAIT_MS, type RequestLimits } from "./requestlimits.ts";
 import type { RetryBudget } from "./retrybudget.ts";
 import type { ServiceCall, ServiceResponse } from "./types.ts";
 
 const MAX_ATTEMPTS = 3;
 const RETRY_AFTER_MS = 1_000;
-/** Maximum wait for a permit of a limited server; a call that waits longer is rejected at once instead. */
-const MAX_PERMIT_WAIT_MS = 1_000;
 const MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
 
 export interface ServiceCallsOptions {
