Make two platform tests independent of how fast the machine is

- platform > engine "a request in a group with a member that was never ready": the member became ready 50 ms after its join, and the request came later than that.
The member's load now outlasts the request, so the check is as strict and has no race.
- platform > requestlimits (ledger) "the limited server gets no requests at all": a server that has failed once, here by a slow connection, is passed over while the other one is idle, so the first server needn't get any request.
The test limits the server that gets more.

--- a/test/platform/engine.test.ts
+++ b/test/platform/engine.test.ts
@@ -74,6 +74,8 @@
     while (await send(a, { operation: "open", group: "g1", epoch: 1 }) === 409) {
         // Retries until the join has completed, some milliseconds later.
     }
+    // The member joins, but doesn't become ready before the request.
+    b.member.loadMs = 60_000;
     await send(b, joinOrder("g1", 1, ["a", "b"]));
     await callUntil(200, `http://${a.address}/x`, { method: "POST", body: "text 1" });
     t.deepEqual(violatedRules, ["PARTIAL"]);
--- a/test/platform/groupmember.ts
+++ b/test/platform/groupmember.ts
@@ -1,6 +1,6 @@
 import type { EngineFleet } from "./engine.ts";
 
-const LOAD_MS = 50;
+const DEFAULT_LOAD_MS = 50;
 /** Time for which the head of a group that has lost a member stalls before it becomes broken. */
 const STALL_MS = 1_500;
 
@@ -36,6 +36,8 @@
 /** Group membership of an engine: executes orders, and reports those that violate the platform's rules. */
 export class GroupMember {
     readonly #options: GroupMemberOptions;
+    /** Time from the order of a join to the ready state. */
+    loadMs = DEFAULT_LOAD_MS;
     /** Groups in which this engine has become ready, as `name/epoch/members`. */
     readonly #readyGroupKeys = new Set<string>();
     #group: Membership | undefined;
@@ -171,7 +173,7 @@
             members,
         };
         this.#group = joined;
-        setTimeout(() => this.#becomeReady(joined), LOAD_MS);
+        setTimeout(() => this.#becomeReady(joined), this.loadMs);
         return 202;
     }
 
--- a/test/platform/requestlimits.test.ts
+++ b/test/platform/requestlimits.test.ts
@@ -18,6 +18,7 @@
 const LIMIT_PER_S = 2;
 const REQUEST_INTERVAL_MS = 70;
 const WINDOW_MS = 4_000;
+const WARM_UP_MS = 1_000;
 /** Requests to a limited engine may wait for it, but not long when another server has room. */
 const ANSWER_LIMIT_MS = 1_000;
 
@@ -125,7 +126,12 @@
     test(`a server of ${service} that names a limit gets no more requests from all daemons together`, async (t) => {
         t.timeout(60_000);
         const fixture = await startFleet(t, service);
-        const [limited, other] = fixture.servers as [PlatformEngine, PlatformEngine];
+        await runTraffic(fixture.platform, path, WARM_UP_MS);
+        // The server that gets more requests, so that its limit shows.
+        const [limited, other] = fixture.servers.sort((a, b) => fixture.countOf(b) - fixture.countOf(a)) as [
+            PlatformEngine,
+            PlatformEngine,
+        ];
         limited.requestLimitPerS = LIMIT_PER_S;
         fixture.checker.begin(limited.id, LIMIT_PER_S);
         const { served, failures } = await runTraffic(
