Build the permit query of a group in one place

Found on the last read of the diff: entry and control daemons each built the same query, and the two had to agree, as the placement key in it selects the daemon that hands out the permits. permitOf serves both. The last event id of a resumed response is set once, at construction, instead of with its first events.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -63,13 +63,14 @@
     #chunks: Buffer[] = [];
     #bufferedBytes = 0;
     #sentAtMs = Infinity;
-    /** Id of the last event of the resumed response. */
+    /** Id of the last event that the caller has; undefined if the response resumes no other one. */
     #lastEventId: string | undefined;
     #connectTimer: NodeJS.Timeout | undefined;
 
     constructor(options: AttemptOptions) {
         this.#options = options;
-        const { client, dialect, name, serverRequest, closesConnection } = options;
+        const { client, dialect, name, serverRequest, closesConnection, isResumption } = options;
+        this.#lastEventId = isResumption ? serverRequest.lastEventId : undefined;
         const { request } = serverRequest;
         this.#outcome = new Promise((resolve) => {
             this.#resolve = resolve;
@@ -166,11 +167,7 @@
     }
 
     #passEvents(): void {
-        const { isResumption, serverRequest: { lastEventId }, onEvents } = this.#options;
         const { events, hasFields } = this.#scanner;
-        if (isResumption && this.#lastEventId === undefined) {
-            this.#lastEventId = lastEventId;
-        }
         if (this.#lastEventId !== undefined) {
             if (!continueAfter(this.#lastEventId, events)) {
                 this.fail(FailureKind.Broken, `an event doesn't come after event ${this.#lastEventId}`);
@@ -178,7 +175,7 @@
             }
             this.#lastEventId = lastEventIdOf(events) ?? this.#lastEventId;
         }
-        onEvents?.(events, hasFields);
+        this.#options.onEvents?.(events, hasFields);
     }
 
     #isEventStream(): boolean {
--- a/packages/gateway/src/controllers.ts
+++ b/packages/gateway/src/controllers.ts
@@ -1,5 +1,6 @@
 import { type Context, messageOf, monotonicMs } from "@greengage/base";
-import { rendezvousIds } from "@greengage/routing";
+import type { GroupTarget } from "@greengage/protocol";
+import { type PermitQuery, rendezvousIds } from "@greengage/routing";
 
 /** Time for which a control daemon is not asked again after a failed call. */
 const CONTROLLER_AVOIDANCE_MS = 1_000;
@@ -8,6 +9,13 @@
 export const placementKeyOf = (service: string, model?: string): string =>
     model === undefined ? service : `${service}\n${model}`;
 
+/** Query for a permit to send a request to a group. Its head names the limit. */
+export const permitOf = ({ service, model, headId }: GroupTarget, priority: number): PermitQuery => ({
+    placementKey: placementKeyOf(service, model),
+    serverId: headId,
+    priority,
+});
+
 /** The control daemons. All entry daemons ask the same one for a placement key, as long as it answers. */
 export class Controllers {
     readonly #context: Context;
--- a/packages/gateway/src/placementfinder.ts
+++ b/packages/gateway/src/placementfinder.ts
@@ -1,10 +1,9 @@
 import { monotonicMs } from "@greengage/base";
 import type { EngineProfile, ModelSpec } from "@greengage/configuration";
 import type { PlacementResponse } from "@greengage/protocol";
-import type { PermitQuery } from "@greengage/routing";
 import { type AdmissionDecision, admissionLimitMs, admit } from "./admission.ts";
 import { type Call, remainingMs } from "./call.ts";
-import { placementKeyOf } from "./controllers.ts";
+import { permitOf } from "./controllers.ts";
 import type { GatewayDependencies } from "./dependencies.ts";
 import { type GroupState, meanSlotOccupancyMs } from "./groupstates.ts";
 import { choosePlacement } from "./placement.ts";
@@ -134,7 +133,7 @@
         const { profile, model, generation } = this.#workload;
         const nowMs = monotonicMs();
         const loads = candidates.flatMap((state) => {
-            const startDelayMs = requestLimits.fallbackDelayMs(this.#permitFor(state));
+            const startDelayMs = requestLimits.fallbackDelayMs(permitOf(state.target, this.#call.priority));
             return startDelayMs === undefined ? [] : [{ ...state.load(nowMs), startDelayMs }];
         });
         const immediate = loads.filter(({ startDelayMs }) => startDelayMs === 0);
@@ -152,7 +151,7 @@
         if (placement === undefined || group === undefined) {
             return undefined;
         }
-        requestLimits.takeFallbackPermit(this.#permitFor(group));
+        requestLimits.takeFallbackPermit(permitOf(group.target, this.#call.priority));
         return {
             group,
             firstTokenMs: placement.firstTokenMs,
@@ -161,12 +160,4 @@
             decidedBy: "entry",
         };
     }
-
-    #permitFor({ target: { service, model, headId } }: GroupState): PermitQuery {
-        return {
-            placementKey: placementKeyOf(service, model),
-            serverId: headId,
-            priority: this.#call.priority,
-        };
-    }
 }
--- a/packages/gateway/src/placementservice.ts
+++ b/packages/gateway/src/placementservice.ts
@@ -10,8 +10,8 @@
     PlacementRequest,
     PlacementResponse,
 } from "@greengage/protocol";
-import { type PermitQuery, rendezvousIds, type ServerLimitTable, ServerPermits } from "@greengage/routing";
-import { placementKeyOf } from "./controllers.ts";
+import { rendezvousIds, type ServerLimitTable, ServerPermits } from "@greengage/routing";
+import { permitOf } from "./controllers.ts";
 import { bestPlacement, type GroupLoad, type Placement, type PlacementInput } from "./placement.ts";
 
 /**
@@ -147,12 +147,6 @@
     }
 }
 
-const permitOf = ({ service, model, headId }: GroupTarget, priority: number): PermitQuery => ({
-    placementKey: placementKeyOf(service, model),
-    serverId: headId,
-    priority,
-});
-
 /**
  * Part of the limits of servers that a control daemon hands out. The first one in the order of a placement key that is connected
  * to the majority hands out all of it. The others together never exceed half of it: they serve entry daemons that can't
