Identify the content of a request by a fingerprint

A request that crashes the servers that run it comes again with another id, so nothing in the system recognises it.

--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -4,6 +4,7 @@
 export * from "./eventscanner.ts";
 export * from "./exchange.ts";
 export * from "./failures.ts";
+export * from "./fingerprint.ts";
 export * from "./fairqueue.ts";
 export * from "./grouploads.ts";
 export * from "./groupselector.ts";
