Reproduce requests that crash server after server in failing tests

Callers of sound requests saw 503 and 502 while one request took down all groups of a model, or all servers of a plain service: it comes again with the same content and another id, and nothing in the system recognises it.

The stand-in engines can crash on the path of a request.

--- a/test/platform/crashingengines.ts
+++ b/test/platform/crashingengines.ts
@@ -16,27 +16,32 @@
 export interface Arrival {
     requestId: string;
     parts: string[];
+    path: string;
     /** From `performance.now()`. */
     atMs: number;
 }
 
-/** Engines of one service that crash on deadly prompt parts and come back at the same port with a new id. */
+/** Engines of one service that crash on deadly prompt parts or requests and come back at the same port with a new id. */
 export class CrashingEngines implements EngineFleet {
     readonly engines = new Map<string, PlatformEngine>();
     readonly modelSizes = { m: ENGINES_PER_GROUP };
     readonly deadlyParts = new Set<string>();
+    readonly deadlyPaths = new Set<string>();
     readonly arrivals: Arrival[] = [];
     /** Times of crashes, from `performance.now()`. */
     readonly crashTimesMs: number[] = [];
     readonly violations: string[] = [];
     readonly #control: string;
     readonly #sendsHeadEarly: boolean;
+    /** Undefined for plain servers. */
+    readonly #domain: string | undefined;
     #startCount = 0;
     #isStopped = false;
 
-    constructor(control: string, sendsHeadEarly: boolean) {
+    constructor(control: string, sendsHeadEarly: boolean, domain?: string) {
         this.#control = control;
         this.#sendsHeadEarly = sendsHeadEarly;
+        this.#domain = domain;
     }
 
     /** Starts engines for the given number of groups. */
@@ -45,7 +50,7 @@
         { control }: PlatformFixture,
         { groupCount, sendsHeadEarly }: { groupCount: number; sendsHeadEarly: boolean; },
     ): Promise<CrashingEngines> {
-        const fleet = new CrashingEngines(control, sendsHeadEarly);
+        const fleet = new CrashingEngines(control, sendsHeadEarly, "d0");
         t.teardown(() => fleet.stop());
         // Ports outside of the ephemeral range, so that no outgoing connection takes one while its engine is down.
         for (const port of await freePorts(groupCount * ENGINES_PER_GROUP)) {
@@ -54,6 +59,20 @@
         return fleet;
     }
 
+    /** Starts servers of the plain service. */
+    static async startPlain(
+        t: ExecutionContext,
+        { control }: PlatformFixture,
+        serverCount: number,
+    ): Promise<CrashingEngines> {
+        const fleet = new CrashingEngines(control, false);
+        t.teardown(() => fleet.stop());
+        for (const port of await freePorts(serverCount)) {
+            await fleet.#startEngine(port);
+        }
+        return fleet;
+    }
+
     stop(): void {
         this.#isStopped = true;
         this.engines.forEach((engine) => engine.stop());
@@ -80,6 +99,7 @@
         this.arrivals.push({
             requestId: String(message.headers["greengageridge-request-id"]),
             parts: sharedPartsOf(message),
+            path: message.url ?? "",
             atMs: performance.now(),
         });
     }
@@ -95,9 +115,9 @@
         }
         this.#startCount += 1;
         const engine = new PlatformEngine({
-            id: `e${this.#startCount}`,
-            service: "llm",
-            domain: "d0",
+            id: `${this.#domain ?? "s"}-${this.#startCount}`,
+            service: this.#domain === undefined ? "ledger" : "llm",
+            domain: this.#domain,
             control: this.#control,
             port,
             fleet: this,
--- a/test/platform/engine.ts
+++ b/test/platform/engine.ts
@@ -38,6 +38,8 @@
     onViolation: (rule: string, detail: string) => void;
     /** Prompt parts that crash each engine at the first event of a request, unless they are its last part. */
     readonly deadlyParts?: ReadonlySet<string>;
+    /** Paths of requests that crash each server that begins to run them. */
+    readonly deadlyPaths?: ReadonlySet<string>;
     /** Called when a request arrives at an engine, whether or not the engine runs it. */
     onArrival?: (engineId: string, message: IncomingMessage) => void;
     /** Called when an engine has crashed, with the deadly part if there was one. */
@@ -289,6 +291,10 @@
                 : { "server-limit": this.requestLimitPerS.toFixed(1) }),
         };
         if (domain === undefined) {
+            if (this.#isDeadly(message)) {
+                this.crash();
+                return;
+            }
             if (this.dropsAnswers) {
                 message.socket.resetAndDestroy();
                 return;
@@ -300,6 +306,10 @@
         void this.#beginStream(message, response, head, parseContent(body, this.eventCount));
     }
 
+    #isDeadly({ url = "" }: IncomingMessage): boolean {
+        return this.#options.fleet?.deadlyPaths?.has(url) ?? false;
+    }
+
     async #beginStream(
         message: IncomingMessage,
         response: ServerResponse,
@@ -320,7 +330,7 @@
         }
         const { deadlyParts } = this.#options.fleet ?? {};
         const deadlyPart = sharedPartsOf(message).find((part) => deadlyParts?.has(part));
-        if (deadlyPart !== undefined) {
+        if (deadlyPart !== undefined || this.#isDeadly(message)) {
             this.crash(deadlyPart);
             return;
         }
