--- /dev/null
+++ b/packages/fleet/src/blame.ts
@@ -0,0 +1,144 @@
+import { type CrashId, isRequestCulprit, type UnservedRequest } from "@greengage/protocol";
+
+interface QuarantineRule {
+    /** Crashes that a culprit needs. */
+    crashes: number;
+    /** Minimum time since the first crash, in which any request with the culprit can clear it. */
+    exonerationMs: number;
+}
+
+/** For a part that no request was served with before, and crashes in which the engine had begun the response. */
+export const ANSWERING_RULE: QuarantineRule = { crashes: 2, exonerationMs: 400 };
+/** For all other parts and crashes: a queued request may have been beside the cause. */
+export const WAITING_RULE: QuarantineRule = { crashes: 5, exonerationMs: 2_500 };
+/** For the content of a request that no other request shares all crashes with. */
+export const ONLY_REQUEST_RULE: QuarantineRule = { crashes: 2, exonerationMs: 0 };
+/** For the content of a request with crashes that other requests share, or in the middle of its events. */
+export const SHARED_REQUEST_RULE: QuarantineRule = { crashes: 3, exonerationMs: 400 };
+/** Time after a crash in which the reports of all daemons about it arrive. */
+export const REPORT_SETTLE_MS = 50;
+
+/** Possible cause of crashes, with the crashes that blame it. Times are monotonic. */
+export interface SuspectState {
+    service: string;
+    partId: string;
+    position: number;
+    crashedEpochs: Set<CrashId>;
+    answeringEpochs: Set<CrashId>;
+    streamingEpochs: Set<CrashId>;
+    firstCrashAtMs: number;
+    lastCrashAtMs: number;
+    wasServedBefore: boolean;
+    /** Time of the next trial; undefined if the part is not quarantined. */
+    nextTrialAtMs: number | undefined;
+    /** Time until which a granted trial may fail. */
+    trialEndsAtMs: number;
+    failedTrialCount: number;
+    isAmbiguous: boolean;
+}
+
+export const isQuarantined = ({ nextTrialAtMs }: SuspectState): boolean => nextTrialAtMs !== undefined;
+
+export const isRequest = ({ partId }: SuspectState): boolean => isRequestCulprit(partId);
+
+/** Whether fewer requests share `culprit` than `other`. Two requests share nothing. */
+export const isNarrower = (culprit: SuspectState, other: SuspectState): boolean =>
+    !isRequest(other) && (isRequest(culprit) || culprit.position > other.position);
+
+/** How far a request had come when its server crashed. */
+export const RequestStage = {
+    Queued: "queued",
+    /** The server had begun its response, without an event. */
+    Answering: "answering",
+    Streaming: "streaming",
+} as const;
+
+export type RequestStage = typeof RequestStage[keyof typeof RequestStage];
+
+export const stageOf = ({ hasHead, hasEvents = false }: UnservedRequest): RequestStage => {
+    if (hasEvents) {
+        return RequestStage.Streaming;
+    }
+    return hasHead ? RequestStage.Answering : RequestStage.Queued;
+};
+
+export const epochsByStage: Record<RequestStage, (suspect: SuspectState) => Set<CrashId>> = {
+    [RequestStage.Queued]: ({ crashedEpochs }) => crashedEpochs,
+    [RequestStage.Answering]: ({ answeringEpochs }) => answeringEpochs,
+    [RequestStage.Streaming]: ({ streamingEpochs }) => streamingEpochs,
+};
+
+/** Culprits that a crash can blame: events have cleared the prompt parts. */
+export const blameableIds = ({ partIds, hasEvents = false }: UnservedRequest): string[] =>
+    hasEvents ? partIds.filter(isRequestCulprit) : partIds;
+
+const meets = (rule: QuarantineRule, crashes: number, ageMs: number): boolean =>
+    crashes >= rule.crashes && ageMs >= rule.exonerationMs;
+
+export const isPartBlamed = (
+    { answeringEpochs, crashedEpochs, firstCrashAtMs, wasServedBefore }: SuspectState,
+    nowMs: number,
+): boolean => {
+    const ageMs = nowMs - firstCrashAtMs;
+    return (!wasServedBefore && meets(ANSWERING_RULE, answeringEpochs.size, ageMs))
+        || meets(WAITING_RULE, crashedEpochs.size, ageMs);
+};
+
+/** Whether the evidence of a crash against `other` is at least as strong as that against `suspect`. */
+const isAsStrong = (other: SuspectState, suspect: SuspectState, epoch: CrashId): boolean =>
+    other.answeringEpochs.has(epoch)
+    || (!suspect.answeringEpochs.has(epoch) && other.crashedEpochs.has(epoch)
+        && !other.streamingEpochs.has(epoch));
+
+/** Whether `other` was in all crashes that blame `suspect`. */
+export const explainsCrashes = (other: SuspectState, suspect: SuspectState): boolean => {
+    const epochs = suspect.answeringEpochs.size > 0 ? suspect.answeringEpochs : suspect.crashedEpochs;
+    return other.service === suspect.service && [...epochs].every((epoch) => other.crashedEpochs.has(epoch));
+};
+
+/** Whether another request has all crashes of this one, with evidence as strong. */
+const isRivalled = (
+    suspect: SuspectState,
+    epochs: readonly CrashId[],
+    suspects: readonly SuspectState[],
+): boolean =>
+    suspects.some((other) =>
+        other !== suspect && isRequest(other) && epochs.every((epoch) => isAsStrong(other, suspect, epoch))
+    );
+
+/**
+ * Whether a request crashes servers: two crashes suffice if no other request shares them with evidence as strong, as callers
+ * rarely send the same content to two servers that crash.
+ */
+const isRequestBlamed = (
+    suspect: SuspectState,
+    suspects: readonly SuspectState[],
+    nowMs: number,
+): boolean => {
+    const { crashedEpochs, streamingEpochs, firstCrashAtMs, lastCrashAtMs } = suspect;
+    if (crashedEpochs.size < ONLY_REQUEST_RULE.crashes || nowMs - lastCrashAtMs < REPORT_SETTLE_MS) {
+        return false;
+    }
+    const unserved = [...crashedEpochs].filter((epoch) => !streamingEpochs.has(epoch));
+    const ageMs = nowMs - firstCrashAtMs;
+    return (meets(ONLY_REQUEST_RULE, unserved.length, ageMs) && !isRivalled(suspect, unserved, suspects))
+        || meets(SHARED_REQUEST_RULE, crashedEpochs.size, ageMs);
+};
+
+/** Whether a culprit crashes servers, as far as the crashes so far show. */
+export const isBlamed = (suspect: SuspectState, suspects: readonly SuspectState[], nowMs: number): boolean =>
+    isRequest(suspect) ? isRequestBlamed(suspect, suspects, nowMs) : isPartBlamed(suspect, nowMs);
+
+/** Whether a culprit can't be told from another one of its kind. */
+export const isAmbiguous = (suspect: SuspectState, suspects: readonly SuspectState[]): boolean =>
+    isRequest(suspect)
+        ? isRivalled(suspect, [...suspect.crashedEpochs], suspects)
+        : suspects.some((other) =>
+            other !== suspect && !isRequest(other) && !other.wasServedBefore
+            && explainsCrashes(other, suspect)
+        );
+
+/** Sorts the strongest evidence first: requests before parts, narrower parts before wider ones. */
+export const byEvidence = (a: SuspectState, b: SuspectState): number =>
+    Number(isRequest(b)) - Number(isRequest(a))
+    || (isRequest(a) ? b.answeringEpochs.size - a.answeringEpochs.size : b.position - a.position);
--- a/packages/fleet/src/controller.ts
+++ b/packages/fleet/src/controller.ts
@@ -1,7 +1,7 @@
 import { type Context, Lifecycle, LogPart, messageOf, monotonicMs } from "@greengage/base";
 import type { RoutingTable } from "@greengage/configuration";
 import { ChangeSignal } from "@greengage/consensus";
-import type { GroupRecords, GroupSuspicion, ModelDemand } from "@greengage/protocol";
+import type { CrashId, GroupRecords, GroupSuspicion, ModelDemand } from "@greengage/protocol";
 import { adoptGroups, groupRecordsOf, restoreGroups } from "./adoption.ts";
 import { GroupFormation } from "./formation.ts";
 import { GroupPhase, headIdOf } from "./group.ts";
@@ -144,6 +144,18 @@
         return this.#suspicionHandler.handle(suspicion);
     }
 
+    /** Id of the crash of a server of a plain service; undefined if its process accepts connections. */
+    async confirmServerCrash(serverId: string): Promise<CrashId | undefined> {
+        const server = this.#state.registry.get(serverId);
+        if (server === undefined) {
+            return serverId;
+        }
+        const { bornMs } = server.report;
+        return await this.#options.orders.acceptsConnections(server.report)
+            ? undefined
+            : `${serverId}/${bornMs}`;
+    }
+
     /** Whether a group has ended or its head doesn't respond, in which case its repair begins. */
     async confirmCrash(groupName: string, epoch: number): Promise<boolean> {
         const group = this.#state.groups.get(groupName);
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,3 +1,10 @@
+export {
+    ANSWERING_RULE,
+    ONLY_REQUEST_RULE,
+    REPORT_SETTLE_MS,
+    SHARED_REQUEST_RULE,
+    WAITING_RULE,
+} from "./blame.ts";
 export { packConfiguration, unpackConfiguration } from "./configurations.ts";
 export * from "./controller.ts";
 export * from "./departure.ts";
--- a/packages/fleet/src/orders.ts
+++ b/packages/fleet/src/orders.ts
@@ -49,4 +49,6 @@
     /** Loads a model's weights onto the server's host. */
     stage(server: ServerReport, model: string): Promise<OrderOutcome>;
     probe(server: ServerReport): Promise<EngineProbeResult>;
+    /** Whether a process accepts connections at the server's address, which needs no slot of the server. */
+    acceptsConnections(server: ServerReport): Promise<boolean>;
 }
--- a/packages/fleet/src/partquarantine.ts
+++ b/packages/fleet/src/partquarantine.ts
@@ -1,17 +1,27 @@
 import { type Context, monotonicMs } from "@greengage/base";
-import type { ServedParts, SuspectPart, SuspectPartRecord, UnservedRequest } from "@greengage/protocol";
+import type {
+    CrashId,
+    ServedParts,
+    SuspectPart,
+    SuspectPartRecord,
+    UnservedRequest,
+} from "@greengage/protocol";
+import {
+    blameableIds,
+    byEvidence,
+    epochsByStage,
+    explainsCrashes,
+    isAmbiguous,
+    isBlamed,
+    isNarrower,
+    isPartBlamed,
+    isQuarantined,
+    isRequest,
+    RequestStage,
+    stageOf,
+    type SuspectState,
+} from "./blame.ts";
 
-interface QuarantineRule {
-    /** Crashed groups that the part needs. */
-    crashes: number;
-    /** Minimum time since the first crash, in which any request with the part can clear it. */
-    exonerationMs: number;
-}
-
-/** For a part that no request was served with before, and crashes in which the engine had begun the response. */
-export const ANSWERING_RULE: QuarantineRule = { crashes: 2, exonerationMs: 400 };
-/** For all other parts and crashes: a queued request may have been beside the cause. */
-export const WAITING_RULE: QuarantineRule = { crashes: 5, exonerationMs: 2_500 };
 /** Time after which a part that has crashed no further group is no longer a suspect. */
 const SUSPECT_TTL_MS = 10 * 60_000;
 const QUARANTINE_TTL_MS = 24 * 3_600_000;
@@ -27,27 +37,11 @@
 /** The suspects with the oldest crashes are dropped beyond this number. */
 const MAX_SUSPECT_PARTS = 1_000;
 
-interface SuspectState {
-    service: string;
-    partId: string;
-    position: number;
-    crashedEpochs: Set<number>;
-    answeringEpochs: Set<number>;
-    firstCrashAtMs: number;
-    lastCrashAtMs: number;
-    wasServedBefore: boolean;
-    /** Time of the next trial; undefined if the part is not quarantined. */
-    nextTrialAtMs: number | undefined;
-    /** Time until which a granted trial may fail. */
-    trialEndsAtMs: number;
-    failedTrialCount: number;
-    isAmbiguous: boolean;
-}
-
 /**
- * Decides which prompt parts crash engines. A crash blames the parts of the requests that had produced no event, since an
- * engine crashes when it begins to answer. Any event of a request clears its parts, so parts that sound requests share do
- * not accumulate crashes.
+ * Decides which requests crash servers, and which prompt parts crash engines. A crash blames the requests that had not been
+ * served, and the parts of those that had produced no event, since an engine crashes when it begins to answer. Any event of
+ * a request clears its parts, so parts that sound requests share do not accumulate crashes; so does a complete response
+ * for the request itself. A request is blamed before the parts that it shares with others.
  */
 export class PartQuarantine {
     readonly #context: Context;
@@ -63,29 +57,31 @@
         return this.#version;
     }
 
-    /** Records the crash of a group with the requests that had produced no event. */
+    /** Records the crash of a group or server with the requests that it hadn't served. */
     recordCrash(
         service: string,
-        epoch: number,
+        epoch: CrashId,
         requests: readonly UnservedRequest[],
         nowMs: number,
     ): void {
         const quarantined = new Set(
             [...this.#suspects].filter(([, suspect]) => isQuarantined(suspect)).map(([key]) => key),
         );
-        for (const { partIds, hasHead } of requests) {
+        for (const request of requests) {
+            const partIds = blameableIds(request);
             const causes = partIds.filter((partId) => quarantined.has(keyOf(service, partId)));
-            for (const partId of (causes.length > 0 ? causes : partIds).slice(0, MAX_BLAMED_PARTS)) {
-                const position = partIds.indexOf(partId);
+            // The narrowest culprits are blamed even if a caller names very many parts.
+            for (const partId of (causes.length > 0 ? causes : partIds).slice(-MAX_BLAMED_PARTS)) {
+                const position = request.partIds.indexOf(partId);
                 const suspect = this.#suspectOf({ service, partId, position }, nowMs);
-                this.#blame(suspect, epoch, hasHead, nowMs);
+                this.#blame(suspect, epoch, stageOf(request), nowMs);
             }
         }
         this.update(nowMs);
     }
 
-    /** Clears parts of requests that have produced an event since the first crash. */
-    recordServed({ service, partIds, ageMs }: ServedParts, nowMs: number): void {
+    /** Clears culprits of requests that have been served since the first crash. */
+    recordServed({ service, partIds, ageMs, isComplete = false }: ServedParts, nowMs: number): void {
         for (const partId of partIds) {
             const key = keyOf(service, partId);
             const suspect = this.#suspects.get(key);
@@ -93,7 +89,12 @@
                 continue;
             }
             if (nowMs - ageMs >= suspect.firstCrashAtMs) {
-                this.#clear(key, "a request with it was served");
+                if (isComplete || suspect.streamingEpochs.size === 0) {
+                    this.#clear(key, "a request with it was served");
+                }
+                else {
+                    this.#forgetEarlyCrashes(suspect);
+                }
             }
             else if (!suspect.wasServedBefore) {
                 this.#markServedBefore(suspect, nowMs);
@@ -127,28 +128,63 @@
                 this.#clear(key, "no crash since");
             }
         }
-        const blamed = [...this.#suspects.values()]
-            .filter((suspect) => !isQuarantined(suspect) && isBlamed(suspect, nowMs))
-            .sort((a, b) => b.position - a.position);
+        this.#dropExplained();
+        this.#quarantineBlamed(nowMs);
+        this.#dropExplained();
+        const { metrics } = this.#context;
+        const quarantinedCount = [...this.#suspects.values()].filter(isQuarantined).length;
+        metrics.gauge("fleet.quarantined_parts", quarantinedCount);
+        metrics.gauge("fleet.suspect_parts", this.#suspects.size);
+    }
+
+    #quarantineBlamed(nowMs: number): void {
+        const suspects = (): SuspectState[] => [...this.#suspects.values()];
+        const initial = suspects();
+        const blamed = initial.filter((suspect) =>
+            !isQuarantined(suspect) && isBlamed(suspect, initial, nowMs)
+        )
+            .sort(byEvidence);
         for (const suspect of blamed) {
-            const others = [...this.#suspects.values()].filter((other) => other !== suspect);
-            // Earlier parts are shared by more requests, so the later part is taken for the cause of common crashes.
+            const others = suspects();
+            // More requests share the wider culprit, so the narrower one is taken for the cause of common crashes.
             const isExplained = others.some((other) =>
-                isQuarantined(other) && other.position > suspect.position && explainsCrashes(other, suspect)
+                isQuarantined(other) && isNarrower(other, suspect) && explainsCrashes(other, suspect)
             );
-            if (!isExplained) {
-                suspect.isAmbiguous = others.some((other) =>
-                    !other.wasServedBefore && explainsCrashes(other, suspect)
-                );
-                suspect.nextTrialAtMs = nowMs + trialDelayMs(suspect);
+            // The quarantine of a former one in this loop may have explained its crashes.
+            if (isExplained || !others.includes(suspect) || !isBlamed(suspect, others, nowMs)) {
+                continue;
+            }
+            suspect.isAmbiguous = isAmbiguous(suspect, others);
+            suspect.nextTrialAtMs = nowMs + trialDelayMs(suspect);
+            this.#version += 1;
+            this.#record("part.quarantined", suspect, { isAmbiguous: suspect.isAmbiguous });
+            if (!suspect.isAmbiguous) {
+                this.#dropExplained();
+            }
+        }
+    }
+
+    /** Forgets crashes under a culprit in quarantine, which blame no request beside it. */
+    #dropExplained(): void {
+        const explained = new Set(
+            [...this.#suspects.values()].filter(isQuarantined).flatMap((
+                { crashedEpochs },
+            ) => [...crashedEpochs]),
+        );
+        for (const [key, suspect] of this.#suspects) {
+            const isBeside = isRequest(suspect) && !isQuarantined(suspect);
+            const epochs = isBeside ? [...suspect.crashedEpochs].filter((epoch) => explained.has(epoch)) : [];
+            if (epochs.length === suspect.crashedEpochs.size) {
+                this.#clear(key, "its crashes have another cause");
+                continue;
+            }
+            for (const epoch of epochs) {
+                suspect.crashedEpochs.delete(epoch);
+                suspect.answeringEpochs.delete(epoch);
+                suspect.streamingEpochs.delete(epoch);
                 this.#version += 1;
-                this.#record("part.quarantined", suspect, { isAmbiguous: suspect.isAmbiguous });
             }
         }
-        const { metrics } = this.#context;
-        const quarantinedCount = [...this.#suspects.values()].filter(isQuarantined).length;
-        metrics.gauge("fleet.quarantined_parts", quarantinedCount);
-        metrics.gauge("fleet.suspect_parts", this.#suspects.size);
     }
 
     /** Parts that entry daemons must reject or watch. */
@@ -169,6 +205,9 @@
             position: suspect.position,
             crashedEpochs: [...suspect.crashedEpochs],
             answeringEpochs: [...suspect.answeringEpochs],
+            ...(suspect.streamingEpochs.size === 0
+                ? {}
+                : { streamingEpochs: [...suspect.streamingEpochs] }),
             firstCrashAgeMs: Math.round(nowMs - suspect.firstCrashAtMs),
             lastCrashAgeMs: Math.round(nowMs - suspect.lastCrashAtMs),
             wasServedBefore: suspect.wasServedBefore,
@@ -190,6 +229,7 @@
                 position: record.position,
                 crashedEpochs: new Set(record.crashedEpochs),
                 answeringEpochs: new Set(record.answeringEpochs),
+                streamingEpochs: new Set(record.streamingEpochs),
                 firstCrashAtMs: nowMs - record.firstCrashAgeMs,
                 lastCrashAtMs: nowMs - record.lastCrashAgeMs,
                 wasServedBefore: record.wasServedBefore,
@@ -202,12 +242,12 @@
         this.#version += 1;
     }
 
-    #blame(suspect: SuspectState, epoch: number, hasHead: boolean, nowMs: number): void {
-        const epochs = hasHead ? suspect.answeringEpochs : suspect.crashedEpochs;
+    #blame(suspect: SuspectState, epoch: CrashId, stage: RequestStage, nowMs: number): void {
+        const epochs = epochsByStage[stage](suspect);
         if (epochs.has(epoch)) {
             return;
         }
-        if (hasHead && nowMs < suspect.trialEndsAtMs) {
+        if (stage !== RequestStage.Queued && nowMs < suspect.trialEndsAtMs) {
             suspect.trialEndsAtMs = -Infinity;
             suspect.failedTrialCount += 1;
             suspect.nextTrialAtMs = nowMs + trialDelayMs(suspect);
@@ -216,14 +256,23 @@
         suspect.crashedEpochs.add(epoch);
         suspect.lastCrashAtMs = nowMs;
         this.#version += 1;
-        this.#record("part.suspected", suspect, { epoch, hasHead });
+        this.#record("part.suspected", suspect, { epoch, stage });
+    }
+
+    /** An event clears a request of the crashes before its first event, but not of those in the middle of its events. */
+    #forgetEarlyCrashes(suspect: SuspectState): void {
+        if (suspect.crashedEpochs.size > suspect.streamingEpochs.size) {
+            suspect.crashedEpochs = new Set(suspect.streamingEpochs);
+            suspect.answeringEpochs.clear();
+            this.#version += 1;
+        }
     }
 
     /** A part that was served before needs more crashes, so this can lift its quarantine. */
     #markServedBefore(suspect: SuspectState, nowMs: number): void {
         suspect.wasServedBefore = true;
         this.#version += 1;
-        if (isQuarantined(suspect) && !isBlamed(suspect, nowMs)) {
+        if (isQuarantined(suspect) && !isRequest(suspect) && !isPartBlamed(suspect, nowMs)) {
             suspect.nextTrialAtMs = undefined;
             this.#record("part.released", suspect, { reason: "it was served before the first crash" });
         }
@@ -239,12 +288,13 @@
             return known;
         }
         this.#dropOldest();
-        const suspect = {
+        const suspect: SuspectState = {
             service,
             partId,
             position,
-            crashedEpochs: new Set<number>(),
-            answeringEpochs: new Set<number>(),
+            crashedEpochs: new Set(),
+            answeringEpochs: new Set(),
+            streamingEpochs: new Set(),
             firstCrashAtMs: nowMs,
             lastCrashAtMs: nowMs,
             wasServedBefore: false,
@@ -299,25 +349,6 @@
 
 const keyOf = (service: string, partId: string): string => `${service}\n${partId}`;
 
-const isQuarantined = ({ nextTrialAtMs }: SuspectState): boolean => nextTrialAtMs !== undefined;
-
-const isBlamed = (
-    { answeringEpochs, crashedEpochs, firstCrashAtMs, wasServedBefore }: SuspectState,
-    nowMs: number,
-): boolean => {
-    const ageMs = nowMs - firstCrashAtMs;
-    const meets = (crashes: number, rule: QuarantineRule): boolean =>
-        crashes >= rule.crashes && ageMs >= rule.exonerationMs;
-    return (!wasServedBefore && meets(answeringEpochs.size, ANSWERING_RULE))
-        || meets(crashedEpochs.size, WAITING_RULE);
-};
-
-/** Whether `other` was in all crashes that blame `suspect`. */
-const explainsCrashes = (other: SuspectState, suspect: SuspectState): boolean => {
-    const epochs = suspect.answeringEpochs.size > 0 ? suspect.answeringEpochs : suspect.crashedEpochs;
-    return other.service === suspect.service && [...epochs].every((epoch) => other.crashedEpochs.has(epoch));
-};
-
 const trialDelayMs = ({ failedTrialCount, isAmbiguous }: SuspectState): number =>
     isAmbiguous && failedTrialCount === 0
         ? AMBIGUOUS_TRIAL_DELAY_MS
--- a/packages/fleet/src/partreports.ts
+++ b/packages/fleet/src/partreports.ts
@@ -1,6 +1,13 @@
 import { type Context, messageOf, monotonicMs } from "@greengage/base";
 import type { RaftLog } from "@greengage/consensus";
-import type { GroupCrash, PartReport, PartReportResponse, Peers } from "@greengage/protocol";
+import type {
+    CrashId,
+    GroupCrash,
+    PartReport,
+    PartReportResponse,
+    Peers,
+    ServerCrash,
+} from "@greengage/protocol";
 import type { GroupController } from "./controller.ts";
 import type { PartQuarantine } from "./partquarantine.ts";
 
@@ -11,16 +18,17 @@
     context: Context;
     peers: Peers;
     log: Pick<RaftLog, "holdsLeaderLease" | "status">;
-    controller: Pick<GroupController, "confirmCrash">;
+    controller: Pick<GroupController, "confirmCrash" | "confirmServerCrash">;
     quarantine: PartQuarantine;
     /** Called after each report. */
     onChanged: () => void;
 }
 
-/** Handles the observations of entry daemons about prompt parts on the leader. */
+/** Handles the observations of entry daemons about possible causes of crashes on the leader. */
 export class PartReportHandler {
     readonly #options: PartReportHandlerOptions;
-    readonly #confirmations = new Map<number, { result: Promise<boolean>; atMs: number; }>();
+    /** By epoch of a group or id of a server; resolves to undefined if it hasn't crashed. */
+    readonly #confirmations = new Map<CrashId, { result: Promise<CrashId | undefined>; atMs: number; }>();
 
     constructor(options: PartReportHandlerOptions) {
         this.#options = options;
@@ -31,59 +39,89 @@
         }));
     }
 
-    async #handleReport({ crashes, served }: PartReport): Promise<PartReportResponse> {
+    async #handleReport({ crashes, serverCrashes = [], served }: PartReport): Promise<PartReportResponse> {
         const { log, quarantine, onChanged } = this.#options;
         if (!log.holdsLeaderLease) {
             return { isAccepted: false, leaderId: log.status().leaderId, crashedEpochs: [] };
         }
-        const confirmed: GroupCrash[] = [];
-        await Promise.all(crashes.map(async (crash) => {
-            if (await this.#confirm(crash)) {
-                confirmed.push(crash);
-            }
-        }));
+        const confirmed = await this.#confirmAll(crashes, (crash) => this.#confirmGroup(crash));
+        const confirmedServers = await this.#confirmAll(serverCrashes, (crash) => this.#confirmServer(crash));
         const nowMs = monotonicMs();
-        confirmed.forEach(({ service, epoch, requests }) =>
-            quarantine.recordCrash(service, epoch, requests, nowMs)
+        [...confirmed, ...confirmedServers].forEach(({ crash: { service, requests }, crashId }) =>
+            quarantine.recordCrash(service, crashId, requests, nowMs)
         );
         served.forEach((parts) => quarantine.recordServed(parts, nowMs));
         onChanged();
-        return { isAccepted: true, crashedEpochs: confirmed.map(({ epoch }) => epoch) };
+        return {
+            isAccepted: true,
+            crashedEpochs: confirmed.map(({ crash }) => crash.epoch),
+            ...(confirmedServers.length === 0
+                ? {}
+                : { crashedServerIds: confirmedServers.map(({ crash }) => crash.serverId) }),
+        };
+    }
+
+    async #confirmAll<T>(
+        crashes: readonly T[],
+        confirm: (crash: T) => Promise<CrashId | undefined>,
+    ): Promise<{ crash: T; crashId: CrashId; }[]> {
+        const results = await Promise.all(
+            crashes.map(async (crash) => ({ crash, crashId: await confirm(crash) })),
+        );
+        return results.flatMap(({ crash, crashId }) => crashId === undefined ? [] : [{ crash, crashId }]);
+    }
+
+    #confirmGroup({ groupName, epoch }: GroupCrash): Promise<CrashId | undefined> {
+        const { controller } = this.#options;
+        return this.#confirm(
+            epoch,
+            async () => await controller.confirmCrash(groupName, epoch) ? epoch : undefined,
+        );
+    }
+
+    #confirmServer({ serverId }: ServerCrash): Promise<CrashId | undefined> {
+        return this.#confirm(serverId, () => this.#options.controller.confirmServerCrash(serverId));
     }
 
-    /** Whether the group has crashed. A connection can also fail alone, which blames no part. */
-    #confirm({ groupName, epoch }: GroupCrash): Promise<boolean> {
+    /** Probes a group or server unless that was done shortly before. A connection can also fail alone, which blames nothing. */
+    #confirm(
+        probedId: CrashId,
+        probe: () => Promise<CrashId | undefined>,
+    ): Promise<CrashId | undefined> {
         const nowMs = monotonicMs();
-        for (const [knownEpoch, { atMs }] of this.#confirmations) {
+        for (const [knownId, { atMs }] of this.#confirmations) {
             if (nowMs - atMs > CONFIRMATION_TTL_MS) {
-                this.#confirmations.delete(knownEpoch);
+                this.#confirmations.delete(knownId);
             }
         }
-        const known = this.#confirmations.get(epoch);
+        const known = this.#confirmations.get(probedId);
         if (known !== undefined) {
             return known.result;
         }
-        const result = this.#probe(groupName, epoch);
-        this.#confirmations.set(epoch, { result, atMs: nowMs });
+        const result = this.#probe(probedId, probe);
+        this.#confirmations.set(probedId, { result, atMs: nowMs });
         return result;
     }
 
-    async #probe(groupName: string, epoch: number): Promise<boolean> {
+    async #probe(
+        probedId: CrashId,
+        probe: () => Promise<CrashId | undefined>,
+    ): Promise<CrashId | undefined> {
+        let crashId: CrashId | undefined;
         try {
-            const hasCrashed = await this.#options.controller.confirmCrash(groupName, epoch);
-            if (!hasCrashed) {
-                // The group may crash at any time.
-                this.#confirmations.delete(epoch);
-            }
-            return hasCrashed;
+            crashId = await probe();
         }
         catch (error) {
-            this.#confirmations.delete(epoch);
-            this.#options.context.decisions.record("group.crashUnconfirmed", {
-                group: groupName,
+            const probed = typeof probedId === "number" ? "group" : "server";
+            this.#options.context.decisions.record(`${probed}.crashUnconfirmed`, {
+                [probed === "group" ? "epoch" : "server"]: probedId,
                 reason: messageOf(error),
             });
-            return false;
         }
+        if (crashId === undefined) {
+            // It may crash at any time.
+            this.#confirmations.delete(probedId);
+        }
+        return crashId;
     }
 }
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -17,6 +17,13 @@
 /** Responses up to this size are buffered until they are complete, so that a broken one can be replaced by a retry. */
 const MAX_BUFFERED_BYTES = 1024 * 1024;
 
+/** Failures of an attempt that the crash of its server can cause. */
+export const CRASH_FAILURES: ReadonlySet<FailureKind> = new Set([
+    FailureKind.Broken,
+    FailureKind.NoEndMarker,
+    FailureKind.Stalled,
+]);
+
 /** How one exchange with a backend server ended. */
 export type AttemptOutcome =
     /** The response is complete. */
--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -23,6 +23,8 @@
     route: Route;
     service: ServiceSpec;
     organisation: Organisation | undefined;
+    /** Culprits that can be blamed if the request crashes its server, widest first; the last one is the request itself. */
+    culpritIds: readonly string[];
     /** Lower numbers go first. */
     priority: number;
     /** Deadline of the caller or the route, whichever is earlier, in monotonic time. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -13,13 +13,14 @@
 import { ConnectionPools, RequestLimits } from "@greengage/routing";
 import { type Call, deadlineOf, EndReason, endsAtMs } from "./call.ts";
 import { Controllers } from "./controllers.ts";
+import type { PartLeader } from "./crashreports.ts";
 import { DemandMeter } from "./demandmeter.ts";
 import type { GatewayDependencies } from "./dependencies.ts";
 import { type Drain, drainingError, isServedWhileDraining } from "./drain.ts";
 import { FirstTokenOffsets } from "./firsttokenoffsets.ts";
 import { type GroupState, GroupStates, isHanging, type SuspicionDetails } from "./groupstates.ts";
 import { PlacementClient, type RequestPermit, type RequestPlacement } from "./placementclient.ts";
-import { type PartLeader, PromptParts } from "./promptparts.ts";
+import { culpritIdsOf, PromptParts } from "./promptparts.ts";
 import { type RetryLimits, ServiceRetryBudgets } from "./retrybudgets.ts";
 import { ServerCall } from "./servercall.ts";
 import { ServerStates } from "./serverstates.ts";
@@ -285,6 +286,7 @@
             route,
             service,
             organisation,
+            culpritIds: culpritIdsOf(request, organisation),
             priority: organisation?.priority ?? route.priority,
             deadlineAtMs: deadlineOf(request, route),
         };
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,5 +1,6 @@
 export * from "./admission.ts";
 export { Controllers, placementKeyOf } from "./controllers.ts";
+export type { PartLeader } from "./crashreports.ts";
 export * from "./drain.ts";
 export * from "./firsttokenoffsets.ts";
 export * from "./gateway.ts";
@@ -12,6 +13,6 @@
     type RequestPlacement,
 } from "./placementclient.ts";
 export * from "./placementservice.ts";
-export { type PartLeader, PromptParts, sharedPartIds } from "./promptparts.ts";
+export { PromptParts, sharedPartIds } from "./promptparts.ts";
 export * from "./retrybudgets.ts";
 export * from "./types.ts";
--- a/packages/gateway/src/promptparts.ts
+++ b/packages/gateway/src/promptparts.ts
@@ -8,15 +8,18 @@
     sleep,
     Verdict,
 } from "@greengage/base";
-import type {
-    GroupCrash,
-    GroupTarget,
-    PartReport,
-    PartReportResponse,
-    SuspectPart,
-    UnservedRequest,
+import type { Organisation } from "@greengage/configuration";
+import {
+    type CrashId,
+    type GroupTarget,
+    isRequestCulprit,
+    requestCulpritId,
+    type SuspectPart,
+    type UnservedRequest,
 } from "@greengage/protocol";
-import type { PromptPart } from "./types.ts";
+import { fingerprintOf } from "@greengage/routing";
+import { CrashOutcome, CrashReports, type PartLeader, REPORT_DELAY_MS } from "./crashreports.ts";
+import type { CallerRequest, PromptPart } from "./types.ts";
 
 /** Time for which a part counts as harmless after a request with it has produced an event. */
 const SERVED_TTL_MS = 10 * 60_000;
@@ -24,19 +27,14 @@
 const SUSPECT_SERVED_TTL_MS = 2_000;
 /** Parts served longest ago are dropped beyond this number. */
 const MAX_SERVED_PARTS = 20_000;
-/** Reports are collected for this long, as a crash ends several requests at once. */
-const REPORT_DELAY_MS = 5;
-/** Interval at which a report without an answer is sent again. */
-const REPORT_RETRY_MS = 250;
-const REPORT_LIFETIME_MS = 5_000;
-
-/** Connection to the leader for observations about prompt parts. */
-export interface PartLeader {
-    /** Resolves with undefined if no leader has accepted the report. */
-    report(report: PartReport): Promise<PartReportResponse | undefined>;
-    /** Asks for permission to send one request with a quarantined part. */
-    requestTrial(service: string, partId: string): Promise<boolean>;
-}
+/** Requests that crashed servers longest ago are dropped beyond this number. */
+const MAX_CRASHED_REQUESTS = 1_000;
+/** Crashes after which this daemon rejects a request by itself while no leader accepts its reports. */
+const UNREPORTED_CRASH_LIMIT = 2;
+/** Time after the last of these crashes, in which a leader is found or this daemon is cut off for long. */
+const UNREPORTED_TTL_MS = 10_000;
+/** Longest wait of a response for the report of its crash, so that the caller's next request finds it known. */
+const REPORT_WAIT_MS = 100;
 
 /**
  * Prompt parts that requests share. The last part belongs to the request itself or to its session, and so isn't included.
@@ -44,23 +42,54 @@
 export const sharedPartIds = (parts: readonly PromptPart[]): string[] =>
     parts.slice(0, -1).map(({ id }) => id);
 
-/** This daemon's knowledge of prompt parts that crash engines. Reports crashes and successes to the leader. */
+/** Culprits of a request, widest first: its shared prompt parts, then its content. */
+export const culpritIdsOf = (request: CallerRequest, organisation: Organisation | undefined): string[] => {
+    const { host, method, target, body, generation } = request;
+    const fingerprint = fingerprintOf({
+        scope: host,
+        organisation: organisation?.name,
+        method,
+        target,
+        body,
+    });
+    return [...sharedPartIds(generation?.parts ?? []), requestCulpritId(fingerprint)];
+};
+
+/** Crashes under a request of this daemon that has not been served since. */
+interface CrashedRequest {
+    crashIds: Set<CrashId>;
+    /** Whether no leader has accepted the report of a crash. */
+    isUnreported: boolean;
+    lastCrashAtMs: number;
+}
+
+/** A culprit with a service, as reported to the leader once it has been served. */
+interface ServedCulprit {
+    service: string;
+    partId: string;
+    isComplete: boolean;
+}
+
+/** This daemon's knowledge of requests and prompt parts that crash servers. Reports crashes and successes to the leader. */
 export class PromptParts {
     readonly #context: Context;
     readonly #leader: PartLeader;
     readonly #lifecycle = new Lifecycle();
+    readonly #crashReports: CrashReports;
     /** Time at which a request with the part last produced an event, in order of that time. */
     readonly #servedAtMs = new Map<string, number>();
+    /** In order of their last crashes. */
+    readonly #crashedRequests = new Map<string, CrashedRequest>();
     #suspects = new Map<string, SuspectPart>();
-    /** Suspects of which a success was reported since they were listed. */
+    /** Suspects of which a success was reported since they were listed, by `reportKeyOf`. */
     readonly #reportedKeys = new Set<string>();
-    #pendingServed: SuspectPart[] = [];
-    #pendingCrashes = new Map<number, { crash: GroupCrash; result: Promise<boolean>; }>();
+    #pendingServed: ServedCulprit[] = [];
     #servedTimer: NodeJS.Timeout | undefined;
 
     constructor(context: Context, leader: PartLeader) {
         this.#context = context;
         this.#leader = leader;
+        this.#crashReports = new CrashReports(context, leader, this.#lifecycle);
     }
 
     close(): Promise<void> {
@@ -74,19 +103,19 @@
             suspects.map((suspect) => [keyOf(suspect.service, suspect.partId), suspect]),
         );
         this.#reportedKeys.clear();
-        for (const [key, suspect] of this.#suspects) {
+        for (const [key, { service, partId }] of this.#suspects) {
             if (!former.has(key) && this.#wasServedWithin(key, SERVED_TTL_MS, monotonicMs())) {
-                this.#reportServed(key, suspect);
+                this.#reportServed({ service, partId, isComplete: false });
             }
         }
     }
 
     /**
-     * Throws an error that rejects the request if one of its parts is quarantined, unless the leader grants a trial.
+     * Throws an error that rejects the request if one of its culprits is quarantined, unless the leader grants a trial.
      * Resolves to whether the request is a trial.
      */
-    async admit(service: string, partIds: readonly string[]): Promise<boolean> {
-        const quarantined = this.#quarantined(service, partIds);
+    async admit(service: string, culpritIds: readonly string[]): Promise<boolean> {
+        const quarantined = this.#quarantined(service, culpritIds);
         const [suspect] = quarantined;
         if (suspect === undefined) {
             return false;
@@ -95,138 +124,169 @@
             return true;
         }
         this.#context.metrics.count("gateway.quarantined");
-        throw new GreengageError(`prompt part ${suspect.partId} is quarantined because it crashes engines`, {
+        const culprit = isRequestCulprit(suspect.partId) ? suspect.partId : `prompt part ${suspect.partId}`;
+        throw new GreengageError(`${culprit} is quarantined because it crashes servers`, {
             code: ErrorCode.Quarantined,
             verdict: Verdict.NotRun,
             retryAfterMs: suspect.trialDelayMs,
         });
     }
 
-    hasQuarantined(service: string, partIds: readonly string[]): boolean {
-        return this.#quarantined(service, partIds).length > 0;
+    hasQuarantined(service: string, culpritIds: readonly string[]): boolean {
+        return this.#quarantined(service, culpritIds).length > 0;
     }
 
-    /** Records that a request with these parts has produced its first event. */
-    recordServed(service: string, partIds: readonly string[], nowMs: number): void {
-        for (const partId of partIds) {
+    /** Records that a request with these culprits has produced its first event. */
+    recordServed(service: string, culpritIds: readonly string[], nowMs: number): void {
+        for (const partId of culpritIds) {
             const key = keyOf(service, partId);
-            this.#servedAtMs.delete(key);
-            this.#servedAtMs.set(key, nowMs);
-            const suspect = this.#suspects.get(key);
-            if (suspect !== undefined && !this.#reportedKeys.has(key)) {
-                this.#reportServed(key, suspect);
+            // The content of most requests is never seen again.
+            if (!isRequestCulprit(partId) || this.#isSuspect(key)) {
+                this.#servedAtMs.delete(key);
+                this.#servedAtMs.set(key, nowMs);
+            }
+            if (this.#suspects.has(key)) {
+                this.#reportServed({ service, partId, isComplete: false });
             }
         }
-        for (const key of this.#servedAtMs.keys()) {
-            if (this.#servedAtMs.size <= MAX_SERVED_PARTS) {
-                break;
+        dropFirst(this.#servedAtMs, MAX_SERVED_PARTS);
+    }
+
+    /** Records that the response to a request was complete. */
+    recordComplete(service: string, culpritIds: readonly string[], nowMs: number): void {
+        for (const partId of culpritIds.filter(isRequestCulprit)) {
+            const key = keyOf(service, partId);
+            if (this.#isSuspect(key)) {
+                this.#crashedRequests.delete(key);
+                this.#servedAtMs.set(key, nowMs);
+                this.#reportServed({ service, partId, isComplete: true });
             }
-            this.#servedAtMs.delete(key);
         }
     }
 
     /**
-     * Reports that a group's connection failed before a request with these parts had produced an event. Resolves to
-     * whether the request may be sent to another group: not if the engine had begun to answer it and crashed, unless
-     * all its parts have been served recently.
+     * Reports that a group's connection failed before a request was complete. Resolves to whether the request may be sent to
+     * another group: not if the engine had begun to answer it without an event and crashed, unless all its parts have been
+     * served recently and the request itself has crashed no other server.
      */
     async mayRepeatAfterFailure(
         service: string,
         { groupName, epoch }: GroupTarget,
         request: UnservedRequest,
     ): Promise<boolean> {
-        if (request.partIds.length === 0) {
-            return true;
-        }
         const nowMs = monotonicMs();
         const isCleared = request.partIds.every((partId) => {
             const key = keyOf(service, partId);
-            return this.#wasServedWithin(
-                key,
-                this.#suspects.has(key) ? SUSPECT_SERVED_TTL_MS : SERVED_TTL_MS,
-                nowMs,
-            );
+            return isRequestCulprit(partId)
+                ? !this.#isSuspect(key)
+                : this.#wasServedWithin(
+                    key,
+                    this.#suspects.has(key) ? SUSPECT_SERVED_TTL_MS : SERVED_TTL_MS,
+                    nowMs,
+                );
         });
-        const hasCrashed = this.#reportCrash({ service, groupName, epoch, requests: [request] });
-        return !request.hasHead || isCleared || !await hasCrashed;
-    }
-
-    #quarantined(service: string, partIds: readonly string[]): SuspectPart[] {
-        return partIds.map((partId) => this.#suspects.get(keyOf(service, partId)))
-            .filter((suspect) => suspect !== undefined).filter(({ isQuarantined }) => isQuarantined);
+        const hasCrashed = this.#recordCrash(
+            service,
+            epoch,
+            request,
+            () => this.#crashReports.reportGroup({ service, groupName, epoch, requests: [request] }),
+        );
+        return request.hasEvents === true || !request.hasHead || isCleared || !await hasCrashed;
     }
 
-    #wasServedWithin(key: string, ttlMs: number, nowMs: number): boolean {
-        return nowMs - (this.#servedAtMs.get(key) ?? -Infinity) < ttlMs;
+    /** Reports that the connection to a server of a plain service failed before a request was answered. */
+    async recordServerFailure(service: string, serverId: string, request: UnservedRequest): Promise<void> {
+        const reported = this.#recordCrash(
+            service,
+            serverId,
+            request,
+            () => this.#crashReports.reportServer({ service, serverId, requests: [request] }),
+        );
+        await Promise.race([reported, sleep(REPORT_WAIT_MS)]);
     }
 
-    /** Resolves to whether the group has crashed; also true while that is unknown. */
-    #reportCrash(crash: GroupCrash): Promise<boolean> {
-        const pending = this.#pendingCrashes.get(crash.epoch);
-        if (pending !== undefined) {
-            pending.crash.requests.push(...crash.requests);
-            return pending.result;
+    /** Resolves to whether the server has crashed; also true while that is unknown. */
+    async #recordCrash(
+        service: string,
+        crashId: CrashId,
+        { partIds }: UnservedRequest,
+        report: () => Promise<CrashOutcome>,
+    ): Promise<boolean> {
+        const outcome = await report();
+        if (outcome === CrashOutcome.Alive) {
+            return false;
         }
-        const result = this.#sendCrash(crash);
-        this.#pendingCrashes.set(crash.epoch, { crash, result });
-        return result;
-    }
-
-    async #sendCrash(crash: GroupCrash): Promise<boolean> {
-        await sleep(REPORT_DELAY_MS);
-        this.#pendingCrashes.delete(crash.epoch);
-        const response = await this.#send({ crashes: [crash], served: [] });
-        if (response === undefined) {
-            this.#lifecycle.run((signal) => this.#resend(crash, signal), (error) => {
-                this.#context.decisions.record("part.reportFailed", { reason: messageOf(error) });
+        for (const key of partIds.filter(isRequestCulprit).map((partId) => keyOf(service, partId))) {
+            const known = this.#crashedRequests.get(key);
+            this.#crashedRequests.delete(key);
+            this.#crashedRequests.set(key, {
+                crashIds: new Set([...known?.crashIds ?? [], crashId]),
+                isUnreported: outcome === CrashOutcome.Unknown,
+                lastCrashAtMs: monotonicMs(),
             });
-            return true;
         }
-        return response.crashedEpochs.includes(crash.epoch);
+        dropFirst(this.#crashedRequests, MAX_CRASHED_REQUESTS);
+        return true;
     }
 
-    async #resend(crash: GroupCrash, signal: AbortSignal): Promise<void> {
-        const untilMs = monotonicMs() + REPORT_LIFETIME_MS;
-        while (monotonicMs() < untilMs && !signal.aborted) {
-            await sleep(REPORT_RETRY_MS, signal);
-            if (await this.#send({ crashes: [crash], served: [] }) !== undefined) {
-                return;
+    #quarantined(service: string, culpritIds: readonly string[]): SuspectPart[] {
+        return culpritIds.flatMap((partId) => {
+            const key = keyOf(service, partId);
+            const listed = this.#suspects.get(key);
+            if (listed?.isQuarantined) {
+                return [listed];
             }
-        }
-        const { groupName, epoch, requests } = crash;
-        const parts = requests.flatMap(({ partIds }) => partIds);
-        this.#context.decisions.record("part.reportLost", { group: groupName, epoch, parts });
+            return this.#isQuarantinedHere(key)
+                ? [{
+                    service,
+                    partId,
+                    isQuarantined: true,
+                    isTrialDue: false,
+                    trialDelayMs: UNREPORTED_TTL_MS,
+                }]
+                : [];
+        });
+    }
+
+    #isQuarantinedHere(key: string): boolean {
+        const crashed = this.#crashedRequests.get(key);
+        return crashed !== undefined && crashed.isUnreported
+            && crashed.crashIds.size >= UNREPORTED_CRASH_LIMIT
+            && monotonicMs() - crashed.lastCrashAtMs < UNREPORTED_TTL_MS;
+    }
+
+    #isSuspect(key: string): boolean {
+        return this.#suspects.has(key) || this.#crashedRequests.has(key);
+    }
+
+    #wasServedWithin(key: string, ttlMs: number, nowMs: number): boolean {
+        return nowMs - (this.#servedAtMs.get(key) ?? -Infinity) < ttlMs;
     }
 
-    #reportServed(key: string, suspect: SuspectPart): void {
-        this.#reportedKeys.add(key);
-        this.#pendingServed.push(suspect);
+    #reportServed(culprit: ServedCulprit): void {
+        const reportKey = reportKeyOf(culprit);
+        if (this.#reportedKeys.has(reportKey)) {
+            return;
+        }
+        this.#reportedKeys.add(reportKey);
+        this.#pendingServed.push(culprit);
         this.#servedTimer ??= setTimeout(() => void this.#sendServed(), REPORT_DELAY_MS);
     }
 
     async #sendServed(): Promise<void> {
         this.#servedTimer = undefined;
         const nowMs = monotonicMs();
-        const suspects = this.#pendingServed;
+        const culprits = this.#pendingServed;
         this.#pendingServed = [];
-        const served = suspects.map(({ service, partId }) => ({
+        const served = culprits.map(({ service, partId, isComplete }) => ({
             service,
             partIds: [partId],
             ageMs: Math.round(nowMs - (this.#servedAtMs.get(keyOf(service, partId)) ?? nowMs)),
+            ...(isComplete ? { isComplete } : {}),
         }));
-        if (await this.#send({ crashes: [], served }) === undefined) {
-            // The next success with the part is reported again.
-            suspects.forEach(({ service, partId }) => this.#reportedKeys.delete(keyOf(service, partId)));
-        }
-    }
-
-    async #send(report: PartReport): Promise<PartReportResponse | undefined> {
-        try {
-            return await this.#leader.report(report);
-        }
-        catch (error) {
-            this.#context.decisions.record("part.reportFailed", { reason: messageOf(error) });
-            return undefined;
+        if (await this.#crashReports.send({ crashes: [], served }) === undefined) {
+            // The next success is reported again.
+            culprits.forEach((culprit) => this.#reportedKeys.delete(reportKeyOf(culprit)));
         }
     }
 
@@ -242,3 +302,16 @@
 }
 
 const keyOf = (service: string, partId: string): string => `${service}\n${partId}`;
+
+const reportKeyOf = ({ service, partId, isComplete }: ServedCulprit): string =>
+    `${keyOf(service, partId)}\n${isComplete}`;
+
+/** Drops entries in insertion order beyond a number. */
+const dropFirst = (map: Map<string, unknown>, maxSize: number): void => {
+    for (const key of map.keys()) {
+        if (map.size <= maxSize) {
+            return;
+        }
+        map.delete(key);
+    }
+};
--- a/packages/gateway/src/servercall.ts
+++ b/packages/gateway/src/servercall.ts
@@ -1,8 +1,8 @@
-import { type GreengageError, monotonicMs, sleep } from "@greengage/base";
+import { type GreengageError, messageOf, monotonicMs, sleep } from "@greengage/base";
 import { RouteKind } from "@greengage/configuration";
 import { noCapacity } from "@greengage/routing";
 import { spreadRetryAfterMs } from "./admission.ts";
-import { Attempt, type AttemptOutcome, isLimitRejection, wholeMsUntil } from "./attempt.ts";
+import { Attempt, type AttemptOutcome, CRASH_FAILURES, isLimitRejection, wholeMsUntil } from "./attempt.ts";
 import { backendError, type Call, CallExecution, remainingMs } from "./call.ts";
 import type { GatewayDependencies } from "./dependencies.ts";
 import { type ServerSelection, ServerSelector } from "./serverselector.ts";
@@ -22,6 +22,8 @@
     readonly #execution: CallExecution;
     readonly #selector: ServerSelector;
     readonly #triedIds = new Set<string>();
+    /** Whether the leader lets the request find out whether it still crashes servers. */
+    #isTrial = false;
     /** Response with an error status of an earlier attempt. It is delivered if no other server takes the request. */
     #errorResponse: CompleteOutcome | undefined;
 
@@ -39,6 +41,7 @@
     async #runAttempts(): Promise<void> {
         let reason = "no server of the service is available";
         while (this.#execution.endReason === undefined) {
+            await this.#checkQuarantine();
             const selection = await this.#selector.select(this.#triedIds, this.#execution.attemptCount > 0);
             if (selection.kind !== "server") {
                 this.#endWithoutServer(selection, reason);
@@ -76,6 +79,17 @@
         }
     }
 
+    /** Throws if the request is quarantined. An earlier attempt may have run it. */
+    async #checkQuarantine(): Promise<void> {
+        const { service, culpritIds } = this.#call;
+        try {
+            this.#isTrial ||= await this.#deps.promptParts.admit(service.name, culpritIds);
+        }
+        catch (error) {
+            throw this.#execution.mayHaveRun ? backendError(messageOf(error)) : error;
+        }
+    }
+
     /** Sends the response of an earlier attempt, or throws if there is none. */
     #endWithoutServer(selection: Exclude<ServerSelection, { kind: "server"; }>, reason: string): void {
         if (this.#errorResponse !== undefined) {
@@ -88,9 +102,10 @@
     }
 
     async #runAttempt(server: ServerState, startDelayMs: number): Promise<AttemptOutcome> {
-        const { pools, dialect, requestLimits } = this.#deps;
-        const { request, route, organisation, priority, deadlineAtMs } = this.#call;
+        const { pools, dialect, requestLimits, promptParts } = this.#deps;
+        const { request, route, service, organisation, culpritIds, priority, deadlineAtMs } = this.#call;
         const { serverId, address } = server.target;
+        let hasHead = false;
         const nowMs = monotonicMs();
         this.#triedIds.add(serverId);
         this.#execution.attemptCount += 1;
@@ -117,12 +132,16 @@
             },
             closesConnection: !isSafe,
             mayWrite: () => {
+                if (!this.#isTrial && promptParts.hasQuarantined(service.name, culpritIds)) {
+                    return false;
+                }
                 this.#execution.mayHaveRun = true;
                 return true;
             },
             onLimit: (limit, sentAtMs) =>
                 requestLimits.observe({ serverId, limit, sentAtMs, receivedAtMs: monotonicMs() }),
             onHead: (head) => {
+                hasHead = true;
                 if (head.load !== undefined) {
                     server.recordLoad(head.load, monotonicMs());
                 }
@@ -139,6 +158,15 @@
         if (outcome.kind === "notRun") {
             this.#execution.mayHaveRun = mayHaveRunBefore;
         }
+        if (outcome.kind === "complete") {
+            promptParts.recordComplete(service.name, culpritIds, monotonicMs());
+        }
+        if (outcome.kind === "failed" && CRASH_FAILURES.has(outcome.failure)) {
+            await promptParts.recordServerFailure(service.name, serverId, {
+                partIds: [...culpritIds],
+                hasHead,
+            });
+        }
         return outcome;
     }
 
--- a/packages/gateway/src/streamcall.ts
+++ b/packages/gateway/src/streamcall.ts
@@ -2,13 +2,12 @@
 import type { EngineProfile, ModelSpec } from "@greengage/configuration";
 import { FailureKind, noCapacity } from "@greengage/routing";
 import { spreadRetryAfterMs } from "./admission.ts";
-import { Attempt, type AttemptOutcome, isLimitRejection, wholeMsUntil } from "./attempt.ts";
+import { Attempt, type AttemptOutcome, CRASH_FAILURES, isLimitRejection, wholeMsUntil } from "./attempt.ts";
 import { backendError, type Call, CallExecution, isCallerRetry, remainingMs } from "./call.ts";
 import type { GatewayDependencies } from "./dependencies.ts";
 import { lastEventIdOf } from "./eventsequence.ts";
 import type { GroupState, InFlightRequest } from "./groupstates.ts";
 import { PlacementFinder, type ResolvedPlacement } from "./placementfinder.ts";
-import { sharedPartIds } from "./promptparts.ts";
 import type { GenerationParameters, ServerHead } from "./types.ts";
 
 /** Delay before another attempt after a rejection or a failed placement. */
@@ -18,13 +17,6 @@
 /** Minimum remaining time for a retry; also the shortest retry delay that a rejected caller is given. */
 const MIN_RETRY_MS = 100;
 
-/** Failures of an attempt that the crash of an engine can cause. */
-const INTERRUPTIONS: ReadonlySet<FailureKind> = new Set([
-    FailureKind.Broken,
-    FailureKind.NoEndMarker,
-    FailureKind.Stalled,
-]);
-
 /** What has been delivered to the caller so far. */
 interface DeliveryState {
     hasHead: boolean;
@@ -59,7 +51,6 @@
     readonly #placementFinder: PlacementFinder;
     readonly #execution: CallExecution;
     readonly #delivery: DeliveryState;
-    readonly #partIds: readonly string[];
     #head: ServerHead | undefined;
     #hasBeenRejected = false;
     /** Whether the leader lets the request find out whether a quarantined part still crashes engines. */
@@ -76,7 +67,6 @@
         this.#call = call;
         this.#execution = new CallExecution(deps, call);
         this.#generation = generation;
-        this.#partIds = sharedPartIds(generation.parts);
         this.#model = model;
         this.#placementFinder = new PlacementFinder(deps, call, { generation, profile, model });
         this.#delivery = {
@@ -134,7 +124,7 @@
 
     #isQuarantined(): boolean {
         return !this.#delivery.hasHead && !this.#isTrial
-            && this.#deps.promptParts.hasQuarantined(this.#call.service.name, this.#partIds);
+            && this.#deps.promptParts.hasQuarantined(this.#call.service.name, this.#call.culpritIds);
     }
 
     /** Throws if the request has produced no event and one of its prompt parts is quarantined. */
@@ -143,7 +133,10 @@
             return;
         }
         try {
-            this.#isTrial = await this.#deps.promptParts.admit(this.#call.service.name, this.#partIds);
+            this.#isTrial = await this.#deps.promptParts.admit(
+                this.#call.service.name,
+                this.#call.culpritIds,
+            );
         }
         catch (error) {
             throw this.#execution.mayHaveRun ? backendError(messageOf(error)) : error;
@@ -270,6 +263,13 @@
         if (outcome.kind === "notRun") {
             this.#execution.mayHaveRun = mayHaveRunBefore;
         }
+        if (outcome.kind === "complete") {
+            this.#deps.promptParts.recordComplete(
+                this.#call.service.name,
+                this.#call.culpritIds,
+                monotonicMs(),
+            );
+        }
         group.end(inFlight, outcome.kind === "complete", monotonicMs());
         this.#penalizeGroup(group, outcome);
         this.#hasBeenRejected ||= outcome.kind === "notRun";
@@ -282,20 +282,20 @@
         outcome: AttemptOutcome,
         progress: AttemptProgress,
     ): Promise<boolean> {
-        const isInterrupted = outcome.kind === "failed" && INTERRUPTIONS.has(outcome.failure);
-        // A stream with events was served, so its resumption blames no part.
-        if (!isInterrupted || this.#delivery.firstEventMs !== undefined) {
+        const isInterrupted = outcome.kind === "failed" && CRASH_FAILURES.has(outcome.failure);
+        if (!isInterrupted) {
             return true;
         }
         const { promptParts } = this.#deps;
-        const { service } = this.#call;
+        const { service, culpritIds } = this.#call;
         const mayRepeat = await promptParts.mayRepeatAfterFailure(service.name, group.target, {
-            partIds: [...this.#partIds],
-            hasHead: progress === AttemptProgress.Head,
+            partIds: [...culpritIds],
+            hasHead: progress !== AttemptProgress.None,
+            ...(this.#delivery.firstEventMs === undefined ? {} : { hasEvents: true }),
         });
         if (!mayRepeat) {
             const { groupName } = group.target;
-            this.#execution.record("request.notRepeated", { group: groupName, parts: this.#partIds });
+            this.#execution.record("request.notRepeated", { group: groupName, parts: [...culpritIds] });
         }
         return mayRepeat;
     }
@@ -339,7 +339,7 @@
         this.#delivery.lastEventAtMs = nowMs;
         if (inFlight.lastEventAtMs === undefined) {
             this.#recordFirstToken(inFlight, nowMs);
-            this.#deps.promptParts.recordServed(this.#call.service.name, this.#partIds, nowMs);
+            this.#deps.promptParts.recordServed(this.#call.service.name, this.#call.culpritIds, nowMs);
         }
         group.recordProgress(inFlight, nowMs);
     }
--- a/packages/protocol/src/fleet.ts
+++ b/packages/protocol/src/fleet.ts
@@ -72,11 +72,15 @@
     suspectParts?: SuspectPart[];
 }
 
-/** Prompt part of requests that had produced no event when their groups crashed. */
+/**
+ * Possible cause of crashes: a prompt part, or the content of a request. Requests with it had not been served when their
+ * servers crashed.
+ */
 export interface SuspectPart {
     service: string;
+    /** Id of the prompt part, or `requestCulpritId` of the request. */
     partId: string;
-    /** Whether requests with this part are rejected. */
+    /** Whether requests with this part, or this content, are rejected. */
     isQuarantined: boolean;
     /** Whether one request may be sent, with the leader's permission, to check whether the part still crashes engines. */
     isTrialDue: boolean;
@@ -84,7 +88,16 @@
     trialDelayMs: number;
 }
 
-/** Report that the connections to a group failed before some of its requests had produced an event. */
+/** Prefix that tells requests from prompt parts, whose ids contain no colon. */
+const REQUEST_CULPRIT_PREFIX = "request:";
+
+/** Id by which the content of a request is blamed for crashes. */
+export const requestCulpritId = (fingerprint: string): string => `${REQUEST_CULPRIT_PREFIX}${fingerprint}`;
+
+/** Whether a culprit is the content of a request, and not a prompt part. */
+export const isRequestCulprit = (partId: string): boolean => partId.startsWith(REQUEST_CULPRIT_PREFIX);
+
+/** Report that the connections to a group failed before some of its requests were complete. */
 export interface GroupCrash {
     service: string;
     groupName: string;
@@ -92,26 +105,39 @@
     requests: UnservedRequest[];
 }
 
-/** Request without an event whose connection failed. */
+/** Report that the connections to a server of a plain service failed before some of its requests were answered. */
+export interface ServerCrash {
+    service: string;
+    serverId: string;
+    requests: UnservedRequest[];
+}
+
+/** Request whose connection failed before it was answered completely. */
 export interface UnservedRequest {
-    /** Prompt parts that other requests may share, in order. */
+    /** Possible culprits, widest first: prompt parts that other requests may share, in order, then the request itself. */
     partIds: string[];
-    /** Whether the engine had begun its response; otherwise the request may have been queued. */
+    /** Whether the server had begun its response; otherwise the request may have been queued. */
     hasHead: boolean;
+    /** Whether the response had produced events, which clears the prompt parts. Absent if not. */
+    hasEvents?: boolean;
 }
 
-/** Prompt parts of requests that have produced an event. */
+/** Culprits of requests that have been served. */
 export interface ServedParts {
     service: string;
     partIds: string[];
     /** Time since the event. */
     ageMs: number;
+    /** Whether the response was complete. Absent after its first event. */
+    isComplete?: boolean;
 }
 
-/** Observations of an entry daemon about prompt parts. */
+/** Observations of an entry daemon about possible causes of crashes. */
 export interface PartReport {
     crashes: GroupCrash[];
-    /** Suspect parts only. */
+    /** Absent in reports of daemons that don't track requests to plain services. */
+    serverCrashes?: ServerCrash[];
+    /** Suspects only. */
     served: ServedParts[];
 }
 
@@ -120,18 +146,25 @@
     leaderId?: string;
     /** Epochs of the reported groups that have ended or whose head doesn't respond. */
     crashedEpochs: number[];
+    /** Reported servers of plain services that have ended or don't respond. Absent if there are none. */
+    crashedServerIds?: string[];
 }
 
+/** Identity of a crash: the epoch of the group, or id and start time of the server. */
+export type CrashId = number | string;
+
 /** State of a suspect part, kept for the leader's successor and shown to operators. Times are ages, as clocks differ. */
 export interface SuspectPartRecord {
     service: string;
     partId: string;
-    /** Index in the prompt. */
+    /** Index among the culprits of its requests, the widest first. */
     position: number;
-    /** Epochs of the groups that crashed since a request with the part last produced an event. */
-    crashedEpochs: number[];
-    /** Those in which the engine had begun the response to a request with the part. */
-    answeringEpochs: number[];
+    /** Groups and servers that crashed since a request with the part was last served. */
+    crashedEpochs: CrashId[];
+    /** Those that had begun the response to a request with the part, and had produced no event. */
+    answeringEpochs: CrashId[];
+    /** Those in the middle of the events of a request with the part. Absent if there are none. */
+    streamingEpochs?: CrashId[];
     firstCrashAgeMs: number;
     lastCrashAgeMs: number;
     /** Whether a request with the part had produced an event shortly before the first crash. */
--- a/test/fleet/fixtures.ts
+++ b/test/fleet/fixtures.ts
@@ -237,6 +237,7 @@
         },
         probe: async (server): Promise<EngineProbeResult> =>
             deliver(server, "probe") === undefined ? { kind: "silent" } : { kind: "answered", pace: 1 },
+        acceptsConnections: async (server) => deliver(server, "connect") !== undefined,
     };
 };
 
--- a/test/fleet/partquarantine.test.ts
+++ b/test/fleet/partquarantine.test.ts
@@ -3,9 +3,13 @@
     AMBIGUOUS_TRIAL_DELAY_MS,
     ANSWERING_RULE,
     FIRST_TRIAL_DELAY_MS,
+    ONLY_REQUEST_RULE,
     PartQuarantine,
+    REPORT_SETTLE_MS,
+    SHARED_REQUEST_RULE,
     WAITING_RULE,
 } from "@greengage/fleet";
+import { requestCulpritId, type UnservedRequest } from "@greengage/protocol";
 import test from "ava";
 
 const SERVICE = "llm";
@@ -223,3 +227,131 @@
     t.deepEqual(quarantine.view(crashedAtMs), []);
     t.false(quarantine.lift(SERVICE, "part"));
 });
+
+const DEADLY = requestCulpritId("deadly");
+const SOUND = requestCulpritId("sound");
+
+/** A request that its server had not begun to answer. */
+const queued = (...partIds: string[]): UnservedRequest => ({ partIds, hasHead: false });
+const answering = (...partIds: string[]): UnservedRequest => ({ partIds, hasHead: true });
+const streaming = (...partIds: string[]): UnservedRequest => ({ partIds, hasHead: true, hasEvents: true });
+
+/** Records crashes at an interval of 10 ms. Returns the time at which all reports about them have arrived. */
+const recordCrashes = (quarantine: PartQuarantine, crashes: UnservedRequest[][], fromMs = 0): number => {
+    crashes.forEach((requests, index) =>
+        quarantine.recordCrash(SERVICE, fromMs + index + 1, requests, fromMs + 10 * index)
+    );
+    const settledAtMs = fromMs + 10 * crashes.length
+        + Math.max(REPORT_SETTLE_MS, SHARED_REQUEST_RULE.exonerationMs);
+    quarantine.update(settledAtMs);
+    return settledAtMs;
+};
+
+// Replays a request that comes again with the same content, among sound ones that share its first part.
+test("a request that crashes group after group is not recognised because sound ones share its parts", (t) => {
+    const quarantine = createQuarantine();
+    quarantine.recordCrash(SERVICE, 1, [answering("shared", DEADLY)], 0);
+    recordServed(quarantine, "shared", 100);
+    quarantine.recordCrash(SERVICE, 2, [answering("shared", DEADLY)], 300);
+    quarantine.update(300 + REPORT_SETTLE_MS);
+    t.deepEqual(quarantinedIds(quarantine, 300 + REPORT_SETTLE_MS), [DEADLY]);
+});
+
+test("a popular first part is not rejected instead of the request that crashes groups", (t) => {
+    const quarantine = createQuarantine();
+    const crashes = Array.from({ length: WAITING_RULE.crashes }, () => [answering("shared", DEADLY)]);
+    const settledAtMs = recordCrashes(quarantine, crashes);
+    quarantine.update(settledAtMs + WAITING_RULE.exonerationMs);
+    t.deepEqual(quarantinedIds(quarantine, settledAtMs + WAITING_RULE.exonerationMs), [DEADLY]);
+});
+
+const soundCompanions: Record<string, UnservedRequest[][]> = {
+    "was queued beside it at both groups": [
+        [answering(DEADLY), queued(SOUND)],
+        [answering(DEADLY), queued(SOUND)],
+    ],
+    "was streaming beside it at both groups": [
+        [answering(DEADLY), streaming(SOUND)],
+        [answering(DEADLY), streaming(SOUND)],
+    ],
+    "shares one crash of a plain server": [[queued(DEADLY), queued(SOUND)], [queued(DEADLY)]],
+};
+
+for (const [name, crashes] of Object.entries(soundCompanions)) {
+    test(`a sound request that ${name} is not rejected with the one that crashes servers`, (t) => {
+        const quarantine = createQuarantine();
+        t.is(crashes.length, ONLY_REQUEST_RULE.crashes);
+        t.deepEqual(quarantinedIds(quarantine, recordCrashes(quarantine, crashes)), [DEADLY]);
+    });
+}
+
+test("two requests that share both of their crashes are not rejected until a third one", (t) => {
+    const quarantine = createQuarantine();
+    const both = [queued(DEADLY), queued(SOUND)];
+    const settledAtMs = recordCrashes(quarantine, [both, both]);
+    t.deepEqual(quarantinedIds(quarantine, settledAtMs), []);
+    quarantine.recordServed({ service: SERVICE, partIds: [SOUND], ageMs: 0 }, settledAtMs);
+    quarantine.update(settledAtMs);
+    t.deepEqual(quarantinedIds(quarantine, settledAtMs), [DEADLY], "the other one was served");
+});
+
+test("a request is not blamed before the reports of all daemons about a crash have arrived", (t) => {
+    const quarantine = createQuarantine();
+    for (const epoch of [1, 2]) {
+        quarantine.recordCrash(SERVICE, epoch, [queued(SOUND)], 0);
+    }
+    t.deepEqual(quarantinedIds(quarantine, 0), []);
+    for (const epoch of [1, 2]) {
+        quarantine.recordCrash(SERVICE, epoch, [answering(DEADLY)], REPORT_SETTLE_MS - 1);
+    }
+    quarantine.update(2 * REPORT_SETTLE_MS);
+    t.deepEqual(quarantinedIds(quarantine, 2 * REPORT_SETTLE_MS), [DEADLY]);
+});
+
+test("a stream whose groups crash after its events is not resumed for ever", (t) => {
+    const quarantine = createQuarantine();
+    recordCrashes(quarantine, [[streaming("shared", DEADLY)], [streaming("shared", DEADLY)]]);
+    // The first event of the next run does not show that the rest of it is harmless.
+    recordServed(quarantine, DEADLY, 1_000);
+    const settledAtMs = recordCrashes(quarantine, [[streaming("shared", DEADLY)]], 2_000);
+    t.deepEqual(quarantinedIds(quarantine, settledAtMs), [DEADLY]);
+});
+
+test("a complete response clears a request of all its crashes", (t) => {
+    const quarantine = createQuarantine();
+    recordCrashes(quarantine, [[streaming(SOUND)], [streaming(SOUND)]]);
+    quarantine.recordServed({ service: SERVICE, partIds: [SOUND], ageMs: 0, isComplete: true }, 1_000);
+    t.deepEqual(quarantine.view(1_000), []);
+});
+
+test("a part that crashes engines is blamed once requests with different contents have crashed them", (t) => {
+    const quarantine = createQuarantine();
+    const contents = ["a", "b", "c"].map(requestCulpritId);
+    recordCrashes(quarantine, contents.map((id) => [answering("shared", "deadly", id)]));
+    recordServed(quarantine, "shared", 300);
+    quarantine.update(ANSWERING_RULE.exonerationMs);
+    t.deepEqual(quarantinedIds(quarantine, ANSWERING_RULE.exonerationMs), ["deadly"]);
+});
+
+test("a new leader knows the crashes in the middle of a request's events", (t) => {
+    const former = createQuarantine();
+    recordCrashes(former, [[streaming(DEADLY)], [streaming(DEADLY)]]);
+    const successor = createQuarantine();
+    successor.restore(former.records(1_000), 1_000);
+    t.deepEqual(successor.records(1_000), former.records(1_000));
+});
+
+test("requests beside one in quarantine stay suspects", (t) => {
+    const quarantine = createQuarantine();
+    const neighbour = requestCulpritId("neighbour");
+    const settledAtMs = recordCrashes(quarantine, [
+        [answering(DEADLY), queued(SOUND)],
+        [answering(DEADLY)],
+        [queued(SOUND), queued(neighbour)],
+    ]);
+    t.deepEqual(quarantinedIds(quarantine, settledAtMs), [DEADLY]);
+    const crashCounts = quarantine.records(settledAtMs).map((
+        { partId, crashedEpochs },
+    ) => [partId, crashedEpochs.length]);
+    t.deepEqual(crashCounts, [[DEADLY, 2], [SOUND, 1], [neighbour, 1]]);
+});
--- a/test/fleet/partreports.test.ts
+++ b/test/fleet/partreports.test.ts
@@ -2,7 +2,7 @@
 import { Hub } from "@greengage/bench";
 import { waitFor } from "@greengage/faults";
 import { ANSWERING_RULE, PartQuarantine, PartReportHandler } from "@greengage/fleet";
-import type { PartReportResponse } from "@greengage/protocol";
+import { type PartReportResponse, requestCulpritId } from "@greengage/protocol";
 import test, { type ExecutionContext } from "ava";
 import { startFleet } from "./fixtures.ts";
 
@@ -33,6 +33,7 @@
                 probedEpochs.push(epoch);
                 return state.hasCrashed;
             },
+            confirmServerCrash: async (serverId) => state.hasCrashed ? `${serverId}/1` : undefined,
         },
         quarantine,
         onChanged: () => undefined,
@@ -98,3 +99,50 @@
     t.true(await controller.confirmCrash(groupName, epoch + 1), "a group of another epoch has ended");
     t.true(ANSWERING_RULE.crashes > 1, "a single crash quarantines no part");
 });
+
+test("a crash of a plain server is counted again with each daemon that reports it", async (t) => {
+    const hub = new Hub();
+    const context = createContext({ daemonId: LEADER_ID, zone: "z" });
+    const quarantine = new PartQuarantine(context);
+    let probeCount = 0;
+    new PartReportHandler({
+        context,
+        peers: hub.join({ daemonId: LEADER_ID, zone: "z", host: "", port: 0 }),
+        log: { holdsLeaderLease: true, status: () => ({ leaderId: LEADER_ID }) } as never,
+        controller: {
+            confirmCrash: async () => false,
+            confirmServerCrash: async (serverId) => {
+                probeCount += 1;
+                return serverId === "alive" ? undefined : `${serverId}/7`;
+            },
+        },
+        quarantine,
+        onChanged: () => undefined,
+    });
+    const report = (daemonId: string, serverId: string): Promise<PartReportResponse> => {
+        const requests = [{ partIds: [requestCulpritId(daemonId)], hasHead: false }];
+        return hub.join({ daemonId, zone: "z", host: "", port: 0 }).call(LEADER_ID, "parts.report", {
+            crashes: [],
+            serverCrashes: [{ service: "ledger", serverId, requests }],
+            served: [],
+        });
+    };
+    t.deepEqual((await report("e1", "s1")).crashedServerIds, ["s1"]);
+    t.deepEqual((await report("e2", "s1")).crashedServerIds, ["s1"]);
+    t.is(probeCount, 1);
+    t.is((await report("e3", "alive")).crashedServerIds, undefined);
+    t.deepEqual(quarantine.records(0).map(({ partId, crashedEpochs }) => [partId, crashedEpochs]), [
+        [requestCulpritId("e1"), ["s1/7"]],
+        [requestCulpritId("e2"), ["s1/7"]],
+    ]);
+});
+
+test("a plain server that accepts connections counts as crashed", async (t) => {
+    const { controller, makeUnresponsive } = startFleet(t, ["e1", "e2"]);
+    t.is(await controller.confirmServerCrash("e1"), undefined);
+    makeUnresponsive("e1");
+    const crashId = await controller.confirmServerCrash("e1");
+    t.regex(String(crashId), /^e1\/\d+$/);
+    t.is(await controller.confirmServerCrash("e1"), crashId);
+    t.is(await controller.confirmServerCrash("gone"), "gone");
+});
--- a/test/gateway/promptparts.test.ts
+++ b/test/gateway/promptparts.test.ts
@@ -1,7 +1,8 @@
 import { ErrorCode, Verdict } from "@greengage/base";
 import { waitFor } from "@greengage/faults";
 import type { CallerRequest, PartLeader } from "@greengage/gateway";
-import type { PartReport, SuspectPart } from "@greengage/protocol";
+import { isRequestCulprit, type PartReport, requestCulpritId, type SuspectPart } from "@greengage/protocol";
+import { fingerprintOf } from "@greengage/routing";
 import test, { type ExecutionContext } from "ava";
 import { buildRoute } from "../configuration/fixtures.ts";
 import {
@@ -28,6 +29,15 @@
 /** Resets the connection, like an engine that crashes while the request is queued. */
 const crashWhileQueued: RequestHandler = (_, response) => response.socket?.resetAndDestroy();
 
+/** Id by which the content that the fixture sends is blamed. */
+const REQUEST_ID = requestCulpritId(fingerprintOf({
+    scope: "a.example",
+    organisation: "kiosks",
+    method: "POST",
+    target: "/chat/1",
+    body: Buffer.from("body"),
+}));
+
 const requestWith = (...partIds: string[]): Partial<CallerRequest> => ({
     generation: {
         model: "large",
@@ -115,7 +125,7 @@
             service: "llm",
             groupName: "g0",
             epoch: 1,
-            requests: [{ partIds: ["shared", "deadly"], hasHead: true }],
+            requests: [{ partIds: ["shared", "deadly", REQUEST_ID], hasHead: true }],
         },
     ]);
 });
@@ -149,10 +159,27 @@
     t.is(second.received.length, 1);
 });
 
-test("a request without shared parts moves to another group", async (t) => {
+// Guards against requests that nothing in the system recognises when they come again.
+test("a request without shared parts moves to another group, and is blamed itself for the crash", async (t) => {
     const { send, leader } = await startFixture(t, crash);
     t.is((await send(requestWith("own"))).text, COMPLETE_STREAM);
-    t.deepEqual(leader.reports, []);
+    t.deepEqual(leader.reports.flatMap(({ crashes }) => crashes.flatMap(({ requests }) => requests)), [
+        { partIds: [REQUEST_ID], hasHead: true },
+    ]);
+    await waitFor(
+        "the report of the complete response",
+        () =>
+            leader.reports.some(({ served }) =>
+                served.some(({ partIds, isComplete }) => isComplete === true && partIds[0] === REQUEST_ID)
+            ) || undefined,
+    );
+});
+
+test("a request that has crashed a server before is not sent to another one after a second crash", async (t) => {
+    const { send, publish, second } = await startFixture(t, crash);
+    publish([quarantinedPart(REQUEST_ID, { isQuarantined: false })]);
+    t.is((await send(requestWith("own"))).error?.verdict, Verdict.MayHaveRun);
+    t.is(second.received.length, 0);
 });
 
 test("a broken connection to a group that has not crashed does not fail the request", async (t) => {
@@ -160,13 +187,15 @@
     t.is((await send(requestWith("shared", "subject", "own"))).text, COMPLETE_STREAM);
 });
 
-test("a stream that has begun resumes at another group after a crash, and blames no part", async (t) => {
+test("a stream that has begun resumes at another group after a crash, and blames only itself", async (t) => {
     const { send, leader } = await startFixture(t, (request, response) => {
         writeHead(request, response);
         response.write(eventOf(1), () => response.socket?.resetAndDestroy());
     });
     t.is((await send(requestWith("shared", "subject", "own"))).text, COMPLETE_STREAM);
-    t.deepEqual(leader.reports, []);
+    const [report] = leader.reports.flatMap(({ crashes }) => crashes.flatMap(({ requests }) => requests));
+    t.true(report?.hasEvents, "events clear the parts");
+    t.deepEqual(report?.partIds.filter(isRequestCulprit), [REQUEST_ID]);
 });
 
 test("a request with a quarantined part is rejected at once, others with the same first part are served", async (t) => {
@@ -283,5 +312,5 @@
     leader.accepts = true;
     const count = leader.reports.length;
     await waitFor("the second report", () => leader.reports.length > count || undefined);
-    t.deepEqual(leader.reports.at(-1)?.crashes[0]?.requests[0]?.partIds, ["shared", "deadly"]);
+    t.deepEqual(leader.reports.at(-1)?.crashes[0]?.requests[0]?.partIds, ["shared", "deadly", REQUEST_ID]);
 });
--- a/test/platform/poisonrequests.test.ts
+++ b/test/platform/poisonrequests.test.ts
@@ -1,8 +1,10 @@
 import { sleep } from "@greengage/base";
+import { waitFor } from "@greengage/faults";
 import test, { type ExecutionContext } from "ava";
 import { request } from "undici";
 import { type Arrival, CrashingEngines } from "./crashingengines.ts";
 import {
+    call,
     callUntil,
     chatHeaders,
     type PlatformFixture,
@@ -31,6 +33,13 @@
     answeredAtMs: number;
 }
 
+/** Culprit as listed for operators. */
+interface ListedCulprit {
+    part: string;
+    service: string;
+    state: string;
+}
+
 interface Scenario {
     engines: CrashingEngines;
     deadlyPath: string;
@@ -104,6 +113,26 @@
     t.deepEqual(engines.violations, []);
 };
 
+/** Checks that operators see the quarantine of the request, and that it is served once they have lifted it. */
+const checkLift = async (
+    t: ExecutionContext,
+    platform: PlatformFixture,
+    { deadlyPaths }: CrashingEngines,
+): Promise<void> => {
+    const quarantineUrl = `http://${platform.controlMetrics}/quarantine`;
+    const { parts } = JSON.parse((await call(quarantineUrl))?.text ?? "") as { parts: ListedCulprit[]; };
+    const [listed] = parts.filter(({ state }) => state === "quarantined");
+    t.regex(listed?.part ?? "", /^request:[0-9a-f]{32}$/);
+    t.is(listed?.service, "ledger");
+    const [deadlyPath = ""] = deadlyPaths;
+    deadlyPaths.clear();
+    t.is((await call(`${quarantineUrl}/${listed?.part}`, { method: "DELETE" }))?.status, 200);
+    await waitFor(
+        "the request to be served",
+        async () => (await sendRequest(platform, deadlyPath, 0, true)).status === 200 || undefined,
+    );
+};
+
 const startSystem = async (t: ExecutionContext): Promise<PlatformFixture> => {
     const platform = await startPlatform(t, { entryCount: 2 });
     const { routes, ...configuration } = wireConfiguration(1);
@@ -150,5 +179,6 @@
             deadlyPath: `/${kind}/deadly`,
             soundPath: (count) => `/pay/${count}`,
         });
+        await checkLift(t, platform, engines);
     });
 }
