Keep a request at a silent group when nothing else can take it

Callers of a stream whose group was silent for 0.7 to 1 s lost their answer although the engine went on with it: the gateway aborted the attempt first, and looked only then for another group, an attempt and a retry. Without one the caller got 502 before the first event, and a broken connection after it.

An attempt is now aborted for silence only if the route allows another one, another group of the model is usable, and the retry budget has a retry, which is reserved before. Otherwise the request stays where it is until the group goes on, the group's connection ends, or its deadline passes; every check looks again for another group.

--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -75,6 +75,7 @@
     /** Whether a backend server may have run the request. */
     mayHaveRun = false;
     endReason: EndReason | undefined;
+    #hasReservedRetry = false;
     #notifyEnded: () => void = () => undefined;
 
     constructor(deps: GatewayDependencies, call: Call) {
@@ -114,8 +115,16 @@
 
     /** Charges an attempt beyond the first to the retry budget. Returns false if the budget is exhausted. */
     reserveAttempt(): boolean {
-        return this.attemptCount === 0
-            || this.deps.retryBudgets.forService(this.call.service.name).takeRetry(monotonicMs());
+        const isReserved = this.attemptCount === 0 || this.reserveRetry();
+        this.#hasReservedRetry = false;
+        return isReserved;
+    }
+
+    /** Charges the next attempt to the retry budget in advance. Returns false if the budget is exhausted. */
+    reserveRetry(): boolean {
+        this.#hasReservedRetry ||= this.deps.retryBudgets.forService(this.call.service.name)
+            .takeRetry(monotonicMs());
+        return this.#hasReservedRetry;
     }
 
     /** Ends the running attempt. The caller gets an error if it still waits for a response. */
--- a/packages/gateway/src/groupstates.ts
+++ b/packages/gateway/src/groupstates.ts
@@ -270,6 +270,12 @@
         return [...this.#states.values(), ...this.#withdrawn];
     }
 
+    /** Whether another group of the same model is usable. */
+    hasAlternative(group: GroupState, nowMs: number): boolean {
+        const { service, model } = group.target;
+        return this.ofModel(service, model).some((other) => other !== group && other.isUsable(nowMs));
+    }
+
     usage(nowMs: number): GroupUsage[] {
         return this.all().map((state) => state.usage(nowMs)).filter((usage) => usage !== undefined);
     }
--- a/packages/gateway/src/streamcall.ts
+++ b/packages/gateway/src/streamcall.ts
@@ -205,7 +205,7 @@
 
     async #runAttempt(group: GroupState, predictedMs: number): Promise<AttemptResult> {
         const { pools, dialect, groups, requestLimits } = this.#deps;
-        const { request, route, organisation, priority, deadlineAtMs } = this.#call;
+        const { request, organisation, priority, deadlineAtMs } = this.#call;
         const { target } = group;
         const sentAtMs = monotonicMs();
         let progress: AttemptProgress = AttemptProgress.None;
@@ -258,7 +258,7 @@
             sentAtMs,
             expectedAtMs: sentAtMs + predictedMs,
             failOver: (reason) => {
-                if (route.canResume) {
+                if (this.#canMove(group) && this.#execution.reserveRetry()) {
                     attempt.fail(FailureKind.Stalled, reason);
                 }
             },
@@ -417,12 +417,22 @@
         if (outcome.kind === "notRun") {
             return true;
         }
-        // A stream that has begun can only be resumed, and one that has not begun is rerun in the same way.
+        return this.#canResume();
+    }
+
+    /** A stream that has begun can only be resumed, and one that has not begun is rerun in the same way. */
+    #canResume(): boolean {
         const hasEventsWithoutId = this.#delivery.firstEventMs !== undefined
             && this.#delivery.lastEventId === undefined;
         return this.#call.route.canResume && !hasEventsWithoutId;
     }
 
+    /** Whether another group can take the request over. If none can, it stays with its group, which may only be silent. */
+    #canMove(group: GroupState): boolean {
+        return this.#canResume() && this.#hasAttemptsLeft()
+            && this.#deps.groups.hasAlternative(group, monotonicMs());
+    }
+
     #finalError(reason: string): GreengageError {
         if (!this.#execution.mayHaveRun && !this.#delivery.hasHead) {
             const { random } = this.#deps;
