--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -354,7 +354,8 @@
 const notRunError = (code: ErrorCode, message: string, retryAfterMs?: number): GreengageError =>
     new GreengageError(message, { code, verdict: Verdict.NotRun, retryAfterMs });
 
-const internalError = (error: unknown): GreengageError =>
+/** Error of a request that failed for an unexpected reason. */
+export const internalError = (error: unknown): GreengageError =>
     new GreengageError(`internal error: ${String(error)}`, {
         code: ErrorCode.Internal,
         verdict: Verdict.MayHaveRun,
