--- a/test/platform/shutdown.test.ts
+++ b/test/platform/shutdown.test.ts
@@ -1,74 +1,23 @@
 import { waitFor } from "@greengage/faults";
-import test, { type ExecutionContext } from "ava";
+import test from "ava";
 import { once } from "node:events";
-import { PlatformEngine } from "./engine.ts";
-import {
-    call,
-    callUntil,
-    chatHeaders,
-    type PlatformFixture,
-    startPlatform,
-    wireConfiguration,
-} from "./fixtures.ts";
+import { call, type PlatformFixture, wireConfiguration } from "./fixtures.ts";
 import { formatRequest, parseResponse, RawCaller, type RawResponse } from "./rawcaller.ts";
+import {
+    assertRejected,
+    assertServed,
+    chat,
+    pay,
+    PROMPT,
+    ROUTE_TIMEOUT_MS,
+    setStreamDuration,
+    startServing,
+} from "./serving.ts";
 
 /** Grace period of `startPlatform`. */
 const GRACE_MS = 8_000;
 /** The load balancer may send requests for this long after SIGTERM. */
 const LOAD_BALANCER_DELAY_MS = 3_000;
-/** Timeout of the routes, which is longer than the grace period. */
-const ROUTE_TIMEOUT_MS = 20_000;
-const PROMPT = "prompt";
-
-interface Fixture extends PlatformFixture {
-    engines: PlatformEngine[];
-    ledger: PlatformEngine;
-    /** Ids of the requests that engines have run. */
-    ranIds: () => string[];
-    open: () => Promise<RawCaller>;
-}
-
-/** Starts a platform whose engines serve streams and payments. */
-const startServing = async (t: ExecutionContext): Promise<Fixture> => {
-    const platform = await startPlatform(t);
-    const { control, callers, readiness, entryLog } = platform;
-    t.teardown(() => {
-        if (!t.passed) {
-            console.log(entryLog().split("\n").filter((line) => line.includes("drain")).join("\n"));
-        }
-    });
-    const engines = await Promise.all(
-        ["e1", "e2", "e3"].map((id) =>
-            PlatformEngine.start(t, { id, service: "llm", domain: "d0", control })
-        ),
-    );
-    const ledger = await PlatformEngine.start(t, { id: "l1", service: "ledger", control });
-    const { routes } = wireConfiguration(7) as { routes: object[]; };
-    const configuration = wireConfiguration(7, {
-        routes: routes.map((route) => ({ ...route, timeout_ms: ROUTE_TIMEOUT_MS })),
-    });
-    await callUntil(200, `http://${control}/greengageridge/Config.Replace`, {
-        method: "POST",
-        body: JSON.stringify(configuration),
-    });
-    await callUntil(200, `http://${readiness}/greengageridge/ready`);
-    await callUntil(200, `http://${callers}/chat/1`, {
-        method: "POST",
-        body: PROMPT,
-        headers: chatHeaders("warm-up"),
-    });
-    return {
-        ...platform,
-        engines,
-        ledger,
-        ranIds: () =>
-            [...engines, ledger].flatMap(({ executedHeaders }) => executedHeaders).map((headers) =>
-                String(headers["greengageridge-request-id"])
-            ),
-        open: () => RawCaller.open(t, callers),
-    };
-};
-
 interface Drain {
     elapsedMs: () => number;
     /** Resolves at a time after SIGTERM. */
@@ -91,44 +40,6 @@
     };
 };
 
-const chat = (requestId: string, deadlineMs: number): string =>
-    formatRequest({
-        path: "/chat/1",
-        headers: { ...chatHeaders(requestId), "greengageridge-deadline-ms": String(deadlineMs) },
-        body: PROMPT,
-    });
-
-const pay = (requestId: string, deadlineMs: number): string =>
-    formatRequest({
-        path: "/pay/1",
-        headers: { ...chatHeaders(requestId), "greengageridge-deadline-ms": String(deadlineMs) },
-        body: "amount",
-    });
-
-/** Interval of events; long, so that the duration of a stream doesn't grow with the load of the machine. */
-const EVENT_GAP_MS = 200;
-
-/** Makes streams last for `durationMs`. */
-const setStreamDuration = ({ engines }: Fixture, durationMs: number): void => {
-    for (const engine of engines) {
-        engine.eventGapMs = EVENT_GAP_MS;
-        engine.eventCount = durationMs / engine.eventGapMs;
-    }
-};
-
-const assertRejected = (t: ExecutionContext, response: RawResponse | undefined, name: string): void => {
-    t.is(response?.status, 503, name);
-    t.true(response?.isComplete, name);
-    t.regex(response?.head ?? "", /\r\nconnection: close/, name);
-    t.regex(response?.head ?? "", /\r\nretry-after: \d/, name);
-};
-
-const assertServed = (t: ExecutionContext, response: RawResponse | undefined, name: string): void => {
-    t.is(response?.status, 200, name);
-    t.true(response?.isComplete, name);
-    t.regex(response?.head ?? "", /\r\nconnection: close/, name);
-};
-
 // Guards against requests that are taken late in a drain on a connection that no check of idle connections saw.
 test.serial("a late request on a connection opened before SIGTERM is not taken and cut off", async (t) => {
     const fixture = await startServing(t);
