Reject registrations that can name no backend server

What callers saw: none yet. Registrations with port 0, 70000 or 99999, a port of 40 digits, a host with spaces or a path, a rank of -1, numbers at the limit of safe integers, or names of 200,000 characters were acknowledged with 200. Such an entry became a target: attempts, orders and memory were spent on it, and an epoch at the limit of safe integers would have left no higher epoch for the groups of the leader.

Cause: the adapter checked types, but not whether the values can name a server.

Fix: fleet/entries.ts has one schema of a usable report (host:port with a port from 1 to 65535, a bounded rank, counters of at most 2^48, names of at most 256 characters, an id that fits into a header).

Nesting of 200,000 levels and 1e400 were harmless before; the tests keep that.

--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,6 +1,7 @@
 export { packConfiguration, unpackConfiguration } from "./configurations.ts";
 export * from "./controller.ts";
 export * from "./departure.ts";
+export * from "./entries.ts";
 export * from "./group.ts";
 export * from "./loadratelimiter.ts";
 export * from "./orders.ts";
--- a/test/platform/decode.test.ts
+++ b/test/platform/decode.test.ts
@@ -67,6 +67,38 @@
     "an unknown state": { ...heartbeat, state: "asleep" },
     "an invalid address": { ...heartbeat, address: "somewhere" },
     "a sequence that is not a number": { ...heartbeat, sequence: "4" },
+    "port 0": { ...heartbeat, address: "10.0.0.1:0" },
+    "port 65536": { ...heartbeat, address: "10.0.0.1:65536" },
+    "port 70000": { ...heartbeat, address: "10.0.0.1:70000" },
+    "port 99999": { ...heartbeat, address: "10.0.0.1:99999" },
+    "a port of 40 digits": { ...heartbeat, address: `10.0.0.1:${"8".repeat(40)}` },
+    "a host with spaces": { ...heartbeat, address: "10.0 .0.1:80" },
+    "a host with a path": { ...heartbeat, address: "10.0.0.1/path:80" },
+    "a host with credentials": { ...heartbeat, address: "user@10.0.0.1:80" },
+    "a host with line breaks": { ...heartbeat, address: "10.0.0.1\r\nhost:80" },
+    "unbalanced brackets": { ...heartbeat, address: "[::1:80" },
+    "an IP address that doesn't exist": { ...heartbeat, address: "10.0.0.999:80" },
+    "a host of 200,000 characters": { ...heartbeat, address: `${"h".repeat(200_000)}:80` },
+    "a rank of -1": { ...heartbeat, group: { ...heartbeat.group, rank: -1 } },
+    "a rank of 1e9": { ...heartbeat, group: { ...heartbeat.group, rank: 1e9 } },
+    "an epoch at the limit of safe integers": {
+        ...heartbeat,
+        group: { ...heartbeat.group, epoch: Number.MAX_SAFE_INTEGER },
+    },
+    "a negative epoch": { ...heartbeat, group: { ...heartbeat.group, epoch: -1 } },
+    "a group name of 200,000 characters": {
+        ...heartbeat,
+        group: { ...heartbeat.group, name: "g".repeat(200_000) },
+    },
+    "a sequence at the limit of safe integers": { ...heartbeat, sequence: Number.MAX_SAFE_INTEGER },
+    "a negative sequence": { ...heartbeat, sequence: -1 },
+    "a start time at the limit of safe integers": { ...heartbeat, born: Number.MAX_SAFE_INTEGER },
+    "a slot count at the limit of safe integers": { ...heartbeat, slots: Number.MAX_SAFE_INTEGER },
+    "a zone of 200,000 characters": { ...heartbeat, zone: "z".repeat(200_000) },
+    "a service of 200,000 characters": { ...heartbeat, service: "s".repeat(200_000) },
+    "a service of 300 characters": { ...heartbeat, service: "s".repeat(300) },
+    "a model of 300 characters": { ...heartbeat, models: [{ name: "m".repeat(300) }] },
+    "100,000 staged models": { ...heartbeat, staged: Array.from({ length: 100_000 }, () => 1) },
 };
 
 for (const [title, value] of Object.entries(invalidHeartbeats)) {
@@ -76,6 +108,48 @@
     });
 }
 
+for (const serverId of ["", "e 1", "e\r\n1", "\u00e9", "e".repeat(300)]) {
+    // Guards against ids that can't be sent in a header.
+    test(`a registration of the server id ${JSON.stringify(serverId).slice(0, 20)} is rejected`, (t) => {
+        const error = t.throws(() => decodeHeartbeat(serverId, bytes(heartbeat)), {
+            instanceOf: GreengageError,
+        });
+        t.is(error?.code, ErrorCode.BadRequest);
+    });
+}
+
+// Guards against sound servers that are rejected because of an unusual address.
+test("addresses by name, of IPv6 and at the limits of ports are accepted", (t) => {
+    for (const address of ["engine-1.zone_a:8080", "[fd00::1]:80", "10.0.0.1:1", "10.0.0.1:65535"]) {
+        t.is(decodeHeartbeat("e1", bytes({ ...heartbeat, address })).address, address);
+    }
+});
+
+const withText = (text: string): Buffer =>
+    Buffer.from(JSON.stringify({ ...heartbeat, more: 0 }).replace("0}", `${text}}`));
+
+// Guards against entries that end the process that reads them, and against log lines of their size.
+test("nesting of any depth and numbers out of range end in a short error or are ignored", (t) => {
+    for (const depth of [10_000, 200_000]) {
+        const nested = `${"[".repeat(depth)}${"]".repeat(depth)}`;
+        try {
+            t.is(decodeHeartbeat("e1", withText(nested)).serverId, "e1");
+        }
+        catch (error) {
+            t.true(error instanceof GreengageError);
+        }
+    }
+    t.is(decodeHeartbeat("e1", withText("1e400")).serverId, "e1");
+    const invalid = Object.keys(heartbeat).map((field) => ({
+        ...heartbeat,
+        [field]: [["x".repeat(10_000)]],
+    }));
+    for (const value of [...invalid, { ...heartbeat, staged: Array.from({ length: 9_000 }, () => 1) }]) {
+        const error = t.throws(() => decodeHeartbeat("e1", bytes(value)), { instanceOf: GreengageError });
+        t.true((error?.message.length ?? Infinity) <= 300);
+    }
+});
+
 test("truncated JSON is rejected", (t) => {
     t.throws(() => decodeHeartbeat("e1", Buffer.from("{")), { instanceOf: GreengageError });
     t.throws(() => decodeConfiguration(Buffer.from("{\"version\":")), { instanceOf: GreengageError });
