Keep following a peer whose view, records or configuration have an odd entry

What callers would see: after one response of a control daemon with an unusable entry, the daemon that watched it never followed the fleet again; and a leader whose stored records had one odd entry never took over its groups.

Cause: FleetWatcher applied a response outside of its error handling, so an exception in a callback ended the watch loop for good. Records from peers and from the file were used without a check, and an exception in FleetService.#checkRole left the leader inactive.

Fix: fleet/entries.ts checks each group, server, controller, record and suspect part of a view, of records and of the record file. Entries that can't be used are dropped with the log line entry.invalid.

--- a/packages/fleet/src/entries.ts
+++ b/packages/fleet/src/entries.ts
@@ -1,5 +1,17 @@
-import { MemberState, type ServerReport } from "@greengage/protocol";
+import type { Context } from "@greengage/base";
+import {
+    type FleetView,
+    type GroupRecord,
+    type GroupRecords,
+    type GroupTarget,
+    type MemberRecord,
+    MemberState,
+    type ServerReport,
+    type ServerTarget,
+    type SuspectPartRecord,
+} from "@greengage/protocol";
 import { z } from "zod";
+import { GroupPhase } from "./group.ts";
 
 const MAX_NAME_CHARACTERS = 256;
 /** Leaves room to count on without reaching the limit of safe integers. */
@@ -22,6 +34,7 @@
 const name = z.string().min(1).max(MAX_NAME_CHARACTERS);
 /** Ids are sent in headers. */
 const serverId = name.regex(/^[\x21-\x7e]+$/);
+const slotCount = z.number().int().min(1).max(MAX_SLOT_COUNT);
 const counter = z.number().int().min(0).max(MAX_COUNTER);
 const address = z.string().max(MAX_NAME_CHARACTERS).refine(isAddress, "must be host:port");
 const models = z.array(name).max(MAX_MODEL_COUNT);
@@ -34,7 +47,7 @@
     address,
     zone: name,
     isDraining: z.boolean(),
-    slotCount: z.number().int().min(1).max(MAX_SLOT_COUNT),
+    slotCount,
     sequence: counter,
     fabricDomain: z.string().max(MAX_NAME_CHARACTERS).optional(),
     loadedModels: models,
@@ -47,6 +60,109 @@
     }).optional(),
 });
 
+const serverTargetSchema: z.ZodType<ServerTarget> = z.object({
+    serverId,
+    service: name,
+    address,
+    zone: name,
+    slotCount,
+});
+
+const groupFields = { groupName: name, epoch: counter, service: name, model: z.string(), zone: name };
+
+const groupTargetSchema: z.ZodType<GroupTarget> = z.object({
+    ...groupFields,
+    headId: serverId,
+    headAddress: address,
+});
+
+const memberRecordSchema: z.ZodType<MemberRecord> = z.object({
+    // Empty for a head that has not reported.
+    serverId: z.literal("").or(serverId),
+    bornMs: counter,
+    address: z.literal("").or(address),
+    sequence: counter,
+});
+
+const groupRecordSchema: z.ZodType<GroupRecord> = z.object({
+    ...groupFields,
+    fabricDomain: z.string(),
+    headAddress: z.literal("").or(address),
+    members: z.array(memberRecordSchema).max(MAX_GROUP_SIZE),
+    phase: z.enum(GroupPhase),
+});
+
+const controllerSchema: z.ZodType<FleetView["controllers"][number]> = z.object({
+    daemonId: name,
+    zone: z.string(),
+});
+
+const suspectPartSchema: z.ZodType<Pick<SuspectPartRecord, "service" | "partId" | "crashedEpochs">> = z
+    .object({
+        service: name,
+        partId: z.string(),
+        crashedEpochs: z.array(counter),
+    });
+
+const recordsSchema = z.object({ version: counter, entryDaemonCount: counter.min(1) });
+const viewSchema = recordsSchema.extend({ term: counter });
+
+/**
+ * Returns the entries that match the schema, and logs the others. Entries of newer daemons may have more fields. Throws
+ * a TypeError if there is no list.
+ */
+const validEntries = <T>(
+    { context, source }: EntrySource,
+    kind: string,
+    schema: z.ZodType,
+    entries: unknown,
+): T[] => {
+    if (!Array.isArray(entries)) {
+        throw new TypeError(`the entries of kind ${kind} are no list`);
+    }
+    return entries.filter((entry): entry is T => {
+        const { error } = schema.safeParse(entry);
+        if (error !== undefined) {
+            context.decisions.record("entry.invalid", { source, kind, reason: describeIssues(error) });
+        }
+        return error === undefined;
+    });
+};
+
+/** Where entries come from, for the log. */
+export interface EntrySource {
+    context: Context;
+    /** Id of the daemon that sent them, or the name of the file. */
+    source: string;
+}
+
+/** Returns the usable reports, and logs the others. */
+export const validReports = (origin: EntrySource, reports: unknown): ServerReport[] =>
+    validEntries(origin, "report", serverReportSchema, reports);
+
+/** Returns the view without the entries that can't be used, which are logged. Throws if the whole view can't be used. */
+export const validView = (origin: EntrySource, view: FleetView): FleetView => {
+    viewSchema.parse(view);
+    return {
+        ...view,
+        groups: validEntries(origin, "group", groupTargetSchema, view.groups),
+        servers: validEntries(origin, "server", serverTargetSchema, view.servers),
+        controllers: validEntries(origin, "controller", controllerSchema, view.controllers),
+    };
+};
+
+/** Returns the records without the entries that can't be used, which are logged. Throws if no part of them can be used. */
+export const validRecords = (origin: EntrySource, records: GroupRecords): GroupRecords => {
+    recordsSchema.parse(records);
+    return {
+        ...records,
+        groups: validEntries(origin, "group record", groupRecordSchema, records.groups),
+        endedNames: validEntries(origin, "ended name", name, records.endedNames),
+        servers: validEntries(origin, "server", serverTargetSchema, records.servers),
+        suspectParts: validEntries(origin, "suspect part", suspectPartSchema, records.suspectParts ?? []),
+    };
+};
+
 /** Text of bounded length that names the invalid fields. */
 export const describeIssues = ({ issues }: z.ZodError): string =>
     issues.slice(0, 3).map(({ path, message }) => `${path.join(".")}: ${message}`).join("; ")
--- a/packages/fleet/src/recordstore.ts
+++ b/packages/fleet/src/recordstore.ts
@@ -1,6 +1,7 @@
 import { type Context, messageOf } from "@greengage/base";
 import { readRecordFile, RecordCodec, replaceFile, syncFile } from "@greengage/consensus";
 import type { GroupRecords } from "@greengage/protocol";
+import { validRecords } from "./entries.ts";
 
 /**
  * Persists the group records across restarts. They only speed up recovery: a daemon with missing or outdated records
@@ -18,11 +19,14 @@
         this.#path = path;
     }
 
-    /** Reads the records of the previous run; undefined if they are missing or unreadable. */
+    /** Reads the usable records of the previous run; undefined if they are missing or unreadable. */
     async read(): Promise<GroupRecords | undefined> {
         this.#codec = await RecordCodec.create();
         try {
-            return await readRecordFile(this.#path, this.#codec) as GroupRecords | undefined;
+            const records = await readRecordFile(this.#path, this.#codec) as GroupRecords | undefined;
+            return records === undefined
+                ? undefined
+                : validRecords({ context: this.#context, source: "record file" }, records);
         }
         catch (error) {
             this.#context.decisions.record("groupRecords.unreadable", { reason: messageOf(error) });
--- a/packages/fleet/src/watcher.ts
+++ b/packages/fleet/src/watcher.ts
@@ -7,6 +7,7 @@
     WatchRequest,
     WatchResponse,
 } from "@greengage/protocol";
+import { validRecords, validView } from "./entries.ts";
 import { isNewerView } from "./view.ts";
 
 /**
@@ -109,7 +110,7 @@
     }
 
     async #watch(target: string): Promise<WatchResponse | undefined> {
-        const { peers, request, onConfiguration, onView } = this.#options;
+        const { peers, request } = this.#options;
         const response = await peers.call(target, "fleet.watch", {
             ...request(),
             zone: this.#options.context.zone,
@@ -124,19 +125,35 @@
         if (response === undefined) {
             return undefined;
         }
+        try {
+            this.#apply(target, response);
+        }
+        catch (error) {
+            this.#lastFailure = messageOf(error);
+            this.#options.context.decisions.record("watch.notApplied", { target, reason: this.#lastFailure });
+            return undefined;
+        }
+        return response;
+    }
+
+    /** Throws if a part of the response can't be used at all. */
+    #apply(target: string, response: WatchResponse): void {
+        const { context, onConfiguration, onView, onRecords } = this.#options;
+        const origin = { context, source: target };
         this.#leaderId = response.leaderId ?? this.#leaderId;
         if (response.configuration !== undefined) {
             onConfiguration(response.configuration);
         }
-        if (response.records !== undefined) {
-            this.#recordsVersion = response.records.version;
-            this.#options.onRecords?.(response.records);
-        }
         if (response.view !== undefined && isNewerView(response.view, this.#view)) {
-            this.#view = response.view;
-            onView(response.view);
+            const view = validView(origin, response.view);
+            this.#view = view;
+            onView(view);
+        }
+        if (response.records !== undefined) {
+            const records = validRecords(origin, response.records);
+            this.#recordsVersion = records.version;
+            onRecords?.(records);
         }
-        return response;
     }
 
     #setTarget(target: string): void {
