Drop forwarded reports that name no usable backend server at the leader

What callers would see: a control daemon of another version, or one that had stored odd data, could hand the leader a report with an epoch at the limit of safe integers, after which no group could get a higher epoch; a report without a list of models made the handler throw, so the reports behind it in the same message were lost.

Cause: the leader trusted the reports of fleet.report without a check.

Fix: the leader applies only reports that pass the check of fleet/entries.ts, logs the others as entry.invalid with the forwarder's id, and answers that the message was not accepted.

--- a/packages/fleet/src/reporthandler.ts
+++ b/packages/fleet/src/reporthandler.ts
@@ -3,6 +3,7 @@
 import type { Peers, ServerReport } from "@greengage/protocol";
 import type { GroupController } from "./controller.ts";
 import { applyDeparture, DepartureEffect } from "./departure.ts";
+import { validReports } from "./entries.ts";
 import { ReportEffect, type ServerRegistry } from "./registry.ts";
 
 /** Backend servers wait one second for an answer. */
@@ -29,7 +30,7 @@
     constructor(options: ServerReportHandlerOptions) {
         this.#options = options;
         const { peers } = options;
-        peers.handle("fleet.report", ({ reports }) => this.#handleReports(reports));
+        peers.handle("fleet.report", ({ reports }, from) => this.#handleReports(reports, from));
         peers.handle("fleet.depart", ({ serverId, bornMs }) => this.#handleDeparture(serverId, bornMs));
     }
 
@@ -66,14 +67,15 @@
         return { isAccepted: false, leaderId: this.#options.log.status().leaderId };
     }
 
-    #handleReports(reports: readonly ServerReport[]): LeaderAnswer {
-        const { log, registry, controller } = this.#options;
+    #handleReports(received: readonly ServerReport[], from: string): LeaderAnswer {
+        const { context, log, registry, controller } = this.#options;
         if (!log.holdsLeaderLease) {
             return this.#rejection();
         }
         const nowMs = monotonicMs();
+        const reports = validReports({ context, source: from }, received);
         // A draining server is acknowledged only once this leader publishes the change to all daemons immediately.
-        const isAccepted = controller.isSettled || !reports.some((report) => report.isDraining);
+        const isAcknowledged = controller.isSettled || !reports.some((report) => report.isDraining);
         for (const report of reports) {
             const effect = registry.accept(report, nowMs);
             if (effect === ReportEffect.Changed || effect === ReportEffect.Appeared) {
@@ -81,7 +83,7 @@
                 controller.wake();
             }
         }
-        return { isAccepted };
+        return { isAccepted: isAcknowledged && reports.length === received.length };
     }
 
     #recordReport(report: ServerReport, effect: ReportEffect): void {
