Close a connection on a peer's unreadable frame instead of ending the process

What callers would see: a daemon ended by itself after one frame of a peer without a timestamp, or a notice without a body.

Cause: PeerConnection read the timestamp of a frame outside of its error handling, and a notice handler's exception left the socket's event handler, so that both ended the process as uncaught exceptions. An infinite timestamp would have moved the timeline's clock for good.

Fix: a frame that can't be read, or whose timestamp is not made of safe integers, closes the connection with the log line peer.invalidFrame; an exception in a notice handler is logged as peer.noticeFailed.

Evidence: test/protocol/network.test.ts; on the old code the file ends with an uncaught TypeError, with the fix its 11 tests pass.

--- a/packages/base/src/timeline.ts
+++ b/packages/base/src/timeline.ts
@@ -55,6 +55,9 @@
 
     /** Advances the clock to the timestamp of a received message if that is later. */
     observe(remote: HlcTimestamp): void {
+        if (!Number.isSafeInteger(remote.wallMs) || !Number.isSafeInteger(remote.counter)) {
+            throw new RangeError("a timestamp is not made of safe integers");
+        }
         if (compareTimestamps(remote, this.#last) > 0) {
             this.#last = remote;
         }
--- a/packages/protocol/src/connection.ts
+++ b/packages/protocol/src/connection.ts
@@ -11,6 +11,8 @@
 export interface FrameHandlers {
     handleCall(type: CallType, request: unknown, from: string): Promise<unknown>;
     handleNotice(type: NoticeType, notice: unknown, from: string): void;
+    /** Called with the error before the connection is closed because of a frame that can't be read. */
+    handleInvalidFrame(from: string, error: unknown): void;
     /** Adds the size of a frame to the traffic counters. */
     countBytes(direction: "sentBytes" | "receivedBytes", sizeBytes: number): void;
 }
@@ -96,12 +98,13 @@
         let frame: Frame;
         try {
             frame = this.#decoder.decode(data) as Frame;
+            this.#timeline.observe(frame.at);
         }
-        catch {
+        catch (error) {
+            this.#handlers.handleInvalidFrame(this.peerId, error);
             this.close();
             return;
         }
-        this.#timeline.observe(frame.at);
         if (frame.kind === "call") {
             void this.#handleCall(frame.callId, frame.type, frame.body);
             return;
--- a/packages/protocol/src/network.ts
+++ b/packages/protocol/src/network.ts
@@ -166,7 +166,19 @@
         },
         handleNotice: (type: NoticeType, notice: unknown, from: string): void => {
             this.#traffic.receivedFrames += 1;
-            this.#noticeHandlers.get(type)?.(notice as Notices[NoticeType], from);
+            try {
+                this.#noticeHandlers.get(type)?.(notice as Notices[NoticeType], from);
+            }
+            catch (error) {
+                this.#options.context.decisions.record("peer.noticeFailed", {
+                    type,
+                    from,
+                    reason: messageOf(error),
+                });
+            }
+        },
+        handleInvalidFrame: (from: string, error: unknown): void => {
+            this.#options.context.decisions.record("peer.invalidFrame", { from, reason: messageOf(error) });
         },
     };
 
