Reject reports of backend servers with an unusable origin or fencing token

What callers would see: a report with the highest safe integer as its fencing token or generation was accepted, after which the zone's controller had no higher token to give; one with port 0, a path or credentials became a server that no request can reach.

Cause: the report schema bounded counters at the limit of safe integers itself, and checked the URL only for its scheme.

Fix: counters are at most 2^48, and the URL must be an http or https origin with a port above 0.

Evidence: test/http/platform.test.ts, "an invalid report is rejected with the name of its field", answered 200 instead of 422 for port 0 on the old code. With the fix test/http, membership/reports and routing/endtoend pass.

--- a/packages/http/src/reports.ts
+++ b/packages/http/src/reports.ts
@@ -16,9 +16,18 @@
 }
 
 const MAX_VMS_PER_GROUP = 64;
+/** Leaves room to count on from a reported fencing token or generation without reaching the limit of safe integers. */
+const MAX_COUNTER = 2 ** 48;
 
 const name = z.string().min(1).max(200);
-const count = z.number().int().min(0).max(Number.MAX_SAFE_INTEGER);
+const count = z.number().int().min(0).max(MAX_COUNTER);
+
+/** Whether requests can be sent to this origin. */
+const isOrigin = (text: string): boolean => {
+    const url = URL.canParse(text) ? new URL(text) : undefined;
+    return url !== undefined && /^https?:$/.test(url.protocol) && url.port !== "0" && url.pathname === "/"
+        && [url.username, url.password, url.search, url.hash].every((part) => part === "");
+};
 
 const assignment = z.looseObject({
     groupId: name,
@@ -38,7 +47,7 @@
     kind: z.enum(BackendKind),
     zone: name,
     fabricDomain: name,
-    url: z.url({ protocol: /^https?$/ }).max(300),
+    url: z.string().max(300).refine(isOrigin, "must be an http or https origin with a port above 0"),
     accelerators: count.max(1_024),
     checksFencing: z.boolean(),
     highestFence: count,
--- a/test/http/platform.test.ts
+++ b/test/http/platform.test.ts
@@ -9,7 +9,15 @@
     { field: "kind", changes: { kind: "robot" } },
     { field: "zone", changes: { zone: "zone-b" } },
     { field: "url", changes: { url: "file:///etc/passwd" } },
+    { field: "url", changes: { url: "http://127.0.0.1:0" } },
+    { field: "url", changes: { url: "http://127.0.0.1:70000" } },
+    { field: "url", changes: { url: "http://127.0 .0.1:80" } },
+    { field: "url", changes: { url: "http://127.0.0.1:80/path" } },
+    { field: "url", changes: { url: "http://user@127.0.0.1:80" } },
     { field: "accelerators", changes: { accelerators: "8" } },
+    // A fencing token that leaves no higher one would stop the control of its zone.
+    { field: "highestFence", changes: { highestFence: Number.MAX_SAFE_INTEGER } },
+    { field: "sequence", changes: { sequence: Number.MAX_SAFE_INTEGER } },
     {
         field: "load.kvUsedShare",
         changes: { load: { runningRequests: 0, waitingRequests: 0, tokenGapMs: 1 } },
