Accept crashes of plain servers in stored records, and check the suspects of views

A successor of the leader would have dropped requests that crash plain servers from the records that it starts from: the check of stored entries allowed numbers only, but the crash of a plain server is named by its id and start. A new test failed before. A list of suspects with an odd entry would have kept an entry daemon from applying any view; the suspects of a view are checked like its other entries, and the ten tests of odd views cover them.

--- a/packages/fleet/src/entries.ts
+++ b/packages/fleet/src/entries.ts
@@ -8,6 +8,7 @@
     MemberState,
     type ServerReport,
     type ServerTarget,
+    type SuspectPart,
     type SuspectPartRecord,
 } from "@greengage/protocol";
 import { z } from "zod";
@@ -101,9 +102,18 @@
     .object({
         service: name,
         partId: z.string(),
-        crashedEpochs: z.array(counter),
+        // Crashes of plain servers have names.
+        crashedEpochs: z.array(z.union([counter, name])),
     });
 
+const viewSuspectSchema: z.ZodType<SuspectPart> = z.object({
+    service: name,
+    partId: z.string(),
+    isQuarantined: z.boolean(),
+    isTrialDue: z.boolean(),
+    trialDelayMs: z.number(),
+});
+
 const recordsSchema = z.object({ version: counter, entryDaemonCount: counter.min(1) });
 const viewSchema = recordsSchema.extend({ term: counter });
 
@@ -148,6 +158,9 @@
         groups: validEntries(origin, "group", groupTargetSchema, view.groups),
         servers: validEntries(origin, "server", serverTargetSchema, view.servers),
         controllers: validEntries(origin, "controller", controllerSchema, view.controllers),
+        ...(view.suspectParts === undefined
+            ? {}
+            : { suspectParts: validEntries(origin, "suspect", viewSuspectSchema, view.suspectParts) }),
     };
 };
 
--- a/test/fleet/oddentries.test.ts
+++ b/test/fleet/oddentries.test.ts
@@ -2,8 +2,16 @@
 import { Hub } from "@greengage/bench";
 import { RecordCodec, replaceFile, syncFile } from "@greengage/consensus";
 import { waitFor } from "@greengage/faults";
-import { FleetWatcher } from "@greengage/fleet";
-import type { FleetView, GroupRecord, GroupRecords, GroupTarget, WatchResponse } from "@greengage/protocol";
+import { FleetWatcher, PartQuarantine } from "@greengage/fleet";
+import {
+    type FleetView,
+    type GroupRecord,
+    type GroupRecords,
+    type GroupTarget,
+    requestCulpritId,
+    type SuspectPart,
+    type WatchResponse,
+} from "@greengage/protocol";
 import test, { type ExecutionContext } from "ava";
 import { mkdtempSync, rmSync } from "node:fs";
 import { tmpdir } from "node:os";
@@ -20,6 +28,14 @@
     headAddress: "127.0.0.1:1",
 };
 
+const suspect: SuspectPart = {
+    service: "llm",
+    partId: "part",
+    isQuarantined: true,
+    isTrialDue: false,
+    trialDelayMs: 60_000,
+};
+
 const viewOf = (version: number, fields: object = {}): FleetView => ({
     term: 1,
     version,
@@ -141,10 +157,11 @@
                 groups: [entry, group],
                 servers: [...servers, entry],
                 controllers: [entry, ...controllers],
+                suspectParts: [entry, suspect],
             }),
         });
         await waitFor("the view", async () => views[0]);
-        t.deepEqual(views[0], viewOf(1, { controllers: views[0]?.controllers }));
+        t.deepEqual(views[0], viewOf(1, { controllers: views[0]?.controllers, suspectParts: [suspect] }));
         t.true(logged.filter((line) => line.startsWith("entry.invalid")).length >= 2);
         t.true(logged.every(({ length }) => length < 1_000));
         publish({ view: viewOf(2) });
@@ -197,3 +214,17 @@
         t.true(logged.some((line) => line.startsWith("watch.notApplied")));
     });
 }
+
+// Guards against a successor of the leader that forgets which requests crash plain servers.
+test("the crashes of plain servers are read from the records", async (t) => {
+    const folder = mkdtempSync(join(tmpdir(), "greengage-fleet-"));
+    t.teardown(() => rmSync(folder, { recursive: true, force: true }));
+    const path = join(folder, "groups");
+    const context = createContext({ daemonId: "core-1", zone: "z" });
+    const quarantine = new PartQuarantine(context);
+    quarantine.recordCrash("ledger", "l1/7", [{ partIds: [requestCulpritId("a")], hasHead: false }], 0);
+    const suspectParts = quarantine.records(0);
+    const codec = await RecordCodec.create();
+    await replaceFile(path, codec.encode(recordsOf(4, { suspectParts })), syncFile);
+    t.deepEqual((await new GroupRecordStore(context, path).read())?.suspectParts, suspectParts);
+});
