--- a/packages/gateway/src/streamcall.ts
+++ b/packages/gateway/src/streamcall.ts
@@ -4,6 +4,7 @@
 import { spreadRetryAfterMs } from "./admission.ts";
 import { Attempt, type AttemptOutcome, CRASH_FAILURES, isLimitRejection, wholeMsUntil } from "./attempt.ts";
 import { backendError, type Call, CallExecution, isCallerRetry, remainingMs } from "./call.ts";
+import { StreamDelivery } from "./delivery.ts";
 import type { GatewayDependencies } from "./dependencies.ts";
 import { lastEventIdOf } from "./eventsequence.ts";
 import type { GroupState, InFlightRequest } from "./groupstates.ts";
@@ -17,16 +18,6 @@
 /** Minimum remaining time for a retry; also the shortest retry delay that a rejected caller is given. */
 const MIN_RETRY_MS = 100;
 
-/** What has been delivered to the caller so far. */
-interface DeliveryState {
-    hasHead: boolean;
-    lastEventId: string | undefined;
-    /** Time from the request to the first event. */
-    firstEventMs: number | undefined;
-    lastEventAtMs: number;
-    longestGapMs: number;
-}
-
 /** How far the response of an attempt has come. */
 const AttemptProgress = {
     None: "none",
@@ -50,7 +41,7 @@
     readonly #model: ModelSpec;
     readonly #placementFinder: PlacementFinder;
     readonly #execution: CallExecution;
-    readonly #delivery: DeliveryState;
+    readonly #delivery: StreamDelivery;
     #head: ServerHead | undefined;
     #hasBeenRejected = false;
     /** Whether the leader lets the request find out whether a quarantined part still crashes engines. */
@@ -69,13 +60,7 @@
         this.#generation = generation;
         this.#model = model;
         this.#placementFinder = new PlacementFinder(deps, call, { generation, profile, model });
-        this.#delivery = {
-            hasHead: false,
-            lastEventId: call.request.lastEventId,
-            firstEventMs: undefined,
-            lastEventAtMs: call.request.receivedAtMs,
-            longestGapMs: 0,
-        };
+        this.#delivery = new StreamDelivery(call.request);
     }
 
     run(): Promise<void> {
@@ -326,17 +311,11 @@
 
     #recordProgress(group: GroupState, inFlight: InFlightRequest): void {
         const nowMs = monotonicMs();
-        if (this.#delivery.firstEventMs === undefined) {
-            this.#delivery.firstEventMs = nowMs - this.#call.request.receivedAtMs;
-            this.#deps.context.metrics.durationMs("gateway.first_event", this.#delivery.firstEventMs);
-        }
-        else {
-            this.#delivery.longestGapMs = Math.max(
-                this.#delivery.longestGapMs,
-                nowMs - this.#delivery.lastEventAtMs,
-            );
+        const isFirst = this.#delivery.firstEventMs === undefined;
+        this.#delivery.recordEvents(nowMs);
+        if (isFirst) {
+            this.#deps.context.metrics.durationMs("gateway.first_event", this.#delivery.firstEventMs ?? 0);
         }
-        this.#delivery.lastEventAtMs = nowMs;
         if (inFlight.lastEventAtMs === undefined) {
             this.#recordFirstToken(inFlight, nowMs);
             this.#deps.promptParts.recordServed(this.#call.service.name, this.#call.culpritIds, nowMs);
@@ -422,9 +401,7 @@
 
     /** A stream that has begun can only be resumed, and one that has not begun is rerun in the same way. */
     #canResume(): boolean {
-        const hasEventsWithoutId = this.#delivery.firstEventMs !== undefined
-            && this.#delivery.lastEventId === undefined;
-        return this.#call.route.canResume && !hasEventsWithoutId;
+        return this.#call.route.canResume && !this.#delivery.hasEventsWithoutId;
     }
 
     /** Whether another group can take the request over. If none can, it stays with its group, which may only be silent. */
