Send a trial of a quarantined culprit to a single group or server

Cause: a request on trial was repeated like any other after its group had crashed, and a trial counted as failed only if the engine had begun its response, and within 3 s. A crash of a request that has a trial under way now fails the trial whatever it had come to, so the next one comes after twice the time, and a request on trial is not repeated after a failure. Groups that don't run it still pass it on.

Three tests failed before: "a trial that crashes a group before its response head is repeated every few seconds", "a trial whose group crashes goes to the next group", "a trial that crashes a plain server goes to the next server".

--- a/packages/fleet/src/blame.ts
+++ b/packages/fleet/src/blame.ts
@@ -31,8 +31,8 @@
     wasServedBefore: boolean;
     /** Time of the next trial; undefined if the part is not quarantined. */
     nextTrialAtMs: number | undefined;
-    /** Time until which a granted trial may fail. */
-    trialEndsAtMs: number;
+    /** Whether a trial was granted and neither a crash nor a success has been reported since. */
+    isOnTrial: boolean;
     failedTrialCount: number;
     isAmbiguous: boolean;
 }
--- a/packages/fleet/src/partquarantine.ts
+++ b/packages/fleet/src/partquarantine.ts
@@ -17,7 +17,7 @@
     isPartBlamed,
     isQuarantined,
     isRequest,
-    RequestStage,
+    type RequestStage,
     stageOf,
     type SuspectState,
 } from "./blame.ts";
@@ -109,7 +109,7 @@
             return false;
         }
         suspect.nextTrialAtMs = nowMs + TRIAL_TIMEOUT_MS;
-        suspect.trialEndsAtMs = suspect.nextTrialAtMs;
+        suspect.isOnTrial = true;
         this.#version += 1;
         this.#record("part.trial", suspect, {});
         return true;
@@ -234,7 +234,7 @@
                 lastCrashAtMs: nowMs - record.lastCrashAgeMs,
                 wasServedBefore: record.wasServedBefore,
                 nextTrialAtMs: record.nextTrialMs === undefined ? undefined : nowMs + record.nextTrialMs,
-                trialEndsAtMs: -Infinity,
+                isOnTrial: false,
                 failedTrialCount: record.failedTrialCount,
                 isAmbiguous: record.isAmbiguous,
             });
@@ -247,8 +247,8 @@
         if (epochs.has(epoch)) {
             return;
         }
-        if (stage !== RequestStage.Queued && nowMs < suspect.trialEndsAtMs) {
-            suspect.trialEndsAtMs = -Infinity;
+        if (suspect.isOnTrial) {
+            suspect.isOnTrial = false;
             suspect.failedTrialCount += 1;
             suspect.nextTrialAtMs = nowMs + trialDelayMs(suspect);
         }
@@ -299,7 +299,7 @@
             lastCrashAtMs: nowMs,
             wasServedBefore: false,
             nextTrialAtMs: undefined,
-            trialEndsAtMs: -Infinity,
+            isOnTrial: false,
             failedTrialCount: 0,
             isAmbiguous: false,
         };
--- a/packages/gateway/src/servercall.ts
+++ b/packages/gateway/src/servercall.ts
@@ -196,7 +196,9 @@
     }
 
     #mayRetry(outcome: AttemptOutcome): boolean {
-        const isAllowed = outcome.kind === "notRun" || this.#call.route.kind === RouteKind.Safe;
+        // A trial that goes on to another server costs two.
+        const isAllowed = outcome.kind === "notRun"
+            || (this.#call.route.kind === RouteKind.Safe && !this.#isTrial);
         return isAllowed && this.#hasAttemptsLeft() && !this.#call.response.isClosed;
     }
 
--- a/packages/gateway/src/streamcall.ts
+++ b/packages/gateway/src/streamcall.ts
@@ -273,11 +273,12 @@
         }
         const { promptParts } = this.#deps;
         const { service, culpritIds } = this.#call;
-        const mayRepeat = await promptParts.mayRepeatAfterFailure(service.name, group.target, {
+        const isSuspected = !await promptParts.mayRepeatAfterFailure(service.name, group.target, {
             partIds: [...culpritIds],
             hasHead: progress !== AttemptProgress.None,
             ...(this.#delivery.firstEventMs === undefined ? {} : { hasEvents: true }),
         });
+        const mayRepeat = !this.#isTrial && !isSuspected;
         if (!mayRepeat) {
             const { groupName } = group.target;
             this.#execution.record("request.notRepeated", { group: groupName, parts: [...culpritIds] });
--- a/test/fleet/partquarantine.test.ts
+++ b/test/fleet/partquarantine.test.ts
@@ -355,3 +355,13 @@
     ) => [partId, crashedEpochs.length]);
     t.deepEqual(crashCounts, [[DEADLY, 2], [SOUND, 1], [neighbour, 1]]);
 });
+
+// Replays engines that crash before a response head, where a part can't be told from the one before it.
+test("a trial that crashes a group before its response head is repeated every few seconds", (t) => {
+    const quarantine = createQuarantine();
+    const trialAtMs = quarantineParts(quarantine, "first", "second") + AMBIGUOUS_TRIAL_DELAY_MS;
+    t.true(quarantine.grantTrial(SERVICE, "second", trialAtMs));
+    recordCrash(quarantine, ["first", "second"], { epoch: 3, atMs: trialAtMs + 4_000, hasHead: false });
+    t.false(quarantine.grantTrial(SERVICE, "second", trialAtMs + FIRST_TRIAL_DELAY_MS));
+    t.true(quarantine.grantTrial(SERVICE, "second", trialAtMs + 4_000 + 2 * FIRST_TRIAL_DELAY_MS));
+});
--- a/test/gateway/poisonrequests.test.ts
+++ b/test/gateway/poisonrequests.test.ts
@@ -66,7 +66,7 @@
             const confirmed = confirms ? { crashedServerIds } : {};
             return hasLeader ? { isAccepted: true, crashedEpochs: [], ...confirmed } : undefined;
         },
-        requestTrial: async () => false,
+        requestTrial: async () => true,
     };
     const route = buildRoute({ kind, pathPrefix: "/stock/", shares: [{ service: "ledger", weight: 1 }] });
     const options = { servers, partLeader, configuration: { routes: [route] } };
@@ -131,6 +131,13 @@
     t.is(receivedCount(servers), 1);
 });
 
+test("a trial that crashes a plain server goes to the next server", async (t) => {
+    const { sendBody, publish, servers } = await startService(t, crash);
+    publish([{ ...quarantinedRequest(DEADLY_BODY), isTrialDue: true }]);
+    t.is((await sendBody(DEADLY_BODY)).error?.verdict, Verdict.MayHaveRun);
+    t.is(receivedCount(servers), 1);
+});
+
 test("a connection that fails alone gets a request rejected", async (t) => {
     const { sendBody, servers } = await startService(t, crash, { hasLeader: true, confirms: false });
     await sendBody(DEADLY_BODY);
--- a/test/gateway/promptparts.test.ts
+++ b/test/gateway/promptparts.test.ts
@@ -257,6 +257,14 @@
     t.is(leader.trialCount, 1);
 });
 
+// Guards against trials that cost two groups each.
+test("a trial whose group crashes goes to the next group", async (t) => {
+    const { send, publish, second } = await startFixture(t, crashWhileQueued);
+    publish([quarantinedPart("part", { isTrialDue: true })]);
+    t.is((await send(requestWith("part", "own"))).error?.verdict, Verdict.MayHaveRun);
+    t.is(second.received.length, 0);
+});
+
 const interruptedHandlers: Record<string, RequestHandler> = {
     "ends inside an event": (request, response) => {
         response.shouldKeepAlive = false;
