Report crashes of the last minute again to a new leader

Callers lost further groups to a request or prompt part that the former leader had blamed while it was being cut off: its successor starts from records without those crashes and counted from zero.

Entry daemons saw the crashes, so they are where the evidence survives. Each keeps its confirmed or unreported crashes of the last minute (at most 100) and sends them once to the leader of a new term; a crash is counted by the epoch of its group, so known ones change nothing.

The test "a new leader is not told of the crashes that the former one knew" failed before.

--- a/packages/gateway/src/crashreports.ts
+++ b/packages/gateway/src/crashreports.ts
@@ -6,6 +6,10 @@
 /** Interval at which a report without an answer is sent again. */
 const REPORT_RETRY_MS = 250;
 const REPORT_LIFETIME_MS = 5_000;
+/** Time for which a new leader is told of a crash, as the former one may have been cut off before it passed the crash on. */
+const REMEMBERED_MS = 60_000;
+/** The oldest crashes are dropped beyond this number. */
+const MAX_REMEMBERED_REPORTS = 100;
 
 /** Connection to the leader for observations about prompt parts. */
 export interface PartLeader {
@@ -38,6 +42,8 @@
     readonly #lifecycle: Lifecycle;
     readonly #pendingGroups = new Map<number, PendingReport<GroupCrash>>();
     readonly #pendingServers = new Map<string, PendingReport<ServerCrash>>();
+    /** Crashes that a leader has confirmed, or that none has heard of, in order of time. */
+    #remembered: { report: PartReport; atMs: number; }[] = [];
 
     constructor(context: Context, leader: PartLeader, lifecycle: Lifecycle) {
         this.#context = context;
@@ -59,6 +65,24 @@
         });
     }
 
+    /** Reports the latest crashes again. The leader counts each crash once, so it may know them already. */
+    async repeatAll(): Promise<void> {
+        this.#remembered = this.#remembered.filter(({ atMs }) => monotonicMs() - atMs < REMEMBERED_MS);
+        const reports = this.#remembered.map(({ report }) => report);
+        if (reports.length === 0) {
+            return;
+        }
+        const response = await this.send({
+            crashes: reports.flatMap(({ crashes }) => crashes),
+            serverCrashes: reports.flatMap(({ serverCrashes = [] }) => serverCrashes),
+            served: [],
+        });
+        this.#context.decisions.record("part.reportsRepeated", {
+            reports: reports.length,
+            isAccepted: response !== undefined,
+        });
+    }
+
     /** Resolves to undefined if no leader has accepted the report. */
     async send(report: PartReport): Promise<PartReportResponse | undefined> {
         try {
@@ -83,14 +107,20 @@
         }
         const outcome = sleep(REPORT_DELAY_MS).then(async () => {
             pending.delete(key);
-            const response = await this.send(kind.reportOf(crash));
-            if (response === undefined) {
-                this.#lifecycle.run((signal) => this.#resend(kind.reportOf(crash), signal), (error) => {
-                    this.#context.decisions.record("part.reportFailed", { reason: messageOf(error) });
-                });
-                return CrashOutcome.Unknown;
+            const report = kind.reportOf(crash);
+            const response = await this.send(report);
+            if (response !== undefined && !kind.isConfirmed(response)) {
+                return CrashOutcome.Alive;
+            }
+            this.#remembered = [...this.#remembered, { report, atMs: monotonicMs() }]
+                .slice(-MAX_REMEMBERED_REPORTS);
+            if (response !== undefined) {
+                return CrashOutcome.Crashed;
             }
-            return kind.isConfirmed(response) ? CrashOutcome.Crashed : CrashOutcome.Alive;
+            this.#lifecycle.run((signal) => this.#resend(report, signal), (error) => {
+                this.#context.decisions.record("part.reportFailed", { reason: messageOf(error) });
+            });
+            return CrashOutcome.Unknown;
         });
         pending.set(key, { crash, outcome });
         return outcome;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -64,7 +64,8 @@
     #routing: RoutingTable | undefined;
     #inFlight = 0;
     #drain: Drain | undefined;
-    #hasView = false;
+    /** Term of the latest fleet view; undefined before the first one. */
+    #viewTerm: number | undefined;
 
     constructor(options: GatewayOptions) {
         this.#options = options;
@@ -97,7 +98,7 @@
 
     /** Whether a configuration and a fleet view have been received. */
     get isInitialized(): boolean {
-        return this.#routing !== undefined && this.#hasView;
+        return this.#routing !== undefined && this.#viewTerm !== undefined;
     }
 
     get inFlight(): number {
@@ -143,7 +144,10 @@
     }
 
     applyView(view: FleetView): void {
-        this.#hasView = true;
+        if (this.#viewTerm !== undefined && view.term > this.#viewTerm) {
+            this.#deps.promptParts.onNewLeader();
+        }
+        this.#viewTerm = view.term;
         this.#deps.groups.applyView(view);
         this.#deps.servers.applyView(view);
         this.#deps.promptParts.setSuspects(view.suspectParts ?? []);
@@ -264,7 +268,7 @@
     /** Resolves route, service and organisation of a request. Throws if the request is not allowed. */
     #resolve(request: CallerRequest, response: CallerResponse): Call {
         const routing = this.#routing;
-        if (routing === undefined || !this.#hasView) {
+        if (routing === undefined || this.#viewTerm === undefined) {
             throw notRunError(
                 ErrorCode.Unavailable,
                 "the daemon has not received configuration and fleet view yet",
--- a/packages/gateway/src/promptparts.ts
+++ b/packages/gateway/src/promptparts.ts
@@ -97,6 +97,13 @@
         return this.#lifecycle.close();
     }
 
+    /** Tells a new leader of the latest crashes. */
+    onNewLeader(): void {
+        this.#lifecycle.run(() => this.#crashReports.repeatAll(), (error) => {
+            this.#context.decisions.record("part.reportFailed", { reason: messageOf(error) });
+        });
+    }
+
     setSuspects(suspects: readonly SuspectPart[]): void {
         const former = this.#suspects;
         this.#suspects = new Map(
--- a/test/gateway/promptparts.test.ts
+++ b/test/gateway/promptparts.test.ts
@@ -265,6 +265,31 @@
     t.is(second.received.length, 0);
 });
 
+// Guards against a leader that is cut off with what it was told.
+test("a new leader is not told of the crashes that the former one knew", async (t) => {
+    const { send, gateway, leader, first, second } = await startFixture(t, crash);
+    await send(requestWith("shared", "deadly", "own"));
+    t.is(leader.reports.length, 1);
+    const view = viewOf({ groupHeads: [first, second] });
+    gateway.applyView({ ...view, version: 2 });
+    gateway.applyView({ ...view, term: 2, version: 1 });
+    await waitFor("the repeated report", () => leader.reports.length > 1 || undefined);
+    t.deepEqual(leader.reports.at(-1)?.crashes, leader.reports[0]?.crashes);
+    t.is(leader.reports.length, 2);
+});
+
+test("a crash that the leader has not confirmed is told to its successor", async (t) => {
+    const { send, gateway, leader, first, second } = await startFixture(
+        t,
+        crash,
+        createLeader({ confirms: false }),
+    );
+    await send(requestWith("shared", "deadly", "own"));
+    gateway.applyView({ ...viewOf({ groupHeads: [first, second] }), term: 2, version: 1 });
+    await send(requestWith("shared", "subject", "own"));
+    t.is(leader.reports.length, 1);
+});
+
 const interruptedHandlers: Record<string, RequestHandler> = {
     "ends inside an event": (request, response) => {
         response.shouldKeepAlive = false;
