Relay an engine's error response to a stream that may not be rerun

Callers of a stream on a route without resumption got 502 of the daemon in place of the 500 that the engine had sent, whenever the route allowed another attempt: the response was dropped for a retry, and only then was the retry refused.

Whether the request may be retried is now decided before the response is dropped. gateway › "the error response of an engine is relayed if the stream may not be rerun" failed on (no status; the error said 'responded with status 500').

--- a/packages/gateway/src/streamcall.ts
+++ b/packages/gateway/src/streamcall.ts
@@ -356,7 +356,8 @@
     }
 
     /** Sends a complete response to the caller. Returns false if the request should be retried instead. */
-    #deliverResponse({ head, body }: Extract<AttemptOutcome, { kind: "complete"; }>): boolean {
+    #deliverResponse(outcome: Extract<AttemptOutcome, { kind: "complete"; }>): boolean {
+        const { head, body } = outcome;
         const { response } = this.#call;
         if (head.status < 300) {
             if (!this.#delivery.hasHead) {
@@ -376,7 +377,7 @@
         if (this.#delivery.hasHead) {
             return false;
         }
-        if (head.status >= 500 && this.#hasAttemptsLeft()) {
+        if (head.status >= 500 && this.#mayRetry(outcome)) {
             return false;
         }
         response.send(head.status, head.headers, body);
@@ -422,9 +423,8 @@
 
     /** A stream that has begun can only be resumed, and one that has not begun is rerun in the same way. */
     #canResume(): boolean {
-        const hasEventsWithoutId = this.#delivery.firstEventMs !== undefined
-            && this.#delivery.lastEventId === undefined;
-        return this.#call.route.canResume && !hasEventsWithoutId;
+        const { firstEventMs, lastEventId } = this.#delivery;
+        return this.#call.route.canResume && (firstEventMs === undefined || lastEventId !== undefined);
     }
 
     /** Whether another group can take the request over. If none can, it stays with its group, which may only be silent. */
@@ -435,13 +435,8 @@
 
     #finalError(reason: string): GreengageError {
         if (!this.#execution.mayHaveRun && !this.#delivery.hasHead) {
-            const { random } = this.#deps;
-            const retryAfterMs = spreadRetryAfterMs(
-                MIN_RETRY_MS,
-                remainingMs(this.#call),
-                random.nextFloat(),
-            );
-            return noCapacity(reason, retryAfterMs);
+            const fraction = this.#deps.random.nextFloat();
+            return noCapacity(reason, spreadRetryAfterMs(MIN_RETRY_MS, remainingMs(this.#call), fraction));
         }
         return backendError(reason);
     }
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -247,6 +247,19 @@
     t.is(response.text, "broken");
 });
 
+test("the error response of an engine is relayed if the stream may not be rerun", async (t) => {
+    const failing = await startServer(t, (request, response) => {
+        writeHead(request, response, 500);
+        response.end("broken");
+    });
+    const other = await startServer(t, streamEvents(4));
+    const configuration = { routes: [buildRoute({ canResume: false })] };
+    const response = await createGateway(t, { groupHeads: [failing, other], configuration }).send();
+    t.is(response.status, 500);
+    t.is(response.text, "broken");
+    t.is(other.received.length, 0);
+});
+
 test("a request that exceeds its route's timeout ends with the verdict mayHaveRun", async (t) => {
     const slow = await startServer(t, () => undefined);
     const configuration = { routes: ledgerRoutes.routes.map((route) => ({ ...route, timeoutMs: 200 })) };
