State the outcome of each request in one table, and log it

A request whose caller had gone had no line of the gateway, and the line of one that the daemon ended with an error didn't tell whether the caller got that error or a broken connection, so a request that got neither an answer nor a refusal could not be found in the log.

Each request has exactly one final line.

--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -11,6 +11,7 @@
 import type { Attempt } from "./attempt.ts";
 import type { GatewayDependencies } from "./dependencies.ts";
 import { drainingError } from "./drain.ts";
+import { outcomeOfError, RequestOutcome } from "./outcome.ts";
 import type { CallerRequest, CallerResponse } from "./types.ts";
 
 /** Extra time after the deadline, in which a backend server can still respond with its own timeout error. */
@@ -59,10 +60,12 @@
     [EndReason.Shutdown]: { kind: FailureKind.Cancelled, message: SHUTDOWN_MESSAGE },
 };
 
-/** Final error of a call by the reason for its end; none if the caller has gone. */
-const endErrors: Record<EndReason, (execution: CallExecution) => GreengageError | undefined> = {
-    [EndReason.Closed]: () => undefined,
-    [EndReason.Deadline]: ({ mayHaveRun }) => timeoutError(mayHaveRun ? Verdict.MayHaveRun : Verdict.NotRun),
+/** Final error of a call by the reason for its end. */
+const endErrors: Record<EndReason, (execution: CallExecution) => GreengageError> = {
+    [EndReason.Closed]: ({ verdict }) =>
+        new GreengageError("the caller closed its connection", { code: ErrorCode.Cancelled, verdict }),
+    [EndReason.Deadline]: ({ verdict }) =>
+        new GreengageError("the deadline of the request has passed", { code: ErrorCode.Timeout, verdict }),
     [EndReason.Shutdown]: ({ mayHaveRun }) =>
         mayHaveRun ? backendError(SHUTDOWN_MESSAGE) : drainingError(SHUTDOWN_MESSAGE),
 };
@@ -115,6 +118,10 @@
         }
     }
 
+    get verdict(): Verdict {
+        return this.mayHaveRun ? Verdict.MayHaveRun : Verdict.NotRun;
+    }
+
     /** Charges an attempt beyond the first to the retry budget. Returns false if the budget is exhausted. */
     reserveAttempt(): boolean {
         const isReserved = this.attemptCount === 0 || this.reserveRetry();
@@ -154,15 +161,20 @@
     #fail(error: unknown): void {
         const failure = error instanceof GreengageError ? error : backendError(messageOf(error));
         const { code, verdict, message, retryAfterMs } = failure;
-        this.record("request.failed", {
+        const { response } = this.call;
+        const outcome = outcomeOfError(response);
+        this.record(outcome === RequestOutcome.Abandoned ? "request.abandoned" : "request.failed", {
+            outcome,
             code,
             verdict,
             reason: message,
             attempts: this.attemptCount,
             retryAfterMs,
         });
-        this.deps.context.metrics.count("gateway.failed", 1, { code });
-        this.call.response.fail(failure);
+        if (outcome !== RequestOutcome.Abandoned) {
+            this.deps.context.metrics.count("gateway.failed", 1, { code });
+        }
+        response.fail(failure);
     }
 }
 
@@ -173,8 +185,5 @@
 /** A retry has used up a larger share of the timeout than a first request loses in transit. */
 const RETRY_DEADLINE_SHARE = 0.985;
 
-const timeoutError = (verdict: Verdict): GreengageError =>
-    new GreengageError("the deadline of the request has passed", { code: ErrorCode.Timeout, verdict });
-
 export const backendError = (message: string): GreengageError =>
     new GreengageError(message, { code: ErrorCode.BackendFailed, verdict: Verdict.MayHaveRun });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -19,6 +19,7 @@
 import { type Drain, drainingError, isServedWhileDraining } from "./drain.ts";
 import { FirstTokenOffsets } from "./firsttokenoffsets.ts";
 import { type GroupState, GroupStates, isHanging, type SuspicionDetails } from "./groupstates.ts";
+import { outcomeOfError } from "./outcome.ts";
 import { PlacementClient, type RequestPermit, type RequestPlacement } from "./placementclient.ts";
 import { culpritIdsOf, PromptParts } from "./promptparts.ts";
 import { type RetryLimits, ServiceRetryBudgets } from "./retrybudgets.ts";
@@ -200,6 +201,7 @@
             const failure = error instanceof GreengageError ? error : internalError(error);
             this.#options.context.decisions.record("request.rejected", {
                 request: request.requestId,
+                outcome: outcomeOfError(response),
                 code: failure.code,
                 reason: failure.message,
                 configuration: this.#routing?.version,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -5,6 +5,7 @@
 export * from "./firsttokenoffsets.ts";
 export * from "./gateway.ts";
 export { GroupState, type InFlightRequest } from "./groupstates.ts";
+export * from "./outcome.ts";
 export * from "./placement.ts";
 export {
     PLACEMENT_TIMEOUT_MS,
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -55,6 +55,8 @@
     readonly isClosed: boolean;
     /** Whether a part of the response has been sent. */
     readonly hasStarted: boolean;
+    /** Whether the complete response has been passed on for sending. */
+    readonly hasEnded: boolean;
     /** Registers a listener that is called if the caller closes its connection before the response has ended. */
     onClosed(listener: () => void): void;
     sendHead(status: number, headers: ResponseHeaders): void;
@@ -66,7 +68,7 @@
     send(status: number, headers: ResponseHeaders, body: Buffer): void;
     /** Aborts the response, so that it can't appear complete. */
     destroy(): void;
-    /** Sends an error response, or aborts the response if it has started. */
+    /** Ends the response with an error, in the way that `outcomeOfError` states. */
     fail(error: GreengageError): void;
 }
 
--- a/test/gateway/fixtures.ts
+++ b/test/gateway/fixtures.ts
@@ -97,6 +97,10 @@
         return this.status !== undefined;
     }
 
+    get hasEnded(): boolean {
+        return this.isEnded;
+    }
+
     /** Simulates a caller that closes its connection. */
     disconnect(): void {
         this.isClosed = true;
--- a/test/platform/configchanges.test.ts
+++ b/test/platform/configchanges.test.ts
@@ -1,15 +1,18 @@
 import { waitFor } from "@greengage/faults";
 import test from "ava";
-import { parseResponse, type RawCaller } from "./rawcaller.ts";
+import { parseResponse } from "./rawcaller.ts";
 import {
     chat,
     pay,
     read,
     replaceConfiguration,
     ROUTE_TIMEOUT_MS,
-    type ServingFixture,
     setStreamDuration,
+    startRequest,
     startServing,
+    waitForFinalLines,
+    waitUntilComplete,
+    waitUntilRunning,
 } from "./serving.ts";
 
 /** Routes, services and organisations that no request of these tests uses. */
@@ -26,24 +29,6 @@
     tenants: [{ name: "others", api_keys: ["other-key"] }],
 };
 
-const startRequest = async (fixture: ServingFixture, text: string): Promise<RawCaller> => {
-    const caller = await fixture.open();
-    caller.send(text);
-    return caller;
-};
-
-const waitUntilRunning = (fixture: ServingFixture, ids: readonly string[]): Promise<true> =>
-    waitFor(
-        "requests to run",
-        async () => ids.every((id) => fixture.ranIds().includes(id)) ? true : undefined,
-    );
-
-const waitUntilComplete = (caller: RawCaller): Promise<true> =>
-    waitFor(
-        "the end of a response",
-        async () => caller.isClosed || parseResponse(caller.received)?.isComplete ? true : undefined,
-    );
-
 // Guards against requests that lose their answer because a new configuration drops what they were resolved to.
 test.serial("requests in progress when a configuration drops their route, service and key are answered", async (t) => {
     const fixture = await startServing(t);
@@ -80,19 +65,6 @@
     ]);
 });
 
-interface FinalLine {
-    event: string;
-    request: string;
-    reason?: string;
-}
-
-const FINAL_EVENTS = ["request.answered", "request.answeredFailure", "request.failed", "request.rejected"];
-
-const finalLines = ({ entryLog }: ServingFixture, ids: readonly string[]): FinalLine[] =>
-    entryLog().split("\n").filter((line) => line.startsWith("{"))
-        .map((line) => JSON.parse(line) as FinalLine)
-        .filter(({ event, request }) => FINAL_EVENTS.includes(event) && ids.includes(request));
-
 // Guards against requests that end without an answer or a reason when their servers leave after their service.
 test.serial("requests whose servers end after a configuration has dropped their service end with a reason", async (t) => {
     const fixture = await startServing(t);
@@ -120,10 +92,7 @@
         502,
         502,
     ]);
-    const lines = await waitFor("the lines of all requests", async () => {
-        const found = finalLines(fixture, ids);
-        return found.length >= ids.length ? found : undefined;
-    });
+    const lines = await waitForFinalLines(fixture, ids);
     t.deepEqual(lines.map(({ request }) => request).toSorted(), ids.toSorted());
     t.true(lines.every(({ event, reason }) => event === "request.failed" && reason !== undefined));
 });
--- a/test/platform/rawcaller.ts
+++ b/test/platform/rawcaller.ts
@@ -34,6 +34,10 @@
         return this.#socket.destroyed;
     }
 
+    close(): void {
+        this.#socket.destroy();
+    }
+
     /** Has no effect on a closed connection. */
     send(text: string): void {
         if (!this.#socket.destroyed) {
--- a/test/platform/serving.ts
+++ b/test/platform/serving.ts
@@ -8,7 +8,7 @@
     startPlatform,
     wireConfiguration,
 } from "./fixtures.ts";
-import { formatRequest, RawCaller, type RawResponse } from "./rawcaller.ts";
+import { formatRequest, parseResponse, RawCaller, type RawResponse } from "./rawcaller.ts";
 
 /** Timeout of the routes, which is longer than the grace period. */
 export const ROUTE_TIMEOUT_MS = 20_000;
@@ -125,3 +125,49 @@
     t.true(response?.isComplete, name);
     t.regex(response?.head ?? "", /\r\nconnection: close/, name);
 };
+
+export const startRequest = async (fixture: ServingFixture, text: string): Promise<RawCaller> => {
+    const caller = await fixture.open();
+    caller.send(text);
+    return caller;
+};
+
+export const waitUntilRunning = (fixture: ServingFixture, ids: readonly string[]): Promise<true> =>
+    waitFor(
+        "requests to run",
+        async () => ids.every((id) => fixture.ranIds().includes(id)) ? true : undefined,
+    );
+
+export const waitUntilComplete = (caller: RawCaller): Promise<true> =>
+    waitFor(
+        "the end of a response",
+        async () => caller.isClosed || parseResponse(caller.received)?.isComplete ? true : undefined,
+    );
+
+/** Line of the decision log that tells how a request ended. */
+export interface FinalLine {
+    event: string;
+    request: string;
+    outcome?: string;
+    reason?: string;
+}
+
+const FINAL_EVENTS: ReadonlySet<string> = new Set([
+    "request.answered",
+    "request.answeredFailure",
+    "request.rejected",
+    "request.failed",
+    "request.abandoned",
+]);
+
+/** Waits until the log of the first entry daemon has as many final lines of the requests as there are requests. */
+export const waitForFinalLines = (
+    { entryLog }: ServingFixture,
+    ids: readonly string[],
+): Promise<FinalLine[]> =>
+    waitFor("the final lines of all requests", async () => {
+        const lines = entryLog().split("\n").slice(0, -1).filter((line) => line.startsWith("{"))
+            .map((line) => JSON.parse(line) as FinalLine)
+            .filter(({ event, request }) => FINAL_EVENTS.has(event) && ids.includes(request));
+        return lines.length >= ids.length ? lines : undefined;
+    });
