--- a/packages/gateway/src/streamcall.ts
+++ b/packages/gateway/src/streamcall.ts
@@ -336,7 +336,8 @@
     }
 
     /** Sends a complete response to the caller. Returns false if the request should be retried instead. */
-    #deliverResponse({ head, body }: Extract<AttemptOutcome, { kind: "complete"; }>): boolean {
+    #deliverResponse(outcome: Extract<AttemptOutcome, { kind: "complete"; }>): boolean {
+        const { head, body } = outcome;
         const { response } = this.#call;
         if (head.status < 300) {
             if (!this.#delivery.hasHead) {
@@ -356,7 +357,7 @@
         if (this.#delivery.hasHead) {
             return false;
         }
-        if (head.status >= 500 && this.#hasAttemptsLeft()) {
+        if (head.status >= 500 && this.#mayRetry(outcome)) {
             return false;
         }
         response.send(head.status, head.headers, body);
@@ -413,13 +414,8 @@
 
     #finalError(reason: string): GreengageError {
         if (!this.#execution.mayHaveRun && !this.#delivery.hasHead) {
-            const { random } = this.#deps;
-            const retryAfterMs = spreadRetryAfterMs(
-                MIN_RETRY_MS,
-                remainingMs(this.#call),
-                random.nextFloat(),
-            );
-            return noCapacity(reason, retryAfterMs);
+            const fraction = this.#deps.random.nextFloat();
+            return noCapacity(reason, spreadRetryAfterMs(MIN_RETRY_MS, remainingMs(this.#call), fraction));
         }
         return backendError(reason);
     }
