Check crashes reported to a new leader before its servers have reported

After a change of leadership, any broken connection counted as the crash of its group or server until the heads and servers had reported to the new leader: it knew them from the records of the former one, but found no report and so no address to probe. Resets on two servers, such as those of a harmed link, quarantined a sound request for a minute.

The leader now probes the address in the records until it has settled; after that, a server that hasn't reported is gone.

fleet > crashconfirmation, four tests, failed on: nothing was probed, and both sound servers counted as crashed.

--- a/packages/fleet/src/controller.ts
+++ b/packages/fleet/src/controller.ts
@@ -6,7 +6,7 @@
 import { GroupFormation } from "./formation.ts";
 import { GroupPhase, headIdOf } from "./group.ts";
 import { GroupTable } from "./grouptable.ts";
-import type { EngineOrders } from "./orders.ts";
+import type { EngineOrders, ServerEndpoint } from "./orders.ts";
 import { PlannerInputs } from "./plannerinputs.ts";
 import type { ServerRegistry } from "./registry.ts";
 import { WeightStaging } from "./staging.ts";
@@ -64,6 +64,7 @@
     #term = 0;
     #epochCount = 0;
     #settledAtMs = Infinity;
+    #inheritedEndpoints = new Map<string, ServerEndpoint>();
 
     constructor(options: GroupControllerOptions) {
         this.#options = options;
@@ -116,6 +117,9 @@
     activate(term: number, records: GroupRecords | undefined): void {
         this.#term = term;
         this.#epochCount = 0;
+        this.#inheritedEndpoints = new Map(
+            endpointsOf(records).map((endpoint) => [endpoint.serverId, endpoint]),
+        );
         this.#state.groups.clear();
         if (records !== undefined) {
             restoreGroups(this.#state, records, monotonicMs());
@@ -146,27 +150,26 @@
 
     /** Id of the crash of a server of a plain service; undefined if its process accepts connections. */
     async confirmServerCrash(serverId: string): Promise<CrashId | undefined> {
-        const server = this.#state.registry.get(serverId);
-        if (server === undefined) {
-            return serverId;
+        const report = this.#state.registry.get(serverId)?.report;
+        const endpoint = report ?? this.#inheritedEndpoint(serverId);
+        if (endpoint !== undefined && await this.#options.orders.acceptsConnections(endpoint)) {
+            return undefined;
         }
-        const { bornMs } = server.report;
-        return await this.#options.orders.acceptsConnections(server.report)
-            ? undefined
-            : `${serverId}/${bornMs}`;
+        return report === undefined ? serverId : `${serverId}/${report.bornMs}`;
     }
 
     /** Whether a group has ended or its head doesn't respond, in which case its repair begins. */
     async confirmCrash(groupName: string, epoch: number): Promise<boolean> {
         const group = this.#state.groups.get(groupName);
-        const head = group === undefined ? undefined : this.#state.registry.get(headIdOf(group));
-        if (
-            group === undefined || group.epoch !== epoch || group.phase !== GroupPhase.Open
-            || head === undefined
-        ) {
+        if (group === undefined || group.epoch !== epoch || group.phase !== GroupPhase.Open) {
             return true;
         }
-        const probe = await this.#options.orders.probe(head.report);
+        const headId = headIdOf(group);
+        const head = this.#state.registry.get(headId)?.report ?? this.#inheritedEndpoint(headId);
+        if (head === undefined) {
+            return true;
+        }
+        const probe = await this.#options.orders.probe(head);
         if (probe.kind === "answered") {
             return false;
         }
@@ -184,6 +187,11 @@
         return true;
     }
 
+    /** Address of a server from the previous leader's records, until it has had time to report to this one. */
+    #inheritedEndpoint(serverId: string): ServerEndpoint | undefined {
+        return this.isSettled ? undefined : this.#inheritedEndpoints.get(serverId);
+    }
+
     recordDemand(demand: readonly ModelDemand[]): void {
         if (demand.length > 0) {
             this.#state.hasDemand = true;
@@ -225,3 +233,8 @@
         this.#options.onReconciled();
     }
 }
+
+const endpointsOf = (records: GroupRecords | undefined): ServerEndpoint[] => [
+    ...records?.servers ?? [],
+    ...records?.groups.flatMap(({ members }) => members).filter(({ address }) => address !== "") ?? [],
+];
--- a/packages/fleet/src/orders.ts
+++ b/packages/fleet/src/orders.ts
@@ -38,6 +38,9 @@
     /** No answer in time or no connection. During a partition, connections to a live process may be refused. */
     | { kind: "silent"; };
 
+/** Address of a backend server as `host:port`, with the id expected there. */
+export type ServerEndpoint = Pick<ServerReport, "serverId" | "address">;
+
 /** Sends orders to backend servers. */
 export interface EngineOrders {
     join(server: ServerReport, roster: GroupRoster): Promise<OrderOutcome>;
@@ -48,7 +51,7 @@
     leave(server: ServerReport, group: GroupRef): Promise<OrderOutcome>;
     /** Loads a model's weights onto the server's host. */
     stage(server: ServerReport, model: string): Promise<OrderOutcome>;
-    probe(server: ServerReport): Promise<EngineProbeResult>;
+    probe(server: ServerEndpoint): Promise<EngineProbeResult>;
     /** Whether a process accepts connections at the server's address, which needs no slot of the server. */
-    acceptsConnections(server: ServerReport): Promise<boolean>;
+    acceptsConnections(server: ServerEndpoint): Promise<boolean>;
 }
--- a/test/fleet/fixtures.ts
+++ b/test/fleet/fixtures.ts
@@ -7,6 +7,7 @@
     type GroupRef,
     type GroupRoster,
     OrderOutcome,
+    type ServerEndpoint,
     ServerRegistry,
 } from "@greengage/fleet";
 import { type GroupMembership, MemberState, type ServerReport } from "@greengage/protocol";
@@ -14,7 +15,7 @@
 import { buildConfiguration, buildEngineProfile } from "../configuration/fixtures.ts";
 
 /** Short, so that a test takes a fraction of a second. */
-const HEARTBEAT_MS = 60;
+export const HEARTBEAT_MS = 60;
 const LOAD_MS = 40;
 
 export const reportOf = (serverId: string, fields: Partial<ServerReport> = {}): ServerReport => ({
@@ -157,7 +158,7 @@
 const createFakeOrders = (
     { engines, violations, counts, lifecycle, loads, announce }: FakeOrdersOptions,
 ): EngineOrders => {
-    const deliver = (server: ServerReport, order: string): FakeEngine | undefined => {
+    const deliver = (server: ServerEndpoint, order: string): FakeEngine | undefined => {
         counts.set(order, (counts.get(order) ?? 0) + 1);
         const engine = engines.get(server.serverId);
         return engine === undefined || engine.isUnresponsive || engine.isPartitioned ? undefined : engine;
