Blame a prompt part only for crashes under different requests

When a request came again 0.4 s after its first crash or later, and no other request with its first part had been served in between, the part was quarantined in place of the request: parts were blamed at once, requests 50 ms after their last crash, when all reports have arrived. The quarantine of the part then explained the crashes of the request. All sound requests with the part were rejected for a minute.

A part is now not blamed as long as one request has been in all of its crashes. That request is quarantined 50 ms later, or cleared by a response, and the part is looked at again then.

fleet > partquarantine "a rare first part is rejected with the request that crashes groups" failed on: only the part was quarantined. The test of a part that crashes engines with three contents is unchanged.

--- a/packages/fleet/src/partquarantine.ts
+++ b/packages/fleet/src/partquarantine.ts
@@ -146,9 +146,11 @@
             .sort(byEvidence);
         for (const suspect of blamed) {
             const others = suspects();
-            // More requests share the wider culprit, so the narrower one is taken for the cause of common crashes.
+            // More requests share the wider culprit, so the narrower one is taken for the cause of common crashes. A part that
+            // has crashed servers with one request only waits until that request is quarantined or cleared.
             const isExplained = others.some((other) =>
-                isQuarantined(other) && isNarrower(other, suspect) && explainsCrashes(other, suspect)
+                (isQuarantined(other) || isRequest(other)) && isNarrower(other, suspect)
+                && explainsCrashes(other, suspect)
             );
             // The quarantine of a former one in this loop may have explained its crashes.
             if (isExplained || !others.includes(suspect) || !isBlamed(suspect, others, nowMs)) {
--- a/test/fleet/partquarantine.test.ts
+++ b/test/fleet/partquarantine.test.ts
@@ -365,3 +365,13 @@
     t.false(quarantine.grantTrial(SERVICE, "second", trialAtMs + FIRST_TRIAL_DELAY_MS));
     t.true(quarantine.grantTrial(SERVICE, "second", trialAtMs + 4_000 + 2 * FIRST_TRIAL_DELAY_MS));
 });
+
+test("a rare first part is rejected with the request that crashes groups", (t) => {
+    const quarantine = createQuarantine();
+    const crashedAtMs = [0, ANSWERING_RULE.exonerationMs, 2 * ANSWERING_RULE.exonerationMs];
+    for (const [epoch, atMs] of crashedAtMs.entries()) {
+        quarantine.recordCrash(SERVICE, epoch, [answering("rare", DEADLY)], atMs);
+        quarantine.update(atMs + REPORT_SETTLE_MS);
+        t.deepEqual(quarantinedIds(quarantine, atMs + REPORT_SETTLE_MS), epoch === 0 ? [] : [DEADLY]);
+    }
+});
