Test responses that break off in their head on new and used connections

An operator of a similar system saw a 200 with an empty or short body, framed as whole, after an engine stopped in the middle of its answer's head and closed. All pass on the present code, so no code changes.

--- a/test/gateway/rawserver.ts
+++ b/test/gateway/rawserver.ts
@@ -15,6 +15,8 @@
 
 /** Bytes that a raw server sends in response to one request. */
 export interface ByteScript {
+    /** Response to the first request of each connection, which stays open. Default: `text`. */
+    firstText?: string;
     /** Sent once. `{id}` stands for the id of the request. */
     text: string;
     /** Sent over and over after `text` until the peer closes the connection. */
@@ -31,6 +33,8 @@
     receivedIds: string[];
     /** Value of `x-last-event` of each received request. */
     lastEventIds: (string | undefined)[];
+    /** Number of connections so far. */
+    connectionCount: number;
     /** Number of open connections that have carried a request. */
     openConnectionCount: number;
     /** Number of bytes that left this process towards the gateway. */
@@ -49,6 +53,7 @@
         address: "",
         receivedIds: [],
         lastEventIds: [],
+        connectionCount: 0,
         openConnectionCount: 0,
         sentBytes: 0,
     };
@@ -56,6 +61,8 @@
     const server = createServer({ noDelay: true }, (socket) => {
         let received = "";
         let hasRequest = false;
+        let requestCount = 0;
+        raw.connectionCount += 1;
         sockets.add(socket);
         socket.on("error", () => undefined);
         socket.on("close", () => {
@@ -70,10 +77,15 @@
                 hasRequest = true;
                 const request = received.slice(0, length);
                 received = received.slice(length);
-                const id = headerOf(request, "x-id") ?? "";
+                const id = headerOf(request, "x-(?:request-)?id") ?? "";
                 raw.receivedIds.push(id);
                 raw.lastEventIds.push(headerOf(request, "x-last-event"));
-                send(socket, { ...script, text: script.text.replaceAll("{id}", id) });
+                requestCount += 1;
+                const { firstText, ...laterScript } = script;
+                const current = firstText === undefined || requestCount > 1
+                    ? laterScript
+                    : { text: firstText };
+                send(socket, { ...current, text: current.text.replaceAll("{id}", id) });
             }
         });
     });
@@ -128,6 +140,38 @@
     sendBlock();
 };
 
+/**
+ * Responses that break off in the middle of `head`, which ends with the line end of its last field, or in a short body, by
+ * the place where they do.
+ */
+export const brokenOff = (head: string, body: string): Record<string, string> => {
+    const lines = head.split("\r\n");
+    const beforeLast = `${lines.slice(0, -2).join("\r\n")}\r\n`;
+    const last = lines.at(-2) ?? "";
+    return {
+        "inside the status line": "HTTP/1.1 20",
+        "after the status code": "HTTP/1.1 200",
+        "after the status line": "HTTP/1.1 200 OK\r\n",
+        "inside the name of a field": beforeLast + last.slice(0, 4),
+        "after the name of a field": beforeLast + last.slice(0, last.indexOf(":") + 1),
+        "inside the value of a field": beforeLast + last.slice(0, -1),
+        "after the last field": head.slice(0, -2),
+        "after the line end of the last field": head,
+        "inside the blank line": `${head}\r`,
+        "inside the name of the length": `${head}content-len`,
+        "inside the value of the length": `${head}content-length: 1`,
+        "after the length": `${head}content-length: ${body.length}\r\n`,
+        "before the first byte of a body with a length": `${head}content-length: ${body.length}\r\n\r\n`,
+        "before the last byte of a body with a length": `${head}content-length: ${body.length}\r\n\r\n${
+            body.slice(0, -1)
+        }`,
+        "before the first chunk": `${head}transfer-encoding: chunked\r\n\r\n`,
+        "before the last chunk": `${head}transfer-encoding: chunked\r\n\r\n${
+            body.length.toString(16)
+        }\r\n${body}\r\n`,
+    };
+};
+
 /** Prints the port of a listener, then blocks, so that the kernel queues connections that nobody accepts. */
 const BLOCKED_LISTENER = `
     require("node:net").createServer().listen({ port: 0, host: "127.0.0.1", backlog: 1 }, function () {
