--- a/packages/gateway/src/streamcall.ts
+++ b/packages/gateway/src/streamcall.ts
@@ -18,19 +18,10 @@
 /** Minimum remaining time for a retry; also the shortest retry delay that a rejected caller is given. */
 const MIN_RETRY_MS = 100;
 
-/** How far the response of an attempt has come. */
-const AttemptProgress = {
-    None: "none",
-    /** The engine has begun to answer. */
-    Head: "head",
-    Events: "events",
-} as const;
-
-type AttemptProgress = typeof AttemptProgress[keyof typeof AttemptProgress];
-
 interface AttemptResult {
     outcome: AttemptOutcome;
-    progress: AttemptProgress;
+    /** Whether the engine has begun to answer. */
+    hasHead: boolean;
 }
 
 /** Handles a request to a replica group, and resumes its event stream at another group if the group fails. */
@@ -86,7 +77,7 @@
             }
             tried.add(group.target.groupName);
             this.#execution.attemptCount += 1;
-            const { outcome, progress } = await this.#runAttempt(group, firstTokenMs - startDelayMs);
+            const { outcome, hasHead } = await this.#runAttempt(group, firstTokenMs - startDelayMs);
             if (this.#execution.endReason !== undefined) {
                 break;
             }
@@ -97,7 +88,7 @@
                 ? `responded with status ${outcome.head.status}`
                 : outcome.reason;
             this.#execution.record("request.attemptFailed", { outcome: outcome.kind, reason });
-            const mayRepeat = this.#mayRepeat(group, outcome, progress);
+            const mayRepeat = this.#mayRepeat(group, outcome, hasHead);
             if (!this.#mayRetry(outcome) || !await mayRepeat) {
                 throw this.#finalError(reason);
             }
@@ -186,7 +177,7 @@
         const { request, organisation, priority, deadlineAtMs } = this.#call;
         const { target } = group;
         const sentAtMs = monotonicMs();
-        let progress: AttemptProgress = AttemptProgress.None;
+        let hasHead = false;
         const mayHaveRunBefore = this.#execution.mayHaveRun;
         const attempt = new Attempt({
             client: pools.get(`http://${target.headAddress}`, sentAtMs),
@@ -221,15 +212,10 @@
                     receivedAtMs: monotonicMs(),
                 }),
             onHead: (head) => {
-                progress = AttemptProgress.Head;
+                hasHead = true;
                 this.#onHead(group, head);
             },
-            onEvents: (events, hasFields) => {
-                if (hasFields) {
-                    progress = AttemptProgress.Events;
-                }
-                this.#onEvents(group, inFlight, events, hasFields);
-            },
+            onEvents: (events, hasFields) => this.#onEvents(group, inFlight, events, hasFields),
         });
         const inFlight: InFlightRequest = {
             promptTokens: this.#generation.promptTokens,
@@ -258,14 +244,14 @@
         group.end(inFlight, outcome.kind === "complete", monotonicMs());
         this.#penalizeGroup(group, outcome);
         this.#hasBeenRejected ||= outcome.kind === "notRun";
-        return { outcome, progress };
+        return { outcome, hasHead };
     }
 
     /** Whether a request that has lost its connection may be sent to another group, which it could crash too. */
     async #mayRepeat(
         group: GroupState,
         outcome: AttemptOutcome,
-        progress: AttemptProgress,
+        hasHead: boolean,
     ): Promise<boolean> {
         const isInterrupted = outcome.kind === "failed" && CRASH_FAILURES.has(outcome.failure);
         if (!isInterrupted) {
@@ -275,7 +261,7 @@
         const { service, culpritIds } = this.#call;
         const isSuspected = !await promptParts.mayRepeatAfterFailure(service.name, group.target, {
             partIds: [...culpritIds],
-            hasHead: progress !== AttemptProgress.None,
+            hasHead,
             ...(this.#delivery.firstEventMs === undefined ? {} : { hasEvents: true }),
         });
         const mayRepeat = !this.#isTrial && !isSuspected;
