Complete an event stream without events only if two groups agree

What callers saw: a stream broke off after two of its events, the resumption was answered with 200, text/event-stream and an empty body, and the caller's stream ended as complete.

Cause: streams of the gateway have no end marker; their end is the end of the HTTP body. A short stream whose framing is whole can't be told from a whole one, so the gateway took any framed end for the end of the stream.

Fix: a response that is an event stream without any event (comments don't count) is a failed attempt, on a resumption, on a resumption by the caller and on a first attempt. If a second group has no event either, the stream is complete, because its last event had been delivered. If no attempt is left, the response is broken off, so that the caller can resume it. It blames no prompt part and suspects no group. A resumption that brings some events and then ends too early still can't be recognised. The own daemon's streams have an end marker; there an empty resumption was rejected before, which test/routing/dispatch.test.ts now covers.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -27,7 +27,7 @@
 /** How one exchange with a backend server ended. */
 export type AttemptOutcome =
     /** The response is complete. */
-    | { kind: "complete"; head: ServerHead; body: Buffer; }
+    | { kind: "complete"; head: ServerHead; body: Buffer; isEmptyStream: boolean; }
     /** The server has not run the request and never will. */
     | { kind: "notRun"; reason: string; head?: ServerHead; }
     /** The server may have run the request, at least partially. */
@@ -67,6 +67,7 @@
     #resolve: (outcome: AttemptOutcome) => void = () => undefined;
     #head: ServerHead | undefined;
     #hasEventContent = false;
+    #hasEvents = false;
     #chunks: Buffer[] = [];
     #bufferedBytes = 0;
     #sentAtMs = Infinity;
@@ -182,6 +183,7 @@
             }
             this.#lastEventId = lastEventIdOf(events) ?? this.#lastEventId;
         }
+        this.#hasEvents ||= hasFields;
         this.#options.onEvents?.(events, hasFields);
     }
 
@@ -209,7 +211,8 @@
             });
             return;
         }
-        this.#settle({ kind: "complete", head, body });
+        const isEmptyStream = this.#hasEventContent && this.#isEventStream() && !this.#hasEvents;
+        this.#settle({ kind: "complete", head, body, isEmptyStream });
     }
 
     #onFailure(error: ExchangeError): void {
--- a/packages/gateway/src/streamcall.ts
+++ b/packages/gateway/src/streamcall.ts
@@ -6,6 +6,7 @@
 import { backendError, type Call, CallExecution, isCallerRetry, remainingMs } from "./call.ts";
 import { StreamDelivery } from "./delivery.ts";
 import type { GatewayDependencies } from "./dependencies.ts";
+import { EmptyStreams } from "./emptystreams.ts";
 import { lastEventIdOf } from "./eventsequence.ts";
 import type { GroupState, InFlightRequest } from "./groupstates.ts";
 import { PlacementFinder, type ResolvedPlacement } from "./placementfinder.ts";
@@ -33,6 +34,7 @@
     readonly #placementFinder: PlacementFinder;
     readonly #execution: CallExecution;
     readonly #delivery: StreamDelivery;
+    readonly #emptyStreams = new EmptyStreams();
     #head: ServerHead | undefined;
     #hasBeenRejected = false;
     /** Whether the leader lets the request find out whether a quarantined part still crashes engines. */
@@ -229,7 +231,7 @@
         };
         group.add(inFlight);
         this.#execution.attempt = attempt;
-        const outcome = await attempt.run();
+        const outcome = this.#emptyStreams.check(target.groupName, await attempt.run());
         this.#execution.attempt = undefined;
         if (outcome.kind === "notRun") {
             this.#execution.mayHaveRun = mayHaveRunBefore;
--- a/test/routing/dispatch.test.ts
+++ b/test/routing/dispatch.test.ts
@@ -80,6 +80,7 @@
 
 const foreignContinuations: Record<string, FakeEngine["handle"]> = {
     "plain text": sendAs("text/plain", `data: loading\n\n${END_MARKER}`),
+    nothing: sendAs("text/event-stream", ""),
     "an event of something else": sendAs("text/event-stream", `data: loading\n\n${END_MARKER}`),
 };
 
