Repeat no crash to a new leader whose culprit has been cleared

Since crashes of the last minute are reported again to a new leader, a change of leadership made sound requests suspects again: a popular one that had been in progress at two crashes of other causes, and had been served a hundred times since each, had both crashes at once at the new leader and was quarantined 50 ms later; a quarantine that an operator had lifted came back. The leader clears a culprit without telling the daemons that have seen its crashes.

A suspect that leaves the view of the same leader has been cleared, so its crashes are now taken off the reports that are repeated, and so are those of a request that this daemon has served completely.

gateway > promptparts "a new leader is told of crashes whose culprits the former one has cleared" failed on: the repeated report named all three culprits, of which two were cleared.

--- a/packages/gateway/src/crashreports.ts
+++ b/packages/gateway/src/crashreports.ts
@@ -1,5 +1,11 @@
 import { type Context, type Lifecycle, messageOf, monotonicMs, sleep } from "@greengage/base";
-import type { GroupCrash, PartReport, PartReportResponse, ServerCrash } from "@greengage/protocol";
+import type {
+    GroupCrash,
+    PartReport,
+    PartReportResponse,
+    ServerCrash,
+    UnservedRequest,
+} from "@greengage/protocol";
 
 /** Reports are collected for this long, as a crash ends several requests at once. */
 export const REPORT_DELAY_MS = 5;
@@ -65,6 +71,20 @@
         });
     }
 
+    /** Leaves a culprit that has been cleared since out of reports that are repeated. */
+    forget(service: string, partId: string): void {
+        const withoutCulprit = <T extends GroupCrash | ServerCrash>(crash: T): T =>
+            crash.service === service ? { ...crash, requests: withoutPart(crash.requests, partId) } : crash;
+        this.#remembered = this.#remembered.map(({ report, atMs }) => ({
+            atMs,
+            report: {
+                ...report,
+                crashes: report.crashes.map(withoutCulprit),
+                serverCrashes: report.serverCrashes?.map(withoutCulprit) ?? [],
+            },
+        }));
+    }
+
     /** Reports the latest crashes again. The leader counts each crash once, so it may know them already. */
     async repeatAll(): Promise<void> {
         this.#remembered = this.#remembered.filter(({ atMs }) => monotonicMs() - atMs < REMEMBERED_MS);
@@ -142,3 +162,7 @@
         });
     }
 }
+
+const withoutPart = (requests: readonly UnservedRequest[], partId: string): UnservedRequest[] =>
+    requests.map((request) => ({ ...request, partIds: request.partIds.filter((id) => id !== partId) }))
+        .filter(({ partIds }) => partIds.length > 0);
--- a/packages/gateway/src/promptparts.ts
+++ b/packages/gateway/src/promptparts.ts
@@ -99,6 +99,8 @@
 
     /** Tells a new leader of the latest crashes. */
     onNewLeader(): void {
+        // What the new leader doesn't list may be unknown to it, and not cleared.
+        this.#suspects.clear();
         this.#lifecycle.run(() => this.#crashReports.repeatAll(), (error) => {
             this.#context.decisions.record("part.reportFailed", { reason: messageOf(error) });
         });
@@ -110,6 +112,11 @@
             suspects.map((suspect) => [keyOf(suspect.service, suspect.partId), suspect]),
         );
         this.#reportedKeys.clear();
+        for (const [key, { service, partId }] of former) {
+            if (!this.#suspects.has(key)) {
+                this.#crashReports.forget(service, partId);
+            }
+        }
         for (const [key, { service, partId }] of this.#suspects) {
             if (!former.has(key) && this.#wasServedWithin(key, SERVED_TTL_MS, monotonicMs())) {
                 this.#reportServed({ service, partId, isComplete: false });
@@ -165,6 +172,7 @@
             const key = keyOf(service, partId);
             if (this.#isSuspect(key)) {
                 this.#crashedRequests.delete(key);
+                this.#crashReports.forget(service, partId);
                 this.#servedAtMs.set(key, nowMs);
                 this.#reportServed({ service, partId, isComplete: true });
             }
--- a/test/gateway/promptparts.test.ts
+++ b/test/gateway/promptparts.test.ts
@@ -278,6 +278,22 @@
     t.is(leader.reports.length, 2);
 });
 
+// Guards against sound requests that a change of leadership makes suspects again.
+test("a new leader is told of crashes whose culprits the former one has cleared", async (t) => {
+    const { send, gateway, leader, first, second } = await startFixture(t, crash);
+    await send(requestWith("shared", "deadly", "own"));
+    const view = viewOf({ groupHeads: [first, second] });
+    const suspects = ["shared", "deadly", REQUEST_ID].map((partId) =>
+        quarantinedPart(partId, { isQuarantined: false })
+    );
+    gateway.applyView({ ...view, version: 2, suspectParts: suspects });
+    gateway.applyView({ ...view, version: 3, suspectParts: suspects.slice(1, 2) });
+    gateway.applyView({ ...view, term: 2, version: 1 });
+    await waitFor("the repeated report", () => leader.reports.length > 1 || undefined);
+    const requests = leader.reports.at(-1)?.crashes.flatMap((repeated) => repeated.requests);
+    t.deepEqual(requests, [{ partIds: ["deadly"], hasHead: true }]);
+});
+
 test("a crash that the leader has not confirmed is told to its successor", async (t) => {
     const { send, gateway, leader, first, second } = await startFixture(
         t,
