Test late copies of an answer on a connection that is in use again

An operator of a similar system saw a caller get the answer to another request, after a server had sent a second copy of an answer on a connection that was in use again.

--- a/test/gateway/rawserver.ts
+++ b/test/gateway/rawserver.ts
@@ -17,7 +17,7 @@
 export interface ByteScript {
     /** Response to the first request of each connection, which stays open. Default: `text`. */
     firstText?: string;
-    /** Sent once. `{id}` stands for the id of the request. */
+    /** Sent once. `{id}` stands for the id of the request, `{firstId}` for that of the first one on its connection. */
     text: string;
     /** Sent over and over after `text` until the peer closes the connection. */
     endless?: string;
@@ -62,6 +62,7 @@
         let received = "";
         let hasRequest = false;
         let requestCount = 0;
+        let firstId: string | undefined;
         raw.connectionCount += 1;
         sockets.add(socket);
         socket.on("error", () => undefined);
@@ -81,11 +82,13 @@
                 raw.receivedIds.push(id);
                 raw.lastEventIds.push(headerOf(request, "x-last-event"));
                 requestCount += 1;
+                firstId ??= id;
                 const { firstText, ...laterScript } = script;
                 const current = firstText === undefined || requestCount > 1
                     ? laterScript
                     : { text: firstText };
-                send(socket, { ...current, text: current.text.replaceAll("{id}", id) });
+                const text = current.text.replaceAll("{id}", id).replaceAll("{firstId}", firstId);
+                send(socket, { ...current, text });
             }
         });
     });
