Test that a fleet controller without the leader lease sends no order

An operator of a similar system saw orders sent twice around a hand-over between two processes. The own daemon's zone controller had tests for that, the fleet controller only the soak.

--- a/test/fleet/fixtures.ts
+++ b/test/fleet/fixtures.ts
@@ -66,6 +66,8 @@
     orderCounts: Map<string, number>;
     openGroups(): string[];
     engine(serverId: string): FakeEngine;
+    /** Sets whether the controller's daemon holds the leader lease; it does at the start. */
+    setLease(isHeld: boolean): void;
     /** Makes subsequent loads from the weight store take `slowLoadMs`. */
     slowDownLoads(): void;
     /** Makes an engine stop reporting and responding. */
@@ -101,6 +103,7 @@
         }],
     }));
     const loads = { durationMs: LOAD_MS };
+    const lease = { isHeld: true };
     const announce = (engine: FakeEngine): void => {
         if (!engine.isUnresponsive && !engine.isPartitioned) {
             engine.report.sequence += 1;
@@ -114,7 +117,7 @@
         orders,
         timing: { heartbeatMs: HEARTBEAT_MS },
         routing: () => routing,
-        mayAct: () => true,
+        mayAct: () => lease.isHeld,
         onReconciled: () => undefined,
     });
     const report = (): void => {
@@ -136,6 +139,9 @@
         openGroups: () =>
             controller.groups.all().filter(({ phase }) => phase === "open").map(({ groupName }) => groupName),
         engine: (serverId) => engines.get(serverId) as FakeEngine,
+        setLease: (isHeld) => {
+            lease.isHeld = isHeld;
+        },
         slowDownLoads: () => {
             loads.durationMs = slowLoadMs;
         },
