Let stand-ins of the platform leave or pause, and share their small fleet

PlatformEngine can say in its answers that it leaves, and turn requests away with 503 and Retry-After. The fleet of the test of limits becomes a fixture, as the next tests need it too.

--- a/test/platform/engine.ts
+++ b/test/platform/engine.ts
@@ -44,6 +44,8 @@
     onArrival?: (engineId: string, message: IncomingMessage) => void;
     /** Called when an engine has crashed, with the deadly part if there was one. */
     onCrash?: (engine: PlatformEngine, part?: string) => void;
+    /** Called when an engine turns a request away and asks for a pause. */
+    onPause?: (engineId: string) => void;
 }
 
 /** Stand-in for a backend server on the users' platform that speaks the platform's published protocol. */
@@ -82,6 +84,12 @@
     dropsAnswers = false;
     /** Requests per second that the engine takes from all daemons together, named in its answers. */
     requestLimitPerS: number | undefined;
+    /** Whether the engine says in all its answers that it leaves. Its registrations don't. */
+    saysLeaving = false;
+    /** If set, requests are turned away with 503, with this time in seconds as Retry-After. */
+    retryAfterS: string | undefined;
+    /** Whether answers that turn a request away state that it hasn't run. */
+    statesNotRun = true;
 
     constructor(options: PlatformEngineOptions) {
         this.#options = options;
@@ -280,12 +288,23 @@
         ) {
             fleet?.onViolation("DRAIN", `${id} received ${String(requestId)} after its drain`);
         }
+        if (this.retryAfterS !== undefined) {
+            fleet?.onPause?.(id);
+            response.writeHead(503, {
+                ...requestIdHeader(message),
+                ...this.#leavingHeader(),
+                ...(this.statesNotRun ? { "greengageridge-not-executed": "1" } : {}),
+                "retry-after": this.retryAfterS,
+            }).end();
+            return;
+        }
         this.member.checkGroupReady();
         this.executedHeaders.push(message.headers);
         fleet?.onRun(id, message);
         const head = {
             ...requestIdHeader(message),
             "greengageridge-response-stamp": "stamp",
+            ...this.#leavingHeader(),
             ...(this.requestLimitPerS === undefined
                 ? {}
                 : { "server-limit": this.requestLimitPerS.toFixed(1) }),
@@ -310,6 +329,10 @@
         return this.#options.fleet?.deadlyPaths?.has(url) ?? false;
     }
 
+    #leavingHeader(): Record<string, string> {
+        return this.saysLeaving ? { "server-leaving": "1" } : {};
+    }
+
     async #beginStream(
         message: IncomingMessage,
         response: ServerResponse,
--- /dev/null
+++ b/test/platform/smallfleet.ts
@@ -0,0 +1,123 @@
+import { sleep } from "@greengage/base";
+import { waitFor } from "@greengage/faults";
+import type { ExecutionContext } from "ava";
+import { type EngineFleet, PlatformEngine, type PlatformEngineOptions } from "./engine.ts";
+import {
+    call,
+    type CallResult,
+    callUntil,
+    chatHeaders,
+    type PlatformFixture,
+    startPlatform,
+    wireConfiguration,
+} from "./fixtures.ts";
+
+const ENGINES_PER_GROUP = 2;
+
+export interface SmallFleet {
+    platform: PlatformFixture;
+    fleet: EngineFleet;
+    /** Heads of open groups, or the servers of the plain service. */
+    servers: PlatformEngine[];
+    /** Violations that the engines have found. */
+    violations: string[];
+    countOf(server: PlatformEngine): number;
+}
+
+export interface SmallFleetOptions {
+    service: "llm" | "ledger";
+    entryCount: number;
+    /** Number of groups, or of servers of the plain service. */
+    serverCount: number;
+    /** Observes the engines, beside the counts of arrivals. */
+    observe?: Partial<Pick<EngineFleet, "onArrival" | "onPause">>;
+}
+
+/** Starts daemons, and groups of two engines or servers of the plain service, which serve `/chat/`, or `/read/` and `/pay/`. */
+export const startSmallFleet = async (
+    t: ExecutionContext,
+    { service, entryCount, serverCount, observe = {} }: SmallFleetOptions,
+): Promise<SmallFleet> => {
+    const platform = await startPlatform(t, { entryCount });
+    const violations: string[] = [];
+    const counts = new Map<string, number>();
+    const fleet: EngineFleet = {
+        engines: new Map(),
+        modelSizes: { m: ENGINES_PER_GROUP },
+        onRun: () => undefined,
+        onViolation: (rule, detail) => violations.push(`${rule}: ${detail}`),
+        onArrival: (engineId, message) => {
+            counts.set(engineId, (counts.get(engineId) ?? 0) + 1);
+            observe.onArrival?.(engineId, message);
+        },
+        onPause: observe.onPause,
+    };
+    const isModel = service === "llm";
+    const engines: PlatformEngine[] = [];
+    for (let index = 0; index < (isModel ? ENGINES_PER_GROUP : 1) * serverCount; index += 1) {
+        const options: PlatformEngineOptions = {
+            id: `e${index}`,
+            service,
+            control: platform.control,
+            fleet,
+            ...(isModel ? { domain: "d0" } : {}),
+        };
+        engines.push(await PlatformEngine.start(t, options));
+    }
+    const { routes, ...configuration } = wireConfiguration(1);
+    const [chat, pay] = routes as object[];
+    const body = JSON.stringify({
+        ...configuration,
+        routes: [chat, pay, { ...pay, name: "read", path_prefix: "/read/", kind: "safe", attempts: 2 }],
+    });
+    await callUntil(200, `http://${platform.control}/greengageridge/Config.Replace`, {
+        method: "POST",
+        body,
+    });
+    const path = isModel ? "/chat/0" : "/read/0";
+    for (const { readiness, callers } of platform.entries) {
+        await callUntil(200, `http://${readiness}/greengageridge/ready`);
+        await callUntil(200, `http://${callers}${path}`, { method: "POST", headers: chatHeaders("r0") });
+    }
+    const servers = await waitFor(`${serverCount} servers`, () => {
+        const open = isModel ? engines.filter(({ member }) => member.acceptsRequests) : engines;
+        return open.length === serverCount ? open : undefined;
+    });
+    return { platform, fleet, violations, servers, countOf: ({ id }) => counts.get(id) ?? 0 };
+};
+
+export interface TrafficOptions {
+    path: string;
+    durationMs: number;
+    intervalMs: number;
+}
+
+/** Answer to one request of the traffic. */
+export interface TrafficAnswer {
+    answer: CallResult | undefined;
+    durationMs: number;
+    sentAtMs: number;
+}
+
+/** Sends requests in turn to all entry daemons at a constant rate. */
+export const sendTraffic = async (
+    { entries }: PlatformFixture,
+    { path, durationMs, intervalMs }: TrafficOptions,
+): Promise<TrafficAnswer[]> => {
+    const pending: Promise<TrafficAnswer>[] = [];
+    const endMs = performance.now() + durationMs;
+    for (let count = 1; performance.now() < endMs; count += 1) {
+        const sentAtMs = performance.now();
+        const headers = chatHeaders(`r${count}-${Math.round(endMs)}`);
+        const url = `http://${entries[count % entries.length]?.callers}${path}${count}`;
+        pending.push(
+            call(url, { method: "POST", body: "text", headers }).then((answer) => ({
+                answer,
+                sentAtMs,
+                durationMs: Math.round(performance.now() - sentAtMs),
+            })),
+        );
+        await sleep(intervalMs);
+    }
+    return await Promise.all(pending);
+};
