Name the start of a server's process in the fleet view

A server may start again under its id and at its address. Entry daemons took it for the former process, so its load and its share of failed requests stayed. Absent in views of former daemons.

--- a/packages/fleet/src/view.ts
+++ b/packages/fleet/src/view.ts
@@ -18,7 +18,9 @@
     groups.all().filter((group) => group.phase === GroupPhase.Open && group.headAddress !== "")
         .map((group) => {
             const { groupName, epoch, service, model, headAddress, zone } = group;
-            return { groupName, epoch, service, model, headId: headIdOf(group), headAddress, zone };
+            const headId = headIdOf(group);
+            const bornMs = group.bornMs.get(headId);
+            return { groupName, epoch, service, model, headId, headAddress, zone, bornMs };
         });
 
 /** Backend servers that accept requests outside of groups. */
@@ -29,12 +31,13 @@
             && routing?.service(report.service)?.engine === undefined
             && nowMs - receivedAtMs < SERVICE_EXPIRY_HEARTBEATS * heartbeatMs
         )
-        .map(({ report: { serverId, service, address, zone, slotCount } }) => ({
+        .map(({ report: { serverId, service, address, zone, slotCount, bornMs } }) => ({
             serverId,
             service,
             address,
             zone,
             slotCount,
+            bornMs,
         }));
 
 /** Whether `view` replaces `current`. */
--- a/packages/gateway/src/serverstates.ts
+++ b/packages/gateway/src/serverstates.ts
@@ -63,7 +63,7 @@
         }
         for (const target of view.servers) {
             const known = this.#states.get(target.serverId);
-            if (known === undefined || known.target.address !== target.address) {
+            if (known === undefined || !isSameProcess(known.target, target)) {
                 this.#states.set(target.serverId, new ServerState(target));
             }
         }
@@ -78,3 +78,6 @@
             .map(({ state }) => state);
     }
 }
+
+const isSameProcess = (known: ServerTarget, target: ServerTarget): boolean =>
+    known.address === target.address && known.bornMs === target.bornMs;
--- a/packages/protocol/src/fleet.ts
+++ b/packages/protocol/src/fleet.ts
@@ -45,6 +45,8 @@
 /** Replica group that accepts requests. */
 export interface GroupTarget extends Omit<GroupIdentity, "fabricDomain"> {
     headId: string;
+    /** Start time of the head's process. Absent in views of daemons that don't name it. */
+    bornMs?: number;
 }
 
 /** Backend server that accepts requests on its own, outside of any group. */
@@ -54,6 +56,8 @@
     address: string;
     zone: string;
     slotCount: number;
+    /** Start time of its process. Absent in views of daemons that don't name it. */
+    bornMs?: number;
 }
 
 /** State of the fleet that entry daemons need to route requests. */
