Heed the pause that a server asks for with 503 and Retry-After

Nobody read Retry-After of a server. Groups were tried again every 500 ms, plain servers that all paused got most requests, and callers were told 0.2 to 0.4 s whatever the pause was. Attempts that were turned away used up those of the route, so callers were refused beside a free server.

ServerHolds keeps the pauses that servers have asked this daemon for, by incarnation. Selection leaves such servers out, the placer is told of them as of other groups to avoid, and each attempt looks again just before its write, so calls that waited for a permit or were decided before are withheld. A withheld or turned-away attempt doesn't count, blames nobody and adds to no share of failures. If all servers pause, a request waits for the first return at most 250 ms and only if it can then begin within its limit; others are rejected at once with the time of the return plus up to four times the pause. spreadRetryAfterMs is not used for that: it ends at 0.3 of the caller's time, which is before the end of a longer pause.

Only 503 asks for a pause. A 503 that doesn't state that the request has not run isn't taken for such a statement.

--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -16,7 +16,13 @@
 
 export type AdmissionDecision =
     | { kind: "send"; }
-    | { kind: "reject"; retryAfterMs: number; reason: string; };
+    | {
+        kind: "reject";
+        retryAfterMs: number;
+        reason: string;
+        /** Whether `retryAfterMs` differs among callers that are rejected together. */
+        isSpread?: boolean;
+    };
 
 /** Share of its remaining time that a retried request may wait for its first token. */
 const RETRY_WAIT_SHARE = 0.25;
@@ -78,3 +84,22 @@
     const windowMs = Math.min(latestMs, Math.max(MIN_RETRY_SPREAD_MS, retryAfterMs * RETRY_SPREAD_FACTOR));
     return Math.round(Math.min(latestMs, retryAfterMs + fraction * Math.max(0, windowMs - retryAfterMs)));
 };
+
+/** `retryAfterMs` that the caller of a rejected request gets. */
+export const rejectionRetryAfterMs = (
+    { retryAfterMs, isSpread }: Extract<AdmissionDecision, { kind: "reject"; }>,
+    remainingMs: number,
+    fraction: number,
+): number => isSpread ? retryAfterMs : spreadRetryAfterMs(retryAfterMs, remainingMs, fraction);
+
+/** Callers that are turned away during a pause return over this multiple of it, which adds a quarter to the usual rate. */
+const RETURN_SPREAD_FACTOR = 4;
+
+/**
+ * Time after which a caller that is turned away should return. It is never before the end of the pause, also if the caller doesn't
+ * wait that long. `fraction` is a random number in `[0, 1)`.
+ */
+export const spreadReturnMs = (
+    { waitMs, pauseMs }: { waitMs: number; pauseMs: number; },
+    fraction: number,
+): number => Math.ceil(waitMs + fraction * RETURN_SPREAD_FACTOR * pauseMs);
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -1,13 +1,5 @@
 import { monotonicMs } from "@greengage/base";
-import {
-    EventScanner,
-    Exchange,
-    type ExchangeError,
-    FailureKind,
-    isEventStream,
-    LimitStatement,
-    type NamedLimit,
-} from "@greengage/routing";
+import { EventScanner, Exchange, type ExchangeError, FailureKind, isEventStream } from "@greengage/routing";
 import type { Dispatcher } from "undici";
 import { continueAfter, lastEventIdOf } from "./eventsequence.ts";
 import type { ServerDialect, ServerHead, ServerRequest } from "./types.ts";
@@ -29,7 +21,13 @@
     /** The response is complete. */
     | { kind: "complete"; head: ServerHead; body: Buffer; isEmptyStream: boolean; }
     /** The server has not run the request and never will. */
-    | { kind: "notRun"; reason: string; head?: ServerHead; }
+    | {
+        kind: "notRun";
+        reason: string;
+        head?: ServerHead;
+        /** Whether this daemon decided just before the write that the request may not be sent. */
+        isWithheld?: boolean;
+    }
     /** The server may have run the request, at least partially. */
     | { kind: "failed"; reason: string; failure: FailureKind; };
 
@@ -47,8 +45,8 @@
     isResumption?: boolean;
     /** Called synchronously before the write. Nothing is written if it returns false. */
     mayWrite: () => boolean;
-    /** Called with what any response head says about the server's limit, and the time at which the request was written. */
-    onLimit: (limit: NamedLimit, sentAtMs: number) => void;
+    /** Called with any response head, and the time at which the request was written. */
+    onSignals: (head: ServerHead, sentAtMs: number) => void;
     /** Called with the response head, unless it says that the request was not run. */
     onHead: (head: ServerHead) => void;
     /**
@@ -131,7 +129,7 @@
 
     #onHead(status: number, headers: Record<string, string | string[] | undefined>): void {
         const head = this.#options.dialect.decode(status, headers);
-        this.#options.onLimit(head.limit, this.#sentAtMs);
+        this.#options.onSignals(head, this.#sentAtMs);
         if (head.status < 300 && !head.hasSignature) {
             this.fail(FailureKind.BadStatus, "the response carries no signature of the server");
             return;
@@ -217,7 +215,8 @@
 
     #onFailure(error: ExchangeError): void {
         if (!this.#exchange.hasWritten) {
-            this.#settle({ kind: "notRun", reason: error.message });
+            const isWithheld = error.kind === FailureKind.NotAllowed;
+            this.#settle({ kind: "notRun", reason: error.message, isWithheld });
             return;
         }
         this.#settle({ kind: "failed", reason: error.message, failure: error.kind });
@@ -229,10 +228,6 @@
     }
 }
 
-/** Whether a server that names a limit has rejected the request, which is no failure of the server. */
-export const isLimitRejection = (outcome: AttemptOutcome): boolean =>
-    outcome.kind === "notRun" && outcome.head?.limit.statement === LimitStatement.Limited;
-
 /** Remaining time in whole milliseconds to send to a backend server, at least 1. */
 export const wholeMsUntil = (deadlineAtMs: number): number =>
     Math.max(1, Math.floor(deadlineAtMs - monotonicMs()));
--- a/packages/gateway/src/dependencies.ts
+++ b/packages/gateway/src/dependencies.ts
@@ -1,7 +1,7 @@
 import type { Context, Random } from "@greengage/base";
 import type { RoutingTable } from "@greengage/configuration";
 import type { GroupSuspicion } from "@greengage/protocol";
-import type { ConnectionPools, RequestLimits } from "@greengage/routing";
+import type { ConnectionPools, RequestLimits, ServerHolds } from "@greengage/routing";
 import type { CallExecution } from "./call.ts";
 import type { DemandMeter } from "./demandmeter.ts";
 import type { FirstTokenOffsets } from "./firsttokenoffsets.ts";
@@ -31,6 +31,7 @@
     placementClient: PlacementClient;
     promptParts: PromptParts;
     requestLimits: RequestLimits;
+    serverHolds: ServerHolds;
     /** Marks a group as suspected and reports it to the controller. */
     suspect: (group: GroupState, suspicion: Omit<GroupSuspicion, "groupName" | "epoch">) => void;
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,7 +10,7 @@
 } from "@greengage/base";
 import { type Organisation, pickService, type Route, type RoutingTable } from "@greengage/configuration";
 import type { FleetView, GroupSuspicion, GroupUsage, ModelDemand, ServerLimit } from "@greengage/protocol";
-import { ConnectionPools, RequestLimits } from "@greengage/routing";
+import { ConnectionPools, RequestLimits, type ServerHold, ServerHolds } from "@greengage/routing";
 import { type Call, deadlineOf, EndReason, endsAtMs } from "./call.ts";
 import { Controllers } from "./controllers.ts";
 import type { PartLeader } from "./crashreports.ts";
@@ -93,6 +93,7 @@
                 random: this.#random,
                 requestPermit: (request) => placementClient.acquirePermit(request),
             }),
+            serverHolds: new ServerHolds(context),
             suspect: (group, details) => this.#suspect(group, details),
         };
     }
@@ -180,6 +181,11 @@
         return this.#deps.requestLimits.list();
     }
 
+    /** Servers to which this daemon sends no requests for a time. */
+    serverHolds(): ServerHold[] {
+        return this.#deps.serverHolds.list(monotonicMs());
+    }
+
     /** Merges limits of servers that other daemons know. */
     mergeServerLimits(limits: readonly ServerLimit[]): void {
         this.#deps.requestLimits.merge(limits);
--- a/packages/gateway/src/placementfinder.ts
+++ b/packages/gateway/src/placementfinder.ts
@@ -7,6 +7,7 @@
 import type { GatewayDependencies } from "./dependencies.ts";
 import { type GroupState, meanSlotOccupancyMs } from "./groupstates.ts";
 import { choosePlacement } from "./placement.ts";
+import { incarnationOf, waitForReturn } from "./serversignals.ts";
 import type { GenerationParameters } from "./types.ts";
 
 /** `retryAfterMs` for a request that was admitted but found no group. */
@@ -40,6 +41,13 @@
     isRetry: boolean;
 }
 
+/** Groups of one model that a request may be sent to. */
+interface Candidates {
+    all: readonly GroupState[];
+    /** Untried groups, or all usable ones if each has been tried. */
+    usable: readonly GroupState[];
+}
+
 const limitedRejection = (retryAfterMs: number): PlacementDecision => ({
     kind: "reject",
     reason: "all groups are at the limits that their servers name",
@@ -51,6 +59,7 @@
     readonly #deps: GatewayDependencies;
     readonly #call: Call;
     readonly #workload: { generation: GenerationParameters; profile: EngineProfile; model: ModelSpec; };
+    #hasWaitedForReturn = false;
 
     constructor(
         deps: GatewayDependencies,
@@ -62,15 +71,41 @@
         this.#workload = workload;
     }
 
-    async choose({ tried, hasHead, isRetry }: PlacementQuery): Promise<PlacementDecision> {
-        const { groups, firstTokenOffsets, placementClient, requestLimits, context } = this.#deps;
+    async choose(query: PlacementQuery): Promise<PlacementDecision> {
+        const candidates = this.#candidates(query.tried);
+        if (candidates.usable.length > 0) {
+            return await this.#place(candidates, query);
+        }
+        const heads = candidates.all.map(({ target }) => incarnationOf(target));
+        const wait = await waitForReturn(this.#deps, this.#call, heads, {
+            isRetry: query.isRetry,
+            hasWaited: this.#hasWaitedForReturn,
+        });
+        this.#hasWaitedForReturn = true;
+        return wait.kind === "tooLate"
+            ? { kind: "reject", reason: "all groups pause", retryAfterMs: wait.retryAfterMs, isSpread: true }
+            : await this.#place(this.#candidates(query.tried), query);
+    }
+
+    #candidates(tried: ReadonlySet<string>): Candidates {
+        const { groups, serverHolds } = this.#deps;
+        const nowMs = monotonicMs();
+        const all = groups.ofModel(this.#call.service.name, this.#workload.model.name);
+        const usable = all.filter((state) =>
+            state.isUsable(nowMs) && !serverHolds.isHeld(incarnationOf(state.target), nowMs)
+        );
+        const untried = usable.filter((state) => !tried.has(state.target.groupName));
+        return { all, usable: untried.length > 0 ? untried : usable };
+    }
+
+    async #place(
+        { all: modelGroups, usable: candidates }: Candidates,
+        { hasHead, isRetry }: PlacementQuery,
+    ): Promise<PlacementDecision> {
+        const { firstTokenOffsets, placementClient, requestLimits, context } = this.#deps;
         const { route, service, request } = this.#call;
         const { model, generation } = this.#workload;
         const startedAtMs = monotonicMs();
-        const modelGroups = groups.ofModel(service.name, model.name);
-        const usable = modelGroups.filter((state) => state.isUsable(startedAtMs));
-        const untried = usable.filter((state) => !tried.has(state.target.groupName));
-        const candidates = untried.length > 0 ? untried : usable;
         const admissionInput = {
             elapsedMs: startedAtMs - request.receivedAtMs,
             targetMs: route.targetMs,
--- /dev/null
+++ b/packages/gateway/src/rejections.ts
@@ -0,0 +1,31 @@
+import { LimitStatement } from "@greengage/routing";
+import type { AttemptOutcome } from "./attempt.ts";
+
+/** Whether a server at its limit or in a pause didn't get or take the request, which is no failure of the server. */
+export const isOrderlyRejection = (outcome: AttemptOutcome): boolean =>
+    isTurnedAway(outcome)
+    || (outcome.kind === "notRun" && outcome.head?.limit.statement === LimitStatement.Limited);
+
+/** Whether the request was withheld from the server, or met the beginning of a pause. It then doesn't count as an attempt. */
+export const isTurnedAway = (outcome: AttemptOutcome): boolean =>
+    (outcome.kind === "notRun" && outcome.isWithheld === true)
+    || (outcome.kind !== "failed" && outcome.head?.pause?.pauseMs !== undefined);
+
+/** Rejections by servers that pause or leave may come from many servers, but not without end. */
+const MAX_EXTRA_ATTEMPTS = 16;
+
+/** Attempts at one request that are allowed beyond those of its route, as servers have not run it. */
+export class ExtraAttempts {
+    #count = 0;
+
+    get count(): number {
+        return this.#count;
+    }
+
+    /** A rejection grants one more attempt, and each rejection by a server that pauses or leaves another one. */
+    record(outcome: AttemptOutcome): void {
+        this.#count = isTurnedAway(outcome)
+            ? Math.min(MAX_EXTRA_ATTEMPTS, this.#count + 1)
+            : Math.max(this.#count, Number(outcome.kind === "notRun"));
+    }
+}
--- a/packages/gateway/src/servercall.ts
+++ b/packages/gateway/src/servercall.ts
@@ -2,10 +2,12 @@
 import { RouteKind } from "@greengage/configuration";
 import { noCapacity } from "@greengage/routing";
 import { spreadRetryAfterMs } from "./admission.ts";
-import { Attempt, type AttemptOutcome, CRASH_FAILURES, isLimitRejection, wholeMsUntil } from "./attempt.ts";
+import { Attempt, type AttemptOutcome, CRASH_FAILURES, wholeMsUntil } from "./attempt.ts";
 import { backendError, type Call, CallExecution, remainingMs } from "./call.ts";
 import type { GatewayDependencies } from "./dependencies.ts";
+import { isOrderlyRejection, isTurnedAway } from "./rejections.ts";
 import { type ServerSelection, ServerSelector } from "./serverselector.ts";
+import { incarnationOf, observeServer } from "./serversignals.ts";
 import type { ServerState } from "./serverstates.ts";
 
 /** A request is not retried with less time than this left. */
@@ -24,6 +26,8 @@
     readonly #triedIds = new Set<string>();
     /** Whether the leader lets the request find out whether it still crashes servers. */
     #isTrial = false;
+    /** Attempts that don't count, as their servers wanted no requests. */
+    #turnedAwayCount = 0;
     /** Response with an error status of an earlier attempt. It is delivered if no other server takes the request. */
     #errorResponse: CompleteOutcome | undefined;
 
@@ -96,16 +100,25 @@
             this.#send(this.#errorResponse);
             return;
         }
-        throw selection.kind === "limited"
-            ? this.#finalError("all servers of the service are at their limits", selection.retryAfterMs)
+        const remainingTimeMs = remainingMs(this.#call);
+        const fraction = this.#deps.random.nextFloat();
+        if (selection.kind === "limited") {
+            throw this.#finalError(
+                "all servers of the service are at their limits",
+                spreadRetryAfterMs(selection.retryAfterMs, remainingTimeMs, fraction),
+            );
+        }
+        throw selection.kind === "paused"
+            ? this.#finalError("all servers of the service pause", selection.retryAfterMs)
             : this.#finalError(reason);
     }
 
     async #runAttempt(server: ServerState, startDelayMs: number): Promise<AttemptOutcome> {
-        const { pools, dialect, requestLimits, promptParts } = this.#deps;
+        const { pools, dialect, promptParts, serverHolds } = this.#deps;
         const { request, route, service, organisation, culpritIds, priority, deadlineAtMs } = this.#call;
         const { serverId, address } = server.target;
         let hasHead = false;
+        const incarnation = incarnationOf(server.target);
         const nowMs = monotonicMs();
         this.#triedIds.add(serverId);
         this.#execution.attemptCount += 1;
@@ -132,14 +145,15 @@
             },
             closesConnection: !isSafe,
             mayWrite: () => {
-                if (!this.#isTrial && promptParts.hasQuarantined(service.name, culpritIds)) {
+                const isQuarantined = !this.#isTrial
+                    && promptParts.hasQuarantined(service.name, culpritIds);
+                if (isQuarantined || serverHolds.isHeld(incarnation, monotonicMs())) {
                     return false;
                 }
                 this.#execution.mayHaveRun = true;
                 return true;
             },
-            onLimit: (limit, sentAtMs) =>
-                requestLimits.observe({ serverId, limit, sentAtMs, receivedAtMs: monotonicMs() }),
+            onSignals: (head, sentAtMs) => observeServer(this.#deps, incarnation, head, sentAtMs),
             onHead: (head) => {
                 hasHead = true;
                 if (head.load !== undefined) {
@@ -154,7 +168,10 @@
         if (singleUseClient !== undefined) {
             void singleUseClient.destroy();
         }
-        server.end(!isLimitRejection(outcome) && (outcome.kind !== "complete" || outcome.head.status >= 500));
+        this.#turnedAwayCount += Number(isTurnedAway(outcome));
+        server.end(
+            !isOrderlyRejection(outcome) && (outcome.kind !== "complete" || outcome.head.status >= 500),
+        );
         if (outcome.kind === "notRun") {
             this.#execution.mayHaveRun = mayHaveRunBefore;
         }
@@ -190,7 +207,7 @@
     }
 
     #hasAttemptsLeft(): boolean {
-        return this.#execution.attemptCount < this.#call.route.maxAttempts
+        return this.#execution.attemptCount < this.#call.route.maxAttempts + this.#turnedAwayCount
             && remainingMs(this.#call) > MIN_REMAINING_MS
             && this.#selector.candidates(this.#triedIds).length > 0;
     }
@@ -199,20 +216,16 @@
         // A trial that goes on to another server costs two.
         const isAllowed = outcome.kind === "notRun"
             || (this.#call.route.kind === RouteKind.Safe && !this.#isTrial);
-        return isAllowed && this.#hasAttemptsLeft() && !this.#call.response.isClosed;
+        // After the last server has been tried, the selection tells when one of those that pause returns.
+        return isAllowed && (isTurnedAway(outcome) || this.#hasAttemptsLeft())
+            && !this.#call.response.isClosed;
     }
 
-    /** `retryAfterMs`: time until a server takes another request, if that is known. */
-    #finalError(reason: string, retryAfterMs?: number): GreengageError {
-        if (this.#execution.mayHaveRun) {
-            return backendError(reason);
-        }
-        const fraction = this.#deps.random.nextFloat();
-        return noCapacity(
-            reason,
-            retryAfterMs === undefined
-                ? Math.round(BUSY_RETRY_AFTER_MS * (0.5 + fraction))
-                : spreadRetryAfterMs(retryAfterMs, remainingMs(this.#call), fraction),
-        );
+    /** `retryAfterMs`: time after which the caller should return, if a server has named one. */
+    #finalError(
+        reason: string,
+        retryAfterMs = Math.round(BUSY_RETRY_AFTER_MS * (0.5 + this.#deps.random.nextFloat())),
+    ): GreengageError {
+        return this.#execution.mayHaveRun ? backendError(reason) : noCapacity(reason, retryAfterMs);
     }
 }
--- a/packages/gateway/src/serverselector.ts
+++ b/packages/gateway/src/serverselector.ts
@@ -3,6 +3,7 @@
 import { type Call, isCallerRetry, remainingMs } from "./call.ts";
 import { placementKeyOf } from "./controllers.ts";
 import type { GatewayDependencies } from "./dependencies.ts";
+import { incarnationOf, waitForReturn } from "./serversignals.ts";
 import type { ServerState } from "./serverstates.ts";
 
 /** Server selected for one attempt, or why there is none. */
@@ -10,20 +11,31 @@
     | { kind: "server"; server: ServerState; startDelayMs: number; }
     | { kind: "none"; }
     /** All servers name limits that leave no room for the request. */
-    | { kind: "limited"; retryAfterMs: number; };
+    | { kind: "limited"; retryAfterMs: number; }
+    /** All servers pause for longer than the request can wait; `retryAfterMs` is spread over the callers. */
+    | { kind: "paused"; retryAfterMs: number; };
 
 /** Selects servers of a plain service for the attempts of one request. */
 export class ServerSelector {
     readonly #deps: GatewayDependencies;
     readonly #call: Call;
+    #hasWaitedForReturn = false;
 
     constructor(deps: GatewayDependencies, call: Call) {
         this.#deps = deps;
         this.#call = call;
     }
 
-    /** Servers that have not been tried, in order of preference. */
+    /** Servers that have not been tried and may get requests, in order of preference. */
     candidates(triedIds: ReadonlySet<string>): ServerState[] {
+        const { serverHolds } = this.#deps;
+        const nowMs = monotonicMs();
+        return this.#servers(triedIds).filter(({ target }) =>
+            !serverHolds.isHeld(incarnationOf(target), nowMs)
+        );
+    }
+
+    #servers(triedIds: ReadonlySet<string>): ServerState[] {
         const { servers, context } = this.#deps;
         return servers.ranked(this.#call.service.name, context.zone, triedIds, monotonicMs());
     }
@@ -41,7 +53,24 @@
                 soonest = { server, delayMs };
             }
         }
-        return soonest === undefined ? { kind: "none" } : await this.#waitFor(soonest.server, isRetry);
+        return soonest === undefined
+            ? await this.#waitForReturn(triedIds, isRetry)
+            : await this.#waitFor(soonest.server, isRetry);
+    }
+
+    async #waitForReturn(triedIds: ReadonlySet<string>, isRetry: boolean): Promise<ServerSelection> {
+        const servers = this.#servers(new Set()).map(({ target }) => incarnationOf(target));
+        const wait = await waitForReturn(this.#deps, this.#call, servers, {
+            isRetry: isRetry || isCallerRetry(this.#call),
+            hasWaited: this.#hasWaitedForReturn,
+        });
+        this.#hasWaitedForReturn = true;
+        if (wait.kind === "returned") {
+            return await this.select(triedIds, isRetry);
+        }
+        return wait.kind === "tooLate"
+            ? { kind: "paused", retryAfterMs: wait.retryAfterMs }
+            : { kind: "none" };
     }
 
     async #waitFor(server: ServerState, isRetry: boolean): Promise<ServerSelection> {
--- a/packages/gateway/src/streamcall.ts
+++ b/packages/gateway/src/streamcall.ts
@@ -1,8 +1,8 @@
 import { type GreengageError, messageOf, monotonicMs, sleep } from "@greengage/base";
 import type { EngineProfile, ModelSpec } from "@greengage/configuration";
 import { FailureKind, noCapacity } from "@greengage/routing";
-import { spreadRetryAfterMs } from "./admission.ts";
-import { Attempt, type AttemptOutcome, CRASH_FAILURES, isLimitRejection, wholeMsUntil } from "./attempt.ts";
+import { rejectionRetryAfterMs, spreadRetryAfterMs } from "./admission.ts";
+import { Attempt, type AttemptOutcome, CRASH_FAILURES, wholeMsUntil } from "./attempt.ts";
 import { backendError, type Call, CallExecution, isCallerRetry, remainingMs } from "./call.ts";
 import { StreamDelivery } from "./delivery.ts";
 import type { GatewayDependencies } from "./dependencies.ts";
@@ -10,6 +10,8 @@
 import { lastEventIdOf } from "./eventsequence.ts";
 import type { GroupState, InFlightRequest } from "./groupstates.ts";
 import { PlacementFinder, type ResolvedPlacement } from "./placementfinder.ts";
+import { ExtraAttempts, isOrderlyRejection } from "./rejections.ts";
+import { incarnationOf, observeServer } from "./serversignals.ts";
 import type { GenerationParameters, ServerHead } from "./types.ts";
 
 /** Delay before another attempt after a rejection or a failed placement. */
@@ -36,7 +38,7 @@
     readonly #delivery: StreamDelivery;
     readonly #emptyStreams = new EmptyStreams();
     #head: ServerHead | undefined;
-    #hasBeenRejected = false;
+    readonly #extraAttempts = new ExtraAttempts();
     /** Whether the leader lets the request find out whether a quarantined part still crashes engines. */
     #isTrial = false;
 
@@ -156,7 +158,7 @@
             const remainingTimeMs = remainingMs(this.#call);
             throw noCapacity(
                 decision.reason,
-                spreadRetryAfterMs(decision.retryAfterMs, remainingTimeMs, random.nextFloat()),
+                rejectionRetryAfterMs(decision, remainingTimeMs, random.nextFloat()),
             );
         }
         const { group, runningCount, firstTokenMs, startDelayMs, candidateCount, decidedBy } = decision;
@@ -175,9 +177,10 @@
     }
 
     async #runAttempt(group: GroupState, predictedMs: number): Promise<AttemptResult> {
-        const { pools, dialect, groups, requestLimits } = this.#deps;
+        const { pools, dialect, groups, serverHolds } = this.#deps;
         const { request, organisation, priority, deadlineAtMs } = this.#call;
         const { target } = group;
+        const head = incarnationOf(target);
         const sentAtMs = monotonicMs();
         let hasHead = false;
         const mayHaveRunBefore = this.#execution.mayHaveRun;
@@ -199,23 +202,17 @@
             mayWrite: () => {
                 if (
                     this.#execution.endReason !== undefined || groups.get(target.groupName) !== group
-                    || this.#isQuarantined()
+                    || this.#isQuarantined() || serverHolds.isHeld(head, monotonicMs())
                 ) {
                     return false;
                 }
                 this.#execution.mayHaveRun = true;
                 return true;
             },
-            onLimit: (limit, writtenAtMs) =>
-                requestLimits.observe({
-                    serverId: target.headId,
-                    limit,
-                    sentAtMs: writtenAtMs,
-                    receivedAtMs: monotonicMs(),
-                }),
-            onHead: (head) => {
+            onSignals: (response, writtenAtMs) => observeServer(this.#deps, head, response, writtenAtMs),
+            onHead: (response) => {
                 hasHead = true;
-                this.#onHead(group, head);
+                this.#onHead(group, response);
             },
             onEvents: (events, hasFields) => this.#onEvents(group, inFlight, events, hasFields),
         });
@@ -245,7 +242,7 @@
         }
         group.end(inFlight, outcome.kind === "complete", monotonicMs());
         this.#penalizeGroup(group, outcome);
-        this.#hasBeenRejected ||= outcome.kind === "notRun";
+        this.#extraAttempts.record(outcome);
         return { outcome, hasHead };
     }
 
@@ -358,7 +355,7 @@
 
     #penalizeGroup(group: GroupState, outcome: AttemptOutcome): void {
         if (
-            outcome.kind === "complete" || isLimitRejection(outcome)
+            outcome.kind === "complete" || isOrderlyRejection(outcome)
             || this.#execution.endReason !== undefined
         ) {
             return;
@@ -373,9 +370,8 @@
         }
     }
 
-    /** A rejection grants one more attempt than the route allows, as the rejecting group has not run the request. */
     #hasAttemptsLeft(): boolean {
-        const allowedCount = this.#call.route.maxAttempts + (this.#hasBeenRejected ? 1 : 0);
+        const allowedCount = this.#call.route.maxAttempts + this.#extraAttempts.count;
         return this.#execution.attemptCount < allowedCount && remainingMs(this.#call) > MIN_RETRY_MS;
     }
 
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -1,5 +1,5 @@
 import type { GreengageError, RequestProgress } from "@greengage/base";
-import type { NamedLimit } from "@greengage/routing";
+import type { NamedLimit, PauseRequest } from "@greengage/routing";
 
 /** Part of a prompt, such as a prefix, that requests may share. */
 export interface PromptPart {
@@ -89,6 +89,8 @@
     load?: ReportedLoad;
     /** Rate of requests that the server takes from all daemons together. */
     limit: NamedLimit;
+    /** Pause that the server asks this daemon for. */
+    pause?: PauseRequest;
     /** Another server that prevents this one from serving the request. */
     culpritId?: string;
     /** Headers to forward to the caller. */
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -11,6 +11,7 @@
 export * from "./organisationlimits.ts";
 export * from "./requestlimits.ts";
 export * from "./retrybudget.ts";
+export * from "./serverholds.ts";
 export * from "./serverlimits.ts";
 export * from "./serverpermits.ts";
 export * from "./strategies.ts";
--- a/test/gateway/fixtures.ts
+++ b/test/gateway/fixtures.ts
@@ -11,7 +11,7 @@
     type ServerDialect,
 } from "@greengage/gateway";
 import type { FleetView, GroupSuspicion } from "@greengage/protocol";
-import { LimitStatement } from "@greengage/routing";
+import { LimitStatement, parsePause } from "@greengage/routing";
 import type { ExecutionContext } from "ava";
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
@@ -33,6 +33,7 @@
         limit: headers["x-limit"] === undefined
             ? { statement: LimitStatement.Unlimited }
             : { statement: LimitStatement.Limited, requestsPerS: Number(headers["x-limit"]) },
+        pause: headers["x-pause"] === undefined ? undefined : parsePause(headers["x-pause"]),
         headers: { "x-signature": String(headers["x-signature"]) },
     }),
 };
--- a/test/platform/decode.test.ts
+++ b/test/platform/decode.test.ts
@@ -186,6 +186,19 @@
     }
 });
 
+// Guards against a pause of one server that is taken for one of another, or of a caller's error.
+test("only a server's own rejection with status 503 asks for a pause", (t) => {
+    const decode = (status: number, field: string | string[] | undefined): object | undefined =>
+        platformDialect.decode(status, { "retry-after": field }).pause;
+    t.deepEqual(decode(503, "1.5"), { pauseMs: 1_500 });
+    t.deepEqual(decode(503, ["1", "2"]), { pauseMs: 2_000 });
+    t.deepEqual(decode(503, "soon"), { unreadable: "soon" });
+    t.is(decode(503, undefined), undefined);
+    for (const status of [200, 421, 429, 500, 502, 504]) {
+        t.is(decode(status, "2"), undefined, `${status}`);
+    }
+});
+
 // Guards against a malformed limit that stops all requests to a server, or lets all of them through.
 test("the limit that a server names is decoded, and unreadable ones leave the former limit in force", (t) => {
     const decode = (limit: string | string[] | undefined, status = 200): object =>
