Send nothing to servers that say in their answers that they leave

Nobody read Server-Leaving. A server that said so only in its answers went on getting its share of requests until it had gone, and a group was replaced only after its head's heartbeat.

ServerHolds keeps what each incarnation has said. Other servers are preferred from the answer on; a leaving one gets requests that nobody else can take for 1 s, and then none, whether or not the daemon hears a control daemon. Only a new process under the id ends that. Entry daemons tell the leader (fleet.leaving), every 500 ms while the server is in the view. The leader treats the process as draining whatever it reports, so it leaves all daemons' views and its group is replaced. A rejection by a leaving server is no failure and uses up no attempt. Answers with 421 are of another server and say nothing; any value but 1 says nothing.

--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -5,6 +5,7 @@
 import type {
     FleetView,
     GroupSuspicion,
+    LeavingServer,
     PackedConfiguration,
     PartReport,
     PartReportResponse,
@@ -49,6 +50,7 @@
                 this.#peers.call(controllerId, "place.choose", request, { timeoutMs: PLACEMENT_TIMEOUT_MS }),
             requestPermit: (controllerId, request) =>
                 this.#peers.call(controllerId, "limit.acquire", request, { timeoutMs: PLACEMENT_TIMEOUT_MS }),
+            reportLeaving: (server) => this.#reportLeaving(server),
             partLeader: {
                 report: (report) => this.#reportParts(report),
                 requestTrial: (service, partId) => this.#requestTrial(service, partId),
@@ -154,6 +156,20 @@
         }
     }
 
+    async #reportLeaving(server: LeavingServer): Promise<void> {
+        const { leaderId } = this.#watcher;
+        if (leaderId === undefined) {
+            return;
+        }
+        try {
+            await this.#peers.call(leaderId, "fleet.leaving", server, { timeoutMs: LEAVING_TIMEOUT_MS });
+        }
+        catch (error) {
+            const fields = { server: server.serverId, leaderId, reason: messageOf(error) };
+            this.#options.context.decisions.record("server.leavingLost", fields);
+        }
+    }
+
     async #reportParts(report: PartReport): Promise<PartReportResponse | undefined> {
         const { leaderId } = this.#watcher;
         if (leaderId === undefined) {
@@ -192,5 +208,7 @@
 /** The leader probes the head first, which takes up to 300 ms if it is silent. */
 const PART_REPORT_TIMEOUT_MS = 700;
 const TRIAL_REQUEST_TIMEOUT_MS = 100;
+/** Short, because a leaving server is reported again. */
+const LEAVING_TIMEOUT_MS = 400;
 /** Short, because a suspicion that persists is reported again. */
 const SUSPICION_TIMEOUT_MS = 700;
--- a/packages/fleet/src/registry.ts
+++ b/packages/fleet/src/registry.ts
@@ -38,6 +38,9 @@
     /** The newest ended incarnation of each server id. */
     readonly #endedIncarnations = new Map<string, { bornMs: number; endedAtMs: number; }>();
 
+    /** Start times of incarnations that are treated as draining whatever they report, by server id. */
+    readonly #leaving = new Map<string, number>();
+
     all(): BackendServer[] {
         return [...this.#servers.values()];
     }
@@ -66,7 +69,20 @@
         return server?.report.bornMs === bornMs ? server : undefined;
     }
 
-    accept(report: ServerReport, nowMs: number): ReportEffect {
+    /** Treats an incarnation as draining from now on. Returns whether it was neither draining nor ended before. */
+    markLeaving(serverId: string, bornMs: number): boolean {
+        const server = this.getIncarnation(serverId, bornMs);
+        if (server === undefined || server.report.isDraining) {
+            return false;
+        }
+        this.#leaving.set(serverId, bornMs);
+        server.report = { ...server.report, isDraining: true };
+        return true;
+    }
+
+    accept(received: ServerReport, nowMs: number): ReportEffect {
+        const isLeaving = this.#leaving.get(received.serverId) === received.bornMs;
+        const report = isLeaving ? { ...received, isDraining: true } : received;
         if (this.#isFromEndedIncarnation(report)) {
             return ReportEffect.Ignored;
         }
@@ -82,6 +98,7 @@
         const lastModel = report.loadedModels[0] ?? (isSameIncarnation ? known.lastModel : undefined);
         this.#servers.set(report.serverId, { report, receivedAtMs: nowMs, firstSeenAtMs, lastModel });
         if (!isSameIncarnation) {
+            this.#leaving.delete(report.serverId);
             return ReportEffect.Appeared;
         }
         return isSameState(known.report, report) ? ReportEffect.Renewed : ReportEffect.Changed;
@@ -147,6 +164,7 @@
     #remove(server: BackendServer, nowMs: number): void {
         const { serverId, address, bornMs } = server.report;
         this.#servers.delete(serverId);
+        this.#leaving.delete(serverId);
         if (this.#idsByAddress.get(address) === serverId) {
             this.#idsByAddress.delete(address);
         }
--- a/packages/fleet/src/reporthandler.ts
+++ b/packages/fleet/src/reporthandler.ts
@@ -1,6 +1,6 @@
 import { type Context, messageOf, monotonicMs } from "@greengage/base";
 import type { RaftLog } from "@greengage/consensus";
-import type { Peers, ServerReport } from "@greengage/protocol";
+import type { LeavingServer, Peers, ServerReport } from "@greengage/protocol";
 import type { GroupController } from "./controller.ts";
 import { applyDeparture, DepartureEffect } from "./departure.ts";
 import { validReports } from "./entries.ts";
@@ -31,6 +31,7 @@
         this.#options = options;
         const { peers } = options;
         peers.handle("fleet.report", ({ reports }, from) => this.#handleReports(reports, from));
+        peers.handle("fleet.leaving", (server, from) => this.#handleLeaving(server, from));
         peers.handle("fleet.depart", ({ serverId, bornMs }) => this.#handleDeparture(serverId, bornMs));
     }
 
@@ -103,6 +104,19 @@
         });
     }
 
+    /** Treats a server that says in its answers that it leaves like one that reports so. */
+    #handleLeaving({ serverId, bornMs }: LeavingServer, from: string): LeaderAnswer {
+        const { log, context, registry, controller } = this.#options;
+        if (!log.holdsLeaderLease) {
+            return this.#rejection();
+        }
+        if (registry.markLeaving(serverId, bornMs)) {
+            context.decisions.record("server.leaving", { server: serverId, bornMs, toldTo: from });
+            controller.wake();
+        }
+        return { isAccepted: true };
+    }
+
     #handleDeparture(serverId: string, bornMs: number | undefined): LeaderAnswer {
         const { log, context, registry, controller } = this.#options;
         if (!log.holdsLeaderLease || !controller.isSettled) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,7 +9,14 @@
     Verdict,
 } from "@greengage/base";
 import { type Organisation, pickService, type Route, type RoutingTable } from "@greengage/configuration";
-import type { FleetView, GroupSuspicion, GroupUsage, ModelDemand, ServerLimit } from "@greengage/protocol";
+import type {
+    FleetView,
+    GroupSuspicion,
+    GroupUsage,
+    LeavingServer,
+    ModelDemand,
+    ServerLimit,
+} from "@greengage/protocol";
 import { ConnectionPools, RequestLimits, type ServerHold, ServerHolds } from "@greengage/routing";
 import { type Call, deadlineOf, EndReason, endsAtMs } from "./call.ts";
 import { Controllers } from "./controllers.ts";
@@ -19,6 +26,7 @@
 import { type Drain, drainingError, isServedWhileDraining } from "./drain.ts";
 import { FirstTokenOffsets } from "./firsttokenoffsets.ts";
 import { type GroupState, GroupStates, isHanging, type SuspicionDetails } from "./groupstates.ts";
+import { LeavingReports } from "./leavingreports.ts";
 import { outcomeOfError } from "./outcome.ts";
 import { PlacementClient, type RequestPermit, type RequestPlacement } from "./placementclient.ts";
 import { culpritIdsOf, PromptParts } from "./promptparts.ts";
@@ -39,6 +47,8 @@
     /** Asks a control daemon for a permit for a limited server. Rejects if there is no answer in time. */
     requestPermit: RequestPermit;
     partLeader: PartLeader;
+    /** Reports to the leader that a server leaves. Never rejects. */
+    reportLeaving: (server: LeavingServer) => Promise<void>;
 }
 
 /** Interval of the stall checks, which adds to the time until streams fail over. */
@@ -62,6 +72,7 @@
     readonly #lifecycle = new Lifecycle();
     readonly #random = new Random();
     readonly #controllers: Controllers;
+    readonly #leavingReports: LeavingReports;
     #routing: RoutingTable | undefined;
     #inFlight = 0;
     #drain: Drain | undefined;
@@ -96,6 +107,8 @@
             serverHolds: new ServerHolds(context),
             suspect: (group, details) => this.#suspect(group, details),
         };
+        const { serverHolds } = this.#deps;
+        this.#leavingReports = new LeavingReports({ serverHolds, report: options.reportLeaving });
     }
 
     /** Whether a configuration and a fleet view have been received. */
@@ -152,6 +165,7 @@
         this.#viewTerm = view.term;
         this.#deps.groups.applyView(view);
         this.#deps.servers.applyView(view);
+        this.#leavingReports.applyView(view);
         this.#deps.promptParts.setSuspects(view.suspectParts ?? []);
         this.#deps.retryBudgets.setDaemonCount(view.entryDaemonCount);
         this.#deps.requestLimits.setDaemonCount(view.entryDaemonCount);
@@ -323,6 +337,7 @@
             );
             this.#repeatSuspicion(group, nowMs);
         }
+        this.#leavingReports.check(nowMs);
         this.#deps.pools.closeIdle(nowMs);
     }
 
--- a/packages/gateway/src/placementfinder.ts
+++ b/packages/gateway/src/placementfinder.ts
@@ -44,7 +44,7 @@
 /** Groups of one model that a request may be sent to. */
 interface Candidates {
     all: readonly GroupState[];
-    /** Untried groups, or all usable ones if each has been tried. */
+    /** The first that aren't empty: untried groups, untried ones whose heads leave, tried groups. */
     usable: readonly GroupState[];
 }
 
@@ -94,8 +94,11 @@
         const usable = all.filter((state) =>
             state.isUsable(nowMs) && !serverHolds.isHeld(incarnationOf(state.target), nowMs)
         );
+        const isLeaving = ({ target }: GroupState): boolean => serverHolds.isLeaving(incarnationOf(target));
+        const staying = usable.filter((state) => !isLeaving(state));
         const untried = usable.filter((state) => !tried.has(state.target.groupName));
-        return { all, usable: untried.length > 0 ? untried : usable };
+        const choices = [untried.filter((state) => !isLeaving(state)), untried, staying];
+        return { all, usable: choices.find((states) => states.length > 0) ?? [] };
     }
 
     async #place(
--- a/packages/gateway/src/rejections.ts
+++ b/packages/gateway/src/rejections.ts
@@ -1,14 +1,14 @@
 import { LimitStatement } from "@greengage/routing";
 import type { AttemptOutcome } from "./attempt.ts";
 
-/** Whether a server at its limit or in a pause didn't get or take the request, which is no failure of the server. */
+/** Whether a server that limits requests, pauses or leaves didn't get or take the request, which is no failure of the server. */
 export const isOrderlyRejection = (outcome: AttemptOutcome): boolean =>
     isTurnedAway(outcome)
     || (outcome.kind === "notRun" && outcome.head?.limit.statement === LimitStatement.Limited);
 
-/** Whether the request was withheld from the server, or met the beginning of a pause. It then doesn't count as an attempt. */
+/** Whether the request was withheld from the server, or met one that pauses or leaves. It then doesn't count as an attempt. */
 export const isTurnedAway = (outcome: AttemptOutcome): boolean =>
-    (outcome.kind === "notRun" && outcome.isWithheld === true)
+    (outcome.kind === "notRun" && (outcome.isWithheld === true || outcome.head?.isLeaving === true))
     || (outcome.kind !== "failed" && outcome.head?.pause?.pauseMs !== undefined);
 
 /** Rejections by servers that pause or leave may come from many servers, but not without end. */
--- a/packages/gateway/src/serverselector.ts
+++ b/packages/gateway/src/serverselector.ts
@@ -26,13 +26,14 @@
         this.#call = call;
     }
 
-    /** Servers that have not been tried and may get requests, in order of preference. */
+    /** Servers that have not been tried and may get requests, in order of preference; those that leave come last. */
     candidates(triedIds: ReadonlySet<string>): ServerState[] {
         const { serverHolds } = this.#deps;
         const nowMs = monotonicMs();
-        return this.#servers(triedIds).filter(({ target }) =>
-            !serverHolds.isHeld(incarnationOf(target), nowMs)
-        );
+        const isLeaving = ({ target }: ServerState): boolean => serverHolds.isLeaving(incarnationOf(target));
+        return this.#servers(triedIds)
+            .filter(({ target }) => !serverHolds.isHeld(incarnationOf(target), nowMs))
+            .sort((a, b) => Number(isLeaving(a)) - Number(isLeaving(b)));
     }
 
     #servers(triedIds: ReadonlySet<string>): ServerState[] {
--- a/packages/gateway/src/serversignals.ts
+++ b/packages/gateway/src/serversignals.ts
@@ -23,7 +23,7 @@
 export const observeServer = (
     { requestLimits, serverHolds }: GatewayDependencies,
     server: ServerIncarnation,
-    { limit, pause }: ServerHead,
+    { limit, pause, isLeaving }: ServerHead,
     sentAtMs: number,
 ): void => {
     const receivedAtMs = monotonicMs();
@@ -31,6 +31,9 @@
     if (pause !== undefined) {
         serverHolds.observePause(server, pause, receivedAtMs);
     }
+    if (isLeaving) {
+        serverHolds.observeLeaving(server, receivedAtMs);
+    }
 };
 
 /** Result of waiting for the first of several servers that take no requests now. */
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -89,6 +89,8 @@
     load?: ReportedLoad;
     /** Rate of requests that the server takes from all daemons together. */
     limit: NamedLimit;
+    /** Whether the server says that it is about to end. */
+    isLeaving: boolean;
     /** Pause that the server asks this daemon for. */
     pause?: PauseRequest;
     /** Another server that prevents this one from serving the request. */
--- a/packages/protocol/src/fleet.ts
+++ b/packages/protocol/src/fleet.ts
@@ -42,6 +42,13 @@
     membership?: GroupMembership;
 }
 
+/** A process of a backend server that says in its answers that it is about to end. */
+export interface LeavingServer {
+    serverId: string;
+    /** Start time of the process. */
+    bornMs: number;
+}
+
 /** Replica group that accepts requests. */
 export interface GroupTarget extends Omit<GroupIdentity, "fabricDomain"> {
     headId: string;
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -2,6 +2,7 @@
 import type {
     GroupSuspicion,
     GroupUsage,
+    LeavingServer,
     LimitPermitRequest,
     LimitPermitResponse,
     PartReport,
@@ -254,6 +255,11 @@
         request: { serverId: string; bornMs: number | undefined; };
         response: { isAccepted: boolean; leaderId?: string; };
     };
+    /** An entry daemon has received an answer in which a backend server says that it leaves. */
+    "fleet.leaving": {
+        request: LeavingServer;
+        response: { isAccepted: boolean; leaderId?: string; };
+    };
     "fleet.suspect": {
         request: GroupSuspicion;
         response: SuspicionResponse;
--- a/packages/routing/src/serverholds.ts
+++ b/packages/routing/src/serverholds.ts
@@ -30,11 +30,13 @@
     return pauseMs === 0 ? undefined : { pauseMs };
 };
 
-/** A server to which this daemon sends no requests for a time, as shown to operators. */
+/** A server to which this daemon sends no requests, as shown to operators. */
 export interface ServerHold extends ServerIncarnation {
-    /** Time since the first of the consecutive answers that asked for a pause. */
+    /** Whether the server has said that it leaves. */
+    isLeaving: boolean;
+    /** Time since the first answer that said so, or the first of the consecutive answers that asked for a pause. */
     sinceAgeMs: number;
-    /** Time until requests may be sent again. */
+    /** Time until requests may be sent again, `Infinity` if never. */
     waitMs: number;
 }
 
@@ -47,16 +49,20 @@
 
 /** Holds beyond this number displace the oldest ones. */
 const MAX_HOLDS = 10_000;
+/** Time after the first answer of a leaving server in which it gets requests that no other server can take. */
+export const LEAVING_GRACE_MS = 1_000;
 
 interface HoldState {
     server: ServerIncarnation;
-    sinceMs: number;
-    untilMs: number;
+    pause: { sinceMs: number; untilMs: number; };
+    leavingSinceMs: number;
 }
 
+const NO_PAUSE = { sinceMs: -Infinity, untilMs: -Infinity };
+
 /**
- * Servers to which this daemon may not send requests, because they have asked it for a pause. Own answers are enough, so that a
- * pause is heeded without any contact to other daemons. Times are monotonic.
+ * Servers to which this daemon may not send requests, because they have asked it for a pause or said that they leave. Own answers
+ * are enough, so that both are heeded without any contact to other daemons. Times are monotonic.
  */
 export class ServerHolds {
     readonly #context: Context;
@@ -77,71 +83,105 @@
             this.#context.decisions.record("server.pauseUnreadable", { server: serverId, value: unreadable });
             return;
         }
-        const known = this.#states.get(keyOf(server));
-        const isPaused = known !== undefined && known.untilMs > receivedAtMs;
-        const untilMs = Math.max(receivedAtMs + pauseMs, known?.untilMs ?? -Infinity);
-        this.#set({ server, sinceMs: isPaused ? known.sinceMs : receivedAtMs, untilMs }, receivedAtMs);
+        const state = this.#stateOf(server, receivedAtMs);
+        const isExtension = state.pause.untilMs > receivedAtMs;
+        const untilMs = Math.max(receivedAtMs + pauseMs, state.pause.untilMs);
+        this.#set({
+            ...state,
+            pause: { sinceMs: isExtension ? state.pause.sinceMs : receivedAtMs, untilMs },
+        });
         this.#context.decisions.record("server.pause", {
             server: server.serverId,
             incarnation: server.incarnation,
             pauseMs,
-            isExtension: isPaused,
-            untilMs: Math.round(untilMs),
+            isExtension,
+            waitMs: Math.round(untilMs - receivedAtMs),
         });
         this.#context.metrics.count("routing.pauses");
     }
 
-    /** Time until a request may be sent to the server, 0 if it may be sent now. */
+    /** Records that a server has said that it leaves, which holds until its process ends. */
+    observeLeaving(server: ServerIncarnation, receivedAtMs: number): void {
+        const state = this.#stateOf(server, receivedAtMs);
+        if (state.leavingSinceMs !== Infinity) {
+            return;
+        }
+        this.#set({ ...state, leavingSinceMs: receivedAtMs });
+        this.#context.decisions.record("server.leaving", {
+            server: server.serverId,
+            incarnation: server.incarnation,
+        });
+        this.#context.metrics.count("routing.leaving");
+    }
+
+    /** Time until a request may be sent to the server: 0 if it may be sent now, `Infinity` if never again. */
     waitMs(server: ServerIncarnation, nowMs: number): number {
-        return Math.max(0, (this.#states.get(keyOf(server))?.untilMs ?? -Infinity) - nowMs);
+        const state = this.#states.get(keyOf(server));
+        return state === undefined ? 0 : waitOf(state, nowMs);
     }
 
     isHeld(server: ServerIncarnation, nowMs: number): boolean {
         return this.waitMs(server, nowMs) > 0;
     }
 
+    /** Whether the server has said that it leaves. Others are preferred, also before it is held. */
+    isLeaving(server: ServerIncarnation): boolean {
+        return (this.#states.get(keyOf(server))?.leavingSinceMs ?? Infinity) !== Infinity;
+    }
+
     /** The first end of the pauses of these servers; undefined if none of them pauses. */
     earliestReturn(servers: readonly ServerIncarnation[], nowMs: number): EarliestReturn | undefined {
         const [first] = servers.flatMap((server) => this.#states.get(keyOf(server)) ?? [])
-            .filter(({ untilMs }) => untilMs > nowMs)
-            .sort((a, b) => a.untilMs - b.untilMs);
-        return first === undefined
-            ? undefined
-            : { waitMs: first.untilMs - nowMs, pauseMs: first.untilMs - first.sinceMs };
+            .filter((state) => waitOf(state, nowMs) > 0 && waitOf(state, nowMs) !== Infinity)
+            .sort((a, b) => a.pause.untilMs - b.pause.untilMs);
+        if (first === undefined) {
+            return undefined;
+        }
+        const { sinceMs, untilMs } = first.pause;
+        return { waitMs: untilMs - nowMs, pauseMs: untilMs - sinceMs };
     }
 
     list(nowMs: number): ServerHold[] {
         this.#dropEnded(nowMs);
-        return [...this.#states.values()].map(({ server, sinceMs, untilMs }) => ({
-            ...server,
-            sinceAgeMs: nowMs - sinceMs,
-            waitMs: untilMs - nowMs,
+        return [...this.#states.values()].map((state) => ({
+            ...state.server,
+            isLeaving: state.leavingSinceMs !== Infinity,
+            sinceAgeMs: nowMs - Math.min(state.leavingSinceMs, state.pause.sinceMs),
+            waitMs: waitOf(state, nowMs),
         }));
     }
 
-    #set(state: HoldState, nowMs: number): void {
-        const key = keyOf(state.server);
-        if (!this.#states.has(key)) {
+    #stateOf(server: ServerIncarnation, nowMs: number): HoldState {
+        const known = this.#states.get(keyOf(server));
+        if (known === undefined) {
             this.#dropEnded(nowMs);
         }
-        // The map is in the order of the latest answers.
+        return known ?? { server, pause: NO_PAUSE, leavingSinceMs: Infinity };
+    }
+
+    /** Sets a state as the latest in the map's order. */
+    #set(state: HoldState): void {
+        const key = keyOf(state.server);
         this.#states.delete(key);
         this.#states.set(key, state);
         const [oldest] = this.#states.keys();
         if (oldest !== undefined && this.#states.size > MAX_HOLDS) {
             this.#states.delete(oldest);
         }
-        this.#context.metrics.gauge("routing.held_servers", this.#states.size);
     }
 
     #dropEnded(nowMs: number): void {
-        for (const [key, { untilMs }] of this.#states) {
-            if (untilMs <= nowMs) {
+        for (const [key, { pause, leavingSinceMs }] of this.#states) {
+            if (pause.untilMs <= nowMs && leavingSinceMs === Infinity) {
                 this.#states.delete(key);
             }
         }
-        this.#context.metrics.gauge("routing.held_servers", this.#states.size);
     }
 }
 
+const waitOf = ({ pause, leavingSinceMs }: HoldState, nowMs: number): number => {
+    const sendableAtMs = Math.max(nowMs, pause.untilMs);
+    return sendableAtMs >= leavingSinceMs + LEAVING_GRACE_MS ? Infinity : sendableAtMs - nowMs;
+};
+
 const keyOf = ({ serverId, incarnation }: ServerIncarnation): string => `${serverId}\n${incarnation ?? ""}`;
--- a/test/fleet/registry.test.ts
+++ b/test/fleet/registry.test.ts
@@ -26,6 +26,21 @@
     t.is(registry.accept(reportOf("a", { bornMs: 11 }), 3), ReportEffect.Appeared);
 });
 
+// Guards against a server that says only in its answers that it leaves, and stays in use by its reports.
+test("a server that leaves counts as draining whatever it reports, until it starts again", (t) => {
+    const registry = new ServerRegistry();
+    t.false(registry.markLeaving("a", 10));
+    registry.accept(reportOf("a", { bornMs: 10, sequence: 1 }), 0);
+    t.false(registry.markLeaving("a", 9));
+    t.true(registry.markLeaving("a", 10));
+    t.false(registry.markLeaving("a", 10));
+    t.true(registry.get("a")?.report.isDraining);
+    t.is(registry.accept(reportOf("a", { bornMs: 10, sequence: 2 }), 1), ReportEffect.Renewed);
+    t.true(registry.get("a")?.report.isDraining);
+    t.is(registry.accept(reportOf("a", { bornMs: 20, sequence: 1 }), 2), ReportEffect.Appeared);
+    t.false(registry.get("a")?.report.isDraining);
+});
+
 // Guards against a new leader that takes over an outdated state from a report delayed by a partition.
 test("a report older than the previous leader's record is ignored", (t) => {
     const registry = new ServerRegistry();
--- a/test/gateway/fixtures.ts
+++ b/test/gateway/fixtures.ts
@@ -10,7 +10,7 @@
     type ResponseHeaders,
     type ServerDialect,
 } from "@greengage/gateway";
-import type { FleetView, GroupSuspicion } from "@greengage/protocol";
+import type { FleetView, GroupSuspicion, LeavingServer } from "@greengage/protocol";
 import { LimitStatement, parsePause } from "@greengage/routing";
 import type { ExecutionContext } from "ava";
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
@@ -33,6 +33,7 @@
         limit: headers["x-limit"] === undefined
             ? { statement: LimitStatement.Unlimited }
             : { statement: LimitStatement.Limited, requestsPerS: Number(headers["x-limit"]) },
+        isLeaving: headers["x-leaving"] !== undefined,
         pause: headers["x-pause"] === undefined ? undefined : parsePause(headers["x-pause"]),
         headers: { "x-signature": String(headers["x-signature"]) },
     }),
@@ -156,6 +157,7 @@
     suspicions: GroupSuspicion[];
     /** Lines of the decision log. */
     decisions: Decision[];
+    leavingReports: LeavingServer[];
     /** Supplies configuration and fleet view to the gateway. */
     initialize(): void;
     send(request?: Partial<CallerRequest>): Promise<RecordedResponse>;
@@ -180,6 +182,7 @@
 export const createGateway = (t: ExecutionContext, options: GatewayFixtureOptions = {}): GatewayFixture => {
     const suspicions: GroupSuspicion[] = [];
     const decisions: Decision[] = [];
+    const leavingReports: LeavingServer[] = [];
     const gateway = new Gateway({
         context: createContext({
             daemonId: "entry",
@@ -194,6 +197,10 @@
             ?? (() => Promise.reject(new Error("no control daemon in this test"))),
         partLeader: options.partLeader
             ?? { report: () => Promise.resolve(undefined), requestTrial: () => Promise.resolve(false) },
+        reportLeaving: (server) => {
+            leavingReports.push(server);
+            return Promise.resolve();
+        },
         onSuspicion: async (suspicion) => {
             suspicions.push(suspicion);
             return false;
@@ -220,6 +227,7 @@
         gateway,
         suspicions,
         decisions,
+        leavingReports,
         initialize,
         startRequest,
         send: async (fields) => {
--- a/test/platform/decode.test.ts
+++ b/test/platform/decode.test.ts
@@ -199,6 +199,23 @@
     }
 });
 
+// Guards against an answer of another server that takes the expected one out of use.
+test("a server says with the value 1, in any answer of its own, that it leaves", (t) => {
+    const decode = (status: number, field: string | string[] | undefined): object => {
+        const { isLeaving, headers } = platformDialect.decode(status, { "server-leaving": field });
+        return { isLeaving, isForwarded: "server-leaving" in headers };
+    };
+    for (const status of [200, 400, 429, 500, 503]) {
+        t.deepEqual(decode(status, "1"), { isLeaving: true, isForwarded: false }, `${status}`);
+    }
+    t.deepEqual(decode(421, "1"), { isLeaving: false, isForwarded: false });
+    t.deepEqual(decode(200, ["0", "1"]), { isLeaving: true, isForwarded: false });
+    t.deepEqual(decode(200, "0, 1"), { isLeaving: true, isForwarded: false });
+    for (const field of [undefined, "", "0", "-1", "10", "true", "1x"]) {
+        t.deepEqual(decode(200, field), { isLeaving: false, isForwarded: false }, field);
+    }
+});
+
 // Guards against a malformed limit that stops all requests to a server, or lets all of them through.
 test("the limit that a server names is decoded, and unreadable ones leave the former limit in force", (t) => {
     const decode = (limit: string | string[] | undefined, status = 200): object =>
--- a/test/platform/smallfleet.ts
+++ b/test/platform/smallfleet.ts
@@ -29,6 +29,8 @@
     entryCount: number;
     /** Number of groups, or of servers of the plain service. */
     serverCount: number;
+    /** Target for the first event of streams. Default: that of the configuration. */
+    streamTargetMs?: number;
     /** Observes the engines, beside the counts of arrivals. */
     observe?: Partial<Pick<EngineFleet, "onArrival" | "onPause">>;
 }
@@ -36,7 +38,7 @@
 /** Starts daemons, and groups of two engines or servers of the plain service, which serve `/chat/`, or `/read/` and `/pay/`. */
 export const startSmallFleet = async (
     t: ExecutionContext,
-    { service, entryCount, serverCount, observe = {} }: SmallFleetOptions,
+    { service, entryCount, serverCount, streamTargetMs, observe = {} }: SmallFleetOptions,
 ): Promise<SmallFleet> => {
     const platform = await startPlatform(t, { entryCount });
     const violations: string[] = [];
@@ -66,9 +68,10 @@
     }
     const { routes, ...configuration } = wireConfiguration(1);
     const [chat, pay] = routes as object[];
+    const streams = streamTargetMs === undefined ? chat : { ...chat, target_latency_ms: streamTargetMs };
     const body = JSON.stringify({
         ...configuration,
-        routes: [chat, pay, { ...pay, name: "read", path_prefix: "/read/", kind: "safe", attempts: 2 }],
+        routes: [streams, pay, { ...pay, name: "read", path_prefix: "/read/", kind: "safe", attempts: 2 }],
     });
     await callUntil(200, `http://${platform.control}/greengageridge/Config.Replace`, {
         method: "POST",
--- a/test/routing/serverholds.test.ts
+++ b/test/routing/serverholds.test.ts
@@ -1,5 +1,11 @@
 import { createContext } from "@greengage/base";
-import { MAX_PAUSE_MS, parsePause, ServerHolds, type ServerIncarnation } from "@greengage/routing";
+import {
+    LEAVING_GRACE_MS,
+    MAX_PAUSE_MS,
+    parsePause,
+    ServerHolds,
+    type ServerIncarnation,
+} from "@greengage/routing";
 import test from "ava";
 
 const createHolds = (): ServerHolds => new ServerHolds(createContext({ daemonId: "d1", zone: "z" }));
@@ -81,3 +87,33 @@
     t.true(holds.isHeld(incarnation("e10099"), 1));
     t.false(holds.isHeld(incarnation("e0"), 1));
 });
+
+test("a server that leaves is held after a grace period until its process ends", (t) => {
+    const holds = createHolds();
+    const server = incarnation("e1");
+    holds.observeLeaving(server, 100);
+    holds.observeLeaving(server, 900);
+    t.true(holds.isLeaving(server));
+    t.is(holds.waitMs(server, 100 + LEAVING_GRACE_MS - 1), 0);
+    t.is(holds.waitMs(server, 100 + LEAVING_GRACE_MS), Infinity);
+    t.is(holds.waitMs(server, 1e9), Infinity);
+    t.false(holds.isLeaving(incarnation("e1", 2)));
+    t.false(holds.isHeld(incarnation("e1", 2), 1e9));
+    t.like(holds.list(1e9)[0], { serverId: "e1", isLeaving: true, waitMs: Infinity });
+});
+
+// Guards against callers that are told to return to a server that will have gone.
+test("a server that leaves during its pause never returns", (t) => {
+    const holds = createHolds();
+    const server = incarnation("e1");
+    holds.observePause(server, { pauseMs: 5_000 }, 0);
+    holds.observeLeaving(server, 0);
+    t.is(holds.waitMs(server, 0), Infinity);
+    t.is(holds.earliestReturn([server], 0), undefined);
+    const short = incarnation("e2");
+    holds.observePause(short, { pauseMs: 300 }, 0);
+    holds.observeLeaving(short, 0);
+    t.is(holds.waitMs(short, 100), 200);
+    t.is(holds.waitMs(short, 400), 0);
+    t.is(holds.waitMs(short, LEAVING_GRACE_MS), Infinity);
+});
