Check the start of a process in views and records

An odd value of bornMs in a view or a record was passed on; it is checked like the other fields now. The entries of fleet > oddentries name the start, and pass with and without this change: values that are not in the schema were never dropped.

--- a/packages/fleet/src/entries.ts
+++ b/packages/fleet/src/entries.ts
@@ -67,6 +67,7 @@
     address,
     zone: name,
     slotCount,
+    bornMs: counter.optional(),
 });
 
 const groupFields = { groupName: name, epoch: counter, service: name, model: z.string(), zone: name };
@@ -75,6 +76,7 @@
     ...groupFields,
     headId: serverId,
     headAddress: address,
+    bornMs: counter.optional(),
 });
 
 const memberRecordSchema: z.ZodType<MemberRecord> = z.object({
--- a/test/fleet/oddentries.test.ts
+++ b/test/fleet/oddentries.test.ts
@@ -26,6 +26,7 @@
     zone: "z",
     headId: "e1",
     headAddress: "127.0.0.1:1",
+    bornMs: 1,
 };
 
 const suspect: SuspectPart = {
@@ -40,17 +41,24 @@
     term: 1,
     version,
     groups: [group],
-    servers: [{ serverId: "l1", service: "ledger", address: "127.0.0.1:2", zone: "z", slotCount: 1 }],
+    servers: [{
+        serverId: "l1",
+        service: "ledger",
+        address: "127.0.0.1:2",
+        zone: "z",
+        slotCount: 1,
+        bornMs: 2,
+    }],
     entryDaemonCount: 1,
     controllers: [{ daemonId: "core-1", zone: "z" }],
     ...fields,
 });
 
-const { headId, ...identity } = group;
+const { headId, bornMs = 0, ...identity } = group;
 const groupRecord: GroupRecord = {
     ...identity,
     fabricDomain: "d",
-    members: [{ serverId: headId, bornMs: 1, address: "127.0.0.1:1", sequence: 3 }],
+    members: [{ serverId: headId, bornMs, address: "127.0.0.1:1", sequence: 3 }],
     phase: "open",
 };
 
