Reproduce requests that crash the servers of the project's own daemons

A request whose content ends the process that runs it goes from backend server to backend server: a stream is repeated on up to 8 groups, a safe call on up to 3 servers, and nothing recognises the content when the caller sends it again. 12 or 16 calls with one content crashed up to 50 servers (4 daemons in two zones, 6 to 8 groups).

Stand-ins end on a text in a request, before or after the response head.

--- a/packages/standins/src/backend.ts
+++ b/packages/standins/src/backend.ts
@@ -5,7 +5,10 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import { Agent, request } from "undici";
-import { type Behaviour, DEFAULT_BEHAVIOUR, type StandinOptions } from "./options.ts";
+import { type Behaviour, type CrashPhase, DEFAULT_BEHAVIOUR, type StandinOptions } from "./options.ts";
+
+/** Time for a response head to leave the process before it ends. */
+const CRASH_DELAY_MS = 20;
 
 /** Base class of the stand-ins: serves HTTP, writes records to a file and reports to the daemons. */
 export abstract class Backend {
@@ -89,6 +92,17 @@
         return false;
     }
 
+    /** Ends the process if `text`, the content of a request, contains the text that crashes this stand-in in `phase`. */
+    protected async crashOn(text: string, phase: CrashPhase, requestId: string): Promise<void> {
+        const crashText = this.options.crashTexts?.[phase];
+        if (crashText === undefined || !text.includes(crashText)) {
+            return;
+        }
+        this.record("crashed", { requestId, phase });
+        await sleep(CRASH_DELAY_MS);
+        process.exit(1);
+    }
+
     protected record(kind: string, fields: object): void {
         if (this.options.recordPath !== undefined) {
             const line = {
--- a/packages/standins/src/engine.ts
+++ b/packages/standins/src/engine.ts
@@ -5,6 +5,7 @@
 import { request } from "undici";
 import { answerJson, Backend, readText } from "./backend.ts";
 import { MemberLinks, sendHeartbeats } from "./memberlinks.ts";
+import { CrashPhase } from "./options.ts";
 import { PrefixCache } from "./prefixcache.ts";
 
 interface ChatRequest {
@@ -177,7 +178,11 @@
             this.record("lost", { requestId });
             return;
         }
+        const content = JSON.stringify(body);
+        await this.crashOn(content, CrashPhase.BeforeHead, requestId);
         response.writeHead(200, { "content-type": "text/event-stream", "x-request-id": requestId });
+        response.flushHeaders();
+        await this.crashOn(content, CrashPhase.AfterHead, requestId);
         const createdS = Math.floor(Date.now() / 1000);
         for (let index = body.greengage?.resume_tokens ?? 0; index < count; index += 1) {
             if (!await this.#waitForMembers(requestId, response, members)) {
--- a/packages/standins/src/options.ts
+++ b/packages/standins/src/options.ts
@@ -40,8 +40,18 @@
     cachedPrefixes?: number;
     /** Added to the time to the first token when the prefix is not cached. Default: 0. */
     prefixMissMs?: number;
+    /**
+     * Texts by phase. The process ends in that phase when it answers a request whose path or body contains the text.
+     * Ledgers have only the phase `beforeHead`. Default: none does.
+     */
+    crashTexts?: Partial<Record<CrashPhase, string>>;
 }
 
+/** Phase of an answer: before its head is sent, or between the head and the first event. */
+export const CrashPhase = { BeforeHead: "beforeHead", AfterHead: "afterHead" } as const;
+
+export type CrashPhase = typeof CrashPhase[keyof typeof CrashPhase];
+
 /** Options of a process that hosts several backend servers. */
 export interface HostOptions {
     key: string;
