Tell whether a request may be repeated after its server crashed

PromptParts.recordServerFailure only reported the crash of a server, so a caller of it couldn't know whether this request had crashed another server before. It now resolves to whether the request may be sent to a further server: always if the server is alive or events were delivered, else only after the first server that crashes under the request. The report handler names the part of the log that it needs, so that a daemon without the platform's log can use it. The platform's programs ignore the result as before.

gateway › serverfailures fails to compile on the former code (the result was void).

--- a/packages/fleet/src/partreports.ts
+++ b/packages/fleet/src/partreports.ts
@@ -1,5 +1,5 @@
 import { type Context, messageOf, monotonicMs } from "@greengage/base";
-import type { RaftLog } from "@greengage/consensus";
+import type { LogStatus, RaftLog } from "@greengage/consensus";
 import type {
     CrashId,
     GroupCrash,
@@ -17,7 +17,8 @@
 export interface PartReportHandlerOptions {
     context: Context;
     peers: Peers;
-    log: Pick<RaftLog, "holdsLeaderLease" | "status">;
+    /** Whether this daemon decides, and which one it believes to decide. */
+    log: Pick<RaftLog, "holdsLeaderLease"> & { status(): Pick<LogStatus, "leaderId">; };
     controller: Pick<GroupController, "confirmCrash" | "confirmServerCrash">;
     quarantine: PartQuarantine;
     /** Called after each report. */
--- a/packages/gateway/src/promptparts.ts
+++ b/packages/gateway/src/promptparts.ts
@@ -209,15 +209,22 @@
         return request.hasEvents === true || !request.hasHead || isCleared || !await hasCrashed;
     }
 
-    /** Reports that the connection to a server of a plain service failed before a request was answered. */
-    async recordServerFailure(service: string, serverId: string, request: UnservedRequest): Promise<void> {
+    /**
+     * Reports that the connection to a server of a plain service failed before a request was answered. Resolves to whether the
+     * request may be sent to another server: not if this one has crashed and it was known to have crashed another one.
+     */
+    async recordServerFailure(service: string, serverId: string, request: UnservedRequest): Promise<boolean> {
+        const wasSuspect = request.partIds.some((partId) =>
+            isRequestCulprit(partId) && this.#isSuspect(keyOf(service, partId))
+        );
         const reported = this.#recordCrash(
             service,
             serverId,
             request,
             () => this.#crashReports.reportServer({ service, serverId, requests: [request] }),
         );
-        await Promise.race([reported, sleep(REPORT_WAIT_MS)]);
+        const hasCrashed = await Promise.race([reported, sleep(REPORT_WAIT_MS).then(() => true)]);
+        return request.hasEvents === true || !hasCrashed || !wasSuspect;
     }
 
     /** Resolves to whether the server has crashed; also true while that is unknown. */
