Blame requests for crashes in the dispatcher

A stream whose connection failed was sent to up to 8 groups and a safe call to up to 3 servers, also when each of them crashed under it. The dispatcher now names each request by a digest of its row, organisation, method, path and body, reports failed connections, first events and complete responses to a CrashBlame, and follows it: a quarantined request is rejected before it takes a place, and once more just before each write; a request isn't repeated after the second server that crashed under it; a trial is sent once. A request that was written before it was quarantined ends with the failure of its attempt and the verdict mayHaveRun. Without a CrashBlame nothing changes.

--- a/packages/routing/src/dispatcher.ts
+++ b/packages/routing/src/dispatcher.ts
@@ -13,6 +13,7 @@
 import { DEFAULT_QUEUE_LIMITS, GroupAdmission, type QueueLimits } from "./admission.ts";
 import { Cancellation } from "./cancellation.ts";
 import { ConnectionPools } from "./connectionpools.ts";
+import { type CrashBlame, NO_BLAME } from "./crashblame.ts";
 import { GenerationCall } from "./generation.ts";
 import { GroupLoads } from "./grouploads.ts";
 import { GroupSelector } from "./groupselector.ts";
@@ -51,6 +52,8 @@
      * this daemon divides the limits by the number of daemons.
      */
     requestPermit?: RequestLimitsOptions["requestPermit"];
+    /** Default: no request is blamed for the crash of a backend server. */
+    blame?: CrashBlame;
     streamLimits?: Partial<StreamLimits>;
     queueLimits?: Partial<QueueLimits>;
 }
@@ -70,6 +73,7 @@
     readonly #selector: GroupSelector;
     readonly #admission: GroupAdmission;
     readonly #serviceCalls: ServiceCalls;
+    readonly #blame: CrashBlame;
 
     constructor(options: BackendDispatcherOptions) {
         this.#options = options;
@@ -82,6 +86,7 @@
             limit: (organisation) => table.organisation(organisation),
             daemonCount,
         });
+        this.#blame = options.blame ?? NO_BLAME;
         this.#requestLimits = new RequestLimits({
             context,
             random: new Random(),
@@ -108,6 +113,7 @@
             budget: this.#retryBudget,
             pools: this.#pools,
             requestLimits: this.#requestLimits,
+            blame: this.#blame,
             backendKey,
             limitOf: (service) =>
                 Math.max(1, Math.floor((table.service(service)?.maxConcurrent ?? 1) / daemonCount())),
@@ -167,6 +173,7 @@
                 budget: this.#retryBudget,
                 pools: this.#pools,
                 requestLimits: this.#requestLimits,
+                blame: this.#blame,
                 stallDetector: this.#stallDetector,
                 limits: this.#streamLimits,
                 backendKey: this.#options.backendKey,
--- a/packages/routing/src/generation.ts
+++ b/packages/routing/src/generation.ts
@@ -4,6 +4,7 @@
 import { generationKey, type GroupAdmission, type Slot } from "./admission.ts";
 import type { Cancellation } from "./cancellation.ts";
 import type { ConnectionPools } from "./connectionpools.ts";
+import { type BlamedRequest, blamedRequestOf, CRASH_FAILURES, type CrashBlame } from "./crashblame.ts";
 import { DeliveredEvents } from "./deliveredevents.ts";
 import { ExchangeError, FailureKind, noCapacity } from "./failures.ts";
 import type { Flow } from "./fairqueue.ts";
@@ -15,6 +16,8 @@
 import { StreamAttempt, type StreamLimits } from "./streamattempt.ts";
 import type { EventSink, GenerateRequest } from "./types.ts";
 
+const METHOD = "POST";
+const PATH = "/v1/chat/completions";
 const MAX_ATTEMPTS = 8;
 const RETRY_AFTER_MS = 1_000;
 
@@ -27,6 +30,7 @@
     budget: RetryBudget;
     pools: ConnectionPools;
     requestLimits: RequestLimits;
+    blame: CrashBlame;
     stallDetector: StallDetector;
     limits: StreamLimits;
     backendKey: string;
@@ -42,6 +46,11 @@
     readonly #startedAtMs = monotonicMs();
     readonly #delivered = new DeliveredEvents();
     readonly #excluded = new Set<string>();
+    readonly #blamed: BlamedRequest;
+    /** Whether the request finds out if its content still crashes backend servers. */
+    #isTrial = false;
+    /** False once the request has crashed more than one backend server. */
+    #mayRepeat = true;
     #hasDelivered = false;
     /** Whether an attempt was written and not confirmed as not run by its backend server. */
     #mayHaveRun = false;
@@ -58,12 +67,24 @@
         this.#flow = flow;
         this.#sink = sink;
         this.#cancellation = cancellation;
+        const { model, organisation, body } = request;
+        this.#blamed = blamedRequestOf(`model/${model}`, {
+            organisation,
+            method: METHOD,
+            target: PATH,
+            body: Buffer.from(JSON.stringify(body)),
+        });
     }
 
     async run(): Promise<void> {
+        const { blame } = this.#options;
         for (let attempt = 1;; attempt += 1) {
+            if (!this.#mayHaveRun && !this.#isTrial) {
+                this.#isTrial = await blame.admit(this.#blamed);
+            }
             const error = await this.#runAttempt();
             if (error === undefined || this.#hasFinishReason()) {
+                blame.recordComplete(this.#blamed);
                 return;
             }
             if (!(error instanceof ExchangeError) || !this.#mayRetry(error, attempt)) {
@@ -90,7 +111,7 @@
             return undefined;
         }
         catch (error) {
-            return this.#recordFailure(slot.group, error as ExchangeError);
+            return await this.#recordFailure(slot.group, error as ExchangeError, stream.hasMatchingId);
         }
         finally {
             slot.release();
@@ -151,8 +172,8 @@
             exchange: {
                 client: pools.get(url.origin, monotonicMs()),
                 name: `group ${group.groupId}`,
-                method: "POST",
-                path: "/v1/chat/completions",
+                method: METHOD,
+                path: PATH,
                 headers: {
                     "content-type": "application/json",
                     authorization: `Bearer ${backendKey}`,
@@ -185,6 +206,7 @@
                     context.metrics.durationMs("generation.first_token", monotonicMs() - this.#startedAtMs);
                 }
                 this.#hasDelivered = true;
+                this.#options.blame.recordServed(this.#blamed);
             },
         });
         return stream;
@@ -203,7 +225,7 @@
     #mayWrite(group: GroupView): boolean {
         const { context, directory } = this.#options;
         const isAllowed = directory.isServing(group.zone, group.groupId, group.generation);
-        if (!isAllowed) {
+        if (!isAllowed || this.#isQuarantined()) {
             return false;
         }
         context.invariants.check(
@@ -225,7 +247,7 @@
         return JSON.stringify({ ...body, stream: true, greengage });
     }
 
-    #recordFailure(group: GroupView, error: ExchangeError): ExchangeError {
+    async #recordFailure(group: GroupView, error: ExchangeError, hasHead: boolean): Promise<ExchangeError> {
         const { context, directory } = this.#options;
         this.#mayHaveRun ||= error.verdict !== Verdict.NotRun;
         if (error.rule.suspicionMs > 0) {
@@ -237,9 +259,18 @@
             groupId: group.groupId,
             kind: error.kind,
         });
+        if (error.verdict !== Verdict.NotRun && CRASH_FAILURES.has(error.kind)) {
+            const target = { id: group.groupId, incarnation: String(group.generation) };
+            const progress = { hasHead, ...(this.#hasDelivered ? { hasEvents: true } : {}) };
+            this.#mayRepeat = await this.#options.blame.recordFailure(this.#blamed, target, progress);
+        }
         return error;
     }
 
+    #isQuarantined(): boolean {
+        return !this.#isTrial && this.#options.blame.isQuarantined(this.#blamed);
+    }
+
     /** Whether the caller has the event with the finish reason: the response is then complete without its end marker. */
     #hasFinishReason(): boolean {
         return this.#hasDelivered && this.#cancellation.kind === undefined
@@ -250,6 +281,9 @@
         if (!error.rule.isRetryable || attempt >= MAX_ATTEMPTS || this.#cancellation.kind !== undefined) {
             return false;
         }
+        if (this.#mayHaveRun && (!this.#mayRepeat || this.#isTrial || this.#isQuarantined())) {
+            return false;
+        }
         if (this.#hasDelivered) {
             // Not charged to the retry budget: a resumed stream repeats no work, and the caller can't resume it itself.
             return this.#delivered.summary().isResumable;
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,5 +1,6 @@
 export { rendezvousIds } from "./affinity.ts";
 export * from "./connectionpools.ts";
+export * from "./crashblame.ts";
 export * from "./dispatcher.ts";
 export * from "./eventscanner.ts";
 export * from "./exchange.ts";
--- a/packages/routing/src/servicecalls.ts
+++ b/packages/routing/src/servicecalls.ts
@@ -13,6 +13,13 @@
 import { limitOf } from "./backendheaders.ts";
 import type { Cancellation } from "./cancellation.ts";
 import type { ConnectionPools } from "./connectionpools.ts";
+import {
+    type BlamedRequest,
+    blamedRequestOf,
+    CRASH_FAILURES,
+    type CrashBlame,
+    type UnservedProgress,
+} from "./crashblame.ts";
 import { Exchange } from "./exchange.ts";
 import { type ExchangeError, FailureKind, noCapacity } from "./failures.ts";
 import { MAX_PERMIT_WAIT_MS, type RequestLimits } from "./requestlimits.ts";
@@ -29,11 +36,21 @@
     budget: RetryBudget;
     pools: ConnectionPools;
     requestLimits: RequestLimits;
+    blame: CrashBlame;
     backendKey: string;
     /** Maximum concurrent calls of a service on this daemon: its share of the table row's `maxConcurrent`. */
     limitOf: (service: string) => number;
 }
 
+/** A call with its attempts so far. */
+interface CallState {
+    call: ServiceCall;
+    blamed: BlamedRequest;
+    /** Whether the call finds out if its content still crashes servers. */
+    isTrial: boolean;
+    writeCount: number;
+}
+
 /** Calls backend servers of plain services, that is, services without a model. */
 export class ServiceCalls {
     readonly #options: ServiceCallsOptions;
@@ -52,7 +69,9 @@
 
     /** Resolves with a response of any status. Throws a GreengageError whose verdict covers all attempts. */
     async run(call: ServiceCall, cancellation: Cancellation): Promise<ServiceResponse> {
-        const { service } = call;
+        const { service, organisation, method, path, body } = call;
+        const blamed = blamedRequestOf(`service/${service}`, { organisation, method, target: path, body });
+        const isTrial = await this.#options.blame.admit(blamed);
         const runningCount = this.#inFlightByService.get(service) ?? 0;
         if (runningCount >= this.#options.limitOf(service)) {
             throw noCapacity(
@@ -62,41 +81,59 @@
         }
         this.#inFlightByService.set(service, runningCount + 1);
         try {
-            return await this.#runAttempts(call, cancellation);
+            return await this.#runAttempts({ call, blamed, isTrial, writeCount: 0 }, cancellation);
         }
         finally {
             this.#inFlightByService.set(service, (this.#inFlightByService.get(service) ?? 1) - 1);
         }
     }
 
-    async #runAttempts(call: ServiceCall, cancellation: Cancellation): Promise<ServiceResponse> {
+    async #runAttempts(state: CallState, cancellation: Cancellation): Promise<ServiceResponse> {
+        const { blame } = this.#options;
+        const { call, blamed } = state;
         const tried = new Set<string>();
         let mayHaveRun = false;
-        let writeCount = 0;
-        const onWrite = (): void => {
-            writeCount += 1;
-            this.#options.context.invariants.check(
-                Invariant.ActionAtMostOnce,
-                !call.nonIdempotent || writeCount === 1,
-                () => `call ${call.requestId} was sent ${writeCount} times`,
-            );
-        };
         for (let attempt = 1;; attempt += 1) {
             const server = await this.#selectPermittedServer(call, tried, mayHaveRun);
+            const progress = { hasHead: false };
             tried.add(server.vmId);
             try {
-                return await this.#runExchange(call, server, cancellation, onWrite);
+                const response = await this.#runExchange(state, server, progress, cancellation);
+                blame.recordComplete(blamed);
+                return response;
             }
             catch (thrown) {
                 const error = thrown as ExchangeError;
                 mayHaveRun ||= error.verdict !== Verdict.NotRun;
-                if (!this.#mayRetry(call, error, attempt, cancellation)) {
+                const mayRepeat = await this.#recordFailure({ blamed, server, progress, error });
+                if (!mayHaveRun && !state.isTrial) {
+                    // The content can be quarantined before the call is sent.
+                    state.isTrial = await blame.admit(blamed);
+                }
+                if (
+                    !mayRepeat || (mayHaveRun && (state.isTrial || blame.isQuarantined(blamed)))
+                    || !this.#mayRetry(call, error, attempt, cancellation)
+                ) {
                     throw withVerdict(error, mayHaveRun);
                 }
             }
         }
     }
 
+    /** Resolves to whether the call may be sent to another server. */
+    async #recordFailure({ blamed, server, progress, error }: {
+        blamed: BlamedRequest;
+        server: ServiceView;
+        progress: UnservedProgress;
+        error: ExchangeError;
+    }): Promise<boolean> {
+        if (error.verdict === Verdict.NotRun || !CRASH_FAILURES.has(error.kind)) {
+            return true;
+        }
+        const target = { id: server.vmId, incarnation: server.incarnationId };
+        return await this.#options.blame.recordFailure(blamed, target, progress);
+    }
+
     #mayRetry(call: ServiceCall, error: ExchangeError, attempt: number, cancellation: Cancellation): boolean {
         const { budget } = this.#options;
         if (!error.rule.isRetryable || attempt >= MAX_ATTEMPTS || cancellation.kind !== undefined) {
@@ -171,18 +208,18 @@
     }
 
     async #runExchange(
-        call: ServiceCall,
+        state: CallState,
         server: ServiceView,
+        progress: UnservedProgress,
         cancellation: Cancellation,
-        onWrite: () => void,
     ): Promise<ServiceResponse> {
         const { pools } = this.#options;
         const url = new URL(server.url);
-        const singleUseClient = call.nonIdempotent ? pools.createSingleUse(url.origin) : undefined;
+        const singleUseClient = state.call.nonIdempotent ? pools.createSingleUse(url.origin) : undefined;
         this.#inFlightByServer.set(server.vmId, this.#inFlightAt(server) + 1);
         try {
             const client = singleUseClient ?? pools.get(url.origin, monotonicMs());
-            return await this.#startExchange(call, server, client, cancellation, onWrite);
+            return await this.#startExchange(state, { server, client, progress }, cancellation);
         }
         finally {
             this.#inFlightByServer.set(server.vmId, this.#inFlightAt(server) - 1);
@@ -194,15 +231,18 @@
     }
 
     #startExchange(
-        call: ServiceCall,
-        server: ServiceView,
-        client: HttpDispatcher,
+        state: CallState,
+        { server, client, progress }: {
+            server: ServiceView;
+            client: HttpDispatcher;
+            progress: UnservedProgress;
+        },
         cancellation: Cancellation,
-        onWrite: () => void,
     ): Promise<ServiceResponse> {
+        const { requestLimits, blame } = this.#options;
+        const { call, blamed } = state;
         return new Promise((resolve, reject) => {
             const chunks: Buffer[] = [];
-            const { requestLimits } = this.#options;
             let sizeBytes = 0;
             let sentAtMs = Infinity;
             let status = 0;
@@ -220,14 +260,16 @@
                 body: call.body,
                 requestId: call.requestId,
                 mayWrite: () => {
-                    const isAllowed = this.#isAvailable(server) && call.mayStillSend?.() !== false;
+                    const isAllowed = this.#isAvailable(server) && call.mayStillSend?.() !== false
+                        && (state.isTrial || !blame.isQuarantined(blamed));
                     if (isAllowed) {
                         sentAtMs = monotonicMs();
-                        onWrite();
+                        this.#recordWrite(state);
                     }
                     return isAllowed;
                 },
                 onHead: (received, headers) => {
+                    progress.hasHead = true;
                     requestLimits.observe({
                         serverId: server.vmId,
                         limit: limitOf(received, headers),
@@ -258,6 +300,16 @@
         });
     }
 
+    #recordWrite(state: CallState): void {
+        const { call } = state;
+        state.writeCount += 1;
+        this.#options.context.invariants.check(
+            Invariant.ActionAtMostOnce,
+            !call.nonIdempotent || state.writeCount === 1,
+            () => `call ${call.requestId} was sent ${state.writeCount} times`,
+        );
+    }
+
     #isAvailable(server: ServiceView): boolean {
         return this.#options.directory.services(server.service).some((candidate) =>
             candidate.vmId === server.vmId && candidate.incarnationId === server.incarnationId
