Share a list of suspect requests between the daemons of a zone

Each daemon would know only its own crashes of backend servers, so a request that comes to another daemon would be taken for a new one. Daemons keep a copy; a successor starts from its own and those of the other daemons, as with drained VMs. What is on the list, and why, is decided outside the package.

The fields are new and optional, as is the list.

--- a/packages/bench/src/zone/zone.ts
+++ b/packages/bench/src/zone/zone.ts
@@ -5,8 +5,9 @@
     OrderResult,
     type OrderSender,
     type PlacementName,
+    type SuspectList,
 } from "@greengage/membership";
-import { type Assignment, GroupState, type GroupView, type VmReport } from "@greengage/protocol";
+import { type Assignment, GroupState, type GroupView, type Peers, type VmReport } from "@greengage/protocol";
 import { type RowChange, TableState } from "@greengage/table";
 import { Hub, HubState } from "./hub.ts";
 import { ZoneVm, type ZoneVmOptions } from "./vm.ts";
@@ -30,6 +31,16 @@
     timing?: Partial<MembershipTiming>;
     placement?: PlacementName;
     maxLoads?: number;
+    /** Creates a daemon's list of suspects. Default: no daemon has one. */
+    suspects?: (daemon: SuspectsOwner) => SuspectList;
+}
+
+/** Daemon that gets a list of suspects. */
+export interface SuspectsOwner {
+    context: Context;
+    peers: Peers;
+    zones: string[];
+    membership: () => Membership;
 }
 
 export interface ZoneDaemon {
@@ -151,9 +162,11 @@
         const context = createContext({ daemonId, zone });
         const gate: OrderGate = { isHeld: false, waiting: [] };
         this.gates.set(daemonId, gate);
-        const membership = new Membership({
+        const peers = this.hub.join({ daemonId, zone, host: "", port: 0 });
+        const zones = [...new Set(daemons.map((other) => other.zone))];
+        const membership: Membership = new Membership({
             context,
-            peers: this.hub.join({ daemonId, zone, host: "", port: 0 }),
+            peers,
             table: this.table,
             daemons,
             orderKey: "",
@@ -161,6 +174,7 @@
             placement: this.#options.placement,
             weightStore: { maxLoads: this.#options.maxLoads },
             orders: (lease) => this.#createOrderSender(lease, gate),
+            suspects: this.#options.suspects?.({ context, peers, zones, membership: () => membership }),
         });
         this.daemons.push({ daemonId, zone, context, membership });
     }
--- a/packages/membership/src/controller.ts
+++ b/packages/membership/src/controller.ts
@@ -17,6 +17,7 @@
 import type { OrderSender } from "./orders.ts";
 import { PlacementName, placementPolicies } from "./placement.ts";
 import { replaceStragglers } from "./stragglers.ts";
+import { NO_SUSPECTS, type SuspectList } from "./suspects.ts";
 import { clearZoneState, collectHeldReports } from "./takeover.ts";
 import type { MembershipTiming } from "./timing.ts";
 import { groupsByUrgency, stepGroup } from "./transitions.ts";
@@ -45,6 +46,8 @@
     /** Default: `bestFit`. */
     placement?: PlacementName;
     weightStore?: WeightStoreOptions;
+    /** Default: none. */
+    suspects?: SuspectList;
 }
 
 /** Forms, loads, repairs and dissolves the replica groups of a zone while this daemon holds the zone's lease. */
@@ -55,6 +58,8 @@
     readonly #reconciler: OrderReconciler;
     readonly #exchange: LimitExchange;
     readonly #grantIssuer: GrantIssuer;
+    readonly #suspects: SuspectList;
+    #pushedSuspectVersion = 0;
     #handover: Handover | undefined;
     #activationId = 0;
     #isActive = false;
@@ -87,8 +92,15 @@
             table,
             grantMs: timing.grantMs,
         });
-        const { lease } = options;
-        this.#grantIssuer = new GrantIssuer({ zone: this.#zone, peers, exchange: this.#exchange, lease });
+        const { lease, suspects = NO_SUSPECTS } = options;
+        this.#suspects = suspects;
+        this.#grantIssuer = new GrantIssuer({
+            zone: this.#zone,
+            peers,
+            exchange: this.#exchange,
+            suspects,
+            lease,
+        });
         peers.handle("report.batch", (request) => this.#handleReportBatch(request));
         peers.handle("grant.renew", (request) => this.#handleGrantRenewal(request));
         peers.handle("vm.drain", (request) => this.#handleVmDrain(request));
@@ -142,6 +154,7 @@
             peers,
             exchange: this.#exchange,
             zoneDaemonIds,
+            suspects: this.#suspects,
             onTableVersion: (version) => this.raiseTableFloor(version),
         });
         if (activationId !== this.#activationId) {
@@ -233,6 +246,15 @@
         this.#reconciler.step();
         this.#refreshViews();
         this.#exchange.step(zone.daemons.active());
+        this.#pushSuspects();
+    }
+
+    #pushSuspects(): void {
+        this.#suspects.update(monotonicMs());
+        if (this.#suspects.version !== this.#pushedSuspectVersion) {
+            this.#pushedSuspectVersion = this.#suspects.version;
+            this.#grantIssuer.pushSuspects();
+        }
     }
 
     #accountElapsed(): void {
--- a/packages/membership/src/daemonregistry.ts
+++ b/packages/membership/src/daemonregistry.ts
@@ -8,6 +8,8 @@
     renewedAtMs: number;
     /** Version of the view that it held, if that view was issued under the current lease. */
     viewVersion: number | undefined;
+    /** Version of the suspects that it held, if they were issued under the current lease. */
+    suspectVersion?: number;
     /** Requests in flight by group or backend server; undefined while the daemon doesn't count them. */
     inFlight: Map<string, number> | undefined;
     demand: OrganisationDemand[];
@@ -32,6 +34,7 @@
             zone: request.daemonZone,
             renewedAtMs: monotonicMs(),
             viewVersion: request.fence === fence ? request.viewVersion : undefined,
+            suspectVersion: request.fence === fence ? request.suspectVersion : undefined,
             inFlight: request.inFlight === undefined
                 ? undefined
                 : new Map(request.inFlight.map(({ id, count }) => [id, count])),
--- a/packages/membership/src/directory.ts
+++ b/packages/membership/src/directory.ts
@@ -9,6 +9,7 @@
     type Peers,
     type ServiceView,
     type ShareTransfer,
+    type SuspectPartRecord,
     type ZoneExchange,
 } from "@greengage/protocol";
 import type { MembershipTiming } from "./timing.ts";
@@ -29,6 +30,8 @@
     shares: Map<string, OrganisationShare>;
     transfers: ShareTransfer[];
     drainedVmIds: string[];
+    /** Version of the suspects that were applied last; undefined if none were under this fence. */
+    suspectVersion: number | undefined;
 }
 
 /** Builds and applies messages of the limit exchange with other zones while this daemon is its zone's controller. */
@@ -57,6 +60,7 @@
     #demandSource: () => OrganisationDemand[] = () => [];
     #inFlightSource: (() => InFlightCount[]) | undefined;
     #limitExchangeHandler: LimitExchangeHandler | undefined;
+    #suspectHandler: (records: SuspectPartRecord[]) => void = () => undefined;
 
     constructor(options: GroupDirectoryOptions) {
         this.#options = options;
@@ -80,6 +84,11 @@
         this.#limitExchangeHandler = handler;
     }
 
+    /** Sets the function that gets the suspects of the own zone's controller. */
+    setSuspectHandler(handler: (records: SuspectPartRecord[]) => void): void {
+        this.#suspectHandler = handler;
+    }
+
     start(): void {
         const { context, timing } = this.#options;
         for (const zone of this.#zones.keys()) {
@@ -206,6 +215,7 @@
             zone,
             fence: entry.fence,
             viewVersion: entry.viewVersion,
+            suspectVersion: entry.suspectVersion,
             tableVersion: this.#options.tableVersion(),
             demand: zone === context.zone ? this.#demandSource() : [],
             inFlight: this.#inFlightSource?.(),
@@ -277,6 +287,7 @@
         for (const vmId of grant.removedServiceVmIds) {
             entry.services.delete(vmId);
         }
+        this.#applySuspects(entry, grant);
         entry.fence = grant.fence;
         entry.viewVersion = grant.viewVersion;
         entry.validUntilMs = validUntilMs;
@@ -289,6 +300,17 @@
             listener();
         }
     }
+
+    #applySuspects(entry: ZoneEntry, { fence, suspects }: Grant): void {
+        if (fence !== entry.fence) {
+            entry.suspectVersion = undefined;
+        }
+        if (suspects === undefined || suspects.version < (entry.suspectVersion ?? -1)) {
+            return;
+        }
+        entry.suspectVersion = suspects.version;
+        this.#suspectHandler(suspects.records);
+    }
 }
 
 const emptyZoneEntry = (): ZoneEntry => ({
@@ -303,4 +325,5 @@
     shares: new Map(),
     transfers: [],
     drainedVmIds: [],
+    suspectVersion: undefined,
 });
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -5,5 +5,6 @@
 export { OrderResult } from "./orders.ts";
 export { PlacementName } from "./placement.ts";
 export * from "./reportforwarder.ts";
+export * from "./suspects.ts";
 export * from "./timing.ts";
 export type { ZoneStats } from "./zonestats.ts";
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -1,4 +1,4 @@
-import type { Context } from "@greengage/base";
+import { type Context, monotonicMs } from "@greengage/base";
 import type { Calls, DrainPlan, Peers } from "@greengage/protocol";
 import type { TableState } from "@greengage/table";
 import { type ConfiguredDaemon, leaseAcceptorsOf } from "./acceptorselection.ts";
@@ -9,6 +9,7 @@
 import { HttpOrderSender, type OrderSender } from "./orders.ts";
 import type { PlacementName } from "./placement.ts";
 import { ReportForwarder } from "./reportforwarder.ts";
+import { NO_SUSPECTS, type SuspectList } from "./suspects.ts";
 import { DEFAULT_TIMING, type MembershipTiming } from "./timing.ts";
 import type { WeightStoreOptions } from "./weightstorelimiter.ts";
 import type { ZoneStats } from "./zonestats.ts";
@@ -26,6 +27,8 @@
     weightStore?: WeightStoreOptions;
     /** Sends orders to backend servers. Default: over HTTP. */
     orders?: (lease: () => ZoneLease) => OrderSender;
+    /** Default: none. */
+    suspects?: SuspectList;
 }
 
 /** Zone membership of a daemon: reports, lease and control of its own zone, and the directory of all zones' groups. */
@@ -40,7 +43,7 @@
     readonly #zones: string[];
 
     constructor(options: MembershipOptions) {
-        const { context, peers, table, daemons } = options;
+        const { context, peers, table, daemons, suspects = NO_SUSPECTS } = options;
         const timing = { ...DEFAULT_TIMING, ...options.timing };
         this.#peers = peers;
         this.#context = context;
@@ -63,7 +66,10 @@
             timing,
             controllerId: () => this.directory.controllerOf(context.zone),
             tableVersion,
-            stateForSuccessor: () => this.directory.stateForSuccessor(),
+            stateForSuccessor: () => ({
+                ...this.directory.stateForSuccessor(),
+                suspects: suspects.records(monotonicMs()),
+            }),
         });
         const lease = (): ZoneLease => this.lease;
         this.controller = new ZoneController({
@@ -81,6 +87,7 @@
             zones,
             placement: options.placement,
             weightStore: options.weightStore,
+            suspects,
             zoneDaemonIds: daemons.filter((daemon) => daemon.zone === context.zone).map((daemon) =>
                 daemon.daemonId
             ),
@@ -102,6 +109,12 @@
             onLost: () => this.controller.deactivate(),
         });
         this.directory.setLimitExchangeHandler(this.controller);
+        this.directory.setSuspectHandler((records) => {
+            // The controller's own list is the original.
+            if (!this.lease.isValid) {
+                suspects.restore(records, monotonicMs());
+            }
+        });
         this.#isAcceptor = acceptorsOf(context.zone).includes(peers.daemonId);
     }
 
--- a/packages/membership/src/reportforwarder.ts
+++ b/packages/membership/src/reportforwarder.ts
@@ -1,5 +1,5 @@
 import { type Context, Lifecycle, LogPart, messageOf, monotonicMs } from "@greengage/base";
-import type { Peers, ShareTransfer, UnchangedReport, VmReport } from "@greengage/protocol";
+import type { Peers, ShareTransfer, SuspectPartRecord, UnchangedReport, VmReport } from "@greengage/protocol";
 import type { MembershipTiming } from "./timing.ts";
 
 /** A report and the monotonic time at which it arrived. */
@@ -21,7 +21,11 @@
     controllerId: () => string | undefined;
     tableVersion: () => number;
     /** Controller state that this daemon stores for the next controller of its zone. */
-    stateForSuccessor: () => { transfers: ShareTransfer[]; drainedVmIds: string[]; };
+    stateForSuccessor: () => {
+        transfers: ShareTransfer[];
+        drainedVmIds: string[];
+        suspects?: SuspectPartRecord[];
+    };
 }
 
 export interface ReportResponse {
--- a/packages/membership/src/takeover.ts
+++ b/packages/membership/src/takeover.ts
@@ -1,6 +1,7 @@
 import { monotonicMs } from "@greengage/base";
 import type { Peers } from "@greengage/protocol";
 import type { LimitExchange } from "./limitexchange.ts";
+import type { SuspectList } from "./suspects.ts";
 import type { ZoneState } from "./zonestate.ts";
 
 const HELD_REPORTS_TIMEOUT_MS = 300;
@@ -10,6 +11,7 @@
     peers: Peers;
     exchange: LimitExchange;
     zoneDaemonIds: string[];
+    suspects: SuspectList;
     onTableVersion: (version: number) => void;
 }
 
@@ -35,7 +37,7 @@
 
 /** Fetches a daemon's reports. Returns how long it has been accepting reports; undefined if it doesn't answer. */
 const fetchHeldReports = async (options: TakeoverOptions, daemonId: string): Promise<number | undefined> => {
-    const { zone, peers, exchange, onTableVersion } = options;
+    const { zone, peers, exchange, suspects, onTableVersion } = options;
     const request = { zone: zone.context.zone };
     const response = await peers.call(daemonId, "report.held", request, {
         timeoutMs: HELD_REPORTS_TIMEOUT_MS,
@@ -49,6 +51,7 @@
         zone.vms.drainedVmIds.add(vmId);
     }
     exchange.restoreTransfers(response?.transfers ?? []);
+    suspects.adopt(response?.suspects ?? [], monotonicMs());
     onTableVersion(response?.tableVersion ?? 0);
     return response?.upMs;
 };
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -219,6 +219,7 @@
             upMs: number;
             transfers: ShareTransfer[];
             drainedVmIds: string[];
+            suspects?: SuspectPartRecord[];
         };
     };
     "grant.renew": {
@@ -228,6 +229,8 @@
             zone: string;
             fence: number;
             viewVersion: number;
+            /** Version of the suspects that the daemon holds; absent if it holds none. */
+            suspectVersion?: number;
             tableVersion: number;
             demand: OrganisationDemand[];
             /** Requests in flight; absent if the daemon doesn't count them. */
--- a/packages/protocol/src/views.ts
+++ b/packages/protocol/src/views.ts
@@ -1,3 +1,5 @@
+import type { SuspectPartRecord } from "./fleet.ts";
+
 /** State of one generation of a replica group. */
 export const GroupState = {
     Forming: "forming",
@@ -166,4 +168,9 @@
     transfers: ShareTransfer[];
     /** VMs that an operator has drained. Daemons store them for the next controller. */
     drainedVmIds: string[];
+    /**
+     * Requests suspected of crashing backend servers. Daemons store them for the next controller. Absent for daemons of other
+     * zones, and for those that hold this version.
+     */
+    suspects?: { version: number; records: SuspectPartRecord[]; };
 }
