--- a/test/membership/suspects.test.ts
+++ b/test/membership/suspects.test.ts
@@ -60,10 +60,10 @@
     return { zone, lists };
 };
 
-const waitForIds = (lists: Iterable<FakeSuspects>, ids: string[]): Promise<true> =>
+const waitForIds = (lists: readonly FakeSuspects[], ids: string[]): Promise<true> =>
     waitFor(
         `the suspects ${ids.join(", ")}`,
-        () => [...lists].every((list) => list.ids.join() === ids.join()) || undefined,
+        () => lists.every((list) => list.ids.join() === ids.join()) || undefined,
     );
 
 // Guards against daemons that pass on requests that their zone's controller has quarantined.
