Quarantine requests that crash the servers of the project's own daemons

A caller that repeated one content crashed 4 to 50 backend servers in 12 or 16 calls: streams went to up to 8 groups, safe calls to 3 servers, and no daemon recognised the content when it came again.

RequestQuarantine reports crashes to the controllers of all zones. Because every controller counts all crashes, a request that crashes one server in each of two zones is quarantined in both. A daemon that reaches no controller counts for itself.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -26,6 +26,7 @@
 import { DaemonDrain } from "./drain.ts";
 import { processStats, startGauges } from "./metrics.ts";
 import { DaemonOperatorApi } from "./operatorapi.ts";
+import { RequestQuarantine } from "./requestquarantine.ts";
 import type { Settings } from "./settings.ts";
 import { DaemonActionSettlement } from "./settlement.ts";
 import { type DaemonStatus, versions } from "./status.ts";
@@ -47,6 +48,7 @@
     readonly #drain: DaemonDrain;
     readonly #peers: PeerNetwork;
     readonly #log: RaftLog;
+    readonly #quarantine: RequestQuarantine;
     readonly #membership: Membership;
     readonly #dispatcher: BackendDispatcher;
     readonly #operators: OperatorRouter;
@@ -78,6 +80,13 @@
             dataFolder: self.voter ? settings.dataFolder : undefined,
             bootstrap: settings.bootstrap,
         });
+        this.#quarantine = new RequestQuarantine({
+            context,
+            peers: this.#peers,
+            zones: [...new Set(daemons.map((daemon) => daemon.zone))],
+            directory: () => this.#membership.directory,
+            isController: () => this.#membership.lease.isValid,
+        });
         this.#membership = new Membership({
             context,
             peers: this.#peers,
@@ -87,6 +96,7 @@
             timing: settings.timing,
             placement: settings.placement,
             weightStore: settings.weightStore,
+            suspects: this.#quarantine,
         });
         this.#dispatcher = new BackendDispatcher({
             context,
@@ -95,6 +105,7 @@
             backendKey: keys.backendServers,
             knownDaemonCount: daemons.filter((daemon) => !daemon.controlOnly).length,
             requestPermit: (request) => this.#requestPermit(request),
+            blame: this.#quarantine,
         });
         this.#peers.handle("limit.acquire", (request) => this.#grantPermit(request));
         this.#actions = new ActionService({
@@ -272,6 +283,11 @@
                 start: () => this.#membership.start(),
                 close: () => this.#membership.close(),
             },
+            {
+                name: "quarantine",
+                start: () => this.#quarantine.start(),
+                close: () => this.#quarantine.close(),
+            },
             { name: "actions", start: () => undefined, close: () => this.#actions.close() },
             { name: "gauges", ...this.#gauges() },
             { name: "http", start: () => this.#httpServer.start(), close: () => this.#httpServer.close() },
