Blame no culprit that was served before for crashes that all happen at once

When all servers of a service, or those of a zone, crashed at the same moment, a content or prompt part that many callers send was in progress on several of them. Each of these crashes counted against it, and as nothing was served until servers were back, it was quarantined: callers of sound requests got 503 for a minute after the outage.

Crashes that all happen within 100 ms now blame nothing that was served before, as they have another common cause. Daemons remember the last 10,000 requests with a complete response, and tell the leader when it lists one of them as a suspect; a report that comes after the quarantine lifts it. A request that was never served is still quarantined after two crashes, however soon one follows the other.

--- a/packages/fleet/src/blame.ts
+++ b/packages/fleet/src/blame.ts
@@ -15,6 +15,11 @@
 export const ONLY_REQUEST_RULE: QuarantineRule = { crashes: 2, exonerationMs: 0 };
 /** For the content of a request with crashes that other requests share, or in the middle of its events. */
 export const SHARED_REQUEST_RULE: QuarantineRule = { crashes: 3, exonerationMs: 400 };
+/**
+ * Crashes that all happen within this time have another common cause, such as the loss of a zone, if their culprit was served
+ * before.
+ */
+export const COINCIDENCE_MS = 100;
 /** Time after a crash in which the reports of all daemons about it arrive. */
 export const REPORT_SETTLE_MS = 50;
 
@@ -125,9 +130,14 @@
         || meets(SHARED_REQUEST_RULE, crashedEpochs.size, ageMs);
 };
 
+/** Whether the crashes so far say nothing about a culprit that was served before. */
+export const isCoincidence = ({ firstCrashAtMs, lastCrashAtMs, wasServedBefore }: SuspectState): boolean =>
+    wasServedBefore && lastCrashAtMs - firstCrashAtMs < COINCIDENCE_MS;
+
 /** Whether a culprit crashes servers, as far as the crashes so far show. */
 export const isBlamed = (suspect: SuspectState, suspects: readonly SuspectState[], nowMs: number): boolean =>
-    isRequest(suspect) ? isRequestBlamed(suspect, suspects, nowMs) : isPartBlamed(suspect, nowMs);
+    !isCoincidence(suspect)
+    && (isRequest(suspect) ? isRequestBlamed(suspect, suspects, nowMs) : isPartBlamed(suspect, nowMs));
 
 /** Whether a culprit can't be told from another one of its kind. */
 export const isAmbiguous = (suspect: SuspectState, suspects: readonly SuspectState[]): boolean =>
--- a/packages/fleet/src/partquarantine.ts
+++ b/packages/fleet/src/partquarantine.ts
@@ -13,6 +13,7 @@
     explainsCrashes,
     isAmbiguous,
     isBlamed,
+    isCoincidence,
     isNarrower,
     isPartBlamed,
     isQuarantined,
@@ -270,11 +271,12 @@
         }
     }
 
-    /** A part that was served before needs more crashes, so this can lift its quarantine. */
+    /** A culprit that was served before needs more evidence, so this can lift its quarantine. */
     #markServedBefore(suspect: SuspectState, nowMs: number): void {
         suspect.wasServedBefore = true;
         this.#version += 1;
-        if (isQuarantined(suspect) && !isRequest(suspect) && !isPartBlamed(suspect, nowMs)) {
+        const isReleased = isCoincidence(suspect) || (!isRequest(suspect) && !isPartBlamed(suspect, nowMs));
+        if (isQuarantined(suspect) && isReleased) {
             suspect.nextTrialAtMs = undefined;
             this.#record("part.released", suspect, { reason: "it was served before the first crash" });
         }
--- a/packages/gateway/src/promptparts.ts
+++ b/packages/gateway/src/promptparts.ts
@@ -27,6 +27,8 @@
 const SUSPECT_SERVED_TTL_MS = 2_000;
 /** Parts served longest ago are dropped beyond this number. */
 const MAX_SERVED_PARTS = 20_000;
+/** Requests answered longest ago are dropped beyond this number; popular ones stay. */
+const MAX_COMPLETED_REQUESTS = 10_000;
 /** Requests that crashed servers longest ago are dropped beyond this number. */
 const MAX_CRASHED_REQUESTS = 1_000;
 /** Crashes after which this daemon rejects a request by itself while no leader accepts its reports. */
@@ -78,6 +80,8 @@
     readonly #crashReports: CrashReports;
     /** Time at which a request with the part last produced an event, in order of that time. */
     readonly #servedAtMs = new Map<string, number>();
+    /** Time at which a request last had a complete response, in order of that time. */
+    readonly #completedAtMs = new Map<string, number>();
     /** In order of their last crashes. */
     readonly #crashedRequests = new Map<string, CrashedRequest>();
     #suspects = new Map<string, SuspectPart>();
@@ -118,7 +122,15 @@
             }
         }
         for (const [key, { service, partId }] of this.#suspects) {
-            if (!former.has(key) && this.#wasServedWithin(key, SERVED_TTL_MS, monotonicMs())) {
+            if (former.has(key)) {
+                continue;
+            }
+            const completedAtMs = this.#completedAtMs.get(key);
+            if (completedAtMs !== undefined) {
+                this.#servedAtMs.set(key, completedAtMs);
+                this.#reportServed({ service, partId, isComplete: true });
+            }
+            else if (this.#wasServedWithin(key, SERVED_TTL_MS, monotonicMs())) {
                 this.#reportServed({ service, partId, isComplete: false });
             }
         }
@@ -170,6 +182,8 @@
     recordComplete(service: string, culpritIds: readonly string[], nowMs: number): void {
         for (const partId of culpritIds.filter(isRequestCulprit)) {
             const key = keyOf(service, partId);
+            this.#completedAtMs.delete(key);
+            this.#completedAtMs.set(key, nowMs);
             if (this.#isSuspect(key)) {
                 this.#crashedRequests.delete(key);
                 this.#crashReports.forget(service, partId);
@@ -177,6 +191,7 @@
                 this.#reportServed({ service, partId, isComplete: true });
             }
         }
+        dropFirst(this.#completedAtMs, MAX_COMPLETED_REQUESTS);
     }
 
     /**
--- a/test/fleet/partquarantine.test.ts
+++ b/test/fleet/partquarantine.test.ts
@@ -2,6 +2,7 @@
 import {
     AMBIGUOUS_TRIAL_DELAY_MS,
     ANSWERING_RULE,
+    COINCIDENCE_MS,
     FIRST_TRIAL_DELAY_MS,
     ONLY_REQUEST_RULE,
     PartQuarantine,
@@ -375,3 +376,36 @@
         t.deepEqual(quarantinedIds(quarantine, atMs + REPORT_SETTLE_MS), epoch === 0 ? [] : [DEADLY]);
     }
 });
+
+const POPULAR = "popular";
+
+const outageVictims: Record<string, (epoch: number) => UnservedRequest> = {
+    [SOUND]: () => queued(SOUND),
+    [POPULAR]: (epoch) => queued(POPULAR, requestCulpritId(`${epoch}`)),
+};
+
+for (const [popularId, victimOf] of Object.entries(outageVictims)) {
+    for (const reportedAtMs of [1, 10 * WAITING_RULE.exonerationMs]) {
+        test(`all servers of a service crash at once, and ${popularId} is rejected, ${reportedAtMs}`, (t) => {
+            const quarantine = createQuarantine();
+            quarantine.recordCrash(SERVICE, 0, [victimOf(0)], 0);
+            for (let epoch = 1; epoch <= 2 * WAITING_RULE.crashes; epoch += 1) {
+                quarantine.recordCrash(SERVICE, epoch, [victimOf(epoch)], epoch);
+            }
+            quarantine.update(reportedAtMs);
+            recordServed(quarantine, popularId, reportedAtMs, reportedAtMs + 1_000);
+            const settledAtMs = 20 * WAITING_RULE.exonerationMs;
+            quarantine.update(settledAtMs);
+            t.deepEqual(quarantinedIds(quarantine, settledAtMs), []);
+        });
+    }
+}
+
+test("a request that was served once is not blamed for later crashes", (t) => {
+    const quarantine = createQuarantine();
+    quarantine.recordCrash(SERVICE, 1, [queued(DEADLY)], 0);
+    recordServed(quarantine, DEADLY, 1, 1_000);
+    quarantine.recordCrash(SERVICE, 2, [queued(DEADLY)], COINCIDENCE_MS);
+    quarantine.update(COINCIDENCE_MS + REPORT_SETTLE_MS);
+    t.deepEqual(quarantinedIds(quarantine, COINCIDENCE_MS + REPORT_SETTLE_MS), [DEADLY]);
+});
