Repeat no request to a plain service that has crashed a server before

A caller's repeat of a safe request that had crashed a server crashed two more, while the quarantine was on its way: it was repeated like a new one. "a request that has crashed a plain server before goes from one server to the next" failed before.

--- a/packages/gateway/src/servercall.ts
+++ b/packages/gateway/src/servercall.ts
@@ -28,6 +28,8 @@
     #isTrial = false;
     /** Attempts that don't count, as their servers wanted no requests. */
     #turnedAwayCount = 0;
+    /** Whether the request may crash the next server, too. */
+    #isSuspected = false;
     /** Response with an error status of an earlier attempt. It is delivered if no other server takes the request. */
     #errorResponse: CompleteOutcome | undefined;
 
@@ -179,10 +181,12 @@
             promptParts.recordComplete(service.name, culpritIds, monotonicMs());
         }
         if (outcome.kind === "failed" && CRASH_FAILURES.has(outcome.failure)) {
-            await promptParts.recordServerFailure(service.name, serverId, {
+            const mayRepeat = await promptParts.recordServerFailure(service.name, serverId, {
                 partIds: [...culpritIds],
                 hasHead,
             });
+            // A trial that goes on to another server costs two.
+            this.#isSuspected = this.#isTrial || !mayRepeat;
         }
         return outcome;
     }
@@ -213,9 +217,8 @@
     }
 
     #mayRetry(outcome: AttemptOutcome): boolean {
-        // A trial that goes on to another server costs two.
         const isAllowed = outcome.kind === "notRun"
-            || (this.#call.route.kind === RouteKind.Safe && !this.#isTrial);
+            || (this.#call.route.kind === RouteKind.Safe && !this.#isSuspected);
         // After the last server has been tried, the selection tells when one of those that pause returns.
         return isAllowed && (isTurnedAway(outcome) || this.#hasAttemptsLeft())
             && !this.#call.response.isClosed;
--- a/test/gateway/poisonrequests.test.ts
+++ b/test/gateway/poisonrequests.test.ts
@@ -131,6 +131,13 @@
     t.is(receivedCount(servers), 1);
 });
 
+test("a request that has crashed a plain server before goes from one server to the next", async (t) => {
+    const { sendBody, publish, servers } = await startService(t, crash);
+    publish([{ ...quarantinedRequest(DEADLY_BODY), isQuarantined: false }]);
+    t.is((await sendBody(DEADLY_BODY)).error?.verdict, Verdict.MayHaveRun);
+    t.is(receivedCount(servers), 1);
+});
+
 test("a trial that crashes a plain server goes to the next server", async (t) => {
     const { sendBody, publish, servers } = await startService(t, crash);
     publish([{ ...quarantinedRequest(DEADLY_BODY), isTrialDue: true }]);
