Count a crash of a plain server once after a change of leadership

A sound request that had been in progress at one crash was rejected for a minute: the former leader had counted the crash with the start time of the server, the new one, to which a crashed server never reports, counted the repeated or late report of it without, as a second crash.

A crash that names no start time now stands for the crash of a known incarnation of the same server.

--- a/packages/fleet/src/blame.ts
+++ b/packages/fleet/src/blame.ts
@@ -73,6 +73,11 @@
     [RequestStage.Streaming]: ({ streamingEpochs }) => streamingEpochs,
 };
 
+/** The crash under a culprit that `crashId` stands for: one that names no start time of its server is of the known one. */
+export const knownCrashId = ({ crashedEpochs }: SuspectState, crashId: CrashId): CrashId =>
+    [...crashedEpochs].find((known) => typeof known === "string" && known.startsWith(`${crashId}/`))
+        ?? crashId;
+
 /** Culprits that a crash can blame: events have cleared the prompt parts. */
 export const blameableIds = ({ partIds, hasEvents = false }: UnservedRequest): string[] =>
     hasEvents ? partIds.filter(isRequestCulprit) : partIds;
--- a/packages/fleet/src/partquarantine.ts
+++ b/packages/fleet/src/partquarantine.ts
@@ -18,6 +18,7 @@
     isPartBlamed,
     isQuarantined,
     isRequest,
+    knownCrashId,
     type RequestStage,
     stageOf,
     type SuspectState,
@@ -245,7 +246,8 @@
         this.#version += 1;
     }
 
-    #blame(suspect: SuspectState, epoch: CrashId, stage: RequestStage, nowMs: number): void {
+    #blame(suspect: SuspectState, crashId: CrashId, stage: RequestStage, nowMs: number): void {
+        const epoch = knownCrashId(suspect, crashId);
         const epochs = epochsByStage[stage](suspect);
         if (epochs.has(epoch)) {
             return;
--- a/test/fleet/partquarantine.test.ts
+++ b/test/fleet/partquarantine.test.ts
@@ -342,6 +342,20 @@
     t.deepEqual(successor.records(1_000), former.records(1_000));
 });
 
+// A new leader doesn't know the start time of a server that crashed before.
+test("one crash of a plain server counts twice after a change of leadership", (t) => {
+    const former = createQuarantine();
+    former.recordCrash(SERVICE, "s1/7", [queued(SOUND)], 0);
+    const successor = createQuarantine();
+    successor.restore(former.records(1_000), 1_000);
+    successor.recordCrash(SERVICE, "s1", [queued(SOUND)], 2_000);
+    successor.update(3_000);
+    t.deepEqual(quarantinedIds(successor, 3_000), []);
+    successor.recordCrash(SERVICE, "s1/8", [queued(SOUND)], 4_000);
+    successor.update(5_000);
+    t.deepEqual(quarantinedIds(successor, 5_000), [SOUND], "another incarnation has crashed");
+});
+
 test("requests beside one in quarantine stay suspects", (t) => {
     const quarantine = createQuarantine();
     const neighbour = requestCulpritId("neighbour");
