--- a/test/gateway/promptparts.test.ts
+++ b/test/gateway/promptparts.test.ts
@@ -339,9 +339,10 @@
             return {};
         },
     };
-    const { gateway, send } = createGateway(t, options);
+    const { gateway, send, suspicions } = createGateway(t, options);
     t.is((await send(requestWith("deadly", "own"))).error?.code, ErrorCode.Quarantined);
     t.is(engine.received.length, 0);
+    t.deepEqual(suspicions, [], "the group isn't unreachable");
 });
 
 test("a success of a suspect is reported once per view", async (t) => {
