Recognise requests that are kept back before their write in one place

isOrderlyRejection covers a request that was withheld because it is quarantined, so the check in streamcall.ts that came with the review repeated it. The test of promptparts that expects no suspicion passes without it.

--- a/packages/gateway/src/streamcall.ts
+++ b/packages/gateway/src/streamcall.ts
@@ -360,14 +360,10 @@
         ) {
             return;
         }
-        const isUnreachable = outcome.kind === "notRun" && outcome.head === undefined;
-        if (isUnreachable && this.#isQuarantined()) {
-            // It was kept back before the write.
-            return;
-        }
         const nowMs = monotonicMs();
         group.avoid(nowMs);
         const culpritId = outcome.kind === "notRun" ? outcome.head?.culpritId : undefined;
+        const isUnreachable = outcome.kind === "notRun" && outcome.head === undefined;
         if (culpritId !== undefined || isUnreachable) {
             const { reason } = outcome;
             this.#deps.suspect(group, { reason, hasRunningStream: false, culpritId });
