Test actions that are completed late in a drain of the daemon

Three actions whose heads are half sent at SIGTERM: one that can end before the limit is run once and answered, one with a later deadline and one after the grace period are rejected as not run.

--- a/test/daemon/shutdown.test.ts
+++ b/test/daemon/shutdown.test.ts
@@ -6,12 +6,17 @@
 import { requestHead, startServingDaemon, waitForDrain } from "./fixture.ts";
 
 const GRACE_MS = 300;
+/** Grace period in which requests are sent. */
+const LONG_GRACE_MS = 2_000;
 const LIMIT_MS = 2_500;
 const SETTINGS = { drainGraceMs: GRACE_MS, drainLimitMs: LIMIT_MS };
 const SERVICE_PATH = "/v1/services/slow/work";
 /** Within the limit, whatever the time at which it is sent. */
 const SHORT_DEADLINE = "x-deadline-ms: 1000";
 
+/** Bytes of a request after which its head is incomplete. */
+const HALF_HEAD_LENGTH = 20;
+
 const editBody = JSON.stringify({
     editId: "edit-1",
     operator: "thandi",
@@ -105,7 +110,11 @@
 });
 
 test("a late call whose deadline lies past the limit is not accepted and given up", async (t) => {
-    const serving = await startServingDaemon(t, { ...SETTINGS, drainGraceMs: 2_000, drainLimitMs: 1_000 });
+    const serving = await startServingDaemon(t, {
+        ...SETTINGS,
+        drainGraceMs: LONG_GRACE_MS,
+        drainLimitMs: 1_000,
+    });
     serving.daemon.process.kill("SIGTERM");
     await waitForDrain(serving.daemon);
     const late = await openConnection(t, serving.port);
@@ -117,7 +126,7 @@
 });
 
 test("a late call that ends within the limit is answered in the grace period", async (t) => {
-    const serving = await startServingDaemon(t, { ...SETTINGS, drainGraceMs: 2_000 });
+    const serving = await startServingDaemon(t, { ...SETTINGS, drainGraceMs: LONG_GRACE_MS });
     serving.daemon.process.kill("SIGTERM");
     await waitForDrain(serving.daemon);
     const late = await startCall(t, serving, [SHORT_DEADLINE]);
@@ -126,6 +135,40 @@
     t.is((await serving.daemon.exited).exitCode, 0);
 });
 
+// Guards against late actions, which run at most once, that are taken and cut at the limit.
+test("actions that are completed late are answered, or rejected and not run", async (t) => {
+    const serving = await startServingDaemon(t, { ...SETTINGS, drainGraceMs: LONG_GRACE_MS });
+    const sendHalf = async (
+        key: string,
+        deadline: string[],
+    ): Promise<{ connection: RawConnection; rest: string; }> => {
+        const connection = await openConnection(t, serving.port);
+        const headers = [`idempotency-key: ${key}`, ...deadline];
+        const text = `${requestHead("PUT", SERVICE_PATH, { bodyBytes: 2, headers })}{}`;
+        connection.write(text.slice(0, HALF_HEAD_LENGTH));
+        return { connection, rest: text.slice(HALF_HEAD_LENGTH) };
+    };
+    const short = await sendHalf("short", [SHORT_DEADLINE]);
+    const long = await sendHalf("long", []);
+    const lateShort = await sendHalf("late-short", [SHORT_DEADLINE]);
+    serving.daemon.process.kill("SIGTERM");
+    await waitForDrain(serving.daemon);
+    short.connection.write(short.rest);
+    long.connection.write(long.rest);
+    await waitFor("the action", () => serving.service.pendingCount() === 1 || undefined);
+    serving.service.respond();
+    await sleep(LONG_GRACE_MS + 200);
+    lateShort.connection.write(lateShort.rest);
+    t.deepEqual(statusLines(await short.connection.closed), ["HTTP/1.1 200"]);
+    for (const { connection } of [long, lateShort]) {
+        const text = await connection.closed;
+        t.deepEqual(statusLines(text), ["HTTP/1.1 503"]);
+        t.regex(text, /"verdict":"notRun"/);
+    }
+    t.is(serving.service.receivedCount(), 1);
+    t.is((await serving.daemon.exited).exitCode, 0);
+});
+
 test("an edit that waits for its zones at SIGTERM does not lose its answer", async (t) => {
     const ports = await freePorts(2);
     const daemons = [
