Log streams of the daemon that are broken off

A stream that failed after its first event ended with an error event, and the daemon's log had no line of it: only the caller knew that and why its request had ended. The same held for other responses that had begun when their handler failed.

http › callers "a failure after the start of a stream …" expects the line; without the fix there was none.

--- a/packages/http/src/chat.ts
+++ b/packages/http/src/chat.ts
@@ -1,4 +1,4 @@
-import { ErrorCode } from "@greengage/base";
+import { type Context, ErrorCode, LogPart, messageOf } from "@greengage/base";
 import type { Dispatcher, GenerateRequest } from "@greengage/routing";
 import type { OrganisationRow, TableState } from "@greengage/table";
 import { z } from "zod";
@@ -15,6 +15,7 @@
 import { ResponseSink } from "./sse.ts";
 
 interface ChatOptions {
+    context: Context;
     table: TableState;
     dispatcher: Dispatcher;
     keys: ApiKeys;
@@ -78,8 +79,7 @@
         deadlineAtMs,
     });
     return body.stream === true
-        ? (signal, deadlineAtMs) =>
-            streamCompletion(options.dispatcher, exchange, createRequest(deadlineAtMs), signal)
+        ? (signal, deadlineAtMs) => streamCompletion(options, exchange, createRequest(deadlineAtMs), signal)
         : (signal, deadlineAtMs) => {
             // Engines report the usage of a stream only on request.
             const call = createRequest(deadlineAtMs, { stream_options: { include_usage: true } });
@@ -88,7 +88,7 @@
 };
 
 const streamCompletion = async (
-    dispatcher: Dispatcher,
+    { context, dispatcher }: ChatOptions,
     exchange: Exchange,
     call: GenerateRequest,
     signal: AbortSignal,
@@ -101,7 +101,15 @@
         if (!sink.hasStarted) {
             throw error;
         }
-        sink.fail(exchange.interruption.signal.aborted ? interruptionError(error) : toGreengageError(error));
+        const failure = exchange.interruption.signal.aborted
+            ? interruptionError(error)
+            : toGreengageError(error);
+        if (!exchange.response.destroyed) {
+            const { code, verdict } = failure;
+            const fields = { code, verdict, reason: messageOf(error) };
+            context.logs(LogPart.Http).warn(`stream ${exchange.requestId} was broken off`, fields);
+        }
+        sink.fail(failure);
         return;
     }
     sink.end();
--- a/packages/http/src/server.ts
+++ b/packages/http/src/server.ts
@@ -259,7 +259,7 @@
         if (response.destroyed) {
             return;
         }
-        if (!(thrown instanceof GreengageError)) {
+        if (!(thrown instanceof GreengageError) || response.headersSent) {
             this.#log.error(`request ${exchange.requestId} failed`, { reason: messageOf(thrown) });
         }
         if (response.headersSent) {
--- a/test/http/callers.test.ts
+++ b/test/http/callers.test.ts
@@ -155,7 +155,7 @@
 });
 
 test("a failure after the start of a stream sends an error event without the [DONE] marker", async (t) => {
-    const { url } = await startServer(t, {
+    const { url, logLines } = await startServer(t, {
         dispatcher: {
             generate: async (_, sink) => {
                 sink.write(createEvent("Hel"));
@@ -172,6 +172,7 @@
     t.false(text.includes("[DONE]"));
     const problem = JSON.parse(/event: error\ndata: (.*)\n\n$/.exec(text)?.[1] ?? "{}") as object;
     t.like(problem, { title: "backend-failed", status: 502, verdict: "mayHaveRun" });
+    t.like(logLines, [{ fields: { code: "backend-failed", reason: "the group is lost" } }]);
 });
 
 test("a caller that disconnects aborts the work", async (t) => {
--- a/test/http/fixture.ts
+++ b/test/http/fixture.ts
@@ -1,4 +1,4 @@
-import { createContext, type Metrics, monotonicMs } from "@greengage/base";
+import { createContext, type Log, type Metrics, monotonicMs } from "@greengage/base";
 import {
     Admission,
     DEFAULT_LIMITS,
@@ -83,6 +83,8 @@
     actionKeys: string[];
     server: HttpServer;
     metrics: Metrics;
+    /** Warnings and errors of the log. */
+    logLines: { message: string; fields: object; }[];
     setReadiness(readiness: Readiness): void;
 }
 
@@ -105,7 +107,11 @@
     const actionKeys: string[] = [];
     let readiness: Readiness = { ready: true };
     const operators = { daemonId: "a-1", table, admission, ...options.operators?.(table, admission) };
-    const context = createContext({ daemonId: "a-1", zone: "zone-a" });
+    const logLines: ServerFixture["logLines"] = [];
+    const record = (message: string, fields: object = {}): void => void logLines.push({ message, fields });
+    const ignore = (): void => undefined;
+    const logs = (): Log => ({ debug: ignore, info: ignore, warn: record, error: record });
+    const context = createContext({ daemonId: "a-1", zone: "zone-a", logs });
     const server = new HttpServer({
         context,
         listen: { host: "127.0.0.1", port: 0 },
@@ -143,6 +149,7 @@
         actionKeys,
         server,
         metrics: context.metrics,
+        logLines,
         setReadiness,
     };
 };
