Answer clients that connect just before a listener closes

A client that had opened a connection in the instant in which a stopping daemon closed its listener got a reset in place of an answer: the close drops connections that the kernel has opened and the process has not accepted, and a connection that was accepted but whose first request was still on its way was closed as idle at once.

stopListening now lets a complete pass of the event loop accept what is open, and closeWhenIdle leaves a connection 500 ms for its first request. Connections that stay unused are closed then, as before.

Two new tests of base › serverconnections failed on (the client received nothing).

--- a/packages/base/src/serverconnections.ts
+++ b/packages/base/src/serverconnections.ts
@@ -5,6 +5,8 @@
 import { sleep } from "./lifecycle.ts";
 
 const IDLE_CHECK_INTERVAL_MS = 50;
+/** Time between the acceptance of a connection and its first request; longer than a round trip on a slow link. */
+const FIRST_REQUEST_TIMEOUT_MS = 500;
 
 /** How far a request had come when its connection closed. */
 export const RequestProgress = {
@@ -96,25 +98,37 @@
         }
     }
 
-    /** Stops listening. Unlike `Server.close`, this leaves responses alone that have ended but are not flushed. */
-    stopListening(): void {
+    /**
+     * Stops listening after the connections that clients have opened so far are accepted. Unlike `Server.close`, this leaves
+     * responses alone that have ended but are not flushed.
+     */
+    async stopListening(): Promise<void> {
+        // The close resets connections that are not accepted. A complete pass of the event loop lies between two immediates.
+        await setImmediate();
+        await setImmediate();
         if (this.#server.listening) {
             NetServer.prototype.close.call(this.#server);
         }
     }
 
-    /** Closes the connections without a request in progress, including those that were never used. */
-    closeIdle(): void {
+    /**
+     * Closes the connections without a request in progress, including those that were never used for at least
+     * `firstRequestTimeoutMs`.
+     */
+    closeIdle(firstRequestTimeoutMs = 0): void {
+        const nowMs = monotonicMs();
         for (const connection of this.#connections.values()) {
-            if (isIdle(connection)) {
+            const isNew = connection.idleBytesRead === 0
+                && nowMs - connection.idleSinceMs < firstRequestTimeoutMs;
+            if (isIdle(connection) && !isNew) {
                 connection.socket.destroy();
             }
         }
     }
 
     /**
-     * Closes connections as they become idle, for at most `limitMs`. Resolves to whether all have closed. The caller is
-     * expected to have called `closeAfterResponses` and `stopListening`.
+     * Closes connections as they become idle, for at most `limitMs`; new ones only if no request comes soon. Resolves to
+     * whether all have closed. The caller is expected to have called `closeAfterResponses` and `stopListening`.
      */
     async closeWhenIdle(limitMs: number): Promise<boolean> {
         const deadlineAtMs = monotonicMs() + limitMs;
@@ -148,7 +162,7 @@
     /** Closes idle connections after the data that has already arrived has been read. */
     async #readAndCloseIdle(): Promise<void> {
         await setImmediate();
-        this.closeIdle();
+        this.closeIdle(FIRST_REQUEST_TIMEOUT_MS);
     }
 
     #add(socket: Socket): void {
--- a/packages/http/src/server.ts
+++ b/packages/http/src/server.ts
@@ -108,7 +108,7 @@
      */
     async finishRequests(limitMs: number): Promise<number> {
         this.#connections.closeAfterResponses();
-        this.#connections.stopListening();
+        await this.#connections.stopListening();
         if (await this.#connections.closeWhenIdle(limitMs)) {
             return 0;
         }
--- a/test/base/serverconnections.test.ts
+++ b/test/base/serverconnections.test.ts
@@ -17,6 +17,9 @@
 interface Fixture {
     connections: ServerConnections;
     interrupted: InterruptedRequest[];
+    /** Begins to connect. */
+    connectClient: () => Client;
+    /** Connects, and waits until the server has accepted the connection. */
     open: () => Promise<Client>;
 }
 
@@ -26,12 +29,11 @@
     const connections = new ServerConnections(server, onRequest, (request) => interrupted.push(request));
     await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
     t.teardown(() => {
-        connections.stopListening();
+        void connections.stopListening();
         connections.closeAll();
     });
     const { port } = server.address() as AddressInfo;
-    const open = async (): Promise<Client> => {
-        const openBefore = connections.counts().open;
+    const connectClient = (): Client => {
         const socket = connect({ host: "127.0.0.1", port });
         let text = "";
         socket.on("data", (chunk) => {
@@ -40,13 +42,18 @@
         socket.on("error", () => undefined);
         const closed = new Promise<void>((resolve) => socket.once("close", () => resolve()));
         t.teardown(() => socket.destroy());
+        return { socket, received: () => text, closed };
+    };
+    const open = async (): Promise<Client> => {
+        const openBefore = connections.counts().open;
+        const client = connectClient();
         await waitFor(
             "an accepted connection",
             async () => connections.counts().open > openBefore ? true : undefined,
         );
-        return { socket, received: () => text, closed };
+        return client;
     };
-    return { connections, interrupted, open };
+    return { connections, interrupted, connectClient, open };
 };
 
 const waitForReading = (connections: ServerConnections, count: number): Promise<boolean> =>
@@ -89,6 +96,35 @@
     t.regex(client.received(), /200 OK[^]*ok/);
 });
 
+// Guards against requests of clients that connect in the instant in which the listener closes.
+test("a client that has connected but has not been accepted is answered when the listener closes", async (t) => {
+    const { connections, connectClient } = await startServer(t, (_, response) => response.end("ok"));
+    const client = connectClient();
+    // After this tick the kernel has opened the connection, and the server hasn't accepted it yet.
+    await new Promise<void>((resolve) => process.nextTick(resolve));
+    connections.closeAfterResponses();
+    await connections.stopListening();
+    client.socket.write(GET);
+    t.true(await connections.closeWhenIdle(CLOSE_LIMIT_MS));
+    await client.closed;
+    t.regex(client.received(), /^HTTP\/1\.1 200 /);
+});
+
+test("a client that connects shortly before the close is answered", async (t) => {
+    const { connections, open } = await startServer(t, (_, response) => response.end("ok"));
+    const client = await open();
+    const unused = await open();
+    connections.closeAfterResponses();
+    await connections.stopListening();
+    const closing = connections.closeWhenIdle(CLOSE_LIMIT_MS);
+    await sleep(100);
+    client.socket.write(GET);
+    t.true(await closing, "connections that stay unused are closed");
+    await Promise.all([client, unused].map(({ closed }) => closed));
+    t.regex(client.received(), /^HTTP\/1\.1 200 /);
+    t.is(unused.received(), "");
+});
+
 test("an incomplete request head is rejected once, and its rest is not handled", async (t) => {
     let handled = 0;
     const { connections, interrupted, open } = await startServer(t, (_, response) => {
@@ -151,7 +187,7 @@
     client.socket.write(GET);
     await waitFor("a request", async () => connections.counts().answering === 1 ? true : undefined);
     connections.closeAfterResponses();
-    connections.stopListening();
+    await connections.stopListening();
     const allClosed = connections.closeWhenIdle(CLOSE_LIMIT_MS);
     await sleep(200);
     client.socket.resume();
--- a/test/platform/callerserver.test.ts
+++ b/test/platform/callerserver.test.ts
@@ -30,7 +30,7 @@
     const [port = 0] = await freePorts(1);
     await server.start({ host: "127.0.0.1", port });
     t.teardown(() => {
-        server.stopListening();
+        void server.stopListening();
         server.close();
     });
     const caller = await RawCaller.open(t, `127.0.0.1:${port}`);
