--- a/packages/fleet/src/partquarantine.ts
+++ b/packages/fleet/src/partquarantine.ts
@@ -13,10 +13,12 @@
     explainsCrashes,
     isAmbiguous,
     isBlamed,
+    isCoincidence,
     isNarrower,
     isPartBlamed,
     isQuarantined,
     isRequest,
+    knownCrashId,
     type RequestStage,
     stageOf,
     type SuspectState,
@@ -244,7 +246,8 @@
         this.#version += 1;
     }
 
-    #blame(suspect: SuspectState, epoch: CrashId, stage: RequestStage, nowMs: number): void {
+    #blame(suspect: SuspectState, crashId: CrashId, stage: RequestStage, nowMs: number): void {
+        const epoch = knownCrashId(suspect, crashId);
         const epochs = epochsByStage[stage](suspect);
         if (epochs.has(epoch)) {
             return;
@@ -270,11 +273,12 @@
         }
     }
 
-    /** A part that was served before needs more crashes, so this can lift its quarantine. */
+    /** A culprit that was served before needs more evidence, so this can lift its quarantine. */
     #markServedBefore(suspect: SuspectState, nowMs: number): void {
         suspect.wasServedBefore = true;
         this.#version += 1;
-        if (isQuarantined(suspect) && !isRequest(suspect) && !isPartBlamed(suspect, nowMs)) {
+        const isReleased = isCoincidence(suspect) || (!isRequest(suspect) && !isPartBlamed(suspect, nowMs));
+        if (isQuarantined(suspect) && isReleased) {
             suspect.nextTrialAtMs = undefined;
             this.#record("part.released", suspect, { reason: "it was served before the first crash" });
         }
--- a/packages/protocol/src/fleet.ts
+++ b/packages/protocol/src/fleet.ts
@@ -42,9 +42,18 @@
     membership?: GroupMembership;
 }
 
+/** A process of a backend server that says in its answers that it is about to end. */
+export interface LeavingServer {
+    serverId: string;
+    /** Start time of the process. */
+    bornMs: number;
+}
+
 /** Replica group that accepts requests. */
 export interface GroupTarget extends Omit<GroupIdentity, "fabricDomain"> {
     headId: string;
+    /** Start time of the head's process. Absent in views of daemons that don't name it. */
+    bornMs?: number;
 }
 
 /** Backend server that accepts requests on its own, outside of any group. */
@@ -54,6 +63,8 @@
     address: string;
     zone: string;
     slotCount: number;
+    /** Start time of its process. Absent in views of daemons that don't name it. */
+    bornMs?: number;
 }
 
 /** State of the fleet that entry daemons need to route requests. */
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -2,6 +2,7 @@
 import type {
     GroupSuspicion,
     GroupUsage,
+    LeavingServer,
     LimitPermitRequest,
     LimitPermitResponse,
     PartReport,
@@ -219,6 +220,7 @@
             upMs: number;
             transfers: ShareTransfer[];
             drainedVmIds: string[];
+            suspects?: SuspectPartRecord[];
         };
     };
     "grant.renew": {
@@ -228,6 +230,8 @@
             zone: string;
             fence: number;
             viewVersion: number;
+            /** Version of the suspects that the daemon holds; absent if it holds none. */
+            suspectVersion?: number;
             tableVersion: number;
             demand: OrganisationDemand[];
             /** Requests in flight; absent if the daemon doesn't count them. */
@@ -254,6 +258,11 @@
         request: { serverId: string; bornMs: number | undefined; };
         response: { isAccepted: boolean; leaderId?: string; };
     };
+    /** An entry daemon has received an answer in which a backend server says that it leaves. */
+    "fleet.leaving": {
+        request: LeavingServer;
+        response: { isAccepted: boolean; leaderId?: string; };
+    };
     "fleet.suspect": {
         request: GroupSuspicion;
         response: SuspicionResponse;
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,5 +1,6 @@
 export { rendezvousIds } from "./affinity.ts";
 export * from "./connectionpools.ts";
+export * from "./crashblame.ts";
 export * from "./dispatcher.ts";
 export * from "./eventscanner.ts";
 export * from "./exchange.ts";
@@ -11,6 +12,7 @@
 export * from "./organisationlimits.ts";
 export * from "./requestlimits.ts";
 export * from "./retrybudget.ts";
+export * from "./serverholds.ts";
 export * from "./serverlimits.ts";
 export * from "./serverpermits.ts";
 export * from "./strategies.ts";
