--- a/packages/http/src/server.ts
+++ b/packages/http/src/server.ts
@@ -108,7 +108,7 @@
      */
     async finishRequests(limitMs: number): Promise<number> {
         this.#connections.closeAfterResponses();
-        this.#connections.stopListening();
+        await this.#connections.stopListening();
         if (await this.#connections.closeWhenIdle(limitMs)) {
             return 0;
         }
@@ -259,7 +259,7 @@
         if (response.destroyed) {
             return;
         }
-        if (!(thrown instanceof GreengageError)) {
+        if (!(thrown instanceof GreengageError) || response.headersSent) {
             this.#log.error(`request ${exchange.requestId} failed`, { reason: messageOf(thrown) });
         }
         if (response.headersSent) {
