List servers that pause or leave at entry daemons

Operators saw them in the log only. Each entry daemon lists at /holds, on its address for metrics, the servers that told it, since when, and until when a pause takes.

--- a/packages/routing/src/serverholds.ts
+++ b/packages/routing/src/serverholds.ts
@@ -146,7 +146,8 @@
         return [...this.#states.values()].map((state) => ({
             ...state.server,
             isLeaving: state.leavingSinceMs !== Infinity,
-            sinceAgeMs: nowMs - Math.min(state.leavingSinceMs, state.pause.sinceMs),
+            sinceAgeMs: nowMs
+                - (state.leavingSinceMs === Infinity ? state.pause.sinceMs : state.leavingSinceMs),
             waitMs: waitOf(state, nowMs),
         }));
     }
--- a/test/platform/leavingservers.test.ts
+++ b/test/platform/leavingservers.test.ts
@@ -1,6 +1,7 @@
 import { waitFor } from "@greengage/faults";
 import test from "ava";
 import { PlatformEngine } from "./engine.ts";
+import { call } from "./fixtures.ts";
 import {
     busiestFirst,
     countStatuses,
@@ -49,6 +50,11 @@
         t.log({ lateArrivals: countOf(leaving) - countBefore });
         t.is(countOf(leaving) - countBefore, 0);
         t.deepEqual(countStatuses([...early, ...late]), { 200: early.length + late.length });
+        const listed = await call(`http://${platform.metrics}/holds`);
+        const { holds } = JSON.parse(listed?.text ?? "{}") as { holds: object[]; };
+        t.log(listed?.text);
+        t.is(holds.length, 1);
+        t.like(holds[0], { server: leaving.id, state: "leaving", until: undefined });
         if (!isCutOff) {
             const reports = logged(platform.controlLog(), "server.leaving");
             t.deepEqual(reports.map(({ server }) => server), [leaving.id]);
--- a/test/routing/serverholds.test.ts
+++ b/test/routing/serverholds.test.ts
@@ -46,6 +46,7 @@
     t.true(holds.isHeld(server, 4_499));
     t.false(holds.isHeld(server, 4_500));
     t.deepEqual(holds.earliestReturn([server], 2_000), { waitMs: 2_500, pauseMs: 4_500 });
+    t.like(holds.list(4_000)[0], { serverId: "e1", isLeaving: false, sinceAgeMs: 4_000, waitMs: 500 });
     t.deepEqual(holds.list(4_500), []);
 });
 
@@ -99,7 +100,7 @@
     t.is(holds.waitMs(server, 1e9), Infinity);
     t.false(holds.isLeaving(incarnation("e1", 2)));
     t.false(holds.isHeld(incarnation("e1", 2), 1e9));
-    t.like(holds.list(1e9)[0], { serverId: "e1", isLeaving: true, waitMs: Infinity });
+    t.like(holds.list(1e9)[0], { serverId: "e1", isLeaving: true, sinceAgeMs: 1e9 - 100, waitMs: Infinity });
 });
 
 // Guards against callers that are told to return to a server that will have gone.
