Apply a new controller's list of suspects after the reports to it

A daemon that got the list of another controller applied it and then told PromptParts of the new controller, which drops what the former one had listed since. The list stayed empty until the refresh of the next second. The order is now the other way round.

daemon › requestquarantine, "one trial is granted over all zones", failed 4 of 4 times on (quarantined: true, not within 30 s, as the test runs no refresh) and passes.

--- a/packages/daemon/src/requestquarantine.ts
+++ b/packages/daemon/src/requestquarantine.ts
@@ -91,12 +91,12 @@
     restore(records: readonly SuspectPartRecord[], nowMs: number): void {
         const { context, directory } = this.#options;
         this.#quarantine.restore(records, nowMs);
-        this.#refresh();
         const controllerId = directory().controllerOf(context.zone);
         if (controllerId !== this.#controllerId) {
             this.#controllerId = controllerId;
             this.#culprits.onNewLeader();
         }
+        this.#refresh();
     }
 
     adopt(records: readonly SuspectPartRecord[], nowMs: number): void {
