Send a request to no third server while reports of its crashes are open

A daemon waits at most 100 ms for the outcome of a report; after that the crash was unknown to it until the outcome came, so the call went on to a third server.

A daemon now counts reports without an outcome: with two of them, the request is neither repeated nor admitted. The count ends with the outcome, at the latest with the timeout of 700 ms; after that the daemon's own count of unreported crashes applies.

--- a/packages/daemon/src/requestquarantine.ts
+++ b/packages/daemon/src/requestquarantine.ts
@@ -19,6 +19,8 @@
 const TRIAL_TIMEOUT_MS = 150;
 const LIFT_TIMEOUT_MS = 900;
 const PROBE_TIMEOUT_MS = 300;
+/** Reports without an outcome after which a request is rejected until they have one. */
+const MAX_OPEN_REPORTS = 2;
 /** Period of the check for trials that have become due. */
 const REFRESH_MS = 1_000;
 
@@ -41,6 +43,8 @@
     /** The zone's list on its controller, a copy of it on other daemons. */
     readonly #quarantine: PartQuarantine;
     readonly #culprits: PromptParts;
+    /** Ids of the targets whose reports have no outcome yet, by row and culprit. */
+    readonly #openReports = new Map<string, Set<string>>();
     /** Controller of the own zone whose list was restored last. */
     #controllerId: string | undefined;
 
@@ -116,12 +120,21 @@
         }
     }
 
-    admit({ row, culpritId }: BlamedRequest): Promise<boolean> {
-        return this.#culprits.admit(row, [culpritId]);
+    async admit(request: BlamedRequest): Promise<boolean> {
+        const { row, culpritId } = request;
+        if (this.#openReportCount(request) >= MAX_OPEN_REPORTS) {
+            throw new GreengageError(`reports of crashes under ${culpritId} have no outcome yet`, {
+                code: ErrorCode.Quarantined,
+                verdict: Verdict.NotRun,
+                retryAfterMs: REPORT_TIMEOUT_MS,
+            });
+        }
+        return await this.#culprits.admit(row, [culpritId]);
     }
 
-    isQuarantined({ row, culpritId }: BlamedRequest): boolean {
-        return this.#culprits.hasQuarantined(row, [culpritId]);
+    isQuarantined(request: BlamedRequest): boolean {
+        return this.#openReportCount(request) >= MAX_OPEN_REPORTS
+            || this.#culprits.hasQuarantined(request.row, [request.culpritId]);
     }
 
     recordServed({ row, culpritId }: BlamedRequest): void {
@@ -132,13 +145,15 @@
         this.#culprits.recordComplete(row, [culpritId], monotonicMs());
     }
 
-    recordFailure(
-        { row, culpritId }: BlamedRequest,
+    async recordFailure(
+        request: BlamedRequest,
         target: CrashTarget,
         progress: UnservedProgress,
     ): Promise<boolean> {
-        const request = { partIds: [culpritId], ...progress };
-        return this.#culprits.recordServerFailure(row, targetIdOf(target), request);
+        const { row, culpritId } = request;
+        const unserved = { partIds: [culpritId], ...progress };
+        const mayRepeat = await this.#culprits.recordServerFailure(row, targetIdOf(target), unserved);
+        return mayRepeat && this.#openReportCount(request) < MAX_OPEN_REPORTS;
     }
 
     /**
@@ -180,8 +195,35 @@
         this.#culprits.setSuspects(this.#quarantine.view(monotonicMs()));
     }
 
-    /** Resolves with the response of the own zone's controller if it accepts the report, otherwise with another one's. */
+    #openReportCount({ row, culpritId }: BlamedRequest): number {
+        return this.#openReports.get(keyOf({ service: row, partId: culpritId }))?.size ?? 0;
+    }
+
     async #report(report: PartReport): Promise<PartReportResponse | undefined> {
+        const targets = (report.serverCrashes ?? []).flatMap(({ service, serverId, requests }) =>
+            requests.flatMap(({ partIds }) =>
+                partIds.map((partId) => ({ key: keyOf({ service, partId }), serverId }))
+            )
+        );
+        for (const { key, serverId } of targets) {
+            this.#openReports.set(key, (this.#openReports.get(key) ?? new Set()).add(serverId));
+        }
+        try {
+            return await this.#sendReport(report);
+        }
+        finally {
+            for (const { key, serverId } of targets) {
+                const ids = this.#openReports.get(key);
+                ids?.delete(serverId);
+                if (ids?.size === 0) {
+                    this.#openReports.delete(key);
+                }
+            }
+        }
+    }
+
+    /** Resolves with the response of the own zone's controller if it accepts the report, otherwise with another one's. */
+    async #sendReport(report: PartReport): Promise<PartReportResponse | undefined> {
         const { context, zones } = this.#options;
         const otherZones = zones.filter((zone) => zone !== context.zone);
         const responses = [context.zone, ...otherZones].map((zone) => this.#reportTo(zone, report));
@@ -244,7 +286,8 @@
     }
 }
 
-const keyOf = ({ service, partId }: SuspectPartRecord): string => `${service}\n${partId}`;
+const keyOf = ({ service, partId }: Pick<SuspectPartRecord, "service" | "partId">): string =>
+    `${service}\n${partId}`;
 
 const targetIdOf = ({ id, incarnation }: CrashTarget): string => `${id}/${incarnation}`;
 
--- a/test/daemon/requestquarantine.test.ts
+++ b/test/daemon/requestquarantine.test.ts
@@ -174,6 +174,24 @@
     t.false(quarantineOf("zone-a-2").isQuarantined(request));
 });
 
+// Guards against a third crash while the controller is slow to confirm the first two.
+test("a request whose crashes are not confirmed yet is sent to no third server", async (t) => {
+    const { zone, quarantineOf } = await startDaemons(t);
+    const controllers = ZONES.map((name) => zone.controller(name)?.daemonId ?? "");
+    const reporterId = zone.daemons.map(({ daemonId }) => daemonId).find((id) => !controllers.includes(id));
+    const quarantine = quarantineOf(reporterId ?? "");
+    controllers.forEach((id) => zone.hub.setState(id, HubState.Frozen));
+    const request = requestOf("r1");
+    t.true(await quarantine.recordFailure(request, goneServer("s1"), NO_HEAD));
+    t.false(await quarantine.recordFailure(request, goneServer("s2"), NO_HEAD));
+    t.true(quarantine.isQuarantined(request));
+    t.like(await t.throwsAsync(quarantine.admit(request)), {
+        code: ErrorCode.Quarantined,
+        verdict: Verdict.NotRun,
+    });
+    t.false(await quarantine.admit(requestOf("r2")));
+});
+
 test("one trial is granted over all zones, and a crash under it ends it", async (t) => {
     const { zone, quarantines, quarantineOf } = await startDaemons(t);
     const request = requestOf("r1");
