Quarantine no request for crashes that many requests share

Crashes that more than four other requests share with evidence as strong have another cause, so they quarantine none of them. A request in the middle of its events now counts as a rival of others that were, too. "all requests in progress at three crashes are rejected" guards it.

--- a/packages/fleet/src/blame.ts
+++ b/packages/fleet/src/blame.ts
@@ -20,6 +20,8 @@
  * before.
  */
 export const COINCIDENCE_MS = 100;
+/** Crashes that more requests share have another cause, such as a faulty release of the servers. */
+export const MAX_RIVALS = 4;
 /** Time after a crash in which the reports of all daemons about it arrive. */
 export const REPORT_SETTLE_MS = 50;
 
@@ -94,11 +96,19 @@
         || meets(WAITING_RULE, crashedEpochs.size, ageMs);
 };
 
-/** Whether the evidence of a crash against `other` is at least as strong as that against `suspect`. */
-const isAsStrong = (other: SuspectState, suspect: SuspectState, epoch: CrashId): boolean =>
-    other.answeringEpochs.has(epoch)
-    || (!suspect.answeringEpochs.has(epoch) && other.crashedEpochs.has(epoch)
-        && !other.streamingEpochs.has(epoch));
+/** Weight of the evidence of a crash against a request; 0 if it was not in progress there. */
+const evidenceOf = (
+    { answeringEpochs, crashedEpochs, streamingEpochs }: SuspectState,
+    epoch: CrashId,
+): number => {
+    if (answeringEpochs.has(epoch)) {
+        return 3;
+    }
+    if (streamingEpochs.has(epoch)) {
+        return 1;
+    }
+    return crashedEpochs.has(epoch) ? 2 : 0;
+};
 
 /** Whether `other` was in all crashes that blame `suspect`. */
 export const explainsCrashes = (other: SuspectState, suspect: SuspectState): boolean => {
@@ -106,15 +116,16 @@
     return other.service === suspect.service && [...epochs].every((epoch) => other.crashedEpochs.has(epoch));
 };
 
-/** Whether another request has all crashes of this one, with evidence as strong. */
-const isRivalled = (
+/** Number of other requests that have these crashes with evidence as strong. */
+const countRivals = (
     suspect: SuspectState,
     epochs: readonly CrashId[],
     suspects: readonly SuspectState[],
-): boolean =>
-    suspects.some((other) =>
-        other !== suspect && isRequest(other) && epochs.every((epoch) => isAsStrong(other, suspect, epoch))
-    );
+): number =>
+    suspects.filter((other) =>
+        other !== suspect && isRequest(other)
+        && epochs.every((epoch) => evidenceOf(other, epoch) >= evidenceOf(suspect, epoch))
+    ).length;
 
 /**
  * Whether a request crashes servers: two crashes suffice if no other request shares them with evidence as strong, as callers
@@ -131,8 +142,10 @@
     }
     const unserved = [...crashedEpochs].filter((epoch) => !streamingEpochs.has(epoch));
     const ageMs = nowMs - firstCrashAtMs;
-    return (meets(ONLY_REQUEST_RULE, unserved.length, ageMs) && !isRivalled(suspect, unserved, suspects))
-        || meets(SHARED_REQUEST_RULE, crashedEpochs.size, ageMs);
+    return (meets(ONLY_REQUEST_RULE, unserved.length, ageMs)
+        && countRivals(suspect, unserved, suspects) === 0)
+        || (meets(SHARED_REQUEST_RULE, crashedEpochs.size, ageMs)
+            && countRivals(suspect, [...crashedEpochs], suspects) <= MAX_RIVALS);
 };
 
 /** Whether the crashes so far say nothing about a culprit that was served before. */
@@ -147,7 +160,7 @@
 /** Whether a culprit can't be told from another one of its kind. */
 export const isAmbiguous = (suspect: SuspectState, suspects: readonly SuspectState[]): boolean =>
     isRequest(suspect)
-        ? isRivalled(suspect, [...suspect.crashedEpochs], suspects)
+        ? countRivals(suspect, [...suspect.crashedEpochs], suspects) > 0
         : suspects.some((other) =>
             other !== suspect && !isRequest(other) && !other.wasServedBefore
             && explainsCrashes(other, suspect)
--- a/test/fleet/partquarantine.test.ts
+++ b/test/fleet/partquarantine.test.ts
@@ -4,6 +4,7 @@
     ANSWERING_RULE,
     COINCIDENCE_MS,
     FIRST_TRIAL_DELAY_MS,
+    MAX_RIVALS,
     ONLY_REQUEST_RULE,
     PartQuarantine,
     REPORT_SETTLE_MS,
@@ -423,3 +424,13 @@
     quarantine.update(COINCIDENCE_MS + REPORT_SETTLE_MS);
     t.deepEqual(quarantinedIds(quarantine, COINCIDENCE_MS + REPORT_SETTLE_MS), [DEADLY]);
 });
+
+// Guards against a faulty release of the servers, for whose crashes all requests would be rejected also after its rollback.
+test("all requests in progress at three crashes are rejected", (t) => {
+    const quarantine = createQuarantine();
+    const requests = Array.from(
+        { length: 2 + MAX_RIVALS },
+        (_, index) => queued(requestCulpritId(`${index}`)),
+    );
+    t.deepEqual(quarantinedIds(quarantine, recordCrashes(quarantine, [requests, requests, requests])), []);
+});
