Let the soak send requests that crash the servers which run them

The soak knew deadly prompt parts only. It now also sends, throughout a run, one stream and one payment that come again with the same path, caller and body, at any entry daemon, and crash each server that begins to run them. Checker: after the third crash and 3 s more, at most three of them arrive while no daemon has had a process fault for 3 s (BUDGET). A run goes on for 7 s after its last fault, so that there is a time in which nobody is excused. deadlyparts.ts becomes deadlycontents.ts, one table of kinds; engine.ts reports the path as the culprit of a crash.

--- a/test/platform/engine.ts
+++ b/test/platform/engine.ts
@@ -42,8 +42,8 @@
     readonly deadlyPaths?: ReadonlySet<string>;
     /** Called when a request arrives at an engine, whether or not the engine runs it. */
     onArrival?: (engineId: string, message: IncomingMessage) => void;
-    /** Called when an engine has crashed, with the deadly part if there was one. */
-    onCrash?: (engine: PlatformEngine, part?: string) => void;
+    /** Called when an engine has crashed, with the deadly part or path if there was one. */
+    onCrash?: (engine: PlatformEngine, culprit?: string) => void;
     /** Called when an engine turns a request away and asks for a pause. */
     onPause?: (engineId: string) => void;
 }
@@ -151,13 +151,13 @@
     }
 
     /** Resets all connections and stops, as a process that ends by a fault does. */
-    crash(part?: string): void {
+    crash(culprit?: string): void {
         if (this.#isStopped) {
             return;
         }
         this.#sockets.forEach((socket) => socket.resetAndDestroy());
         this.stop();
-        this.#options.fleet?.onCrash?.(this, part);
+        this.#options.fleet?.onCrash?.(this, culprit);
     }
 
     /** Closes idle connections without notice. */
@@ -311,7 +311,7 @@
         };
         if (domain === undefined) {
             if (this.#isDeadly(message)) {
-                this.crash();
+                this.crash(message.url);
                 return;
             }
             if (this.dropsAnswers) {
@@ -354,7 +354,7 @@
         const { deadlyParts } = this.#options.fleet ?? {};
         const deadlyPart = sharedPartsOf(message).find((part) => deadlyParts?.has(part));
         if (deadlyPart !== undefined || this.#isDeadly(message)) {
-            this.crash(deadlyPart);
+            this.crash(deadlyPart ?? message.url);
             return;
         }
         if (!response.headersSent) {
--- a/test/platform/soak/callers.ts
+++ b/test/platform/soak/callers.ts
@@ -4,7 +4,7 @@
 import { request } from "undici";
 import { chatHeaders } from "../fixtures.ts";
 import { formatStream } from "../streamcontent.ts";
-import type { DeadlyParts } from "./deadlyparts.ts";
+import { type DeadlyContents, DeadlyKind } from "./deadlycontents.ts";
 import { MODEL_SIZES, type SoakDaemon } from "./system.ts";
 
 const MAX_PAUSE_MS = 120;
@@ -15,6 +15,14 @@
 /** Statuses that guarantee that the request has not run and never will. */
 const NOT_RUN_STATUSES = [408, 421, 429, 503];
 
+/** Model of the streams that come again with the same content. */
+const DEADLY_MODEL = "small";
+
+const paymentHeaders = (id: string): Record<string, string> => ({
+    ...chatHeaders(id),
+    "greengageridge-deadline-ms": String(PAYMENT_TIMEOUT_MS),
+});
+
 /** State of a request that a caller has issued. */
 interface IssuedRequest {
     isPayment: boolean;
@@ -26,15 +34,15 @@
 export class SoakCallers {
     readonly #random: Random;
     readonly #violations: Violations;
-    readonly #deadlyParts: DeadlyParts;
+    readonly #deadlyContents: DeadlyContents;
     readonly #issuedRequests = new Map<string, IssuedRequest>();
     readonly statusCounts = new Map<string, number>();
     #entries: readonly SoakDaemon[] = [];
 
-    constructor(random: Random, violations: Violations, deadlyParts: DeadlyParts) {
+    constructor(random: Random, violations: Violations, deadlyContents: DeadlyContents) {
         this.#random = random;
         this.#violations = violations;
-        this.#deadlyParts = deadlyParts;
+        this.#deadlyContents = deadlyContents;
     }
 
     get requestCount(): number {
@@ -46,13 +54,36 @@
         this.#entries = entries;
         while (!signal.aborted) {
             const entry = this.#random.pick(this.#entries);
-            await (this.#random.nextInt(3) === 0
-                ? this.pay(entry)
-                : this.stream(entry, this.#deadlyParts.draw()));
+            await (this.#random.nextInt(3) === 0 ? this.#payOrCrash(entry) : this.#streamOrCrash(entry));
             await sleep(this.#random.nextInt(MAX_PAUSE_MS), signal);
         }
     }
 
+    async #streamOrCrash(entry: SoakDaemon): Promise<void> {
+        const path = this.#deadlyContents.draw(DeadlyKind.Stream);
+        if (path === undefined) {
+            await this.stream(entry, this.#deadlyContents.draw(DeadlyKind.Part));
+            return;
+        }
+        const id = this.#registerRequest(false);
+        const headers = { ...chatHeaders(id), "greengageridge-model": DEADLY_MODEL };
+        this.#countStatus(
+            "deadly stream",
+            await this.#send(entry, path, "deadly", headers, STREAM_TIMEOUT_MS),
+        );
+    }
+
+    async #payOrCrash(entry: SoakDaemon): Promise<void> {
+        const path = this.#deadlyContents.draw(DeadlyKind.Payment);
+        if (path === undefined) {
+            await this.pay(entry);
+            return;
+        }
+        const headers = paymentHeaders(this.#registerRequest(true));
+        const answer = await this.#send(entry, path, "deadly", headers, PAYMENT_TIMEOUT_MS);
+        this.#countStatus("deadly payment", answer);
+    }
+
     /** Checks and counts a run that an engine has begun. */
     recordRun(engineId: string, { headers }: IncomingMessage): void {
         const id = String(headers["greengageridge-request-id"]);
@@ -100,15 +131,14 @@
                 `${id} ended as complete after ${answer.body.length} bytes but differs from the expected stream`,
             );
         }
-        this.#countStatus(deadlyPart === undefined ? "stream" : "deadly stream", answer);
+        this.#countStatus(deadlyPart === undefined ? "stream" : "stream with a deadly part", answer);
         return isSuccess && answer.isComplete;
     }
 
     /** Sends a payment. Returns whether it was confirmed. */
     async pay(entry: SoakDaemon): Promise<boolean> {
         const id = this.#registerRequest(true);
-        const headers = { ...chatHeaders(id), "greengageridge-deadline-ms": String(PAYMENT_TIMEOUT_MS) };
-        const answer = await this.#send(entry, `/pay/${id}`, id, headers, PAYMENT_TIMEOUT_MS);
+        const answer = await this.#send(entry, `/pay/${id}`, id, paymentHeaders(id), PAYMENT_TIMEOUT_MS);
         const issued = this.#issuedRequests.get(id);
         const isSuccess = answer.status === 200 && answer.isComplete;
         if (isSuccess && (answer.body !== `done ${id}` || issued?.runCount !== 1)) {
--- a/test/platform/soak/faults.ts
+++ b/test/platform/soak/faults.ts
@@ -1,5 +1,6 @@
 import { monotonicMs, type Random, sleep } from "@greengage/base";
 import { LinkMode } from "@greengage/faults";
+import { DeadlyKind } from "./deadlycontents.ts";
 import type { SoakDaemon, SoakEngine, SoakSystem } from "./system.ts";
 
 type EndFault = () => void | Promise<void>;
@@ -188,8 +189,8 @@
         toTarget: { mode: LinkMode.Swallow },
         toSource: { mode: LinkMode.Swallow },
     }),
-    poison: async ({ deadlyParts }) => {
-        const end = deadlyParts.begin();
+    poison: async ({ deadlyContents }) => {
+        const end = deadlyContents.begin(DeadlyKind.Part);
         await sleep(POISON_MS);
         return end;
     },
--- a/test/platform/soak/run.ts
+++ b/test/platform/soak/run.ts
@@ -3,7 +3,7 @@
 import { type EngineFleet, sharedPartsOf } from "../engine.ts";
 import { LimitChecker } from "../requestlimits.ts";
 import { SoakCallers } from "./callers.ts";
-import { CONTACT_MS, DeadlyParts } from "./deadlyparts.ts";
+import { CONTACT_MS, DeadlyContents, runDeadlyRequests } from "./deadlycontents.ts";
 import { runFaults } from "./faults.ts";
 import { runLimits } from "./limits.ts";
 import { SoakOperators } from "./operators.ts";
@@ -14,6 +14,8 @@
 /** Time after the last fault within which all entry daemons must serve again. */
 const RECOVERY_TIMEOUT_MS = 15_000;
 const RETRY_INTERVAL_MS = 200;
+/** Time after the last fault in which no daemon is excused for a while from the checks of limits and deadly contents. */
+const CALM_MS = CONTACT_MS + 4_000;
 /** Covers the longest request of a caller. */
 const END_TIMEOUT_MS = 10_000;
 
@@ -58,7 +60,7 @@
     constructor(options: SoakOptions) {
         this.#options = options;
         this.#violations = new Violations((line) => this.#logMessage(line));
-        const deadlyParts = new DeadlyParts(
+        const deadlyContents = new DeadlyContents(
             new Random(options.seed + 3),
             this.#violations,
             () => this.#system.isCalmFor(CONTACT_MS),
@@ -67,23 +69,24 @@
             (detail) => this.#violations.add("LIMIT", detail),
             () => !this.#system.isCalmFor(CONTACT_MS),
         );
-        this.#callers = new SoakCallers(new Random(options.seed + 1), this.#violations, deadlyParts);
+        this.#callers = new SoakCallers(new Random(options.seed + 1), this.#violations, deadlyContents);
         const fleet: EngineFleet = {
             engines: new Map(),
             modelSizes: MODEL_SIZES,
             onRun: (engineId, message) => this.#callers.recordRun(engineId, message),
             onViolation: (rule, detail) => this.#violations.add(rule, detail),
-            deadlyParts: deadlyParts.parts,
+            deadlyParts: deadlyContents.parts,
+            deadlyPaths: deadlyContents.paths,
             onArrival: (engineId, message) => {
-                deadlyParts.recordArrival(engineId, sharedPartsOf(message));
+                deadlyContents.recordArrival(engineId, [message.url ?? "", ...sharedPartsOf(message)]);
                 this.#limitChecker.recordArrival(engineId);
             },
-            onCrash: (engine, part) => {
-                deadlyParts.recordCrash(part);
+            onCrash: (engine, culprit) => {
+                deadlyContents.recordCrash(culprit);
                 void this.#system.restartEngine(engine);
             },
         };
-        this.#system = new SoakSystem({ fleet, deadlyParts, onLine: options.onLine });
+        this.#system = new SoakSystem({ fleet, deadlyContents, onLine: options.onLine });
     }
 
     async run(): Promise<SoakResult> {
@@ -98,14 +101,18 @@
             ...Array.from({ length: CALLER_COUNT }, () => this.#callers.run(entries, signal)),
             operators.run(signal),
         ];
-        const limitAbort = new AbortController();
-        const limits = runLimits(this.#system, this.#limitChecker, new Random(seed + 4), limitAbort.signal);
+        const backgroundAbort = new AbortController();
+        const background = [
+            runLimits(this.#system, this.#limitChecker, new Random(seed + 4), backgroundAbort.signal),
+            runDeadlyRequests(this.#system.deadlyContents, new Random(seed + 5), backgroundAbort.signal),
+        ];
         await runFaults(this.#system, new Random(seed), durationS * 1_000, (kind, faultMs) => {
             this.#faultCount += 1;
             this.#logMessage(`${kind} for ${faultMs} ms`);
         });
-        limitAbort.abort();
-        await limits;
+        await sleep(CALM_MS);
+        backgroundAbort.abort();
+        await Promise.all(background);
         this.#logMessage("all faults have ended");
         await this.#checkService("recovery", RECOVERY_TIMEOUT_MS);
         this.#trafficAbort.abort();
--- a/test/platform/soak/system.ts
+++ b/test/platform/soak/system.ts
@@ -4,7 +4,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { type EngineFleet, HEARTBEAT_MS, PlatformEngine } from "../engine.ts";
-import type { DeadlyParts } from "./deadlyparts.ts";
+import type { DeadlyContents } from "./deadlycontents.ts";
 
 const CONTROL_COUNT = 3;
 const ENTRY_COUNT = 3;
@@ -53,7 +53,7 @@
 
 export interface SoakSystemOptions {
     fleet: EngineFleet;
-    deadlyParts: DeadlyParts;
+    deadlyContents: DeadlyContents;
     /** Called with the log lines of all processes. */
     onLine?: (source: string, line: string) => void;
 }
@@ -80,8 +80,8 @@
         return this.daemons.filter(({ role }) => role === "entry");
     }
 
-    get deadlyParts(): DeadlyParts {
-        return this.#options.deadlyParts;
+    get deadlyContents(): DeadlyContents {
+        return this.#options.deadlyContents;
     }
 
     /** Whether no daemon has had a process fault for `durationMs`. */
