Recognise a crashed server behind a relay that still accepts connections

A connection that is closed within 50 ms of its acceptance now shows no process either. The probe of the platform's programs and that of the project's own daemons are one function in base; the latter go on to count refused connections only.

--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -1,4 +1,5 @@
 export * from "./clock.ts";
+export * from "./connectionprobe.ts";
 export * from "./context.ts";
 export * from "./decisions.ts";
 export * from "./errors.ts";
--- a/packages/daemon/src/requestquarantine.ts
+++ b/packages/daemon/src/requestquarantine.ts
@@ -1,10 +1,12 @@
 import {
+    ConnectionProbeResult,
     type Context,
     ErrorCode,
     GreengageError,
     Lifecycle,
     messageOf,
     monotonicMs,
+    probeConnection,
     Verdict,
 } from "@greengage/base";
 import { PartQuarantine, PartReportHandler } from "@greengage/fleet";
@@ -12,7 +14,6 @@
 import type { GroupDirectory, SuspectList } from "@greengage/membership";
 import type { PartReport, PartReportResponse, Peers, SuspectPartRecord } from "@greengage/protocol";
 import type { BlamedRequest, CrashBlame, CrashTarget, UnservedProgress } from "@greengage/routing";
-import { refusesConnections } from "./connectionprobe.ts";
 
 /** Includes the probe of the server. */
 const REPORT_TIMEOUT_MS = 700;
@@ -282,10 +283,18 @@
         if (!directory.reachableZones().includes(target.zone)) {
             throw new Error(`zone ${target.zone} is out of reach`);
         }
-        return await refusesConnections(target.url, PROBE_TIMEOUT_MS) ? targetId : undefined;
+        const result = await probeConnection(addressOf(target.url), PROBE_TIMEOUT_MS);
+        return result === ConnectionProbeResult.Refused ? targetId : undefined;
     }
 }
 
+/** `host:port` of an origin. */
+const addressOf = (url: string): string => {
+    const { hostname, port, protocol } = new URL(url);
+    const defaultPort = protocol === "https:" ? "443" : "80";
+    return `${hostname}:${port === "" ? defaultPort : port}`;
+};
+
 const keyOf = ({ service, partId }: Pick<SuspectPartRecord, "service" | "partId">): string =>
     `${service}\n${partId}`;
 
