Name the quarantine's classes after culprits, of which prompt parts are one kind

PartQuarantine, PromptParts, PartReportHandler, PartOperations, PartLeader, SuspectPart and SuspectPartRecord handle requests as well since: CulpritQuarantine, CrashSuspects, CrashReportHandler, QuarantineOperations, CrashLeader, Suspect and SuspectRecord. Names on the wire, on disks, in logs and in metrics stay. No change of behaviour.

--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -51,7 +51,7 @@
             requestPermit: (controllerId, request) =>
                 this.#peers.call(controllerId, "limit.acquire", request, { timeoutMs: PLACEMENT_TIMEOUT_MS }),
             reportLeaving: (server) => this.#reportLeaving(server),
-            partLeader: {
+            crashLeader: {
                 report: (report) => this.#reportParts(report),
                 requestTrial: (service, partId) => this.#requestTrial(service, partId),
             },
--- a/packages/daemon/src/requestquarantine.ts
+++ b/packages/daemon/src/requestquarantine.ts
@@ -9,10 +9,10 @@
     probeConnection,
     Verdict,
 } from "@greengage/base";
-import { PartQuarantine, PartReportHandler } from "@greengage/fleet";
-import { PromptParts } from "@greengage/gateway";
+import { CrashReportHandler, CulpritQuarantine } from "@greengage/fleet";
+import { CrashSuspects } from "@greengage/gateway";
 import type { GroupDirectory, SuspectList } from "@greengage/membership";
-import type { PartReport, PartReportResponse, Peers, SuspectPartRecord } from "@greengage/protocol";
+import type { PartReport, PartReportResponse, Peers, SuspectRecord } from "@greengage/protocol";
 import type { BlamedRequest, CrashBlame, CrashTarget, UnservedProgress } from "@greengage/routing";
 
 /** Includes the probe of the server. */
@@ -42,8 +42,8 @@
     readonly #options: RequestQuarantineOptions;
     readonly #lifecycle = new Lifecycle();
     /** The zone's list on its controller, a copy of it on other daemons. */
-    readonly #quarantine: PartQuarantine;
-    readonly #culprits: PromptParts;
+    readonly #quarantine: CulpritQuarantine;
+    readonly #culprits: CrashSuspects;
     /** Ids of the targets whose reports have no outcome yet, by row and culprit. */
     readonly #openReports = new Map<string, Set<string>>();
     /** Controller of the own zone whose list was restored last. */
@@ -52,12 +52,12 @@
     constructor(options: RequestQuarantineOptions) {
         this.#options = options;
         const { context, peers, isController } = options;
-        this.#quarantine = new PartQuarantine(context);
-        this.#culprits = new PromptParts(context, {
+        this.#quarantine = new CulpritQuarantine(context);
+        this.#culprits = new CrashSuspects(context, {
             report: (report) => this.#report(report),
             requestTrial: (row, culpritId) => this.#requestTrial(row, culpritId),
         });
-        new PartReportHandler({
+        new CrashReportHandler({
             context,
             peers,
             log: {
@@ -89,11 +89,11 @@
         return this.#quarantine.version;
     }
 
-    records(nowMs: number): SuspectPartRecord[] {
+    records(nowMs: number): SuspectRecord[] {
         return this.#quarantine.records(nowMs);
     }
 
-    restore(records: readonly SuspectPartRecord[], nowMs: number): void {
+    restore(records: readonly SuspectRecord[], nowMs: number): void {
         const { context, directory } = this.#options;
         this.#quarantine.restore(records, nowMs);
         const controllerId = directory().controllerOf(context.zone);
@@ -104,7 +104,7 @@
         this.#refresh();
     }
 
-    adopt(records: readonly SuspectPartRecord[], nowMs: number): void {
+    adopt(records: readonly SuspectRecord[], nowMs: number): void {
         const known = this.#quarantine.records(nowMs);
         const knownKeys = new Set(known.map(keyOf));
         const added = records.filter((record) => !knownKeys.has(keyOf(record)));
@@ -295,7 +295,7 @@
     return `${hostname}:${port === "" ? defaultPort : port}`;
 };
 
-const keyOf = ({ service, partId }: Pick<SuspectPartRecord, "service" | "partId">): string =>
+const keyOf = ({ service, partId }: Pick<SuspectRecord, "service" | "partId">): string =>
     `${service}\n${partId}`;
 
 const targetIdOf = ({ id, incarnation }: CrashTarget): string => `${id}/${incarnation}`;
--- a/packages/fleet/src/partreports.ts
+++ b/packages/fleet/src/crashreporthandler.ts
@@ -9,29 +9,29 @@
     ServerCrash,
 } from "@greengage/protocol";
 import type { GroupController } from "./controller.ts";
-import type { PartQuarantine } from "./partquarantine.ts";
+import type { CulpritQuarantine } from "./culpritquarantine.ts";
 
 /** Reports of one crash by several entry daemons within this time are confirmed by one probe. */
 const CONFIRMATION_TTL_MS = 1_000;
 
-export interface PartReportHandlerOptions {
+export interface CrashReportHandlerOptions {
     context: Context;
     peers: Peers;
     /** Whether this daemon decides, and which one it believes to decide. */
     log: Pick<RaftLog, "holdsLeaderLease"> & { status(): Pick<LogStatus, "leaderId">; };
     controller: Pick<GroupController, "confirmCrash" | "confirmServerCrash">;
-    quarantine: PartQuarantine;
+    quarantine: CulpritQuarantine;
     /** Called after each report. */
     onChanged: () => void;
 }
 
 /** Handles the observations of entry daemons about possible causes of crashes on the leader. */
-export class PartReportHandler {
-    readonly #options: PartReportHandlerOptions;
+export class CrashReportHandler {
+    readonly #options: CrashReportHandlerOptions;
     /** By epoch of a group or id of a server; resolves to undefined if it hasn't crashed. */
     readonly #confirmations = new Map<CrashId, { result: Promise<CrashId | undefined>; atMs: number; }>();
 
-    constructor(options: PartReportHandlerOptions) {
+    constructor(options: CrashReportHandlerOptions) {
         this.#options = options;
         options.peers.handle("parts.report", (report) => this.#handleReport(report));
         options.peers.handle("parts.trial", ({ service, partId }) => ({
--- a/packages/fleet/src/partquarantine.ts
+++ b/packages/fleet/src/culpritquarantine.ts
@@ -1,11 +1,5 @@
 import { type Context, monotonicMs } from "@greengage/base";
-import type {
-    CrashId,
-    ServedParts,
-    SuspectPart,
-    SuspectPartRecord,
-    UnservedRequest,
-} from "@greengage/protocol";
+import type { CrashId, ServedParts, Suspect, SuspectRecord, UnservedRequest } from "@greengage/protocol";
 import {
     blameableIds,
     byEvidence,
@@ -45,7 +39,7 @@
  * a request clears its parts, so parts that sound requests share do not accumulate crashes; so does a complete response
  * for the request itself. A request is blamed before the parts that it shares with others.
  */
-export class PartQuarantine {
+export class CulpritQuarantine {
     readonly #context: Context;
     readonly #suspects = new Map<string, SuspectState>();
     #version = 0;
@@ -192,7 +186,7 @@
     }
 
     /** Parts that entry daemons must reject or watch. */
-    view(nowMs: number): SuspectPart[] {
+    view(nowMs: number): Suspect[] {
         return [...this.#suspects.values()].map((suspect) => ({
             service: suspect.service,
             partId: suspect.partId,
@@ -202,7 +196,7 @@
         }));
     }
 
-    records(nowMs: number): SuspectPartRecord[] {
+    records(nowMs: number): SuspectRecord[] {
         return [...this.#suspects.values()].map((suspect) => ({
             service: suspect.service,
             partId: suspect.partId,
@@ -224,7 +218,7 @@
     }
 
     /** Replaces the state with the records of the previous leader. */
-    restore(records: readonly SuspectPartRecord[], nowMs: number): void {
+    restore(records: readonly SuspectRecord[], nowMs: number): void {
         this.#suspects.clear();
         for (const record of records) {
             this.#suspects.set(keyOf(record.service, record.partId), {
--- a/packages/fleet/src/entries.ts
+++ b/packages/fleet/src/entries.ts
@@ -8,8 +8,8 @@
     MemberState,
     type ServerReport,
     type ServerTarget,
-    type SuspectPart,
-    type SuspectPartRecord,
+    type Suspect,
+    type SuspectRecord,
 } from "@greengage/protocol";
 import { z } from "zod";
 import { GroupPhase } from "./group.ts";
@@ -100,7 +100,7 @@
     zone: z.string(),
 });
 
-const suspectPartSchema: z.ZodType<Pick<SuspectPartRecord, "service" | "partId" | "crashedEpochs">> = z
+const suspectPartSchema: z.ZodType<Pick<SuspectRecord, "service" | "partId" | "crashedEpochs">> = z
     .object({
         service: name,
         partId: z.string(),
@@ -108,7 +108,7 @@
         crashedEpochs: z.array(z.union([counter, name])),
     });
 
-const viewSuspectSchema: z.ZodType<SuspectPart> = z.object({
+const viewSuspectSchema: z.ZodType<Suspect> = z.object({
     service: name,
     partId: z.string(),
     isQuarantined: z.boolean(),
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -9,15 +9,15 @@
 } from "./blame.ts";
 export { packConfiguration, unpackConfiguration } from "./configurations.ts";
 export * from "./controller.ts";
+export * from "./crashreporthandler.ts";
+export * from "./culpritquarantine.ts";
 export * from "./departure.ts";
 export * from "./entries.ts";
 export * from "./group.ts";
 export * from "./loadratelimiter.ts";
 export * from "./orders.ts";
-export * from "./partoperations.ts";
-export * from "./partquarantine.ts";
-export * from "./partreports.ts";
 export * from "./planner.ts";
+export * from "./quarantineoperations.ts";
 export * from "./registry.ts";
 export * from "./service.ts";
 export * from "./suspicion.ts";
--- a/packages/fleet/src/partoperations.ts
+++ b/packages/fleet/src/quarantineoperations.ts
@@ -1,24 +1,24 @@
 import { type Context, ErrorCode, GreengageError, messageOf, monotonicMs, Verdict } from "@greengage/base";
 import type { RaftLog } from "@greengage/consensus";
-import type { Peers, SuspectPartRecord } from "@greengage/protocol";
-import type { PartQuarantine } from "./partquarantine.ts";
+import type { Peers, SuspectRecord } from "@greengage/protocol";
+import type { CulpritQuarantine } from "./culpritquarantine.ts";
 
 const LEADER_CALL_OPTIONS = { timeoutMs: 900 };
 
-export interface PartOperationsOptions {
+export interface QuarantineOperationsOptions {
     context: Context;
     peers: Peers;
     log: Pick<RaftLog, "holdsLeaderLease" | "status">;
-    quarantine: PartQuarantine;
+    quarantine: CulpritQuarantine;
     /** Called after a part was lifted. */
     onChanged: () => void;
 }
 
 /** Lists suspect prompt parts for operators, and lifts quarantines. Forwards to the leader, which decides. */
-export class PartOperations {
-    readonly #options: PartOperationsOptions;
+export class QuarantineOperations {
+    readonly #options: QuarantineOperationsOptions;
 
-    constructor(options: PartOperationsOptions) {
+    constructor(options: QuarantineOperationsOptions) {
         this.#options = options;
         const { peers, log, quarantine } = options;
         peers.handle("parts.list", () =>
@@ -29,7 +29,7 @@
     }
 
     /** Throws a GreengageError with code `unavailable` if no leader answers. */
-    async list(): Promise<SuspectPartRecord[]> {
+    async list(): Promise<SuspectRecord[]> {
         const { peers } = this.#options;
         const { parts } = await this.#askLeader(
             Verdict.NotRun,
--- a/packages/fleet/src/service.ts
+++ b/packages/fleet/src/service.ts
@@ -14,10 +14,10 @@
 } from "@greengage/protocol";
 import { ConfigurationSource, type ConfigurationSourceOptions } from "./configurations.ts";
 import { GroupController } from "./controller.ts";
+import { CrashReportHandler } from "./crashreporthandler.ts";
+import { CulpritQuarantine } from "./culpritquarantine.ts";
 import type { EngineOrders } from "./orders.ts";
-import { PartOperations } from "./partoperations.ts";
-import { PartQuarantine } from "./partquarantine.ts";
-import { PartReportHandler } from "./partreports.ts";
+import { QuarantineOperations } from "./quarantineoperations.ts";
 import { GroupRecordStore } from "./recordstore.ts";
 import { ServerRegistry } from "./registry.ts";
 import { ServerReportHandler } from "./reporthandler.ts";
@@ -47,7 +47,7 @@
     /** Handles reports and shutdown announcements of backend servers. */
     readonly reportHandler: ServerReportHandler;
     /** Lists and lifts quarantines of prompt parts for operators. */
-    readonly partOperations: PartOperations;
+    readonly quarantineOperations: QuarantineOperations;
     readonly #options: FleetServiceOptions;
     readonly #lifecycle = new Lifecycle();
     readonly #registry = new ServerRegistry();
@@ -57,7 +57,7 @@
     readonly #recordStore: GroupRecordStore;
     readonly #watcherRegistry = new WatcherRegistry();
     readonly #usageAggregator: UsageAggregator;
-    readonly #quarantine: PartQuarantine;
+    readonly #quarantine: CulpritQuarantine;
     readonly #configurationSource: ConfigurationSource;
     #view: FleetView | undefined;
     #viewKey = "";
@@ -74,7 +74,7 @@
         this.#recordStore = new GroupRecordStore(context, options.recordPath);
         this.#watcherRegistry.setZone(context.daemonId, context.zone);
         this.#configurationSource = new ConfigurationSource(options);
-        this.#quarantine = new PartQuarantine(context);
+        this.#quarantine = new CulpritQuarantine(context);
         this.#controller = new GroupController({
             context,
             registry: this.#registry,
@@ -122,8 +122,8 @@
             quarantine: this.#quarantine,
             onChanged: () => this.#publishSuspects(),
         };
-        new PartReportHandler(partOptions);
-        this.partOperations = new PartOperations(partOptions);
+        new CrashReportHandler(partOptions);
+        this.quarantineOperations = new QuarantineOperations(partOptions);
     }
 
     /** The latest view; undefined before the first one. */
--- a/packages/gateway/src/crashreports.ts
+++ b/packages/gateway/src/crashreports.ts
@@ -18,7 +18,7 @@
 const MAX_REMEMBERED_REPORTS = 100;
 
 /** Connection to the leader for observations about prompt parts. */
-export interface PartLeader {
+export interface CrashLeader {
     /** Resolves with undefined if no leader has accepted the report. */
     report(report: PartReport): Promise<PartReportResponse | undefined>;
     /** Asks for permission to send one request with a quarantined part. */
@@ -44,14 +44,14 @@
 /** Reports crashes of groups and servers to the leader: once for all requests of this daemon that a crash has ended. */
 export class CrashReports {
     readonly #context: Context;
-    readonly #leader: PartLeader;
+    readonly #leader: CrashLeader;
     readonly #lifecycle: Lifecycle;
     readonly #pendingGroups = new Map<number, PendingReport<GroupCrash>>();
     readonly #pendingServers = new Map<string, PendingReport<ServerCrash>>();
     /** Crashes that a leader has confirmed, or that none has heard of, in order of time. */
     #remembered: { report: PartReport; atMs: number; }[] = [];
 
-    constructor(context: Context, leader: PartLeader, lifecycle: Lifecycle) {
+    constructor(context: Context, leader: CrashLeader, lifecycle: Lifecycle) {
         this.#context = context;
         this.#leader = leader;
         this.#lifecycle = lifecycle;
--- a/packages/gateway/src/promptparts.ts
+++ b/packages/gateway/src/crashsuspects.ts
@@ -14,11 +14,11 @@
     type GroupTarget,
     isRequestCulprit,
     requestCulpritId,
-    type SuspectPart,
+    type Suspect,
     type UnservedRequest,
 } from "@greengage/protocol";
 import { fingerprintOf } from "@greengage/routing";
-import { CrashOutcome, CrashReports, type PartLeader, REPORT_DELAY_MS } from "./crashreports.ts";
+import { type CrashLeader, CrashOutcome, CrashReports, REPORT_DELAY_MS } from "./crashreports.ts";
 import type { CallerRequest, PromptPart } from "./types.ts";
 
 /** Time for which a part counts as harmless after a request with it has produced an event. */
@@ -73,9 +73,9 @@
 }
 
 /** This daemon's knowledge of requests and prompt parts that crash servers. Reports crashes and successes to the leader. */
-export class PromptParts {
+export class CrashSuspects {
     readonly #context: Context;
-    readonly #leader: PartLeader;
+    readonly #leader: CrashLeader;
     readonly #lifecycle = new Lifecycle();
     readonly #crashReports: CrashReports;
     /** Time at which a request with the part last produced an event, in order of that time. */
@@ -84,13 +84,13 @@
     readonly #completedAtMs = new Map<string, number>();
     /** In order of their last crashes. */
     readonly #crashedRequests = new Map<string, CrashedRequest>();
-    #suspects = new Map<string, SuspectPart>();
+    #suspects = new Map<string, Suspect>();
     /** Suspects of which a success was reported since they were listed, by `reportKeyOf`. */
     readonly #reportedKeys = new Set<string>();
     #pendingServed: ServedCulprit[] = [];
     #servedTimer: NodeJS.Timeout | undefined;
 
-    constructor(context: Context, leader: PartLeader) {
+    constructor(context: Context, leader: CrashLeader) {
         this.#context = context;
         this.#leader = leader;
         this.#crashReports = new CrashReports(context, leader, this.#lifecycle);
@@ -110,7 +110,7 @@
         });
     }
 
-    setSuspects(suspects: readonly SuspectPart[]): void {
+    setSuspects(suspects: readonly Suspect[]): void {
         const former = this.#suspects;
         this.#suspects = new Map(
             suspects.map((suspect) => [keyOf(suspect.service, suspect.partId), suspect]),
@@ -266,7 +266,7 @@
         return true;
     }
 
-    #quarantined(service: string, culpritIds: readonly string[]): SuspectPart[] {
+    #quarantined(service: string, culpritIds: readonly string[]): Suspect[] {
         return culpritIds.flatMap((partId) => {
             const key = keyOf(service, partId);
             const listed = this.#suspects.get(key);
@@ -327,7 +327,7 @@
         }
     }
 
-    async #requestTrial({ service, partId }: SuspectPart): Promise<boolean> {
+    async #requestTrial({ service, partId }: Suspect): Promise<boolean> {
         try {
             return await this.#leader.requestTrial(service, partId);
         }
--- a/packages/gateway/src/dependencies.ts
+++ b/packages/gateway/src/dependencies.ts
@@ -3,11 +3,11 @@
 import type { GroupSuspicion } from "@greengage/protocol";
 import type { ConnectionPools, RequestLimits, ServerHolds } from "@greengage/routing";
 import type { CallExecution } from "./call.ts";
+import type { CrashSuspects } from "./crashsuspects.ts";
 import type { DemandMeter } from "./demandmeter.ts";
 import type { FirstTokenOffsets } from "./firsttokenoffsets.ts";
 import type { GroupState, GroupStates } from "./groupstates.ts";
 import type { PlacementClient } from "./placementclient.ts";
-import type { PromptParts } from "./promptparts.ts";
 import type { ServiceRetryBudgets } from "./retrybudgets.ts";
 import type { ServerStates } from "./serverstates.ts";
 import type { ServerDialect } from "./types.ts";
@@ -29,7 +29,7 @@
     calls: Set<CallExecution>;
     routing: () => RoutingTable | undefined;
     placementClient: PlacementClient;
-    promptParts: PromptParts;
+    crashSuspects: CrashSuspects;
     requestLimits: RequestLimits;
     serverHolds: ServerHolds;
     /** Marks a group as suspected and reports it to the controller. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -20,7 +20,8 @@
 import { ConnectionPools, RequestLimits, type ServerHold, ServerHolds } from "@greengage/routing";
 import { type Call, deadlineOf, EndReason, endsAtMs } from "./call.ts";
 import { Controllers } from "./controllers.ts";
-import type { PartLeader } from "./crashreports.ts";
+import type { CrashLeader } from "./crashreports.ts";
+import { CrashSuspects, culpritIdsOf } from "./crashsuspects.ts";
 import { DemandMeter } from "./demandmeter.ts";
 import type { GatewayDependencies } from "./dependencies.ts";
 import { type Drain, drainingError, isServedWhileDraining } from "./drain.ts";
@@ -29,7 +30,6 @@
 import { LeavingReports } from "./leavingreports.ts";
 import { outcomeOfError } from "./outcome.ts";
 import { PlacementClient, type RequestPermit, type RequestPlacement } from "./placementclient.ts";
-import { culpritIdsOf, PromptParts } from "./promptparts.ts";
 import { type RetryLimits, ServiceRetryBudgets } from "./retrybudgets.ts";
 import { ServerCall } from "./servercall.ts";
 import { ServerStates } from "./serverstates.ts";
@@ -46,7 +46,7 @@
     requestPlacement: RequestPlacement;
     /** Asks a control daemon for a permit for a limited server. Rejects if there is no answer in time. */
     requestPermit: RequestPermit;
-    partLeader: PartLeader;
+    crashLeader: CrashLeader;
     /** Reports to the leader that a server leaves. Never rejects. */
     reportLeaving: (server: LeavingServer) => Promise<void>;
 }
@@ -98,7 +98,7 @@
             drainMs: () => this.drainMs,
             calls: new Set(),
             placementClient,
-            promptParts: new PromptParts(context, options.partLeader),
+            crashSuspects: new CrashSuspects(context, options.crashLeader),
             requestLimits: new RequestLimits({
                 context,
                 random: this.#random,
@@ -147,7 +147,7 @@
 
     async close(): Promise<void> {
         await this.#lifecycle.close();
-        await this.#deps.promptParts.close();
+        await this.#deps.crashSuspects.close();
         await this.#deps.pools.close();
     }
 
@@ -160,13 +160,13 @@
 
     applyView(view: FleetView): void {
         if (this.#viewTerm !== undefined && view.term > this.#viewTerm) {
-            this.#deps.promptParts.onNewLeader();
+            this.#deps.crashSuspects.onNewLeader();
         }
         this.#viewTerm = view.term;
         this.#deps.groups.applyView(view);
         this.#deps.servers.applyView(view);
         this.#leavingReports.applyView(view);
-        this.#deps.promptParts.setSuspects(view.suspectParts ?? []);
+        this.#deps.crashSuspects.setSuspects(view.suspectParts ?? []);
         this.#deps.retryBudgets.setDaemonCount(view.entryDaemonCount);
         this.#deps.requestLimits.setDaemonCount(view.entryDaemonCount);
         this.#controllers.setIds(view.controllers.map(({ daemonId }) => daemonId));
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,6 +1,7 @@
 export * from "./admission.ts";
 export { Controllers, placementKeyOf } from "./controllers.ts";
-export type { PartLeader } from "./crashreports.ts";
+export type { CrashLeader } from "./crashreports.ts";
+export { CrashSuspects, sharedPartIds } from "./crashsuspects.ts";
 export * from "./drain.ts";
 export * from "./firsttokenoffsets.ts";
 export * from "./gateway.ts";
@@ -14,6 +15,5 @@
     type RequestPlacement,
 } from "./placementclient.ts";
 export * from "./placementservice.ts";
-export { PromptParts, sharedPartIds } from "./promptparts.ts";
 export * from "./retrybudgets.ts";
 export * from "./types.ts";
--- a/packages/gateway/src/servercall.ts
+++ b/packages/gateway/src/servercall.ts
@@ -89,7 +89,7 @@
     async #checkQuarantine(): Promise<void> {
         const { service, culpritIds } = this.#call;
         try {
-            this.#isTrial ||= await this.#deps.promptParts.admit(service.name, culpritIds);
+            this.#isTrial ||= await this.#deps.crashSuspects.admit(service.name, culpritIds);
         }
         catch (error) {
             throw this.#execution.mayHaveRun ? backendError(messageOf(error)) : error;
@@ -116,7 +116,7 @@
     }
 
     async #runAttempt(server: ServerState, startDelayMs: number): Promise<AttemptOutcome> {
-        const { pools, dialect, promptParts, serverHolds } = this.#deps;
+        const { pools, dialect, crashSuspects, serverHolds } = this.#deps;
         const { request, route, service, organisation, culpritIds, priority, deadlineAtMs } = this.#call;
         const { serverId, address } = server.target;
         let hasHead = false;
@@ -148,7 +148,7 @@
             closesConnection: !isSafe,
             mayWrite: () => {
                 const isQuarantined = !this.#isTrial
-                    && promptParts.hasQuarantined(service.name, culpritIds);
+                    && crashSuspects.hasQuarantined(service.name, culpritIds);
                 if (isQuarantined || serverHolds.isHeld(incarnation, monotonicMs())) {
                     return false;
                 }
@@ -178,10 +178,10 @@
             this.#execution.mayHaveRun = mayHaveRunBefore;
         }
         if (outcome.kind === "complete") {
-            promptParts.recordComplete(service.name, culpritIds, monotonicMs());
+            crashSuspects.recordComplete(service.name, culpritIds, monotonicMs());
         }
         if (outcome.kind === "failed" && CRASH_FAILURES.has(outcome.failure)) {
-            const mayRepeat = await promptParts.recordServerFailure(service.name, serverId, {
+            const mayRepeat = await crashSuspects.recordServerFailure(service.name, serverId, {
                 partIds: [...culpritIds],
                 hasHead,
             });
--- a/packages/gateway/src/streamcall.ts
+++ b/packages/gateway/src/streamcall.ts
@@ -104,7 +104,7 @@
 
     #isQuarantined(): boolean {
         return !this.#delivery.hasHead && !this.#isTrial
-            && this.#deps.promptParts.hasQuarantined(this.#call.service.name, this.#call.culpritIds);
+            && this.#deps.crashSuspects.hasQuarantined(this.#call.service.name, this.#call.culpritIds);
     }
 
     /** Throws if the request has produced no event and one of its prompt parts is quarantined. */
@@ -113,7 +113,7 @@
             return;
         }
         try {
-            this.#isTrial = await this.#deps.promptParts.admit(
+            this.#isTrial = await this.#deps.crashSuspects.admit(
                 this.#call.service.name,
                 this.#call.culpritIds,
             );
@@ -234,7 +234,7 @@
             this.#execution.mayHaveRun = mayHaveRunBefore;
         }
         if (outcome.kind === "complete") {
-            this.#deps.promptParts.recordComplete(
+            this.#deps.crashSuspects.recordComplete(
                 this.#call.service.name,
                 this.#call.culpritIds,
                 monotonicMs(),
@@ -256,9 +256,9 @@
         if (!isInterrupted) {
             return true;
         }
-        const { promptParts } = this.#deps;
+        const { crashSuspects } = this.#deps;
         const { service, culpritIds } = this.#call;
-        const isSuspected = !await promptParts.mayRepeatAfterFailure(service.name, group.target, {
+        const isSuspected = !await crashSuspects.mayRepeatAfterFailure(service.name, group.target, {
             partIds: [...culpritIds],
             hasHead,
             ...(this.#delivery.firstEventMs === undefined ? {} : { hasEvents: true }),
@@ -304,7 +304,7 @@
         }
         if (inFlight.lastEventAtMs === undefined) {
             this.#recordFirstToken(inFlight, nowMs);
-            this.#deps.promptParts.recordServed(this.#call.service.name, this.#call.culpritIds, nowMs);
+            this.#deps.crashSuspects.recordServed(this.#call.service.name, this.#call.culpritIds, nowMs);
         }
         group.recordProgress(inFlight, nowMs);
     }
--- a/packages/membership/src/directory.ts
+++ b/packages/membership/src/directory.ts
@@ -9,7 +9,7 @@
     type Peers,
     type ServiceView,
     type ShareTransfer,
-    type SuspectPartRecord,
+    type SuspectRecord,
     type ZoneExchange,
 } from "@greengage/protocol";
 import type { MembershipTiming } from "./timing.ts";
@@ -60,7 +60,7 @@
     #demandSource: () => OrganisationDemand[] = () => [];
     #inFlightSource: (() => InFlightCount[]) | undefined;
     #limitExchangeHandler: LimitExchangeHandler | undefined;
-    #suspectHandler: (records: SuspectPartRecord[]) => void = () => undefined;
+    #suspectHandler: (records: SuspectRecord[]) => void = () => undefined;
 
     constructor(options: GroupDirectoryOptions) {
         this.#options = options;
@@ -85,7 +85,7 @@
     }
 
     /** Sets the function that gets the suspects of the own zone's controller. */
-    setSuspectHandler(handler: (records: SuspectPartRecord[]) => void): void {
+    setSuspectHandler(handler: (records: SuspectRecord[]) => void): void {
         this.#suspectHandler = handler;
     }
 
--- a/packages/membership/src/reportforwarder.ts
+++ b/packages/membership/src/reportforwarder.ts
@@ -1,5 +1,5 @@
 import { type Context, Lifecycle, LogPart, messageOf, monotonicMs } from "@greengage/base";
-import type { Peers, ShareTransfer, SuspectPartRecord, UnchangedReport, VmReport } from "@greengage/protocol";
+import type { Peers, ShareTransfer, SuspectRecord, UnchangedReport, VmReport } from "@greengage/protocol";
 import type { MembershipTiming } from "./timing.ts";
 
 /** A report and the monotonic time at which it arrived. */
@@ -24,7 +24,7 @@
     stateForSuccessor: () => {
         transfers: ShareTransfer[];
         drainedVmIds: string[];
-        suspects?: SuspectPartRecord[];
+        suspects?: SuspectRecord[];
     };
 }
 
--- a/packages/protocol/src/fleet.ts
+++ b/packages/protocol/src/fleet.ts
@@ -80,14 +80,14 @@
     /** Control daemons with their zones. */
     controllers: { daemonId: string; zone: string; }[];
     /** Prompt parts that may crash engines. Absent in views of daemons that don't track them. */
-    suspectParts?: SuspectPart[];
+    suspectParts?: Suspect[];
 }
 
 /**
  * Possible cause of crashes: a prompt part, or the content of a request. Requests with it had not been served when their
  * servers crashed.
  */
-export interface SuspectPart {
+export interface Suspect {
     service: string;
     /** Id of the prompt part, or `requestCulpritId` of the request. */
     partId: string;
@@ -165,7 +165,7 @@
 export type CrashId = number | string;
 
 /** State of a suspect part, kept for the leader's successor and shown to operators. Times are ages, as clocks differ. */
-export interface SuspectPartRecord {
+export interface SuspectRecord {
     service: string;
     partId: string;
     /** Index among the culprits of its requests, the widest first. */
@@ -228,7 +228,7 @@
     /** Number of entry daemons that watched the fleet recently. */
     entryDaemonCount: number;
     /** Absent in records that were written by daemons that don't track suspect parts. */
-    suspectParts?: SuspectPartRecord[];
+    suspectParts?: SuspectRecord[];
 }
 
 /** Long poll for changes of the configuration, fleet view and group records. */
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -11,7 +11,7 @@
     PlacementResponse,
     ServerLimit,
     ServerReport,
-    SuspectPartRecord,
+    SuspectRecord,
     SuspicionResponse,
     WatchRequest,
     WatchResponse,
@@ -220,7 +220,7 @@
             upMs: number;
             transfers: ShareTransfer[];
             drainedVmIds: string[];
-            suspects?: SuspectPartRecord[];
+            suspects?: SuspectRecord[];
         };
     };
     "grant.renew": {
@@ -272,7 +272,7 @@
     /** Asks the leader for permission to send one request with a quarantined part. */
     "parts.trial": { request: { service: string; partId: string; }; response: { isGranted: boolean; }; };
     /** Returns the suspect parts of the leader. */
-    "parts.list": { request: object; response: { isAccepted: boolean; parts: SuspectPartRecord[]; }; };
+    "parts.list": { request: object; response: { isAccepted: boolean; parts: SuspectRecord[]; }; };
     /** Clears a part on an operator's order. Returns the services in which it was a suspect. */
     "parts.lift": { request: { partId: string; }; response: { isAccepted: boolean; services: string[]; }; };
     /** An entry daemon sends its usage of the groups and receives that of all other entry daemons. */
--- a/packages/protocol/src/views.ts
+++ b/packages/protocol/src/views.ts
@@ -1,4 +1,4 @@
-import type { SuspectPartRecord } from "./fleet.ts";
+import type { SuspectRecord } from "./fleet.ts";
 
 /** State of one generation of a replica group. */
 export const GroupState = {
@@ -172,5 +172,5 @@
      * Requests suspected of crashing backend servers. Daemons store them for the next controller. Absent for daemons of other
      * zones, and for those that hold this version.
      */
-    suspects?: { version: number; records: SuspectPartRecord[]; };
+    suspects?: { version: number; records: SuspectRecord[]; };
 }
--- a/test/fleet/oddentries.test.ts
+++ b/test/fleet/oddentries.test.ts
@@ -2,14 +2,14 @@
 import { Hub } from "@greengage/bench";
 import { RecordCodec, replaceFile, syncFile } from "@greengage/consensus";
 import { waitFor } from "@greengage/faults";
-import { FleetWatcher, PartQuarantine } from "@greengage/fleet";
+import { CulpritQuarantine, FleetWatcher } from "@greengage/fleet";
 import {
     type FleetView,
     type GroupRecord,
     type GroupRecords,
     type GroupTarget,
     requestCulpritId,
-    type SuspectPart,
+    type Suspect,
     type WatchResponse,
 } from "@greengage/protocol";
 import test, { type ExecutionContext } from "ava";
@@ -29,7 +29,7 @@
     bornMs: 1,
 };
 
-const suspect: SuspectPart = {
+const suspect: Suspect = {
     service: "llm",
     partId: "part",
     isQuarantined: true,
@@ -229,7 +229,7 @@
     t.teardown(() => rmSync(folder, { recursive: true, force: true }));
     const path = join(folder, "groups");
     const context = createContext({ daemonId: "core-1", zone: "z" });
-    const quarantine = new PartQuarantine(context);
+    const quarantine = new CulpritQuarantine(context);
     quarantine.recordCrash("ledger", "l1/7", [{ partIds: [requestCulpritId("a")], hasHead: false }], 0);
     const suspectParts = quarantine.records(0);
     const codec = await RecordCodec.create();
--- a/test/fleet/partoperations.test.ts
+++ b/test/fleet/partoperations.test.ts
@@ -1,6 +1,6 @@
 import { createContext, ErrorCode, GreengageError } from "@greengage/base";
 import { Hub } from "@greengage/bench";
-import { PartOperations, PartQuarantine } from "@greengage/fleet";
+import { CulpritQuarantine, QuarantineOperations } from "@greengage/fleet";
 import test from "ava";
 
 interface FixtureOptions {
@@ -13,12 +13,14 @@
 /** Creates the operations of two control daemons and the quarantine of the first one. */
 const createOperations = (
     { leaderId, leaseHolderId = leaderId }: FixtureOptions,
-): { quarantine: PartQuarantine; first: PartOperations; second: PartOperations; } => {
+): { quarantine: CulpritQuarantine; first: QuarantineOperations; second: QuarantineOperations; } => {
     const hub = new Hub();
-    const create = (daemonId: string): { quarantine: PartQuarantine; operations: PartOperations; } => {
+    const create = (
+        daemonId: string,
+    ): { quarantine: CulpritQuarantine; operations: QuarantineOperations; } => {
         const context = createContext({ daemonId, zone: "z" });
-        const quarantine = new PartQuarantine(context);
-        const operations = new PartOperations({
+        const quarantine = new CulpritQuarantine(context);
+        const operations = new QuarantineOperations({
             context,
             peers: hub.join({ daemonId, zone: "z", host: "", port: 0 }),
             log: {
@@ -34,10 +36,10 @@
     return { quarantine, first, second: create("daemon-2").operations };
 };
 
-type PartOperationsLog = ConstructorParameters<typeof PartOperations>[0]["log"];
+type PartOperationsLog = ConstructorParameters<typeof QuarantineOperations>[0]["log"];
 
 /** Blames a part for the crash of one group in each service. */
-const blame = (quarantine: PartQuarantine, partId: string, services: string[]): void =>
+const blame = (quarantine: CulpritQuarantine, partId: string, services: string[]): void =>
     services.forEach((service) =>
         quarantine.recordCrash(service, 1, [{ partIds: [partId], hasHead: true }], performance.now())
     );
--- a/test/fleet/partquarantine.test.ts
+++ b/test/fleet/partquarantine.test.ts
@@ -3,10 +3,10 @@
     AMBIGUOUS_TRIAL_DELAY_MS,
     ANSWERING_RULE,
     COINCIDENCE_MS,
+    CulpritQuarantine,
     FIRST_TRIAL_DELAY_MS,
     MAX_RIVALS,
     ONLY_REQUEST_RULE,
-    PartQuarantine,
     REPORT_SETTLE_MS,
     SHARED_REQUEST_RULE,
     WAITING_RULE,
@@ -16,10 +16,10 @@
 
 const SERVICE = "llm";
 
-const createQuarantine = (): PartQuarantine =>
-    new PartQuarantine(createContext({ daemonId: "leader", zone: "z" }));
+const createQuarantine = (): CulpritQuarantine =>
+    new CulpritQuarantine(createContext({ daemonId: "leader", zone: "z" }));
 
-const quarantinedIds = (quarantine: PartQuarantine, nowMs: number): string[] =>
+const quarantinedIds = (quarantine: CulpritQuarantine, nowMs: number): string[] =>
     quarantine.view(nowMs).filter(({ isQuarantined }) => isQuarantined).map(({ partId }) => partId);
 
 interface CrashOptions {
@@ -30,16 +30,16 @@
 
 /** Records the crash of a group that had begun to answer one request. */
 const recordCrash = (
-    quarantine: PartQuarantine,
+    quarantine: CulpritQuarantine,
     partIds: string[],
     { epoch, atMs, hasHead = true }: CrashOptions,
 ): void => quarantine.recordCrash(SERVICE, epoch, [{ partIds, hasHead }], atMs);
 
-const recordServed = (quarantine: PartQuarantine, partId: string, nowMs: number, ageMs = 0): void =>
+const recordServed = (quarantine: CulpritQuarantine, partId: string, nowMs: number, ageMs = 0): void =>
     quarantine.recordServed({ service: SERVICE, partIds: [partId], ageMs }, nowMs);
 
 /** Crashes two groups, so that the parts are quarantined. Returns the time of the second crash. */
-const quarantineParts = (quarantine: PartQuarantine, ...partIds: string[]): number => {
+const quarantineParts = (quarantine: CulpritQuarantine, ...partIds: string[]): number => {
     recordCrash(quarantine, partIds, { epoch: 1, atMs: 0 });
     recordCrash(quarantine, partIds, { epoch: 2, atMs: ANSWERING_RULE.exonerationMs });
     return ANSWERING_RULE.exonerationMs;
@@ -239,7 +239,7 @@
 const streaming = (...partIds: string[]): UnservedRequest => ({ partIds, hasHead: true, hasEvents: true });
 
 /** Records crashes at an interval of 10 ms. Returns the time at which all reports about them have arrived. */
-const recordCrashes = (quarantine: PartQuarantine, crashes: UnservedRequest[][], fromMs = 0): number => {
+const recordCrashes = (quarantine: CulpritQuarantine, crashes: UnservedRequest[][], fromMs = 0): number => {
     crashes.forEach((requests, index) =>
         quarantine.recordCrash(SERVICE, fromMs + index + 1, requests, fromMs + 10 * index)
     );
--- a/test/fleet/partreports.test.ts
+++ b/test/fleet/partreports.test.ts
@@ -1,7 +1,7 @@
 import { createContext } from "@greengage/base";
 import { Hub } from "@greengage/bench";
 import { waitFor } from "@greengage/faults";
-import { ANSWERING_RULE, PartQuarantine, PartReportHandler } from "@greengage/fleet";
+import { ANSWERING_RULE, CrashReportHandler, CulpritQuarantine } from "@greengage/fleet";
 import { type PartReportResponse, requestCulpritId } from "@greengage/protocol";
 import test, { type ExecutionContext } from "ava";
 import { startFleet } from "./fixtures.ts";
@@ -9,7 +9,7 @@
 const LEADER_ID = "leader";
 
 interface LeaderFixture {
-    quarantine: PartQuarantine;
+    quarantine: CulpritQuarantine;
     probedEpochs: number[];
     state: { hasCrashed: boolean; };
     /** Reports that a group crashed while it began to answer a request with the part. */
@@ -21,10 +21,10 @@
 ): LeaderFixture => {
     const hub = new Hub();
     const context = createContext({ daemonId: LEADER_ID, zone: "z" });
-    const quarantine = new PartQuarantine(context);
+    const quarantine = new CulpritQuarantine(context);
     const probedEpochs: number[] = [];
     const state = { hasCrashed };
-    new PartReportHandler({
+    new CrashReportHandler({
         context,
         peers: hub.join({ daemonId: LEADER_ID, zone: "z", host: "", port: 0 }),
         log: { holdsLeaderLease: isLeader, status: () => ({ leaderId: "other" }) } as never,
@@ -103,9 +103,9 @@
 test("a crash of a plain server is counted again with each daemon that reports it", async (t) => {
     const hub = new Hub();
     const context = createContext({ daemonId: LEADER_ID, zone: "z" });
-    const quarantine = new PartQuarantine(context);
+    const quarantine = new CulpritQuarantine(context);
     let probeCount = 0;
-    new PartReportHandler({
+    new CrashReportHandler({
         context,
         peers: hub.join({ daemonId: LEADER_ID, zone: "z", host: "", port: 0 }),
         log: { holdsLeaderLease: true, status: () => ({ leaderId: LEADER_ID }) } as never,
--- a/test/gateway/drain.test.ts
+++ b/test/gateway/drain.test.ts
@@ -94,7 +94,7 @@
     let isWaiting = false;
     const fixture = createGateway(t, {
         groupHeads: [crashing],
-        partLeader: {
+        crashLeader: {
             report: async () => {
                 isWaiting = true;
                 await sleep(2_000);
--- a/test/gateway/fixtures.ts
+++ b/test/gateway/fixtures.ts
@@ -3,8 +3,8 @@
 import {
     type CallerRequest,
     type CallerResponse,
+    type CrashLeader,
     Gateway,
-    type PartLeader,
     type RequestPermit,
     type RequestPlacement,
     type ResponseHeaders,
@@ -174,7 +174,7 @@
     requestPlacement?: RequestPlacement;
     requestPermit?: RequestPermit;
     /** Leader for observations about prompt parts; without it no report is accepted. */
-    partLeader?: PartLeader;
+    crashLeader?: CrashLeader;
     /** Whether the gateway starts without configuration and fleet view. */
     isUninitialized?: boolean;
 }
@@ -195,7 +195,7 @@
             ?? (() => Promise.reject(new Error("no control daemon in this test"))),
         requestPermit: options.requestPermit
             ?? (() => Promise.reject(new Error("no control daemon in this test"))),
-        partLeader: options.partLeader
+        crashLeader: options.crashLeader
             ?? { report: () => Promise.resolve(undefined), requestTrial: () => Promise.resolve(false) },
         reportLeaving: (server) => {
             leavingReports.push(server);
--- a/test/gateway/poisonrequests.test.ts
+++ b/test/gateway/poisonrequests.test.ts
@@ -1,8 +1,8 @@
 import { ErrorCode, Verdict } from "@greengage/base";
 import { RouteKind } from "@greengage/configuration";
 import { waitFor } from "@greengage/faults";
-import type { PartLeader } from "@greengage/gateway";
-import { type PartReport, requestCulpritId, type ServerCrash, type SuspectPart } from "@greengage/protocol";
+import type { CrashLeader } from "@greengage/gateway";
+import { type PartReport, requestCulpritId, type ServerCrash, type Suspect } from "@greengage/protocol";
 import { fingerprintOf } from "@greengage/routing";
 import test, { type ExecutionContext } from "ava";
 import { buildRoute } from "../configuration/fixtures.ts";
@@ -39,7 +39,7 @@
 interface ServiceFixture extends GatewayFixture {
     servers: FakeServer[];
     reports: PartReport[];
-    publish: (suspectParts: SuspectPart[]) => void;
+    publish: (suspectParts: Suspect[]) => void;
     sendBody: (body: Buffer) => ReturnType<GatewayFixture["send"]>;
 }
 
@@ -59,7 +59,7 @@
 ): Promise<ServiceFixture> => {
     const servers = await Promise.all([0, 1, 2].map(() => startServer(t, handler)));
     const reports: PartReport[] = [];
-    const partLeader: PartLeader = {
+    const crashLeader: CrashLeader = {
         report: async (report) => {
             reports.push(report);
             const crashedServerIds = (report.serverCrashes ?? []).map(({ serverId }) => serverId);
@@ -69,7 +69,7 @@
         requestTrial: async () => true,
     };
     const route = buildRoute({ kind, pathPrefix: "/stock/", shares: [{ service: "ledger", weight: 1 }] });
-    const options = { servers, partLeader, configuration: { routes: [route] } };
+    const options = { servers, crashLeader, configuration: { routes: [route] } };
     const fixture = createGateway(t, options);
     let version = 1;
     return {
@@ -90,7 +90,7 @@
 const crashesOf = (reports: readonly PartReport[]): ServerCrash[] =>
     reports.flatMap(({ serverCrashes = [] }) => serverCrashes);
 
-const quarantinedRequest = (body: Buffer): SuspectPart => ({
+const quarantinedRequest = (body: Buffer): Suspect => ({
     service: "ledger",
     partId: culpritIdOf(body),
     isQuarantined: true,
--- a/test/gateway/promptparts.test.ts
+++ b/test/gateway/promptparts.test.ts
@@ -1,7 +1,7 @@
 import { ErrorCode, Verdict } from "@greengage/base";
 import { waitFor } from "@greengage/faults";
-import type { CallerRequest, PartLeader } from "@greengage/gateway";
-import { isRequestCulprit, type PartReport, requestCulpritId, type SuspectPart } from "@greengage/protocol";
+import type { CallerRequest, CrashLeader } from "@greengage/gateway";
+import { isRequestCulprit, type PartReport, requestCulpritId, type Suspect } from "@greengage/protocol";
 import { fingerprintOf } from "@greengage/routing";
 import test, { type ExecutionContext } from "ava";
 import { buildRoute } from "../configuration/fixtures.ts";
@@ -47,7 +47,7 @@
     },
 });
 
-interface RecordingLeader extends PartLeader {
+interface RecordingLeader extends CrashLeader {
     reports: PartReport[];
     /** Whether reported groups have crashed. */
     confirms: boolean;
@@ -79,7 +79,7 @@
     first: FakeServer;
     second: FakeServer;
     leader: RecordingLeader;
-    publish: (suspectParts: SuspectPart[]) => void;
+    publish: (suspectParts: Suspect[]) => void;
 }
 
 /** A gateway before two groups, of which the first handles requests with `handler`. */
@@ -90,7 +90,7 @@
 ): Promise<PartsFixture> => {
     const first = await startServer(t, handler);
     const second = await startServer(t, streamEvents(4));
-    const options = { groupHeads: [first, second], partLeader: leader };
+    const options = { groupHeads: [first, second], crashLeader: leader };
     const fixture = createGateway(t, options);
     let version = 1;
     return {
@@ -105,7 +105,7 @@
     };
 };
 
-const quarantinedPart = (partId: string, fields: Partial<SuspectPart> = {}): SuspectPart => ({
+const quarantinedPart = (partId: string, fields: Partial<Suspect> = {}): Suspect => ({
     service: "llm",
     partId,
     isQuarantined: true,
@@ -140,7 +140,7 @@
 test("a crash is reported also when the request has no attempt left", async (t) => {
     const { send, leader, first } = await startFixture(t, crash);
     const configuration = { routes: [buildRoute({ maxAttempts: 1 })] };
-    const single = createGateway(t, { groupHeads: [first], configuration, partLeader: leader });
+    const single = createGateway(t, { groupHeads: [first], configuration, crashLeader: leader });
     await send(requestWith("shared", "deadly", "own"));
     await single.send(requestWith("shared", "deadly", "other"));
     await waitFor("both reports", () => leader.reports.length === 2 || undefined);
--- a/test/gateway/serverfailures.test.ts
+++ b/test/gateway/serverfailures.test.ts
@@ -1,13 +1,13 @@
 import { createContext } from "@greengage/base";
-import { PromptParts } from "@greengage/gateway";
+import { CrashSuspects } from "@greengage/gateway";
 import { requestCulpritId } from "@greengage/protocol";
 import test, { type ExecutionContext } from "ava";
 
 const SERVICE = "ledger";
 const REQUEST = { partIds: [requestCulpritId("f1")], hasHead: false };
 
-const createParts = (t: ExecutionContext, { confirms }: { confirms: boolean; }): PromptParts => {
-    const parts = new PromptParts(createContext({ daemonId: "d1", zone: "z" }), {
+const createParts = (t: ExecutionContext, { confirms }: { confirms: boolean; }): CrashSuspects => {
+    const parts = new CrashSuspects(createContext({ daemonId: "d1", zone: "z" }), {
         report: async ({ serverCrashes = [] }) => ({
             isAccepted: true,
             crashedEpochs: [],
--- a/test/membership/suspects.test.ts
+++ b/test/membership/suspects.test.ts
@@ -1,13 +1,13 @@
 import { HubState, type InProcessZone } from "@greengage/bench";
 import { waitFor } from "@greengage/faults";
 import type { SuspectList } from "@greengage/membership";
-import type { SuspectPartRecord } from "@greengage/protocol";
+import type { SuspectRecord } from "@greengage/protocol";
 import test, { type ExecutionContext } from "ava";
 import { startZone, ZONE } from "./fixtures.ts";
 
 const OTHER_ZONE = "zone-b";
 
-const recordOf = (partId: string): SuspectPartRecord => ({
+const recordOf = (partId: string): SuspectRecord => ({
     service: "model/assistant",
     partId,
     position: 0,
@@ -21,21 +21,21 @@
 });
 
 class FakeSuspects implements SuspectList {
-    #records: SuspectPartRecord[] = [];
+    #records: SuspectRecord[] = [];
     version = 0;
 
     get ids(): string[] {
         return this.#records.map(({ partId }) => partId);
     }
 
-    records = (): SuspectPartRecord[] => this.#records;
+    records = (): SuspectRecord[] => this.#records;
 
-    restore(records: readonly SuspectPartRecord[]): void {
+    restore(records: readonly SuspectRecord[]): void {
         this.#records = [...records];
         this.version += 1;
     }
 
-    adopt(records: readonly SuspectPartRecord[]): void {
+    adopt(records: readonly SuspectRecord[]): void {
         const added = records.filter(({ partId }) => !this.ids.includes(partId));
         this.restore([...this.#records, ...added]);
     }
