Confirm the end of a resumed stream by one more attempt

A stream whose group failed between its last event and its end was broken off on routes with two attempts: the resumption brought no event, which another group has to confirm since, and no attempt was left to do so.

An empty resumption now grants one more attempt, like a rejection: the group had nothing left to run. gateway > resumption "a stream is complete when two groups have no event after the last one, with 2 attempts" failed before.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -29,7 +29,13 @@
         isWithheld?: boolean;
     }
     /** The server may have run the request, at least partially. */
-    | { kind: "failed"; reason: string; failure: FailureKind; };
+    | {
+        kind: "failed";
+        reason: string;
+        failure: FailureKind;
+        /** Whether the response may be the end of a stream that the caller has in full, if another group confirms it. */
+        isUnconfirmedEnd?: boolean;
+    };
 
 export interface AttemptOptions {
     client: Dispatcher;
--- a/packages/gateway/src/emptystreams.ts
+++ b/packages/gateway/src/emptystreams.ts
@@ -16,6 +16,11 @@
         this.#groupNames.add(groupName);
         return this.#groupNames.size > 1
             ? outcome
-            : { kind: "failed", reason: "the stream ended without an event", failure: FailureKind.BadStatus };
+            : {
+                kind: "failed",
+                reason: "the stream ended without an event",
+                failure: FailureKind.BadStatus,
+                isUnconfirmedEnd: true,
+            };
     }
 }
--- a/packages/gateway/src/rejections.ts
+++ b/packages/gateway/src/rejections.ts
@@ -14,7 +14,7 @@
 /** Rejections by servers that pause or leave may come from many servers, but not without end. */
 const MAX_EXTRA_ATTEMPTS = 16;
 
-/** Attempts at one request that are allowed beyond those of its route, as servers have not run it. */
+/** Attempts at one request that are allowed beyond those of its route, as servers have not run it, or had nothing left to run. */
 export class ExtraAttempts {
     #count = 0;
 
@@ -22,10 +22,15 @@
         return this.#count;
     }
 
-    /** A rejection grants one more attempt, and each rejection by a server that pauses or leaves another one. */
+    /**
+     * A rejection grants one more attempt, and so does an end of a stream that needs confirmation; each rejection by a server
+     * that pauses or leaves grants another one.
+     */
     record(outcome: AttemptOutcome): void {
+        const grantsOne = outcome.kind === "notRun"
+            || (outcome.kind === "failed" && outcome.isUnconfirmedEnd === true);
         this.#count = isTurnedAway(outcome)
             ? Math.min(MAX_EXTRA_ATTEMPTS, this.#count + 1)
-            : Math.max(this.#count, Number(outcome.kind === "notRun"));
+            : Math.max(this.#count, Number(grantsOne));
     }
 }
