--- a/test/gateway/fixtures.ts
+++ b/test/gateway/fixtures.ts
@@ -53,6 +53,11 @@
 export const startServer = async (t: ExecutionContext, handler: RequestHandler): Promise<FakeServer> => {
     const fake: FakeServer = { address: "", received: [], abortedCount: 0 };
     const server = createServer((request, response) => {
+        if (request.headers["x-id"] === undefined) {
+            // Sent by another test process to the former user of this port; the gateway always sends an id.
+            response.writeHead(400).end();
+            return;
+        }
         fake.received.push(request.headers);
         response.on("close", () => {
             fake.abortedCount += response.writableFinished ? 0 : 1;
