--- a/packages/gateway/src/crashreports.ts
+++ b/packages/gateway/src/crashreports.ts
@@ -12,7 +12,7 @@
 /** Interval at which a report without an answer is sent again. */
 const REPORT_RETRY_MS = 250;
 const REPORT_LIFETIME_MS = 5_000;
-/** Time for which a new leader is told of a crash, as the former one may have been cut off before it passed the crash on. */
+/** Time for which a crash is reported to a new leader, as the former one may have been cut off before it passed the crash on. */
 const REMEMBERED_MS = 60_000;
 /** The oldest crashes are dropped beyond this number. */
 const MAX_REMEMBERED_REPORTS = 100;
@@ -48,7 +48,7 @@
     readonly #lifecycle: Lifecycle;
     readonly #pendingGroups = new Map<number, PendingReport<GroupCrash>>();
     readonly #pendingServers = new Map<string, PendingReport<ServerCrash>>();
-    /** Crashes that a leader has confirmed, or that none has heard of, in order of time. */
+    /** Crashes that a leader has confirmed, or that none has received, in order of time. */
     #remembered: { report: PartReport; atMs: number; }[] = [];
 
     constructor(context: Context, leader: CrashLeader, lifecycle: Lifecycle) {
--- a/packages/gateway/src/crashsuspects.ts
+++ b/packages/gateway/src/crashsuspects.ts
@@ -101,7 +101,7 @@
         return this.#lifecycle.close();
     }
 
-    /** Tells a new leader of the latest crashes. */
+    /** Reports the latest crashes to a new leader. */
     onNewLeader(): void {
         // What the new leader doesn't list may be unknown to it, and not cleared.
         this.#suspects.clear();
--- a/test/gateway/fixtures.ts
+++ b/test/gateway/fixtures.ts
@@ -77,6 +77,12 @@
     response.writeHead(status, { "x-id": request.headers["x-id"], "x-signature": "s" });
 };
 
+/** Answers with a short body. */
+export const answer: RequestHandler = (request, response) => {
+    writeHead(request, response);
+    response.end("body");
+};
+
 export const eventOf = (id: number): string => `id: ${id}\ndata: piece ${id}\n\n`;
 
 /** Streams the events after the request's last event id, up to `last`, and ends the response. */
--- a/test/gateway/leavingservers.test.ts
+++ b/test/gateway/leavingservers.test.ts
@@ -4,6 +4,7 @@
 import test from "ava";
 import { buildRoute } from "../configuration/fixtures.ts";
 import {
+    answer,
     createGateway,
     eventOf,
     type GatewayFixtureOptions,
@@ -14,11 +15,6 @@
     writeHead,
 } from "./fixtures.ts";
 
-const answer: RequestHandler = (request, response) => {
-    writeHead(request, response);
-    response.end("body");
-};
-
 /** Says that the server leaves, and otherwise answers like `handler`. */
 const leaving = (handler: RequestHandler): RequestHandler => (request, response) => {
     response.setHeader("x-leaving", "1");
--- a/test/gateway/pauses.test.ts
+++ b/test/gateway/pauses.test.ts
@@ -4,6 +4,7 @@
 import test from "ava";
 import { buildRoute } from "../configuration/fixtures.ts";
 import {
+    answer,
     createGateway,
     eventOf,
     type FakeServer,
@@ -15,11 +16,6 @@
     writeHead,
 } from "./fixtures.ts";
 
-const answer: RequestHandler = (request, response) => {
-    writeHead(request, response);
-    response.end("body");
-};
-
 /** Turns requests away and asks for a pause as long as `isPausing` returns true, and then answers like `handler`. */
 const pauseWhile = (
     isPausing: () => boolean,
