--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -16,6 +16,7 @@
     WatchRequest,
     WatchResponse,
 } from "./fleet.ts";
+import type { PathReport, RelayList, RelayRefusal, RelayRequest } from "./relay.ts";
 import type {
     Grant,
     InFlightCount,
@@ -277,8 +278,8 @@
     "parts.lift": { request: { partId: string; }; response: { isAccepted: boolean; services: string[]; }; };
     /** An entry daemon sends its usage of the groups and receives that of all other entry daemons. */
     "usage.exchange": {
-        request: { usage: GroupUsage[]; limits?: ServerLimit[]; };
-        response: { others: GroupUsage[]; limits?: ServerLimit[]; };
+        request: { usage: GroupUsage[]; limits?: ServerLimit[]; paths?: PathReport; };
+        response: { others: GroupUsage[]; limits?: ServerLimit[]; relays?: RelayList; };
     };
     /** Asks the control daemon responsible for a model's placement to choose a group. */
     "place.choose": { request: PlacementRequest; response: PlacementResponse; };
@@ -329,8 +330,13 @@
     targetId: string;
     /** HMAC-SHA-256 of the accepting side's nonce and both daemon ids, with the shared key. */
     proof: Uint8Array;
+    /** Asks for a connection to a backend server, whose bytes follow on this connection in place of frames. */
+    relay?: RelayRequest;
 }
 
+/** Answer to a hello with `relay`. After a refusal the connection closes. */
+export type RelayAnswer = { isOpen: true; } | { isOpen: false; refusal: RelayRefusal; reason: string; };
+
 /** Frames between daemons after the handshake. */
 export type Frame =
     | { kind: "call"; callId: number; type: CallType; at: HlcTimestamp; body: unknown; }
