Add the messages and the error of relayed connections to the protocol package

A tunnel's refusal is an error of the protocol, so RelayError moves there. A relay also gets what a server said about pauses and leaving in an answer that it carried, since the server keeps these for each VM that sends to it.

--- a/packages/protocol/src/errors.ts
+++ b/packages/protocol/src/errors.ts
@@ -1,4 +1,5 @@
 import { ErrorCode, GreengageError, Verdict } from "@greengage/base";
+import type { RelayRefusal } from "./relay.ts";
 
 /** There was no connection to the peer, so the call wasn't sent. */
 export class PeerUnreachableError extends GreengageError {
@@ -30,3 +31,13 @@
         });
     }
 }
+
+/** A peer has not opened a connection to a backend server; no byte has reached the server. */
+export class RelayError extends GreengageError {
+    readonly refusal: RelayRefusal;
+
+    constructor(refusal: RelayRefusal, message: string, cause?: unknown) {
+        super(message, { code: ErrorCode.Unavailable, verdict: Verdict.NotRun, cause });
+        this.refusal = refusal;
+    }
+}
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -16,7 +16,7 @@
     WatchRequest,
     WatchResponse,
 } from "./fleet.ts";
-import type { PathReport, RelayList, RelayRefusal, RelayRequest } from "./relay.ts";
+import type { PathReport, RelayedSignals, RelayList, RelayRefusal, RelayRequest } from "./relay.ts";
 import type {
     Grant,
     InFlightCount,
@@ -317,6 +317,8 @@
     "grant.push": { grant: Grant; };
     /** Total usage by the entry daemons that report to a control daemon, sent to the other control daemons. */
     "usage.share": { usage: GroupUsage[]; limits?: ServerLimit[]; };
+    /** What a backend server said in an answer that the recipient has relayed, and that concerns the recipient too. */
+    "relay.observed": RelayedSignals;
 }
 
 export type NoticeType = keyof Notices;
--- a/packages/protocol/src/relay.ts
+++ b/packages/protocol/src/relay.ts
@@ -47,6 +47,16 @@
     relayRevision: number;
 }
 
+/** Signals of a backend server to the VM from which its request came, which was the relay. */
+export interface RelayedSignals {
+    serverId: string;
+    /** Start of the server's process, if known. */
+    bornMs: number | undefined;
+    isLeaving: boolean;
+    /** Pause that the server asked for; undefined if it asked for none. */
+    pauseMs: number | undefined;
+}
+
 /** Candidates of one daemon. Sent only if the daemon has another revision. */
 export interface RelayList {
     revision: number;
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -10,7 +10,6 @@
 export * from "./grouploads.ts";
 export * from "./groupselector.ts";
 export * from "./organisationlimits.ts";
-export * from "./relayerror.ts";
 export * from "./requestlimits.ts";
 export * from "./retrybudget.ts";
 export * from "./serverholds.ts";
--- a/packages/routing/src/serverpaths.ts
+++ b/packages/routing/src/serverpaths.ts
@@ -10,11 +10,11 @@
 import {
     MAX_REPORTED_LOST_SERVERS,
     type RelayCandidate,
+    RelayError,
     RelayRefusal,
     type RelayRequest,
 } from "@greengage/protocol";
 import type { Duplex } from "node:stream";
-import { RelayError } from "./relayerror.ts";
 
 /** Time for a direct connection to open when a path is checked; it takes milliseconds within a region. */
 const PROBE_TIMEOUT_MS = 250;
@@ -61,6 +61,13 @@
     probe?: typeof probeConnection;
 }
 
+/** Connection to a backend server through a peer. */
+export interface RelayedConnection {
+    stream: Duplex;
+    /** Peer that relays the bytes. */
+    relayId: string;
+}
+
 /** A path that is interrupted while a peer reaches the server. */
 export interface LostPath {
     serverId: string;
@@ -139,7 +146,7 @@
      * Opens a connection through a peer. If the direct path has failed before (`directFailure`), success shows that only the
      * path is lost. Rejects with the `RelayError` of the last peer; no byte has reached the server then.
      */
-    async openRelayed(request: RelayRequest, directFailure?: string): Promise<Duplex> {
+    async openRelayed(request: RelayRequest, directFailure?: string): Promise<RelayedConnection> {
         let failure = new RelayError(RelayRefusal.PeerUnreachable, "no peer can relay the connection");
         for (const peer of this.#choosePeers(request.serverId)) {
             try {
@@ -148,7 +155,7 @@
                 if (directFailure !== undefined) {
                     this.#markLost(request, { relay: peer.daemonId, evidence: directFailure });
                 }
-                return stream;
+                return { stream, relayId: peer.daemonId };
             }
             catch (error) {
                 failure = error instanceof RelayError
@@ -176,7 +183,7 @@
 
     async #verify(request: RelayRequest): Promise<PathVerdict> {
         const relayed = this.openRelayed(request).then(
-            (stream) => {
+            ({ stream }) => {
                 stream.destroy();
                 return undefined;
             },
