Measure immediate rejections against an answer that needs no decision

They bounded the time from the caller's write to the answer by 100 ms, which holds whatever else the machine does.

--- a/test/platform/fixtures.ts
+++ b/test/platform/fixtures.ts
@@ -128,6 +128,16 @@
     }
 };
 
+/**
+ * Time that an entry daemon takes to answer a request that needs no decision, as no route matches it. Sent together with a
+ * request, it tells what the daemon adds to its answer from what a busy machine adds.
+ */
+export const measureAnswerMs = async (callers: string): Promise<number> => {
+    const sentAtMs = performance.now();
+    await call(`http://${callers}/no-route/`);
+    return performance.now() - sentAtMs;
+};
+
 /** Repeats a request until its answer has the given status. */
 export const callUntil = async (
     status: number,
