Add a failing test of entry daemons without paths to servers

Cause: a daemon has only its direct path to a server, and takes the loss of it for the server's failure (docs/incidents/2026-12-05-entry-daemons- without-paths.md).

The paths of one daemon are cut outside the program: source.ts sends its connections to 127.0.0.1, where the servers of the tests register, to an address of its own, with a proxy for each server. New connections hang when a listener with a full queue takes the proxy's place, and are refused when there is none. Both are what the system does in a partition.

--- a/packages/faults/src/index.ts
+++ b/packages/faults/src/index.ts
@@ -1,4 +1,5 @@
 export * from "./ports.ts";
 export * from "./process.ts";
 export * from "./proxy.ts";
+export * from "./serverlinks.ts";
 export * from "./wait.ts";
--- a/packages/faults/src/proxy.ts
+++ b/packages/faults/src/proxy.ts
@@ -43,6 +43,8 @@
     targetPort: number;
     /** Port on loopback that the proxy listens on. Default: any free one. */
     port?: number;
+    /** Loopback address that the proxy listens on. Default: 127.0.0.1. */
+    host?: string;
 }
 
 /** TCP proxy on loopback that injects faults per source address. */
@@ -52,6 +54,7 @@
     readonly #connections = new Set<ProxiedConnection>();
     readonly #server: Server;
     #port = 0;
+    #openedCount = 0;
     #byteCounts = { toTargetBytes: 0, toSourceBytes: 0 };
 
     constructor(options: FaultProxyOptions) {
@@ -72,17 +75,31 @@
         return this.#connections.size;
     }
 
+    /** Connections accepted since the start. */
+    get openedCount(): number {
+        return this.#openedCount;
+    }
+
     async start(): Promise<void> {
-        await new Promise<void>((resolve, reject) => {
-            this.#server.once("error", reject);
-            this.#server.listen(this.#options.port ?? 0, "127.0.0.1", resolve);
-        });
+        await this.#listen(this.#options.port ?? 0);
         this.#port = (this.#server.address() as { port: number; }).port;
     }
 
+    /** Stops listening, so that the system refuses new connections. Open ones live on. */
+    suspend(): void {
+        this.#server.close();
+    }
+
+    /** Listens again after `suspend`. */
+    async resume(): Promise<void> {
+        await this.#listen(this.#port);
+    }
+
     async close(): Promise<void> {
         this.reset();
-        await new Promise<void>((resolve) => this.#server.close(() => resolve()));
+        if (this.#server.listening) {
+            await new Promise<void>((resolve) => this.#server.close(() => resolve()));
+        }
     }
 
     /** Changes the fault of existing and new connections from `source`. */
@@ -114,6 +131,16 @@
         }
     }
 
+    async #listen(port: number): Promise<void> {
+        await new Promise<void>((resolve, reject) => {
+            this.#server.once("error", reject);
+            this.#server.listen(port, this.#options.host ?? "127.0.0.1", () => {
+                this.#server.off("error", reject);
+                resolve();
+            });
+        });
+    }
+
     #faultOf(source: string): LinkFault {
         return this.#faults.get(source) ?? NO_FAULT;
     }
@@ -127,6 +154,7 @@
     }
 
     #accept(socket: Socket): void {
+        this.#openedCount += 1;
         const source = socket.remoteAddress ?? "";
         if (this.#faultOf(source).refuse) {
             socket.resetAndDestroy();
--- a/test/platform/fixtures.ts
+++ b/test/platform/fixtures.ts
@@ -1,4 +1,4 @@
-import { freePorts, waitFor } from "@greengage/faults";
+import { freePorts, ServerLinks, waitFor } from "@greengage/faults";
 import type { ExecutionContext } from "ava";
 import { type ChildProcess, spawn } from "node:child_process";
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
@@ -23,6 +23,8 @@
     readiness: string;
     metrics: string;
     entry: ChildProcess;
+    /** Paths to servers on 127.0.0.1, if they were requested. */
+    links?: ServerLinks;
     /** Returns the log output of the entry daemon so far. */
     entryLog: () => string;
 }
@@ -42,7 +44,7 @@
 /** Starts a control daemon and entry daemons the way the platform does. */
 export const startPlatform = async (
     t: ExecutionContext,
-    { entryCount = 1 } = {},
+    { entryCount = 1, hasServerLinks = false } = {},
 ): Promise<PlatformFixture> => {
     const folder = mkdtempSync(join(tmpdir(), "greengage-platform-"));
     const [peerPort = 0, control = 0, callers = 0, readiness = 0] = await freePorts(4);
@@ -57,11 +59,16 @@
         bounds: { grace_s: 8, retry_budget_ratio: 0.2, retry_budget_slack: 132 },
         unknown_field: "ignored",
     };
-    const start = (name: string, role: "control" | "entry", settings: object): StartedDaemon => {
+    const start = (
+        name: string,
+        role: "control" | "entry",
+        settings: object,
+        { nodeArguments = [], environment = {} }: ProcessOptions = {},
+    ): StartedDaemon => {
         const path = join(folder, `${name}.json`);
         writeFileSync(path, JSON.stringify({ ...common, node_name: name, ...settings }));
-        const child = spawn(process.execPath, ["--import=tsx", "platform/main.ts", role], {
-            env: { ...process.env, GREENGAGERIDGE_SETTINGS: path },
+        const child = spawn(process.execPath, ["--import=tsx", ...nodeArguments, "platform/main.ts", role], {
+            env: { ...process.env, GREENGAGERIDGE_SETTINGS: path, ...environment },
             stdio: ["ignore", "pipe", "inherit"],
         });
         let text = "";
@@ -71,15 +78,17 @@
         t.teardown(() => void child.kill("SIGKILL"));
         return { child, log: () => text };
     };
-    const startEntry = (number: number): EntryFixture => {
+    const startEntry = async (number: number): Promise<EntryFixture> => {
         const host = nextHost();
+        const serverHost = hasServerLinks ? nextHost() : undefined;
         const addresses = { callers: `${host}:${callers}`, readiness: `${host}:${readiness}` };
         const { child, log } = start(`front-z-${number}`, "entry", {
             ip: host,
             listen: { front: addresses.callers, ready: addresses.readiness },
             data_dir: null,
-        });
-        return { ...addresses, metrics: `${host}:${METRICS_PORT}`, entry: child, entryLog: log };
+        }, serverHost === undefined ? {} : linkedProcess(serverHost));
+        const links = serverHost === undefined ? undefined : await startLinks(t, serverHost);
+        return { ...addresses, metrics: `${host}:${METRICS_PORT}`, entry: child, entryLog: log, links };
     };
     t.teardown(() => rmSync(folder, { recursive: true, force: true }));
     const { child: controlProcess, log: controlLog } = start("core-z-1", "control", {
@@ -87,8 +96,11 @@
         listen: { control: `${controlHost}:${control}` },
         data_dir: join(folder, "data"),
     });
-    const first = startEntry(1);
-    const others = Array.from({ length: entryCount - 1 }, (_, index) => startEntry(index + 2));
+    const first = await startEntry(1);
+    const others: EntryFixture[] = [];
+    for (let number = 2; number <= entryCount; number += 1) {
+        others.push(await startEntry(number));
+    }
     return {
         control: `${controlHost}:${control}`,
         controlMetrics: `${controlHost}:${METRICS_PORT}`,
@@ -99,6 +111,24 @@
     };
 };
 
+interface ProcessOptions {
+    nodeArguments?: string[];
+    environment?: Record<string, string>;
+}
+
+/** Options of a process that reaches servers at `serverHost`. */
+const linkedProcess = (serverHost: string): ProcessOptions => ({
+    nodeArguments: ["--import=./packages/faults/src/source.ts"],
+    environment: { GREENGAGE_TEST_SERVER_HOST: serverHost },
+});
+
+const startLinks = async (t: ExecutionContext, serverHost: string): Promise<ServerLinks> => {
+    const links = new ServerLinks(serverHost);
+    await links.start();
+    t.teardown(() => links.close());
+    return links;
+};
+
 interface StartedDaemon {
     child: ChildProcess;
     log: () => string;
