Test sound servers that fall silent for 1.2 s

The engines of test/platform can fall silent and go on with everything that has arrived. No stream ends when one or all of them do so.

--- a/test/platform/engine.ts
+++ b/test/platform/engine.ts
@@ -1,3 +1,4 @@
+import { sleep } from "@greengage/base";
 import type { ExecutionContext } from "ava";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
@@ -78,6 +79,8 @@
     workMs = 0;
     /** Simulates a frozen process, which neither answers nor sends anything. */
     isFrozen = false;
+    /** End of the current silence, on the monotonic clock. */
+    #silentUntilMs = 0;
     /** If above 0, orders get no answer and are executed after this delay. */
     orderDelayMs = 0;
     /** Whether a plain service resets the connection after a request has run instead of answering. */
@@ -176,8 +179,23 @@
         return this.acknowledgedCount > acknowledgedBefore;
     }
 
+    /** Sends nothing for a while, then goes on with everything that has arrived, as a process that was paused. */
+    fallSilent(durationMs: number): void {
+        this.#silentUntilMs = performance.now() + durationMs;
+    }
+
+    get #isSilent(): boolean {
+        return performance.now() < this.#silentUntilMs;
+    }
+
+    async #waitForSilence(): Promise<void> {
+        while (this.#isSilent && !this.#isStopped) {
+            await sleep(this.#silentUntilMs - performance.now());
+        }
+    }
+
     async register(): Promise<void> {
-        if (this.isFrozen || this.#isStopped) {
+        if (this.isFrozen || this.#isSilent || this.#isStopped) {
             return;
         }
         const { id, service, domain, control } = this.#options;
@@ -235,7 +253,8 @@
             // The client disconnected while it was sending its request.
             return;
         }
-        if (this.isFrozen) {
+        await this.#waitForSilence();
+        if (this.isFrozen || this.#isStopped) {
             return;
         }
         if (message.url !== ORDER_PATH && message.url !== REPORT_PATH) {
@@ -319,12 +338,18 @@
                 return;
             }
             const text = body === "amount" ? "done" : `done ${body}`;
-            setTimeout(() => response.writeHead(200, head).end(text), this.workMs);
+            void this.#answer(response, head, text);
             return;
         }
         void this.#beginStream(message, response, head, parseContent(body, this.eventCount));
     }
 
+    async #answer(response: ServerResponse, head: Record<string, string>, text: string): Promise<void> {
+        await sleep(this.workMs);
+        await this.#waitForSilence();
+        response.writeHead(200, head).end(text);
+    }
+
     #isDeadly({ url = "" }: IncomingMessage): boolean {
         return this.#options.fleet?.deadlyPaths?.has(url) ?? false;
     }
@@ -347,6 +372,7 @@
         if (this.firstEventMs > 0) {
             await new Promise((resolve) => setTimeout(resolve, this.firstEventMs));
         }
+        await this.#waitForSilence();
         this.waitingStreamCount -= 1;
         if (response.destroyed) {
             return;
@@ -373,6 +399,7 @@
                 }
                 await new Promise((resolve) => setTimeout(resolve, MEMBER_CHECK_MS));
             }
+            await this.#waitForSilence();
             response.write(formatEvent(content, id));
             await new Promise((resolve) => setTimeout(resolve, this.eventGapMs));
         }
--- a/test/platform/lostpaths.test.ts
+++ b/test/platform/lostpaths.test.ts
@@ -26,6 +26,8 @@
 /** Statuses that guarantee that the request hasn't run. */
 const NOT_RUN_STATUSES = [408, 421, 429, 503];
 
+const SILENCE_MS = 1_200;
+
 const CUTS = Object.values(PathCut);
 
 /** Cuts the paths of an entry daemon each in its own way; the last daemon keeps its paths. */
@@ -166,3 +168,53 @@
         }
     }
 });
+
+for (
+    const { servers, count } of [{ servers: "one server is", count: 1 }, {
+        servers: "all servers are",
+        count: 8,
+    }]
+) {
+    // Guards against conclusions from a pause that a sound server makes.
+    test.serial(`streams end when ${servers} silent for 1.2 s`, async (t) => {
+        t.timeout(120_000);
+        const fleet = await startPartitionedFleet(t, 2);
+        const { answers, silentAtMs } = await runSilence(fleet, count);
+        const streams = answers.filter(({ kind }) => kind === RequestKind.Stream);
+        const begun = streams.filter(({ sentAtMs }) => sentAtMs < silentAtMs);
+        t.log("streams", countOutcomes(streams), "all", countOutcomes(answers));
+        t.deepEqual(
+            begun.filter((answer) => !isServed(answer)).map(({ id }) => id),
+            [],
+            "streams that ended",
+        );
+        assertAnswersSound(t, fleet, answers);
+    });
+}
+
+// Guards against conclusions from a pause that a sound server makes.
+test.serial("a group is replaced when its head is silent for 1.2 s", async (t) => {
+    t.timeout(120_000);
+    const fleet = await startPartitionedFleet(t, 2);
+    const groups = fleet.engines.map(({ member }) => member.group);
+    await runSilence(fleet, 1);
+    const suspicions = logged(fleet.platform.controlLog(), "group.suspected");
+    t.log("verdicts", suspicions.map(({ verdict }) => verdict).join());
+    t.true(fleet.engines.every(({ member }, index) => member.group === groups[index]));
+});
+
+/** Lets the first servers, heads before others, fall silent under traffic. */
+const runSilence = async (
+    { entries, engines }: PartitionedFleet,
+    count: number,
+): Promise<{ answers: CallerAnswer[]; silentAtMs: number; }> => {
+    const callers = new SteadyCallers(entries);
+    await sleep(WARM_UP_MS);
+    const headsFirst = [...engines].sort((a, b) =>
+        Number(b.member.acceptsRequests) - Number(a.member.acceptsRequests)
+    );
+    headsFirst.slice(0, count).forEach((engine) => engine.fallSilent(SILENCE_MS));
+    const silentAtMs = performance.now();
+    await sleep(SILENCE_MS + WARM_UP_MS);
+    return { answers: await callers.stop(), silentAtMs };
+};
