Add connections to backend servers through peers

Callers of an entry daemon that couldn't open connections to servers were rejected although its peers reached the servers. PeerNetwork.openRelay opens a WebSocket of its own to a peer with the existing handshake; the proof covers the relay request, so that it can't be altered. After the peer's answer the connection carries the server's bytes. A text message ends a direction: a connection that closes without it is an error, so a relay that dies is never taken for the end of a response without length.

Back-pressure is that of the two TCP connections, with 32 KiB of buffers on each side. While a side doesn't read, it sends pings, as Node.js doesn't notice that a connection closes whose socket is paused.

The detection of resets that Node.js reports as ends moves from routing to base, without a change, so that both sides share it. test/protocol/relay.test.ts covers whole answers with undici, resets, ends of the relay, cancellation with a server that has stopped reading, slow readers, refusals, limits and forged hellos.

--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -1,5 +1,6 @@
 export * from "./clock.ts";
 export * from "./connectionprobe.ts";
+export * from "./connectionreset.ts";
 export * from "./context.ts";
 export * from "./decisions.ts";
 export * from "./errors.ts";
--- a/packages/protocol/src/connection.ts
+++ b/packages/protocol/src/connection.ts
@@ -1,11 +1,8 @@
 import { monotonicMs, type Timeline } from "@greengage/base";
-import { createHmac, randomBytes, timingSafeEqual } from "node:crypto";
 import type { WebSocket } from "ws";
 import { FrameDecoder, FrameEncoder } from "./codec.ts";
 import { PeerCallError, PeerTimeoutError, PeerUnreachableError } from "./errors.ts";
-import type { CallType, Frame, Hello, NoticeType } from "./messages.ts";
-
-const NONCE_BYTES = 16;
+import type { CallType, Frame, NoticeType } from "./messages.ts";
 
 /** Callbacks for the frames of a connection. */
 export interface FrameHandlers {
@@ -151,16 +148,3 @@
         this.#pendingCalls.clear();
     }
 }
-
-/** Creates the random bytes that the accepting side sends first, so that a proof can't be replayed. */
-export const createNonce = (): Uint8Array => randomBytes(NONCE_BYTES);
-
-/** Creates the proof that this side knows the shared key, for one connection attempt. */
-export const createProof = (key: string, nonce: Uint8Array, daemonId: string, targetId: string): Uint8Array =>
-    createHmac("sha256", key).update(nonce).update(`${daemonId}\n${targetId}`).digest();
-
-/** Whether a hello frame proves that the sender knows the shared key. */
-export const isProofValid = (key: string, nonce: Uint8Array, hello: Hello): boolean => {
-    const expected = createProof(key, nonce, hello.daemonId, hello.targetId);
-    return hello.proof.length === expected.length && timingSafeEqual(hello.proof, expected);
-};
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -5,4 +5,6 @@
 export * from "./network.ts";
 export * from "./peers.ts";
 export * from "./relay.ts";
+export * from "./relaystream.ts";
+export type { RelayHandler } from "./relaytunnel.ts";
 export * from "./views.ts";
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -330,7 +330,7 @@
     zone: string;
     /** Id of the intended recipient. */
     targetId: string;
-    /** HMAC-SHA-256 of the accepting side's nonce and both daemon ids, with the shared key. */
+    /** HMAC-SHA-256 of the accepting side's nonce, both daemon ids and `relay`, with the shared key. */
     proof: Uint8Array;
     /** Asks for a connection to a backend server, whose bytes follow on this connection in place of frames. */
     relay?: RelayRequest;
--- a/packages/protocol/src/network.ts
+++ b/packages/protocol/src/network.ts
@@ -1,23 +1,17 @@
 import { type Context, Lifecycle, type Log, LogPart, messageOf, monotonicMs } from "@greengage/base";
-import { type RawData, WebSocket, WebSocketServer } from "ws";
-import { decode, encode } from "./codec.ts";
-import { createNonce, createProof, isProofValid, PeerConnection } from "./connection.ts";
-import { PeerUnreachableError } from "./errors.ts";
-import {
-    type Calls,
-    type CallType,
-    type Hello,
-    type Notices,
-    type NoticeType,
-    PROTOCOL_VERSION,
-} from "./messages.ts";
+import { type WebSocket, WebSocketServer } from "ws";
+import { PeerConnection } from "./connection.ts";
+import { PeerUnreachableError, RelayError } from "./errors.ts";
+import { dial, MAX_FRAME_BYTES, receiveHello } from "./handshake.ts";
+import type { Calls, CallType, Hello, Notices, NoticeType } from "./messages.ts";
 import type { CallHandler, CallOptions, NoticeHandler, PeerAddress, Peers } from "./peers.ts";
+import { RelayRefusal, type RelayRequest } from "./relay.ts";
+import type { RelayStream } from "./relaystream.ts";
+import { type RelayHandler, RelayTunnels } from "./relaytunnel.ts";
 
-const CONNECT_TIMEOUT_MS = 1_000;
 const DEFAULT_CALL_TIMEOUT_MS = 2_000;
 // Calls fail immediately for this long after a failed attempt, so that not every call to a dead peer tries to connect.
 const RECONNECT_DELAY_MS = 200;
-const MAX_FRAME_BYTES = 64 * 1024 * 1024;
 
 export interface PeerNetworkOptions {
     context: Context;
@@ -50,6 +44,7 @@
     readonly #connectionAttempts = new Map<string, Promise<PeerConnection>>();
     readonly #outgoingConnections = new Map<string, PeerConnection>();
     readonly #incomingConnections = new Map<string, PeerConnection>();
+    readonly #tunnels: RelayTunnels;
     readonly #traffic: PeerTraffic = { sentFrames: 0, receivedFrames: 0, sentBytes: 0, receivedBytes: 0 };
 
     constructor(options: PeerNetworkOptions) {
@@ -57,6 +52,7 @@
         this.daemonId = options.context.daemonId;
         this.addresses = options.addresses.filter((address) => address.daemonId !== this.daemonId);
         this.#log = options.context.logs(LogPart.Peer);
+        this.#tunnels = new RelayTunnels(options);
     }
 
     /** Traffic since the start. Frame counters include calls and notices only, byte counters all frames. */
@@ -86,6 +82,7 @@
         for (const connection of this.#outgoingConnections.values()) {
             connection.close();
         }
+        this.#tunnels.close();
         await this.#lifecycle.close();
     }
 
@@ -148,6 +145,23 @@
         this.#noticeHandlers.set(type, handler as unknown as NoticeHandler<NoticeType>);
     }
 
+    /**
+     * Opens a connection to a backend server through a peer, on a connection of its own. Rejects with `RelayError` after
+     * `timeoutMs` at the latest; no byte has reached the server then.
+     */
+    async openRelay(daemonId: string, request: RelayRequest, timeoutMs: number): Promise<RelayStream> {
+        const address = this.#addressOf(daemonId);
+        if (address === undefined) {
+            throw new RelayError(RelayRefusal.PeerUnreachable, UNKNOWN_ADDRESS);
+        }
+        return await this.#tunnels.open(address, request, timeoutMs);
+    }
+
+    /** Registers the handler that opens connections to backend servers for peers, in place of an earlier one. */
+    handleRelays(handler: RelayHandler): void {
+        this.#tunnels.handle(handler);
+    }
+
     async #dispatch(type: CallType, request: unknown, from: string): Promise<unknown> {
         const handler = this.#callHandlers.get(type);
         if (handler === undefined) {
@@ -187,12 +201,9 @@
         if (existing !== undefined) {
             return existing;
         }
-        const address = this.addresses.find((candidate) => candidate.daemonId === daemonId)
-            ?? this.#options.resolve?.(daemonId);
+        const address = this.#addressOf(daemonId);
         if (address === undefined) {
-            return Promise.reject(
-                new PeerUnreachableError(daemonId, new Error("address of the daemon is unknown")),
-            );
+            return Promise.reject(new PeerUnreachableError(daemonId, new Error(UNKNOWN_ADDRESS)));
         }
         const attempt = this.#connect(address);
         this.#connectionAttempts.set(daemonId, attempt);
@@ -203,50 +214,24 @@
         return attempt;
     }
 
-    #connect(address: PeerAddress): Promise<PeerConnection> {
-        return new Promise((resolve, reject) => {
-            const socket = new WebSocket(`ws://${address.host}:${address.port}`, {
-                handshakeTimeout: CONNECT_TIMEOUT_MS,
-                perMessageDeflate: false,
-                maxPayload: MAX_FRAME_BYTES,
-            });
-            const timer = setTimeout(() => socket.terminate(), CONNECT_TIMEOUT_MS);
-            socket.once("error", (error) => reject(new PeerUnreachableError(address.daemonId, error)));
-            socket.once("close", () => {
-                clearTimeout(timer);
-                this.#connectionAttempts.delete(address.daemonId);
-                this.#outgoingConnections.delete(address.daemonId);
-                reject(new PeerUnreachableError(address.daemonId));
-            });
-            socket.once("message", (nonce: RawData) => {
-                clearTimeout(timer);
-                const proof = createProof(
-                    this.#options.key,
-                    nonce as Buffer,
-                    this.daemonId,
-                    address.daemonId,
-                );
-                const hello: Hello = {
-                    protocolVersion: PROTOCOL_VERSION,
-                    daemonId: this.daemonId,
-                    zone: this.#options.context.zone,
-                    targetId: address.daemonId,
-                    proof,
-                };
-                socket.send(encode(hello));
-                resolve(this.#createConnection(address.daemonId, socket));
-            });
+    #addressOf(daemonId: string): PeerAddress | undefined {
+        return this.addresses.find((candidate) => candidate.daemonId === daemonId)
+            ?? this.#options.resolve?.(daemonId);
+    }
+
+    async #connect(address: PeerAddress): Promise<PeerConnection> {
+        const { socket, opened } = dial(address, this.#options);
+        socket.once("close", () => {
+            this.#connectionAttempts.delete(address.daemonId);
+            this.#outgoingConnections.delete(address.daemonId);
         });
+        await opened;
+        return this.#createConnection(address.daemonId, socket);
     }
 
     #accept(socket: WebSocket): void {
-        const nonce = createNonce();
-        const timer = setTimeout(() => socket.terminate(), CONNECT_TIMEOUT_MS);
         socket.on("error", (error) => this.#log.debug("connection failed", { reason: messageOf(error) }));
-        socket.once("close", () => clearTimeout(timer));
-        socket.once("message", (data: RawData) => {
-            clearTimeout(timer);
-            const hello = this.#readHello(data as Buffer, nonce);
+        receiveHello(socket, this.#options, (hello) => {
             if (hello === undefined) {
                 this.#log.warn(
                     "rejected a connection whose hello is invalid or doesn't prove the shared key",
@@ -254,31 +239,27 @@
                 socket.terminate();
                 return;
             }
-            const connection = this.#createConnection(hello.daemonId, socket);
-            this.#incomingConnections.set(hello.daemonId, connection);
-            socket.once("close", () => {
-                if (this.#incomingConnections.get(hello.daemonId) === connection) {
-                    this.#incomingConnections.delete(hello.daemonId);
-                }
-            });
+            this.#serve(socket, hello);
         });
-        socket.send(nonce);
     }
 
-    #createConnection(peerId: string, socket: WebSocket): PeerConnection {
-        return new PeerConnection(peerId, socket, this.#frameHandlers, this.#options.context.timeline);
+    #serve(socket: WebSocket, hello: Hello): void {
+        if (hello.relay !== undefined) {
+            void this.#tunnels.accept(socket, hello.relay, hello.daemonId);
+            return;
+        }
+        const connection = this.#createConnection(hello.daemonId, socket);
+        this.#incomingConnections.set(hello.daemonId, connection);
+        socket.once("close", () => {
+            if (this.#incomingConnections.get(hello.daemonId) === connection) {
+                this.#incomingConnections.delete(hello.daemonId);
+            }
+        });
     }
 
-    #readHello(data: Buffer, nonce: Uint8Array): Hello | undefined {
-        try {
-            const hello = decode(data) as Hello;
-            const isAccepted = hello.protocolVersion === PROTOCOL_VERSION
-                && hello.targetId === this.daemonId
-                && isProofValid(this.#options.key, nonce, hello);
-            return isAccepted ? hello : undefined;
-        }
-        catch {
-            return undefined;
-        }
+    #createConnection(peerId: string, socket: WebSocket): PeerConnection {
+        return new PeerConnection(peerId, socket, this.#frameHandlers, this.#options.context.timeline);
     }
 }
+
+const UNKNOWN_ADDRESS = "address of the daemon is unknown";
--- a/packages/routing/src/connector.ts
+++ b/packages/routing/src/connector.ts
@@ -1,10 +1,9 @@
+import { hasBeenReset } from "@greengage/base";
 import type { Socket } from "node:net";
 import { buildConnector } from "undici";
 
 /** Limit for the bytes of one response, including those that the HTTP parser skips without counting. */
 const MAX_RESPONSE_BYTES = 32 * 1024 * 1024;
-/** HTTP servers ignore an empty line between requests. */
-const RESET_PROBE = "\r\n";
 
 let isFailing = false;
 
@@ -21,17 +20,6 @@
     });
 };
 
-/**
- * Detects a reset that Node.js reports as a regular end of the connection, which happens when data arrives together with
- * it. A write to the socket tells them apart: it fails immediately after a reset.
- */
-const detectReset = (socket: Socket): void => {
-    socket.write(RESET_PROBE);
-    if (socket.errored !== null) {
-        markConnectionFailing();
-    }
-};
-
 /** Destroys a connection that has received too many bytes since the last write to it. */
 const limitResponseBytes = (socket: Socket): void => {
     let bytesWritten = 0;
@@ -51,7 +39,7 @@
 
 /** Creates a connector whose sockets record their failures before undici handles them. */
 export const createConnector = (timeoutMs: number): buildConnector.connector => {
-    // With `allowHalfOpen` the socket stays writable when the peer ends it, which `detectReset` needs.
+    // With `allowHalfOpen` the socket stays writable when the peer ends it, which `hasBeenReset` needs.
     const connect = buildConnector(
         { timeout: timeoutMs, allowHalfOpen: true } as buildConnector.BuildOptions,
     );
@@ -60,7 +48,11 @@
             const [error, socket] = result;
             if (error === null) {
                 socket.on("error", markConnectionFailing);
-                socket.on("end", () => detectReset(socket));
+                socket.on("end", () => {
+                    if (hasBeenReset(socket)) {
+                        markConnectionFailing();
+                    }
+                });
                 limitResponseBytes(socket);
             }
             callback(...result);
--- a/test/protocol/network.test.ts
+++ b/test/protocol/network.test.ts
@@ -6,7 +6,7 @@
 import { createServer } from "node:net";
 import { WebSocket } from "ws";
 import { encode, FrameEncoder } from "../../packages/protocol/src/codec.ts";
-import { createProof } from "../../packages/protocol/src/connection.ts";
+import { createProof } from "../../packages/protocol/src/handshake.ts";
 
 const HOST = "127.0.0.1";
 /** Well below the connection timeout of one second. */
@@ -50,7 +50,7 @@
         daemonId: "b",
         zone: "z",
         targetId: "a",
-        proof: createProof("key", nonce, "b", "a"),
+        proof: createProof("key", nonce, { daemonId: "b", targetId: "a" }),
     }));
     return socket;
 };
