--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -3,6 +3,8 @@
 export * from "./daemon.ts";
 export * from "./entry.ts";
 export * from "./peerid.ts";
+export * from "./peerrelays.ts";
+export * from "./relayacceptor.ts";
 export * from "./requestquarantine.ts";
 export * from "./settings.ts";
 export * from "./settings/error.ts";
--- a/test/protocol/relay.test.ts
+++ b/test/protocol/relay.test.ts
@@ -180,18 +180,21 @@
 });
 
 // Guards against connections to servers that stay open after the requesting daemon has given up.
-test("a connection that opens after the requesting daemon's limit is closed", async (t) => {
-    const opened: { release?: () => void; } = {};
-    const gate = new Promise<void>((resolve) => opened.release = resolve);
-    const { requester, request, serverSockets } = await startRelay(t, {
+test("a connection that opens after the requesting daemon has given up is closed", async (t) => {
+    const opening = { isAsked: false, release: (): void => undefined };
+    const gate = new Promise<void>((resolve) => opening.release = resolve);
+    const { requester, open, serverSockets } = await startRelay(t, {
         handler: async (target, from) => {
+            opening.isAsked = true;
             await gate;
             return await connectDirectly(target, from);
         },
     });
-    const error = await t.throwsAsync(requester.openRelay("relay", request, 100), { instanceOf: RelayError });
-    t.is(error?.refusal, RelayRefusal.PeerUnreachable);
-    opened.release?.();
+    const rejected = t.throwsAsync(open(), { instanceOf: RelayError });
+    await waitFor("the request", () => opening.isAsked || undefined);
+    await requester.close();
+    t.is((await rejected)?.refusal, RelayRefusal.PeerUnreachable);
+    opening.release();
     await waitFor("a connection", () => serverSockets[0]);
     const socket = serverSockets[0] as Socket;
     socket.resume();
