Distribute relays to entry daemons, and let entry daemons relay connections

Entry daemons report their paths with each exchange of usage. The control daemons name up to 12 of the entry daemons that report to them to each other once a second, and give each entry daemon up to six by rendezvous hashing: four of its own zone, the others of other zones; daemons that have lost servers come last. A list is sent only if its revision, a hash of its content, differs from the one held, so it survives a change of the control daemon. Small changes of the number of relayed connections don't change it.

--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -4,6 +4,7 @@
 export * from "./context.ts";
 export * from "./decisions.ts";
 export * from "./errors.ts";
+export * from "./hash.ts";
 export * from "./invariants.ts";
 export * from "./lifecycle.ts";
 export * from "./log.ts";
--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -1,7 +1,7 @@
 import { type ConnectionCounts, type Context, Lifecycle, LogPart, messageOf } from "@greengage/base";
 import { RoutingTable } from "@greengage/configuration";
 import { FleetWatcher, unpackConfiguration, UsageClient } from "@greengage/fleet";
-import { Gateway, PLACEMENT_TIMEOUT_MS, type RetryLimits, type ServerDialect } from "@greengage/gateway";
+import { PLACEMENT_TIMEOUT_MS, type RetryLimits, type ServerDialect } from "@greengage/gateway";
 import type {
     FleetView,
     GroupSuspicion,
@@ -9,9 +9,13 @@
     PackedConfiguration,
     PartReport,
     PartReportResponse,
+    PathReport,
     PeerNetwork,
 } from "@greengage/protocol";
+import { createGateway } from "./gatewaystubs.ts";
 import { createPeerNetwork } from "./peerid.ts";
+import { PeerRelays } from "./peerrelays.ts";
+import { RelayAcceptor } from "./relayacceptor.ts";
 
 export interface EntryDaemonOptions {
     context: Context;
@@ -25,11 +29,13 @@
 
 /** Daemon that serves callers. It receives the configuration and the fleet view from the control daemons. */
 export class EntryDaemon {
-    readonly gateway: Gateway;
+    readonly gateway: ReturnType<typeof createGateway>;
     readonly #options: EntryDaemonOptions;
     readonly #peers: PeerNetwork;
     readonly #watcher: FleetWatcher;
     readonly #usage: UsageClient;
+    readonly #relays: PeerRelays;
+    readonly #acceptor: RelayAcceptor;
     readonly #lifecycle = new Lifecycle();
     #seedIds: readonly string[];
     #controllers: FleetView["controllers"] = [];
@@ -41,7 +47,11 @@
         this.#options = options;
         this.#seedIds = seedIds;
         this.#peers = createPeerNetwork({ context, listen, peerKey });
-        this.gateway = new Gateway({
+        this.#relays = new PeerRelays({
+            peers: this.#peers,
+            onSignals: (signals) => this.gateway.applyRelayedSignals(signals),
+        });
+        this.gateway = createGateway({
             context,
             dialect,
             retries,
@@ -51,6 +61,8 @@
             requestPermit: (controllerId, request) =>
                 this.#peers.call(controllerId, "limit.acquire", request, { timeoutMs: PLACEMENT_TIMEOUT_MS }),
             reportLeaving: (server) => this.#reportLeaving(server),
+            relays: this.#relays,
+            onRelayedSignals: (relayId, signals) => this.#relays.sendSignals(relayId, signals),
             crashLeader: {
                 report: (report) => this.#reportParts(report),
                 requestTrial: (service, partId) => this.#requestTrial(service, partId),
@@ -79,7 +91,13 @@
                 list: () => this.gateway.serverLimits(),
                 merge: (limits) => this.gateway.mergeServerLimits(limits),
             },
+            paths: { report: () => this.#reportPaths(), apply: (list) => this.#relays.apply(list) },
         });
+        this.#acceptor = new RelayAcceptor({
+            context,
+            refuse: (request) => this.gateway.refuseRelay(request),
+        });
+        this.#peers.handleRelays((request, from) => this.#acceptor.open(request, from));
     }
 
     /** Whether a load balancer should send requests to this daemon. */
@@ -94,6 +112,8 @@
     async start(): Promise<void> {
         await this.#peers.start();
         this.#lifecycle.onClose(() => this.#peers.close());
+        this.#acceptor.start();
+        this.#lifecycle.onClose(() => this.#acceptor.close());
         this.gateway.start();
         this.#lifecycle.onClose(() => this.gateway.close());
         this.#watcher.start();
@@ -113,16 +133,35 @@
     drain(closesAtMs: number, connections: ConnectionCounts): void {
         this.#isDraining = true;
         this.gateway.drain(closesAtMs);
+        this.#acceptor.drain();
         this.#record("daemon.drain", connections);
     }
 
+    /** Resolves when no connection is relayed any more, or after `limitMs`. */
+    waitForRelayed(limitMs: number): Promise<void> {
+        return this.#acceptor.waitUntilIdle(limitMs);
+    }
+
     async close(connections: ConnectionCounts): Promise<void> {
         this.#record("daemon.stop", connections);
         await this.#lifecycle.close();
     }
 
     #record(event: string, connections: ConnectionCounts): void {
-        this.#options.context.decisions.record(event, { inFlight: this.gateway.inFlight, ...connections });
+        this.#options.context.decisions.record(event, {
+            inFlight: this.gateway.inFlight,
+            relayed: this.#acceptor.relayedCount,
+            ...connections,
+        });
+    }
+
+    #reportPaths(): PathReport {
+        return this.#relays.report({
+            zone: this.#options.context.zone,
+            relayedCount: this.#acceptor.relayedCount,
+            lostServerIds: this.gateway.reportedLostServerIds(),
+            mayRelay: this.#acceptor.mayRelay && this.gateway.isInitialized && this.gateway.reachesServers,
+        });
     }
 
     /** Control daemons in order of preference: the own zone, other zones, then seeds missing from the fleet view. */
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -19,6 +19,7 @@
 export * from "./planner.ts";
 export * from "./quarantineoperations.ts";
 export * from "./registry.ts";
+export * from "./relaycandidates.ts";
 export * from "./service.ts";
 export * from "./suspicion.ts";
 export * from "./timing.ts";
--- a/packages/fleet/src/usage.ts
+++ b/packages/fleet/src/usage.ts
@@ -1,9 +1,19 @@
 import { type Context, Lifecycle, LogPart, messageOf, monotonicMs, sleep } from "@greengage/base";
-import type { GroupUsage, Peers, ServerLimit } from "@greengage/protocol";
+import type {
+    GroupUsage,
+    PathReport,
+    Peers,
+    RelayCandidate,
+    RelayList,
+    ServerLimit,
+} from "@greengage/protocol";
+import { RelayCandidateTable } from "./relaycandidates.ts";
 
 /** Requests run for a second or more, so usage that is 200 ms old is recent enough for placing new ones. */
 const EXCHANGE_INTERVAL_MS = 200;
 const EXCHANGE_TIMEOUT_MS = 400;
+/** Candidates for relays change less often than usage. */
+const CANDIDATE_SHARE_INTERVAL_MS = 1_000;
 /** Time for which a daemon's usage is counted; a daemon that has ended has nothing in flight. */
 const USAGE_TTL_MS = 1_000;
 
@@ -105,18 +115,24 @@
 export class UsageAggregator {
     readonly #options: UsageRelayOptions;
     readonly #usageTable = new UsageTable();
+    readonly #candidates = new RelayCandidateTable();
+    #candidatesSharedAtMs = -Infinity;
     readonly #lifecycle = new Lifecycle();
 
     constructor(options: UsageRelayOptions) {
         this.#options = options;
-        options.peers.handle("usage.exchange", ({ usage, limits = [] }, from) => {
+        options.peers.handle("usage.exchange", ({ usage, limits = [], paths }, from) => {
             const nowMs = monotonicMs();
             this.#usageTable.setEntryUsage(from, usage, nowMs);
             options.limits.merge(limits);
-            return { others: this.#usageTable.totalExcept(from, nowMs), limits: options.limits.list() };
+            const others = this.#usageTable.totalExcept(from, nowMs);
+            const relays = this.#exchangePaths(from, paths, nowMs);
+            return { others, limits: options.limits.list(), ...(relays === undefined ? {} : { relays }) };
         });
-        options.peers.handleNotice("usage.share", ({ usage, limits = [] }, from) => {
-            this.#usageTable.setControllerUsage(from, usage, monotonicMs());
+        options.peers.handleNotice("usage.share", ({ usage, limits = [], candidates = [] }, from) => {
+            const nowMs = monotonicMs();
+            this.#usageTable.setControllerUsage(from, usage, nowMs);
+            this.#candidates.setShared(candidates, nowMs);
             options.limits.merge(limits);
         });
     }
@@ -146,16 +162,34 @@
         return this.#lifecycle.close();
     }
 
+    #exchangePaths(from: string, paths: PathReport | undefined, nowMs: number): RelayList | undefined {
+        if (paths === undefined) {
+            return undefined;
+        }
+        this.#candidates.setReport(from, paths, nowMs);
+        return this.#candidates.listFor(from, paths, nowMs);
+    }
+
     #shareTotal(): void {
         const { peers, controllerIds } = this.#options;
-        const usage = this.#usageTable.ownTotal(monotonicMs());
+        const nowMs = monotonicMs();
+        const usage = this.#usageTable.ownTotal(nowMs);
         const limits = this.#options.limits.list();
+        const notice = { usage, limits, ...this.#candidatesToShare(nowMs) };
         for (const controllerId of controllerIds()) {
             if (controllerId !== peers.daemonId) {
-                peers.notify(controllerId, "usage.share", { usage, limits });
+                peers.notify(controllerId, "usage.share", notice);
             }
         }
     }
+
+    #candidatesToShare(nowMs: number): { candidates?: RelayCandidate[]; } {
+        if (nowMs - this.#candidatesSharedAtMs < CANDIDATE_SHARE_INTERVAL_MS) {
+            return {};
+        }
+        this.#candidatesSharedAtMs = nowMs;
+        return { candidates: this.#candidates.shared(nowMs) };
+    }
 }
 
 export interface UsageClientOptions {
@@ -166,6 +200,14 @@
     usage: () => GroupUsage[];
     onRemoteUsage: (usage: readonly GroupUsage[]) => void;
     limits: LimitSource;
+    paths: PathExchange;
+}
+
+/** Paths of an entry daemon to backend servers, and the peers that it may use for lost ones. */
+export interface PathExchange {
+    report: () => PathReport;
+    /** Replaces the candidates for relays. They stay in use while there is no control daemon. */
+    apply: (relays: RelayList) => void;
 }
 
 /** Reports the usage of this entry daemon to a control daemon and receives that of the others. */
@@ -201,14 +243,17 @@
     }
 
     async #exchange(target: string): Promise<void> {
-        const { peers, usage, onRemoteUsage, limits, context } = this.#options;
+        const { peers, usage, onRemoteUsage, limits, paths, context } = this.#options;
         try {
             const options = { timeoutMs: EXCHANGE_TIMEOUT_MS };
-            const request = { usage: usage(), limits: limits.list() };
+            const request = { usage: usage(), limits: limits.list(), paths: paths.report() };
             const answer = await peers.call(target, "usage.exchange", request, options);
             this.#wasAnswered = true;
             onRemoteUsage(answer.others);
             limits.merge(answer.limits ?? []);
+            if (answer.relays !== undefined) {
+                paths.apply(answer.relays);
+            }
         }
         catch (error) {
             if (this.#wasAnswered) {
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -16,7 +16,14 @@
     WatchRequest,
     WatchResponse,
 } from "./fleet.ts";
-import type { PathReport, RelayedSignals, RelayList, RelayRefusal, RelayRequest } from "./relay.ts";
+import type {
+    PathReport,
+    RelayCandidate,
+    RelayedSignals,
+    RelayList,
+    RelayRefusal,
+    RelayRequest,
+} from "./relay.ts";
 import type {
     Grant,
     InFlightCount,
@@ -315,8 +322,11 @@
 export interface Notices {
     /** Sends a change before the next renewal. It doesn't extend the grant. */
     "grant.push": { grant: Grant; };
-    /** Total usage by the entry daemons that report to a control daemon, sent to the other control daemons. */
-    "usage.share": { usage: GroupUsage[]; limits?: ServerLimit[]; };
+    /**
+     * Total usage by the entry daemons that report to a control daemon, sent to the other control daemons. Now and then with
+     * some of those entry daemons as candidates for relays.
+     */
+    "usage.share": { usage: GroupUsage[]; limits?: ServerLimit[]; candidates?: RelayCandidate[]; };
     /** What a backend server said in an answer that the recipient has relayed, and that concerns the recipient too. */
     "relay.observed": RelayedSignals;
 }
