Open connections to servers through peers when the direct path is lost

A server that no peer reaches isn't looked for again for 250 ms, so that a crashed server costs its callers one round only.

A path counts as lost once a relayed connection stays open for 50 ms, or its server answers: a server at its connection limit accepts and resets connections on either path.

ConnectionPools runs a single call over such a connection with the same marking of failures and the same limit of response bytes as over direct ones, and closes the idle connections of an address whose path is lost, as they only look open.

--- a/packages/routing/src/connectionpools.ts
+++ b/packages/routing/src/connectionpools.ts
@@ -1,24 +1,35 @@
+import type { Duplex } from "node:stream";
 import { Client, Pool } from "undici";
-import { createConnector } from "./connector.ts";
+import { createConnector, createStreamConnector } from "./connector.ts";
 
 const CONNECT_TIMEOUT_MS = 2_000;
 const KEEP_ALIVE_TIMEOUT_MS = 10_000;
 /** Pools idle for this long are closed, so that pools of replaced backend servers do not accumulate. */
 const POOL_IDLE_TIMEOUT_MS = 60_000;
 
-const connectionOptions = {
-    pipelining: 1,
-    connect: createConnector(CONNECT_TIMEOUT_MS),
-    keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
-} as const;
+export interface ConnectionPoolsOptions {
+    /** Called with the address (`host:port`) of each direct connection that opens. */
+    onOpened?: (address: string) => void;
+}
 
 /** Connection pools for backend servers, by origin. Each connection runs one exchange at a time. */
 export class ConnectionPools {
     readonly #pools = new Map<string, { pool: Pool; usedAtMs: number; }>();
+    /** Pools that only finish their calls. */
+    readonly #retired = new Set<Pool>();
+    readonly #connectionOptions;
+
+    constructor({ onOpened }: ConnectionPoolsOptions = {}) {
+        this.#connectionOptions = {
+            pipelining: 1,
+            connect: createConnector(CONNECT_TIMEOUT_MS, onOpened),
+            keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+        } as const;
+    }
 
     get(origin: string, nowMs: number): Pool {
         const entry = this.#pools.get(origin)
-            ?? { pool: new Pool(origin, connectionOptions), usedAtMs: nowMs };
+            ?? { pool: new Pool(origin, this.#connectionOptions), usedAtMs: nowMs };
         entry.usedAtMs = nowMs;
         this.#pools.set(origin, entry);
         return entry.pool;
@@ -29,7 +40,22 @@
      * as a call is written, it is unknown whether the call ran, and such a call could not be retried.
      */
     createSingleUse(origin: string): Client {
-        return new Client(origin, connectionOptions);
+        return new Client(origin, this.#connectionOptions);
+    }
+
+    /** Creates a client for a single call over a connection that is already open, as through a peer. */
+    createRelayed(origin: string, stream: Duplex): Client {
+        return new Client(origin, { pipelining: 1, connect: createStreamConnector(stream) });
+    }
+
+    /** Closes the idle connections of an origin; calls in progress keep theirs. */
+    retire(origin: string): void {
+        const pool = this.#pools.get(origin)?.pool;
+        if (pool !== undefined) {
+            this.#pools.delete(origin);
+            this.#retired.add(pool);
+            void pool.close().finally(() => this.#retired.delete(pool));
+        }
     }
 
     closeIdle(nowMs: number): void {
@@ -44,6 +70,10 @@
     }
 
     async close(): Promise<void> {
-        await Promise.all([...this.#pools.values()].map(({ pool }) => pool.destroy()));
+        await Promise.all(
+            [...[...this.#pools.values()].map(({ pool }) => pool), ...this.#retired].map((pool) =>
+                pool.destroy()
+            ),
+        );
     }
 }
--- a/packages/routing/src/connector.ts
+++ b/packages/routing/src/connector.ts
@@ -1,4 +1,5 @@
 import type { Socket } from "node:net";
+import type { Duplex } from "node:stream";
 import { buildConnector } from "undici";
 
 /** Limit for the bytes of one response, including those that the HTTP parser skips without counting. */
@@ -49,8 +50,54 @@
     });
 };
 
-/** Creates a connector whose sockets record their failures before undici handles them. */
-export const createConnector = (timeoutMs: number): buildConnector.connector => {
+/** Destroys a stream once more bytes have been read from it than a response may have. */
+const limitReadBytes = (stream: Duplex): void => {
+    const read = stream.read.bind(stream) as (size?: number) => unknown;
+    let bytesRead = 0;
+    stream.read = (size?: number) => {
+        const chunk = read(size);
+        bytesRead += Buffer.isBuffer(chunk) ? chunk.length : 0;
+        if (bytesRead > MAX_RESPONSE_BYTES) {
+            stream.destroy(new Error("the response is too large"));
+        }
+        return chunk;
+    };
+};
+
+/**
+ * Creates a connector for a single connection that is already open. `stream` must end regularly only if the server ended
+ * the connection; it fails in any other case.
+ */
+export const createStreamConnector = (stream: Duplex): buildConnector.connector => {
+    let isUsed = false;
+    stream.on("error", markConnectionFailing);
+    stream.on("close", () => {
+        if (!stream.readableEnded) {
+            markConnectionFailing();
+        }
+    });
+    limitReadBytes(stream);
+    // undici doesn't notice a connection that opens during the call.
+    return (_, callback) =>
+        process.nextTick(() => {
+            if (isUsed || stream.destroyed) {
+                callback(new Error("the connection has been used or closed"), null);
+                return;
+            }
+            isUsed = true;
+            // undici uses only what a socket has in common with other streams.
+            callback(null, stream as Socket);
+        });
+};
+
+/**
+ * Creates a connector whose sockets record their failures before undici handles them. `onOpened` is called with the
+ * address (`host:port`) of each connection that opens.
+ */
+export const createConnector = (
+    timeoutMs: number,
+    onOpened: (address: string) => void = () => undefined,
+): buildConnector.connector => {
     // With `allowHalfOpen` the socket stays writable when the peer ends it, which `detectReset` needs.
     const connect = buildConnector(
         { timeout: timeoutMs, allowHalfOpen: true } as buildConnector.BuildOptions,
@@ -62,6 +109,7 @@
                 socket.on("error", markConnectionFailing);
                 socket.on("end", () => detectReset(socket));
                 limitResponseBytes(socket);
+                onOpened(`${options.hostname}:${options.port}`);
             }
             callback(...result);
         });
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -10,6 +10,7 @@
 export * from "./grouploads.ts";
 export * from "./groupselector.ts";
 export * from "./organisationlimits.ts";
+export { type RelayedConnection, type Relays } from "./relayopener.ts";
 export * from "./requestlimits.ts";
 export * from "./retrybudget.ts";
 export * from "./serverholds.ts";
--- a/packages/routing/src/serverpaths.ts
+++ b/packages/routing/src/serverpaths.ts
@@ -6,20 +6,20 @@
     monotonicMs,
     probeConnection,
     Random,
+    sleep,
 } from "@greengage/base";
-import {
-    MAX_REPORTED_LOST_SERVERS,
-    type RelayCandidate,
-    RelayError,
-    RelayRefusal,
-    type RelayRequest,
-} from "@greengage/protocol";
+import { MAX_REPORTED_LOST_SERVERS, RelayError, RelayRefusal, type RelayRequest } from "@greengage/protocol";
 import type { Duplex } from "node:stream";
+import { type RelayedConnection, RelayOpener, type Relays } from "./relayopener.ts";
 
 /** Time for a direct connection to open when a path is checked; it takes milliseconds within a region. */
 const PROBE_TIMEOUT_MS = 250;
 /** Time for a peer to open a connection to a server and to answer. */
 const RELAY_TIMEOUT_MS = 400;
+/** A check asks peers only if the direct connection has not opened by then, which a working one has. */
+const CHECK_RELAY_DELAY_MS = 75;
+/** A relayed connection that stays open this long was not closed at once by a server that is full. */
+const SETTLE_MS = 50;
 const TRIAL_CHECK_INTERVAL_MS = 100;
 /** Mean time between two trials of a lost path. */
 const TRIAL_INTERVAL_MS = 500;
@@ -27,10 +27,8 @@
 const MAX_CONCURRENT_TRIALS = 4;
 /** With this many lost paths and no direct connection since, the paths to all servers are presumed lost. */
 const PRESUMED_AFTER_LOST_PATHS = 2;
-/** A peer that couldn't relay is not asked again for this long, unless there is no other. */
-const PEER_AVOIDANCE_MS = 1_000;
-/** Peers that are asked for one connection. */
-const MAX_PEERS_PER_CONNECTION = 2;
+/** A server that no peer has reached is not looked for through peers again for this long. */
+const UNREACHABLE_TTL_MS = 250;
 
 /** Where the path to a backend server is interrupted, if it is. */
 export const PathVerdict = {
@@ -46,26 +44,14 @@
 
 export type PathVerdict = typeof PathVerdict[keyof typeof PathVerdict];
 
-/** Peers that open connections to backend servers for this daemon. */
-export interface Relays {
-    candidates(): readonly RelayCandidate[];
-    /** Opens a stream of bytes to a server through a peer. Rejects with `RelayError`; no byte has reached the server then. */
-    open(daemonId: string, request: RelayRequest, timeoutMs: number): Promise<Duplex>;
-}
-
 export interface ServerPathsOptions {
     context: Context;
     relays: Relays;
     random?: Random;
     /** Default: `probeConnection`. */
     probe?: typeof probeConnection;
-}
-
-/** Connection to a backend server through a peer. */
-export interface RelayedConnection {
-    stream: Duplex;
-    /** Peer that relays the bytes. */
-    relayId: string;
+    /** Called when the direct path to an address is found to be lost. */
+    onLost?: (address: string) => void;
 }
 
 /** A path that is interrupted while a peer reaches the server. */
@@ -86,7 +72,8 @@
     readonly #random: Random;
     readonly #lifecycle = new Lifecycle();
     readonly #lostPaths = new Map<string, LostPathState>();
-    readonly #avoidedPeers = new Map<string, number>();
+    readonly #opener: RelayOpener;
+    readonly #unreachableUntilMs = new Map<string, number>();
     readonly #checks = new Map<string, Promise<PathVerdict>>();
     #lastDirectAtMs = -Infinity;
     #lastLossAtMs = -Infinity;
@@ -95,6 +82,7 @@
     constructor(options: ServerPathsOptions) {
         this.#options = options;
         this.#random = options.random ?? new Random();
+        this.#opener = new RelayOpener({ ...options, random: this.#random });
     }
 
     start(): void {
@@ -113,6 +101,11 @@
             && (this.#lostPaths.has(address) || this.#arePresumedLost());
     }
 
+    /** Whether the direct path is known to be lost. */
+    isLost(address: string): boolean {
+        return this.#lostPaths.has(address);
+    }
+
     lostPaths(): LostPath[] {
         return [...this.#lostPaths.values()].map(({ serverId, address, sinceMs }) => ({
             serverId,
@@ -133,41 +126,47 @@
         if (path !== undefined) {
             this.#lostPaths.delete(address);
             this.#record("path.regained", path, { lostForMs: Math.round(monotonicMs() - path.sinceMs) });
+            this.#reportLostCount();
         }
     }
 
     /** Removes lost paths to addresses that are no longer in use. */
     retainAddresses(addresses: ReadonlySet<string>): void {
-        [...this.#lostPaths.keys()].filter((address) => !addresses.has(address))
-            .forEach((address) => this.#lostPaths.delete(address));
+        for (const map of [this.#lostPaths, this.#unreachableUntilMs]) {
+            [...map.keys()].filter((address) => !addresses.has(address))
+                .forEach((address) => map.delete(address));
+        }
+        this.#reportLostCount();
     }
 
     /**
-     * Opens a connection through a peer. If the direct path has failed before (`directFailure`), success shows that only the
-     * path is lost. Rejects with the `RelayError` of the last peer; no byte has reached the server then.
+     * Opens a connection through a peer. If the direct path has failed before (`directFailure`), a connection that stays open
+     * shows that only the path is lost. Rejects with a `RelayError`; no byte has reached the server then.
      */
     async openRelayed(request: RelayRequest, directFailure?: string): Promise<RelayedConnection> {
-        let failure = new RelayError(RelayRefusal.PeerUnreachable, "no peer can relay the connection");
-        for (const peer of this.#choosePeers(request.serverId)) {
-            try {
-                const stream = await this.#options.relays.open(peer.daemonId, request, RELAY_TIMEOUT_MS);
-                this.#avoidedPeers.delete(peer.daemonId);
-                if (directFailure !== undefined) {
-                    this.#markLost(request, { relay: peer.daemonId, evidence: directFailure });
-                }
-                return { stream, relayId: peer.daemonId };
+        if (monotonicMs() < (this.#unreachableUntilMs.get(request.address) ?? -Infinity)) {
+            throw new RelayError(RelayRefusal.ServerUnreachable, "no peer has reached the server recently");
+        }
+        try {
+            const connection = await this.#opener.open(request, RELAY_TIMEOUT_MS);
+            if (directFailure !== undefined) {
+                void isSettled(connection.stream).then((isOpen) =>
+                    isOpen && this.recordRelayed(request, connection.relayId, directFailure)
+                );
             }
-            catch (error) {
-                failure = error instanceof RelayError
-                    ? error
-                    : new RelayError(RelayRefusal.PeerUnreachable, messageOf(error));
-                this.#record("path.relayFailed", request, { relay: peer.daemonId, reason: failure.refusal });
-                if (failure.refusal !== RelayRefusal.ServerUnreachable) {
-                    this.#avoidedPeers.set(peer.daemonId, monotonicMs() + PEER_AVOIDANCE_MS);
-                }
+            return connection;
+        }
+        catch (error) {
+            if (error instanceof RelayError && error.refusal === RelayRefusal.ServerUnreachable) {
+                this.#unreachableUntilMs.set(request.address, monotonicMs() + UNREACHABLE_TTL_MS);
             }
+            throw error;
         }
-        throw failure;
+    }
+
+    /** Records that a server was reached through a peer after its direct connection had failed. */
+    recordRelayed(request: RelayRequest, relayId: string, directFailure: string): void {
+        this.#markLost(request, { relay: relayId, evidence: directFailure });
     }
 
     /** Finds out whether this daemon, or only a peer, can open a connection to the server. Concurrent checks are shared. */
@@ -182,14 +181,18 @@
     }
 
     async #verify(request: RelayRequest): Promise<PathVerdict> {
-        const relayed = this.openRelayed(request).then(
-            ({ stream }) => {
-                stream.destroy();
-                return undefined;
-            },
-            (error: unknown) => error instanceof RelayError ? error.refusal : RelayRefusal.PeerUnreachable,
-        );
-        if (await this.#probeDirect(request.address)) {
+        if (this.isLost(request.address)) {
+            return PathVerdict.Lost;
+        }
+        if (this.#options.relays.candidates().length === 0) {
+            return PathVerdict.Unknown;
+        }
+        const direct = this.#probeDirect(request.address);
+        if (await Promise.race([direct, sleep(CHECK_RELAY_DELAY_MS).then(() => false)])) {
+            return PathVerdict.Direct;
+        }
+        const relayed = this.#probeRelayed(request);
+        if (await direct) {
             return PathVerdict.Direct;
         }
         const refusal = await relayed;
@@ -202,6 +205,19 @@
             : PathVerdict.Unknown;
     }
 
+    /** Resolves to undefined if a connection through a peer opens and stays open, or to the reason why not. */
+    async #probeRelayed(request: RelayRequest): Promise<RelayRefusal | undefined> {
+        try {
+            const { stream } = await this.openRelayed(request);
+            const isOpen = await isSettled(stream);
+            stream.destroy();
+            return isOpen ? undefined : RelayRefusal.ServerUnreachable;
+        }
+        catch (error) {
+            return error instanceof RelayError ? error.refusal : RelayRefusal.PeerUnreachable;
+        }
+    }
+
     async #probeDirect(address: string): Promise<boolean> {
         const probe = this.#options.probe ?? probeConnection;
         const isOpen = await probe(address, PROBE_TIMEOUT_MS) === ConnectionProbeResult.Open;
@@ -224,7 +240,9 @@
             };
             this.#lostPaths.set(address, path);
             this.#record("path.lost", path, evidence);
-            this.#options.context.metrics.count("paths.lost");
+            this.#options.context.metrics.count("paths.losses");
+            this.#reportLostCount();
+            this.#options.onLost?.(address);
         }
     }
 
@@ -233,24 +251,6 @@
         return this.#lostPaths.size >= PRESUMED_AFTER_LOST_PATHS && this.#lastDirectAtMs < this.#lastLossAtMs;
     }
 
-    /** Peers that reach the server as far as known: those of the own zone first, then by the connections they relay. */
-    #choosePeers(serverId: string): RelayCandidate[] {
-        const nowMs = monotonicMs();
-        const { relays, context } = this.#options;
-        const rank = ({ daemonId, zone, lostServerIds }: RelayCandidate): number =>
-            4 * Number((this.#avoidedPeers.get(daemonId) ?? -Infinity) > nowMs)
-            + 2 * Number(lostServerIds.includes(serverId)) + Number(zone !== context.zone);
-        return relays.candidates()
-            .map((peer) => ({
-                peer,
-                rank: rank(peer),
-                load: (peer.relayedCount + 1) * this.#random.nextFloat(),
-            }))
-            .sort((a, b) => a.rank - b.rank || a.load - b.load)
-            .slice(0, MAX_PEERS_PER_CONNECTION)
-            .map(({ peer }) => peer);
-    }
-
     /** Tries lost paths again, a few at a time, so that they come back one by one. */
     #startTrials(): void {
         const nowMs = monotonicMs();
@@ -281,6 +281,10 @@
         return nowMs + TRIAL_INTERVAL_MS * (0.5 + this.#random.nextFloat());
     }
 
+    #reportLostCount(): void {
+        this.#options.context.metrics.gauge("paths.lost", this.#lostPaths.size);
+    }
+
     #record(
         event: string,
         { serverId, address }: RelayRequest,
@@ -289,3 +293,9 @@
         this.#options.context.decisions.record(event, { server: serverId, address, ...fields });
     }
 }
+
+/** Resolves to whether a stream is still sound after a short time. */
+const isSettled = async (stream: Duplex): Promise<boolean> => {
+    await sleep(SETTLE_MS);
+    return stream.errored === null && !stream.destroyed && !stream.readableEnded;
+};
