Send requests through peers while the direct path to their server is lost

A server was usable only if the daemon itself could open a connection to it.

An attempt whose direct connection doesn't open now goes on through a peer, within the same attempt: nothing has been written, so no attempt of the route, no retry and no suspicion is spent on it. After a connection has broken in the middle of a response, the path is checked before the server is blamed; if only the path is lost, the request goes on over the other one, for streams after the last event that the caller has.

Without peers (the former code's only case) its requests are rejected.

--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -8,10 +8,10 @@
 } from "@greengage/base";
 import type { Organisation, Route, ServiceSpec } from "@greengage/configuration";
 import { FailureKind } from "@greengage/routing";
-import type { Attempt } from "./attempt.ts";
 import type { GatewayDependencies } from "./dependencies.ts";
 import { drainingError } from "./drain.ts";
 import { outcomeOfError, RequestOutcome } from "./outcome.ts";
+import type { RunningAttempt } from "./pathattempt.ts";
 import type { CallerRequest, CallerResponse } from "./types.ts";
 
 /** Extra time after the deadline, in which a backend server can still respond with its own timeout error. */
@@ -75,7 +75,7 @@
     readonly deps: GatewayDependencies;
     readonly call: Call;
     /** The attempt that is running. */
-    attempt: Attempt | undefined;
+    attempt: RunningAttempt | undefined;
     attemptCount = 0;
     /** Whether a backend server may have run the request. */
     mayHaveRun = false;
@@ -129,6 +129,11 @@
         return isReserved;
     }
 
+    /** Frees the next attempt of charge, as nothing of the last one has reached a server. */
+    returnAttempt(): void {
+        this.#hasReservedRetry = true;
+    }
+
     /** Charges the next attempt to the retry budget in advance. Returns false if the budget is exhausted. */
     reserveRetry(): boolean {
         this.#hasReservedRetry ||= this.deps.retryBudgets.forService(this.call.service.name)
--- a/packages/gateway/src/dependencies.ts
+++ b/packages/gateway/src/dependencies.ts
@@ -1,13 +1,14 @@
 import type { Context, Random } from "@greengage/base";
 import type { RoutingTable } from "@greengage/configuration";
-import type { GroupSuspicion } from "@greengage/protocol";
-import type { ConnectionPools, RequestLimits, ServerHolds } from "@greengage/routing";
+import type { GroupSuspicion, RelayedSignals } from "@greengage/protocol";
+import type { ConnectionPools, RequestLimits, ServerHolds, ServerPaths } from "@greengage/routing";
 import type { CallExecution } from "./call.ts";
 import type { CrashSuspects } from "./crashsuspects.ts";
 import type { DemandMeter } from "./demandmeter.ts";
 import type { FirstTokenOffsets } from "./firsttokenoffsets.ts";
 import type { GroupState, GroupStates } from "./groupstates.ts";
 import type { PlacementClient } from "./placementclient.ts";
+import type { Reachability } from "./reachability.ts";
 import type { ServiceRetryBudgets } from "./retrybudgets.ts";
 import type { ServerStates } from "./serverstates.ts";
 import type { ServerDialect } from "./types.ts";
@@ -17,6 +18,8 @@
     context: Context;
     dialect: ServerDialect;
     pools: ConnectionPools;
+    paths: ServerPaths;
+    reachability: Reachability;
     groups: GroupStates;
     servers: ServerStates;
     retryBudgets: ServiceRetryBudgets;
@@ -32,6 +35,8 @@
     crashSuspects: CrashSuspects;
     requestLimits: RequestLimits;
     serverHolds: ServerHolds;
+    /** Passes what a server wants of a relay on to the relay. */
+    onRelayedSignals: (relayId: string, signals: RelayedSignals) => void;
     /** Marks a group as suspected and reports it to the controller. */
     suspect: (group: GroupState, suspicion: Omit<GroupSuspicion, "groupName" | "epoch">) => void;
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,9 +15,19 @@
     GroupUsage,
     LeavingServer,
     ModelDemand,
+    RelayedSignals,
+    RelayRefusal,
+    RelayRequest,
     ServerLimit,
 } from "@greengage/protocol";
-import { ConnectionPools, RequestLimits, type ServerHold, ServerHolds } from "@greengage/routing";
+import {
+    ConnectionPools,
+    type Relays,
+    RequestLimits,
+    type ServerHold,
+    ServerHolds,
+    ServerPaths,
+} from "@greengage/routing";
 import { type Call, deadlineOf, EndReason, endsAtMs } from "./call.ts";
 import { Controllers } from "./controllers.ts";
 import type { CrashLeader } from "./crashreports.ts";
@@ -30,6 +40,8 @@
 import { LeavingReports } from "./leavingreports.ts";
 import { outcomeOfError } from "./outcome.ts";
 import { PlacementClient, type RequestPermit, type RequestPlacement } from "./placementclient.ts";
+import { Reachability } from "./reachability.ts";
+import { addressesOf, RelayPolicy } from "./relaypolicy.ts";
 import { type RetryLimits, ServiceRetryBudgets } from "./retrybudgets.ts";
 import { ServerCall } from "./servercall.ts";
 import { ServerStates } from "./serverstates.ts";
@@ -49,8 +61,17 @@
     crashLeader: CrashLeader;
     /** Reports to the leader that a server leaves. Never rejects. */
     reportLeaving: (server: LeavingServer) => Promise<void>;
+    /** Peers through which servers are reached while the direct paths are lost. Default: none. */
+    relays?: Relays;
+    /** Called with what a server wants of the peer that relayed a request. */
+    onRelayedSignals?: (relayId: string, signals: RelayedSignals) => void;
 }
 
+const NO_RELAYS: Relays = {
+    candidates: () => [],
+    open: () => Promise.reject(new Error("there is no peer to relay the connection")),
+};
+
 /** Interval of the stall checks, which adds to the time until streams fail over. */
 const STALL_CHECK_INTERVAL_MS = 50;
 /** A lasting suspicion is reported again, as the first report may be lost. */
@@ -73,6 +94,7 @@
     readonly #random = new Random();
     readonly #controllers: Controllers;
     readonly #leavingReports: LeavingReports;
+    readonly #relayPolicy: RelayPolicy;
     #routing: RoutingTable | undefined;
     #inFlight = 0;
     #drain: Drain | undefined;
@@ -84,10 +106,22 @@
         const { context, requestPlacement, requestPermit } = options;
         this.#controllers = new Controllers(context);
         const placementClient = new PlacementClient(this.#controllers, requestPlacement, requestPermit);
+        const pools: ConnectionPools = new ConnectionPools({
+            onOpened: (address) => paths.recordDirect(address),
+        });
+        const paths = new ServerPaths({
+            context,
+            relays: options.relays ?? NO_RELAYS,
+            random: this.#random,
+            onLost: (address) => pools.retire(`http://${address}`),
+        });
         this.#deps = {
             context,
             dialect: options.dialect,
-            pools: new ConnectionPools(),
+            pools,
+            paths,
+            reachability: new Reachability(),
+            onRelayedSignals: options.onRelayedSignals ?? (() => undefined),
             groups: new GroupStates(),
             servers: new ServerStates(),
             retryBudgets: new ServiceRetryBudgets(options.retries),
@@ -108,6 +142,7 @@
             suspect: (group, details) => this.#suspect(group, details),
         };
         const { serverHolds } = this.#deps;
+        this.#relayPolicy = new RelayPolicy(serverHolds);
         this.#leavingReports = new LeavingReports({ serverHolds, report: options.reportLeaving });
     }
 
@@ -140,6 +175,7 @@
     }
 
     start(): void {
+        this.#deps.paths.start();
         this.#lifecycle.every(STALL_CHECK_INTERVAL_MS, () => this.#checkStalls(), (error) => {
             this.#options.context.decisions.record("gateway.stallCheck.failed", { reason: String(error) });
         });
@@ -147,6 +183,7 @@
 
     async close(): Promise<void> {
         await this.#lifecycle.close();
+        await this.#deps.paths.close();
         await this.#deps.crashSuspects.close();
         await this.#deps.pools.close();
     }
@@ -166,6 +203,8 @@
         this.#deps.groups.applyView(view);
         this.#deps.servers.applyView(view);
         this.#leavingReports.applyView(view);
+        this.#relayPolicy.applyView(view);
+        this.#deps.paths.retainAddresses(addressesOf(view));
         this.#deps.crashSuspects.setSuspects(view.suspectParts ?? []);
         this.#deps.retryBudgets.setDaemonCount(view.entryDaemonCount);
         this.#deps.requestLimits.setDaemonCount(view.entryDaemonCount);
@@ -190,6 +229,26 @@
         this.#deps.groups.setRemoteUsage(remoteUsage, monotonicMs());
     }
 
+    /** Why a connection to a server may not be relayed for a peer; undefined if it may. */
+    refuseRelay(request: RelayRequest): RelayRefusal | undefined {
+        return this.#relayPolicy.refuse(request, this.#drain !== undefined);
+    }
+
+    /** Records what a server wants of this daemon in its answer to a request that this daemon relayed. */
+    applyRelayedSignals(signals: RelayedSignals): void {
+        this.#relayPolicy.applySignals(signals);
+    }
+
+    /** Ids of servers that this daemon reaches through peers only. */
+    reportedLostServerIds(): string[] {
+        return this.#deps.paths.reportedLostServerIds();
+    }
+
+    /** Whether this daemon reaches backend servers, directly or through peers. */
+    get reachesServers(): boolean {
+        return this.#deps.reachability.reachesServers;
+    }
+
     /** Limits of servers that this daemon knows. */
     serverLimits(): ServerLimit[] {
         return this.#deps.requestLimits.list();
--- a/packages/gateway/src/rejections.ts
+++ b/packages/gateway/src/rejections.ts
@@ -14,12 +14,21 @@
 /** Rejections by servers that pause or leave may come from many servers, but not without end. */
 const MAX_EXTRA_ATTEMPTS = 16;
 
+/** A path may be lost again while a request goes on over the other one. */
+export const MAX_LOST_PATHS = 3;
+
 /** Attempts at one request that are allowed beyond those of its route, as servers have not run it, or had nothing left to run. */
 export class ExtraAttempts {
     #count = 0;
+    #lostPathCount = 0;
 
     get count(): number {
-        return this.#count;
+        return this.#count + this.#lostPathCount;
+    }
+
+    /** Records that an attempt has failed only because its path was lost. */
+    recordLostPath(): void {
+        this.#lostPathCount = Math.min(MAX_LOST_PATHS, this.#lostPathCount + 1);
     }
 
     /**
--- a/packages/gateway/src/servercall.ts
+++ b/packages/gateway/src/servercall.ts
@@ -2,10 +2,11 @@
 import { RouteKind } from "@greengage/configuration";
 import { noCapacity } from "@greengage/routing";
 import { spreadRetryAfterMs } from "./admission.ts";
-import { Attempt, type AttemptOutcome, CRASH_FAILURES, wholeMsUntil } from "./attempt.ts";
+import { type AttemptOutcome, CRASH_FAILURES, wholeMsUntil } from "./attempt.ts";
 import { backendError, type Call, CallExecution, remainingMs } from "./call.ts";
 import type { GatewayDependencies } from "./dependencies.ts";
-import { isOrderlyRejection, isTurnedAway } from "./rejections.ts";
+import { isUnopened, PathAttempt } from "./pathattempt.ts";
+import { isOrderlyRejection, isTurnedAway, MAX_LOST_PATHS } from "./rejections.ts";
 import { type ServerSelection, ServerSelector } from "./serverselector.ts";
 import { incarnationOf, observeServer } from "./serversignals.ts";
 import type { ServerState } from "./serverstates.ts";
@@ -28,6 +29,8 @@
     #isTrial = false;
     /** Attempts that don't count, as their servers wanted no requests. */
     #turnedAwayCount = 0;
+    /** Attempts that don't count, as they failed only because their paths were lost. */
+    #lostPathCount = 0;
     /** Whether the request may crash the next server, too. */
     #isSuspected = false;
     /** Response with an error status of an earlier attempt. It is delivered if no other server takes the request. */
@@ -116,7 +119,7 @@
     }
 
     async #runAttempt(server: ServerState, startDelayMs: number): Promise<AttemptOutcome> {
-        const { pools, dialect, crashSuspects, serverHolds } = this.#deps;
+        const { crashSuspects, serverHolds } = this.#deps;
         const { request, route, service, organisation, culpritIds, priority, deadlineAtMs } = this.#call;
         const { serverId, address } = server.target;
         let hasHead = false;
@@ -130,21 +133,20 @@
             startDelayMs: startDelayMs > 0 ? Math.round(startDelayMs) : undefined,
         });
         const isSafe = route.kind === RouteKind.Safe;
-        const origin = `http://${address}`;
         const mayHaveRunBefore = this.#execution.mayHaveRun;
-        const singleUseClient = isSafe ? undefined : pools.createSingleUse(origin);
-        const attempt = new Attempt({
-            client: singleUseClient ?? pools.get(origin, nowMs),
-            dialect,
+        const attempt = new PathAttempt(this.#deps, {
+            server: { serverId, address },
+            bornMs: server.target.bornMs,
             name: `server ${serverId}`,
-            serverRequest: {
+            createRequest: () => ({
                 request,
                 serverId,
                 deadlineMs: wholeMsUntil(deadlineAtMs),
                 organisation: organisation?.name,
                 priority,
                 lastEventId: request.lastEventId,
-            },
+            }),
+            usesPool: isSafe,
             closesConnection: !isSafe,
             mayWrite: () => {
                 const isQuarantined = !this.#isTrial
@@ -162,21 +164,27 @@
                     server.recordLoad(head.load, monotonicMs());
                 }
             },
+            record: (event, fields) => this.#execution.record(event, fields),
         });
         server.begin(nowMs);
         this.#execution.attempt = attempt;
         const outcome = await attempt.run();
         this.#execution.attempt = undefined;
-        if (singleUseClient !== undefined) {
-            void singleUseClient.destroy();
-        }
         this.#turnedAwayCount += Number(isTurnedAway(outcome));
         server.end(
-            !isOrderlyRejection(outcome) && (outcome.kind !== "complete" || outcome.head.status >= 500),
+            !isOrderlyRejection(outcome) && !attempt.isPathLost
+                && (outcome.kind !== "complete" || outcome.head.status >= 500),
         );
         if (outcome.kind === "notRun") {
             this.#execution.mayHaveRun = mayHaveRunBefore;
         }
+        if (isUnopened(outcome)) {
+            this.#execution.returnAttempt();
+        }
+        if (attempt.isPathLost) {
+            this.#recordLostPath(serverId);
+            return outcome;
+        }
         if (outcome.kind === "complete") {
             crashSuspects.recordComplete(service.name, culpritIds, monotonicMs());
         }
@@ -191,6 +199,14 @@
         return outcome;
     }
 
+    /** Lets the request go on over the other path, also at the same server. */
+    #recordLostPath(serverId: string): void {
+        if (this.#lostPathCount < MAX_LOST_PATHS) {
+            this.#lostPathCount += 1;
+            this.#triedIds.delete(serverId);
+        }
+    }
+
     /** Sends a complete response to the caller. Returns false if the request should be retried instead. */
     #deliverResponse(outcome: CompleteOutcome): boolean {
         const { status } = outcome.head;
@@ -211,7 +227,8 @@
     }
 
     #hasAttemptsLeft(): boolean {
-        return this.#execution.attemptCount < this.#call.route.maxAttempts + this.#turnedAwayCount
+        return this.#execution.attemptCount
+                < this.#call.route.maxAttempts + this.#turnedAwayCount + this.#lostPathCount
             && remainingMs(this.#call) > MIN_REMAINING_MS
             && this.#selector.candidates(this.#triedIds).length > 0;
     }
--- a/packages/gateway/src/streamcall.ts
+++ b/packages/gateway/src/streamcall.ts
@@ -2,13 +2,14 @@
 import type { EngineProfile, ModelSpec } from "@greengage/configuration";
 import { FailureKind, noCapacity } from "@greengage/routing";
 import { rejectionRetryAfterMs, spreadRetryAfterMs } from "./admission.ts";
-import { Attempt, type AttemptOutcome, CRASH_FAILURES, wholeMsUntil } from "./attempt.ts";
+import { type AttemptOutcome, CRASH_FAILURES, wholeMsUntil } from "./attempt.ts";
 import { backendError, type Call, CallExecution, isCallerRetry, remainingMs } from "./call.ts";
 import { StreamDelivery } from "./delivery.ts";
 import type { GatewayDependencies } from "./dependencies.ts";
 import { EmptyStreams } from "./emptystreams.ts";
 import { lastEventIdOf } from "./eventsequence.ts";
 import type { GroupState, InFlightRequest } from "./groupstates.ts";
+import { isUnopened, PathAttempt } from "./pathattempt.ts";
 import { PlacementFinder, type ResolvedPlacement } from "./placementfinder.ts";
 import { ExtraAttempts, isOrderlyRejection } from "./rejections.ts";
 import { incarnationOf, observeServer } from "./serversignals.ts";
@@ -25,6 +26,8 @@
     outcome: AttemptOutcome;
     /** Whether the engine has begun to answer. */
     hasHead: boolean;
+    /** Whether the attempt has failed only because its path was lost. */
+    isPathLost: boolean;
 }
 
 /** Handles a request to a replica group, and resumes its event stream at another group if the group fails. */
@@ -81,7 +84,10 @@
             }
             tried.add(group.target.groupName);
             this.#execution.attemptCount += 1;
-            const { outcome, hasHead } = await this.#runAttempt(group, firstTokenMs - startDelayMs);
+            const { outcome, hasHead, isPathLost } = await this.#runAttempt(
+                group,
+                firstTokenMs - startDelayMs,
+            );
             if (this.#execution.endReason !== undefined) {
                 break;
             }
@@ -92,7 +98,10 @@
                 ? `responded with status ${outcome.head.status}`
                 : outcome.reason;
             this.#execution.record("request.attemptFailed", { outcome: outcome.kind, reason });
-            const mayRepeat = this.#mayRepeat(group, outcome, hasHead);
+            if (isPathLost) {
+                tried.delete(group.target.groupName);
+            }
+            const mayRepeat = isPathLost || this.#mayRepeat(group, outcome, hasHead);
             if (!this.#mayRetry(outcome) || !await mayRepeat) {
                 throw this.#finalError(reason);
             }
@@ -177,25 +186,26 @@
     }
 
     async #runAttempt(group: GroupState, predictedMs: number): Promise<AttemptResult> {
-        const { pools, dialect, groups, serverHolds } = this.#deps;
+        const { groups, serverHolds } = this.#deps;
         const { request, organisation, priority, deadlineAtMs } = this.#call;
         const { target } = group;
         const head = incarnationOf(target);
         const sentAtMs = monotonicMs();
         let hasHead = false;
         const mayHaveRunBefore = this.#execution.mayHaveRun;
-        const attempt = new Attempt({
-            client: pools.get(`http://${target.headAddress}`, sentAtMs),
-            dialect,
+        const attempt = new PathAttempt(this.#deps, {
+            server: { serverId: target.headId, address: target.headAddress },
+            bornMs: target.bornMs,
             name: `group ${target.groupName}`,
-            serverRequest: {
+            createRequest: () => ({
                 request,
                 serverId: target.headId,
                 deadlineMs: wholeMsUntil(deadlineAtMs),
                 organisation: organisation?.name,
                 priority,
                 lastEventId: this.#delivery.lastEventId,
-            },
+            }),
+            usesPool: true,
             closesConnection: false,
             isResumption: this.#delivery.lastEventId !== undefined,
             // The group may have been withdrawn while the connection was opening.
@@ -215,6 +225,7 @@
                 this.#onHead(group, response);
             },
             onEvents: (events, hasFields) => this.#onEvents(group, inFlight, events, hasFields),
+            record: (event, fields) => this.#execution.record(event, fields),
         });
         const inFlight: InFlightRequest = {
             promptTokens: this.#generation.promptTokens,
@@ -241,9 +252,17 @@
             );
         }
         group.end(inFlight, outcome.kind === "complete", monotonicMs());
-        this.#penalizeGroup(group, outcome);
-        this.#extraAttempts.record(outcome);
-        return { outcome, hasHead };
+        if (isUnopened(outcome)) {
+            this.#execution.returnAttempt();
+        }
+        if (attempt.isPathLost) {
+            this.#extraAttempts.recordLostPath();
+        }
+        else {
+            this.#penalizeGroup(group, outcome);
+            this.#extraAttempts.record(outcome);
+        }
+        return { outcome, hasHead, isPathLost: attempt.isPathLost };
     }
 
     /** Whether a request that has lost its connection may be sent to another group, which it could crash too. */
--- a/test/gateway/fixtures.ts
+++ b/test/gateway/fixtures.ts
@@ -10,8 +10,8 @@
     type ResponseHeaders,
     type ServerDialect,
 } from "@greengage/gateway";
-import type { FleetView, GroupSuspicion, LeavingServer } from "@greengage/protocol";
-import { LimitStatement, parsePause } from "@greengage/routing";
+import type { FleetView, GroupSuspicion, LeavingServer, RelayedSignals } from "@greengage/protocol";
+import { LimitStatement, parsePause, type Relays } from "@greengage/routing";
 import type { ExecutionContext } from "ava";
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
@@ -169,6 +169,8 @@
     /** Lines of the decision log. */
     decisions: Decision[];
     leavingReports: LeavingServer[];
+    /** Signals passed on to peers that relayed requests. */
+    relayedSignals: (RelayedSignals & { relayId: string; })[];
     /** Supplies configuration and fleet view to the gateway. */
     initialize(): void;
     send(request?: Partial<CallerRequest>): Promise<RecordedResponse>;
@@ -186,6 +188,8 @@
     requestPermit?: RequestPermit;
     /** Leader for observations about prompt parts; without it no report is accepted. */
     crashLeader?: CrashLeader;
+    /** Default: no peer relays connections. */
+    relays?: Relays;
     /** Whether the gateway starts without configuration and fleet view. */
     isUninitialized?: boolean;
 }
@@ -194,6 +198,7 @@
     const suspicions: GroupSuspicion[] = [];
     const decisions: Decision[] = [];
     const leavingReports: LeavingServer[] = [];
+    const relayedSignals: GatewayFixture["relayedSignals"] = [];
     const gateway = new Gateway({
         context: createContext({
             daemonId: "entry",
@@ -212,6 +217,8 @@
             leavingReports.push(server);
             return Promise.resolve();
         },
+        relays: options.relays,
+        onRelayedSignals: (relayId, signals) => relayedSignals.push({ relayId, ...signals }),
         onSuspicion: async (suspicion) => {
             suspicions.push(suspicion);
             return false;
@@ -239,6 +246,7 @@
         suspicions,
         decisions,
         leavingReports,
+        relayedSignals,
         initialize,
         startRequest,
         send: async (fields) => {
