--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -1,7 +1,7 @@
 import { type ConnectionCounts, type Context, Lifecycle, LogPart, messageOf } from "@greengage/base";
 import { RoutingTable } from "@greengage/configuration";
 import { FleetWatcher, unpackConfiguration, UsageClient } from "@greengage/fleet";
-import { PLACEMENT_TIMEOUT_MS, type RetryLimits, type ServerDialect } from "@greengage/gateway";
+import { Gateway, PLACEMENT_TIMEOUT_MS, type RetryLimits, type ServerDialect } from "@greengage/gateway";
 import type {
     FleetView,
     GroupSuspicion,
@@ -12,7 +12,6 @@
     PathReport,
     PeerNetwork,
 } from "@greengage/protocol";
-import { createGateway } from "./gatewaystubs.ts";
 import { createPeerNetwork } from "./peerid.ts";
 import { PeerRelays } from "./peerrelays.ts";
 import { RelayAcceptor } from "./relayacceptor.ts";
@@ -29,7 +28,7 @@
 
 /** Daemon that serves callers. It receives the configuration and the fleet view from the control daemons. */
 export class EntryDaemon {
-    readonly gateway: ReturnType<typeof createGateway>;
+    readonly gateway: Gateway;
     readonly #options: EntryDaemonOptions;
     readonly #peers: PeerNetwork;
     readonly #watcher: FleetWatcher;
@@ -51,7 +50,7 @@
             peers: this.#peers,
             onSignals: (signals) => this.gateway.applyRelayedSignals(signals),
         });
-        this.gateway = createGateway({
+        this.gateway = new Gateway({
             context,
             dialect,
             retries,
