--- a/packages/base/src/serverconnections.ts
+++ b/packages/base/src/serverconnections.ts
@@ -16,6 +16,8 @@
     Unanswered: "unanswered",
     /** A part of the response has been sent. */
     Answering: "answering",
+    /** The request was read after an earlier response had announced the close, or after the close. It was not handled. */
+    Discarded: "discarded",
 } as const;
 
 export type RequestProgress = typeof RequestProgress[keyof typeof RequestProgress];
@@ -29,6 +31,25 @@
     ageMs: number;
     /** Whether the client closed the connection. */
     isClosedByClient: boolean;
+    connection: ConnectionHistory;
+}
+
+/** What a connection has carried so far. */
+export interface ConnectionHistory {
+    /** Address and port of the client. */
+    peer: string;
+    /** Requests that were handled. */
+    requestCount: number;
+    lastRequest: IncomingMessage | undefined;
+    /** Time since the last response, or since the connection was accepted. */
+    idleMs: number;
+}
+
+export interface ConnectionListeners {
+    /** Called for each request that ends without a complete response. */
+    onInterrupted?: (interrupted: InterruptedRequest) => void;
+    /** Called when the server closes a connection without a request in progress, which no response has announced. */
+    onIdleClosed?: (connection: ConnectionHistory) => void;
 }
 
 export interface ConnectionCounts {
@@ -47,6 +68,10 @@
 
 interface Connection {
     socket: Socket;
+    /** A destroyed socket no longer has its address. */
+    peer: string;
+    requestCount: number;
+    lastRequest: IncomingMessage | undefined;
     /** More than one if the client pipelines requests. */
     requests: OpenRequest[];
     idleSinceMs: number;
@@ -64,7 +89,7 @@
 export class ServerConnections {
     readonly #server: Server;
     readonly #onRequest: RequestListener;
-    readonly #onInterrupted: (interrupted: InterruptedRequest) => void;
+    readonly #listeners: ConnectionListeners;
     readonly #connections = new Map<Socket, Connection>();
     #closesAfterResponses = false;
 
@@ -72,11 +97,11 @@
     constructor(
         server: Server,
         onRequest: RequestListener,
-        onInterrupted: (interrupted: InterruptedRequest) => void = () => undefined,
+        listeners: ConnectionListeners = {},
     ) {
         this.#server = server;
         this.#onRequest = onRequest;
-        this.#onInterrupted = onInterrupted;
+        this.#listeners = listeners;
         server.on("connection", (socket) => this.#add(socket));
         server.on("request", (request, response) => this.#begin(request, response));
     }
@@ -121,6 +146,7 @@
             const isNew = connection.idleBytesRead === 0
                 && nowMs - connection.idleSinceMs < firstRequestTimeoutMs;
             if (isIdle(connection) && !isNew) {
+                this.#listeners.onIdleClosed?.(historyOf(connection));
                 connection.socket.destroy();
             }
         }
@@ -168,6 +194,9 @@
     #add(socket: Socket): void {
         const connection: Connection = {
             socket,
+            peer: `${socket.remoteAddress}:${socket.remotePort}`,
+            requestCount: 0,
+            lastRequest: undefined,
             requests: [],
             idleSinceMs: monotonicMs(),
             idleBytesRead: 0,
@@ -187,10 +216,13 @@
         if (connection.closesAfterResponse) {
             // The connection closes after the response to an earlier request, so this one can't be answered.
             request.resume();
+            this.#reportInterrupted(connection, { progress: RequestProgress.Discarded, request, ageMs: 0 });
             return;
         }
         const open: OpenRequest = { request, response, startedAtMs: monotonicMs() };
         connection.requests.push(open);
+        connection.requestCount += 1;
+        connection.lastRequest = request;
         response.once("close", () => this.#end(connection, open));
         if (this.#closesAfterResponses) {
             closeAfterResponse(connection);
@@ -213,28 +245,43 @@
 
     #remove(connection: Connection): void {
         this.#connections.delete(connection.socket);
-        const isClosedByClient = isClosedByPeer(connection.socket);
         for (const { request, response, startedAtMs } of connection.requests) {
             if (!response.writableFinished) {
-                this.#onInterrupted({
+                this.#reportInterrupted(connection, {
                     progress: progressOf(request, response),
                     request,
                     ageMs: monotonicMs() - startedAtMs,
-                    isClosedByClient,
                 });
             }
         }
         if (connection.requests.length === 0 && isReading(connection) && !connection.isRejected) {
-            this.#onInterrupted({
+            this.#reportInterrupted(connection, {
                 progress: RequestProgress.ReadingHead,
                 request: undefined,
                 ageMs: monotonicMs() - connection.idleSinceMs,
-                isClosedByClient,
             });
         }
     }
+
+    #reportInterrupted(
+        connection: Connection,
+        interrupted: Pick<InterruptedRequest, "progress" | "request" | "ageMs">,
+    ): void {
+        this.#listeners.onInterrupted?.({
+            ...interrupted,
+            isClosedByClient: isClosedByPeer(connection.socket),
+            connection: historyOf(connection),
+        });
+    }
 }
 
+const historyOf = ({ peer, requestCount, lastRequest, idleSinceMs }: Connection): ConnectionHistory => ({
+    peer,
+    requestCount,
+    lastRequest,
+    idleMs: monotonicMs() - idleSinceMs,
+});
+
 const isIdle = ({ socket, requests, idleBytesRead }: Connection): boolean =>
     requests.length === 0 && socket.bytesRead === idleBytesRead;
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -240,7 +240,8 @@
         }
     }
 
-    recordInterrupted({ requestId, progress, ageMs, isClosedByCaller }: InterruptedCall): void {
+    recordInterrupted(call: InterruptedCall): void {
+        const { requestId, progress, ageMs, isClosedByCaller, peer, requestCount } = call;
         const { decisions, metrics } = this.#options.context;
         const closedBy = isClosedByCaller ? "caller" : "daemon";
         decisions.record("request.interrupted", {
@@ -248,6 +249,8 @@
             progress,
             closedBy,
             ageMs: Math.round(ageMs),
+            peer,
+            requestCount,
             drainMs: this.drainMs,
         });
         metrics.count("gateway.interrupted", 1, { progress, closedBy });
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -45,6 +45,10 @@
     /** Time since the head was read, or since the connection was last idle. */
     ageMs: number;
     isClosedByCaller: boolean;
+    /** Address and port of the caller. */
+    peer: string;
+    /** Requests that the connection has carried. */
+    requestCount: number;
 }
 
 export type ResponseHeaders = Record<string, string | string[]>;
--- a/packages/http/src/server.ts
+++ b/packages/http/src/server.ts
@@ -83,7 +83,7 @@
         this.#connections = new ServerConnections(
             this.#server,
             (request, response) => this.#router.lookup(request, response),
-            (interrupted) => this.#recordInterrupted(interrupted),
+            { onInterrupted: (interrupted) => this.#recordInterrupted(interrupted) },
         );
     }
 
--- a/test/base/serverconnections.test.ts
+++ b/test/base/serverconnections.test.ts
@@ -1,4 +1,4 @@
-import { type InterruptedRequest, ServerConnections, sleep } from "@greengage/base";
+import { type ConnectionHistory, type InterruptedRequest, ServerConnections, sleep } from "@greengage/base";
 import { waitFor } from "@greengage/faults";
 import test, { type ExecutionContext } from "ava";
 import { createServer, type RequestListener, type ServerResponse } from "node:http";
@@ -17,6 +17,7 @@
 interface Fixture {
     connections: ServerConnections;
     interrupted: InterruptedRequest[];
+    idleClosed: ConnectionHistory[];
     /** Begins to connect. */
     connectClient: () => Client;
     /** Connects, and waits until the server has accepted the connection. */
@@ -25,8 +26,12 @@
 
 const startServer = async (t: ExecutionContext, onRequest: RequestListener): Promise<Fixture> => {
     const interrupted: InterruptedRequest[] = [];
+    const idleClosed: ConnectionHistory[] = [];
     const server = createServer();
-    const connections = new ServerConnections(server, onRequest, (request) => interrupted.push(request));
+    const connections = new ServerConnections(server, onRequest, {
+        onInterrupted: (request) => interrupted.push(request),
+        onIdleClosed: (connection) => idleClosed.push(connection),
+    });
     await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
     t.teardown(() => {
         void connections.stopListening();
@@ -53,7 +58,7 @@
         );
         return client;
     };
-    return { connections, interrupted, connectClient, open };
+    return { connections, interrupted, idleClosed, connectClient, open };
 };
 
 const waitForReading = (connections: ServerConnections, count: number): Promise<boolean> =>
@@ -177,6 +182,43 @@
     t.is(client.received().match(/connection: close/gi)?.length, 1);
 });
 
+// Guards against requests that end without a trace, as no handler has seen them.
+test("a request that follows the announcement of the close is reported as discarded", async (t) => {
+    const responses: ServerResponse[] = [];
+    const { connections, interrupted, open } = await startServer(t, (_, response) => {
+        responses.push(response);
+        response.write("part");
+    });
+    connections.closeAfterResponses();
+    const client = await open();
+    client.socket.write(GET);
+    await waitFor("a response head", async () => client.received().includes("part") ? true : undefined);
+    client.socket.write("GET /second HTTP/1.1\r\nhost: a\r\n\r\n");
+    await waitFor("a discarded request", async () => interrupted.length === 1 ? true : undefined);
+    responses[0]?.end("rest");
+    await client.closed;
+    t.regex(client.received(), /rest/);
+    const [{ progress, request, connection } = {}] = interrupted;
+    t.is(progress, "discarded");
+    t.is(request?.url, "/second");
+    t.is(connection?.requestCount, 1);
+});
+
+test("a connection that is closed without an announcement is reported with what it has carried", async (t) => {
+    const { connections, idleClosed, open } = await startServer(t, (_, response) => response.end("ok"));
+    const client = await open();
+    const { localAddress, localPort } = client.socket;
+    client.socket.write(GET);
+    await waitFor("a response", async () => client.received().includes("ok") ? true : undefined);
+    connections.closeAfterResponses();
+    connections.closeIdle();
+    await client.closed;
+    const [{ peer, requestCount, lastRequest } = {}] = idleClosed;
+    t.is(peer, `${localAddress}:${localPort}`);
+    t.is(requestCount, 1);
+    t.is(lastRequest?.url, "/");
+});
+
 // Guards against `Server.close`, which destroys connections whose response has ended but is still buffered.
 test("a response that its client reads slowly is complete after the close", async (t) => {
     const { connections, interrupted, open } = await startServer(t, (_, response) => {
