--- a/test/platform/rawcaller.ts
+++ b/test/platform/rawcaller.ts
@@ -85,3 +85,7 @@
         isComplete: length === undefined ? body.endsWith("\r\n0\r\n\r\n") : body.length >= Number(length),
     };
 };
+
+/** Parses the responses in `text`, which may be incomplete after the last one. */
+export const parseResponses = (text: string): RawResponse[] =>
+    text.split(/(?=HTTP\/1\.1 \d{3} )/).map(parseResponse).filter((response) => response !== undefined);
