Count a drain from the time of SIGTERM, not from its late handler

Callers that sent a request later than 3 s after SIGTERM to a daemon that had handled the signal late had their stream cut at the end of the grace period: the daemon counted 3 s for requests that it takes in any case, and 7 s until it ends calls, from the time of the handler, while the platform counts from the signal and kills the process 8 s after it.

Cause: a signal waits until the event loop turns, and the drain began when its handler ran.

EventLoopTurns notes the turns of the loop every 50 ms; the drain begins at the last turn that was surely before the signal. In calm this is at most 0.1 s early, so that late requests are refused at most 0.1 s earlier.

--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -3,6 +3,7 @@
 export * from "./context.ts";
 export * from "./decisions.ts";
 export * from "./errors.ts";
+export * from "./eventloopturns.ts";
 export * from "./invariants.ts";
 export * from "./lifecycle.ts";
 export * from "./log.ts";
--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -1,7 +1,13 @@
 import { type ConnectionCounts, type Context, Lifecycle, LogPart, messageOf } from "@greengage/base";
 import { RoutingTable } from "@greengage/configuration";
 import { FleetWatcher, unpackConfiguration, UsageClient } from "@greengage/fleet";
-import { Gateway, PLACEMENT_TIMEOUT_MS, type RetryLimits, type ServerDialect } from "@greengage/gateway";
+import {
+    type Drain,
+    Gateway,
+    PLACEMENT_TIMEOUT_MS,
+    type RetryLimits,
+    type ServerDialect,
+} from "@greengage/gateway";
 import type {
     FleetView,
     GroupSuspicion,
@@ -109,10 +115,10 @@
         this.#options.context.decisions.record("daemon.reload", { seeds: seedIds });
     }
 
-    /** Makes the readiness check fail. Requests are still served if they can end before `closesAtMs`. */
-    drain(closesAtMs: number, connections: ConnectionCounts): void {
+    /** Makes the readiness check fail. Requests are still served if they can end before the drain closes. */
+    drain(drain: Drain, connections: ConnectionCounts): void {
         this.#isDraining = true;
-        this.gateway.drain(closesAtMs);
+        this.gateway.drain(drain);
         this.#record("daemon.drain", connections);
     }
 
--- a/packages/gateway/src/drain.ts
+++ b/packages/gateway/src/drain.ts
@@ -7,6 +7,7 @@
 
 /** Times of a drain, in monotonic time. */
 export interface Drain {
+    /** Time of the signal, which may be earlier than that of its handler. */
     startedAtMs: number;
     /** Time at which the daemon ends the requests that are still in progress. */
     closesAtMs: number;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -125,9 +125,9 @@
         return this.#drain === undefined ? undefined : Math.round(monotonicMs() - this.#drain.startedAtMs);
     }
 
-    /** Starts a drain. From then on, requests are rejected unless they are early or can end before `closesAtMs`. */
-    drain(closesAtMs: number): void {
-        this.#drain ??= { startedAtMs: monotonicMs(), closesAtMs };
+    /** Starts a drain. From then on, requests are rejected unless they are early or can end before it closes. */
+    drain(drain: Drain): void {
+        this.#drain ??= drain;
     }
 
     /** Ends the calls that are still in progress with a final error, and rejects all further requests. */
--- a/test/gateway/drain.test.ts
+++ b/test/gateway/drain.test.ts
@@ -25,7 +25,8 @@
 test("a request that comes after the calls have been ended is rejected as not run", async (t) => {
     const head = await startServer(t, streamEvents(4));
     const fixture = createGateway(t, { groupHeads: [head] });
-    fixture.gateway.drain(performance.now() + 10_000);
+    const startedAtMs = performance.now();
+    fixture.gateway.drain({ startedAtMs, closesAtMs: startedAtMs + 10_000 });
     t.is((await fixture.send()).status, 200);
     fixture.gateway.endCalls();
     const { error } = await fixture.send();
--- a/test/platform/drainlimits.test.ts
+++ b/test/platform/drainlimits.test.ts
@@ -1,6 +1,6 @@
 import { waitFor } from "@greengage/faults";
 import test, { type ExecutionContext } from "ava";
-import { startDrain } from "./drains.ts";
+import { GRACE_MS, startDrain } from "./drains.ts";
 import { parseResponse, parseResponses, type RawCaller } from "./rawcaller.ts";
 import {
     assertRejected,
@@ -18,6 +18,9 @@
     waitUntilComplete,
 } from "./serving.ts";
 
+/** Delay of a signal, longer than any pause of the event loop in calm. */
+const SIGNAL_DELAY_MS = 700;
+
 const sleep = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
 
 /** Starts a stream, and waits for its first event. */
@@ -69,6 +72,27 @@
     assertServed(t, second, "second");
 });
 
+// Guards against requests that are taken too late because the daemon handled SIGTERM late.
+test.serial("a daemon that handles SIGTERM late takes no request that it cuts off", async (t) => {
+    const fixture = await startServing(t);
+    setStreamDuration(fixture, 6_000);
+    const running = await startStream(fixture, "running");
+    const caller = await fixture.open();
+    fixture.entry.kill("SIGSTOP");
+    const drain = startDrain(fixture);
+    await drain.at(SIGNAL_DELAY_MS);
+    fixture.entry.kill("SIGCONT");
+    await drain.at(3_150);
+    caller.send(chat("late", ROUTE_TIMEOUT_MS));
+    const { code, elapsedMs } = await drain.exited;
+    await Promise.all([running, caller].map(({ closed }) => closed));
+    t.is(code, 0);
+    t.true(elapsedMs < GRACE_MS);
+    t.true(parseResponse(running.received)?.isComplete, "a stream in flight is completed");
+    assertRejected(t, parseResponse(caller.received), "late");
+    assertNotRun(t, fixture, "late");
+});
+
 test.serial("a request whose body arrives in pieces across the whole grace period is answered", async (t) => {
     const fixture = await startServing(t);
     const completed = await fixture.open();
