--- a/packages/base/src/serverconnections.ts
+++ b/packages/base/src/serverconnections.ts
@@ -16,6 +16,8 @@
     Unanswered: "unanswered",
     /** A part of the response has been sent. */
     Answering: "answering",
+    /** The request was read after an earlier response had announced the close, or after the close. It was not handled. */
+    Discarded: "discarded",
 } as const;
 
 export type RequestProgress = typeof RequestProgress[keyof typeof RequestProgress];
@@ -29,6 +31,25 @@
     ageMs: number;
     /** Whether the client closed the connection. */
     isClosedByClient: boolean;
+    connection: ConnectionHistory;
+}
+
+/** What a connection has carried so far. */
+export interface ConnectionHistory {
+    /** Address and port of the client. */
+    peer: string;
+    /** Requests that were handled. */
+    requestCount: number;
+    lastRequest: IncomingMessage | undefined;
+    /** Time since the last response, or since the connection was accepted. */
+    idleMs: number;
+}
+
+export interface ConnectionListeners {
+    /** Called for each request that ends without a complete response. */
+    onInterrupted?: (interrupted: InterruptedRequest) => void;
+    /** Called when the server closes a connection without a request in progress, which no response has announced. */
+    onIdleClosed?: (connection: ConnectionHistory) => void;
 }
 
 export interface ConnectionCounts {
@@ -42,17 +63,25 @@
 interface OpenRequest {
     request: IncomingMessage;
     response: ServerResponse;
+    /** Whether the connection could stay open after the response for all that the request says. */
+    isKeptAlive: boolean;
     startedAtMs: number;
 }
 
 interface Connection {
     socket: Socket;
+    /** A destroyed socket no longer has its address. */
+    peer: string;
+    requestCount: number;
+    lastRequest: IncomingMessage | undefined;
     /** More than one if the client pipelines requests. */
     requests: OpenRequest[];
     idleSinceMs: number;
     /** Value of `socket.bytesRead` when the connection was last idle. */
     idleBytesRead: number;
     closesAfterResponse: boolean;
+    /** Whether no further request can be answered. */
+    isClosing: boolean;
     /** Whether a response was sent to a request whose head is incomplete. */
     isRejected: boolean;
 }
@@ -64,7 +93,7 @@
 export class ServerConnections {
     readonly #server: Server;
     readonly #onRequest: RequestListener;
-    readonly #onInterrupted: (interrupted: InterruptedRequest) => void;
+    readonly #listeners: ConnectionListeners;
     readonly #connections = new Map<Socket, Connection>();
     #closesAfterResponses = false;
 
@@ -72,11 +101,11 @@
     constructor(
         server: Server,
         onRequest: RequestListener,
-        onInterrupted: (interrupted: InterruptedRequest) => void = () => undefined,
+        listeners: ConnectionListeners = {},
     ) {
         this.#server = server;
         this.#onRequest = onRequest;
-        this.#onInterrupted = onInterrupted;
+        this.#listeners = listeners;
         server.on("connection", (socket) => this.#add(socket));
         server.on("request", (request, response) => this.#begin(request, response));
     }
@@ -88,13 +117,14 @@
         return { open: connections.length, reading, answering: connections.length - reading - idle };
     }
 
-    /** From now on, every connection closes after its next response, which announces this if it has not begun. */
+    /**
+     * From now on, every connection closes after its next response, which announces this if it has not begun. If it has begun,
+     * requests that are read until its end are answered, too.
+     */
     closeAfterResponses(): void {
         this.#closesAfterResponses = true;
         for (const connection of this.#connections.values()) {
-            if (connection.requests.length > 0) {
-                closeAfterResponse(connection);
-            }
+            closeAfterResponse(connection);
         }
     }
 
@@ -103,9 +133,8 @@
      * responses alone that have ended but are not flushed.
      */
     async stopListening(): Promise<void> {
-        // The close resets connections that are not accepted. A complete pass of the event loop lies between two immediates.
-        await setImmediate();
-        await setImmediate();
+        // The close resets connections that are not accepted.
+        await readPendingInput();
         if (this.#server.listening) {
             NetServer.prototype.close.call(this.#server);
         }
@@ -121,7 +150,7 @@
             const isNew = connection.idleBytesRead === 0
                 && nowMs - connection.idleSinceMs < firstRequestTimeoutMs;
             if (isIdle(connection) && !isNew) {
-                connection.socket.destroy();
+                this.#closeIdleConnection(connection);
             }
         }
     }
@@ -144,7 +173,7 @@
     rejectIncompleteHeads(response: string): void {
         for (const connection of this.#connections.values()) {
             if (connection.requests.length === 0 && !isIdle(connection) && !connection.isRejected) {
-                connection.closesAfterResponse = true;
+                connection.isClosing = true;
                 connection.isRejected = true;
                 connection.socket.write(response);
                 connection.socket.destroySoon();
@@ -168,10 +197,14 @@
     #add(socket: Socket): void {
         const connection: Connection = {
             socket,
+            peer: `${socket.remoteAddress}:${socket.remotePort}`,
+            requestCount: 0,
+            lastRequest: undefined,
             requests: [],
             idleSinceMs: monotonicMs(),
             idleBytesRead: 0,
-            closesAfterResponse: false,
+            closesAfterResponse: this.#closesAfterResponses,
+            isClosing: false,
             isRejected: false,
         };
         this.#connections.set(socket, connection);
@@ -184,15 +217,24 @@
             // The client reset the connection in the meantime.
             return;
         }
-        if (connection.closesAfterResponse) {
-            // The connection closes after the response to an earlier request, so this one can't be answered.
+        if (connection.isClosing || isCloseAnnounced(connection)) {
             request.resume();
+            if (!connection.isRejected) {
+                this.#reportInterrupted(connection, {
+                    progress: RequestProgress.Discarded,
+                    request,
+                    ageMs: 0,
+                });
+            }
             return;
         }
-        const open: OpenRequest = { request, response, startedAtMs: monotonicMs() };
+        const isKeptAlive = response.shouldKeepAlive;
+        const open: OpenRequest = { request, response, isKeptAlive, startedAtMs: monotonicMs() };
         connection.requests.push(open);
+        connection.requestCount += 1;
+        connection.lastRequest = request;
         response.once("close", () => this.#end(connection, open));
-        if (this.#closesAfterResponses) {
+        if (connection.closesAfterResponse) {
             closeAfterResponse(connection);
         }
         this.#onRequest(request, response);
@@ -206,35 +248,67 @@
         }
         connection.idleSinceMs = monotonicMs();
         connection.idleBytesRead = socket.bytesRead;
-        if (connection.closesAfterResponse) {
+        if (isLastResponse(open)) {
+            connection.isClosing = true;
             socket.destroySoon();
         }
+        else if (connection.closesAfterResponse) {
+            void this.#closeUnlessRequested(connection);
+        }
+    }
+
+    /** Closes a connection without an announcement, unless a further request has arrived. */
+    async #closeUnlessRequested(connection: Connection): Promise<void> {
+        await readPendingInput();
+        if (isIdle(connection) && !connection.socket.destroyed) {
+            this.#closeIdleConnection(connection);
+        }
+    }
+
+    #closeIdleConnection(connection: Connection): void {
+        this.#listeners.onIdleClosed?.(historyOf(connection));
+        connection.socket.destroy();
     }
 
     #remove(connection: Connection): void {
         this.#connections.delete(connection.socket);
-        const isClosedByClient = isClosedByPeer(connection.socket);
         for (const { request, response, startedAtMs } of connection.requests) {
             if (!response.writableFinished) {
-                this.#onInterrupted({
+                this.#reportInterrupted(connection, {
                     progress: progressOf(request, response),
                     request,
                     ageMs: monotonicMs() - startedAtMs,
-                    isClosedByClient,
                 });
             }
         }
         if (connection.requests.length === 0 && isReading(connection) && !connection.isRejected) {
-            this.#onInterrupted({
+            this.#reportInterrupted(connection, {
                 progress: RequestProgress.ReadingHead,
                 request: undefined,
                 ageMs: monotonicMs() - connection.idleSinceMs,
-                isClosedByClient,
             });
         }
     }
+
+    #reportInterrupted(
+        connection: Connection,
+        interrupted: Pick<InterruptedRequest, "progress" | "request" | "ageMs">,
+    ): void {
+        this.#listeners.onInterrupted?.({
+            ...interrupted,
+            isClosedByClient: isClosedByPeer(connection.socket),
+            connection: historyOf(connection),
+        });
+    }
 }
 
+const historyOf = ({ peer, requestCount, lastRequest, idleSinceMs }: Connection): ConnectionHistory => ({
+    peer,
+    requestCount,
+    lastRequest,
+    idleMs: monotonicMs() - idleSinceMs,
+});
+
 const isIdle = ({ socket, requests, idleBytesRead }: Connection): boolean =>
     requests.length === 0 && socket.bytesRead === idleBytesRead;
 
@@ -252,11 +326,26 @@
     return request.complete ? RequestProgress.Unanswered : RequestProgress.ReadingBody;
 };
 
+/** Whether a response whose head has been sent announces the close. */
+const isCloseAnnounced = ({ requests }: Connection): boolean =>
+    requests.some((open) => open.response.headersSent && isLastResponse(open));
+
+const isLastResponse = ({ response }: OpenRequest): boolean => !response.shouldKeepAlive;
+
 /** The last response announces the close; a client that pipelines also gets the responses before it. */
 const closeAfterResponse = (connection: Connection): void => {
     const last = connection.requests.at(-1);
     connection.closesAfterResponse = true;
-    if (last !== undefined && !last.response.headersSent) {
-        last.response.shouldKeepAlive = false;
+    for (const open of connection.requests) {
+        const { response, isKeptAlive } = open;
+        if (!response.headersSent) {
+            response.shouldKeepAlive = isKeptAlive && open !== last;
+        }
     }
 };
+
+/** Lets a complete pass of the event loop read what has arrived; it lies between two immediates. */
+const readPendingInput = async (): Promise<void> => {
+    await setImmediate();
+    await setImmediate();
+};
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -160,9 +160,9 @@
         return this.#drain === undefined ? undefined : Math.round(monotonicMs() - this.#drain.startedAtMs);
     }
 
-    /** Starts a drain. From then on, requests are rejected unless they are early or can end before `closesAtMs`. */
-    drain(closesAtMs: number): void {
-        this.#drain ??= { startedAtMs: monotonicMs(), closesAtMs };
+    /** Starts a drain. From then on, requests are rejected unless they are early or can end before it closes. */
+    drain(drain: Drain): void {
+        this.#drain ??= drain;
     }
 
     /** Ends the calls that are still in progress with a final error, and rejects all further requests. */
@@ -299,7 +299,8 @@
         }
     }
 
-    recordInterrupted({ requestId, progress, ageMs, isClosedByCaller }: InterruptedCall): void {
+    recordInterrupted(call: InterruptedCall): void {
+        const { requestId, progress, ageMs, isClosedByCaller, peer, requestCount } = call;
         const { decisions, metrics } = this.#options.context;
         const closedBy = isClosedByCaller ? "caller" : "daemon";
         decisions.record("request.interrupted", {
@@ -307,6 +308,8 @@
             progress,
             closedBy,
             ageMs: Math.round(ageMs),
+            peer,
+            requestCount,
             drainMs: this.drainMs,
         });
         metrics.count("gateway.interrupted", 1, { progress, closedBy });
--- a/test/platform/fixtures.ts
+++ b/test/platform/fixtures.ts
@@ -27,6 +27,8 @@
     links?: ServerLinks;
     /** Returns the log output of the entry daemon so far. */
     entryLog: () => string;
+    /** Replaces fields of the settings file. */
+    changeSettings: (fields: object) => void;
 }
 
 /** A control daemon and its first entry daemon. */
@@ -66,7 +68,9 @@
         { nodeArguments = [], environment = {} }: ProcessOptions = {},
     ): StartedDaemon => {
         const path = join(folder, `${name}.json`);
-        writeFileSync(path, JSON.stringify({ ...common, node_name: name, ...settings }));
+        const changeSettings = (fields: object): void =>
+            writeFileSync(path, JSON.stringify({ ...common, node_name: name, ...settings, ...fields }));
+        changeSettings({});
         const child = spawn(process.execPath, ["--import=tsx", ...nodeArguments, "platform/main.ts", role], {
             env: { ...process.env, GREENGAGERIDGE_SETTINGS: path, ...environment },
             stdio: ["ignore", "pipe", "inherit"],
@@ -76,19 +80,26 @@
             text += chunk.toString();
         });
         t.teardown(() => void child.kill("SIGKILL"));
-        return { child, log: () => text };
+        return { child, log: () => text, changeSettings };
     };
     const startEntry = async (number: number): Promise<EntryFixture> => {
         const host = nextHost();
         const serverHost = hasServerLinks ? nextHost() : undefined;
         const addresses = { callers: `${host}:${callers}`, readiness: `${host}:${readiness}` };
-        const { child, log } = start(`front-z-${number}`, "entry", {
+        const { child, log, changeSettings } = start(`front-z-${number}`, "entry", {
             ip: host,
             listen: { front: addresses.callers, ready: addresses.readiness },
             data_dir: null,
         }, serverHost === undefined ? {} : linkedProcess(serverHost));
         const links = serverHost === undefined ? undefined : await startLinks(t, serverHost);
-        return { ...addresses, metrics: `${host}:${METRICS_PORT}`, entry: child, entryLog: log, links };
+        return {
+            ...addresses,
+            metrics: `${host}:${METRICS_PORT}`,
+            entry: child,
+            links,
+            entryLog: log,
+            changeSettings,
+        };
     };
     t.teardown(() => rmSync(folder, { recursive: true, force: true }));
     const { child: controlProcess, log: controlLog } = start("core-z-1", "control", {
@@ -132,6 +143,7 @@
 interface StartedDaemon {
     child: ChildProcess;
     log: () => string;
+    changeSettings: (fields: object) => void;
 }
 
 export interface CallResult {
