Fail a relayed connection whose peer falls silent

A request over a relayed connection hung until the system gave up on the connection, about 15 minutes, if the peer's host vanished without a reset: Node.js sets no TCP_USER_TIMEOUT (getsockopt on sockets of Node.js 20.19, of undici's kind and of ws: 0), keep-alive probes don't run while bytes are unacknowledged, and ws sets none.

Each side now pings every 5 s and fails the stream after three checks without anything from the peer, 15 to 20 s. A peer that reads nothing because of a slow reader doesn't answer pings, but sends its own, so it isn't taken for lost. Tests: a peer that answers no pings, one that does, and one that reads nothing.

--- a/packages/protocol/src/relaystream.ts
+++ b/packages/protocol/src/relaystream.ts
@@ -10,11 +10,11 @@
 const END_MESSAGE = "end";
 /** Close code of a stream that has failed after the bytes sent so far. */
 const FAILED_CLOSE_CODE = 1011;
-/** Idle time before TCP keep-alive probes; Node.js gives up ten seconds after that. */
-const KEEP_ALIVE_DELAY_MS = 5_000;
-/** A write that isn't passed on for this long has lost its peer; it also ends a stream that nobody reads. */
-const WRITE_TIMEOUT_MS = 30_000;
-/** Interval of pings while nothing is read, without which the loss of the peer would go unnoticed. */
+/** Interval of pings, and of the checks that something has come from the peer. */
+const PING_INTERVAL_MS = 5_000;
+/** Consecutive checks without anything from the peer after which it is lost. They are counted, as this process may stand still. */
+const MAX_SILENT_CHECKS = 3;
+/** Interval of pings while nothing is read: without them, neither side would notice that the other is lost. */
 const PAUSED_PING_INTERVAL_MS = 100;
 
 type StreamCallback = Parameters<Duplex["_final"]>[0];
@@ -30,16 +30,20 @@
     /** Whether the peer has ended its direction. */
     #isEnded = false;
     #isFailing = false;
-    #pingTimer: NodeJS.Timeout | undefined;
+    #pausedPingTimer: NodeJS.Timeout | undefined;
+    readonly #pingTimer: NodeJS.Timeout;
+    #silentCheckCount = 0;
 
     /** Takes over `socket`, which must be open. */
-    constructor(socket: WebSocket) {
+    constructor(socket: WebSocket, pingIntervalMs = PING_INTERVAL_MS) {
         super({ readableHighWaterMark: BUFFER_BYTES, writableHighWaterMark: BUFFER_BYTES });
         this.#socket = socket;
-        tcpSocketOf(socket)?.setKeepAlive(true, KEEP_ALIVE_DELAY_MS);
+        this.#pingTimer = setInterval(() => this.#checkPeer(), pingIntervalMs).unref();
         // The stream may fail before the code that gets it listens.
         this.on("error", () => undefined);
         socket.on("message", (data: RawData, isBinary: boolean) => this.#receive(data as Buffer, isBinary));
+        socket.on("ping", () => this.#recordSign());
+        socket.on("pong", () => this.#recordSign());
         socket.on("error", (error) => this.destroy(error));
         socket.once("close", (code: number) => this.#handleClose(code));
     }
@@ -66,8 +70,9 @@
     }
 
     override _read(): void {
-        clearInterval(this.#pingTimer);
-        this.#pingTimer = undefined;
+        clearInterval(this.#pausedPingTimer);
+        this.#pausedPingTimer = undefined;
+        this.#recordSign();
         this.#socket.resume();
     }
 
@@ -92,6 +97,7 @@
 
     override _destroy(error: Parameters<Duplex["_destroy"]>[0], callback: StreamCallback): void {
         clearInterval(this.#pingTimer);
+        clearInterval(this.#pausedPingTimer);
         if (this.#isFailing) {
             this.#closeAfterWrites(FAILED_CLOSE_CODE);
         }
@@ -125,12 +131,7 @@
     /** Resolves when the system has taken the bytes, which applies back-pressure. */
     #sendMessage(bytes: Buffer): Promise<void> {
         return new Promise((resolve, reject) => {
-            const timer = setTimeout(
-                () => this.destroy(new RelayStreamError("the peer takes no bytes")),
-                WRITE_TIMEOUT_MS,
-            );
             this.#socket.send(bytes, { binary: true }, (error) => {
-                clearTimeout(timer);
                 if (error instanceof Error) {
                     reject(error);
                 }
@@ -141,6 +142,23 @@
         });
     }
 
+    /** Pings the peer. A peer that reads nothing doesn't answer pings, but sends its own. */
+    #checkPeer(): void {
+        if (this.#pausedPingTimer !== undefined || this.#socket.readyState !== this.#socket.OPEN) {
+            return;
+        }
+        this.#silentCheckCount += 1;
+        if (this.#silentCheckCount > MAX_SILENT_CHECKS) {
+            this.destroy(new RelayStreamError("the peer is silent"));
+            return;
+        }
+        this.#socket.ping();
+    }
+
+    #recordSign(): void {
+        this.#silentCheckCount = 0;
+    }
+
     #receive(data: Buffer, isBinary: boolean): void {
         if (this.destroyed || this.#isEnded) {
             return;
@@ -150,10 +168,11 @@
             this.push(null);
             return;
         }
+        this.#recordSign();
         this.#bytesRead += data.length;
         if (!this.push(data)) {
             this.#socket.pause();
-            this.#pingTimer ??= setInterval(() => this.#socket.ping(), PAUSED_PING_INTERVAL_MS).unref();
+            this.#pausedPingTimer ??= setInterval(() => this.#socket.ping(), PAUSED_PING_INTERVAL_MS).unref();
         }
     }
 
--- a/test/protocol/relay.test.ts
+++ b/test/protocol/relay.test.ts
@@ -1,11 +1,11 @@
 import { createContext } from "@greengage/base";
 import { waitFor } from "@greengage/faults";
-import { PeerNetwork, PROTOCOL_VERSION, RelayError, RelayRefusal } from "@greengage/protocol";
+import { PeerNetwork, PROTOCOL_VERSION, RelayError, RelayRefusal, RelayStream } from "@greengage/protocol";
 import test, { type ExecutionContext } from "ava";
 import { once } from "node:events";
 import { createServer, type Socket } from "node:net";
 import { Client } from "undici";
-import { WebSocket } from "ws";
+import { WebSocket, WebSocketServer } from "ws";
 import { encode } from "../../packages/protocol/src/codec.ts";
 import { createProof } from "../../packages/protocol/src/handshake.ts";
 import {
@@ -223,6 +223,58 @@
     t.is(unknown?.refusal, RelayRefusal.PeerUnreachable);
 });
 
+const PING_INTERVAL_MS = 30;
+/** More pings than may remain unanswered. */
+const PING_COUNT = 12;
+
+/** Connects a stream to a WebSocket that stands in for the peer. */
+const startStreamPeer = async (
+    t: ExecutionContext,
+    answersPings: boolean,
+): Promise<{ stream: RelayStream; peer: WebSocket; }> => {
+    const server = new WebSocketServer({ host: HOST, port: 0, autoPong: answersPings });
+    t.teardown(() => server.close());
+    await once(server, "listening");
+    const accepted = once(server, "connection");
+    const socket = new WebSocket(`ws://${HOST}:${(server.address() as { port: number; }).port}`);
+    t.teardown(() => socket.terminate());
+    await once(socket, "open");
+    const [peer] = await accepted as [WebSocket];
+    t.teardown(() => peer.terminate());
+    return { stream: new RelayStream(socket, PING_INTERVAL_MS), peer };
+};
+
+// Guards against a stream that hangs for ever because the peer's host has vanished without a reset.
+test("a stream fails when its peer falls silent", async (t) => {
+    const { stream } = await startStreamPeer(t, false);
+    const { isRegularEnd, error } = await readStream(stream);
+    t.false(isRegularEnd);
+    t.is(error?.message, "the peer is silent");
+});
+
+// Guards against the end of streams whose servers are silent for a while.
+test("a stream stays open while its peer answers pings", async (t) => {
+    const { stream, peer } = await startStreamPeer(t, true);
+    const pings = { count: 0 };
+    peer.on("ping", () => pings.count += 1);
+    await waitFor("pings for longer than the limit", () => pings.count > PING_COUNT || undefined);
+    t.false(stream.destroyed);
+});
+
+// Guards against the end of streams whose peers have slow readers: they don't read pings.
+test("a stream stays open while its peer reads nothing", async (t) => {
+    const { stream, peer } = await startStreamPeer(t, true);
+    peer.pause();
+    const pings = { count: 0 };
+    const timer = setInterval(() => {
+        peer.ping();
+        pings.count += 1;
+    }, PING_INTERVAL_MS / 2);
+    t.teardown(() => clearInterval(timer));
+    await waitFor("pings for longer than the limit", () => pings.count > PING_COUNT || undefined);
+    t.false(stream.destroyed);
+});
+
 const forgedHellos: Record<string, (nonce: Uint8Array) => object> = {
     "another server than the proof covers": (nonce) => ({
         proof: createProof(KEY, nonce, {
