--- a/packages/protocol/src/relaystream.ts
+++ b/packages/protocol/src/relaystream.ts
@@ -81,7 +81,7 @@
         _encoding: BufferEncoding,
         callback: StreamCallback,
     ): void {
-        void this.#send(chunk).then(() => callback(), callback);
+        this.#sendFrom(chunk, 0, callback);
     }
 
     override _writev(
@@ -121,24 +121,22 @@
         this.#socket.resume();
     }
 
-    async #send(chunk: Buffer): Promise<void> {
-        for (let offset = 0; offset < chunk.length; offset += MAX_MESSAGE_BYTES) {
-            await this.#sendMessage(chunk.subarray(offset, offset + MAX_MESSAGE_BYTES));
-        }
-        this.#bytesWritten += chunk.length;
-    }
-
-    /** Resolves when the system has taken the bytes, which applies back-pressure. */
-    #sendMessage(bytes: Buffer): Promise<void> {
-        return new Promise((resolve, reject) => {
-            this.#socket.send(bytes, { binary: true }, (error) => {
-                if (error instanceof Error) {
-                    reject(error);
-                }
-                else {
-                    resolve();
-                }
-            });
+    /** Sends a chunk in messages of limited size. The system takes each before the next, which applies back-pressure. */
+    #sendFrom(chunk: Buffer, offsetBytes: number, callback: StreamCallback): void {
+        const message = chunk.subarray(offsetBytes, offsetBytes + MAX_MESSAGE_BYTES);
+        this.#socket.send(message, { binary: true }, (error) => {
+            if (error instanceof Error) {
+                callback(error);
+                return;
+            }
+            this.#bytesWritten += message.length;
+            const sentBytes = offsetBytes + message.length;
+            if (sentBytes < chunk.length) {
+                this.#sendFrom(chunk, sentBytes, callback);
+            }
+            else {
+                callback();
+            }
         });
     }
 
