--- a/packages/routing/src/relayopener.ts
+++ b/packages/routing/src/relayopener.ts
@@ -84,6 +84,8 @@
         const { relays, context } = this.#options;
         try {
             const stream = await relays.open(daemonId, request, timeoutMs);
+            // It may fail before it has another listener.
+            stream.on("error", () => undefined);
             this.#avoidedUntilMs.delete(daemonId);
             return { stream, relayId: daemonId };
         }
--- a/packages/routing/src/serverpaths.ts
+++ b/packages/routing/src/serverpaths.ts
@@ -36,6 +36,8 @@
     Direct: "direct",
     /** Only the connection of a peer opens: this daemon's own path is lost. */
     Lost: "lost",
+    /** The direct connection is refused and no peer's opens: no process serves the address any more. */
+    ServerEnded: "serverEnded",
     /** Neither opens: the server itself is probably down. */
     ServerUnreachable: "serverUnreachable",
     /** The direct connection doesn't open and no peer could be asked. */
@@ -188,11 +190,13 @@
             return PathVerdict.Unknown;
         }
         const direct = this.#probeDirect(request.address);
-        if (await Promise.race([direct, sleep(CHECK_RELAY_DELAY_MS).then(() => false)])) {
+        const early = await Promise.race([direct, sleep(CHECK_RELAY_DELAY_MS)]);
+        if (early === ConnectionProbeResult.Open) {
             return PathVerdict.Direct;
         }
         const relayed = this.#probeRelayed(request);
-        if (await direct) {
+        const result = await direct;
+        if (result === ConnectionProbeResult.Open) {
             return PathVerdict.Direct;
         }
         const refusal = await relayed;
@@ -200,9 +204,12 @@
             this.#markLost(request, { evidence: "only a peer's connection opens" });
             return PathVerdict.Lost;
         }
-        return refusal === RelayRefusal.ServerUnreachable
-            ? PathVerdict.ServerUnreachable
-            : PathVerdict.Unknown;
+        if (refusal !== RelayRefusal.ServerUnreachable) {
+            return PathVerdict.Unknown;
+        }
+        return result === ConnectionProbeResult.Refused
+            ? PathVerdict.ServerEnded
+            : PathVerdict.ServerUnreachable;
     }
 
     /** Resolves to undefined if a connection through a peer opens and stays open, or to the reason why not. */
@@ -218,13 +225,13 @@
         }
     }
 
-    async #probeDirect(address: string): Promise<boolean> {
+    async #probeDirect(address: string): Promise<ConnectionProbeResult> {
         const probe = this.#options.probe ?? probeConnection;
-        const isOpen = await probe(address, PROBE_TIMEOUT_MS) === ConnectionProbeResult.Open;
-        if (isOpen) {
+        const result = await probe(address, PROBE_TIMEOUT_MS);
+        if (result === ConnectionProbeResult.Open) {
             this.recordDirect(address);
         }
-        return isOpen;
+        return result;
     }
 
     #markLost({ serverId, address }: RelayRequest, evidence: { relay?: string; evidence: string; }): void {
