Check the path of silent streams, and wait 1.6 s before a silent group is suspected

Streams of daemons that had lost their paths broke off, and their groups were suspected: 96 suspicions, all of which the leader judged healthy. A silence was taken for a fault of the group after 450 ms, and streams moved after 700 ms, although a sound engine may fall silent for a second or so and go on.

After 250 ms of silence the path is checked now. If only this daemon's path is lost, its streams go on through a peer, also at the same group, without a suspicion, a report of a crash or an attempt of the route; safe requests to plain servers likewise. Otherwise the evidence decides: a stream that misses events while others of its group have them moves after 700 ms as before, and so do those of a group that was withdrawn or whose head has ended. Without evidence nothing is suspected and no stream ends for 1.6 s, which leaves 0.4 s until callers leave.

A group with a dead member stalls for all daemons alike. So that its streams don't wait, the leader gets an early report after 450 ms, on which it acts only if a member has ended or refuses connections.

Resolution of calls, the checks of stalls and the quarantine of streams have their own modules.

--- a/packages/fleet/src/orders.ts
+++ b/packages/fleet/src/orders.ts
@@ -36,7 +36,11 @@
     /** A different server now has the address, so the process has ended. */
     | { kind: "ended"; }
     /** No answer in time or no connection. During a partition, connections to a live process may be refused. */
-    | { kind: "silent"; };
+    | {
+        kind: "silent";
+        /** Whether the connection was refused at once. */
+        isRefused?: boolean;
+    };
 
 /** Address of a backend server as `host:port`, with the id expected there. */
 export type ServerEndpoint = Pick<ServerReport, "serverId" | "address">;
--- a/packages/fleet/src/suspicion.ts
+++ b/packages/fleet/src/suspicion.ts
@@ -54,6 +54,19 @@
     return isSlow ? SuspicionVerdict.Slow : SuspicionVerdict.Healthy;
 };
 
+/**
+ * Diagnoses a group that may only be silent for a moment: a probe without an answer is then no evidence, in contrast to one that
+ * shows that the process has ended.
+ */
+export const evaluateEarlyProbes = (results: readonly MemberProbe[]): SuspicionVerdict => {
+    const verdict = evaluateProbes(results);
+    const failed = verdict === SuspicionVerdict.HeadSilent ? results.slice(0, 1) : results;
+    const hasEnded = failed.some(({ probe }) =>
+        probe.kind === "ended" || (probe.kind === "silent" && probe.isRefused === true)
+    );
+    return lossVerdicts.includes(verdict) && !hasEnded ? SuspicionVerdict.Unknown : verdict;
+};
+
 /** Phases in which a group may have streams. */
 const streamingPhases: readonly GroupPhase[] = [GroupPhase.Open, GroupPhase.Closing];
 
@@ -109,7 +122,8 @@
         if (!this.#state.mayAct() || !streamingPhases.includes(group.phase)) {
             return false;
         }
-        const verdict = evaluateProbes(results);
+        const isEarly = suspicion.isEarly === true;
+        const verdict = isEarly ? evaluateEarlyProbes(results) : evaluateProbes(results);
         const failed = results.filter(({ probe }) => probe.kind !== "answered").map(({ serverId }) =>
             serverId
         );
@@ -117,6 +131,7 @@
             group: group.groupName,
             epoch: group.epoch,
             reason: suspicion.reason,
+            isEarly,
             verdict,
             failed,
         });
@@ -125,7 +140,7 @@
             failed.forEach((serverId) => this.#state.lastFaultAtMs.set(serverId, nowMs));
         }
         // A closing group ends anyway, so only a loss requires action.
-        if (group.phase === GroupPhase.Open || lossVerdicts.includes(verdict)) {
+        if ((group.phase === GroupPhase.Open && !isEarly) || lossVerdicts.includes(verdict)) {
             this.#verdictHandlers[verdict]({ group, results, nowMs, suspicion });
         }
         return verdict === SuspicionVerdict.Healthy;
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -119,6 +119,11 @@
         this.#exchange.fail(kind, reason);
     }
 
+    /** Whether a byte of the request may have reached the server. */
+    get hasWritten(): boolean {
+        return this.#exchange.hasWritten;
+    }
+
     pause(): void {
         this.#exchange.pause();
     }
--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -36,6 +36,10 @@
 export const deadlineOf = (request: CallerRequest, route: Route): number =>
     request.receivedAtMs + Math.min(request.deadlineMs ?? Infinity, route.timeoutMs);
 
+/** Pause of a stream, or time before its first event, after which callers abandon it. */
+export const callerPatienceMs = ({ targetMs, gapTargetMs }: Route): number =>
+    Math.max(2_000, 4 * targetMs, 8 * (gapTargetMs ?? 0));
+
 /** Time at which a call ends at the latest, in monotonic time. */
 export const endsAtMs = ({ deadlineAtMs }: Call): number => deadlineAtMs + DEADLINE_MARGIN_MS;
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -8,7 +8,7 @@
     sleep,
     Verdict,
 } from "@greengage/base";
-import { type Organisation, pickService, type Route, type RoutingTable } from "@greengage/configuration";
+import type { RoutingTable } from "@greengage/configuration";
 import type {
     FleetView,
     GroupSuspicion,
@@ -22,21 +22,23 @@
 } from "@greengage/protocol";
 import {
     ConnectionPools,
+    noCapacity,
     type Relays,
     RequestLimits,
     type ServerHold,
     ServerHolds,
     ServerPaths,
 } from "@greengage/routing";
-import { type Call, deadlineOf, EndReason, endsAtMs } from "./call.ts";
+import { type Call, EndReason, endsAtMs } from "./call.ts";
+import { resolveCall } from "./callresolution.ts";
 import { Controllers } from "./controllers.ts";
 import type { CrashLeader } from "./crashreports.ts";
-import { CrashSuspects, culpritIdsOf } from "./crashsuspects.ts";
+import { CrashSuspects } from "./crashsuspects.ts";
 import { DemandMeter } from "./demandmeter.ts";
 import type { GatewayDependencies } from "./dependencies.ts";
 import { type Drain, drainingError, isServedWhileDraining } from "./drain.ts";
 import { FirstTokenOffsets } from "./firsttokenoffsets.ts";
-import { type GroupState, GroupStates, isHanging, type SuspicionDetails } from "./groupstates.ts";
+import { GroupStates } from "./groupstates.ts";
 import { LeavingReports } from "./leavingreports.ts";
 import { outcomeOfError } from "./outcome.ts";
 import { PlacementClient, type RequestPermit, type RequestPlacement } from "./placementclient.ts";
@@ -45,6 +47,7 @@
 import { type RetryLimits, ServiceRetryBudgets } from "./retrybudgets.ts";
 import { ServerCall } from "./servercall.ts";
 import { ServerStates } from "./serverstates.ts";
+import { StallMonitor } from "./stallmonitor.ts";
 import { StreamCall } from "./streamcall.ts";
 import type { CallerRequest, CallerResponse, InterruptedCall, ServerDialect } from "./types.ts";
 
@@ -74,9 +77,8 @@
 
 /** Interval of the stall checks, which adds to the time until streams fail over. */
 const STALL_CHECK_INTERVAL_MS = 50;
-/** A lasting suspicion is reported again, as the first report may be lost. */
-const SUSPICION_REPEAT_INTERVAL_MS = 500;
-const NOT_READY_RETRY_AFTER_MS = 300;
+/** `retryAfterMs` while no server can be reached: another daemon can serve the caller at once. */
+const UNREACHED_RETRY_AFTER_MS = 100;
 /**
  * A daemon receives configuration and groups within about a second after its start. Callers abandon a stream that has no
  * event after two seconds, and retry only once.
@@ -95,6 +97,7 @@
     readonly #controllers: Controllers;
     readonly #leavingReports: LeavingReports;
     readonly #relayPolicy: RelayPolicy;
+    readonly #stallMonitor: StallMonitor;
     #routing: RoutingTable | undefined;
     #inFlight = 0;
     #drain: Drain | undefined;
@@ -139,9 +142,11 @@
                 requestPermit: (request) => placementClient.acquirePermit(request),
             }),
             serverHolds: new ServerHolds(context),
-            suspect: (group, details) => this.#suspect(group, details),
+            suspect: (group, details) => this.#stallMonitor.suspect(group, details),
         };
-        const { serverHolds } = this.#deps;
+        const { serverHolds, groups } = this.#deps;
+        const { onSuspicion } = options;
+        this.#stallMonitor = new StallMonitor({ context, groups, paths, onSuspicion });
         this.#relayPolicy = new RelayPolicy(serverHolds);
         this.#leavingReports = new LeavingReports({ serverHolds, report: options.reportLeaving });
     }
@@ -176,7 +181,7 @@
 
     start(): void {
         this.#deps.paths.start();
-        this.#lifecycle.every(STALL_CHECK_INTERVAL_MS, () => this.#checkStalls(), (error) => {
+        this.#lifecycle.every(STALL_CHECK_INTERVAL_MS, () => this.#checkProgress(), (error) => {
             this.#options.context.decisions.record("gateway.stallCheck.failed", { reason: String(error) });
         });
     }
@@ -276,6 +281,7 @@
         try {
             await this.#waitUntilInitialized(request, response);
             const call = this.#resolve(request, response);
+            this.#checkReachability();
             this.#checkDrain(call);
             this.#deps.retryBudgets.forService(call.service.name).countRequest(monotonicMs());
             await this.#run(call);
@@ -312,6 +318,13 @@
         metrics.count("gateway.interrupted", 1, { progress, closedBy });
     }
 
+    #checkProgress(): void {
+        const nowMs = monotonicMs();
+        this.#stallMonitor.check(nowMs);
+        this.#leavingReports.check(nowMs);
+        this.#deps.pools.closeIdle(nowMs);
+    }
+
     /**
      * Holds requests that arrive while the daemon starts. If all daemons start together, rejected callers would use up their
      * single retry before any daemon is ready.
@@ -336,6 +349,18 @@
         }
     }
 
+    #resolve(request: CallerRequest, response: CallerResponse): Call {
+        const routing = this.#viewTerm === undefined ? undefined : this.#routing;
+        return resolveCall({ routing, request, response, random: this.#random });
+    }
+
+    /** Throws if the request should go to another daemon, as this one reaches no server on any path. */
+    #checkReachability(): void {
+        if (!this.#deps.reachability.mayAttempt()) {
+            throw noCapacity("no server can be reached, directly or through peers", UNREACHED_RETRY_AFTER_MS);
+        }
+    }
+
     #run(call: Call): Promise<void> {
         const { engine } = call.service;
         const { generation } = call.request;
@@ -345,103 +370,8 @@
         }
         return new ServerCall(this.#deps, call).run();
     }
-
-    /** Resolves route, service and organisation of a request. Throws if the request is not allowed. */
-    #resolve(request: CallerRequest, response: CallerResponse): Call {
-        const routing = this.#routing;
-        if (routing === undefined || this.#viewTerm === undefined) {
-            throw notRunError(
-                ErrorCode.Unavailable,
-                "the daemon has not received configuration and fleet view yet",
-                NOT_READY_RETRY_AFTER_MS,
-            );
-        }
-        const route = routing.match(request.host, request.target);
-        if (route === undefined) {
-            throw notRunError(ErrorCode.NotFound, `no route for ${request.host}${request.target}`);
-        }
-        const organisation = authorize(routing, route, request);
-        const service = routing.service(pickService(route, this.#random.nextFloat()));
-        if (service === undefined) {
-            throw notRunError(ErrorCode.Internal, `route ${route.name} has no service`);
-        }
-        return {
-            request,
-            response,
-            route,
-            service,
-            organisation,
-            culpritIds: culpritIdsOf(request, organisation),
-            priority: organisation?.priority ?? route.priority,
-            deadlineAtMs: deadlineOf(request, route),
-        };
-    }
-
-    /** Reports stalled groups to the controller and fails their streams over to other groups. */
-    #checkStalls(): void {
-        const nowMs = monotonicMs();
-        for (const group of this.#deps.groups.allIncludingWithdrawn()) {
-            const { isSuspect, mustFailOver, silentMs, hasRunningStream } = group.checkStall(nowMs);
-            if (isSuspect && !group.isSuspected(nowMs)) {
-                const reason = `no progress for ${Math.round(silentMs)} ms`;
-                this.#suspect(group, { reason, hasRunningStream });
-            }
-            if (isSuspect && mustFailOver) {
-                [...group.inFlight].forEach((inFlight) =>
-                    inFlight.failOver(`the group made no progress for ${Math.round(silentMs)} ms`)
-                );
-            }
-            [...group.inFlight].filter((inFlight) => isHanging(inFlight, nowMs)).forEach((inFlight) =>
-                inFlight.failOver("the request makes no progress")
-            );
-            this.#repeatSuspicion(group, nowMs);
-        }
-        this.#leavingReports.check(nowMs);
-        this.#deps.pools.closeIdle(nowMs);
-    }
-
-    /** Reports a suspicion again until the group makes progress, the controller clears it or the group is withdrawn. */
-    #repeatSuspicion(group: GroupState, nowMs: number): void {
-        const { suspicion } = group;
-        if (suspicion !== undefined && nowMs - suspicion.reportedAtMs >= SUSPICION_REPEAT_INTERVAL_MS) {
-            this.#reportSuspicion(group, suspicion.details, nowMs);
-        }
-    }
-
-    #suspect(group: GroupState, details: SuspicionDetails): void {
-        const { groupName, epoch } = group.target;
-        const { reason, hasRunningStream, culpritId } = details;
-        const fields = { group: groupName, epoch, reason, hasRunningStream, culprit: culpritId };
-        this.#options.context.decisions.record("group.suspected", fields);
-        this.#options.context.metrics.count("gateway.suspicions");
-        this.#reportSuspicion(group, details, monotonicMs());
-    }
-
-    #reportSuspicion(group: GroupState, details: SuspicionDetails, nowMs: number): void {
-        const { groupName, epoch } = group.target;
-        group.suspect(details, nowMs);
-        void this.#options.onSuspicion({ ...details, groupName, epoch }).then((isCleared) => {
-            if (isCleared) {
-                group.clearSuspicion();
-            }
-        });
-    }
 }
 
-const authorize = (routing: RoutingTable, route: Route, request: CallerRequest): Organisation | undefined => {
-    if (!routing.requiresApiKey) {
-        return undefined;
-    }
-    const organisation = request.apiKey === undefined ? undefined : routing.organisationOf(request.apiKey);
-    if (organisation === undefined && !route.allowsAnonymous) {
-        throw notRunError(ErrorCode.Unauthorized, "missing or unknown API key");
-    }
-    return organisation;
-};
-
-const notRunError = (code: ErrorCode, message: string, retryAfterMs?: number): GreengageError =>
-    new GreengageError(message, { code, verdict: Verdict.NotRun, retryAfterMs });
-
 /** Error of a request that failed for an unexpected reason. */
 export const internalError = (error: unknown): GreengageError =>
     new GreengageError(`internal error: ${String(error)}`, {
--- a/packages/gateway/src/groupstates.ts
+++ b/packages/gateway/src/groupstates.ts
@@ -13,11 +13,15 @@
 /** With usage reports of other daemons, an engine's load report is more accurate only while it is this recent. */
 const SHORT_LOAD_REPORT_LIFETIME_MS = 300;
 /** A running stream emits an event in each engine pass, which takes up to 0.2 s with a full batch and long prompts. */
-const STALL_MS = 450;
-/** Longer limit without a running stream, as the cause may be a queue in the engine that the prediction missed. */
-const FIRST_EVENT_STALL_MS = 700;
-/** Streams fail over when their group is silent for this long, because callers leave after two seconds. */
+const QUIET_MS = 250;
+/** Silence after which the controller is asked to look for members that have ended. */
+const OVERDUE_MS = 450;
+/** Silence after which streams fail over if others go on, or if the group or its head has ended. */
 const FAILOVER_MS = 700;
+/** Sound engines may be silent for up to 1.5 s; callers leave after two seconds. */
+const SILENCE_LIMIT_MS = 1_600;
+/** Events of others this long after the last event of a stream show that the stream has missed some. */
+const MISSED_EVENTS_MS = 300;
 /** Maximum time that a suspected group is excluded; progress or the controller can clear the suspicion earlier. */
 const SUSPICION_LIFETIME_MS = 5_000;
 /** Time that a group is excluded after a failed request, unless another request makes progress there. */
@@ -36,17 +40,15 @@
     lastEventAtMs?: number;
     /** Aborts the exchange, so that the request fails over to another group. */
     failOver: (reason: string) => void;
+    /** Whether the request has been written to a direct connection. Default: true. */
+    isOnDirectPath?: () => boolean;
+    /** Aborts the exchange, so that the request goes on over another path, also at the same group. */
+    losePath?: (reason: string) => void;
 }
 
-/** A single request without progress for this long fails over, even if other requests of its group make progress. */
+/** A single request without progress for this long fails over if other requests of its group make progress. */
 const HANG_MS = 1_000;
 
-/** Whether a request is overdue for its next event. */
-export const isHanging = (
-    { lastEventAtMs, expectedAtMs }: InFlightRequest,
-    nowMs: number,
-): boolean => nowMs - (lastEventAtMs ?? expectedAtMs) > HANG_MS;
-
 /** This daemon's view of one group: own and remote load, progress and suspicion. */
 export class GroupState {
     readonly target: GroupTarget;
@@ -59,6 +61,8 @@
     #slotOccupancyMs = INITIAL_SLOT_OCCUPANCY_MS;
     #lastEventAtMs = -Infinity;
     #avoidUntilMs = -Infinity;
+    #isWithdrawn = false;
+    #hasHeadEnded = false;
     #suspicion: { details: SuspicionDetails; sinceMs: number; reportedAtMs: number; } | undefined;
 
     constructor(target: GroupTarget) {
@@ -78,10 +82,41 @@
         }
         request.lastEventAtMs = nowMs;
         this.#lastEventAtMs = nowMs;
+        this.#hasHeadEnded = false;
         this.clearSuspicion();
         this.#avoidUntilMs = -Infinity;
     }
 
+    /** Records that the group is no longer in the fleet view. */
+    withdraw(): void {
+        this.#isWithdrawn = true;
+    }
+
+    /** Records that the head accepts no connection on any path. */
+    recordHeadEnded(): void {
+        this.#hasHeadEnded = true;
+    }
+
+    /**
+     * Requests on direct connections without an event for a while; none if others on direct connections have events. Their
+     * connections may have lost their path.
+     */
+    quietRequests(nowMs: number): InFlightRequest[] {
+        const direct = [...this.inFlight].filter(({ isOnDirectPath }) => isOnDirectPath?.() ?? true);
+        const isProgressing = direct.some(({ lastEventAtMs = -Infinity }) =>
+            nowMs - lastEventAtMs <= QUIET_MS
+        );
+        return isProgressing
+            ? []
+            : direct.filter(({ lastEventAtMs, sentAtMs }) => nowMs - (lastEventAtMs ?? sentAtMs) > QUIET_MS);
+    }
+
+    /** Whether a request is overdue for its next event, more so if others of the group have had events since its last one. */
+    isHanging({ lastEventAtMs, expectedAtMs }: InFlightRequest, nowMs: number): boolean {
+        const sinceMs = lastEventAtMs ?? expectedAtMs;
+        return nowMs - sinceMs > (this.#hasProgressAfter(sinceMs) ? HANG_MS : SILENCE_LIMIT_MS);
+    }
+
     end(request: InFlightRequest, isComplete: boolean, nowMs: number): void {
         if (!this.inFlight.delete(request)) {
             return;
@@ -194,25 +229,31 @@
             : atMs - usage.progressAgeMs;
     }
 
+    #hasProgressAfter(sinceMs: number): boolean {
+        return Math.max(this.#lastEventAtMs, this.#remoteProgressAtMs) - sinceMs > MISSED_EVENTS_MS;
+    }
+
     /** Checks how long the group has made no progress although an event was due. */
     checkStall(nowMs: number): StallStatus {
         const requests = [...this.inFlight];
         const running = requests.filter((request) => request.lastEventAtMs !== undefined);
-        if (running.length > 0) {
-            const silentMs = nowMs - Math.max(...running.map((request) => request.lastEventAtMs ?? 0));
-            return {
-                silentMs,
-                isSuspect: silentMs > STALL_MS,
-                mustFailOver: silentMs > FAILOVER_MS,
-                hasRunningStream: true,
-            };
-        }
-        const expectedAtMs = Math.min(...requests.map((request) => request.expectedAtMs));
-        // Progress of other daemons' streams shows that the group is running and own requests are only queued.
+        const hasRunningStream = running.length > 0;
+        const dueSinceMs = hasRunningStream
+            ? Math.max(...running.map((request) => request.lastEventAtMs ?? 0))
+            : Math.min(...requests.map((request) => request.expectedAtMs));
+        // Progress of other daemons' streams shows that the group is running.
         const progressAtMs = Math.max(this.#lastEventAtMs, this.#remoteProgressAtMs);
-        const silentMs = requests.length === 0 ? 0 : nowMs - Math.max(expectedAtMs, progressAtMs);
-        const isSuspect = silentMs > FIRST_EVENT_STALL_MS;
-        return { silentMs, isSuspect, mustFailOver: isSuspect, hasRunningStream: false };
+        const silentMs = requests.length === 0 ? 0 : nowMs - Math.max(dueSinceMs, progressAtMs);
+        const hasMissedEvents = hasRunningStream && this.#hasProgressAfter(dueSinceMs);
+        const limitMs = this.#isWithdrawn || this.#hasHeadEnded ? FAILOVER_MS : SILENCE_LIMIT_MS;
+        const isSuspect = silentMs > limitMs;
+        return {
+            silentMs,
+            isOverdue: silentMs > OVERDUE_MS,
+            isSuspect,
+            mustFailOver: isSuspect || (hasMissedEvents && nowMs - dueSinceMs > FAILOVER_MS),
+            hasRunningStream,
+        };
     }
 }
 
@@ -224,8 +265,12 @@
 
 /** Result of a stall check. */
 export interface StallStatus {
+    /** Time for which no daemon is known to have had an event although one was due. */
     silentMs: number;
+    /** Whether the controller should look for members that have ended. */
+    isOverdue: boolean;
     isSuspect: boolean;
+    /** Whether the group's streams should fail over, which doesn't imply that the group is suspect. */
     mustFailOver: boolean;
     hasRunningStream: boolean;
 }
@@ -242,6 +287,7 @@
         for (const [name, state] of this.#states) {
             if (!names.has(name)) {
                 this.#states.delete(name);
+                state.withdraw();
                 this.#withdrawn.add(state);
             }
         }
--- a/packages/gateway/src/pathattempt.ts
+++ b/packages/gateway/src/pathattempt.ts
@@ -52,23 +52,43 @@
         this.#options = options;
     }
 
+    get server(): RelayRequest {
+        return this.#options.server;
+    }
+
     /** Peer that relays the connection; undefined for a direct one. */
     get relayId(): string | undefined {
         return this.#relayId;
     }
 
+    /** Whether the request has been written to a direct connection, and waits for its response. */
+    get isOnDirectPath(): boolean {
+        return this.#relayId === undefined && this.#attempt?.hasWritten === true;
+    }
+
     /** Whether the request has failed after its write only because its path was lost: the server is up. */
     get isPathLost(): boolean {
         return this.#isPathLost;
     }
 
+    /** Fields that describe the path in the decision log. */
+    get pathFields(): { path: string; relay: string | undefined; isPathLost: true | undefined; } {
+        return {
+            path: this.#relayId === undefined ? "direct" : "relay",
+            relay: this.#relayId,
+            isPathLost: this.#isPathLost || undefined,
+        };
+    }
+
     /** Runs the attempt to its end. Never rejects. */
     async run(): Promise<AttemptOutcome> {
         const outcome = await this.#runOnEitherPath();
         if (outcome.kind === "failed" && outcome.failure === FailureKind.Broken && !this.#hasEnded) {
             this.#isPathLost = await this.#deps.paths.verify(this.#options.server) === PathVerdict.Lost;
         }
-        this.#deps.reachability.record(this.#options.server.address, !isUnopened(outcome) || this.#hasEnded);
+        if (!this.#hasEnded) {
+            this.#deps.reachability.record(this.#options.server.address, !isUnopened(outcome));
+        }
         return outcome;
     }
 
--- a/packages/gateway/src/rejections.ts
+++ b/packages/gateway/src/rejections.ts
@@ -26,6 +26,10 @@
         return this.#count + this.#lostPathCount;
     }
 
+    get mayLosePath(): boolean {
+        return this.#lostPathCount < MAX_LOST_PATHS;
+    }
+
     /** Records that an attempt has failed only because its path was lost. */
     recordLostPath(): void {
         this.#lostPathCount = Math.min(MAX_LOST_PATHS, this.#lostPathCount + 1);
--- a/packages/gateway/src/servercall.ts
+++ b/packages/gateway/src/servercall.ts
@@ -1,6 +1,6 @@
 import { type GreengageError, messageOf, monotonicMs, sleep } from "@greengage/base";
 import { RouteKind } from "@greengage/configuration";
-import { noCapacity } from "@greengage/routing";
+import { noCapacity, PathVerdict } from "@greengage/routing";
 import { spreadRetryAfterMs } from "./admission.ts";
 import { type AttemptOutcome, CRASH_FAILURES, wholeMsUntil } from "./attempt.ts";
 import { backendError, type Call, CallExecution, remainingMs } from "./call.ts";
@@ -13,6 +13,8 @@
 
 /** A request is not retried with less time than this left. */
 const MIN_REMAINING_MS = 60;
+/** Interval between checks of the path of a request that takes long. */
+const PATH_CHECK_INTERVAL_MS = 400;
 /** Mean `retryAfterMs` of requests for which no server is available. */
 const BUSY_RETRY_AFTER_MS = 300;
 
@@ -31,6 +33,8 @@
     #turnedAwayCount = 0;
     /** Attempts that don't count, as they failed only because their paths were lost. */
     #lostPathCount = 0;
+    /** Fields about the path of the last attempt for the decision log. */
+    #pathFields: PathAttempt["pathFields"] | undefined;
     /** Whether the request may crash the next server, too. */
     #isSuspected = false;
     /** Response with an error status of an earlier attempt. It is delivered if no other server takes the request. */
@@ -81,6 +85,7 @@
                 server: server.target.serverId,
                 outcome: outcome.kind,
                 reason,
+                ...this.#pathFields,
             });
             if (!this.#mayRetry(outcome)) {
                 throw this.#finalError(reason);
@@ -168,7 +173,12 @@
         });
         server.begin(nowMs);
         this.#execution.attempt = attempt;
+        const pathTimer = isSafe
+            ? setInterval(() => void this.#checkPath(attempt), PATH_CHECK_INTERVAL_MS)
+            : undefined;
         const outcome = await attempt.run();
+        clearInterval(pathTimer);
+        this.#pathFields = attempt.pathFields;
         this.#execution.attempt = undefined;
         this.#turnedAwayCount += Number(isTurnedAway(outcome));
         server.end(
@@ -199,6 +209,17 @@
         return outcome;
     }
 
+    /** Moves an attempt that takes long to another path if its own one is lost. */
+    async #checkPath(attempt: PathAttempt): Promise<void> {
+        if (
+            attempt.isOnDirectPath && this.#lostPathCount < MAX_LOST_PATHS
+            && await this.#deps.paths.verify(attempt.server) === PathVerdict.Lost
+            && attempt.isOnDirectPath && this.#execution.reserveRetry()
+        ) {
+            attempt.losePath("the path to the server is lost");
+        }
+    }
+
     /** Lets the request go on over the other path, also at the same server. */
     #recordLostPath(serverId: string): void {
         if (this.#lostPathCount < MAX_LOST_PATHS) {
--- a/packages/gateway/src/streamcall.ts
+++ b/packages/gateway/src/streamcall.ts
@@ -1,9 +1,16 @@
-import { type GreengageError, messageOf, monotonicMs, sleep } from "@greengage/base";
+import { type GreengageError, monotonicMs, sleep } from "@greengage/base";
 import type { EngineProfile, ModelSpec } from "@greengage/configuration";
 import { FailureKind, noCapacity } from "@greengage/routing";
 import { rejectionRetryAfterMs, spreadRetryAfterMs } from "./admission.ts";
-import { type AttemptOutcome, CRASH_FAILURES, wholeMsUntil } from "./attempt.ts";
-import { backendError, type Call, CallExecution, isCallerRetry, remainingMs } from "./call.ts";
+import { type AttemptOutcome, wholeMsUntil } from "./attempt.ts";
+import {
+    backendError,
+    type Call,
+    callerPatienceMs,
+    CallExecution,
+    isCallerRetry,
+    remainingMs,
+} from "./call.ts";
 import { StreamDelivery } from "./delivery.ts";
 import type { GatewayDependencies } from "./dependencies.ts";
 import { EmptyStreams } from "./emptystreams.ts";
@@ -13,12 +20,13 @@
 import { PlacementFinder, type ResolvedPlacement } from "./placementfinder.ts";
 import { ExtraAttempts, isOrderlyRejection } from "./rejections.ts";
 import { incarnationOf, observeServer } from "./serversignals.ts";
+import { StreamQuarantine } from "./streamquarantine.ts";
 import type { GenerationParameters, ServerHead } from "./types.ts";
 
 /** Delay before another attempt after a rejection or a failed placement. */
 const RETRY_DELAY_MS = 30;
-/** Callers abandon a stream after a pause of two seconds, so it must be resumed before that. */
-const RESUME_TIMEOUT_MS = 1_700;
+/** A stream must be resumed this long before its caller abandons it. */
+const RESUME_MARGIN_MS = 200;
 /** Minimum remaining time for a retry; also the shortest retry delay that a rejected caller is given. */
 const MIN_RETRY_MS = 100;
 
@@ -28,6 +36,8 @@
     hasHead: boolean;
     /** Whether the attempt has failed only because its path was lost. */
     isPathLost: boolean;
+    /** Fields about the path for the decision log. */
+    pathFields: PathAttempt["pathFields"];
 }
 
 /** Handles a request to a replica group, and resumes its event stream at another group if the group fails. */
@@ -42,8 +52,7 @@
     readonly #emptyStreams = new EmptyStreams();
     #head: ServerHead | undefined;
     readonly #extraAttempts = new ExtraAttempts();
-    /** Whether the leader lets the request find out whether a quarantined part still crashes engines. */
-    #isTrial = false;
+    readonly #quarantine: StreamQuarantine;
 
     constructor(
         deps: GatewayDependencies,
@@ -59,6 +68,7 @@
         this.#model = model;
         this.#placementFinder = new PlacementFinder(deps, call, { generation, profile, model });
         this.#delivery = new StreamDelivery(call.request);
+        this.#quarantine = new StreamQuarantine(deps, this.#execution, this.#delivery);
     }
 
     run(): Promise<void> {
@@ -70,7 +80,7 @@
     async #runAttempts(): Promise<void> {
         const tried = new Set<string>();
         while (this.#execution.endReason === undefined) {
-            await this.#checkQuarantine();
+            await this.#quarantine.check();
             const { group, firstTokenMs, startDelayMs } = await this.#waitForPlacement(tried);
             if (startDelayMs > 0) {
                 await sleep(startDelayMs);
@@ -84,7 +94,7 @@
             }
             tried.add(group.target.groupName);
             this.#execution.attemptCount += 1;
-            const { outcome, hasHead, isPathLost } = await this.#runAttempt(
+            const { outcome, hasHead, isPathLost, pathFields } = await this.#runAttempt(
                 group,
                 firstTokenMs - startDelayMs,
             );
@@ -97,11 +107,11 @@
             const reason = outcome.kind === "complete"
                 ? `responded with status ${outcome.head.status}`
                 : outcome.reason;
-            this.#execution.record("request.attemptFailed", { outcome: outcome.kind, reason });
+            this.#execution.record("request.attemptFailed", { outcome: outcome.kind, reason, ...pathFields });
             if (isPathLost) {
                 tried.delete(group.target.groupName);
             }
-            const mayRepeat = isPathLost || this.#mayRepeat(group, outcome, hasHead);
+            const mayRepeat = isPathLost || this.#quarantine.mayRepeat(group, outcome, hasHead);
             if (!this.#mayRetry(outcome) || !await mayRepeat) {
                 throw this.#finalError(reason);
             }
@@ -111,27 +121,6 @@
         }
     }
 
-    #isQuarantined(): boolean {
-        return !this.#delivery.hasHead && !this.#isTrial
-            && this.#deps.crashSuspects.hasQuarantined(this.#call.service.name, this.#call.culpritIds);
-    }
-
-    /** Throws if the request has produced no event and one of its prompt parts is quarantined. */
-    async #checkQuarantine(): Promise<void> {
-        if (this.#delivery.hasHead || this.#isTrial) {
-            return;
-        }
-        try {
-            this.#isTrial = await this.#deps.crashSuspects.admit(
-                this.#call.service.name,
-                this.#call.culpritIds,
-            );
-        }
-        catch (error) {
-            throw this.#execution.mayHaveRun ? backendError(messageOf(error)) : error;
-        }
-    }
-
     /** Waits for a group for a stream that has begun, as long as its caller waits; rejects other requests immediately. */
     async #waitForPlacement(tried: ReadonlySet<string>): Promise<ResolvedPlacement> {
         for (;;) {
@@ -142,7 +131,7 @@
                 const silentMs = monotonicMs() - this.#delivery.lastEventAtMs;
                 if (
                     !this.#delivery.hasHead || this.#execution.endReason !== undefined
-                    || silentMs > RESUME_TIMEOUT_MS
+                    || silentMs > callerPatienceMs(this.#call.route) - RESUME_MARGIN_MS
                 ) {
                     throw error;
                 }
@@ -212,7 +201,7 @@
             mayWrite: () => {
                 if (
                     this.#execution.endReason !== undefined || groups.get(target.groupName) !== group
-                    || this.#isQuarantined() || serverHolds.isHeld(head, monotonicMs())
+                    || this.#quarantine.isQuarantined || serverHolds.isHeld(head, monotonicMs())
                 ) {
                     return false;
                 }
@@ -236,6 +225,12 @@
                     attempt.fail(FailureKind.Stalled, reason);
                 }
             },
+            isOnDirectPath: () => attempt.isOnDirectPath,
+            losePath: (reason) => {
+                if (this.#canResume() && this.#extraAttempts.mayLosePath && this.#execution.reserveRetry()) {
+                    attempt.losePath(reason);
+                }
+            },
         };
         group.add(inFlight);
         this.#execution.attempt = attempt;
@@ -262,32 +257,8 @@
             this.#penalizeGroup(group, outcome);
             this.#extraAttempts.record(outcome);
         }
-        return { outcome, hasHead, isPathLost: attempt.isPathLost };
-    }
-
-    /** Whether a request that has lost its connection may be sent to another group, which it could crash too. */
-    async #mayRepeat(
-        group: GroupState,
-        outcome: AttemptOutcome,
-        hasHead: boolean,
-    ): Promise<boolean> {
-        const isInterrupted = outcome.kind === "failed" && CRASH_FAILURES.has(outcome.failure);
-        if (!isInterrupted) {
-            return true;
-        }
-        const { crashSuspects } = this.#deps;
-        const { service, culpritIds } = this.#call;
-        const isSuspected = !await crashSuspects.mayRepeatAfterFailure(service.name, group.target, {
-            partIds: [...culpritIds],
-            hasHead,
-            ...(this.#delivery.firstEventMs === undefined ? {} : { hasEvents: true }),
-        });
-        const mayRepeat = !this.#isTrial && !isSuspected;
-        if (!mayRepeat) {
-            const { groupName } = group.target;
-            this.#execution.record("request.notRepeated", { group: groupName, parts: [...culpritIds] });
-        }
-        return mayRepeat;
+        const { isPathLost, pathFields } = attempt;
+        return { outcome, hasHead, isPathLost, pathFields };
     }
 
     #onHead(group: GroupState, head: ServerHead): void {
--- a/packages/protocol/src/fleet.ts
+++ b/packages/protocol/src/fleet.ts
@@ -376,4 +376,6 @@
     hasRunningStream: boolean;
     /** Server that a response identified as the cause. */
     culpritId?: string;
+    /** Whether the group may only be silent for a moment. Only a member that has ended is then a reason to act. */
+    isEarly?: boolean;
 }
