Take daemons that reach servers on neither path out of rotation

A daemon whose direct paths are lost and whose peers can't relay kept taking callers and rejected them after up to 0.75 s each.

--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -84,7 +84,7 @@
 
     /** Whether a load balancer should send requests to this daemon. */
     get isReady(): boolean {
-        return this.gateway.isInitialized && !this.#isDraining;
+        return this.gateway.isInitialized && !this.#isDraining && this.gateway.reachesServers;
     }
 
     get isDraining(): boolean {
--- a/test/gateway/requestkinds.ts
+++ b/test/gateway/requestkinds.ts
@@ -1,4 +1,5 @@
 import { RouteKind } from "@greengage/configuration";
+import type { Relays } from "@greengage/routing";
 import type { ExecutionContext } from "ava";
 import { buildRoute } from "../configuration/fixtures.ts";
 import { createGateway, type GatewayFixture } from "./fixtures.ts";
@@ -34,12 +35,14 @@
     t: ExecutionContext,
     servers: readonly { address: string; }[],
     timeoutMs = ROUTE_TIMEOUT_MS,
+    relays?: Relays,
 ): GatewayFixture => {
     const targets = servers.map(({ address }) => ({ address, received: [], abortedCount: 0 }));
     const plain = { shares: [{ service: "ledger", weight: 1 }], canResume: false, timeoutMs };
     return createGateway(t, {
         groupHeads: targets,
         servers: targets,
+        relays,
         configuration: {
             routes: [
                 buildRoute({ ...plain, name: "read", pathPrefix: "/read/", kind: RouteKind.Safe }),
