--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -15,9 +15,12 @@
     PackedConfiguration,
     PartReport,
     PartReportResponse,
+    PathReport,
     PeerNetwork,
 } from "@greengage/protocol";
 import { createPeerNetwork } from "./peerid.ts";
+import { PeerRelays } from "./peerrelays.ts";
+import { RelayAcceptor } from "./relayacceptor.ts";
 
 export interface EntryDaemonOptions {
     context: Context;
@@ -36,6 +39,8 @@
     readonly #peers: PeerNetwork;
     readonly #watcher: FleetWatcher;
     readonly #usage: UsageClient;
+    readonly #relays: PeerRelays;
+    readonly #acceptor: RelayAcceptor;
     readonly #lifecycle = new Lifecycle();
     #seedIds: readonly string[];
     #controllers: FleetView["controllers"] = [];
@@ -47,6 +52,10 @@
         this.#options = options;
         this.#seedIds = seedIds;
         this.#peers = createPeerNetwork({ context, listen, peerKey });
+        this.#relays = new PeerRelays({
+            peers: this.#peers,
+            onSignals: (signals) => this.gateway.applyRelayedSignals(signals),
+        });
         this.gateway = new Gateway({
             context,
             dialect,
@@ -57,6 +66,8 @@
             requestPermit: (controllerId, request) =>
                 this.#peers.call(controllerId, "limit.acquire", request, { timeoutMs: PLACEMENT_TIMEOUT_MS }),
             reportLeaving: (server) => this.#reportLeaving(server),
+            relays: this.#relays,
+            onRelayedSignals: (relayId, signals) => this.#relays.sendSignals(relayId, signals),
             crashLeader: {
                 report: (report) => this.#reportParts(report),
                 requestTrial: (service, partId) => this.#requestTrial(service, partId),
@@ -85,7 +96,13 @@
                 list: () => this.gateway.serverLimits(),
                 merge: (limits) => this.gateway.mergeServerLimits(limits),
             },
+            paths: { report: () => this.#reportPaths(), apply: (list) => this.#relays.apply(list) },
         });
+        this.#acceptor = new RelayAcceptor({
+            context,
+            refuse: (request) => this.gateway.refuseRelay(request),
+        });
+        this.#peers.handleRelays((request, from) => this.#acceptor.open(request, from));
     }
 
     /** Whether a load balancer should send requests to this daemon. */
@@ -100,6 +117,8 @@
     async start(): Promise<void> {
         await this.#peers.start();
         this.#lifecycle.onClose(() => this.#peers.close());
+        this.#acceptor.start();
+        this.#lifecycle.onClose(() => this.#acceptor.close());
         this.gateway.start();
         this.#lifecycle.onClose(() => this.gateway.close());
         this.#watcher.start();
@@ -119,16 +138,35 @@
     drain(drain: Drain, connections: ConnectionCounts): void {
         this.#isDraining = true;
         this.gateway.drain(drain);
+        this.#acceptor.drain();
         this.#record("daemon.drain", connections);
     }
 
+    /** Resolves when no connection is relayed any more, or after `limitMs`. */
+    waitForRelayed(limitMs: number): Promise<void> {
+        return this.#acceptor.waitUntilIdle(limitMs);
+    }
+
     async close(connections: ConnectionCounts): Promise<void> {
         this.#record("daemon.stop", connections);
         await this.#lifecycle.close();
     }
 
     #record(event: string, connections: ConnectionCounts): void {
-        this.#options.context.decisions.record(event, { inFlight: this.gateway.inFlight, ...connections });
+        this.#options.context.decisions.record(event, {
+            inFlight: this.gateway.inFlight,
+            relayed: this.#acceptor.relayedCount,
+            ...connections,
+        });
+    }
+
+    #reportPaths(): PathReport {
+        return this.#relays.report({
+            zone: this.#options.context.zone,
+            relayedCount: this.#acceptor.relayedCount,
+            lostServerIds: this.gateway.reportedLostServerIds(),
+            mayRelay: this.#acceptor.mayRelay && this.gateway.isInitialized && this.gateway.reachesServers,
+        });
     }
 
     /** Control daemons in order of preference: the own zone, other zones, then seeds missing from the fleet view. */
