Conclude that a server is unreachable only if all peers say so

While most entry daemons of a fleet had lost their paths, requests ended with "no peer could relay the connection: serverUnreachable": peers without paths of their own had answered before the one that still reached the server, whose answer took longer, and the conclusion kept others from asking for 250 ms (test/platform/lostpaths.test.ts, 9 requests at one daemon). A peer that has lost several servers is asked last for all of them, and a peer has 0.7 s in place of 0.4 s to open a connection, as the next one doesn't wait for it.

--- a/packages/routing/src/relayopener.ts
+++ b/packages/routing/src/relayopener.ts
@@ -4,6 +4,8 @@
 
 /** A peer that couldn't relay is asked after the others for this long. */
 const PEER_AVOIDANCE_MS = 1_000;
+/** With this many lost paths, a daemon has most likely lost those to all servers. */
+export const PRESUMED_AFTER_LOST_PATHS = 2;
 /** Peers that are asked for one connection. */
 const MAX_PEERS_PER_CONNECTION = 3;
 /** The next peer is asked, too, if one has not answered by then: it may have lost the server itself. */
@@ -46,8 +48,8 @@
     }
 
     /**
-     * Opens a connection through the first peer that can. Rejects with the most conclusive `RelayError` of the peers asked;
-     * no byte has reached the server then. Each peer has `timeoutMs` to answer.
+     * Opens a connection through the first peer that can. Rejects with a `RelayError`, `serverUnreachable` only if all
+     * peers asked say so; no byte has reached the server then. Each peer has `timeoutMs` to answer.
      */
     async open(request: RelayRequest, timeoutMs: number): Promise<RelayedConnection> {
         return await this.#openThrough(this.#choosePeers(request.serverId), request, timeoutMs);
@@ -118,7 +120,10 @@
         const candidates = relays.candidates();
         const rank = ({ daemonId, zone, lostServerIds }: RelayCandidate): number =>
             4 * Number((this.#avoidedUntilMs.get(daemonId) ?? -Infinity) > nowMs)
-            + 2 * Number(lostServerIds.includes(serverId)) + Number(zone !== context.zone);
+            + 2 * Number(
+                    lostServerIds.includes(serverId) || lostServerIds.length >= PRESUMED_AFTER_LOST_PATHS,
+                )
+            + Number(zone !== context.zone);
         const ranked = candidates
             .map((peer) => ({
                 peer,
@@ -142,7 +147,7 @@
         : [first, second, ...others.filter((peer) => peer !== second)];
 };
 
-/** Resolves to the first connection that opens and closes the others. Rejects with the most conclusive error. */
+/** Resolves to the first connection that opens and closes the others. Rejects with one of the errors. */
 const firstOpened = async (openings: readonly Promise<RelayedConnection>[]): Promise<RelayedConnection> => {
     try {
         const first = await Promise.any(openings);
@@ -155,11 +160,11 @@
         return first;
     }
     catch (error) {
-        throw mostConclusive((error as AggregateError).errors as RelayError[]);
+        throw conclude((error as AggregateError).errors as RelayError[]);
     }
 };
 
-/** A peer that has tried to reach the server knows more than one that has not. */
-const mostConclusive = (errors: readonly RelayError[]): RelayError =>
-    errors.find(({ refusal }) => refusal === RelayRefusal.ServerUnreachable) ?? errors[0]
+/** That the server is unreachable is concluded only if all peers say so: one that has lost its own path says it, too. */
+const conclude = (errors: readonly RelayError[]): RelayError =>
+    errors.find(({ refusal }) => refusal !== RelayRefusal.ServerUnreachable) ?? errors[0]
         ?? new RelayError(RelayRefusal.PeerUnreachable, "no peer can relay the connection");
--- a/packages/routing/src/serverpaths.ts
+++ b/packages/routing/src/serverpaths.ts
@@ -10,12 +10,19 @@
 } from "@greengage/base";
 import { MAX_REPORTED_LOST_SERVERS, RelayError, RelayRefusal, type RelayRequest } from "@greengage/protocol";
 import type { Duplex } from "node:stream";
-import { type RelayedConnection, RelayOpener, type Relays } from "./relayopener.ts";
+import {
+    PRESUMED_AFTER_LOST_PATHS,
+    type RelayedConnection,
+    RelayOpener,
+    type Relays,
+} from "./relayopener.ts";
 
 /** Time for a direct connection to open when a path is checked; it takes milliseconds within a region. */
 const PROBE_TIMEOUT_MS = 250;
-/** Time for a peer to open a connection to a server and to answer. */
-const RELAY_TIMEOUT_MS = 400;
+/** Time for a peer to open a connection to a server and to answer; the next peer doesn't wait for it. */
+const RELAY_TIMEOUT_MS = 700;
+/** Shorter time if the connection only serves a check. */
+const CHECK_RELAY_TIMEOUT_MS = 400;
 /** A check asks peers only if the direct connection has not opened by then, which a working one has. */
 const CHECK_RELAY_DELAY_MS = 75;
 /** A relayed connection that stays open this long was not closed at once by a server that is full. */
@@ -25,8 +32,6 @@
 const TRIAL_INTERVAL_MS = 500;
 /** Limits the connections that trials open at the same time. */
 const MAX_CONCURRENT_TRIALS = 4;
-/** With this many lost paths and no direct connection since, the paths to all servers are presumed lost. */
-const PRESUMED_AFTER_LOST_PATHS = 2;
 /** A server that no peer has reached is not looked for through peers again for this long. */
 const UNREACHABLE_TTL_MS = 250;
 
@@ -145,12 +150,20 @@
      * Opens a connection through a peer. If the direct path has failed before (`directFailure`), a connection that stays open
      * shows that only the path is lost. Rejects with a `RelayError`; no byte has reached the server then.
      */
-    async openRelayed(request: RelayRequest, directFailure?: string): Promise<RelayedConnection> {
+    openRelayed(request: RelayRequest, directFailure?: string): Promise<RelayedConnection> {
+        return this.#openRelayed(request, RELAY_TIMEOUT_MS, directFailure);
+    }
+
+    async #openRelayed(
+        request: RelayRequest,
+        timeoutMs: number,
+        directFailure?: string,
+    ): Promise<RelayedConnection> {
         if (monotonicMs() < (this.#unreachableUntilMs.get(request.address) ?? -Infinity)) {
             throw new RelayError(RelayRefusal.ServerUnreachable, "no peer has reached the server recently");
         }
         try {
-            const connection = await this.#opener.open(request, RELAY_TIMEOUT_MS);
+            const connection = await this.#opener.open(request, timeoutMs);
             if (directFailure !== undefined) {
                 void isSettled(connection.stream).then((isOpen) =>
                     isOpen && this.recordRelayed(request, connection.relayId, directFailure)
@@ -215,7 +228,7 @@
     /** Resolves to undefined if a connection through a peer opens and stays open, or to the reason why not. */
     async #probeRelayed(request: RelayRequest): Promise<RelayRefusal | undefined> {
         try {
-            const { stream } = await this.openRelayed(request);
+            const { stream } = await this.#openRelayed(request, CHECK_RELAY_TIMEOUT_MS);
             const isOpen = await isSettled(stream);
             stream.destroy();
             return isOpen ? undefined : RelayRefusal.ServerUnreachable;
--- a/test/routing/serverpaths.test.ts
+++ b/test/routing/serverpaths.test.ts
@@ -173,6 +173,28 @@
     t.deepEqual(askedIds, ["remote"]);
 });
 
+// Guards against peers without paths of their own whose answers end requests that another peer could relay.
+test("a server counts as unreachable only if all peers say so", async (t) => {
+    const { paths, askedIds } = createPaths(t, [
+        { candidate: candidate("cut"), opening: refuses(RelayRefusal.ServerUnreachable) },
+        { candidate: candidate("slow", { zone: "other" }), opening: refuses(RelayRefusal.PeerUnreachable) },
+    ]);
+    for (const expectedCount of [2, 4]) {
+        const error = await t.throwsAsync<RelayError>(paths.openRelayed(SERVER), { instanceOf: RelayError });
+        t.is(error?.refusal, RelayRefusal.PeerUnreachable);
+        t.is(askedIds.length, expectedCount);
+    }
+});
+
+test("a peer that has lost several servers is asked last for all of them", async (t) => {
+    const { paths, askedIds } = createPaths(t, [
+        { candidate: candidate("cut", { lostServerIds: ["x", "y"] }), opening: opens },
+        { candidate: candidate("remote", { zone: "other" }), opening: opens },
+    ]);
+    await paths.openRelayed(SERVER);
+    t.deepEqual(askedIds, ["remote"]);
+});
+
 test("a server that no peer reaches is not looked for again at once", async (t) => {
     const opening = refuses(RelayRefusal.ServerUnreachable);
     const { paths, askedIds } = createPaths(t, [{ candidate: candidate("a"), opening }]);
