Keep running while the disk of a data folder is full

What callers saw: while the disk of a control VM was full, its process ended at each write and started again about once a second. No rule broke and no change was lost, but each restart forgot leases and watches, and a second fault would have stopped all changes.

Cause: RaftStorage ended the process after any failed write, because its outcome is unknown. That is right for a sync. A write that the system refuses with ENOSPC or EDQUOT has a known outcome, up to a torn end of the log file.

Now the log file is truncated after its last complete record, a temporary file is removed, and the write is repeated every 100 ms until it succeeds; later writes wait in order. The memory state is then ahead of the disk as it is with a slow disk, and whoever waits for durability is told at once: the member steps down, doesn't campaign, denies votes and refuses entries. It still answers heartbeats of a term that it has stored, marked as full, so a leader that needs it for a majority stays the leader and refuses changes as not run. Its age of state counts as infinite while it is behind, so learners and entry daemons fetch from another daemon. A failed sync still ends the process, also with ENOSPC. Loss and regain are one log line, a metric and an event each, and LogStatus shows the state.

--- a/packages/consensus/src/election.ts
+++ b/packages/consensus/src/election.ts
@@ -1,5 +1,6 @@
 import { messageOf, monotonicMs, Random, sleep } from "@greengage/base";
 import type { Member, VoteRequest, VoteResponse } from "@greengage/protocol";
+import { DiskFullError } from "./errors.ts";
 import { LogRole } from "./replicatedlog.ts";
 import type { RaftState } from "./state.ts";
 
@@ -57,8 +58,8 @@
     }
 
     #mayCampaign(): boolean {
-        const { isVoter, isLeader, isIdentityVerified } = this.#state;
-        return isVoter && !isLeader && isIdentityVerified;
+        const { isVoter, isLeader, isIdentityVerified, isDiskFull } = this.#state;
+        return isVoter && !isLeader && isIdentityVerified && !isDiskFull;
     }
 
     #timerElapsedMs(): number {
@@ -82,6 +83,9 @@
         state.role = LogRole.Candidate;
         state.changed.notify();
         await state.metadataSaved();
+        if (state.role !== LogRole.Candidate) {
+            return;
+        }
         const isElected = await this.#collectVotes("raft.vote", term);
         if (state.term !== term || state.role !== LogRole.Candidate) {
             return;
@@ -199,7 +203,8 @@
         // A voter in contact with a leader takes no part in elections, so a member that was partitioned can't depose
         // the leader when it returns.
         const hasLeader = state.leaderContactAgeMs() < state.timing.electionTimeoutMs;
-        return !state.isIdentityVerified || request.targetMemberId !== state.memberId || hasLeader;
+        return !state.isIdentityVerified || request.targetMemberId !== state.memberId || hasLeader
+            || state.isDiskFull;
     }
 
     #isUpToDate(request: VoteRequest): boolean {
@@ -241,7 +246,15 @@
             }
             this.#timerStartedAtMs = monotonicMs();
         }
-        await state.metadataSaved();
+        try {
+            await state.unlessDiskFull(state.metadataSaved());
+        }
+        catch (error) {
+            if (error instanceof DiskFullError) {
+                return this.#denial();
+            }
+            throw error;
+        }
         // A request with a higher term may have arrived during the write.
         const stillGranted = isGranted && state.term === request.term;
         return { ...this.#denial(), granted: stillGranted };
--- a/packages/consensus/src/errors.ts
+++ b/packages/consensus/src/errors.ts
@@ -8,6 +8,14 @@
     }
 }
 
+/** The disk refused a write for lack of room. Nothing of it became durable, so it can be repeated. */
+export class DiskFullError extends StorageError {
+    constructor(reason: string, cause?: unknown) {
+        super(`the disk is full: ${reason}`, cause);
+        this.name = "DiskFullError";
+    }
+}
+
 /** Error for an operation that certainly had no effect, so the caller may retry it. */
 export const notCommittedError = (message: string): GreengageError =>
     new GreengageError(message, {
--- a/packages/consensus/src/files.ts
+++ b/packages/consensus/src/files.ts
@@ -1,6 +1,6 @@
-import { type FileHandle, open, readFile, rename } from "node:fs/promises";
+import { type FileHandle, open, readFile, rename, rm } from "node:fs/promises";
 import { basename, dirname } from "node:path";
-import { StorageError } from "./errors.ts";
+import { DiskFullError, StorageError } from "./errors.ts";
 import type { RecordCodec } from "./recordcodec.ts";
 
 /** Flushes a file to disk. Tests replace it to inject sync failures. */
@@ -8,6 +8,28 @@
 
 export const syncFile: SyncFile = (file) => file.sync();
 
+/** Writes bytes at the current position of a file. Tests replace it to inject refused writes. */
+export type WriteFile = (file: FileHandle, bytes: Uint8Array) => Promise<void>;
+
+export const writeFile: WriteFile = (file, bytes) => file.writeFile(bytes);
+
+/** Error codes of a disk or quota without room. */
+const DISK_FULL_CODES: readonly unknown[] = ["ENOSPC", "EDQUOT"];
+
+/**
+ * Runs a file operation and converts its refusal for lack of room into a DiskFullError. Not for syncs: after a failed
+ * sync it is unknown which earlier writes are durable.
+ */
+export const detectFullDisk = async <T>(operation: () => Promise<T>): Promise<T> => {
+    try {
+        return await operation();
+    }
+    catch (error) {
+        const { code, message } = error as NodeJS.ErrnoException;
+        throw DISK_FULL_CODES.includes(code) ? new DiskFullError(message, error) : error;
+    }
+};
+
 /** Reads a file. Returns undefined if it does not exist. */
 export const readIfPresent = async (path: string): Promise<Buffer | undefined> => {
     try {
@@ -32,18 +54,34 @@
     }
 };
 
-/** Replaces a file atomically: writes and syncs a temporary file, renames it, and syncs the directory. */
-export const replaceFile = async (path: string, bytes: Uint8Array, sync: SyncFile): Promise<void> => {
+/**
+ * Replaces a file atomically: writes and syncs a temporary file, renames it, and syncs the directory. Throws a
+ * DiskFullError, with the file unchanged, if there is no room for the temporary file.
+ */
+export const replaceFile = async (
+    path: string,
+    bytes: Uint8Array,
+    sync: SyncFile,
+    write: WriteFile = writeFile,
+): Promise<void> => {
     const newPath = `${path}.new`;
-    const file = await open(newPath, "w");
     try {
-        await file.writeFile(bytes);
-        await sync(file);
+        const file = await detectFullDisk(() => open(newPath, "w"));
+        try {
+            await detectFullDisk(() => write(file, bytes));
+            await sync(file);
+        }
+        finally {
+            await file.close();
+        }
+        await detectFullDisk(() => rename(newPath, path));
     }
-    finally {
-        await file.close();
+    catch (error) {
+        if (error instanceof DiskFullError) {
+            await rm(newPath, { force: true }).catch(() => undefined);
+        }
+        throw error;
     }
-    await rename(newPath, path);
     await syncFolder(dirname(path), sync);
 };
 
--- a/packages/consensus/src/follower.ts
+++ b/packages/consensus/src/follower.ts
@@ -1,7 +1,14 @@
 import { Invariant } from "@greengage/base";
 import type { AppendRequest, AppendResponse, LogEntry } from "@greengage/protocol";
+import { DiskFullError } from "./errors.ts";
 import type { RaftState } from "./state.ts";
 
+/** Response to a leader. */
+export interface FollowerResponse extends AppendResponse {
+    /** Whether the member follows the leader but refuses entries, because its disk is full. */
+    isDiskFull?: boolean;
+}
+
 /** Follower side of replication: validates and stores the leader's entries. */
 export class Follower {
     readonly #state: RaftState;
@@ -11,7 +18,10 @@
         state.peers.handle("raft.append", (request) => this.#handleAppend(request));
     }
 
-    /** Accepts `leaderId` as the leader of `term`. Returns false if the request is stale or for another member. */
+    /**
+     * Accepts `leaderId` as the leader of `term`. Returns false if the request is stale or for another member. Throws a
+     * DiskFullError if the term can't be stored.
+     */
     async follow(term: number, leaderId: string, targetMemberId: string): Promise<boolean> {
         const state = this.#state;
         const isTarget = state.isIdentityVerified && targetMemberId === state.memberId;
@@ -28,7 +38,7 @@
             state.changed.notify();
         }
         state.recordLeaderContact();
-        await state.metadataSaved();
+        await state.unlessDiskFull(state.metadataSaved());
         return state.term === term;
     }
 
@@ -38,8 +48,9 @@
         return { term, memberId, success: false, matchIndex, lastLogIndex: entries.lastIndex };
     }
 
-    async #handleAppend(request: AppendRequest): Promise<AppendResponse> {
+    async #handleAppend(request: AppendRequest): Promise<FollowerResponse> {
         const state = this.#state;
+        state.leaderCommitIndex = Math.max(state.leaderCommitIndex, request.commitIndex);
         if (!await this.follow(request.term, request.leaderId, request.targetMemberId)) {
             return this.rejection();
         }
@@ -49,6 +60,9 @@
                 state.marks.raise(mark.memberId, mark.term, mark.index);
             }
         }
+        if (state.isDiskFull) {
+            return this.#diskFullResponse();
+        }
         const { prevLogIndex, prevLogTerm } = request;
         if (prevLogIndex > state.entries.lastIndex) {
             return this.rejection(state.entries.lastIndex);
@@ -60,10 +74,22 @@
         const matchIndex = prevLogIndex + request.entries.length;
         const stored = this.#store(request.entries);
         state.advanceCommitIndex(Math.min(request.commitIndex, matchIndex));
-        await stored;
+        try {
+            await state.unlessDiskFull(stored);
+        }
+        catch (error) {
+            if (error instanceof DiskFullError) {
+                return this.#diskFullResponse();
+            }
+            throw error;
+        }
         return { ...this.rejection(matchIndex), success: true };
     }
 
+    #diskFullResponse(): FollowerResponse {
+        return { ...this.rejection(this.#state.commitIndex), isDiskFull: true };
+    }
+
     /** Stores entries that are missing from the log. Resolves when all of `entries` are durable. */
     #store(entries: LogEntry[]): Promise<void> {
         const state = this.#state;
--- a/packages/consensus/src/learner.ts
+++ b/packages/consensus/src/learner.ts
@@ -152,7 +152,7 @@
             await state.changed.wait(deadlineMs - monotonicMs());
         }
         const { appliedIndex, clusterId, leaderId } = state;
-        const ageMs = state.leaderContactAgeMs();
+        const ageMs = state.passedOnStateAgeMs();
         const leaderContactAgeMs = Number.isFinite(ageMs) ? ageMs : undefined;
         const commonFields = { clusterId, commitIndex: appliedIndex, leaderId, leaderContactAgeMs };
         if (request.fromIndex <= state.entries.baseIndex) {
--- a/packages/consensus/src/members.ts
+++ b/packages/consensus/src/members.ts
@@ -22,7 +22,7 @@
     seedIds: () => readonly string[];
     /** Number of voters that the cluster grows to. Further daemons wait to replace a lost voter. */
     targetCount: number;
-    /** A voter that has not responded for this long is replaced by a waiting daemon. */
+    /** A voter that has not responded, or whose disk has been full, for this long is replaced by a waiting daemon. */
     replaceLostAfterMs: number;
 }
 
@@ -341,11 +341,11 @@
         const { replication } = this.#options;
         const { otherVoters, timing } = this.#state;
         const lostVoter = otherVoters.find(({ memberId }) =>
-            replication.timeSinceResponseMs(memberId) >= dynamicVoters.replaceLostAfterMs
+            replication.timeSinceWritableMs(memberId) >= dynamicVoters.replaceLostAfterMs
         );
         // The remaining voters have to commit the change; if there are only two, both must respond.
         const othersRespond = otherVoters.every((voter) =>
-            voter === lostVoter || replication.timeSinceResponseMs(voter.memberId) < timing.electionTimeoutMs
+            voter === lostVoter || replication.timeSinceWritableMs(voter.memberId) < timing.electionTimeoutMs
         );
         return othersRespond ? lostVoter : undefined;
     }
--- a/packages/consensus/src/memorylog.ts
+++ b/packages/consensus/src/memorylog.ts
@@ -38,6 +38,7 @@
             isCurrent: true,
             leaderContactAgeMs: 0,
             joiningIds: [],
+            isDiskFull: false,
         };
     }
 }
--- a/packages/consensus/src/proposals.ts
+++ b/packages/consensus/src/proposals.ts
@@ -45,6 +45,9 @@
             const leaderId = this.#recentLeaderId();
             if (leaderId === undefined) {
                 // Wait for a leader: a command sent to a partitioned member would have an unknown outcome.
+                reason = this.#state.isDiskFull
+                    ? "there is no leader, and the disk of this daemon is full"
+                    : "there is no leader";
                 await this.#state.changed.wait(Math.min(RETRY_DELAY_MS, timeoutMs));
                 continue;
             }
@@ -128,9 +131,20 @@
     async #proposeLocally(command: Uint8Array, timeoutMs: number): Promise<ProposeResponse> {
         const state = this.#state;
         const { applier, replication } = this.#options;
+        const { leaderId } = state;
         if (!state.isLeader || state.lifecycle.isClosed) {
-            const { leaderId } = state;
-            return { ok: false, leaderId, verdict: Verdict.NotRun, reason: "this daemon is not the leader" };
+            const reason = state.isDiskFull
+                ? "the disk of this daemon is full"
+                : "this daemon is not the leader";
+            return { ok: false, leaderId, verdict: Verdict.NotRun, reason };
+        }
+        if (replication.lacksWritableMajority) {
+            return {
+                ok: false,
+                leaderId,
+                verdict: Verdict.NotRun,
+                reason: "full disks leave no majority of voters that can store the command",
+            };
         }
         if (applier.pendingCount >= MAX_PENDING_PROPOSALS) {
             return {
--- a/packages/consensus/src/raft.ts
+++ b/packages/consensus/src/raft.ts
@@ -11,18 +11,19 @@
 import { Applier } from "./applier.ts";
 import { CatchUpCheck } from "./catchup.ts";
 import { Election } from "./election.ts";
-import type { SyncFile } from "./files.ts";
+import type { DiskFullError } from "./errors.ts";
+import type { SyncFile, WriteFile } from "./files.ts";
 import { Follower } from "./follower.ts";
 import { type ConfiguredDaemon, Learner } from "./learner.ts";
 import { ClusterMembership, type DynamicVoters } from "./members.ts";
 import { Proposals } from "./proposals.ts";
-import type {
-    Command,
+import {
+    type Command,
     LogRole,
-    LogStatus,
-    ReplicatedLog,
-    StateMachine,
-    TimeoutOptions,
+    type LogStatus,
+    type ReplicatedLog,
+    type StateMachine,
+    type TimeoutOptions,
 } from "./replicatedlog.ts";
 import { Replication } from "./replication.ts";
 import { SnapshotReceiver, SnapshotSender, SnapshotSource } from "./snapshot.ts";
@@ -50,6 +51,8 @@
     onStorageFailure?: (error: unknown) => void;
     /** Default: `FileHandle.sync`. */
     syncFile?: SyncFile;
+    /** Default: `FileHandle.writeFile`. */
+    writeFile?: WriteFile;
 }
 
 /** Replicated log: Raft among the voters, and learners that fetch committed entries. */
@@ -189,18 +192,24 @@
             voterIds: voters.map((voter) => voter.daemonId),
             parentId: memberId ? undefined : this.#learner.parentId,
             isCurrent: this.isCurrent,
-            leaderContactAgeMs: this.#state.leaderContactAgeMs(),
+            leaderContactAgeMs: this.#state.passedOnStateAgeMs(),
             joiningIds: this.#membership?.joiningMembers().map((member) => member.daemonId) ?? [],
+            isDiskFull: this.#state.isDiskFull,
         };
     }
 
     async #openStorage(folder: string): Promise<void> {
-        const { peers, syncFile } = this.#options;
+        const { context, peers, syncFile, writeFile } = this.#options;
+        context.metrics.gauge("storage.disk_full", 0);
         const { storage, state: stored } = await RaftStorage.open({
             folder,
             daemonId: peers.daemonId,
             onFailure: (error) => this.#handleStorageFailure(error),
+            onDiskFull: (error) => this.#handleFullDisk(error),
+            onDiskFreed: (fullMs) => this.#handleFreedDisk(fullMs),
+            signal: this.#lifecycle.signal,
             sync: syncFile,
+            write: writeFile,
         });
         this.#lifecycle.onClose(() => storage.close());
         if (stored.truncatedBytes > 0) {
@@ -212,6 +221,31 @@
         this.#applier.restoreFromStorage(stored.snapshot?.data);
     }
 
+    #handleFullDisk(error: DiskFullError): void {
+        const { context } = this.#options;
+        const { role, term, log } = this.#state;
+        log.error(
+            "a write to the data folder was refused; this daemon doesn't lead, vote or store entries until it succeeds",
+            { reason: error.message, role, term },
+        );
+        context.timeline.record("consensus", "storage.full", { reason: error.message });
+        context.metrics.count("storage.disk_full_count");
+        context.metrics.gauge("storage.disk_full", 1);
+        if (role === LogRole.Leader || role === LogRole.Candidate) {
+            this.#state.stepDown();
+        }
+    }
+
+    #handleFreedDisk(fullMs: number): void {
+        const { context } = this.#options;
+        this.#state.log.info("the data folder accepts writes again", {
+            fullMs: Math.round(fullMs),
+        });
+        context.timeline.record("consensus", "storage.freed", { fullMs: Math.round(fullMs) });
+        context.metrics.gauge("storage.disk_full", 0);
+        this.#state.changed.notify();
+    }
+
     #handleStorageFailure(error: unknown): void {
         this.#state.log.error("a write to the data folder failed; its outcome is unknown", {
             reason: messageOf(error),
--- a/packages/consensus/src/replicatedlog.ts
+++ b/packages/consensus/src/replicatedlog.ts
@@ -34,10 +34,15 @@
     /** Daemon that a learner fetches entries from. */
     parentId?: string;
     isCurrent: boolean;
-    /** Time since the last message from the leader; 0 on the leader itself, Infinity if there was none. */
+    /**
+     * Time since the last message from the leader; 0 on the leader itself, Infinity if there was none or a full disk
+     * keeps this daemon behind the leader.
+     */
     leaderContactAgeMs: number;
     /** Daemons that have asked this leader to become voters. */
     joiningIds: string[];
+    /** Whether the disk of the data folder is full, so that this daemon neither leads, votes nor stores entries. */
+    isDiskFull: boolean;
 }
 
 export interface TimeoutOptions {
--- a/packages/consensus/src/replication.ts
+++ b/packages/consensus/src/replication.ts
@@ -1,5 +1,6 @@
 import { messageOf, monotonicMs, sleep } from "@greengage/base";
-import type { AppendRequest, AppendResponse, LogEntry, Member } from "@greengage/protocol";
+import type { AppendRequest, LogEntry, Member } from "@greengage/protocol";
+import type { FollowerResponse } from "./follower.ts";
 import type { SnapshotSender } from "./snapshot.ts";
 import type { RaftState } from "./state.ts";
 import { MAX_BATCH_BYTES } from "./timing.ts";
@@ -15,6 +16,10 @@
     sentMarksVersion: number;
     /** Initially the start of the leadership, which gives each member time to respond. */
     lastResponseAtMs: number;
+    /** As `lastResponseAtMs`, but without responses of a member whose disk is full. */
+    lastWritableAtMs: number;
+    /** Whether the member's disk was full at its last response. */
+    isDiskFull: boolean;
     /** When the leader sent the request that the member last responded to. */
     answeredRequestSentAtMs: number;
     lastSentAtMs: number;
@@ -67,9 +72,20 @@
         return this.#progress.get(memberId)?.matchIndex ?? 0;
     }
 
-    /** Time since a member's last response; Infinity for an unknown member. */
-    timeSinceResponseMs(memberId: string): number {
-        return monotonicMs() - (this.#progress.get(memberId)?.lastResponseAtMs ?? -Infinity);
+    /** Time since a member could last store entries; Infinity for an unknown member. */
+    timeSinceWritableMs(memberId: string): number {
+        return monotonicMs() - (this.#progress.get(memberId)?.lastWritableAtMs ?? -Infinity);
+    }
+
+    /** Whether full disks leave fewer than a majority of the voters that can store entries. */
+    get lacksWritableMajority(): boolean {
+        const state = this.#state;
+        const progress = state.otherVoters.map(({ memberId }) => this.#progress.get(memberId));
+        const sinceMs = monotonicMs() - state.extendedElectionTimeoutMs;
+        const writable = progress.filter((member) =>
+            member !== undefined && !member.isDiskFull && member.lastResponseAtMs >= sinceMs
+        );
+        return progress.some((member) => member?.isDiskFull) && !state.isMajority(writable.length + 1);
     }
 
     /** Whether a majority of the voters has responded to requests sent at or after `sinceMs`. */
@@ -96,9 +112,7 @@
             }
             if (!this.#hasQuorumContact()) {
                 state.log.warn(`lost contact with a majority; stepping down as the leader of term ${term}`);
-                state.role = state.passiveRole;
-                state.leaderId = undefined;
-                state.changed.notify();
+                state.stepDown();
                 return;
             }
             await state.changed.wait(state.timing.heartbeatMs);
@@ -126,6 +140,8 @@
             sentCommitIndex: 0,
             sentMarksVersion: 0,
             lastResponseAtMs: startedAtMs,
+            lastWritableAtMs: startedAtMs,
+            isDiskFull: false,
             answeredRequestSentAtMs: 0,
             lastSentAtMs: 0,
         };
@@ -178,10 +194,13 @@
         const state = this.#state;
         const sentAtMs = monotonicMs();
         progress.lastSentAtMs = sentAtMs;
-        if (progress.nextIndex <= state.entries.baseIndex) {
+        // A member with a full disk gets heartbeats only, and tells by its responses when it has room.
+        if (progress.nextIndex <= state.entries.baseIndex && !progress.isDiskFull) {
             const lastIndex = await this.#options.snapshots.send(progress.member, term);
             if (state.isLeaderOf(term)) {
                 progress.lastResponseAtMs = monotonicMs();
+                progress.lastWritableAtMs = progress.lastResponseAtMs;
+                progress.isDiskFull = false;
                 progress.lastResponseTerm = term;
                 progress.matchIndex = Math.max(progress.matchIndex, lastIndex);
                 progress.nextIndex = lastIndex + 1;
@@ -203,7 +222,7 @@
         const prevLogIndex = progress.nextIndex - 1;
         // Send no entries until the member has confirmed where its log matches; it would reject most of them.
         const isProbing = progress.matchIndex === 0 && prevLogIndex > 0;
-        const entries = isProbing
+        const entries = isProbing || progress.isDiskFull
             ? []
             : state.entries.slice(progress.nextIndex, state.entries.lastIndex, MAX_BATCH_BYTES);
         const includesMarks = progress.sentMarksVersion !== state.marks.version && entries.length > 0;
@@ -226,7 +245,7 @@
 
     async #handleAppendResponse(
         progress: Progress,
-        response: AppendResponse,
+        response: FollowerResponse,
         sentAtMs: number,
     ): Promise<void> {
         const state = this.#state;
@@ -251,6 +270,12 @@
         progress.lastResponseAtMs = monotonicMs();
         progress.answeredRequestSentAtMs = sentAtMs;
         progress.lastResponseTerm = response.term;
+        progress.isDiskFull = response.isDiskFull ?? false;
+        if (progress.isDiskFull) {
+            await sleep(state.timing.heartbeatMs / 2, state.lifecycle.signal);
+            return;
+        }
+        progress.lastWritableAtMs = progress.lastResponseAtMs;
         if (!response.success) {
             progress.nextIndex = Math.max(1, Math.min(progress.nextIndex - 1, response.matchIndex + 1));
             return;
--- a/packages/consensus/src/snapshot.ts
+++ b/packages/consensus/src/snapshot.ts
@@ -88,7 +88,7 @@
         this.#follower = follower;
         state.peers.handle("raft.snapshot", async (request) => {
             const isFollowing = await follower.follow(request.term, request.leaderId, request.targetMemberId);
-            if (!isFollowing || !this.#appendChunk(request)) {
+            if (!isFollowing || state.isDiskFull || !this.#appendChunk(request)) {
                 return follower.rejection();
             }
             if (request.done) {
--- a/packages/consensus/src/state.ts
+++ b/packages/consensus/src/state.ts
@@ -45,6 +45,8 @@
     /** Commit index that is durable on this daemon. */
     durableCommitIndex = 0;
     appliedIndex = 0;
+    /** Highest commit index that a leader has named, also while a full disk keeps this daemon from following it. */
+    leaderCommitIndex = 0;
     /** Index of the last entry that is durable on this daemon. Only maintained on the leader. */
     durableIndex = 0;
     /** When this daemon, or the parent that it fetches from, last heard from the leader. */
@@ -157,6 +159,32 @@
             + Math.min(writeAllowanceMs, MAX_WRITE_ALLOWANCE_TIMEOUTS * electionTimeoutMs);
     }
 
+    /** Whether the disk refuses writes for lack of room. The member then neither leads, votes nor stores entries. */
+    get isDiskFull(): boolean {
+        return this.storage?.isDiskFull ?? false;
+    }
+
+    /** Waits until `write` is durable. Throws a DiskFullError at once when the disk is full. */
+    async unlessDiskFull(write: Promise<void>): Promise<void> {
+        await (this.storage?.unlessDiskFull(write) ?? write);
+    }
+
+    /**
+     * Age of the state that this daemon can pass on: time since the last contact with the leader, or Infinity while a
+     * full disk keeps it from storing and applying what the leader has committed.
+     */
+    passedOnStateAgeMs(): number {
+        const isBehind = Math.max(this.commitIndex, this.leaderCommitIndex) > this.appliedIndex;
+        return this.isDiskFull && isBehind ? Infinity : this.leaderContactAgeMs();
+    }
+
+    /** Resigns as leader or candidate. */
+    stepDown(): void {
+        this.role = this.passiveRole;
+        this.leaderId = undefined;
+        this.changed.notify();
+    }
+
     /** Resolves when the current term and vote are durable. */
     metadataSaved(): Promise<void> {
         return this.#metadataSaved;
--- a/packages/consensus/src/storage.ts
+++ b/packages/consensus/src/storage.ts
@@ -1,10 +1,19 @@
-import { monotonicMs, newId } from "@greengage/base";
+import { monotonicMs, newId, sleep } from "@greengage/base";
 import type { HighWaterMark, LogEntry } from "@greengage/protocol";
 import { type FileHandle, mkdir, open, readdir } from "node:fs/promises";
 import { join } from "node:path";
 import { EntryList } from "./entrylist.ts";
-import { StorageError } from "./errors.ts";
-import { readIfPresent, readRecordFile, replaceFile, type SyncFile, syncFile } from "./files.ts";
+import { DiskFullError, StorageError } from "./errors.ts";
+import {
+    detectFullDisk,
+    readIfPresent,
+    readRecordFile,
+    replaceFile,
+    type SyncFile,
+    syncFile,
+    type WriteFile,
+    writeFile,
+} from "./files.ts";
 import { RecordCodec } from "./recordcodec.ts";
 
 /** Member that the data folder belongs to. */
@@ -50,9 +59,19 @@
     daemonId: string;
     /** Called once when a write or sync fails. Its outcome is unknown, so the process must exit. */
     onFailure: (error: unknown) => void;
+    /** Called when the disk becomes full. Refused writes stay pending and are repeated until there is room. */
+    onDiskFull: (error: DiskFullError) => void;
+    /** Called when all refused writes have become durable. */
+    onDiskFreed: (fullMs: number) => void;
+    /** Aborted when refused writes must no longer be repeated. */
+    signal: AbortSignal;
     sync?: SyncFile;
+    write?: WriteFile;
 }
 
+/** Delay before a write that was refused for lack of room is repeated. */
+const REFUSED_WRITE_RETRY_DELAY_MS = 100;
+
 /** Files that must not exist without an identity file. Other files in the folder are ignored. */
 const MEMBER_STATE_FILES: readonly string[] = ["metadata", "marks", "snapshot", "log"];
 
@@ -61,7 +80,12 @@
     readonly #options: StorageOptions;
     readonly #codec: RecordCodec;
     readonly #sync: SyncFile;
+    readonly #write: WriteFile;
     #logFile: FileHandle | undefined;
+    /** Length of the complete records in the log file. */
+    #logLengthBytes = 0;
+    /** Whether the log file may end with a part of a refused write. */
+    #hasTornEnd = false;
     #pendingChanges: LogChange[] = [];
     #pendingBatch: Promise<void> | undefined;
     #lastAppend: Promise<void> = Promise.resolve();
@@ -71,11 +95,16 @@
     #syncCount = 0;
     #lastWrite = { durationMs: 0, endedAtMs: -Infinity };
     readonly #activeWrites = new Set<{ startedAtMs: number; }>();
+    /** Number of writes that were refused for lack of room and are being repeated. */
+    #refusedWriteCount = 0;
+    #fullSinceMs = 0;
+    readonly #fullDiskWaiters = new Set<(error: DiskFullError) => void>();
 
     constructor(options: StorageOptions, codec: RecordCodec) {
         this.#options = options;
         this.#codec = codec;
         this.#sync = options.sync ?? syncFile;
+        this.#write = options.write ?? writeFile;
     }
 
     /** Opens and loads the data folder. Throws StorageError if it is unusable. */
@@ -84,6 +113,23 @@
         return { storage, state: await storage.#load() };
     }
 
+    /** Whether a write was refused for lack of room and has not succeeded since. */
+    get isDiskFull(): boolean {
+        return this.#refusedWriteCount > 0;
+    }
+
+    /** Waits until `write` is durable. Throws a DiskFullError as soon as the disk is full; the write then stays pending. */
+    unlessDiskFull(write: Promise<void>): Promise<void> {
+        return new Promise((resolve, reject) => {
+            this.#fullDiskWaiters.add(reject);
+            void write.then(resolve, reject).finally(() => this.#fullDiskWaiters.delete(reject));
+            if (this.isDiskFull) {
+                // Gives way to a write that is already durable.
+                setImmediate(() => reject(new DiskFullError("the write is pending")));
+            }
+        });
+    }
+
     /** Number of log file syncs since the start. */
     get syncCount(): number {
         return this.#syncCount;
@@ -161,12 +207,44 @@
         const changes = this.#pendingChanges;
         this.#pendingChanges = [];
         this.#pendingBatch = undefined;
-        await this.#runWrite(async () => {
-            this.#logFile ??= await open(this.#path("log"), "a");
-            await this.#logFile.appendFile(this.#codec.encode(changes));
-            await this.#sync(this.#logFile);
-            this.#syncCount += 1;
-        });
+        const bytes = this.#codec.encode(changes);
+        await this.#runWrite(() => this.#appendToLog(bytes));
+    }
+
+    async #appendToLog(bytes: Uint8Array): Promise<void> {
+        const file = await this.#openLog();
+        await this.#removeTornEnd(file);
+        try {
+            this.#hasTornEnd = true;
+            await detectFullDisk(() => this.#write(file, bytes));
+            this.#hasTornEnd = false;
+        }
+        catch (error) {
+            if (error instanceof DiskFullError) {
+                await this.#removeTornEnd(file);
+            }
+            throw error;
+        }
+        await this.#sync(file);
+        this.#logLengthBytes += bytes.length;
+        this.#syncCount += 1;
+    }
+
+    async #openLog(): Promise<FileHandle> {
+        if (this.#logFile === undefined) {
+            this.#logFile = await detectFullDisk(() => open(this.#path("log"), "a"));
+            this.#logLengthBytes = (await this.#logFile.stat()).size;
+            this.#hasTornEnd = false;
+        }
+        return this.#logFile;
+    }
+
+    /** Truncates the log file after its last complete record. The sync of the next write covers the truncation. */
+    async #removeTornEnd(file: FileHandle): Promise<void> {
+        if (this.#hasTornEnd) {
+            await detectFullDisk(() => file.truncate(this.#logLengthBytes));
+            this.#hasTornEnd = false;
+        }
     }
 
     async #rewrite(log: EntryList, commitIndex: number): Promise<void> {
@@ -184,12 +262,36 @@
     #replace(name: string, value: unknown): Promise<void> {
         const bytes = this.#codec.encode(value);
         this.#lastReplacement = this.#lastReplacement.then(() =>
-            this.#runWrite(() => replaceFile(this.#path(name), bytes, this.#sync))
+            this.#runWrite(() => replaceFile(this.#path(name), bytes, this.#sync, this.#write))
         );
         return this.#lastReplacement;
     }
 
+    /** Makes one write durable. Repeats it for as long as the disk refuses it for lack of room. */
     async #runWrite(write: () => Promise<void>): Promise<void> {
+        const { signal } = this.#options;
+        let wasRefused = false;
+        for (;;) {
+            const refusal = await this.#tryWrite(write);
+            if (refusal === undefined) {
+                break;
+            }
+            if (!wasRefused) {
+                wasRefused = true;
+                this.#recordRefusal(refusal);
+            }
+            await sleep(REFUSED_WRITE_RETRY_DELAY_MS, signal);
+            if (signal.aborted) {
+                throw new StorageError("the data folder is closed", refusal);
+            }
+        }
+        if (wasRefused) {
+            this.#recordRepeatedWrite();
+        }
+    }
+
+    /** Returns an error if the disk refused the write for lack of room. Throws if the write failed in another way. */
+    async #tryWrite(write: () => Promise<void>): Promise<DiskFullError | undefined> {
         if (this.#failure !== undefined) {
             throw new StorageError("an earlier write failed, or the data folder is closed", this.#failure);
         }
@@ -199,8 +301,12 @@
             await write();
             const endedAtMs = monotonicMs();
             this.#lastWrite = { durationMs: endedAtMs - activeWrite.startedAtMs, endedAtMs };
+            return undefined;
         }
         catch (error) {
+            if (error instanceof DiskFullError) {
+                return error;
+            }
             this.#failure ??= error;
             this.#options.onFailure(error);
             throw new StorageError("a write to the data folder failed", error);
@@ -210,8 +316,30 @@
         }
     }
 
+    #recordRefusal(error: DiskFullError): void {
+        this.#refusedWriteCount += 1;
+        if (this.#refusedWriteCount > 1) {
+            return;
+        }
+        this.#fullSinceMs = monotonicMs();
+        this.#options.onDiskFull(error);
+        for (const reject of this.#fullDiskWaiters) {
+            reject(error);
+        }
+        this.#fullDiskWaiters.clear();
+    }
+
+    #recordRepeatedWrite(): void {
+        this.#refusedWriteCount -= 1;
+        if (this.#refusedWriteCount === 0) {
+            this.#options.onDiskFreed(monotonicMs() - this.#fullSinceMs);
+        }
+    }
+
     async #load(): Promise<StoredState> {
-        await mkdir(this.#options.folder, { recursive: true });
+        await this.#runWrite(async () => {
+            await detectFullDisk(() => mkdir(this.#options.folder, { recursive: true }));
+        });
         const identity = await this.#loadIdentity();
         const metadata = await readRecordFile(this.#path("metadata"), this.#codec) as Metadata | undefined;
         const marks = await readRecordFile(this.#path("marks"), this.#codec) as HighWaterMark[] | undefined;
--- a/test/consensus/fixture.ts
+++ b/test/consensus/fixture.ts
@@ -13,6 +13,7 @@
     PeerUnreachableError,
 } from "@greengage/protocol";
 import { cpSync, mkdtempSync, rmSync } from "node:fs";
+import type { FileHandle } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 
@@ -121,6 +122,25 @@
     }
 }
 
+/** Disk of a member. While it is full, it takes only the first bytes of a write and refuses the rest. */
+export class TestDisk {
+    isFull = false;
+    /** Bytes of a refused write that reach the file. */
+    tornBytes = 0;
+    /** Number of refused writes. */
+    refusedCount = 0;
+
+    readonly writeFile = async (file: FileHandle, bytes: Uint8Array): Promise<void> => {
+        if (!this.isFull) {
+            await file.writeFile(bytes);
+            return;
+        }
+        this.refusedCount += 1;
+        await file.writeFile(bytes.subarray(0, Math.min(this.tornBytes, bytes.length - 1)));
+        throw Object.assign(new Error("ENOSPC: no space left on device, write"), { code: "ENOSPC" });
+    };
+}
+
 export interface TestMember {
     daemonId: string;
     log: RaftLog;
@@ -149,6 +169,7 @@
     readonly members = new Map<string, TestMember>();
     readonly ids: string[];
     readonly leaderEvents: TimelineEvent[] = [];
+    readonly #disks = new Map<string, TestDisk>();
     readonly #folder = mkdtempSync(join(tmpdir(), "greengage-raft-"));
     readonly #addresses: (PeerAddress & { voter: boolean; })[];
     readonly #options: TestClusterOptions;
@@ -173,6 +194,12 @@
         return this;
     }
 
+    disk(daemonId: string): TestDisk {
+        const disk = this.#disks.get(daemonId) ?? new TestDisk();
+        this.#disks.set(daemonId, disk);
+        return disk;
+    }
+
     folder(daemonId: string): string {
         return join(this.#folder, daemonId);
     }
@@ -195,6 +222,7 @@
             daemons: this.#addresses,
             dataFolder: address?.voter ? this.folder(daemonId) : undefined,
             bootstrap: true,
+            writeFile: this.disk(daemonId).writeFile,
             ...this.#options.raft,
             ...raft,
             timing: { ...TIMING, ...this.#options.raft?.timing, ...raft.timing },
