Repeat group records that a full disk refused

What would be seen: after a full disk had room again, the group records on it stayed those from before, until the next change of a group. A restart of all control daemons would have begun with outdated records and waited for reports.

Cause: GroupRecordStore dropped records that it couldn't write. It now repeats the latest ones every 500 ms while the disk refuses them for lack of room, and writes one line at the first refusal and one when they are written.

--- a/packages/consensus/src/index.ts
+++ b/packages/consensus/src/index.ts
@@ -1,7 +1,7 @@
 export { ChangeSignal } from "./changesignal.ts";
 export * from "./composite.ts";
 export * from "./errors.ts";
-export { readRecordFile, replaceFile, syncFile } from "./files.ts";
+export { readRecordFile, replaceFile, syncFile, type WriteFile } from "./files.ts";
 export type { DynamicVoters } from "./members.ts";
 export * from "./memorylog.ts";
 export * from "./raft.ts";
--- a/packages/fleet/src/recordstore.ts
+++ b/packages/fleet/src/recordstore.ts
@@ -1,8 +1,18 @@
-import { type Context, messageOf } from "@greengage/base";
-import { readRecordFile, RecordCodec, replaceFile, syncFile } from "@greengage/consensus";
+import { type Context, Lifecycle, messageOf, sleep } from "@greengage/base";
+import {
+    DiskFullError,
+    readRecordFile,
+    RecordCodec,
+    replaceFile,
+    syncFile,
+    type WriteFile,
+} from "@greengage/consensus";
 import type { GroupRecords } from "@greengage/protocol";
 import { validRecords } from "./entries.ts";
 
+/** Delay before records are written again that a full disk refused. */
+const REFUSED_WRITE_RETRY_DELAY_MS = 500;
+
 /**
  * Persists the group records across restarts. They only speed up recovery: a daemon with missing or outdated records
  * learns the groups from the reports of their members.
@@ -10,13 +20,22 @@
 export class GroupRecordStore {
     readonly #context: Context;
     readonly #path: string;
+    readonly #writeFile: WriteFile | undefined;
+    readonly #lifecycle = new Lifecycle();
     #codec: RecordCodec | undefined;
     #pendingRecords: GroupRecords | undefined;
     #isWriting = false;
+    #isDiskFull = false;
 
-    constructor(context: Context, path: string) {
+    constructor(context: Context, path: string, writeFile?: WriteFile) {
         this.#context = context;
         this.#path = path;
+        this.#writeFile = writeFile;
+    }
+
+    /** Stops repeating writes that a full disk refuses. */
+    close(): Promise<void> {
+        return this.#lifecycle.close();
     }
 
     /** Reads the usable records of the previous run; undefined if they are missing or unreadable. */
@@ -44,16 +63,34 @@
 
     async #writePending(): Promise<void> {
         this.#isWriting = true;
-        while (this.#pendingRecords !== undefined && this.#codec !== undefined) {
+        while (
+            this.#pendingRecords !== undefined && this.#codec !== undefined && !this.#lifecycle.isClosed
+        ) {
             const records = this.#pendingRecords;
             this.#pendingRecords = undefined;
             try {
-                await replaceFile(this.#path, this.#codec.encode(records), syncFile);
+                await replaceFile(this.#path, this.#codec.encode(records), syncFile, this.#writeFile);
+                this.#setDiskFull(false);
             }
             catch (error) {
-                this.#context.decisions.record("groupRecords.notWritten", { reason: messageOf(error) });
+                if (error instanceof DiskFullError) {
+                    this.#setDiskFull(true, error.message);
+                    this.#pendingRecords ??= records;
+                    await sleep(REFUSED_WRITE_RETRY_DELAY_MS, this.#lifecycle.signal);
+                }
+                else {
+                    this.#context.decisions.record("groupRecords.notWritten", { reason: messageOf(error) });
+                }
             }
         }
         this.#isWriting = false;
     }
+
+    #setDiskFull(isDiskFull: boolean, reason?: string): void {
+        if (this.#isDiskFull !== isDiskFull) {
+            this.#isDiskFull = isDiskFull;
+            const event = isDiskFull ? "groupRecords.notWritten" : "groupRecords.written";
+            this.#context.decisions.record(event, reason === undefined ? {} : { reason });
+        }
+    }
 }
--- a/packages/fleet/src/service.ts
+++ b/packages/fleet/src/service.ts
@@ -167,6 +167,7 @@
         const closed = this.#lifecycle.close();
         this.#changeSignal.notify();
         await closed;
+        await this.#recordStore.close();
         await this.#usageAggregator.close();
         await this.#watcher.close();
         await this.#controller.close();
