List the servers of the former leader when a daemon leads once more

Cause: a new leader publishes the servers of its predecessor's records until they report to it, but left out those that its own registry knew. A daemon that leads for the second time without a restart knows them from its first term; after 12 heartbeats these reports count as silence, and the server was in neither list. Processes that ended on a full disk came back with an empty registry, which hid it. Any change of leadership away from a daemon and back can cause it.

Now a server is inherited unless it has reported since this daemon leads, drains, or is known to have ended. The latter also keeps a server that has departed from being listed again before the leader has collected reports.

Evidence: fleet/service "a daemon that leads again lists servers that haven't reported to it in this term yet" fails without the change (no server instead of l1), and passes with it. The former test of the file uses the same fixture now and checks what it did before. All tests of fleet pass.

--- a/packages/fleet/src/service.ts
+++ b/packages/fleet/src/service.ts
@@ -196,10 +196,21 @@
         return this.#controller.groups.version + this.#quarantine.version;
     }
 
-    /** Servers from the previous leader's records that have not yet had time to report to this daemon. */
-    #inheritedServers(): ServerTarget[] {
+    /**
+     * Servers from the previous leader's records that have not yet had time to report to this daemon. What they reported
+     * while it led before may be long ago.
+     */
+    #inheritedServers(reported: readonly ServerTarget[]): ServerTarget[] {
         const servers = this.#controller.isSettled ? [] : this.#records?.servers ?? [];
-        return servers.filter(({ serverId }) => this.#registry.get(serverId) === undefined);
+        const reportedIds = new Set(reported.map(({ serverId }) => serverId));
+        return servers.filter(({ serverId, bornMs = Infinity }) => {
+            const known = this.#registry.get(serverId);
+            const hasReported = known !== undefined && known.receivedAtMs >= this.#leadingSinceMs;
+            const isDraining = known !== undefined && known.report.isDraining
+                && known.report.bornMs >= bornMs;
+            return !reportedIds.has(serverId) && !hasReported && !isDraining
+                && !this.#registry.hasEnded(serverId, bornMs);
+        });
     }
 
     /** Stores the group records in memory, and on disk in case all daemons restart. */
@@ -250,9 +261,10 @@
             heartbeatMs: timing.heartbeatMs,
             nowMs,
         };
+        const servers = serverTargets(input);
         const view = {
             groups: groupTargets(input),
-            servers: [...serverTargets(input), ...this.#inheritedServers()],
+            servers: [...servers, ...this.#inheritedServers(servers)],
             entryDaemonCount: this.#entryDaemonCount(nowMs),
             controllers: this.#controllers(),
             suspectParts: this.#quarantine.view(nowMs),
