Don't list a draining server of older records when a daemon leads again

Records of daemons that don't name start times were treated as newer than what the registry knows, so that a server that drains was inherited. Without a start time a draining server is left out, as before.

--- a/packages/fleet/src/service.ts
+++ b/packages/fleet/src/service.ts
@@ -203,13 +203,13 @@
     #inheritedServers(reported: readonly ServerTarget[]): ServerTarget[] {
         const servers = this.#controller.isSettled ? [] : this.#records?.servers ?? [];
         const reportedIds = new Set(reported.map(({ serverId }) => serverId));
-        return servers.filter(({ serverId, bornMs = Infinity }) => {
+        return servers.filter(({ serverId, bornMs }) => {
             const known = this.#registry.get(serverId);
             const hasReported = known !== undefined && known.receivedAtMs >= this.#leadingSinceMs;
             const isDraining = known !== undefined && known.report.isDraining
-                && known.report.bornMs >= bornMs;
-            return !reportedIds.has(serverId) && !hasReported && !isDraining
-                && !this.#registry.hasEnded(serverId, bornMs);
+                && known.report.bornMs >= (bornMs ?? -Infinity);
+            const hasEnded = bornMs !== undefined && this.#registry.hasEnded(serverId, bornMs);
+            return !reportedIds.has(serverId) && !hasReported && !isDraining && !hasEnded;
         });
     }
 
