--- a/packages/cli/src/commands/status.ts
+++ b/packages/cli/src/commands/status.ts
@@ -31,6 +31,7 @@
     "zones reachable": status.reachableZones.join(", "),
     "zones unreachable": status.unreachableZones.join(", ") || "none",
     "requests in flight": status.inFlight,
+    "data folder": status.log.isDiskFull ? "disk full" : undefined,
     "invariants violated": status.violationCount,
     "group downtime": formatDuration(status.measures?.groupDowntime),
     "stranded accelerators": formatDuration(status.measures?.strandedAccelerators),
--- a/packages/consensus/src/raft.ts
+++ b/packages/consensus/src/raft.ts
@@ -229,7 +229,7 @@
             { reason: error.message, role, term },
         );
         context.timeline.record("consensus", "storage.full", { reason: error.message });
-        context.metrics.count("storage.disk_full_count");
+        context.metrics.count("storage.disk_fills");
         context.metrics.gauge("storage.disk_full", 1);
         if (role === LogRole.Leader || role === LogRole.Candidate) {
             this.#state.stepDown();
