Announce the close in the last response of a draining daemon's connection

Callers of the product's own daemon that sent a request behind one in progress while the daemon drained got no answer to it, though it had run: the response to the first announced the close, and the connection closed after it.

Cause: during a drain each response announced the close as soon as its request had been read, whether or not others followed, and the listener's connections didn't know of it.

The close is now announced through ServerConnections, as at a shutdown: by the last response of the connection.

Evidence: http › shutdown "a request that is read behind one in progress while the daemon drains gets its answer" failed before (one response of two) and passes now, as do the other tests of test/http, test/base and daemon › shutdown (93).

--- a/packages/base/src/serverconnections.ts
+++ b/packages/base/src/serverconnections.ts
@@ -128,6 +128,14 @@
         }
     }
 
+    /** Does the same for the connection of one request. */
+    closeAfterResponse({ socket }: IncomingMessage): void {
+        const connection = this.#connections.get(socket);
+        if (connection !== undefined) {
+            closeAfterResponse(connection);
+        }
+    }
+
     /**
      * Stops listening after the connections that clients have opened so far are accepted. Unlike `Server.close`, this leaves
      * responses alone that have ended but are not flushed.
--- a/packages/http/src/server.ts
+++ b/packages/http/src/server.ts
@@ -203,7 +203,9 @@
 
     async #serve(route: Route, exchange: Exchange): Promise<void> {
         const startedAtMs = monotonicMs();
-        exchange.response.shouldKeepAlive &&= !this.#options.admission.closesConnections;
+        if (this.#options.admission.closesConnections) {
+            this.#connections.closeAfterResponse(exchange.request);
+        }
         try {
             await this.#runHandler(route, exchange);
         }
--- a/test/http/callers.test.ts
+++ b/test/http/callers.test.ts
@@ -4,12 +4,7 @@
 import test from "ava";
 import { connect } from "node:net";
 import { request } from "undici";
-import { CALLER_KEY, chatBody, createEvent, send, sendRaw, startServer } from "./fixture.ts";
-
-const requestHead = (path: string, headers: string[]): string =>
-    `POST ${path} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer ${CALLER_KEY}\r\n${
-        headers.join("\r\n")
-    }\r\n\r\n`;
+import { CALLER_KEY, chatBody, createEvent, requestHead, send, sendRaw, startServer } from "./fixture.ts";
 
 test("a chat without streaming returns a completion in the OpenAI format", async (t) => {
     const { url } = await startServer(t);
--- a/test/http/fixture.ts
+++ b/test/http/fixture.ts
@@ -214,6 +214,12 @@
         socket.on("close", () => resolve({ text, durationMs: monotonicMs() - startedAtMs }));
     });
 
+/** Head of a POST request of a caller. */
+export const requestHead = (path: string, headers: string[]): string =>
+    `POST ${path} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer ${CALLER_KEY}\r\n${
+        headers.join("\r\n")
+    }\r\n\r\n`;
+
 /** Raw TCP connection to a daemon, for requests that are sent in parts. */
 export interface RawConnection {
     write(data: string): void;
--- a/test/http/shutdown.test.ts
+++ b/test/http/shutdown.test.ts
@@ -7,6 +7,7 @@
     createEvent,
     openConnection,
     OPERATOR_KEY,
+    requestHead,
     send,
     startServer,
     type TestResponse,
@@ -117,6 +118,30 @@
     t.regex(text, /"verdict":"notRun"/);
 });
 
+// Guards against answers that are lost because the response to an earlier request announces the close.
+test("a request that is read behind one in progress while the daemon drains gets its answer", async (t) => {
+    let release: () => void = () => undefined;
+    const released = new Promise<void>((resolve) => {
+        release = resolve;
+    });
+    const { admission, port } = await startServer(t, { dispatcher: { generate: () => released } });
+    const body = JSON.stringify(chatBody());
+    const chat = requestHead("/v1/chat/completions", [
+        "content-type: application/json",
+        `content-length: ${body.length}`,
+    ]) + body;
+    admission.closesConnections = true;
+    const connection = await openConnection(t, port);
+    connection.write(chat);
+    await waitFor("a request", () => admission.inFlight === 1 || undefined);
+    connection.write(chat);
+    await waitFor("two requests", () => admission.inFlight === 2 || undefined);
+    release();
+    const text = await connection.closed;
+    t.is(text.match(/HTTP\/1\.1 200 /g)?.length, 2);
+    t.is(text.match(/connection: close/gi)?.length, 1);
+});
+
 /** Registers a test of requests in the time between SIGTERM and the interruption. */
 const testLateRequest = (name: string, path: string, body: object): void => {
     test(`a late ${name} is refused if its deadline lies past the interruption, and run otherwise`, async (t) => {
