--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -11,6 +11,7 @@
     PartReportResponse,
     PathReport,
     PeerNetwork,
+    RelayCandidate,
 } from "@greengage/protocol";
 import { createGateway } from "./gatewaystubs.ts";
 import { createPeerNetwork } from "./peerid.ts";
@@ -137,6 +138,11 @@
         this.#record("daemon.drain", connections);
     }
 
+    /** Paths of this daemon and the peers that it may use, as shown to operators. */
+    relayStatus(): PathReport & { candidates: readonly RelayCandidate[]; } {
+        return { ...this.#reportPaths(), candidates: this.#relays.candidates() };
+    }
+
     /** Resolves when no connection is relayed any more, or after `limitMs`. */
     waitForRelayed(limitMs: number): Promise<void> {
         return this.#acceptor.waitUntilIdle(limitMs);
