Cut paths between entry daemons and engines in the soak

One or several entry daemons, but not all, lose their paths to all engines (silent, reset, new connections refused), beside the other faults and once alone after them.

--- a/packages/faults/src/proxiedconnection.ts
+++ b/packages/faults/src/proxiedconnection.ts
@@ -8,6 +8,8 @@
     source: string;
     socket: Socket;
     targetPort: number;
+    /** Whether the reset of one side resets the other. Otherwise it ends the other. */
+    forwardsResets: boolean;
     /** Returns the fault that is currently injected. */
     fault: () => LinkFault;
     onBytes: (direction: Direction, sizeBytes: number) => void;
@@ -36,6 +38,7 @@
                 fault: () => fault()[direction],
                 onBytes: (sizeBytes) => options.onBytes(direction, sizeBytes),
                 onDataLoss: () => this.reset(),
+                forwardsResets: options.forwardsResets,
             });
         this.#forwarders = [
             createForwarder("toTarget", socket, this.#target),
@@ -93,8 +96,9 @@
     to: Socket;
     fault: () => DirectionFault;
     onBytes: (sizeBytes: number) => void;
-    /** Called after the fault has ended, when the sender sends or ends although earlier bytes were dropped. */
+    /** Called after the fault has ended, when the sender sends or ends although earlier bytes were dropped, or was reset. */
     onDataLoss: () => void;
+    forwardsResets: boolean;
 }
 
 /** Forwards the bytes of one direction of a connection in order. */
@@ -108,7 +112,10 @@
 
     constructor(options: ForwarderOptions) {
         this.#options = options;
-        const { from, to } = options;
+        const { from, to, forwardsResets } = options;
+        from.once("error", ({ code }: NodeJS.ErrnoException) => {
+            this.#hasLostData ||= forwardsResets && code === "ECONNRESET";
+        });
         from.on("data", (chunk: Buffer) => this.#receive(chunk));
         from.once("end", () => this.#handleSenderEnd("half"));
         from.once("close", () => this.#handleSenderEnd("closed"));
--- a/packages/faults/src/proxy.ts
+++ b/packages/faults/src/proxy.ts
@@ -45,6 +45,8 @@
     port?: number;
     /** Loopback address that the proxy listens on. Default: 127.0.0.1. */
     host?: string;
+    /** Whether the reset of one side resets the other. Default: it ends the other. */
+    forwardsResets?: boolean;
 }
 
 /** TCP proxy on loopback that injects faults per source address. */
@@ -164,6 +166,7 @@
             source,
             socket,
             targetPort: this.#options.targetPort,
+            forwardsResets: this.#options.forwardsResets ?? false,
             fault: () => this.#faultOf(source),
             onBytes: (direction, sizeBytes) => {
                 this.#byteCounts[`${direction}Bytes`] += sizeBytes;
--- a/packages/faults/src/serverlinks.ts
+++ b/packages/faults/src/serverlinks.ts
@@ -22,13 +22,13 @@
  * `GREENGAGE_TEST_SERVER_HOST`; a proxy at this address and the port of each server forwards its connections.
  */
 export class ServerLinks {
-    readonly #host: string;
+    readonly host: string;
     readonly #proxies = new Map<number, FaultProxy>();
     readonly #silentListener = new SilentListener();
     #cut: PathCut | undefined;
 
     constructor(host: string) {
-        this.#host = host;
+        this.host = host;
     }
 
     /** Connections to servers that were opened since the start. */
@@ -42,7 +42,7 @@
 
     /** Adds the path to the server at a port. */
     async addServer(port: number): Promise<void> {
-        const proxy = new FaultProxy({ host: this.#host, port, targetPort: port });
+        const proxy = new FaultProxy({ host: this.host, port, targetPort: port, forwardsResets: true });
         await proxy.start();
         this.#proxies.set(port, proxy);
     }
@@ -55,7 +55,7 @@
         }
         if (cut === PathCut.Silent) {
             await this.#silentListener.listen(
-                [...this.#proxies.keys()].map((port) => ({ host: this.#host, port })),
+                [...this.#proxies.keys()].map((port) => ({ host: this.host, port })),
             );
         }
     }
--- a/scripts/chaos.ts
+++ b/scripts/chaos.ts
@@ -1,7 +1,7 @@
 /**
  * Runs the system under random faults: `npm run chaos -- --system NAME --seed N --count N --duration-s S
  * [--without KINDS] [--log FILE]`. System `daemons` is the project's own daemons, `platform` its programs for the users'
- * platform. Runs `count` consecutive seeds, starting at `seed`. The last line of each run is its result as JSON.
+ * platform, where `--without pathCuts` leaves out lost paths. Runs `count` consecutive seeds, starting at `seed`. The last line of each run is its result as JSON.
  */
 import { runChaos } from "@greengage/bench";
 import { createWriteStream, type WriteStream } from "node:fs";
--- a/test/platform/soak/callers.ts
+++ b/test/platform/soak/callers.ts
@@ -5,6 +5,7 @@
 import { chatHeaders } from "../fixtures.ts";
 import { formatStream } from "../streamcontent.ts";
 import { type DeadlyContents, DeadlyKind } from "./deadlycontents.ts";
+import type { PathCutChecker } from "./pathcuts.ts";
 import { MODEL_SIZES, type SoakDaemon } from "./system.ts";
 
 const MAX_PAUSE_MS = 120;
@@ -35,14 +36,21 @@
     readonly #random: Random;
     readonly #violations: Violations;
     readonly #deadlyContents: DeadlyContents;
+    readonly #pathCutChecker: PathCutChecker;
     readonly #issuedRequests = new Map<string, IssuedRequest>();
     readonly statusCounts = new Map<string, number>();
     #entries: readonly SoakDaemon[] = [];
 
-    constructor(random: Random, violations: Violations, deadlyContents: DeadlyContents) {
+    constructor(
+        random: Random,
+        violations: Violations,
+        deadlyContents: DeadlyContents,
+        pathCutChecker: PathCutChecker,
+    ) {
         this.#random = random;
         this.#violations = violations;
         this.#deadlyContents = deadlyContents;
+        this.#pathCutChecker = pathCutChecker;
     }
 
     get requestCount(): number {
@@ -120,8 +128,12 @@
         if (deadlyPart !== undefined) {
             headers["greengageridge-prompt-prefix"] = `5c1e07a2:800,${deadlyPart}:400,${id}:100`;
         }
+        const finishRequest = this.#pathCutChecker.beginRequest(entry);
         const answer = await this.#send(entry, `/chat/${id}`, `${id} ${count}`, headers, STREAM_TIMEOUT_MS);
         const isSuccess = answer.status === 200;
+        if (deadlyPart === undefined && !answer.hasCallerLeft) {
+            finishRequest(isSuccess && answer.isComplete);
+        }
         if (isSuccess && !expectedBody.startsWith(answer.body)) {
             this.#violations.add("ORDER", `${id}: ${answer.body.slice(-200)}`);
         }
@@ -138,9 +150,13 @@
     /** Sends a payment. Returns whether it was confirmed. */
     async pay(entry: SoakDaemon): Promise<boolean> {
         const id = this.#registerRequest(true);
+        const finishRequest = this.#pathCutChecker.beginRequest(entry);
         const answer = await this.#send(entry, `/pay/${id}`, id, paymentHeaders(id), PAYMENT_TIMEOUT_MS);
         const issued = this.#issuedRequests.get(id);
         const isSuccess = answer.status === 200 && answer.isComplete;
+        if (!answer.hasCallerLeft) {
+            finishRequest(isSuccess);
+        }
         if (isSuccess && (answer.body !== `done ${id}` || issued?.runCount !== 1)) {
             this.#violations.add("MIXED", `${id} ran ${issued?.runCount} times and got ${answer.body}`);
         }
@@ -187,11 +203,16 @@
             for await (const chunk of response.body) {
                 text += (chunk as Buffer).toString();
             }
-            return { status, body: text, isComplete: true };
+            return { status, body: text, isComplete: true, hasCallerLeft: false };
         }
         catch {
             // The connection failed or the caller disconnected; the partial body is still checked.
-            return { status, body: text, isComplete: false };
+            return {
+                status,
+                body: text,
+                isComplete: false,
+                hasCallerLeft: disconnectsEarly && signal.aborted,
+            };
         }
     }
 
@@ -206,4 +227,6 @@
     status: number;
     body: string;
     isComplete: boolean;
+    /** Whether the caller disconnected before the end of the answer. */
+    hasCallerLeft: boolean;
 }
--- a/test/platform/soak/run.ts
+++ b/test/platform/soak/run.ts
@@ -7,6 +7,7 @@
 import { runFaults } from "./faults.ts";
 import { runLimits } from "./limits.ts";
 import { SoakOperators } from "./operators.ts";
+import { bounds, cutPaths, PathCutChecker, type PathCutOptions, runPathCuts } from "./pathcuts.ts";
 import { MODEL_SIZES, type SoakDaemon, SoakSystem } from "./system.ts";
 
 const CALLER_COUNT = 20;
@@ -22,6 +23,8 @@
 export interface SoakOptions {
     seed: number;
     durationS: number;
+    /** Kinds of faults that are left out; only `pathCuts` can be. */
+    without?: readonly string[];
     /** Called with the log lines of all processes. */
     onLine?: (source: string, line: string) => void;
     /** Called with the progress messages of the run. Default: they are printed. */
@@ -51,6 +54,7 @@
     readonly #options: SoakOptions;
     readonly #violations: Violations;
     readonly #limitChecker: LimitChecker;
+    readonly #pathCutChecker: PathCutChecker;
     readonly #callers: SoakCallers;
     readonly #system: SoakSystem;
     readonly #startedAtMs = monotonicMs();
@@ -69,7 +73,13 @@
             (detail) => this.#violations.add("LIMIT", detail),
             () => !this.#system.isCalmFor(CONTACT_MS),
         );
-        this.#callers = new SoakCallers(new Random(options.seed + 1), this.#violations, deadlyContents);
+        this.#pathCutChecker = new PathCutChecker(this.#violations);
+        this.#callers = new SoakCallers(
+            new Random(options.seed + 1),
+            this.#violations,
+            deadlyContents,
+            this.#pathCutChecker,
+        );
         const fleet: EngineFleet = {
             engines: new Map(),
             modelSizes: MODEL_SIZES,
@@ -106,17 +116,26 @@
             runLimits(this.#system, this.#limitChecker, new Random(seed + 4), backgroundAbort.signal),
             runDeadlyRequests(this.#system.deadlyContents, new Random(seed + 5), backgroundAbort.signal),
         ];
+        const pathCuts = this.#pathCutOptions();
+        const pathCutAbort = new AbortController();
+        const cuts = this.#cutsPaths ? [runPathCuts(pathCuts, pathCutAbort.signal)] : [];
         await runFaults(this.#system, new Random(seed), durationS * 1_000, (kind, faultMs) => {
             this.#faultCount += 1;
             this.#logMessage(`${kind} for ${faultMs} ms`);
         });
+        pathCutAbort.abort();
+        await Promise.all(cuts);
         await sleep(CALM_MS);
         backgroundAbort.abort();
         await Promise.all(background);
         this.#logMessage("all faults have ended");
         await this.#checkService("recovery", RECOVERY_TIMEOUT_MS);
+        if (this.#cutsPaths) {
+            await cutPaths(pathCuts, bounds.calm);
+        }
         this.#trafficAbort.abort();
         await Promise.race([Promise.all(tasks), sleep(END_TIMEOUT_MS)]);
+        this.#pathCutChecker.check().forEach((line) => this.#logMessage(line));
         await Promise.all(
             controls.map((control) =>
                 this.#waitUntil(
@@ -139,6 +158,22 @@
         };
     }
 
+    get #cutsPaths(): boolean {
+        return this.#options.without?.includes("pathCuts") !== true;
+    }
+
+    #pathCutOptions(): PathCutOptions {
+        return {
+            entries: this.#system.entries,
+            checker: this.#pathCutChecker,
+            random: new Random(this.#options.seed + 6),
+            onCut: (description) => {
+                this.#faultCount += 1;
+                this.#logMessage(description);
+            },
+        };
+    }
+
     async stop(): Promise<void> {
         this.#trafficAbort.abort();
         await this.#system.stop();
--- a/test/platform/soak/system.ts
+++ b/test/platform/soak/system.ts
@@ -1,5 +1,5 @@
 import { monotonicMs, sleep } from "@greengage/base";
-import { FaultProxy, freePorts, ManagedProcess } from "@greengage/faults";
+import { FaultProxy, freePorts, ManagedProcess, ServerLinks } from "@greengage/faults";
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -23,6 +23,9 @@
 const LOOPBACK_NETWORK = `127.${1 + process.pid % 250}.${1 + Math.floor(process.pid / 250) % 250}`;
 const PEER_PORT = 7_001;
 
+/** Address at which an entry daemon reaches the engines. */
+const serverHostOf = (hostNumber: number): string => `${LOOPBACK_NETWORK}.${100 + hostNumber}`;
+
 export const MODEL_SIZES: Record<string, number> = { large: 3, small: 2 };
 
 /** One daemon process under test. */
@@ -34,6 +37,8 @@
     address: string;
     /** Proxy between callers and an entry daemon; undefined for control daemons. */
     proxy?: FaultProxy;
+    /** Paths from an entry daemon to the engines; undefined for control daemons. */
+    links?: ServerLinks;
     /** Whether a process fault is active; a second one would end it early. */
     hasProcessFault: boolean;
     /** End of the last process fault, on the monotonic clock. */
@@ -103,7 +108,10 @@
             const proxy = new FaultProxy({ targetPort: callersPort });
             await proxy.start();
             const hostNumber = CONTROL_COUNT + index + 1;
-            this.#addDaemon("entry", hostNumber, `127.0.0.1:${callersPort}`, seeds, { proxy, readyPort });
+            const links = new ServerLinks(serverHostOf(hostNumber));
+            await links.start();
+            const address = `127.0.0.1:${callersPort}`;
+            this.#addDaemon("entry", hostNumber, address, seeds, { proxy, links, readyPort });
         }
         for (const domain of DOMAINS) {
             for (let index = 0; index < ENGINES_PER_DOMAIN; index += 1) {
@@ -122,7 +130,7 @@
             engine.stop();
             await proxy.close();
         }
-        await Promise.all(this.entries.map(({ proxy }) => proxy?.close()));
+        await Promise.all(this.entries.flatMap(({ proxy, links }) => [proxy?.close(), links?.close()]));
         rmSync(this.#folder, { recursive: true, force: true });
     }
 
@@ -132,7 +140,7 @@
             rmSync(this.#dataFolder(daemon.name), { recursive: true, force: true });
         }
         this.writeSettings(daemon, { bootstrap: false });
-        daemon.process = this.#spawn(daemon.name, daemon.role);
+        daemon.process = this.#spawn(daemon.name, daemon.role, daemon.links);
     }
 
     /** Merges changes into the settings file of a daemon. */
@@ -175,7 +183,7 @@
         hostNumber: number,
         address: string,
         seeds: string[],
-        entry?: { proxy: FaultProxy; readyPort: number; },
+        entry?: { proxy: FaultProxy; links: ServerLinks; readyPort: number; },
     ): void {
         const name = `${role}-${hostNumber}`;
         this.#settings.set(name, {
@@ -193,23 +201,28 @@
                 : { listen: { front: address, ready: `127.0.0.1:${entry.readyPort}` } }),
         });
         writeFileSync(this.#settingsPath(name), JSON.stringify(this.#settings.get(name)));
-        const process = this.#spawn(name, role);
+        const process = this.#spawn(name, role, entry?.links);
         this.daemons.push({
             name,
             role,
             address,
             process,
             proxy: entry?.proxy,
+            links: entry?.links,
             hasProcessFault: false,
             processFaultEndedAtMs: -Infinity,
         });
     }
 
-    #spawn(name: string, role: string): ManagedProcess {
+    #spawn(name: string, role: string, links?: ServerLinks): ManagedProcess {
+        const linkArguments = links === undefined ? [] : ["--import=./packages/faults/src/source.ts"];
         return new ManagedProcess({
             command: process.execPath,
-            args: ["--import=tsx", "platform/main.ts", role],
-            environment: { GREENGAGERIDGE_SETTINGS: this.#settingsPath(name) },
+            args: ["--import=tsx", ...linkArguments, "platform/main.ts", role],
+            environment: {
+                GREENGAGERIDGE_SETTINGS: this.#settingsPath(name),
+                ...(links === undefined ? {} : { GREENGAGE_TEST_SERVER_HOST: links.host }),
+            },
             onLine: (line) => this.#options.onLine?.(name, line),
         });
     }
@@ -218,6 +231,7 @@
         const [port = 0] = await freePorts(1);
         const proxy = new FaultProxy({ targetPort: port });
         await proxy.start();
+        await Promise.all(this.entries.map(({ links }) => links?.addServer(proxy.port)));
         const engine = this.#createEngine({ ...definition, proxy, port });
         await engine.listen();
         this.engines.push({ ...definition, proxy, port, engine, isBeingReplaced: false });
