Don't campaign or lead if the disk becomes full during the campaign

By reading: a member whose log write is refused during its pre-vote went on, as it resigns only from a role that it already has, and could lead with a full disk if term and vote still fitted. The conditions of a campaign are checked again after the pre-vote and before it leads.

--- a/packages/consensus/src/election.ts
+++ b/packages/consensus/src/election.ts
@@ -74,7 +74,7 @@
         if (!await this.#collectVotes("raft.preVote", termBefore + 1)) {
             return;
         }
-        if (state.term !== termBefore || state.isLeader || !state.isIdentityVerified) {
+        if (state.term !== termBefore || !this.#mayCampaign()) {
             return;
         }
         const term = termBefore + 1;
@@ -90,7 +90,7 @@
         if (state.term !== term || state.role !== LogRole.Candidate) {
             return;
         }
-        if (!isElected || !state.isIdentityVerified) {
+        if (!isElected || !this.#mayCampaign()) {
             state.role = state.passiveRole;
             return;
         }
--- a/test/consensus/fixture.ts
+++ b/test/consensus/fixture.ts
@@ -127,11 +127,14 @@
     isFull = false;
     /** Bytes of a refused write that reach the file. */
     tornBytes = 0;
+    /** Whether a full disk still takes a term or vote, which is smaller than most records of the log. */
+    takesMetadata = false;
     /** Number of refused writes. */
     refusedCount = 0;
 
     readonly writeFile = async (file: FileHandle, bytes: Uint8Array): Promise<void> => {
-        if (!this.isFull) {
+        const fits = this.takesMetadata && Buffer.from(bytes).includes("votedFor");
+        if (!this.isFull || fits) {
             await file.writeFile(bytes);
             return;
         }
--- a/test/consensus/fulldisk.test.ts
+++ b/test/consensus/fulldisk.test.ts
@@ -330,6 +330,7 @@
             : cluster.ids[turn % 3] ?? "";
         const disk = cluster.disk(daemonId);
         disk.tornBytes = random.nextInt(40);
+        disk.takesMetadata = random.nextFloat() < 0.5;
         disk.isFull = true;
         await sleep(300 + random.nextInt(300));
         disk.isFull = false;
@@ -358,9 +359,22 @@
                 await sleep(10);
             }
         })();
+        const unableLeaders = new Set<string>();
+        const watching = (async () => {
+            while (!isOver) {
+                for (const { daemonId, log } of cluster.members.values()) {
+                    const { role, term, isDiskFull } = log.status();
+                    if (role === "leader" && isDiskFull) {
+                        unableLeaders.add(`${daemonId} in term ${term}`);
+                    }
+                }
+                await sleep(5);
+            }
+        })();
         await fillDisksInTurn(cluster, random);
         isOver = true;
-        await changing;
+        await Promise.all([changing, watching]);
+        t.deepEqual([...unableLeaders], [], "a member with a full disk must not lead");
         t.true(slowest.durationMs < CHANGE_LIMIT_MS, `${slowest.id} took ${slowest.durationMs} ms`);
         await cluster.leader();
         for (const id of cluster.ids) {
