Conclude early that a group's member is lost if it accepts no connections

A process that pauses still accepts connections; a VM that is gone doesn't. On an early report the leader now also opens a connection to each member, and acts on those that neither answer nor accept one, besides those that have ended. It replaces the refusal of the probe's own connection as evidence.

--- a/packages/fleet/src/orders.ts
+++ b/packages/fleet/src/orders.ts
@@ -38,8 +38,8 @@
     /** No answer in time or no connection. During a partition, connections to a live process may be refused. */
     | {
         kind: "silent";
-        /** Whether the connection was refused at once. */
-        isRefused?: boolean;
+        /** Whether no connection to the address opens either, as a live process keeps accepting them while it is silent. */
+        isUnreachable?: boolean;
     };
 
 /** Address of a backend server as `host:port`, with the id expected there. */
--- a/packages/fleet/src/suspicion.ts
+++ b/packages/fleet/src/suspicion.ts
@@ -56,13 +56,13 @@
 
 /**
  * Diagnoses a group that may only be silent for a moment: a probe without an answer is then no evidence, in contrast to one that
- * shows that the process has ended.
+ * shows that the process has ended or is unreachable.
  */
 export const evaluateEarlyProbes = (results: readonly MemberProbe[]): SuspicionVerdict => {
     const verdict = evaluateProbes(results);
     const failed = verdict === SuspicionVerdict.HeadSilent ? results.slice(0, 1) : results;
     const hasEnded = failed.some(({ probe }) =>
-        probe.kind === "ended" || (probe.kind === "silent" && probe.isRefused === true)
+        probe.kind === "ended" || (probe.kind === "silent" && probe.isUnreachable === true)
     );
     return lossVerdicts.includes(verdict) && !hasEnded ? SuspicionVerdict.Unknown : verdict;
 };
@@ -111,18 +111,17 @@
     }
 
     async #probeAndHandle(group: ManagedGroup, suspicion: GroupSuspicion): Promise<boolean> {
-        const { registry, orders, context } = this.#state;
-        const results = await Promise.all(group.memberIds.map(async (serverId): Promise<MemberProbe> => {
-            const server = registry.get(serverId);
-            return {
+        const { context } = this.#state;
+        const isEarly = suspicion.isEarly === true;
+        const results = await Promise.all(
+            group.memberIds.map(async (serverId): Promise<MemberProbe> => ({
                 serverId,
-                probe: server === undefined ? { kind: "silent" } : await orders.probe(server.report),
-            };
-        }));
+                probe: await this.#probe(serverId, isEarly),
+            })),
+        );
         if (!this.#state.mayAct() || !streamingPhases.includes(group.phase)) {
             return false;
         }
-        const isEarly = suspicion.isEarly === true;
         const verdict = isEarly ? evaluateEarlyProbes(results) : evaluateProbes(results);
         const failed = results.filter(({ probe }) => probe.kind !== "answered").map(({ serverId }) =>
             serverId
@@ -146,6 +145,20 @@
         return verdict === SuspicionVerdict.Healthy;
     }
 
+    /** Probes a member, and with `checksConnection` also whether it accepts connections. */
+    async #probe(serverId: string, checksConnection: boolean): Promise<EngineProbeResult> {
+        const { registry, orders } = this.#state;
+        const server = registry.get(serverId);
+        if (server === undefined) {
+            return { kind: "silent" };
+        }
+        const [probe, isReachable] = await Promise.all([
+            orders.probe(server.report),
+            checksConnection ? orders.acceptsConnections(server.report) : true,
+        ]);
+        return probe.kind === "silent" ? { ...probe, isUnreachable: !isReachable } : probe;
+    }
+
     readonly #verdictHandlers: Record<SuspicionVerdict, (result: CheckResult) => void> = {
         [SuspicionVerdict.Unknown]: () => undefined,
         [SuspicionVerdict.MemberLost]: ({ group, nowMs }) =>
--- a/test/fleet/earlysuspicions.test.ts
+++ b/test/fleet/earlysuspicions.test.ts
@@ -3,7 +3,7 @@
 
 const answered = { kind: "answered", pace: 1 } as const;
 const silent = { kind: "silent" } as const;
-const refused = { kind: "silent", isRefused: true } as const;
+const unreachable = { kind: "silent", isUnreachable: true } as const;
 const ended = { kind: "ended" } as const;
 
 const membersOf = (...probes: Parameters<typeof evaluateProbes>[0][number]["probe"][]) =>
@@ -17,13 +17,13 @@
     }
 });
 
-test("an early report finds members and heads that have ended", (t) => {
-    for (const probe of [ended, refused]) {
+test("an early report finds members and heads that have ended or are unreachable", (t) => {
+    for (const probe of [ended, unreachable]) {
         t.is(evaluateEarlyProbes(membersOf(answered, probe, answered)), SuspicionVerdict.MemberLost);
         t.not(evaluateEarlyProbes(membersOf(probe, answered, answered)), SuspicionVerdict.Unknown);
     }
 });
 
 test("an early report of a group whose members mostly don't answer is inconclusive", (t) => {
-    t.is(evaluateEarlyProbes(membersOf(answered, refused, refused)), SuspicionVerdict.Unknown);
+    t.is(evaluateEarlyProbes(membersOf(answered, unreachable, unreachable)), SuspicionVerdict.Unknown);
 });
