--- a/test/platform/drainlimits.test.ts
+++ b/test/platform/drainlimits.test.ts
@@ -21,6 +21,9 @@
 /** Delay of a signal, longer than any pause of the event loop in calm. */
 const SIGNAL_DELAY_MS = 700;
 
+/** Pause of a process, longer than any pause of the event loop in calm. */
+const PAUSE_MS = 400;
+
 const sleep = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
 
 /** Starts a stream, and waits for its first event. */
@@ -93,6 +96,25 @@
     assertNotRun(t, fixture, "late");
 });
 
+// Guards against a drain that counts a pause of the process before SIGTERM as part of the grace period.
+test.serial("a daemon that stood still before SIGTERM keeps its streams until the end of the grace period", async (t) => {
+    const fixture = await startServing(t);
+    setStreamDuration(fixture, 12_000);
+    const running = await startStream(fixture, "running");
+    await sleep(300);
+    fixture.entry.kill("SIGSTOP");
+    await sleep(PAUSE_MS);
+    const drain = startDrain(fixture);
+    fixture.entry.kill("SIGCONT");
+    await running.closed;
+    const closedAtMs = drain.elapsedMs();
+    t.log(`closed ${Math.round(closedAtMs)} ms after SIGTERM`);
+    t.true(closedAtMs >= GRACE_MS * 5 / 6);
+    const { code, elapsedMs } = await drain.exited;
+    t.is(code, 0);
+    t.true(elapsedMs < GRACE_MS);
+});
+
 test.serial("a request whose body arrives in pieces across the whole grace period is answered", async (t) => {
     const fixture = await startServing(t);
     const completed = await fixture.open();
