Track responses to requests with an unknown expectation

Callers that had sent a request with an Expect header other than 100-continue got 417, but behind another request of a connection that closes they got no answer. A connection whose last request had got 417 also counted as reading a head, so that a draining daemon waited for it until the end of the grace period and then sent a second response.

Cause: without a listener, Node.js answers such requests itself, and ServerConnections doesn't see them.

ServerConnections now handles them like any other request, with the response that Node.js sends.

Evidence: base › serverconnections "a connection whose request had an unknown expectation is closed as idle" and "a request with an unknown expectation that is read behind another one is answered" failed before; the 16 tests of the file pass now.

--- a/packages/base/src/serverconnections.ts
+++ b/packages/base/src/serverconnections.ts
@@ -107,7 +107,11 @@
         this.#onRequest = onRequest;
         this.#listeners = listeners;
         server.on("connection", (socket) => this.#add(socket));
-        server.on("request", (request, response) => this.#begin(request, response));
+        server.on("request", (request, response) => this.#begin(request, response, this.#onRequest));
+        server.on(
+            "checkExpectation",
+            (request, response) => this.#begin(request, response, rejectExpectation),
+        );
     }
 
     counts(): ConnectionCounts {
@@ -219,7 +223,7 @@
         socket.once("close", () => this.#remove(connection));
     }
 
-    #begin(request: IncomingMessage, response: ServerResponse): void {
+    #begin(request: IncomingMessage, response: ServerResponse, handle: RequestListener): void {
         const connection = this.#connections.get(request.socket);
         if (connection === undefined) {
             // The client reset the connection in the meantime.
@@ -245,7 +249,7 @@
         if (connection.closesAfterResponse) {
             closeAfterResponse(connection);
         }
-        this.#onRequest(request, response);
+        handle(request, response);
     }
 
     #end(connection: Connection, open: OpenRequest): void {
@@ -334,6 +338,9 @@
     return request.complete ? RequestProgress.Unanswered : RequestProgress.ReadingBody;
 };
 
+/** Does what Node.js does without a listener. */
+const rejectExpectation: RequestListener = (_, response) => void response.writeHead(417).end();
+
 /** Whether a response whose head has been sent announces the close. */
 const isCloseAnnounced = ({ requests }: Connection): boolean =>
     requests.some((open) => open.response.headersSent && isLastResponse(open));
--- a/test/base/serverconnections.test.ts
+++ b/test/base/serverconnections.test.ts
@@ -325,3 +325,27 @@
         ],
     );
 });
+
+// Guards against connections that look as if a request head were incomplete, and so delay the close.
+test("a connection whose request had an unknown expectation is closed as idle", async (t) => {
+    const { connections, open } = await startServer(t, (_, response) => response.end("ok"));
+    const client = await open();
+    client.socket.write("GET / HTTP/1.1\r\nhost: a\r\nexpect: other\r\n\r\n");
+    await waitFor("a response", async () => client.received().includes("417") ? true : undefined);
+    t.deepEqual(connections.counts(), { open: 1, reading: 0, answering: 0 });
+    connections.closeAfterResponses();
+    t.true(await connections.closeWhenIdle(CLOSE_LIMIT_MS));
+});
+
+// Guards against responses that are lost because the response to an earlier request announces the close.
+test("a request with an unknown expectation that is read behind another one is answered", async (t) => {
+    const responses: ServerResponse[] = [];
+    const { connections, open } = await startServer(t, (_, response) => responses.push(response));
+    const client = await open();
+    client.socket.write(`${GET}GET / HTTP/1.1\r\nhost: a\r\nexpect: other\r\n\r\n`);
+    await waitFor("a request", async () => responses.length === 1 ? true : undefined);
+    connections.closeAfterResponses();
+    responses[0]?.end("ok");
+    await client.closed;
+    t.regex(client.received(), /HTTP\/1\.1 200 [^]*ok[^]*HTTP\/1\.1 417 /);
+});
