Don't run requests behind the early rejection of an incomplete request

Callers of the product's own daemon whose request was rejected before its body was complete, and that sent another request behind it, got no answer to that one, though it had run.

Cause: the rejection announced the close in a header of its own. ServerConnections, which discards what is read behind an announcement, reads `shouldKeepAlive`, which such a header doesn't change.

The rejection now clears `shouldKeepAlive`, and Node.js sends the same header for it.

--- a/packages/http/src/problem.ts
+++ b/packages/http/src/problem.ts
@@ -91,7 +91,8 @@
         response.end(body);
         return;
     }
-    response.writeHead(status, { ...headers, ...extraHeaders, connection: "close" });
+    response.shouldKeepAlive = false;
+    response.writeHead(status, { ...headers, ...extraHeaders });
     // Closing a connection with unread data resets it, so the client could lose the response.
     response.write(body);
     request.resume();
--- a/test/http/callers.test.ts
+++ b/test/http/callers.test.ts
@@ -4,7 +4,16 @@
 import test from "ava";
 import { connect } from "node:net";
 import { request } from "undici";
-import { CALLER_KEY, chatBody, createEvent, requestHead, send, sendRaw, startServer } from "./fixture.ts";
+import {
+    CALLER_KEY,
+    chatBody,
+    createEvent,
+    openConnection,
+    requestHead,
+    send,
+    sendRaw,
+    startServer,
+} from "./fixture.ts";
 
 test("a chat without streaming returns a completion in the OpenAI format", async (t) => {
     const { url } = await startServer(t);
@@ -303,3 +312,28 @@
     );
     t.is((await send(`${url}/v1/models`, { key: CALLER_KEY })).status, 401);
 });
+
+// Guards against requests that run although the response before them has announced the close.
+test("a request behind one that was rejected before its body was complete does not run", async (t) => {
+    let runCount = 0;
+    const dispatcher = {
+        generate: async () => {
+            runCount += 1;
+        },
+    };
+    const { port } = await startServer(t, { limits: { bodyBytes: 4_000 }, dispatcher });
+    const format = (body: string): string =>
+        requestHead("/v1/chat/completions", [
+            "content-type: application/json",
+            `content-length: ${body.length}`,
+        ]) + body;
+    const rejected = format("x".repeat(5_000));
+    const connection = await openConnection(t, port);
+    connection.write(rejected.slice(0, -10));
+    await waitFor("a response", () => connection.text().includes("413") || undefined);
+    connection.write(rejected.slice(-10) + format(JSON.stringify(chatBody())));
+    const text = await connection.closed;
+    t.is(text.match(/HTTP\/1\.1 /g)?.length, 1);
+    t.regex(text, /connection: close/i);
+    t.is(runCount, 0);
+});
