Add a failing test of requests dropped while the announcement of the close waits

Callers that pipeline get neither an answer nor a refusal to a request that a draining daemon reads behind two others, if the first is still being answered: the response to the second is complete and announces the close, but waits behind the first, and the third is discarded.

ServerConnections takes the close as announced once the head of a response is formatted (`headersSent`), not once it can be sent.

--- a/test/base/serverconnections.test.ts
+++ b/test/base/serverconnections.test.ts
@@ -349,3 +349,33 @@
     await client.closed;
     t.regex(client.received(), /HTTP\/1\.1 200 [^]*ok[^]*HTTP\/1\.1 417 /);
 });
+
+// Guards against requests that are dropped while the announcement of the close waits behind an earlier response.
+test("a request that is read before the announcement of the close can be sent is answered", async (t) => {
+    const responses: ServerResponse[] = [];
+    const { connections, interrupted, open } = await startServer(t, (request, response) => {
+        responses.push(response);
+        if (request.url === "/") {
+            response.write("part");
+            return;
+        }
+        response.end("quick");
+    });
+    const client = await open();
+    client.socket.write(GET);
+    await waitFor("a response head", async () => client.received().includes("part") ? true : undefined);
+    connections.closeAfterResponses();
+    const quickRequest = "GET /quick HTTP/1.1\r\nhost: a\r\n\r\n";
+    client.socket.write(quickRequest);
+    await waitFor("a second request", async () => responses.length === 2 ? true : undefined);
+    t.notRegex(client.received(), /connection: close/i);
+    client.socket.write(quickRequest);
+    await waitFor(
+        "a third request",
+        async () => responses.length === 3 || interrupted.length === 1 ? true : undefined,
+    );
+    responses[0]?.end("rest");
+    await client.closed;
+    t.deepEqual(interrupted.map(({ progress }) => progress), []);
+    t.is(client.received().match(/HTTP\/1\.1 200/g)?.length, 3);
+});
