--- a/test/base/serverconnections.test.ts
+++ b/test/base/serverconnections.test.ts
@@ -325,3 +325,57 @@
         ],
     );
 });
+
+// Guards against connections that look as if a request head were incomplete, and so delay the close.
+test("a connection whose request had an unknown expectation is closed as idle", async (t) => {
+    const { connections, open } = await startServer(t, (_, response) => response.end("ok"));
+    const client = await open();
+    client.socket.write("GET / HTTP/1.1\r\nhost: a\r\nexpect: other\r\n\r\n");
+    await waitFor("a response", async () => client.received().includes("417") ? true : undefined);
+    t.deepEqual(connections.counts(), { open: 1, reading: 0, answering: 0 });
+    connections.closeAfterResponses();
+    t.true(await connections.closeWhenIdle(CLOSE_LIMIT_MS));
+});
+
+// Guards against responses that are lost because the response to an earlier request announces the close.
+test("a request with an unknown expectation that is read behind another one is answered", async (t) => {
+    const responses: ServerResponse[] = [];
+    const { connections, open } = await startServer(t, (_, response) => responses.push(response));
+    const client = await open();
+    client.socket.write(`${GET}GET / HTTP/1.1\r\nhost: a\r\nexpect: other\r\n\r\n`);
+    await waitFor("a request", async () => responses.length === 1 ? true : undefined);
+    connections.closeAfterResponses();
+    responses[0]?.end("ok");
+    await client.closed;
+    t.regex(client.received(), /HTTP\/1\.1 200 [^]*ok[^]*HTTP\/1\.1 417 /);
+});
+
+// Guards against requests that are dropped while the announcement of the close waits behind an earlier response.
+test("a request that is read before the announcement of the close can be sent is answered", async (t) => {
+    const responses: ServerResponse[] = [];
+    const { connections, interrupted, open } = await startServer(t, (request, response) => {
+        responses.push(response);
+        if (request.url === "/") {
+            response.write("part");
+            return;
+        }
+        response.end("quick");
+    });
+    const client = await open();
+    client.socket.write(GET);
+    await waitFor("a response head", async () => client.received().includes("part") ? true : undefined);
+    connections.closeAfterResponses();
+    const quickRequest = "GET /quick HTTP/1.1\r\nhost: a\r\n\r\n";
+    client.socket.write(quickRequest);
+    await waitFor("a second request", async () => responses.length === 2 ? true : undefined);
+    t.notRegex(client.received(), /connection: close/i);
+    client.socket.write(quickRequest);
+    await waitFor(
+        "a third request",
+        async () => responses.length === 3 || interrupted.length === 1 ? true : undefined,
+    );
+    responses[0]?.end("rest");
+    await client.closed;
+    t.deepEqual(interrupted.map(({ progress }) => progress), []);
+    t.is(client.received().match(/HTTP\/1\.1 200/g)?.length, 3);
+});
