Ask peers first that have relayed before, and others more rarely after failures

With most daemons of a fleet cut off, each request asked three peers, most of which had lost the servers, too. The connections opened in vain (over 600 in 4 s in a run of test/platform/lostpaths.test.ts) slowed down the one daemon that could relay, so that its answers came too late. A peer that has opened a connection in the last 2 s is now asked first; one that couldn't is asked last for 1 s, doubling with each failure up to 8 s.

The leader logs an early report that finds nothing as group.silent.

--- a/packages/fleet/src/suspicion.ts
+++ b/packages/fleet/src/suspicion.ts
@@ -127,7 +127,8 @@
         const failed = results.filter(({ probe }) => probe.kind !== "answered").map(({ serverId }) =>
             serverId
         );
-        context.decisions.record("group.suspected", {
+        const isSilent = isEarly && !lossVerdicts.includes(verdict);
+        context.decisions.record(isSilent ? "group.silent" : "group.suspected", {
             group: group.groupName,
             epoch: group.epoch,
             reason: suspicion.reason,
--- a/packages/routing/src/relayopener.ts
+++ b/packages/routing/src/relayopener.ts
@@ -2,8 +2,11 @@
 import { type RelayCandidate, RelayError, RelayRefusal, type RelayRequest } from "@greengage/protocol";
 import type { Duplex } from "node:stream";
 
-/** A peer that couldn't relay is asked after the others for this long. */
+/** A peer that couldn't relay is asked after the others for this long, and for longer with each failure in a row. */
 const PEER_AVOIDANCE_MS = 1_000;
+const MAX_PEER_AVOIDANCE_MS = 8_000;
+/** A peer that has opened a connection within this time is asked first: others may have lost their paths, too. */
+const PEER_PREFERENCE_MS = 2_000;
 /** With this many lost paths, a daemon has most likely lost those to all servers. */
 export const PRESUMED_AFTER_LOST_PATHS = 2;
 /** Peers that are asked for one connection. */
@@ -41,7 +44,8 @@
 /** Opens connections to backend servers through peers, and remembers the peers that couldn't. */
 export class RelayOpener {
     readonly #options: RelayOpenerOptions;
-    readonly #avoidedUntilMs = new Map<string, number>();
+    readonly #avoidances = new Map<string, { untilMs: number; failureCount: number; }>();
+    readonly #openedAtMs = new Map<string, number>();
 
     constructor(options: RelayOpenerOptions) {
         this.#options = options;
@@ -88,7 +92,8 @@
             const stream = await relays.open(daemonId, request, timeoutMs);
             // It may fail before it has another listener.
             stream.on("error", () => undefined);
-            this.#avoidedUntilMs.delete(daemonId);
+            this.#avoidances.delete(daemonId);
+            this.#openedAtMs.set(daemonId, monotonicMs());
             return { stream, relayId: daemonId };
         }
         catch (error) {
@@ -110,7 +115,15 @@
     }
 
     #avoid(daemonId: string): void {
-        this.#avoidedUntilMs.set(daemonId, monotonicMs() + PEER_AVOIDANCE_MS);
+        const nowMs = monotonicMs();
+        const known = this.#avoidances.get(daemonId);
+        this.#openedAtMs.delete(daemonId);
+        // Requests that fail at the same time count once.
+        if (known === undefined || known.untilMs <= nowMs) {
+            const failureCount = (known?.failureCount ?? 0) + 1;
+            const durationMs = Math.min(MAX_PEER_AVOIDANCE_MS, PEER_AVOIDANCE_MS * 2 ** (failureCount - 1));
+            this.#avoidances.set(daemonId, { untilMs: nowMs + durationMs, failureCount });
+        }
     }
 
     /** Peers that reach the server as far as known: those of the own zone first, then by the connections they relay. */
@@ -118,12 +131,14 @@
         const nowMs = monotonicMs();
         const { relays, context, random } = this.#options;
         const candidates = relays.candidates();
-        const rank = ({ daemonId, zone, lostServerIds }: RelayCandidate): number =>
-            4 * Number((this.#avoidedUntilMs.get(daemonId) ?? -Infinity) > nowMs)
-            + 2 * Number(
-                    lostServerIds.includes(serverId) || lostServerIds.length >= PRESUMED_AFTER_LOST_PATHS,
-                )
-            + Number(zone !== context.zone);
+        const rank = ({ daemonId, zone, lostServerIds }: RelayCandidate): number => {
+            const isAvoided = (this.#avoidances.get(daemonId)?.untilMs ?? -Infinity) > nowMs;
+            const hasLost = lostServerIds.includes(serverId)
+                || lostServerIds.length >= PRESUMED_AFTER_LOST_PATHS;
+            const isPreferred = nowMs - (this.#openedAtMs.get(daemonId) ?? -Infinity) < PEER_PREFERENCE_MS;
+            return 8 * Number(isAvoided) + 4 * Number(hasLost) + 2 * Number(!isPreferred)
+                + Number(zone !== context.zone);
+        };
         const ranked = candidates
             .map((peer) => ({
                 peer,
--- a/test/routing/serverpaths.test.ts
+++ b/test/routing/serverpaths.test.ts
@@ -164,6 +164,22 @@
     t.true(askedIds.length <= 4);
 });
 
+// Guards against connections that are opened in vain, as they slow down the peers that could relay.
+test("a peer that has opened a connection is asked first", async (t) => {
+    const cut = ["a", "b"].map((daemonId) => ({
+        candidate: candidate(daemonId),
+        opening: refuses(RelayRefusal.ServerUnreachable),
+    }));
+    const { paths, askedIds } = createPaths(t, [...cut, {
+        candidate: candidate("c", { zone: "other" }),
+        opening: opens,
+    }]);
+    await paths.openRelayed(SERVER);
+    askedIds.length = 0;
+    await paths.openRelayed(OTHER_SERVER);
+    t.deepEqual(askedIds, ["c"]);
+});
+
 test("a peer that has lost the server itself is asked last", async (t) => {
     const { paths, askedIds } = createPaths(t, [
         { candidate: candidate("cut", { lostServerIds: [SERVER.serverId] }), opening: opens },
