Ask peers that have failed lately only one after the other

Such a peer is now asked only once the one before has failed.

A daemon rejected requests at once after three attempts in vain, which a moment of load can cause; it now takes six.

--- a/packages/gateway/src/reachability.ts
+++ b/packages/gateway/src/reachability.ts
@@ -2,7 +2,7 @@
 
 /** Attempts at different servers that have to fail before this daemon counts as cut off. */
 const MIN_UNREACHED_SERVERS = 2;
-const MIN_UNREACHED_ATTEMPTS = 3;
+const MIN_UNREACHED_ATTEMPTS = 6;
 /** After this time without an attempt, the daemon counts as reaching servers again, so that requests find out. */
 const UNREACHED_TTL_MS = 1_500;
 /** While the daemon is cut off, one request in this time is let through to find out whether it still is. */
--- a/packages/routing/src/relayopener.ts
+++ b/packages/routing/src/relayopener.ts
@@ -71,10 +71,12 @@
         if (others.length === 0) {
             return await asked;
         }
-        const early = await Promise.race([
-            asked.catch(() => undefined),
-            sleep(NEXT_PEER_DELAY_MS).then(() => undefined),
-        ]);
+        const opened = asked.catch(() => undefined);
+        // A peer that has failed lately is asked only after the failure of the one before.
+        const isNextAvoided = this.#isAvoided(others[0]?.daemonId ?? "");
+        const early = await (isNextAvoided
+            ? opened
+            : Promise.race([opened, sleep(NEXT_PEER_DELAY_MS).then(() => undefined)]));
         if (early !== undefined) {
             return early;
         }
@@ -114,6 +116,10 @@
         }
     }
 
+    #isAvoided(daemonId: string): boolean {
+        return (this.#avoidances.get(daemonId)?.untilMs ?? -Infinity) > monotonicMs();
+    }
+
     #avoid(daemonId: string): void {
         const nowMs = monotonicMs();
         const known = this.#avoidances.get(daemonId);
@@ -132,11 +138,10 @@
         const { relays, context, random } = this.#options;
         const candidates = relays.candidates();
         const rank = ({ daemonId, zone, lostServerIds }: RelayCandidate): number => {
-            const isAvoided = (this.#avoidances.get(daemonId)?.untilMs ?? -Infinity) > nowMs;
             const hasLost = lostServerIds.includes(serverId)
                 || lostServerIds.length >= PRESUMED_AFTER_LOST_PATHS;
             const isPreferred = nowMs - (this.#openedAtMs.get(daemonId) ?? -Infinity) < PEER_PREFERENCE_MS;
-            return 8 * Number(isAvoided) + 4 * Number(hasLost) + 2 * Number(!isPreferred)
+            return 8 * Number(this.#isAvoided(daemonId)) + 4 * Number(hasLost) + 2 * Number(!isPreferred)
                 + Number(zone !== context.zone);
         };
         const ranked = candidates
