Listen silently in a process instead of a worker

Test processes in which several workers of SilentListener had ended spun at their exit (npx ava test/platform/soak.test.ts: 2 of 2 runs of the three tests passed through all of them and didn't exit; the workers load tsx, which is suspected, not proved). A process that stops itself while it listens needs neither a loader in a worker nor shared memory.

--- a/packages/faults/src/silentlistener.ts
+++ b/packages/faults/src/silentlistener.ts
@@ -1,44 +1,40 @@
+import { fork } from "node:child_process";
 import { once } from "node:events";
-import { Worker } from "node:worker_threads";
-
-// Workers can't load TypeScript as their main module.
-const WORKER_SOURCE = `import("tsx/esm/api").then(({ register }) => {
-    register();
-    return import(${JSON.stringify(new URL("./silentlistenerworker.ts", import.meta.url).href)});
-});`;
+import { fileURLToPath } from "node:url";
 
 /** Takes addresses without accepting connections: new ones hang, as when the network drops all packets. */
 export class SilentListener {
-    readonly #gate = new Int32Array(new SharedArrayBuffer(Int32Array.BYTES_PER_ELEMENT));
-    readonly #worker = new Worker(WORKER_SOURCE, {
-        eval: true,
-        execArgv: [],
-        workerData: this.#gate.buffer,
+    readonly #child = fork(fileURLToPath(new URL("./silentlistenerprocess.ts", import.meta.url)), {
+        execArgv: ["--import=tsx"],
     });
+    readonly #killOnExit = (): void => void this.#child.kill("SIGKILL");
 
-    /** Waits until the worker can listen. */
+    /** Waits until the process can listen. */
     async start(): Promise<void> {
-        await once(this.#worker, "message");
-        this.#worker.unref();
+        process.once("exit", this.#killOnExit);
+        await once(this.#child, "message");
     }
 
     /** Listens at addresses that are free. */
     async listen(addresses: readonly { host: string; port: number; }[]): Promise<void> {
-        this.#worker.postMessage(addresses);
-        await once(this.#worker, "message");
+        const listening = once(this.#child, "message");
+        this.#child.send(addresses);
+        await listening;
     }
 
     /** Frees the addresses. Connections that were opened meanwhile are reset. */
     async stop(): Promise<void> {
-        const stopped = once(this.#worker, "message");
-        Atomics.store(this.#gate, 0, 1);
-        Atomics.notify(this.#gate, 0);
+        const stopped = once(this.#child, "message");
+        this.#child.kill("SIGCONT");
         await stopped;
     }
 
     async close(): Promise<void> {
-        Atomics.store(this.#gate, 0, 1);
-        Atomics.notify(this.#gate, 0);
-        await this.#worker.terminate();
+        process.off("exit", this.#killOnExit);
+        if (this.#child.exitCode === null && this.#child.signalCode === null) {
+            const exited = once(this.#child, "exit");
+            this.#child.kill("SIGKILL");
+            await exited;
+        }
     }
 }
--- a/packages/faults/src/silentlistenerworker.ts
+++ b/packages/faults/src/silentlistenerprocess.ts
@@ -1,7 +1,6 @@
-/** Worker of `SilentListener`. Its event loop is blocked while it listens, so no connection is accepted. */
+/** Process of `SilentListener`. It is stopped while it listens, so no connection is accepted. */
 import { once } from "node:events";
 import { connect, createServer, type Server } from "node:net";
-import { parentPort, workerData } from "node:worker_threads";
 
 interface Address {
     host: string;
@@ -12,8 +11,6 @@
 /** The system accepts one connection more than the backlog; then it drops the first packet of further ones. */
 const FILLER_COUNT = BACKLOG + 1;
 
-const gate = new Int32Array(workerData as SharedArrayBuffer);
-
 const listen = async ({ host, port }: Address): Promise<Server> => {
     const server = createServer((socket) => socket.destroy());
     server.listen({ host, port, backlog: BACKLOG });
@@ -22,20 +19,20 @@
 };
 
 const listenSilently = async (addresses: readonly Address[]): Promise<void> => {
-    Atomics.store(gate, 0, 0);
     const servers = await Promise.all(addresses.map(listen));
     const fillers = addresses.flatMap((address) =>
         Array.from({ length: FILLER_COUNT }, () => connect(address).on("error", () => undefined))
     );
     // `connect` opens the connection in the next tick, so this tick follows those of all fillers.
     process.nextTick(() => {
-        parentPort?.postMessage("listening");
-        Atomics.wait(gate, 0, 0);
+        process.send?.("listening");
+        process.kill(process.pid, "SIGSTOP");
         fillers.forEach((filler) => filler.destroy());
         servers.forEach((server) => server.close());
-        parentPort?.postMessage("stopped");
+        process.send?.("stopped");
     });
 };
 
-parentPort?.on("message", (addresses: readonly Address[]) => void listenSilently(addresses));
-parentPort?.postMessage("ready");
+process.on("message", (addresses: readonly Address[]) => void listenSilently(addresses));
+process.once("disconnect", () => process.exit());
+process.send?.("ready");
