Confirm the loss of a path by a second direct connection

Cause: a path counted as lost if a direct connection failed and one through a peer opened a moment later.

A loss now needs a second direct connection that isn't accepted after the peer's has opened. A connection that is accepted and ended shows that the path exists. A pool that is destroyed while it is retired no longer ends the process by an unhandled rejection.

--- a/packages/base/src/connectionprobe.ts
+++ b/packages/base/src/connectionprobe.ts
@@ -4,8 +4,10 @@
 export const ConnectionProbeResult = {
     /** The connection was accepted and stayed open. */
     Open: "open",
-    /** It was accepted and closed at once, as by a relay whose target is down. */
+    /** It was accepted and ended at once, as by a relay whose target is down. */
     Closed: "closed",
+    /** It was reset, by the process that accepted it or on the way. */
+    Reset: "reset",
     /** No process listens there. */
     Refused: "refused",
     /** There was no answer in time, or another error, of which the network can be the cause. */
@@ -19,8 +21,8 @@
 
 const resultsByError: Record<string, ConnectionProbeResult> = {
     ECONNREFUSED: ConnectionProbeResult.Refused,
-    ECONNRESET: ConnectionProbeResult.Closed,
-    EPIPE: ConnectionProbeResult.Closed,
+    ECONNRESET: ConnectionProbeResult.Reset,
+    EPIPE: ConnectionProbeResult.Reset,
 };
 
 /** Opens a connection to `address` (`host:port`), sends nothing, and closes it. Resolves after `timeoutMs` at the latest. */
--- a/packages/routing/src/connectionpools.ts
+++ b/packages/routing/src/connectionpools.ts
@@ -54,7 +54,9 @@
         if (pool !== undefined) {
             this.#pools.delete(origin);
             this.#retired.add(pool);
-            void pool.close().finally(() => this.#retired.delete(pool));
+            const forget = (): void => void this.#retired.delete(pool);
+            // Rejects if the pool is destroyed meanwhile, which closes it as well.
+            pool.close().then(forget, forget);
         }
     }
 
--- a/packages/routing/src/serverpaths.ts
+++ b/packages/routing/src/serverpaths.ts
@@ -181,7 +181,9 @@
 
     /** Records that a server was reached through a peer after its direct connection had failed. */
     recordRelayed(request: RelayRequest, relayId: string, directFailure: string): void {
-        this.#markLost(request, { relay: relayId, evidence: directFailure });
+        if (!this.isLost(request.address)) {
+            void this.#confirmLoss(request, { relay: relayId, evidence: directFailure });
+        }
     }
 
     /** Finds out whether this daemon, or only a peer, can open a connection to the server. Concurrent checks are shared. */
@@ -204,18 +206,21 @@
         }
         const direct = this.#probeDirect(request.address);
         const early = await Promise.race([direct, sleep(CHECK_RELAY_DELAY_MS)]);
-        if (early === ConnectionProbeResult.Open) {
+        if (isAccepted(early)) {
             return PathVerdict.Direct;
         }
         const relayed = this.#probeRelayed(request);
+        const confirmed = relayed.then((refusal) =>
+            refusal === undefined
+            && this.#confirmLoss(request, { evidence: "only a peer's connection opens" })
+        );
         const result = await direct;
-        if (result === ConnectionProbeResult.Open) {
+        if (isAccepted(result)) {
             return PathVerdict.Direct;
         }
         const refusal = await relayed;
         if (refusal === undefined) {
-            this.#markLost(request, { evidence: "only a peer's connection opens" });
-            return PathVerdict.Lost;
+            return await confirmed ? PathVerdict.Lost : PathVerdict.Direct;
         }
         if (refusal !== RelayRefusal.ServerUnreachable) {
             return PathVerdict.Unknown;
@@ -241,12 +246,27 @@
     async #probeDirect(address: string): Promise<ConnectionProbeResult> {
         const probe = this.#options.probe ?? probeConnection;
         const result = await probe(address, PROBE_TIMEOUT_MS);
-        if (result === ConnectionProbeResult.Open) {
+        if (isAccepted(result)) {
             this.recordDirect(address);
         }
         return result;
     }
 
+    /**
+     * Marks a path as lost unless a direct connection opens now: the server may have started again since the first one failed.
+     * Returns whether the path is lost.
+     */
+    async #confirmLoss(
+        request: RelayRequest,
+        evidence: { relay?: string; evidence: string; },
+    ): Promise<boolean> {
+        if (isAccepted(await this.#probeDirect(request.address))) {
+            return false;
+        }
+        this.#markLost(request, evidence);
+        return true;
+    }
+
     #markLost({ serverId, address }: RelayRequest, evidence: { relay?: string; evidence: string; }): void {
         const nowMs = monotonicMs();
         this.#lastLossAtMs = nowMs;
@@ -319,3 +339,7 @@
     await sleep(SETTLE_MS);
     return stream.errored === null && !stream.destroyed && !stream.readableEnded;
 };
+
+/** Whether the network path exists: a connection was accepted, even if the server then closed it. */
+const isAccepted = (result: ConnectionProbeResult | void): boolean =>
+    result === ConnectionProbeResult.Open || result === ConnectionProbeResult.Closed;
