Describe the verdicts on paths as they are reached since losses are confirmed

Doc comments only: a connection that is accepted and closed counts as direct, and a loss takes two failed direct connections.

--- a/packages/routing/src/serverpaths.ts
+++ b/packages/routing/src/serverpaths.ts
@@ -37,9 +37,9 @@
 
 /** Where the path to a backend server is interrupted, if it is. */
 export const PathVerdict = {
-    /** A direct connection opens. */
+    /** A direct connection is accepted. */
     Direct: "direct",
-    /** Only the connection of a peer opens: this daemon's own path is lost. */
+    /** Only a peer's connection opens, and direct ones fail before and after it: this daemon's own path is lost. */
     Lost: "lost",
     /** The direct connection is refused and no peer's opens: no process serves the address any more. */
     ServerEnded: "serverEnded",
