Review: answers in small chunks without end crash entry daemons

Half of the servers spoil 5% of their answers for 5 s with bodies in chunks of one byte. Entry daemons run out of heap and end by themselves, and requests that sound servers had run get no answer, payments among them.

Cause, by the code: each received piece is kept as a Buffer of its own, and the limit of 1 MiB counts only their content.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/bin/bash
+cd "$(dirname "$0")" && exec node case.mjs
