Issue epochs from the leader's term alone, whatever servers report

Cause: the next epoch was the highest reported one plus one, over all registered servers. 2^48 + 1 is more than reports, views and records may hold, so the controller refused what it had ordered itself.

Why this works: an epoch is the term's range plus a counter. Reports of the group's own members select one of three fixed ranges, so no report leads to an epoch that can't be read. Engines that a former version ordered into 2^48 + 1 get epochs of the range above, without a restart.

The same cause on related paths: a `sequence` that no server can have reached hides the server's later reports, and a start time in the far future ends the server at its address; both are ignored. The announcement of an end was stored as the sequence 2^53 - 1, which successors refuse together with the whole group record; it is kept as a mark now.

--- a/packages/fleet/src/adoption.ts
+++ b/packages/fleet/src/adoption.ts
@@ -1,4 +1,4 @@
-import { type GroupRecords, MemberState } from "@greengage/protocol";
+import { type GroupMembership, type GroupRecords, MemberState } from "@greengage/protocol";
 import type { FleetState } from "./controller.ts";
 import { GroupPhase, type ManagedGroup } from "./group.ts";
 import type { BackendServer } from "./registry.ts";
@@ -68,11 +68,24 @@
     }
 };
 
-const findUnknownGroups = ({ registry, groups }: FleetState): UnknownGroup[] => {
+/** States in which a group may be serving, or may start to without a further order. */
+const servingStates: readonly MemberState[] = [MemberState.Open, MemberState.Closing];
+
+/**
+ * Whether a group is left for its members to join another one. Former versions gave the same name to several groups above
+ * their highest epoch, and couldn't open them.
+ */
+const isUnusable = ({ epochs }: FleetState, { epoch, state }: GroupMembership): boolean =>
+    !epochs.mayHaveIssued(epoch) && !servingStates.includes(state);
+
+const findUnknownGroups = (state: FleetState): UnknownGroup[] => {
+    const { registry, groups } = state;
     const unknownGroups = new Map<string, UnknownGroup>();
     for (const server of registry.all()) {
         const { membership } = server.report;
-        if (membership === undefined || groups.hasEnded(membership.groupName)) {
+        if (
+            membership === undefined || groups.hasEnded(membership.groupName) || isUnusable(state, membership)
+        ) {
             continue;
         }
         if (groups.groupOf(server.report.serverId) !== undefined) {
--- a/packages/fleet/src/controller.ts
+++ b/packages/fleet/src/controller.ts
@@ -3,6 +3,7 @@
 import { ChangeSignal } from "@greengage/consensus";
 import type { CrashId, GroupRecords, GroupSuspicion, ModelDemand } from "@greengage/protocol";
 import { adoptGroups, groupRecordsOf, restoreGroups } from "./adoption.ts";
+import { EpochIssuer } from "./epochs.ts";
 import { GroupFormation } from "./formation.ts";
 import { GroupPhase, headIdOf } from "./group.ts";
 import { GroupTable } from "./grouptable.ts";
@@ -43,13 +44,11 @@
     lastFaultAtMs: Map<string, number>;
     /** Whether any daemon has received requests. */
     hasDemand: boolean;
-    nextEpoch: () => number;
+    epochs: EpochIssuer;
     /** Time from which this leader has received enough reports to act; `Infinity` while it is not leading. */
     settledAtMs: () => number;
 }
 
-/** Size of the epoch range of one term, so that epochs of a later term exceed those of all earlier terms. */
-const EPOCHS_PER_TERM = 1_000_000;
 /** Minimum interval between reconciliations triggered by reports, so that a burst of reports triggers only one. */
 const MIN_RECONCILE_GAP_MS = 20;
 
@@ -62,7 +61,6 @@
     readonly #termination: GroupTermination;
     readonly #suspicionHandler: SuspicionHandler;
     #term = 0;
-    #epochCount = 0;
     #settledAtMs = Infinity;
     #inheritedEndpoints = new Map<string, ServerEndpoint>();
 
@@ -75,7 +73,7 @@
             wakeSignal: new ChangeSignal(),
             lastFaultAtMs: new Map(),
             hasDemand: false,
-            nextEpoch: () => this.#nextEpoch(),
+            epochs: new EpochIssuer(),
             settledAtMs: () => this.#settledAtMs,
         };
         this.#termination = new GroupTermination(this.#state);
@@ -116,7 +114,7 @@
     /** Starts leading in `term`, with the groups of the previous leader's records and those that members report. */
     activate(term: number, records: GroupRecords | undefined): void {
         this.#term = term;
-        this.#epochCount = 0;
+        this.#state.epochs.startTerm(term);
         this.#inheritedEndpoints = new Map(
             endpointsOf(records).map((endpoint) => [endpoint.serverId, endpoint]),
         );
@@ -198,12 +196,6 @@
         }
     }
 
-    #nextEpoch(): number {
-        this.#epochCount += 1;
-        const known = this.#state.registry.all().map(({ report }) => report.membership?.epoch ?? 0);
-        return Math.max(this.#term * EPOCHS_PER_TERM + this.#epochCount, ...known.map((epoch) => epoch + 1));
-    }
-
     async #run(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
             this.#reconcile();
--- a/packages/fleet/src/departure.ts
+++ b/packages/fleet/src/departure.ts
@@ -23,7 +23,6 @@
     registry: ServerRegistry,
     groups: GroupTable,
     { serverId, bornMs }: { serverId: string; bornMs: number | undefined; },
-    nowMs: number,
 ): DepartureEffect => {
     const server = registry.get(serverId);
     if (server === undefined) {
@@ -35,7 +34,6 @@
         return DepartureEffect.Nothing;
     }
     // The server keeps serving for a while, like one that drains.
-    const report = { ...server.report, isDraining: true, sequence: Number.MAX_SAFE_INTEGER };
-    registry.accept(report, nowMs);
+    registry.markLeaving(serverId, server.report.bornMs);
     return DepartureEffect.Draining;
 };
--- a/packages/fleet/src/entries.ts
+++ b/packages/fleet/src/entries.ts
@@ -12,6 +12,7 @@
     type SuspectRecord,
 } from "@greengage/protocol";
 import { z } from "zod";
+import { MAX_EPOCH } from "./epochs.ts";
 import { GroupPhase } from "./group.ts";
 
 const MAX_NAME_CHARACTERS = 256;
@@ -37,6 +38,7 @@
 const serverId = name.regex(/^[\x21-\x7e]+$/);
 const slotCount = z.number().int().min(1).max(MAX_SLOT_COUNT);
 const counter = z.number().int().min(0).max(MAX_COUNTER);
+const epoch = z.number().int().min(0).max(MAX_EPOCH);
 const address = z.string().max(MAX_NAME_CHARACTERS).refine(isAddress, "must be host:port");
 const models = z.array(name).max(MAX_MODEL_COUNT);
 
@@ -55,7 +57,7 @@
     stagedModels: models,
     membership: z.object({
         groupName: name,
-        epoch: counter,
+        epoch,
         rank: z.number().int().min(0).max(MAX_GROUP_SIZE - 1),
         state: z.enum(MemberState),
     }).optional(),
@@ -70,7 +72,7 @@
     bornMs: counter.optional(),
 });
 
-const groupFields = { groupName: name, epoch: counter, service: name, model: z.string(), zone: name };
+const groupFields = { groupName: name, epoch, service: name, model: z.string(), zone: name };
 
 const groupTargetSchema: z.ZodType<GroupTarget> = z.object({
     ...groupFields,
@@ -105,7 +107,7 @@
         service: name,
         partId: z.string(),
         // Crashes of plain servers have names.
-        crashedEpochs: z.array(z.union([counter, name])),
+        crashedEpochs: z.array(z.union([epoch, name])),
     });
 
 const viewSuspectSchema: z.ZodType<Suspect> = z.object({
--- a/packages/fleet/src/formation.ts
+++ b/packages/fleet/src/formation.ts
@@ -134,7 +134,9 @@
 
     #startGroup(service: ServiceSpec, plan: GroupPlan, nowMs: number): void {
         const { model, members, fabricDomain, timeToReadyMs } = plan;
-        const epoch = this.#state.nextEpoch();
+        const servers = members.map(({ serverId }) => this.#state.registry.get(serverId))
+            .filter((server) => server !== undefined);
+        const epoch = this.#state.epochs.next(servers.map(({ report }) => report));
         const group: ManagedGroup = {
             groupName: `g${epoch}`,
             epoch,
--- a/packages/fleet/src/registry.ts
+++ b/packages/fleet/src/registry.ts
@@ -29,6 +29,9 @@
 /** Retention of ended incarnations, so that a report delayed by a partition doesn't register them again. */
 const ENDED_INCARNATION_TTL_MS = 120_000;
 
+/** Reports that an incarnation may send between two that are received. At one per millisecond, they take 17 minutes. */
+const MAX_SEQUENCE_GAP = 1_000_000;
+
 /** All backend servers that send reports, with one incarnation per id and address. */
 export class ServerRegistry {
     readonly #servers = new Map<string, BackendServer>();
@@ -87,7 +90,7 @@
             return ReportEffect.Ignored;
         }
         const known = this.#servers.get(report.serverId);
-        if (known !== undefined && isOlder(report, known.report)) {
+        if (known !== undefined && (isOlder(report, known.report) || isOutOfSequence(report, known.report))) {
             return ReportEffect.Ignored;
         }
         if (this.#isOlderThanExpected(report) || !this.#claimAddress(report, nowMs)) {
@@ -177,6 +180,10 @@
     }
 }
 
+/** Whether no server can have sent that many reports since the known one, so that another writer sent this report. */
+const isOutOfSequence = (report: ServerReport, known: ServerReport): boolean =>
+    report.bornMs === known.bornMs && report.sequence - known.sequence > MAX_SEQUENCE_GAP;
+
 const isOlder = (report: ServerReport, known: ServerReport): boolean =>
     report.bornMs < known.bornMs || (report.bornMs === known.bornMs && report.sequence <= known.sequence);
 
--- a/packages/fleet/src/reporthandler.ts
+++ b/packages/fleet/src/reporthandler.ts
@@ -9,6 +9,9 @@
 /** Backend servers wait one second for an answer. */
 const FORWARD_CALL_OPTIONS = { timeoutMs: 700 };
 
+/** Largest difference between the wall clocks of VMs and of this daemon. */
+const MAX_CLOCK_DIFFERENCE_MS = 24 * 3_600_000;
+
 export interface ServerReportHandlerOptions {
     context: Context;
     peers: Peers;
@@ -74,7 +77,9 @@
             return this.#rejection();
         }
         const nowMs = monotonicMs();
-        const reports = validReports({ context, source: from }, received);
+        const reports = validReports({ context, source: from }, received).filter((report) =>
+            this.#isBornPlausible(report, from)
+        );
         // A draining server is acknowledged only once this leader publishes the change to all daemons immediately.
         const isAcknowledged = controller.isSettled || !reports.some((report) => report.isDraining);
         for (const report of reports) {
@@ -87,6 +92,19 @@
         return { isAccepted: isAcknowledged && reports.length === received.length };
     }
 
+    /** A start time in the far future would end the process that has the same id or address, and any later one. */
+    #isBornPlausible({ serverId, bornMs }: ServerReport, from: string): boolean {
+        const isPlausible = bornMs <= Date.now() + MAX_CLOCK_DIFFERENCE_MS;
+        if (!isPlausible) {
+            this.#options.context.decisions.record("entry.invalid", {
+                source: from,
+                kind: "report",
+                reason: `server ${serverId} starts in the future: bornMs ${bornMs}`,
+            });
+        }
+        return isPlausible;
+    }
+
     #recordReport(report: ServerReport, effect: ReportEffect): void {
         const { membership } = report;
         this.#options.context.decisions.record("server.report", {
@@ -122,7 +140,7 @@
         if (!log.holdsLeaderLease || !controller.isSettled) {
             return this.#rejection();
         }
-        const effect = applyDeparture(registry, controller.groups, { serverId, bornMs }, monotonicMs());
+        const effect = applyDeparture(registry, controller.groups, { serverId, bornMs });
         context.decisions.record("server.departs", { server: serverId, effect });
         if (effect === DepartureEffect.UnknownMember) {
             return this.#rejection();
--- a/test/fleet/controller.test.ts
+++ b/test/fleet/controller.test.ts
@@ -1,5 +1,11 @@
 import { waitFor } from "@greengage/faults";
-import { applyDeparture, DepartureEffect, type ManagedGroup, ServerRegistry } from "@greengage/fleet";
+import {
+    applyDeparture,
+    DepartureEffect,
+    type ManagedGroup,
+    ServerRegistry,
+    serverReportSchema,
+} from "@greengage/fleet";
 import { MemberState } from "@greengage/protocol";
 import test from "ava";
 import { startFleet } from "./fixtures.ts";
@@ -124,10 +130,10 @@
     const serverId = groups.all()[0]?.memberIds[0] ?? "";
     const registry = new ServerRegistry();
     const departure = { serverId, bornMs: undefined };
-    t.is(applyDeparture(registry, groups, departure, 0), DepartureEffect.UnknownMember);
-    t.is(applyDeparture(registry, groups, { serverId: "x", bornMs: 1 }, 0), DepartureEffect.Nothing);
+    t.is(applyDeparture(registry, groups, departure), DepartureEffect.UnknownMember);
+    t.is(applyDeparture(registry, groups, { serverId: "x", bornMs: 1 }), DepartureEffect.Nothing);
     registry.accept(fleet.engine(serverId).report, 0);
-    t.is(applyDeparture(registry, groups, departure, 0), DepartureEffect.Draining);
+    t.is(applyDeparture(registry, groups, departure), DepartureEffect.Draining);
     t.true(registry.get(serverId)?.report.isDraining);
 });
 
@@ -227,3 +233,46 @@
     );
     t.is((fleet.orderCounts.get("join") ?? 0) - joinCountBefore, 6);
 });
+
+/** Highest epoch that former versions accepted in a report. */
+const FORMER_MAX_EPOCH = 2 ** 48;
+
+// Guards against one odd report that raises the epochs of all groups until no report with them is accepted any more.
+test("an epoch that another writer reports doesn't change those of new groups", async (t) => {
+    const fleet = startFleet(
+        t,
+        [...engineIds(11), "odd"],
+        (serverId) =>
+            serverId === "odd"
+                ? {
+                    service: "not-named",
+                    membership: { groupName: "odd", epoch: FORMER_MAX_EPOCH, rank: 0, state: "open" },
+                }
+                : {},
+    );
+    await waitUntil(
+        "two open groups",
+        () => fleet.openGroups().filter((name) => name !== "odd").length === 2,
+    );
+    const ordered = fleet.controller.groups.all().filter(({ groupName }) => groupName !== "odd");
+    t.true(ordered.every(({ epoch }) => epoch < FORMER_MAX_EPOCH));
+    t.is(new Set(ordered.map(({ epoch }) => epoch)).size, 2);
+});
+
+// Guards against servers that stay unused after an upgrade, because a former version ordered them into groups with an
+// epoch that it couldn't read itself.
+test("servers with an epoch of a former version that was too large join new groups", async (t) => {
+    const epoch = FORMER_MAX_EPOCH + 1;
+    const fleet = startFleet(t, engineIds(22), (serverId) => ({
+        ...splitIntoTwoDomains(serverId),
+        membership: { groupName: `g${epoch}`, epoch, rank: Number(serverId.slice(1)) % 11, state: "ready" },
+    }));
+    fleet.engines.forEach((engine) => {
+        engine.highestEpoch = epoch;
+    });
+    await waitUntil("four open groups", () => fleet.openGroups().length === 4);
+    for (const { report } of fleet.engines.values()) {
+        t.true(serverReportSchema.safeParse({ ...report, address: "127.0.0.1:1" }).success);
+    }
+    t.deepEqual(fleet.violations, []);
+});
--- a/test/fleet/oddreports.test.ts
+++ b/test/fleet/oddreports.test.ts
@@ -18,6 +18,7 @@
     "an epoch at the limit of safe integers": reportOf("odd", {
         membership: { groupName: "g", epoch: Number.MAX_SAFE_INTEGER, rank: 0, state: "open" },
     }),
+    "a start time in the far future": reportOf("odd", { bornMs: 2 ** 47 }),
     "no list of models": { ...reportOf("odd"), loadedModels: undefined },
 };
 
--- a/test/fleet/registry.test.ts
+++ b/test/fleet/registry.test.ts
@@ -56,3 +56,11 @@
     registry.accept(reportOf("b", { bornMs: 20, address: "x:1" }), 0);
     t.true(registry.hasEnded("a", 10));
 });
+
+// Guards against one report of another writer that makes all later ones of a server look outdated.
+test("a report with a sequence number that its server can't have reached is ignored", (t) => {
+    const registry = new ServerRegistry();
+    registry.accept(reportOf("a", { bornMs: 10, sequence: 4 }), 0);
+    t.is(registry.accept(reportOf("a", { bornMs: 10, sequence: 2 ** 47 }), 1), ReportEffect.Ignored);
+    t.is(registry.accept(reportOf("a", { bornMs: 10, sequence: 5 }), 2), ReportEffect.Renewed);
+});
