Hold answers of servers in one block of memory each, within a budget of the process

Cause: an answer was kept as a list of its pieces, limited by its content. A piece of one byte costs over a hundred bytes of heap, so 1 MiB of them took some 150 MB. An incomplete event was copied and scanned again with each piece, which is quadratic.

A block may grow to what the others leave free, so the largest answer fails first and small ones still find room. An answer in too many tiny pieces is an error. An event is scanned once.

--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./bytebuffer.ts";
 export * from "./clock.ts";
 export * from "./connectionprobe.ts";
 export * from "./connectionreset.ts";
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -1,4 +1,4 @@
-import { monotonicMs } from "@greengage/base";
+import { BufferRefusal, ByteBuffer, monotonicMs, PieceCounter } from "@greengage/base";
 import { EventScanner, Exchange, type ExchangeError, FailureKind, isEventStream } from "@greengage/routing";
 import type { Dispatcher } from "undici";
 import { continueAfter, lastEventIdOf } from "./eventsequence.ts";
@@ -62,6 +62,11 @@
     onEvents?: (events: Buffer, hasFields: boolean) => void;
 }
 
+const bufferRefusals: Record<BufferRefusal, string> = {
+    [BufferRefusal.TooLarge]: "the response is too large",
+    [BufferRefusal.NoMemory]: "the response exceeds the memory left for it",
+};
+
 /** One attempt at a request: a single exchange with one backend server. */
 export class Attempt {
     readonly #options: AttemptOptions;
@@ -72,8 +77,8 @@
     #head: ServerHead | undefined;
     #hasEventContent = false;
     #hasEvents = false;
-    #chunks: Buffer[] = [];
-    #bufferedBytes = 0;
+    readonly #body = new ByteBuffer(MAX_BUFFERED_BYTES);
+    readonly #pieces = new PieceCounter();
     #sentAtMs = Infinity;
     /** Id of the last event that the caller has; undefined if the response resumes no other one. */
     #lastEventId: string | undefined;
@@ -166,9 +171,13 @@
     }
 
     #onBody(chunk: Buffer): void {
+        if (!this.#pieces.add(chunk.length)) {
+            this.fail(FailureKind.Broken, "the response comes in too many small pieces");
+            return;
+        }
         if (this.#isEventStream()) {
             if (!this.#scanner.push(chunk)) {
-                this.fail(FailureKind.Broken, "an event exceeds 1 MiB");
+                this.fail(FailureKind.Broken, "an event exceeds 1 MiB or the memory left for it");
                 return;
             }
             if (this.#scanner.count > 0) {
@@ -176,10 +185,9 @@
             }
             return;
         }
-        this.#chunks.push(chunk);
-        this.#bufferedBytes += chunk.length;
-        if (this.#bufferedBytes > MAX_BUFFERED_BYTES) {
-            this.fail(FailureKind.Broken, "the response is too large");
+        const refusal = this.#body.append(chunk);
+        if (refusal !== undefined) {
+            this.fail(FailureKind.Broken, bufferRefusals[refusal]);
         }
     }
 
@@ -207,7 +215,7 @@
             this.#settle({ kind: "failed", reason: "the response has no head", failure: FailureKind.Broken });
             return;
         }
-        const body = Buffer.concat(this.#chunks);
+        const body = this.#body.bytes;
         // The buffered event stream of a plain service is only checked for completeness.
         if (this.#hasEventContent && !this.#isEventStream()) {
             this.#scanner.push(body);
@@ -235,6 +243,8 @@
 
     #settle(outcome: AttemptOutcome): void {
         clearTimeout(this.#connectTimer);
+        this.#body.clear();
+        this.#scanner.clear();
         this.#resolve(outcome);
     }
 }
--- a/packages/http/src/chat.ts
+++ b/packages/http/src/chat.ts
@@ -123,8 +123,15 @@
 ): Promise<void> => {
     const sink = new CollectingSink();
     const createdS = Math.floor(Date.now() / 1000);
-    await dispatcher.generate(call, sink, signal);
-    sendJson(exchange, 200, sink.completion({ model: call.model, requestId: call.requestId, createdS }));
+    try {
+        await dispatcher.generate(call, sink, AbortSignal.any([signal, sink.overflow])).finally(() =>
+            sink.checkOverflow()
+        );
+        sendJson(exchange, 200, sink.completion({ model: call.model, requestId: call.requestId, createdS }));
+    }
+    finally {
+        sink.clear();
+    }
 };
 
 /** Handles `GET /v1/models`. */
--- a/packages/http/src/completion.ts
+++ b/packages/http/src/completion.ts
@@ -1,3 +1,4 @@
+import { ByteBuffer, ErrorCode, GreengageError, Verdict } from "@greengage/base";
 import type { EventSink } from "@greengage/routing";
 
 interface ToolCallDelta {
@@ -35,6 +36,7 @@
 }
 
 const DATA_PREFIX = "data:";
+const MAX_COMPLETION_BYTES = 16 * 1024 * 1024;
 
 const parseChunk = (event: string): ChatChunk | undefined => {
     const lines = event.split("\n").filter((line) => line.startsWith(DATA_PREFIX));
@@ -44,10 +46,23 @@
 
 /** Collects the events of a stream to build a response without streaming. */
 export class CollectingSink implements EventSink {
-    readonly #events: Uint8Array[] = [];
+    readonly #events = new ByteBuffer(MAX_COMPLETION_BYTES);
+    readonly #overflow = new AbortController();
+
+    /** Aborts when the events exceed `MAX_COMPLETION_BYTES`, or the memory left for them. */
+    get overflow(): AbortSignal {
+        return this.#overflow.signal;
+    }
+
+    /** Gives the memory of the events back. */
+    clear(): void {
+        this.#events.clear();
+    }
 
     write(events: Uint8Array): boolean {
-        this.#events.push(events);
+        if (this.#events.append(events) !== undefined) {
+            this.#overflow.abort();
+        }
         return true;
     }
 
@@ -55,9 +70,19 @@
         return;
     }
 
+    /** Throws `backend-failed` after an overflow. */
+    checkOverflow(): void {
+        if (this.overflow.aborted) {
+            throw new GreengageError("the completion is too large for a response without streaming", {
+                code: ErrorCode.BackendFailed,
+                verdict: Verdict.MayHaveRun,
+            });
+        }
+    }
+
     /** Builds a chat completion object in the OpenAI format. `usage` is present if the engine reported it. */
     completion(options: { model: string; requestId: string; createdS: number; }): object {
-        const text = Buffer.concat(this.#events).toString("utf8");
+        const text = this.#events.bytes.toString("utf8");
         const chunks = text.split(/\r?\n\r?\n/).map(parseChunk).filter((chunk) => chunk !== undefined);
         const choices = new Map<number, Choice>();
         for (const choice of chunks.flatMap((chunk) => chunk.choices ?? [])) {
--- a/packages/routing/src/deliveredevents.ts
+++ b/packages/routing/src/deliveredevents.ts
@@ -1,3 +1,5 @@
+import { ByteBuffer } from "@greengage/base";
+
 /** Buffered events beyond this size are parsed and discarded to bound the memory used by long responses. */
 const MAX_BUFFERED_BYTES = 64 * 1024;
 
@@ -11,18 +13,19 @@
 
 /** Records the events of a stream that the caller has received. Parses them only if the stream is resumed or long. */
 export class DeliveredEvents {
-    #chunks: Uint8Array[] = [];
-    #sizeBytes = 0;
+    readonly #events = new ByteBuffer(MAX_BUFFERED_BYTES);
     #text = "";
     #tokens = 0;
     #isFinished = false;
     #isResumable = true;
 
     add(events: Uint8Array): void {
-        this.#chunks.push(events);
-        this.#sizeBytes += events.length;
-        if (this.#sizeBytes > MAX_BUFFERED_BYTES) {
-            this.#parseBuffered();
+        if (this.#events.append(events) === undefined) {
+            return;
+        }
+        this.#parseBuffered();
+        if (this.#events.append(events) !== undefined) {
+            this.#parse(events);
         }
     }
 
@@ -37,11 +40,18 @@
         };
     }
 
+    /** Gives the memory of the buffered events back. */
+    clear(): void {
+        this.#events.clear();
+    }
+
     #parseBuffered(): void {
-        const events = splitEvents(Buffer.concat(this.#chunks));
-        this.#chunks = [];
-        this.#sizeBytes = 0;
-        for (const data of events.map(dataOf)) {
+        this.#parse(this.#events.bytes);
+        this.#events.clear();
+    }
+
+    #parse(events: Uint8Array): void {
+        for (const data of splitEvents(events).map(dataOf)) {
             if (data !== "") {
                 this.#addEvent(data);
             }
--- a/packages/routing/src/eventscanner.ts
+++ b/packages/routing/src/eventscanner.ts
@@ -1,3 +1,5 @@
+import { ByteBuffer } from "@greengage/base";
+
 const EVENT_STREAM_TYPE = /^text\/event-stream\s*(;|$)/i;
 const LINE_FEED = 10;
 const CARRIAGE_RETURN = 13;
@@ -5,6 +7,8 @@
 /** Maximum length of the end marker including its line ends. */
 const MAX_END_MARKER_BYTES = 20;
 const MAX_EVENT_BYTES = 1024 * 1024;
+/** Larger than any piece in which a connection delivers its bytes. */
+const MAX_CHUNK_BYTES = 1024 * 1024;
 const END_MARKER = /^\s*data: ?\[DONE\]\r?\n\r?\n$/;
 
 /** Whether response headers announce server-sent events. */
@@ -13,7 +17,12 @@
 
 /** Splits a byte stream of server-sent events into complete events. */
 export class EventScanner {
-    #partial: Buffer | undefined;
+    /** The incomplete event at the end of the stream. */
+    readonly #partial = new ByteBuffer(MAX_EVENT_BYTES + MAX_CHUNK_BYTES);
+    /** Position in `#partial` of the line that is incomplete. */
+    #partialLineStart = 0;
+    /** Whether the incomplete event has a complete line that is no comment. */
+    #partialHasFields = false;
     /** Events completed by the last chunk, without the end marker; may be empty. */
     events: Buffer = Buffer.alloc(0);
     /** Number of events in `events`. */
@@ -25,20 +34,33 @@
 
     /** Whether bytes of an incomplete event are buffered. */
     get hasPartial(): boolean {
-        return this.#partial !== undefined;
+        return this.#partial.length > 0;
+    }
+
+    /** Gives the memory of an incomplete event back. */
+    clear(): void {
+        this.#partial.clear();
     }
 
-    /** Scans the next chunk. Returns false if an event exceeds 1 MiB. */
+    /** Scans the next chunk. Returns false if an event exceeds 1 MiB, or the memory that the process has left for it. */
     push(received: Buffer): boolean {
-        const chunk = this.#partial === undefined ? received : Buffer.concat([this.#partial, received]);
+        const scannedBytes = this.#partial.length;
+        if (scannedBytes > 0 && this.#partial.append(received) !== undefined) {
+            return false;
+        }
+        const chunk = scannedBytes > 0 ? this.#partial.bytes : received;
         const length = chunk.length;
         let eventStart = 0;
-        let lineStart = 0;
+        let lineStart = this.#partialLineStart;
         let count = 0;
-        let eventHasFields = false;
+        let eventHasFields = this.#partialHasFields;
         this.hasFields = false;
         // `indexOf` is native: 0.11 µs for an event of 101 bytes, compared with 0.37 µs for a loop over the bytes.
-        for (let at = chunk.indexOf(LINE_FEED); at >= 0; at = chunk.indexOf(LINE_FEED, lineStart)) {
+        for (
+            let at = chunk.indexOf(LINE_FEED, scannedBytes);
+            at >= 0;
+            at = chunk.indexOf(LINE_FEED, lineStart)
+        ) {
             const isEmptyLine = at === lineStart
                 || (at === lineStart + 1 && chunk[lineStart] === CARRIAGE_RETURN);
             eventHasFields ||= !isEmptyLine && chunk[lineStart] !== COLON;
@@ -57,8 +79,26 @@
         }
         this.count = count;
         this.events = eventStart === length ? chunk : chunk.subarray(0, eventStart);
-        this.#partial = eventStart === length || this.hasEndMarker ? undefined : chunk.subarray(eventStart);
-        return (this.#partial?.length ?? 0) <= MAX_EVENT_BYTES;
+        this.#partialLineStart = lineStart - eventStart;
+        this.#partialHasFields = eventHasFields;
+        return this.#keepPartial(chunk, this.hasEndMarker ? length : eventStart, scannedBytes > 0);
+    }
+
+    /** Keeps the bytes from `start` on as the incomplete event. Returns false if there is no room for them. */
+    #keepPartial(chunk: Buffer, start: number, isBuffered: boolean): boolean {
+        if (chunk.length - start > MAX_EVENT_BYTES) {
+            return false;
+        }
+        if (isBuffered && start === 0) {
+            return true;
+        }
+        this.#partial.clear();
+        if (start === chunk.length) {
+            this.#partialLineStart = 0;
+            this.#partialHasFields = false;
+            return true;
+        }
+        return this.#partial.append(chunk.subarray(start)) === undefined;
     }
 }
 
--- a/packages/routing/src/generation.ts
+++ b/packages/routing/src/generation.ts
@@ -77,6 +77,15 @@
     }
 
     async run(): Promise<void> {
+        try {
+            await this.#runAttempts();
+        }
+        finally {
+            this.#delivered.clear();
+        }
+    }
+
+    async #runAttempts(): Promise<void> {
         const { blame } = this.#options;
         for (let attempt = 1;; attempt += 1) {
             if (!this.#mayHaveRun && !this.#isTrial) {
--- a/packages/routing/src/servicecalls.ts
+++ b/packages/routing/src/servicecalls.ts
@@ -1,9 +1,11 @@
 import {
+    ByteBuffer,
     type Context,
     ErrorCode,
     GreengageError,
     Invariant,
     monotonicMs,
+    PieceCounter,
     sleep,
     Verdict,
 } from "@greengage/base";
@@ -241,9 +243,9 @@
     ): Promise<ServiceResponse> {
         const { requestLimits, blame } = this.#options;
         const { call, blamed } = state;
-        return new Promise((resolve, reject) => {
-            const chunks: Buffer[] = [];
-            let sizeBytes = 0;
+        const received = new ByteBuffer(MAX_RESPONSE_BYTES);
+        return new Promise<ServiceResponse>((resolve, reject) => {
+            const pieces = new PieceCounter();
             let sentAtMs = Infinity;
             let status = 0;
             let contentType = "application/octet-stream";
@@ -268,36 +270,37 @@
                     }
                     return isAllowed;
                 },
-                onHead: (received, headers) => {
+                onHead: (receivedStatus, headers) => {
                     progress.hasHead = true;
                     requestLimits.observe({
                         serverId: server.vmId,
-                        limit: limitOf(received, headers),
+                        limit: limitOf(receivedStatus, headers),
                         sentAtMs,
                         receivedAtMs: monotonicMs(),
                     });
-                    status = received;
+                    status = receivedStatus;
                     contentType = String(headers["content-type"] ?? contentType);
                 },
                 onBody: (chunk) => {
-                    chunks.push(chunk);
-                    sizeBytes += chunk.length;
-                    if (sizeBytes > MAX_RESPONSE_BYTES) {
-                        exchange.fail(FailureKind.Broken, "sent a response that is too large");
+                    if (!pieces.add(chunk.length) || received.append(chunk) !== undefined) {
+                        exchange.fail(
+                            FailureKind.Broken,
+                            "sent a response that is too large, or in too many small pieces",
+                        );
                     }
                 },
                 onEnd: () =>
                     resolve({
                         status,
                         headers: { "content-type": contentType },
-                        body: new Uint8Array(Buffer.concat(chunks)),
+                        body: new Uint8Array(received.bytes),
                         verdict: Verdict.Ran,
                     }),
                 onFailure: reject,
             });
             cancellation.setListener((kind) => exchange.fail(kind, `the call ended: ${kind}`));
             exchange.start();
-        });
+        }).finally(() => received.clear());
     }
 
     #recordWrite(state: CallState): void {
--- a/packages/routing/src/streamattempt.ts
+++ b/packages/routing/src/streamattempt.ts
@@ -1,4 +1,4 @@
-import { monotonicMs } from "@greengage/base";
+import { monotonicMs, PieceCounter } from "@greengage/base";
 import { limitOf } from "./backendheaders.ts";
 import { areChatEvents, type DeliveredEvents } from "./deliveredevents.ts";
 import { EventScanner, isEventStream } from "./eventscanner.ts";
@@ -53,6 +53,7 @@
     readonly #options: StreamAttemptOptions;
     readonly #exchange: Exchange;
     readonly #scanner = new EventScanner();
+    readonly #pieces = new PieceCounter();
     readonly #startedAtMs = monotonicMs();
     #callbacks: { resolve: () => void; reject: (error: ExchangeError) => void; } | undefined;
     #firstEventAtMs: number | undefined;
@@ -137,8 +138,15 @@
 
     #onBody(chunk: Buffer): void {
         const scanner = this.#scanner;
+        if (!this.#pieces.add(chunk.length)) {
+            this.#exchange.fail(FailureKind.Broken, "sent too many small pieces");
+            return;
+        }
         if (!scanner.push(chunk)) {
-            this.#exchange.fail(FailureKind.Broken, "sent an event that exceeds 1 MiB");
+            this.#exchange.fail(
+                FailureKind.Broken,
+                "sent an event that exceeds 1 MiB or the memory left for it",
+            );
             return;
         }
         if (scanner.count > 0) {
@@ -202,11 +210,13 @@
 
     #complete(): void {
         this.#hasEndMarker = true;
+        this.#scanner.clear();
         this.#options.stallDetector.delete(this);
         this.#callbacks?.resolve();
     }
 
     #onFailure(error: ExchangeError): void {
+        this.#scanner.clear();
         this.#options.stallDetector.delete(this);
         this.#callbacks?.reject(error);
     }
--- a/test/platform/fixtures.ts
+++ b/test/platform/fixtures.ts
@@ -46,7 +46,7 @@
 /** Starts a control daemon and entry daemons the way the platform does. */
 export const startPlatform = async (
     t: ExecutionContext,
-    { entryCount = 1, hasServerLinks = false } = {},
+    { entryCount = 1, hasServerLinks = false, nodeArguments = [] as string[] } = {},
 ): Promise<PlatformFixture> => {
     const folder = mkdtempSync(join(tmpdir(), "greengage-platform-"));
     const [peerPort = 0, control = 0, callers = 0, readiness = 0] = await freePorts(4);
@@ -65,13 +65,19 @@
         name: string,
         role: "control" | "entry",
         settings: object,
-        { nodeArguments = [], environment = {} }: ProcessOptions = {},
+        { linkArguments = [], environment = {} }: ProcessOptions = {},
     ): StartedDaemon => {
         const path = join(folder, `${name}.json`);
         const changeSettings = (fields: object): void =>
             writeFileSync(path, JSON.stringify({ ...common, node_name: name, ...settings, ...fields }));
         changeSettings({});
-        const child = spawn(process.execPath, ["--import=tsx", ...nodeArguments, "platform/main.ts", role], {
+        const child = spawn(process.execPath, [
+            "--import=tsx",
+            ...nodeArguments,
+            ...linkArguments,
+            "platform/main.ts",
+            role,
+        ], {
             env: { ...process.env, GREENGAGERIDGE_SETTINGS: path, ...environment },
             stdio: ["ignore", "pipe", "inherit"],
         });
@@ -123,13 +129,13 @@
 };
 
 interface ProcessOptions {
-    nodeArguments?: string[];
+    linkArguments?: string[];
     environment?: Record<string, string>;
 }
 
 /** Options of a process that reaches servers at `serverHost`. */
 const linkedProcess = (serverHost: string): ProcessOptions => ({
-    nodeArguments: ["--import=./packages/faults/src/source.ts"],
+    linkArguments: ["--import=./packages/faults/src/source.ts"],
     environment: { GREENGAGE_TEST_SERVER_HOST: serverHost },
 });
 
--- a/test/platform/serving.ts
+++ b/test/platform/serving.ts
@@ -25,9 +25,9 @@
 /** Starts a platform whose engines serve streams and payments. Two engines form a group. */
 export const startServing = async (
     t: ExecutionContext,
-    { engineCount = 3 } = {},
+    { engineCount = 3, nodeArguments = [] as string[] } = {},
 ): Promise<ServingFixture> => {
-    const platform = await startPlatform(t);
+    const platform = await startPlatform(t, { nodeArguments });
     const { control, callers, readiness, entryLog } = platform;
     t.teardown(() => {
         if (!t.passed) {
--- a/test/routing/stream.test.ts
+++ b/test/routing/stream.test.ts
@@ -45,6 +45,32 @@
     t.false(scanner.push(Buffer.from("x")));
 });
 
+/** The platform asks entry daemons once in this time whether they are ready. */
+const READINESS_PERIOD_MS = 1_000;
+
+// Guards against an event in small pieces that keeps a daemon from answering readiness checks: each piece was copied
+// together with all earlier ones.
+test("an event in small pieces takes little time", (t) => {
+    const scanner = new EventScanner();
+    const piece = Buffer.alloc(16, "x");
+    const startedAtMs = performance.now();
+    for (let sizeBytes = 0; sizeBytes < 1024 * 1024; sizeBytes += piece.length) {
+        t.true(scanner.push(piece));
+    }
+    t.true(performance.now() - startedAtMs < READINESS_PERIOD_MS);
+    t.true(scanner.push(Buffer.from("\n\n")));
+    t.is(scanner.count, 1);
+});
+
+// Guards against a sound event that is refused because the piece with its end brings the next ones as well.
+test("an event of nearly 1 MiB is completed by a piece with further events", (t) => {
+    const scanner = new EventScanner();
+    t.true(scanner.push(Buffer.alloc(1024 * 1024 - 10, "x")));
+    t.true(scanner.push(Buffer.from(`\n\n${"data: x\n\n".repeat(1_000)}rest`)));
+    t.is(scanner.count, 1_001);
+    t.true(scanner.hasPartial);
+});
+
 test("the summary of delivered events contains text, token count and whether the stream is resumable", (t) => {
     const event = (choice: object): Buffer =>
         Buffer.from(`data: ${JSON.stringify({ choices: [choice] })}\n\n`);
