Hold bodies of callers in one block of memory each, within the budget of the process

One caller can do this at every daemon.

Cause: as for answers of servers, the body was a list of pieces, and its limit of 8 MiB counted the content.

Why this works: pieces are copied as they arrive, and the memory counts against the budget of the process until the request has ended. A body that finds no room is answered 503 with Retry-After at once; its request has not run. The control port and the product's own listener read bodies in the same way.

--- a/packages/http/src/body.ts
+++ b/packages/http/src/body.ts
@@ -1,8 +1,11 @@
-import { ErrorCode, Verdict } from "@greengage/base";
+import { BufferRefusal, ByteBuffer, ErrorCode, Verdict } from "@greengage/base";
 import { notRunError } from "./errors.ts";
 import type { Exchange } from "./exchange.ts";
 import { shutdownError } from "./interruption.ts";
 
+/** Bodies that take up the memory of the process arrive within about a second, or fail. */
+const NO_MEMORY_RETRY_AFTER_MS = 1_000;
+
 interface BodyLimits {
     limitBytes: number;
     limitMs: number;
@@ -11,7 +14,18 @@
 const tooLargeError = (limitBytes: number): Error =>
     notRunError(ErrorCode.TooLarge, `the body is larger than ${limitBytes} bytes`);
 
-/** Reads a complete request body. Throws `too-large`, `slow-request`, `draining` or `cancelled`. */
+const errorByRefusal: Record<BufferRefusal, (limitBytes: number) => Error> = {
+    [BufferRefusal.TooLarge]: tooLargeError,
+    [BufferRefusal.NoMemory]: () =>
+        notRunError(ErrorCode.NoCapacity, "the body exceeds the memory left for it", {
+            retryAfterMs: NO_MEMORY_RETRY_AFTER_MS,
+        }),
+};
+
+/**
+ * Reads a complete request body, whose memory is held until the response has ended. Throws `too-large`, `no-capacity`,
+ * `slow-request`, `draining` or `cancelled`.
+ */
 export const readBody = (exchange: Exchange, limits: BodyLimits): Promise<Buffer> => {
     if (Number(exchange.request.headers["content-length"] ?? 0) > limits.limitBytes) {
         return Promise.reject(tooLargeError(limits.limitBytes));
@@ -19,10 +33,10 @@
     return collectBody(exchange, limits);
 };
 
-const collectBody = ({ request, interruption }: Exchange, limits: BodyLimits): Promise<Buffer> =>
+const collectBody = ({ request, response, interruption }: Exchange, limits: BodyLimits): Promise<Buffer> =>
     new Promise((resolve, reject) => {
-        const chunks: Buffer[] = [];
-        let sizeBytes = 0;
+        const received = new ByteBuffer(limits.limitBytes);
+        response.once("close", () => received.clear());
         const finish = (settle: () => void): void => {
             clearTimeout(timer);
             request.off("data", onData).off("end", onEnd).off("close", onClose);
@@ -30,13 +44,12 @@
             settle();
         };
         const onData = (chunk: Buffer): void => {
-            sizeBytes += chunk.length;
-            chunks.push(chunk);
-            if (sizeBytes > limits.limitBytes) {
-                finish(() => reject(tooLargeError(limits.limitBytes)));
+            const refusal = received.append(chunk);
+            if (refusal !== undefined) {
+                finish(() => reject(errorByRefusal[refusal](limits.limitBytes)));
             }
         };
-        const onEnd = (): void => finish(() => resolve(Buffer.concat(chunks)));
+        const onEnd = (): void => finish(() => resolve(received.bytes));
         const onClose = (): void =>
             finish(() => reject(notRunError(ErrorCode.Cancelled, "the connection was closed")));
         const onInterrupted = (): void => finish(() => reject(shutdownError(Verdict.NotRun)));
--- a/test/platform/endlessbytes.test.ts
+++ b/test/platform/endlessbytes.test.ts
@@ -2,6 +2,7 @@
 import test, { type ExecutionContext } from "ava";
 import type { ChildProcess } from "node:child_process";
 import { readFileSync } from "node:fs";
+import { connect } from "node:net";
 import { endlessResponses, EndlessServer } from "./endlessserver.ts";
 import { PlatformEngine } from "./engine.ts";
 import { call, chatHeaders } from "./fixtures.ts";
@@ -12,11 +13,35 @@
 /** Memory of a process in the site files, above which it is killed. */
 const MEMORY_LIMIT_MB = 346;
 const CONCURRENT_REQUESTS = 24;
+const BODY_CALLERS = 3;
+/** Content of each caller's body; it arrives in pieces of one byte. */
+const BODY_BYTES = 700_000;
 
 /** Peak of the resident memory of a process. */
 const peakMemoryMb = ({ pid }: ChildProcess): number =>
     Number(/VmHWM:\s+(\d+) kB/.exec(readFileSync(`/proc/${pid}/status`, "utf8"))?.[1]) / 1_024;
 
+const pay = (callers: string, requestId: string): ReturnType<typeof call> =>
+    call(`http://${callers}/pay/${requestId}`, {
+        method: "POST",
+        body: "amount",
+        headers: chatHeaders(requestId),
+    });
+
+/** Sends payments one after the other while `load` runs. Returns their statuses. */
+const payDuring = async (callers: string, load: Promise<unknown>): Promise<(number | undefined)[]> => {
+    const statuses: (number | undefined)[] = [];
+    const state = { isRunning: true };
+    const ended = load.finally(() => {
+        state.isRunning = false;
+    });
+    while (state.isRunning) {
+        statuses.push((await pay(callers, `p${statuses.length}`))?.status);
+    }
+    await ended;
+    return statuses;
+};
+
 const assertSound = (t: ExecutionContext, { entry }: ServingFixture): void => {
     t.is(entry.exitCode ?? undefined, undefined);
     const peakMb = peakMemoryMb(entry);
@@ -52,3 +77,27 @@
         t.is((await call(`http://${callers}/nowhere`, { headers: chatHeaders("end") }))?.status, 404);
     });
 }
+
+// Guards against a caller whose request exhausts the memory of an entry daemon, which ends with the requests of others.
+test.serial("an entry daemon survives bodies of callers in pieces of one byte", async (t) => {
+    const serving = await startServing(t, { nodeArguments: NODE_ARGUMENTS });
+    const [host = "", port = ""] = serving.callers.split(":");
+    const send = (index: number): Promise<void> =>
+        new Promise((resolve) => {
+            const socket = connect({ host, port: Number(port) });
+            const fields = Object.entries({ ...chatHeaders(`b${index}`), "transfer-encoding": "chunked" });
+            const lines = fields.map(([name, value]) => `${name}: ${value}`);
+            socket.on("error", () => undefined);
+            socket.once("close", () => resolve());
+            socket.once("data", () => socket.destroy());
+            socket.write(["POST /chat/1 HTTP/1.1", ...lines, "", ""].join("\r\n"));
+            socket.end(`${"1\r\nx\r\n".repeat(BODY_BYTES)}0\r\n\r\n`);
+        });
+    const statuses = await payDuring(
+        serving.callers,
+        Promise.all(Array.from({ length: BODY_CALLERS }, (_, index) => send(index))),
+    );
+    t.true(statuses.length > 0);
+    t.deepEqual(statuses.filter((status) => status !== 200), []);
+    assertSound(t, serving);
+});
