--- a/packages/membership/src/orders.ts
+++ b/packages/membership/src/orders.ts
@@ -1,9 +1,11 @@
-import { type Context, LogPart, messageOf, monotonicMs } from "@greengage/base";
+import { ByteBuffer, type Context, LogPart, messageOf, monotonicMs } from "@greengage/base";
 import type { Assignment, VmReport } from "@greengage/protocol";
 import { Agent, type Dispatcher } from "undici";
 import type { ZoneLease } from "./lease.ts";
 
 const ORDER_TIMEOUT_MS = 2_000;
+/** The answer to an order is smaller than 1 KiB. */
+const MAX_RESPONSE_BYTES = 64 * 1024;
 
 /** Outcome of an order. After `unknown` the backend server may have accepted it, or may accept it later. */
 export const OrderResult = {
@@ -112,14 +114,19 @@
         body: string,
         beforeWrite: () => void,
     ): Promise<{ status: number; text: string; }> {
-        return new Promise((resolve, reject) => {
-            const chunks: Buffer[] = [];
+        const received = new ByteBuffer(MAX_RESPONSE_BYTES);
+        let timer: NodeJS.Timeout | undefined;
+        return new Promise<{ status: number; text: string; }>((resolve, reject) => {
             let status = 0;
             const handler: Dispatcher.DispatchHandler = {
                 // undici calls this on the open connection, in the same step in which it writes the request.
                 onRequestStart: (controller) => {
                     try {
                         beforeWrite();
+                        timer = setTimeout(
+                            () => controller.abort(new Error(`no response within ${ORDER_TIMEOUT_MS} ms`)),
+                            ORDER_TIMEOUT_MS,
+                        );
                     }
                     catch (error) {
                         controller.abort(error as Error);
@@ -128,10 +135,12 @@
                 onResponseStart: (_, statusCode) => {
                     status = statusCode;
                 },
-                onResponseData: (_, chunk) => {
-                    chunks.push(chunk);
+                onResponseData: (controller, piece) => {
+                    if (received.append(piece) !== undefined) {
+                        controller.abort(new Error("the response is too large"));
+                    }
                 },
-                onResponseEnd: () => resolve({ status, text: Buffer.concat(chunks).toString("utf8") }),
+                onResponseEnd: () => resolve({ status, text: received.bytes.toString("utf8") }),
                 onResponseError: (_, error) => reject(error),
             };
             this.#agent.dispatch({
@@ -143,9 +152,12 @@
                     authorization: `Bearer ${this.#options.key}`,
                 },
                 body,
-                headersTimeout: ORDER_TIMEOUT_MS,
-                bodyTimeout: ORDER_TIMEOUT_MS,
+                headersTimeout: 0,
+                bodyTimeout: 0,
             }, handler);
+        }).finally(() => {
+            clearTimeout(timer);
+            received.clear();
         });
     }
 }
--- a/test/platform/endlessbytes.test.ts
+++ b/test/platform/endlessbytes.test.ts
@@ -5,8 +5,8 @@
 import { connect } from "node:net";
 import { endlessResponses, EndlessServer } from "./endlessserver.ts";
 import { PlatformEngine } from "./engine.ts";
-import { call, chatHeaders } from "./fixtures.ts";
-import { type ServingFixture, startServing } from "./serving.ts";
+import { call, callUntil, chatHeaders } from "./fixtures.ts";
+import { PROMPT, type ServingFixture, startServing } from "./serving.ts";
 
 /** Heap limit of the deploy file. */
 const NODE_ARGUMENTS = ["--max-old-space-size=220"];
@@ -101,3 +101,40 @@
     t.deepEqual(statuses.filter((status) => status !== 200), []);
     assertSound(t, serving);
 });
+
+// Guards against servers whose answers to orders exhaust the memory of the leading control daemon.
+test.serial("a control daemon survives answers to orders without end", async (t) => {
+    const serving = await startServing(t, { nodeArguments: NODE_ARGUMENTS });
+    const { control, controlProcess, callers } = serving;
+    const bytes = endlessResponses["large chunks"];
+    if (bytes === undefined) {
+        throw new Error("no such response");
+    }
+    const faultyServers: EndlessServer[] = [];
+    for (const id of ["f1", "f2"]) {
+        const faulty = await EndlessServer.start(t, {
+            ...bytes,
+            start: (requestId) => bytes.start(requestId).replace("200 OK", "202 Accepted"),
+        });
+        faultyServers.push(faulty);
+        await PlatformEngine.start(t, {
+            id,
+            service: "llm",
+            domain: "d1",
+            control,
+            advertisedAddress: faulty.address,
+        });
+    }
+    await waitFor(
+        "orders to the faulty servers",
+        () => faultyServers.every(({ requestCount }) => requestCount > 1) ? true : undefined,
+    );
+    t.true(peakMemoryMb(controlProcess) < MEMORY_LIMIT_MB, `peak ${peakMemoryMb(controlProcess)} MB`);
+    t.log(`peak ${Math.round(peakMemoryMb(controlProcess))} MB`);
+    await callUntil(200, `http://${callers}/chat/1`, {
+        method: "POST",
+        body: PROMPT,
+        headers: chatHeaders("after"),
+    });
+    t.is(controlProcess.exitCode ?? undefined, undefined);
+});
