Acknowledge that a server leaves only after a majority has stored it

Cause: the leader acknowledged what only its own registry knew. Killed then, it took the knowledge with it, and a server that has been acknowledged says nothing more.

Why this works: departures are commands of the replicated log, committed before the acknowledgement, so every leader that can be elected knows them. Recorded processes count as draining for all leaders, whether they report or not; their groups are in no view and are replaced. One daemon down leaves a majority. A leader that is cut off doesn't acknowledge.

--- a/packages/daemon/src/control.ts
+++ b/packages/daemon/src/control.ts
@@ -8,7 +8,7 @@
     validateConfiguration,
 } from "@greengage/configuration";
 import { CompositeStateMachine, RaftLog } from "@greengage/consensus";
-import { type EngineOrders, FleetService, type FleetTiming } from "@greengage/fleet";
+import { DepartureState, type EngineOrders, FleetService, type FleetTiming } from "@greengage/fleet";
 import { PlacementService } from "@greengage/gateway";
 import type { PeerNetwork, ServerLimit } from "@greengage/protocol";
 import { type PermitCounts, ServerLimitTable } from "@greengage/routing";
@@ -75,10 +75,11 @@
         this.#options = options;
         this.#seedIds = seedIds;
         this.#peers = createPeerNetwork({ context, listen, peerKey });
+        const departures = new DepartureState();
         this.#log = new RaftLog({
             context,
             peers: this.#peers,
-            machine: new CompositeStateMachine({ configuration: this.#configurationState }),
+            machine: new CompositeStateMachine({ configuration: this.#configurationState, departures }),
             daemons: [],
             dynamicVoters: {
                 seedIds: () => this.#seedIds,
@@ -104,6 +105,7 @@
             decode: (document) => new RoutingTable(decode(document)),
             orders: options.orders,
             timing: options.timing,
+            departures,
             limits: {
                 list: () => this.#limits.list(monotonicMs()),
                 merge: (others) => this.#limits.merge(others, monotonicMs()),
--- /dev/null
+++ b/packages/fleet/src/departurestate.ts
@@ -0,0 +1,68 @@
+import type { Command, StateMachine } from "@greengage/consensus";
+import { decode, encode } from "@greengage/protocol";
+
+/** Twice the servers of the largest fleet fit. Reports that arrive late do so within seconds. */
+const MAX_DEPARTURES = 1_500;
+
+/** A process of a backend server that has announced its end, and was acknowledged. */
+export interface Departure {
+    serverId: string;
+    /** Start time of the process. */
+    bornMs: number;
+}
+
+/** Replicated log command that records departures. Former versions log it as unknown and go on. */
+export interface RecordDeparturesCommand extends Command {
+    type: "departures.record";
+    departures: Departure[];
+}
+
+/**
+ * Replicated state machine that keeps the processes of backend servers that drain or have announced their end. A successor of the
+ * leader that has acknowledged one knows it, as a server says nothing more after the acknowledgement.
+ */
+export class DepartureState implements StateMachine {
+    /** Start time of the newest process that departs, by server id, in the order in which they were recorded. */
+    readonly #bornMs = new Map<string, number>();
+    readonly #listeners = new Set<() => void>();
+
+    /** Whether this process, or a later one of the server, has been recorded. */
+    has({ serverId, bornMs }: Departure): boolean {
+        return (this.#bornMs.get(serverId) ?? -Infinity) >= bornMs;
+    }
+
+    onChange(listener: () => void): void {
+        this.#listeners.add(listener);
+    }
+
+    apply(_: number, command: Command): void {
+        const { departures } = command as RecordDeparturesCommand;
+        departures.forEach((departure) => this.#add(departure));
+        this.#notify();
+    }
+
+    snapshot(): Uint8Array {
+        return encode([...this.#bornMs].map(([serverId, bornMs]): Departure => ({ serverId, bornMs })));
+    }
+
+    restore(snapshot: Uint8Array): void {
+        (decode(snapshot) as Departure[]).forEach((departure) => this.#add(departure));
+        this.#notify();
+    }
+
+    #add(departure: Departure): void {
+        if (this.has(departure)) {
+            return;
+        }
+        this.#bornMs.delete(departure.serverId);
+        this.#bornMs.set(departure.serverId, departure.bornMs);
+        const [oldestId] = this.#bornMs.keys();
+        if (oldestId !== undefined && this.#bornMs.size > MAX_DEPARTURES) {
+            this.#bornMs.delete(oldestId);
+        }
+    }
+
+    #notify(): void {
+        this.#listeners.forEach((listener) => listener());
+    }
+}
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -12,6 +12,7 @@
 export * from "./crashreporthandler.ts";
 export * from "./culpritquarantine.ts";
 export * from "./departure.ts";
+export * from "./departurestate.ts";
 export * from "./entries.ts";
 export * from "./group.ts";
 export * from "./loadratelimiter.ts";
--- a/packages/fleet/src/registry.ts
+++ b/packages/fleet/src/registry.ts
@@ -1,4 +1,5 @@
 import type { MemberRecord, MemberState, ServerReport } from "@greengage/protocol";
+import type { DepartureState } from "./departurestate.ts";
 
 /** A backend server as known from its reports. */
 export interface BackendServer {
@@ -43,6 +44,12 @@
 
     /** Start times of incarnations that are treated as draining whatever they report, by server id. */
     readonly #leaving = new Map<string, number>();
+    readonly #departures: Pick<DepartureState, "has">;
+
+    /** Incarnations in `departures` are treated as draining, whether or not they report to this daemon. */
+    constructor(departures: Pick<DepartureState, "has">) {
+        this.#departures = departures;
+    }
 
     all(): BackendServer[] {
         return [...this.#servers.values()];
@@ -72,6 +79,12 @@
         return server?.report.bornMs === bornMs ? server : undefined;
     }
 
+    /** Whether the incarnation is draining, according to its report or its announcement to any leader. */
+    isDraining(serverId: string, bornMs: number): boolean {
+        return this.#departures.has({ serverId, bornMs })
+            || this.getIncarnation(serverId, bornMs)?.report.isDraining === true;
+    }
+
     /** Treats an incarnation as draining from now on. Returns whether it was neither draining nor ended before. */
     markLeaving(serverId: string, bornMs: number): boolean {
         const server = this.getIncarnation(serverId, bornMs);
@@ -84,7 +97,8 @@
     }
 
     accept(received: ServerReport, nowMs: number): ReportEffect {
-        const isLeaving = this.#leaving.get(received.serverId) === received.bornMs;
+        const isLeaving = this.#leaving.get(received.serverId) === received.bornMs
+            || this.#departures.has(received);
         const report = isLeaving ? { ...received, isDraining: true } : received;
         if (this.#isFromEndedIncarnation(report)) {
             return ReportEffect.Ignored;
--- a/packages/fleet/src/reporthandler.ts
+++ b/packages/fleet/src/reporthandler.ts
@@ -3,12 +3,15 @@
 import type { LeavingServer, Peers, ServerReport } from "@greengage/protocol";
 import type { GroupController } from "./controller.ts";
 import { applyDeparture, DepartureEffect } from "./departure.ts";
+import type { Departure, DepartureState, RecordDeparturesCommand } from "./departurestate.ts";
 import { validReports } from "./entries.ts";
 import { ReportEffect, type ServerRegistry } from "./registry.ts";
 
 /** Backend servers wait one second for an answer. */
 const FORWARD_CALL_OPTIONS = { timeoutMs: 700 };
 
+/** Time for a majority of the voters to store a departure, before the forwarding daemon gives up. */
+const RECORD_TIMEOUT_MS = 600;
 /** Largest difference between the wall clocks of VMs and of this daemon. */
 const MAX_CLOCK_DIFFERENCE_MS = 24 * 3_600_000;
 
@@ -18,6 +21,7 @@
     log: RaftLog;
     registry: ServerRegistry;
     controller: GroupController;
+    departures: DepartureState;
 }
 
 /** The leader's answer to a report or a shutdown announcement. */
@@ -71,7 +75,7 @@
         return { isAccepted: false, leaderId: this.#options.log.status().leaderId };
     }
 
-    #handleReports(received: readonly ServerReport[], from: string): LeaderAnswer {
+    async #handleReports(received: readonly ServerReport[], from: string): Promise<LeaderAnswer> {
         const { context, log, registry, controller } = this.#options;
         if (!log.holdsLeaderLease) {
             return this.#rejection();
@@ -89,7 +93,9 @@
                 controller.wake();
             }
         }
-        return { isAccepted: isAcknowledged && reports.length === received.length };
+        const isAccepted = isAcknowledged && reports.length === received.length
+            && await this.#recordDepartures(reports.filter(({ isDraining }) => isDraining));
+        return { isAccepted };
     }
 
     /** A start time in the far future would end the process that has the same id or address, and any later one. */
@@ -131,12 +137,14 @@
         if (registry.markLeaving(serverId, bornMs)) {
             context.decisions.record("server.leaving", { server: serverId, bornMs, toldTo: from });
             controller.wake();
+            void this.#recordDepartures([{ serverId, bornMs }]);
         }
         return { isAccepted: true };
     }
 
-    #handleDeparture(serverId: string, bornMs: number | undefined): LeaderAnswer {
+    async #handleDeparture(serverId: string, bornMs: number | undefined): Promise<LeaderAnswer> {
         const { log, context, registry, controller } = this.#options;
+        const knownBornMs = bornMs ?? registry.get(serverId)?.report.bornMs;
         if (!log.holdsLeaderLease || !controller.isSettled) {
             return this.#rejection();
         }
@@ -146,6 +154,32 @@
             return this.#rejection();
         }
         controller.wake();
-        return { isAccepted: true };
+        const departures = knownBornMs === undefined ? [] : [{ serverId, bornMs: knownBornMs }];
+        return { isAccepted: await this.#recordDepartures(departures) };
+    }
+
+    /**
+     * Resolves to whether a majority of the voters has stored the departures. A server may be acknowledged only then: it may say
+     * nothing more, and a successor of this leader would send requests to it.
+     */
+    async #recordDepartures(announced: readonly Departure[]): Promise<boolean> {
+        const { context, log, departures } = this.#options;
+        // Without a start time, a departure would also be that of the server's next process.
+        const unrecorded = announced.filter((departure) => departure.bornMs > 0 && !departures.has(departure))
+            .map(({ serverId, bornMs }) => ({ serverId, bornMs }));
+        if (unrecorded.length === 0) {
+            return true;
+        }
+        const servers = unrecorded.map(({ serverId }) => serverId);
+        try {
+            const command: RecordDeparturesCommand = { type: "departures.record", departures: unrecorded };
+            const { index } = await log.propose(command, { timeoutMs: RECORD_TIMEOUT_MS });
+            context.decisions.record("departure.recorded", { servers, index });
+            return true;
+        }
+        catch (error) {
+            context.decisions.record("departure.notRecorded", { servers, reason: messageOf(error) });
+            return false;
+        }
     }
 }
--- a/packages/fleet/src/service.ts
+++ b/packages/fleet/src/service.ts
@@ -16,6 +16,7 @@
 import { GroupController } from "./controller.ts";
 import { CrashReportHandler } from "./crashreporthandler.ts";
 import { CulpritQuarantine } from "./culpritquarantine.ts";
+import type { DepartureState } from "./departurestate.ts";
 import type { EngineOrders } from "./orders.ts";
 import { QuarantineOperations } from "./quarantineoperations.ts";
 import { GroupRecordStore } from "./recordstore.ts";
@@ -38,6 +39,8 @@
     timing: FleetTiming;
     /** Limits of backend servers. */
     limits: LimitSource;
+    /** Servers that have announced their end, as acknowledged by any leader. */
+    departures: DepartureState;
     /** File of the group records from which a successor of the leader starts. */
     recordPath: string;
 }
@@ -50,7 +53,7 @@
     readonly quarantineOperations: QuarantineOperations;
     readonly #options: FleetServiceOptions;
     readonly #lifecycle = new Lifecycle();
-    readonly #registry = new ServerRegistry();
+    readonly #registry: ServerRegistry;
     readonly #controller: GroupController;
     readonly #changeSignal = new ChangeSignal();
     readonly #watcher: FleetWatcher;
@@ -70,7 +73,8 @@
 
     constructor(options: FleetServiceOptions) {
         this.#options = options;
-        const { context, peers, orders, timing, log } = options;
+        const { context, peers, orders, timing, log, departures } = options;
+        this.#registry = new ServerRegistry(departures);
         this.#recordStore = new GroupRecordStore(context, options.recordPath);
         this.#watcherRegistry.setZone(context.daemonId, context.zone);
         this.#configurationSource = new ConfigurationSource(options);
@@ -112,6 +116,7 @@
             log,
             registry: this.#registry,
             controller: this.#controller,
+            departures,
         });
         peers.handle("fleet.suspect", (suspicion) => this.#handleSuspicion(suspicion));
         const partOptions = {
@@ -151,6 +156,7 @@
 
     async start(): Promise<void> {
         this.#options.configurationState.onChange(() => this.#applyConfiguration());
+        this.#options.departures.onChange(() => this.#publishDepartures());
         this.#applyConfiguration();
         this.#records = await this.#recordStore.read();
         this.#controller.start();
@@ -206,10 +212,11 @@
         return servers.filter(({ serverId, bornMs }) => {
             const known = this.#registry.get(serverId);
             const hasReported = known !== undefined && known.receivedAtMs >= this.#leadingSinceMs;
+            const hasDeparted = bornMs !== undefined && this.#options.departures.has({ serverId, bornMs });
             const isDraining = known !== undefined && known.report.isDraining
                 && known.report.bornMs >= (bornMs ?? -Infinity);
             const hasEnded = bornMs !== undefined && this.#registry.hasEnded(serverId, bornMs);
-            return !reportedIds.has(serverId) && !hasReported && !isDraining && !hasEnded;
+            return !reportedIds.has(serverId) && !hasReported && !hasDeparted && !isDraining && !hasEnded;
         });
     }
 
@@ -241,6 +248,14 @@
         }
     }
 
+    /** A leader applies departures that its predecessor has acknowledged after it has published its first view. */
+    #publishDepartures(): void {
+        this.#controller.wake();
+        if (this.#leadingTerm !== undefined && this.#view !== undefined && !this.#controller.isSettled) {
+            this.#publish();
+        }
+    }
+
     /** Publishes changed suspects, also before this leader has settled. A view without any group would stop all requests. */
     #publishSuspects(): void {
         const hasGroups = this.#controller.isSettled || this.#records !== undefined;
--- a/packages/fleet/src/supervision.ts
+++ b/packages/fleet/src/supervision.ts
@@ -40,7 +40,9 @@
     state.registry.hasEnded(serverId, group.bornMs.get(serverId) ?? NaN);
 
 const isDraining = (state: FleetState, group: ManagedGroup): boolean =>
-    group.memberIds.some((serverId) => memberOf(state, group, serverId)?.report.isDraining === true);
+    group.memberIds.some((serverId) =>
+        state.registry.isDraining(serverId, group.bornMs.get(serverId) ?? NaN)
+    );
 
 const vmCountOf = (state: FleetState, { service, model }: ManagedGroup): number | undefined =>
     state.routing()?.service(service)?.engine?.models.find(({ name }) => name === model)?.vmCount;
@@ -125,8 +127,11 @@
         state.groups.remove(group, "the head has ended");
         return;
     }
-    const membership = memberOf(state, group, headId)?.report.membership;
-    const hasFinished = membership?.state !== MemberState.Open && membership?.state !== MemberState.Closing;
+    const head = memberOf(state, group, headId);
+    const membership = head?.report.membership;
+    // A head that has announced its end to a former leader doesn't report to this one.
+    const hasFinished = head !== undefined && membership?.state !== MemberState.Open
+        && membership?.state !== MemberState.Closing;
     // Without streams, entry daemons can't detect a lost member; only its missing reports show the loss.
     const maxReportAgeMs = STALE_REPORT_HEARTBEATS * state.timing.heartbeatMs;
     const isMemberLost = group.memberIds.some((serverId) =>
--- a/packages/fleet/src/view.ts
+++ b/packages/fleet/src/view.ts
@@ -13,9 +13,14 @@
     nowMs: number;
 }
 
-/** Groups that accept requests. */
-export const groupTargets = ({ groups }: ViewInput): GroupTarget[] =>
-    groups.all().filter((group) => group.phase === GroupPhase.Open && group.headAddress !== "")
+/** Groups that accept requests. A group with a member that drains is about to be closed. */
+export const groupTargets = ({ groups, registry }: ViewInput): GroupTarget[] =>
+    groups.all().filter((group) =>
+        group.phase === GroupPhase.Open && group.headAddress !== ""
+        && !group.memberIds.some((serverId) =>
+            registry.isDraining(serverId, group.bornMs.get(serverId) ?? NaN)
+        )
+    )
         .map((group) => {
             const { groupName, epoch, service, model, headAddress, zone } = group;
             const headId = headIdOf(group);
--- a/test/fleet/controller.test.ts
+++ b/test/fleet/controller.test.ts
@@ -2,6 +2,7 @@
 import {
     applyDeparture,
     DepartureEffect,
+    DepartureState,
     type ManagedGroup,
     ServerRegistry,
     serverReportSchema,
@@ -128,7 +129,7 @@
     await waitUntil("two open groups", () => fleet.openGroups().length === 2);
     const { groups } = fleet.controller;
     const serverId = groups.all()[0]?.memberIds[0] ?? "";
-    const registry = new ServerRegistry();
+    const registry = new ServerRegistry(new DepartureState());
     const departure = { serverId, bornMs: undefined };
     t.is(applyDeparture(registry, groups, departure), DepartureEffect.UnknownMember);
     t.is(applyDeparture(registry, groups, { serverId: "x", bornMs: 1 }), DepartureEffect.Nothing);
--- a/test/fleet/crashconfirmation.test.ts
+++ b/test/fleet/crashconfirmation.test.ts
@@ -1,5 +1,5 @@
 import { createContext } from "@greengage/base";
-import { GroupController, ServerRegistry } from "@greengage/fleet";
+import { DepartureState, GroupController, ServerRegistry } from "@greengage/fleet";
 import type { GroupRecords } from "@greengage/protocol";
 import test, { type ExecutionContext } from "ava";
 import { HEARTBEAT_MS } from "./fixtures.ts";
@@ -36,7 +36,7 @@
     };
     const controller = new GroupController({
         context: createContext({ daemonId: "c", zone: "z" }),
-        registry: new ServerRegistry(),
+        registry: new ServerRegistry(new DepartureState()),
         orders: {
             probe: async (server: { serverId: string; address: string; }) => {
                 addProbed(server);
--- a/test/fleet/fixtures.ts
+++ b/test/fleet/fixtures.ts
@@ -1,6 +1,7 @@
 import { createContext, Lifecycle, sleep } from "@greengage/base";
 import { RoutingTable } from "@greengage/configuration";
 import {
+    DepartureState,
     type EngineOrders,
     type EngineProbeResult,
     GroupController,
@@ -60,6 +61,9 @@
 
 export interface FleetFixture {
     controller: GroupController;
+    registry: ServerRegistry;
+    /** Departures as replicated to all leaders. */
+    departures: DepartureState;
     engines: Map<string, FakeEngine>;
     violations: GroupViolation[];
     /** Number of orders by operation. */
@@ -83,7 +87,8 @@
     slowLoadMs = LOAD_MS,
 ): FleetFixture => {
     const context = createContext({ daemonId: "c", zone: "z" });
-    const registry = new ServerRegistry();
+    const departures = new DepartureState();
+    const registry = new ServerRegistry(departures);
     const lifecycle = new Lifecycle();
     const engines = new Map(engineIds.map((id) => [id, new FakeEngine(id, fields(id))]));
     const violations: GroupViolation[] = [];
@@ -133,6 +138,8 @@
     controller.start();
     return {
         controller,
+        registry,
+        departures,
         engines,
         violations,
         orderCounts: counts,
--- a/test/fleet/oddreports.test.ts
+++ b/test/fleet/oddreports.test.ts
@@ -1,7 +1,7 @@
 import { createContext, type DecisionFields } from "@greengage/base";
 import { Hub } from "@greengage/bench";
 import type { RaftLog } from "@greengage/consensus";
-import { type GroupController, ServerRegistry } from "@greengage/fleet";
+import { DepartureState, type GroupController, ServerRegistry } from "@greengage/fleet";
 import type { ServerReport } from "@greengage/protocol";
 import test from "ava";
 import { ServerReportHandler } from "../../packages/fleet/src/reporthandler.ts";
@@ -28,7 +28,7 @@
         const hub = new Hub();
         const peers = hub.join({ daemonId: "core-1", zone: "z", host: "", port: 0 });
         const forwarder = hub.join({ daemonId: "core-2", zone: "z", host: "", port: 0 });
-        const registry = new ServerRegistry();
+        const registry = new ServerRegistry(new DepartureState());
         const logged: DecisionFields[] = [];
         const decisions = {
             record: (event: string, fields: DecisionFields) => void logged.push({ event, ...fields }),
@@ -38,6 +38,7 @@
             peers,
             log: { holdsLeaderLease: true, status: () => ({ leaderId: "core-1" }) } as unknown as RaftLog,
             registry,
+            departures: new DepartureState(),
             controller: { isSettled: true, wake: () => undefined } as unknown as GroupController,
         });
         const reports = [reportOf("e1"), odd, reportOf("e2")] as ServerReport[];
--- a/test/fleet/registry.test.ts
+++ b/test/fleet/registry.test.ts
@@ -1,10 +1,10 @@
-import { ReportEffect, ServerRegistry } from "@greengage/fleet";
+import { DepartureState, ReportEffect, ServerRegistry } from "@greengage/fleet";
 import test from "ava";
 import { reportOf } from "./fixtures.ts";
 
 // Guards against a delayed report that registers an ended server again or replaces its successor.
 test("the newest incarnation owns the server id and the address", (t) => {
-    const registry = new ServerRegistry();
+    const registry = new ServerRegistry(new DepartureState());
     t.is(registry.accept(reportOf("a", { bornMs: 10, sequence: 4 }), 0), ReportEffect.Appeared);
     t.is(
         registry.accept(reportOf("a", { bornMs: 10, sequence: 3, isDraining: true }), 1),
@@ -19,7 +19,7 @@
 });
 
 test("later reports of an ended incarnation are ignored", (t) => {
-    const registry = new ServerRegistry();
+    const registry = new ServerRegistry(new DepartureState());
     registry.accept(reportOf("a", { bornMs: 10 }), 0);
     registry.markEnded("a", 10, 1);
     t.is(registry.accept(reportOf("a", { bornMs: 10, sequence: 99 }), 2), ReportEffect.Ignored);
@@ -28,7 +28,7 @@
 
 // Guards against a server that says only in its answers that it leaves, and stays in use by its reports.
 test("a server that leaves counts as draining whatever it reports, until it starts again", (t) => {
-    const registry = new ServerRegistry();
+    const registry = new ServerRegistry(new DepartureState());
     t.false(registry.markLeaving("a", 10));
     registry.accept(reportOf("a", { bornMs: 10, sequence: 1 }), 0);
     t.false(registry.markLeaving("a", 9));
@@ -43,14 +43,14 @@
 
 // Guards against a new leader that takes over an outdated state from a report delayed by a partition.
 test("a report older than the previous leader's record is ignored", (t) => {
-    const registry = new ServerRegistry();
+    const registry = new ServerRegistry(new DepartureState());
     registry.addExpected({ serverId: "a", bornMs: 10, address: "a:1", sequence: 7 });
     t.is(registry.accept(reportOf("a", { bornMs: 10, sequence: 6 }), 0), ReportEffect.Ignored);
     t.is(registry.accept(reportOf("a", { bornMs: 10, sequence: 8 }), 1), ReportEffect.Appeared);
 });
 
 test("an expected incarnation ends when a newer one reports from its address", (t) => {
-    const registry = new ServerRegistry();
+    const registry = new ServerRegistry(new DepartureState());
     registry.addExpected({ serverId: "a", bornMs: 10, address: "x:1", sequence: 7 });
     t.false(registry.hasEnded("a", 10));
     registry.accept(reportOf("b", { bornMs: 20, address: "x:1" }), 0);
@@ -59,7 +59,7 @@
 
 // Guards against one report of another writer that makes all later ones of a server look outdated.
 test("a report with a sequence number that its server can't have reached is ignored", (t) => {
-    const registry = new ServerRegistry();
+    const registry = new ServerRegistry(new DepartureState());
     registry.accept(reportOf("a", { bornMs: 10, sequence: 4 }), 0);
     t.is(registry.accept(reportOf("a", { bornMs: 10, sequence: 2 ** 47 }), 1), ReportEffect.Ignored);
     t.is(registry.accept(reportOf("a", { bornMs: 10, sequence: 5 }), 2), ReportEffect.Renewed);
--- a/test/fleet/service.test.ts
+++ b/test/fleet/service.test.ts
@@ -3,7 +3,7 @@
 import { ConfigurationState, RoutingTable } from "@greengage/configuration";
 import { type RaftLog, readRecordFile, RecordCodec, replaceFile, syncFile } from "@greengage/consensus";
 import { waitFor } from "@greengage/faults";
-import { type EngineOrders, FleetService } from "@greengage/fleet";
+import { DepartureState, type EngineOrders, FleetService } from "@greengage/fleet";
 import type { GroupRecords, Peers, ServerReport } from "@greengage/protocol";
 import test, { type ExecutionContext } from "ava";
 import { mkdtempSync, rmSync } from "node:fs";
@@ -90,6 +90,7 @@
             }),
         orders: {} as EngineOrders,
         timing: { heartbeatMs },
+        departures: new DepartureState(),
         recordPath,
         limits: { list: () => [], merge: () => undefined },
     });
