--- a/test/platform/engine.ts
+++ b/test/platform/engine.ts
@@ -91,6 +91,8 @@
     saysLeaving = false;
     /** If set, requests are turned away with 503, with this time in seconds as Retry-After. */
     retryAfterS: string | undefined;
+    /** Whether it sends no registrations any more, as after the acknowledgement of its end. */
+    sendsNoRegistrations = false;
     /** Whether answers that turn a request away state that it hasn't run. */
     statesNotRun = true;
 
@@ -139,6 +141,11 @@
         return this.#options.id;
     }
 
+    /** Start time as in its registrations. */
+    get bornMs(): number {
+        return this.#bornMs;
+    }
+
     get port(): number {
         return this.#port;
     }
@@ -195,7 +202,7 @@
     }
 
     async register(): Promise<void> {
-        if (this.isFrozen || this.#isSilent || this.#isStopped) {
+        if (this.isFrozen || this.#isSilent || this.#isStopped || this.sendsNoRegistrations) {
             return;
         }
         const { id, service, domain, control } = this.#options;
--- a/test/platform/groupmember.ts
+++ b/test/platform/groupmember.ts
@@ -73,7 +73,7 @@
     }
 
     /** Current group; a new object after each join. */
-    get group(): object | undefined {
+    get group(): { readonly epoch: number; } | undefined {
         return this.#group;
     }
 
