Test that a drain is acknowledged with one control daemon down

platform › upgrade 'a drain that a killed leader has acknowledged …' announces a second drain while the leader is down: two of three daemons are a majority.

--- a/test/platform/upgrade.test.ts
+++ b/test/platform/upgrade.test.ts
@@ -96,7 +96,7 @@
     mixed.start("present");
     await mixed.replaceConfiguration();
     const ledgers = await Promise.all(
-        ["l1", "l2"].map((id) => mixed.startEngine({ id, service: "ledger" })),
+        ["l1", "l2", "l3"].map((id) => mixed.startEngine({ id, service: "ledger" })),
     );
     await Promise.all(mixed.entries.map((entry) => mixed.waitReady(entry)));
     const ready = { service: "ledger", address: ledgers[0]?.address, zone: "z", slots: 18, state: "ready" };
@@ -112,5 +112,7 @@
     for (let count = 0; count < 20; count += 1) {
         await Promise.all(mixed.entries.map((entry) => mixed.request(entry, "/read/")));
     }
+    // Two of three control daemons are a majority.
+    await waitFor("an acknowledged drain with one control daemon down", () => ledgers[1]?.announceDrain());
     t.deepEqual(mixed.violations, []);
 });
