--- a/test/platform/mixedversions.ts
+++ b/test/platform/mixedversions.ts
@@ -13,6 +13,7 @@
 const NETWORK = `127.${1 + process.pid % 250}.${1 + Math.floor(process.pid / 250) % 250}`;
 const PORTS = { peer: 7_011, control: 7_012, callers: 7_013, readiness: 7_014 };
 const PAUSE_MS = 40;
+const GRACE_MS = 8_000;
 
 /** Lines of the log that a failed test prints. */
 const loggedPart = /"part":"consensus"|configuration\.|daemon\.|controller\.|departure\.|vote\./;
@@ -106,9 +107,10 @@
         }
     }
 
-    /** Stops a daemon with SIGTERM and starts the given version on its disk. */
+    /** Stops a daemon with SIGTERM, and with SIGKILL after the grace period, and starts the given version on its disk. */
     async exchange(daemon: VersionedDaemon, version: Version): Promise<void> {
-        await daemon.process.stop();
+        await Promise.race([daemon.process.stop(), sleep(GRACE_MS)]);
+        await daemon.process.kill();
         daemon.process = this.#spawn(daemon, version, false);
         await (daemon.role === "entry" ? this.waitReady(daemon) : this.waitForConfiguration(daemon));
     }
@@ -231,7 +233,7 @@
             bootstrap: isFirstStart,
             heartbeat_ms: HEARTBEAT_MS,
             fault_tolerance: { machines: 1 },
-            bounds: { grace_s: 8, retry_budget_ratio: 0.2, retry_budget_slack: 132 },
+            bounds: { grace_s: GRACE_MS / 1_000, retry_budget_ratio: 0.2, retry_budget_slack: 132 },
             ...(isControl
                 ? {
                     listen: { control: `${host}:${PORTS.control}` },
