--- a/packages/base/src/bytebuffer.ts
+++ b/packages/base/src/bytebuffer.ts
@@ -1,5 +1,7 @@
 /** Memory that the received bytes of one process may take up together. */
 const PROCESS_LIMIT_BYTES = 64 * 1024 * 1024;
+/** Delay before a message that found no room is sent again: those that take up the memory arrive or fail by then. */
+export const NO_MEMORY_RETRY_AFTER_MS = 1_000;
 const MIN_CAPACITY_BYTES = 512;
 /** Pieces after which a message is checked for pieces that are too small. */
 const MAX_SMALL_PIECES = 65_536;
@@ -64,7 +66,7 @@
         return this.#length;
     }
 
-    /** The collected bytes, valid until the next `append` or `clear`. */
+    /** The bytes collected so far. A later `append` or `clear` leaves them as they are. */
     get bytes(): Buffer {
         return this.#block.subarray(0, this.#length);
     }
--- a/packages/http/src/body.ts
+++ b/packages/http/src/body.ts
@@ -1,11 +1,8 @@
-import { BufferRefusal, ByteBuffer, ErrorCode, Verdict } from "@greengage/base";
+import { BufferRefusal, ByteBuffer, ErrorCode, NO_MEMORY_RETRY_AFTER_MS, Verdict } from "@greengage/base";
 import { notRunError } from "./errors.ts";
 import type { Exchange } from "./exchange.ts";
 import { shutdownError } from "./interruption.ts";
 
-/** Bodies that take up the memory of the process arrive within about a second, or fail. */
-const NO_MEMORY_RETRY_AFTER_MS = 1_000;
-
 interface BodyLimits {
     limitBytes: number;
     limitMs: number;
