Ignore fencing tokens of servers that no daemon can have issued

What operators could see, in the project's own daemons: after one report with the highest fencing token that reports may have, the zone issues the next one, and reports of every server that has seen it are rejected with 422; after a refused order that names 2^53 or more, nothing can be added to the token, and the zone has no controller any more.

Cause: a token of a server was taken for good, whatever it was, and the bound of reports was that of the tokens counted on from.

Why this works: tokens above 2^50 were never issued, so they are ignored, with a log line; reports may name up to 2^52, so tokens that follow a counted one can always be reported. Tokens to which nothing can be added, which a former daemon may hold, are not taken from peers either. The messages between daemons are unchanged.

--- a/packages/bench/src/zone/zone.ts
+++ b/packages/bench/src/zone/zone.ts
@@ -188,7 +188,7 @@
     }
 
     #createOrderSender(
-        lease: () => { isValid: boolean; fence: number; raiseFence(fence: number): void; },
+        lease: () => { isValid: boolean; fence: number; raiseReportedFence(fence: number): void; },
         gate: OrderGate,
     ): OrderSender {
         let inFlight = 0;
@@ -216,7 +216,7 @@
             if (vm.order(kind, fence, assignment)) {
                 return OrderResult.Accepted;
             }
-            lease().raiseFence(vm.highestFence);
+            lease().raiseReportedFence(vm.highestFence);
             return OrderResult.Refused;
         };
         return {
--- a/packages/http/src/reports.ts
+++ b/packages/http/src/reports.ts
@@ -16,11 +16,14 @@
 }
 
 const MAX_VMS_PER_GROUP = 64;
-/** Leaves room to count on from a reported fencing token or generation without reaching the limit of safe integers. */
+/** Leaves room to count on from a reported sequence or generation without reaching the limit of safe integers. */
 const MAX_COUNTER = 2 ** 48;
+/** Leaves room for the tokens that a zone issues after `MAX_COUNTED_FENCE`. */
+const MAX_FENCE = 2 ** 52;
 
 const name = z.string().min(1).max(200);
 const count = z.number().int().min(0).max(MAX_COUNTER);
+const fence = z.number().int().min(0).max(MAX_FENCE);
 
 /** Whether requests can be sent to this origin. */
 const isOrigin = (text: string): boolean => {
@@ -35,7 +38,7 @@
     model: name,
     memberVmIds: z.array(name).min(1).max(MAX_VMS_PER_GROUP),
     rank: count,
-    fence: count,
+    fence,
     state: z.enum(AssignmentState),
 });
 
@@ -50,7 +53,7 @@
     url: z.string().max(300).refine(isOrigin, "must be an http or https origin with a port above 0"),
     accelerators: count.max(1_024),
     checksFencing: z.boolean(),
-    highestFence: count,
+    highestFence: fence,
     leaving: z.boolean(),
     cachedModels: z.array(name).max(1_000),
     maxConcurrent: count.max(1_000_000),
--- a/packages/membership/src/controller.ts
+++ b/packages/membership/src/controller.ts
@@ -39,7 +39,7 @@
     table: TableState;
     timing: MembershipTiming;
     orders: OrderSender;
-    lease: () => Pick<ZoneLease, "isValid" | "fence" | "remainingMs" | "raiseFence">;
+    lease: () => Pick<ZoneLease, "isValid" | "fence" | "remainingMs" | "raiseReportedFence">;
     zoneDaemonIds: string[];
     /** All zones, for the exchange of organisation limits. */
     zones: string[];
@@ -208,7 +208,7 @@
             startsLeaving ||= report.leaving && vms.get(report.vmId)?.report.leaving !== true;
             vms.recordReport(report, ageMs);
             if (report.highestFence > lease.fence) {
-                lease.raiseFence(report.highestFence);
+                lease.raiseReportedFence(report.highestFence);
             }
         }
         const needFull = request.unchanged.filter((entry) => !vms.recordUnchangedReport(entry)).map((
--- a/packages/membership/src/lease.ts
+++ b/packages/membership/src/lease.ts
@@ -11,6 +11,12 @@
 import type { Peers, ZoneAcquireResponse } from "@greengage/protocol";
 import { LEASE_MARGIN_MS, type MembershipTiming } from "./timing.ts";
 
+/**
+ * Highest token of a backend server that the zone counts on from. Higher ones were issued by no daemon. Reports may name the
+ * tokens that follow it.
+ */
+export const MAX_COUNTED_FENCE = 2 ** 50;
+
 /** Records of earlier holders that the acceptors return when a lease is acquired. */
 export interface LeaseHistory {
     /** Daemons that held the lease within `unfencedHandoverMs`; undefined if too few acceptors have run that long. */
@@ -24,8 +30,8 @@
     peers: Peers;
     acceptorIds: string[];
     timing: MembershipTiming;
-    /** Highest fencing token that a backend server of the zone has reported. */
-    highestReportedFence: () => number;
+    /** Highest fencing tokens that backend servers of the zone have reported. */
+    reportedFences: () => number[];
     /** Whether this daemon's own acceptor has granted the lease to another daemon. If so, no acceptor is asked. */
     isHeldByOther?: () => boolean;
     tableFloor: () => number;
@@ -46,6 +52,7 @@
     readonly #random = new Random();
     #fence = 0;
     #highestSeenFence = 0;
+    #implausibleFence = 0;
     #validUntilMs = 0;
     #isHeld = false;
 
@@ -86,7 +93,21 @@
 
     /** Records a fencing token seen elsewhere. If it exceeds that of the lease, the lease gets a higher one. */
     raiseFence(fence: number): void {
-        this.#highestSeenFence = Math.max(this.#highestSeenFence, fence);
+        // A former version may hold a token to which nothing can be added.
+        if (Number.isSafeInteger(fence)) {
+            this.#highestSeenFence = Math.max(this.#highestSeenFence, fence);
+        }
+    }
+
+    /** Records a fencing token that a backend server names, unless no daemon can have issued it. */
+    raiseReportedFence(fence: number): void {
+        if (fence <= MAX_COUNTED_FENCE) {
+            this.raiseFence(fence);
+        }
+        else if (fence !== this.#implausibleFence) {
+            this.#implausibleFence = fence;
+            this.#log.warn("ignored a fencing token that was never issued", { fence });
+        }
     }
 
     async #renewLoop(signal: AbortSignal): Promise<void> {
@@ -107,7 +128,7 @@
 
     async #tryAcquire(signal: AbortSignal): Promise<void> {
         const { context, peers, acceptorIds, timing } = this.#options;
-        this.raiseFence(this.#options.highestReportedFence());
+        this.#options.reportedFences().forEach((fence) => this.raiseReportedFence(fence));
         const wasValid = this.isValid;
         const isRenewal = wasValid && this.#fence >= this.#highestSeenFence;
         const fence = isRenewal ? this.#fence : Math.max(this.#highestSeenFence, this.#fence) + 1;
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -101,7 +101,7 @@
                 const holderId = acceptor.holderOf(context.zone);
                 return holderId !== undefined && holderId !== peers.daemonId;
             },
-            highestReportedFence: () => this.reportForwarder.highestFence(),
+            reportedFences: () => this.reportForwarder.fences(),
             tableFloor: () => Math.max(this.controller.tableFloor, table.version),
             onTableFloor: (floor) => this.controller.raiseTableFloor(floor),
             onAcquired: (fence, history) => void this.controller.activate(fence, history),
--- a/packages/membership/src/orders.ts
+++ b/packages/membership/src/orders.ts
@@ -30,7 +30,7 @@
 
 export interface HttpOrderSenderOptions {
     context: Context;
-    lease: () => Pick<ZoneLease, "isValid" | "fence" | "raiseFence">;
+    lease: () => Pick<ZoneLease, "isValid" | "fence" | "raiseReportedFence">;
     key: string;
     /** Time for which an order with unknown outcome counts as in flight. */
     unknownOutcomeMs: number;
@@ -93,7 +93,7 @@
             const response = await this.#post(vm.url, body, beforeWrite);
             this.#inFlight.delete(id);
             if (response.status === 409) {
-                lease.raiseFence(highestFenceIn(response.text));
+                lease.raiseReportedFence(highestFenceIn(response.text));
             }
             return response.status === 200 ? OrderResult.Accepted : OrderResult.Refused;
         }
@@ -165,7 +165,7 @@
 const highestFenceIn = (text: string): number => {
     try {
         const body = JSON.parse(text) as { highestFence?: unknown; };
-        return typeof body.highestFence === "number" ? body.highestFence : 0;
+        return Number.isSafeInteger(body.highestFence) ? body.highestFence as number : 0;
     }
     catch {
         return 0;
--- a/packages/membership/src/reportforwarder.ts
+++ b/packages/membership/src/reportforwarder.ts
@@ -88,9 +88,9 @@
         return { released: this.#releasedKeys.has(key) };
     }
 
-    /** Highest fencing token in the reports that this daemon holds. */
-    highestFence(): number {
-        return Math.max(0, ...[...this.#latestReports.values()].map(({ report }) => report.highestFence));
+    /** Highest fencing token of each report that this daemon holds. */
+    fences(): number[] {
+        return [...this.#latestReports.values()].map(({ report }) => report.highestFence);
     }
 
     async #sendBatch(): Promise<void> {
--- a/test/http/platform.test.ts
+++ b/test/http/platform.test.ts
@@ -1,5 +1,6 @@
 import test from "ava";
 import fc from "fast-check";
+import { MAX_COUNTED_FENCE } from "../../packages/membership/src/lease.ts";
 import { BACKEND_KEY, createReport, send, startServer } from "./fixture.ts";
 
 // Guards against invalid reports that would reach the controller of the zone.
@@ -49,6 +50,17 @@
     t.like(reports[0], { vmId: "vm-1", adapter: "x" });
 });
 
+// Guards against servers that can't report any more, because another one has named the highest fencing token of a report.
+test("a report may name the fencing tokens that follow the highest counted one", async (t) => {
+    const { url, reports } = await startServer(t);
+    for (const highestFence of [MAX_COUNTED_FENCE, MAX_COUNTED_FENCE + 1_000_000]) {
+        const body = createReport({ highestFence });
+        const { status } = await send(`${url}/backend/v1/report`, { key: BACKEND_KEY, body });
+        t.is(status, 200);
+    }
+    t.is(reports.length, 2);
+});
+
 test("an invalid report is rejected with the name of its field", async (t) => {
     const { url, reports } = await startServer(t, { limits: { reportBytes: 2_000 } });
     for (const { field, changes } of badReports) {
