Keep reports of unknown services from replacing servers in use

What callers could see: one odd heartbeat that names an unknown service, the address or the id of a running engine and a later start time ended that engine for the controller; its group was dissolved, and its later reports counted as outdated until its process started again.

Cause: the newest process that names an address or id takes it, whatever service it names. PROTOCOL.md says of such entries: "It names no engine to use; the others hold."

Why this works: a report of a service that the configuration doesn't have can't take the place of a server of a configured one, nor of one that the previous leader used. Once the configuration has the service, its reports are taken as before.

--- a/packages/fleet/src/registry.ts
+++ b/packages/fleet/src/registry.ts
@@ -96,6 +96,17 @@
         return true;
     }
 
+    /**
+     * Whether the report would take the id or the address of a server that is in use: one of a service for which `isUsed` returns
+     * true, or one from the previous leader's records.
+     */
+    wouldReplaceUsed({ serverId, address }: ServerReport, isUsed: (service: string) => boolean): boolean {
+        const expected = this.#expected.get(address);
+        const holders = [serverId, this.#idsByAddress.get(address) ?? ""].map((id) => this.#servers.get(id));
+        return (expected !== undefined && expected.serverId !== serverId)
+            || holders.some((holder) => holder !== undefined && isUsed(holder.report.service));
+    }
+
     accept(received: ServerReport, nowMs: number): ReportEffect {
         const isLeaving = this.#leaving.get(received.serverId) === received.bornMs
             || this.#departures.has(received);
--- a/packages/fleet/src/reporthandler.ts
+++ b/packages/fleet/src/reporthandler.ts
@@ -1,4 +1,5 @@
 import { type Context, messageOf, monotonicMs } from "@greengage/base";
+import type { RoutingTable } from "@greengage/configuration";
 import type { RaftLog } from "@greengage/consensus";
 import type { LeavingServer, Peers, ServerReport } from "@greengage/protocol";
 import type { GroupController } from "./controller.ts";
@@ -22,6 +23,8 @@
     registry: ServerRegistry;
     controller: GroupController;
     departures: DepartureState;
+    /** The routing table in force; undefined before the first configuration. */
+    routing: () => RoutingTable | undefined;
 }
 
 /** The leader's answer to a report or a shutdown announcement. */
@@ -81,18 +84,20 @@
             return this.#rejection();
         }
         const nowMs = monotonicMs();
-        const reports = validReports({ context, source: from }, received).filter((report) =>
-            this.#isBornPlausible(report, from)
-        );
-        // A draining server is acknowledged only once this leader publishes the change to all daemons immediately.
-        const isAcknowledged = controller.isSettled || !reports.some((report) => report.isDraining);
-        for (const report of reports) {
+        const reports: ServerReport[] = [];
+        for (const report of validReports({ context, source: from }, received)) {
+            if (!this.#isBornPlausible(report, from) || !this.#isOwnPlace(report, from)) {
+                continue;
+            }
+            reports.push(report);
             const effect = registry.accept(report, nowMs);
             if (effect === ReportEffect.Changed || effect === ReportEffect.Appeared) {
                 this.#recordReport(report, effect);
                 controller.wake();
             }
         }
+        // A draining server is acknowledged only once this leader publishes the change to all daemons immediately.
+        const isAcknowledged = controller.isSettled || !reports.some((report) => report.isDraining);
         const isAccepted = isAcknowledged && reports.length === received.length
             && await this.#recordDepartures(reports.filter(({ isDraining }) => isDraining));
         return { isAccepted };
@@ -111,6 +116,24 @@
         return isPlausible;
     }
 
+    /** A report of a service that isn't configured names no server to use, so it can't take the place of one that is in use. */
+    #isOwnPlace(report: ServerReport, from: string): boolean {
+        const { registry, routing, context } = this.#options;
+        const table = routing();
+        const isConfigured = (service: string): boolean => table?.service(service) !== undefined;
+        const isOwn = isConfigured(report.service) || !registry.wouldReplaceUsed(report, isConfigured);
+        if (!isOwn) {
+            const { serverId, service, address } = report;
+            context.decisions.record("entry.invalid", {
+                source: from,
+                kind: "report",
+                reason:
+                    `server ${serverId} of the unknown service ${service} would replace one at ${address}`,
+            });
+        }
+        return isOwn;
+    }
+
     #recordReport(report: ServerReport, effect: ReportEffect): void {
         const { membership } = report;
         this.#options.context.decisions.record("server.report", {
--- a/packages/fleet/src/service.ts
+++ b/packages/fleet/src/service.ts
@@ -117,6 +117,7 @@
             registry: this.#registry,
             controller: this.#controller,
             departures,
+            routing: () => this.#configurationSource.routing(),
         });
         peers.handle("fleet.suspect", (suspicion) => this.#handleSuspicion(suspicion));
         const partOptions = {
--- a/test/fleet/departures.test.ts
+++ b/test/fleet/departures.test.ts
@@ -54,6 +54,7 @@
         log: log as unknown as RaftLog,
         registry,
         departures,
+        routing: () => undefined,
         controller: {
             isSettled: true,
             wake: () => undefined,
--- a/test/fleet/oddreports.test.ts
+++ b/test/fleet/oddreports.test.ts
@@ -1,10 +1,12 @@
 import { createContext, type DecisionFields } from "@greengage/base";
 import { Hub } from "@greengage/bench";
+import { RoutingTable } from "@greengage/configuration";
 import type { RaftLog } from "@greengage/consensus";
 import { DepartureState, type GroupController, ServerRegistry } from "@greengage/fleet";
 import type { ServerReport } from "@greengage/protocol";
 import test from "ava";
 import { ServerReportHandler } from "../../packages/fleet/src/reporthandler.ts";
+import { buildConfiguration } from "../configuration/fixtures.ts";
 import { reportOf } from "./fixtures.ts";
 
 /** Reports that name no backend server to use. */
@@ -19,9 +21,19 @@
         membership: { groupName: "g", epoch: Number.MAX_SAFE_INTEGER, rank: 0, state: "open" },
     }),
     "a start time in the far future": reportOf("odd", { bornMs: 2 ** 47 }),
+    "an unknown service at the address of a server": reportOf("odd", {
+        service: "unknown",
+        address: "e1:1",
+        bornMs: 99,
+    }),
+    "an unknown service and the id of a server": reportOf("e1", { service: "unknown", bornMs: 99 }),
     "no list of models": { ...reportOf("odd"), loadedModels: undefined },
 };
 
+const routing = new RoutingTable(buildConfiguration({
+    services: [{ name: reportOf("e1").service, maxConnections: 400 }],
+}));
+
 for (const [title, odd] of Object.entries(oddReports)) {
     // Guards against a forwarded report that hides the others of its message, or raises the epochs of all groups for good.
     test(`a report with ${title} is dropped and the others of its message are applied`, async (t) => {
@@ -39,12 +51,17 @@
             log: { holdsLeaderLease: true, status: () => ({ leaderId: "core-1" }) } as unknown as RaftLog,
             registry,
             departures: new DepartureState(),
+            routing: () => routing,
             controller: { isSettled: true, wake: () => undefined } as unknown as GroupController,
         });
         const reports = [reportOf("e1"), odd, reportOf("e2")] as ServerReport[];
         const { isAccepted } = await forwarder.call("core-1", "fleet.report", { reports });
         t.false(isAccepted);
-        t.deepEqual(registry.all().map(({ report }) => report.serverId), ["e1", "e2"]);
+        const { service } = reportOf("e1");
+        t.deepEqual(
+            registry.all().map(({ report }) => [report.serverId, report.service]),
+            [["e1", service], ["e2", service]],
+        );
         t.like(logged.find(({ event }) => event === "entry.invalid"), { source: "core-2", kind: "report" });
     });
 }
