--- a/packages/fleet/src/reporthandler.ts
+++ b/packages/fleet/src/reporthandler.ts
@@ -42,7 +42,10 @@
         const { peers } = options;
         peers.handle("fleet.report", ({ reports }, from) => this.#handleReports(reports, from));
         peers.handle("fleet.leaving", (server, from) => this.#handleLeaving(server, from));
-        peers.handle("fleet.depart", ({ serverId, bornMs }) => this.#handleDeparture(serverId, bornMs));
+        peers.handle(
+            "fleet.depart",
+            ({ serverId, bornMs }, from) => this.#handleDeparture(serverId, bornMs, from),
+        );
     }
 
     /** Forwards a report to the leader. Returns false on failure, so that the server tries another daemon. */
@@ -86,7 +89,7 @@
         const nowMs = monotonicMs();
         const reports: ServerReport[] = [];
         for (const report of validReports({ context, source: from }, received)) {
-            if (!this.#isBornPlausible(report, from) || !this.#isOwnPlace(report, from)) {
+            if (!this.#isBornPlausible(report, "report", from) || !this.#isOwnPlace(report, from)) {
                 continue;
             }
             reports.push(report);
@@ -104,12 +107,12 @@
     }
 
     /** A start time in the far future would end the process that has the same id or address, and any later one. */
-    #isBornPlausible({ serverId, bornMs }: ServerReport, from: string): boolean {
+    #isBornPlausible({ serverId, bornMs }: Departure, kind: string, from: string): boolean {
         const isPlausible = bornMs <= Date.now() + MAX_CLOCK_DIFFERENCE_MS;
         if (!isPlausible) {
             this.#options.context.decisions.record("entry.invalid", {
                 source: from,
-                kind: "report",
+                kind,
                 reason: `server ${serverId} starts in the future: bornMs ${bornMs}`,
             });
         }
@@ -165,8 +168,15 @@
         return { isAccepted: true };
     }
 
-    async #handleDeparture(serverId: string, bornMs: number | undefined): Promise<LeaderAnswer> {
+    async #handleDeparture(
+        serverId: string,
+        bornMs: number | undefined,
+        from: string,
+    ): Promise<LeaderAnswer> {
         const { log, context, registry, controller } = this.#options;
+        if (bornMs !== undefined && !this.#isBornPlausible({ serverId, bornMs }, "departure", from)) {
+            return this.#rejection();
+        }
         const knownBornMs = bornMs ?? registry.get(serverId)?.report.bornMs;
         if (!log.holdsLeaderLease || !controller.isSettled) {
             return this.#rejection();
--- a/test/fleet/departures.test.ts
+++ b/test/fleet/departures.test.ts
@@ -73,6 +73,19 @@
         }),
 };
 
+// Guards against one announcement after which every later process of the server counts as draining, for all leaders.
+test("a shutdown of a process that starts in the far future is not recorded", async (t) => {
+    const { registry, departures, forwarder } = startLeader();
+    registry.accept(reportOf("e1"), 0);
+    const { isAccepted } = await forwarder.call(LEADER_ID, "fleet.depart", {
+        serverId: "e1",
+        bornMs: 2 ** 47,
+    });
+    t.false(isAccepted);
+    t.false(departures.has({ serverId: "e1", bornMs: 1 }));
+    t.false(registry.isDraining("e1", 1));
+});
+
 for (const [kind, announce] of Object.entries(announcements)) {
     // Guards against requests to a server that has left: a leader acknowledged the announcement and ended before any other
     // daemon knew it.
