Replace a VM that carried out a late order, rather than order it back

The group served on with a VM that the next late order could take again.

Cause: the step that notices a late order also ordered the VM back, as it still named its group. If its report came before the next step, it counted as healthy and wasn't replaced.

Why this works: a stray VM gets no order until it may be reassigned, so the next step always finds it stray.

--- a/packages/membership/src/orderreconciler.ts
+++ b/packages/membership/src/orderreconciler.ts
@@ -7,6 +7,7 @@
 import {
     isAdopting,
     isServing,
+    isStray,
     mayReassign,
     RELEASE_KEY,
     reportsGroup,
@@ -98,8 +99,9 @@
         if (group === undefined || !loadableStates.includes(group.state) || reportsGroup(vm.report, group)) {
             return false;
         }
-        const isSameGroup = vm.report.assignment?.groupId === group.groupId;
-        return (isSameGroup || mayReassign(this.#zone, vm)) && this.#isDue(vm, orderKeyOf(group));
+        // Another late order may take a stray VM out of its group again, so it is replaced, and not ordered back.
+        const isReturning = vm.report.assignment?.groupId === group.groupId && !isStray(vm);
+        return (isReturning || mayReassign(this.#zone, vm)) && this.#isDue(vm, orderKeyOf(group));
     }
 
     /** Whether to release a VM that reports an assignment but is in no group. */
--- a/packages/membership/src/zonestate.ts
+++ b/packages/membership/src/zonestate.ts
@@ -66,6 +66,9 @@
     && report.assignment.generation === group.generation
     && report.assignment.memberVmIds.join() === group.memberVmIds.join();
 
+/** Whether orders of a former controller may still reach a VM that ignores fencing tokens. */
+export const isStray = (vm: Vm): boolean => monotonicMs() < vm.reassignableAtMs;
+
 export const memberStatus = (zone: ZoneState, group: Group, vmId: string): MemberStatus => {
     const vm = zone.vms.get(vmId);
     if (vm === undefined) {
@@ -86,7 +89,7 @@
     }
     const { assignment } = vm.report;
     if (assignment === undefined || !reportsGroup(vm.report, group)) {
-        return monotonicMs() < vm.reassignableAtMs ? MemberStatus.Stray : MemberStatus.Unassigned;
+        return isStray(vm) ? MemberStatus.Stray : MemberStatus.Unassigned;
     }
     if (assignment.state === AssignmentState.Failed) {
         return MemberStatus.Failed;
@@ -99,7 +102,7 @@
 
 /** Whether a VM may be ordered into another group or out of its own. VMs that don't check fencing tokens must wait. */
 export const mayReassign = (zone: ZoneState, vm: Vm): boolean =>
-    vm.report.checksFencing || (zone.isHandoverDone() && monotonicMs() >= vm.reassignableAtMs);
+    vm.report.checksFencing || (zone.isHandoverDone() && !isStray(vm));
 
 export const isAdopting = (zone: ZoneState): boolean => monotonicMs() < zone.adoptionEndsAtMs;
 
--- a/test/membership/takeover.test.ts
+++ b/test/membership/takeover.test.ts
@@ -57,6 +57,12 @@
             ),
     );
     t.is(after.memberVmIds.length, 2);
+    // Guards against a VM that is ordered back into its group, from which the next late order takes it again.
+    const strayOrders = vmOf(zone, first.memberVmIds[0]).orders.map(({ assignment }) =>
+        assignment?.generation
+    );
+    t.deepEqual(strayOrders.slice(0, 2), [1, 2]);
+    t.not(strayOrders[2], 1);
     t.is(zone.violations, 0);
 });
 
