--- a/test/consensus/dynamic.test.ts
+++ b/test/consensus/dynamic.test.ts
@@ -4,12 +4,15 @@
 const SEEDS = ["d1", "d2", "d3"];
 
 /** Starts the seeds of a cluster with dynamic voters. `d4` and `d5` are not started. */
-const startSeeded = async (t: { teardown(cleanup: () => Promise<void>): void; }): Promise<TestCluster> => {
+const startSeeded = async (
+    t: { teardown(cleanup: () => Promise<void>): void; },
+    seedIds: () => readonly string[] = () => SEEDS,
+): Promise<TestCluster> => {
     const cluster = new TestCluster({
         voters: 5,
         raft: {
             daemons: [],
-            dynamicVoters: { seedIds: () => SEEDS, targetCount: 3, replaceLostAfterMs: 400 },
+            dynamicVoters: { seedIds, targetCount: 3, replaceLostAfterMs: 400 },
         },
     });
     t.teardown(() => cluster.stop());
@@ -194,3 +197,22 @@
         () => cluster.member(stoppingId).log.role === "learner" ? true : undefined,
     );
 });
+
+// Guards against a cluster that tolerates one loss only after the first of several planned replacements.
+test("a disk may be lost after two voters have been replaced one after the other", async (t) => {
+    let seedIds = SEEDS;
+    const cluster = await startSeeded(t, () => seedIds);
+    await cluster.addNote("one", "d1");
+    for (const [stoppingId, spareId] of [["d1", "d4"], ["d2", "d5"]] as const) {
+        await startSpare(cluster, spareId);
+        t.true(await cluster.member(stoppingId).log.handOverVote({ timeoutMs: 2_000 }));
+        await cluster.stopMember(stoppingId);
+    }
+    seedIds = ["d3", "d4", "d5"];
+    await cluster.stopMember("d3");
+    cluster.emptyFolder("d3");
+    await cluster.startMember("d3", { bootstrap: false });
+    await cluster.addNote("two", "d4", 10_000);
+    await cluster.waitForNotes(["one", "two"]);
+    await cluster.waitFor("three voters", () => votersOf(cluster) === "d3,d4,d5" ? true : undefined);
+});
