Rank start times in the future below all others, rather than refuse them

And one announcement of a process that starts in the future counted for all later processes of its server.

Cause: whether a start time is plausible was decided by the leader's clock alone, for every report.

Departures are kept by process, and recorded without a look at the clock, so that all daemons hold the same.

--- a/packages/fleet/src/departurestate.ts
+++ b/packages/fleet/src/departurestate.ts
@@ -1,8 +1,10 @@
 import type { Command, StateMachine } from "@greengage/consensus";
 import { decode, encode } from "@greengage/protocol";
+import { startRank } from "./starttime.ts";
 
 /** Twice the servers of the largest fleet fit. Reports that arrive late do so within seconds. */
-const MAX_DEPARTURES = 1_500;
+const MAX_SERVERS = 1_500;
+const MAX_PROCESSES_PER_SERVER = 4;
 
 /** A process of a backend server that has announced its end, and was acknowledged. */
 export interface Departure {
@@ -22,13 +24,14 @@
  * leader that has acknowledged one knows it, as a server says nothing more after the acknowledgement.
  */
 export class DepartureState implements StateMachine {
-    /** Start time of the newest process that departs, by server id, in the order in which they were recorded. */
-    readonly #bornMs = new Map<string, number>();
+    /** Start times of the processes that depart, by server id, in the order in which they were recorded. */
+    readonly #bornMs = new Map<string, number[]>();
     readonly #listeners = new Set<() => void>();
 
     /** Whether this process, or a later one of the server, has been recorded. */
     has({ serverId, bornMs }: Departure): boolean {
-        return (this.#bornMs.get(serverId) ?? -Infinity) >= bornMs;
+        const rank = startRank(bornMs);
+        return this.#bornMs.get(serverId)?.some((recorded) => startRank(recorded) >= rank) ?? false;
     }
 
     onChange(listener: () => void): void {
@@ -42,7 +45,11 @@
     }
 
     snapshot(): Uint8Array {
-        return encode([...this.#bornMs].map(([serverId, bornMs]): Departure => ({ serverId, bornMs })));
+        return encode(
+            [...this.#bornMs].flatMap(([serverId, starts]) =>
+                starts.map((bornMs): Departure => ({ serverId, bornMs }))
+            ),
+        );
     }
 
     restore(snapshot: Uint8Array): void {
@@ -50,14 +57,16 @@
         this.#notify();
     }
 
-    #add(departure: Departure): void {
-        if (this.has(departure)) {
+    /** Doesn't depend on this daemon's clock, so that all daemons record the same. */
+    #add({ serverId, bornMs }: Departure): void {
+        const starts = this.#bornMs.get(serverId) ?? [];
+        if (starts.includes(bornMs)) {
             return;
         }
-        this.#bornMs.delete(departure.serverId);
-        this.#bornMs.set(departure.serverId, departure.bornMs);
+        this.#bornMs.delete(serverId);
+        this.#bornMs.set(serverId, [...starts, bornMs].slice(-MAX_PROCESSES_PER_SERVER));
         const [oldestId] = this.#bornMs.keys();
-        if (oldestId !== undefined && this.#bornMs.size > MAX_DEPARTURES) {
+        if (oldestId !== undefined && this.#bornMs.size > MAX_SERVERS) {
             this.#bornMs.delete(oldestId);
         }
     }
--- a/packages/fleet/src/entries.ts
+++ b/packages/fleet/src/entries.ts
@@ -14,6 +14,7 @@
 import { z } from "zod";
 import { MAX_EPOCH } from "./epochs.ts";
 import { GroupPhase } from "./group.ts";
+import { MAX_START_MS } from "./starttime.ts";
 
 const MAX_NAME_CHARACTERS = 256;
 /** Leaves room to count on without reaching the limit of safe integers. */
@@ -45,7 +46,7 @@
 /** Schema of the report of a backend server that can be used. */
 export const serverReportSchema: z.ZodType<ServerReport> = z.object({
     serverId,
-    bornMs: counter,
+    bornMs: counter.max(MAX_START_MS),
     service: name,
     address,
     zone: name,
--- a/packages/fleet/src/registry.ts
+++ b/packages/fleet/src/registry.ts
@@ -1,5 +1,6 @@
 import type { MemberRecord, MemberState, ServerReport } from "@greengage/protocol";
 import type { DepartureState } from "./departurestate.ts";
+import { startRank } from "./starttime.ts";
 
 /** A backend server as known from its reports. */
 export interface BackendServer {
@@ -70,7 +71,7 @@
     hasEnded(serverId: string, bornMs: number): boolean {
         const endedBornMs = this.#endedIncarnations.get(serverId)?.bornMs ?? -Infinity;
         const knownBornMs = this.#servers.get(serverId)?.report.bornMs ?? -Infinity;
-        return endedBornMs >= bornMs || knownBornMs > bornMs;
+        return startRank(endedBornMs) >= startRank(bornMs) || startRank(knownBornMs) > startRank(bornMs);
     }
 
     /** The server if this incarnation is the current one. */
@@ -135,7 +136,10 @@
     /** Removes an incarnation that has ended or is about to; without `bornMs`, the current one. */
     markEnded(serverId: string, bornMs: number | undefined, nowMs: number): BackendServer | undefined {
         const server = this.#servers.get(serverId);
-        if (server === undefined || (bornMs !== undefined && server.report.bornMs > bornMs)) {
+        if (
+            server === undefined
+            || (bornMs !== undefined && startRank(server.report.bornMs) > startRank(bornMs))
+        ) {
             return undefined;
         }
         this.#remove(server, nowMs);
@@ -160,7 +164,7 @@
 
     #isFromEndedIncarnation(report: ServerReport): boolean {
         const ended = this.#endedIncarnations.get(report.serverId);
-        return ended !== undefined && report.bornMs <= ended.bornMs;
+        return ended !== undefined && startRank(report.bornMs) <= startRank(ended.bornMs);
     }
 
     /**
@@ -169,7 +173,7 @@
     #claimAddress(report: ServerReport, nowMs: number): boolean {
         const holder = this.#servers.get(this.#idsByAddress.get(report.address) ?? "");
         if (holder !== undefined && holder.report.serverId !== report.serverId) {
-            if (holder.report.bornMs > report.bornMs) {
+            if (startRank(holder.report.bornMs) > startRank(report.bornMs)) {
                 return false;
             }
             this.#remove(holder, nowMs);
@@ -177,7 +181,9 @@
         const expected = this.#expected.get(report.address);
         if (expected !== undefined) {
             this.#expected.delete(report.address);
-            if (expected.serverId !== report.serverId && expected.bornMs < report.bornMs) {
+            if (
+                expected.serverId !== report.serverId && startRank(expected.bornMs) < startRank(report.bornMs)
+            ) {
                 this.#endedIncarnations.set(expected.serverId, { bornMs: expected.bornMs, endedAtMs: nowMs });
             }
         }
@@ -210,7 +216,8 @@
     report.bornMs === known.bornMs && report.sequence - known.sequence > MAX_SEQUENCE_GAP;
 
 const isOlder = (report: ServerReport, known: ServerReport): boolean =>
-    report.bornMs < known.bornMs || (report.bornMs === known.bornMs && report.sequence <= known.sequence);
+    startRank(report.bornMs) < startRank(known.bornMs)
+    || (report.bornMs === known.bornMs && report.sequence <= known.sequence);
 
 const isSameState = (a: ServerReport, b: ServerReport): boolean =>
     a.isDraining === b.isDraining && a.address === b.address && a.zone === b.zone && a.service === b.service
--- a/packages/fleet/src/reporthandler.ts
+++ b/packages/fleet/src/reporthandler.ts
@@ -7,14 +7,13 @@
 import type { Departure, DepartureState, RecordDeparturesCommand } from "./departurestate.ts";
 import { validReports } from "./entries.ts";
 import { ReportEffect, type ServerRegistry } from "./registry.ts";
+import { MAX_START_MS } from "./starttime.ts";
 
 /** Backend servers wait one second for an answer. */
 const FORWARD_CALL_OPTIONS = { timeoutMs: 700 };
 
 /** Time for a majority of the voters to store a departure, before the forwarding daemon gives up. */
 const RECORD_TIMEOUT_MS = 600;
-/** Largest difference between the wall clocks of VMs and of this daemon. */
-const MAX_CLOCK_DIFFERENCE_MS = 24 * 3_600_000;
 
 export interface ServerReportHandlerOptions {
     context: Context;
@@ -89,7 +88,7 @@
         const nowMs = monotonicMs();
         const reports: ServerReport[] = [];
         for (const report of validReports({ context, source: from }, received)) {
-            if (!this.#isBornPlausible(report, "report", from) || !this.#isOwnPlace(report, from)) {
+            if (!this.#isOwnPlace(report, from)) {
                 continue;
             }
             reports.push(report);
@@ -106,19 +105,6 @@
         return { isAccepted };
     }
 
-    /** A start time in the far future would end the process that has the same id or address, and any later one. */
-    #isBornPlausible({ serverId, bornMs }: Departure, kind: string, from: string): boolean {
-        const isPlausible = bornMs <= Date.now() + MAX_CLOCK_DIFFERENCE_MS;
-        if (!isPlausible) {
-            this.#options.context.decisions.record("entry.invalid", {
-                source: from,
-                kind,
-                reason: `server ${serverId} starts in the future: bornMs ${bornMs}`,
-            });
-        }
-        return isPlausible;
-    }
-
     /** A report of a service that isn't configured names no server to use, so it can't take the place of one that is in use. */
     #isOwnPlace(report: ServerReport, from: string): boolean {
         const { registry, routing, context } = this.#options;
@@ -174,7 +160,12 @@
         from: string,
     ): Promise<LeaderAnswer> {
         const { log, context, registry, controller } = this.#options;
-        if (bornMs !== undefined && !this.#isBornPlausible({ serverId, bornMs }, "departure", from)) {
+        if (bornMs !== undefined && bornMs > MAX_START_MS) {
+            context.decisions.record("entry.invalid", {
+                source: from,
+                kind: "departure",
+                reason: `server ${serverId} starts in the future: bornMs ${bornMs}`,
+            });
             return this.#rejection();
         }
         const knownBornMs = bornMs ?? registry.get(serverId)?.report.bornMs;
--- a/test/fleet/departures.test.ts
+++ b/test/fleet/departures.test.ts
@@ -164,6 +164,18 @@
     t.false(restored.has({ serverId: "e1999", bornMs: 2 }));
 });
 
+// Guards against one announcement after which every process of the server counts as draining, for all leaders.
+test("the departure of a process that starts in the future is not that of the others", (t) => {
+    const bornMs = Date.now();
+    const state = new DepartureState();
+    state.apply(1, departureOf("e1", bornMs + 1_000_000_000));
+    t.false(state.has({ serverId: "e1", bornMs }));
+    state.apply(2, departureOf("e1", bornMs));
+    t.true(state.has({ serverId: "e1", bornMs }));
+    t.true(state.has({ serverId: "e1", bornMs: bornMs - 1 }));
+    t.false(state.has({ serverId: "e1", bornMs: bornMs + 1 }));
+});
+
 // Guards against an upgrade in which the snapshot of a former version can't be read.
 test("the snapshot of a version without departures leaves them as they are", (t) => {
     const state = new DepartureState();
--- a/test/fleet/registry.test.ts
+++ b/test/fleet/registry.test.ts
@@ -64,3 +64,30 @@
     t.is(registry.accept(reportOf("a", { bornMs: 10, sequence: 2 ** 47 }), 1), ReportEffect.Ignored);
     t.is(registry.accept(reportOf("a", { bornMs: 10, sequence: 5 }), 2), ReportEffect.Renewed);
 });
+
+const DAY_MS = 24 * 3_600_000;
+
+// Guards against one report of another writer that ends a running server, whose process it can't be.
+test("a process that starts in the future takes no place, and gives up its own", (t) => {
+    const bornMs = Date.now();
+    const futureMs = bornMs + 30 * DAY_MS;
+    const registry = new ServerRegistry(new DepartureState());
+    registry.accept(reportOf("a", { bornMs }), 0);
+    t.is(registry.accept(reportOf("a", { bornMs: futureMs, sequence: 9 }), 1), ReportEffect.Ignored);
+    t.is(registry.accept(reportOf("odd", { bornMs: futureMs, address: "a:1" }), 2), ReportEffect.Ignored);
+    t.false(registry.hasEnded("a", bornMs));
+    t.is(registry.accept(reportOf("b", { bornMs: futureMs }), 3), ReportEffect.Appeared);
+    t.is(registry.accept(reportOf("b", { bornMs }), 4), ReportEffect.Appeared);
+    t.is(registry.accept(reportOf("b", { bornMs, sequence: 2 }), 5), ReportEffect.Renewed);
+});
+
+// Guards against a daemon whose clock is days behind, and that would refuse the reports of all servers.
+test("processes are ordered by their start even if all of them lie in the future", (t) => {
+    const futureMs = Date.now() + 30 * DAY_MS;
+    const registry = new ServerRegistry(new DepartureState());
+    t.is(registry.accept(reportOf("a", { bornMs: futureMs }), 0), ReportEffect.Appeared);
+    t.is(registry.accept(reportOf("a", { bornMs: futureMs + 1 }), 1), ReportEffect.Appeared);
+    t.is(registry.accept(reportOf("a", { bornMs: futureMs, sequence: 9 }), 2), ReportEffect.Ignored);
+    t.is(registry.accept(reportOf("b", { bornMs: futureMs + 2, address: "a:1" }), 3), ReportEffect.Appeared);
+    t.true(registry.hasEnded("a", futureMs + 1));
+});
