Keep members of an ended group that late orders have opened again out of other groups

Cause: a VM counted as free by the controller's table alone, and reports of ended groups were skipped. A head that carries out late orders of its ended group opens it again and says so in its reports.

Why this works: such a head is found in the reports and ordered to leave, and no VM that reports its group is free until it has. Reports that were sent before the end don't count. Messages and records are unchanged.

--- a/packages/fleet/src/controller.ts
+++ b/packages/fleet/src/controller.ts
@@ -10,6 +10,7 @@
 import type { EngineOrders, ServerEndpoint } from "./orders.ts";
 import { PlannerInputs } from "./plannerinputs.ts";
 import type { ServerRegistry } from "./registry.ts";
+import { RevivedGroups } from "./revivedgroups.ts";
 import { WeightStaging } from "./staging.ts";
 import { superviseGroup } from "./supervision.ts";
 import { SuspicionHandler } from "./suspicion.ts";
@@ -45,6 +46,7 @@
     /** Whether any daemon has received requests. */
     hasDemand: boolean;
     epochs: EpochIssuer;
+    revivedGroups: RevivedGroups;
     /** Time from which this leader has received enough reports to act; `Infinity` while it is not leading. */
     settledAtMs: () => number;
 }
@@ -66,10 +68,13 @@
 
     constructor(options: GroupControllerOptions) {
         this.#options = options;
+        const groups = new GroupTable(options.context);
+        const lifecycle = new Lifecycle();
         this.#state = {
             ...options,
-            groups: new GroupTable(options.context),
-            lifecycle: new Lifecycle(),
+            groups,
+            lifecycle,
+            revivedGroups: new RevivedGroups({ ...options, groups, lifecycle }),
             wakeSignal: new ChangeSignal(),
             lastFaultAtMs: new Map(),
             hasDemand: false,
@@ -217,6 +222,7 @@
         }
         registry.expire(nowMs, SERVER_EXPIRY_MS, (serverId) => groups.groupOf(serverId) !== undefined);
         adoptGroups(this.#state, nowMs);
+        this.#state.revivedGroups.update(nowMs);
         for (const group of this.#state.groups.all()) {
             superviseGroup(this.#state, this.#termination, this.#formation, group, nowMs);
         }
--- a/packages/fleet/src/grouptable.ts
+++ b/packages/fleet/src/grouptable.ts
@@ -1,4 +1,4 @@
-import type { Context } from "@greengage/base";
+import { type Context, monotonicMs } from "@greengage/base";
 import { type GroupPhase, headIdOf, type ManagedGroup } from "./group.ts";
 
 /** Number of ended groups in the records for a successor. Their former members report them only briefly. */
@@ -11,7 +11,8 @@
     readonly #context: Context;
     readonly #groups = new Map<string, ManagedGroup>();
     readonly #groupByMember = new Map<string, ManagedGroup>();
-    readonly #endedNames = new Set<string>();
+    /** Time at which each group ended, by name. */
+    readonly #endedNames = new Map<string, number>();
     #version = 1;
 
     constructor(context: Context) {
@@ -40,14 +41,19 @@
         return this.#endedNames.has(groupName);
     }
 
+    /** Monotonic time at which the group ended, or at which this leader learned that it has. */
+    endedAtMs(groupName: string): number | undefined {
+        return this.#endedNames.get(groupName);
+    }
+
     /** Names of the groups that ended most recently. */
     endedNames(): string[] {
-        return [...this.#endedNames].slice(-ENDED_NAMES_IN_RECORDS);
+        return [...this.#endedNames.keys()].slice(-ENDED_NAMES_IN_RECORDS);
     }
 
     markEnded(groupName: string): void {
-        this.#endedNames.add(groupName);
-        const [oldest] = this.#endedNames;
+        this.#endedNames.set(groupName, monotonicMs());
+        const [oldest] = this.#endedNames.keys();
         if (oldest !== undefined && this.#endedNames.size > MAX_TRACKED_ENDED_NAMES) {
             this.#endedNames.delete(oldest);
         }
--- a/packages/fleet/src/plannerinputs.ts
+++ b/packages/fleet/src/plannerinputs.ts
@@ -118,8 +118,9 @@
     }
 
     #isFree(server: BackendServer, service: string, nowMs: number): boolean {
-        const { serverId, service: ownService, fabricDomain } = server.report;
+        const { serverId, service: ownService, fabricDomain, membership } = server.report;
         return ownService === service && fabricDomain !== undefined
+            && !this.#state.revivedGroups.has(membership?.groupName)
             && this.#state.groups.groupOf(serverId) === undefined && this.#isUsable(server, nowMs);
     }
 
--- a/test/fleet/controller.test.ts
+++ b/test/fleet/controller.test.ts
@@ -1,3 +1,4 @@
+import { monotonicMs } from "@greengage/base";
 import { waitFor } from "@greengage/faults";
 import {
     applyDeparture,
@@ -9,6 +10,7 @@
 } from "@greengage/fleet";
 import { MemberState } from "@greengage/protocol";
 import test from "ava";
+import { REPORT_DELAY_MS } from "../../packages/fleet/src/revivedgroups.ts";
 import { startFleet } from "./fixtures.ts";
 
 const waitUntil = (description: string, condition: () => boolean, limitMs?: number): Promise<true> =>
@@ -277,3 +279,26 @@
     }
     t.deepEqual(fleet.violations, []);
 });
+
+// Guards against a VM in two groups: late orders have opened a group again after its head had left it.
+test("the members of an ended group that is open again join another one only after the head has left", async (t) => {
+    const fleet = startFleet(t, engineIds(3));
+    await waitUntil("an open group", () => fleet.openGroups().length === 1);
+    const [group] = fleet.controller.groups.all();
+    const { groupName, epoch, memberIds: [headId = "", lostId = ""] } = group as ManagedGroup;
+    fleet.makeUnresponsive(lostId);
+    const suspicion = { groupName, epoch, reason: "no progress", hasRunningStream: true };
+    t.false(await fleet.controller.checkSuspectedGroup(suspicion));
+    const endedAtMs = await waitFor(
+        "the end of the group",
+        () => fleet.controller.groups.endedAtMs(groupName),
+    );
+    await waitUntil("reports from after the end", () => monotonicMs() > endedAtMs + REPORT_DELAY_MS);
+    fleet.engine(headId).report.membership = { groupName, epoch, rank: 0, state: MemberState.Open };
+    const returned = fleet.engine(lostId);
+    returned.report.membership = undefined;
+    returned.isUnresponsive = false;
+    await waitUntil("another open group", () => fleet.openGroups().length === 1);
+    t.not(fleet.openGroups()[0], groupName);
+    t.deepEqual(fleet.violations, []);
+});
