Read nothing from a connection after its 408

Cause: only the daemon's half of the connection was closed, and the parser went on to read.

Why this works: the connection is destroyed as soon as the 408 is written, so what it leaves unread never runs.

Evidence: http › callers "a request that arrives on a connection after its 408 …" fails before and passes after.

--- a/packages/http/src/listener.ts
+++ b/packages/http/src/listener.ts
@@ -54,6 +54,10 @@
         return;
     }
     socket.end(errorMessage((errorsByCode[error.code ?? ""] ?? badRequest)(limits)));
+    if (error.code === "ERR_HTTP_REQUEST_TIMEOUT") {
+        // The parser could still read a request, which would run after the response has said that it doesn't.
+        socket.destroySoon();
+    }
 };
 
 /** Complete HTTP message with an error, for a connection whose request has no response object. */
--- a/test/http/callers.test.ts
+++ b/test/http/callers.test.ts
@@ -158,6 +158,29 @@
     t.is((await send(`${url}/v1/models`, { key: CALLER_KEY })).status, 200);
 });
 
+// Guards against an action that is answered as not run, and runs: it was sent before its caller could know of the answer, or
+// reached a daemon that was frozen.
+test("a request that arrives on a connection after its 408 is not run", async (t) => {
+    const { port, actionKeys } = await startServer(t, { limits: { headersMs: 300 } });
+    const socket = connect({ port, host: "127.0.0.1", allowHalfOpen: true });
+    t.teardown(() => void socket.destroy());
+    const closed = new Promise((resolve) => socket.once("close", resolve));
+    socket.on("error", () => undefined).on("end", () => socket.end());
+    const answer = await new Promise<string>((resolve) =>
+        socket.once("data", (data) => resolve(String(data)))
+    );
+    t.regex(answer, /^HTTP\/1\.1 408 .*"verdict":"notRun"/s);
+    const body = "{}";
+    const headers = [
+        "idempotency-key: k1",
+        "content-type: application/json",
+        `content-length: ${body.length}`,
+    ];
+    socket.write(requestHead("/v1/services/ledger/orders", headers) + body);
+    await closed;
+    t.deepEqual(actionKeys, []);
+});
+
 test("a failure after the start of a stream sends an error event without the [DONE] marker", async (t) => {
     const { url, logLines } = await startServer(t, {
         dispatcher: {
