Name the check of a report's place, and the reported fencing tokens, by what they are

Found by reading the diff as a newcomer: `#isOwnPlace`, `wouldReplaceUsed` and `fences` needed explaining.

--- a/packages/fleet/src/departurestate.ts
+++ b/packages/fleet/src/departurestate.ts
@@ -4,6 +4,7 @@
 
 /** Twice the servers of the largest fleet fit. Reports that arrive late do so within seconds. */
 const MAX_SERVERS = 1_500;
+/** Processes of a server whose late reports may still arrive. */
 const MAX_PROCESSES_PER_SERVER = 4;
 
 /** A process of a backend server that has announced its end, and was acknowledged. */
--- a/packages/fleet/src/registry.ts
+++ b/packages/fleet/src/registry.ts
@@ -101,7 +101,7 @@
      * Whether the report would take the id or the address of a server that is in use: one of a service for which `isUsed` returns
      * true, or one from the previous leader's records.
      */
-    wouldReplaceUsed({ serverId, address }: ServerReport, isUsed: (service: string) => boolean): boolean {
+    wouldReplaceInUse({ serverId, address }: ServerReport, isUsed: (service: string) => boolean): boolean {
         const expected = this.#expected.get(address);
         const holders = [serverId, this.#idsByAddress.get(address) ?? ""].map((id) => this.#servers.get(id));
         return (expected !== undefined && expected.serverId !== serverId)
--- a/packages/fleet/src/reporthandler.ts
+++ b/packages/fleet/src/reporthandler.ts
@@ -88,7 +88,7 @@
         const nowMs = monotonicMs();
         const reports: ServerReport[] = [];
         for (const report of validReports({ context, source: from }, received)) {
-            if (!this.#isOwnPlace(report, from)) {
+            if (!this.#mayTakePlace(report, from)) {
                 continue;
             }
             reports.push(report);
@@ -106,12 +106,12 @@
     }
 
     /** A report of a service that isn't configured names no server to use, so it can't take the place of one that is in use. */
-    #isOwnPlace(report: ServerReport, from: string): boolean {
+    #mayTakePlace(report: ServerReport, from: string): boolean {
         const { registry, routing, context } = this.#options;
         const table = routing();
         const isConfigured = (service: string): boolean => table?.service(service) !== undefined;
-        const isOwn = isConfigured(report.service) || !registry.wouldReplaceUsed(report, isConfigured);
-        if (!isOwn) {
+        const mayTake = isConfigured(report.service) || !registry.wouldReplaceInUse(report, isConfigured);
+        if (!mayTake) {
             const { serverId, service, address } = report;
             context.decisions.record("entry.invalid", {
                 source: from,
@@ -120,7 +120,7 @@
                     `server ${serverId} of the unknown service ${service} would replace one at ${address}`,
             });
         }
-        return isOwn;
+        return mayTake;
     }
 
     #recordReport(report: ServerReport, effect: ReportEffect): void {
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -101,7 +101,7 @@
                 const holderId = acceptor.holderOf(context.zone);
                 return holderId !== undefined && holderId !== peers.daemonId;
             },
-            reportedFences: () => this.reportForwarder.fences(),
+            reportedFences: () => this.reportForwarder.reportedFences(),
             tableFloor: () => Math.max(this.controller.tableFloor, table.version),
             onTableFloor: (floor) => this.controller.raiseTableFloor(floor),
             onAcquired: (fence, history) => void this.controller.activate(fence, history),
--- a/packages/membership/src/reportforwarder.ts
+++ b/packages/membership/src/reportforwarder.ts
@@ -89,7 +89,7 @@
     }
 
     /** Highest fencing token of each report that this daemon holds. */
-    fences(): number[] {
+    reportedFences(): number[] {
         return [...this.#latestReports.values()].map(({ report }) => report.highestFence);
     }
 
