Record the departure of a server that a new leader doesn't know yet

Why this works: such a departure is recorded with the leader's present time, so each process that has started before counts as draining, and a later one doesn't.

Evidence: fleet › departures "a shutdown without a start time …" fails before and passes after; test/fleet and platform › leavingservers, 162 passed.

--- a/packages/fleet/src/reporthandler.ts
+++ b/packages/fleet/src/reporthandler.ts
@@ -168,7 +168,8 @@
             });
             return this.#rejection();
         }
-        const knownBornMs = bornMs ?? registry.get(serverId)?.report.bornMs;
+        // A server that this leader doesn't know yet, and that names no start time, has started before now.
+        const knownBornMs = bornMs ?? registry.get(serverId)?.report.bornMs ?? Date.now();
         if (!log.holdsLeaderLease || !controller.isSettled) {
             return this.#rejection();
         }
@@ -178,8 +179,7 @@
             return this.#rejection();
         }
         controller.wake();
-        const departures = knownBornMs === undefined ? [] : [{ serverId, bornMs: knownBornMs }];
-        return { isAccepted: await this.#recordDepartures(departures) };
+        return { isAccepted: await this.#recordDepartures([{ serverId, bornMs: knownBornMs }]) };
     }
 
     /**
--- a/test/fleet/departures.test.ts
+++ b/test/fleet/departures.test.ts
@@ -73,6 +73,19 @@
         }),
 };
 
+// Guards against requests to a server that has left: a new leader acknowledged its end without knowing it, and a late report
+// listed it again.
+test("a shutdown without a start time of a server that hasn't reported yet is recorded", async (t) => {
+    const { registry, forwarder } = startLeader();
+    t.true(
+        (await forwarder.call(LEADER_ID, "fleet.depart", { serverId: "e1", bornMs: undefined })).isAccepted,
+    );
+    registry.accept(reportOf("e1"), 0);
+    t.true(registry.get("e1")?.report.isDraining);
+    registry.accept(reportOf("e1", { bornMs: Date.now() + 1_000 }), 1);
+    t.false(registry.get("e1")?.report.isDraining);
+});
+
 // Guards against one announcement after which every later process of the server counts as draining, for all leaders.
 test("a shutdown of a process that starts in the far future is not recorded", async (t) => {
     const { registry, departures, forwarder } = startLeader();
