Define the states of a serving head once

Found by reading the diff as a newcomer: adoption.ts and revivedgroups.ts had the same list. No behaviour changes.

--- a/packages/fleet/src/adoption.ts
+++ b/packages/fleet/src/adoption.ts
@@ -1,6 +1,6 @@
 import { type GroupMembership, type GroupRecords, MemberState } from "@greengage/protocol";
 import type { FleetState } from "./controller.ts";
-import { GroupPhase, type ManagedGroup } from "./group.ts";
+import { GroupPhase, type ManagedGroup, servingStates } from "./group.ts";
 import type { BackendServer } from "./registry.ts";
 
 /** Time that an adopted group has to become ready: the longest weight load while other loads run. */
@@ -68,9 +68,6 @@
     }
 };
 
-/** States in which a group may be serving, or may start to without a further order. */
-const servingStates: readonly MemberState[] = [MemberState.Open, MemberState.Closing];
-
 /**
  * Whether a group is left for its members to join another one. Former versions gave the same name to several groups above
  * their highest epoch, and couldn't open them.
--- a/packages/fleet/src/group.ts
+++ b/packages/fleet/src/group.ts
@@ -1,4 +1,4 @@
-import type { GroupIdentity } from "@greengage/protocol";
+import { type GroupIdentity, MemberState } from "@greengage/protocol";
 
 /** Phase of a replica group as tracked by the controller. */
 export const GroupPhase = {
@@ -17,6 +17,9 @@
 
 export type GroupPhase = typeof GroupPhase[keyof typeof GroupPhase];
 
+/** States of a head in which its group may be serving. */
+export const servingStates: readonly MemberState[] = [MemberState.Open, MemberState.Closing];
+
 /** A replica group managed by the controller. */
 export interface ManagedGroup extends GroupIdentity {
     /** Server ids in rank order; the first is the head. */
--- a/packages/fleet/src/revivedgroups.ts
+++ b/packages/fleet/src/revivedgroups.ts
@@ -1,14 +1,12 @@
 import { messageOf } from "@greengage/base";
-import { MemberState } from "@greengage/protocol";
 import type { FleetState } from "./controller.ts";
+import { servingStates } from "./group.ts";
 import type { BackendServer } from "./registry.ts";
 import { ORDER_RETRY_MS } from "./timing.ts";
 
 /** Reports that a server sent before its group ended arrive within this time. */
 export const REPORT_DELAY_MS = 500;
 
-const openStates: readonly MemberState[] = [MemberState.Open, MemberState.Closing];
-
 type SharedState = Pick<FleetState, "context" | "registry" | "groups" | "orders" | "mayAct" | "lifecycle">;
 
 /**
@@ -45,7 +43,7 @@
         const { groups } = this.#state;
         const endedAtMs = groups.endedAtMs(membership?.groupName ?? "");
         return membership !== undefined && endedAtMs !== undefined && groups.groupOf(serverId) === undefined
-            && openStates.includes(membership.state) && receivedAtMs > endedAtMs + REPORT_DELAY_MS;
+            && servingStates.includes(membership.state) && receivedAtMs > endedAtMs + REPORT_DELAY_MS;
     }
 
     #leave({ report }: BackendServer, nowMs: number): void {
