Keep VMs that a late order may put into a serving group out of other groups

A stream of the former group is cut, and the group of the new one runs with a VM that two heads use.

Cause: whether a VM is free was concluded from events of the past (a list of members that had left), not from what can still happen to it. A join without an answer stays open until its VM has carried out one of a higher epoch or has ended; a leave doesn't close it. The member left, carried out the late join, and its reports were passed over because of the list. The same conclusion stood in the records for a successor (members that had left were missing), at the end of a group by the leave of its head (late orders can open it again), for reports of a group with an epoch that no leader has issued, and at each repetition of an order to join, which wasn't checked at all.

Ruled out: a stale report alone (the report that names the group again arrives 150 ms before the wrong order, and is passed over); epochs (the late join has the epoch that the VM has seen, so it is taken).

Why this works: each join counts as unanswered from before it is sent until its answer arrives. A VM is free only if neither its latest report nor an unanswered join names a group that may be serving; this is checked at the choice and just before each order. So nothing can bring it back between the two. A member with an unanswered join stays a member after its leave, until the head has left, has ended or hasn't reported for 60 s. A group whose head may be opened again by late orders lets its members leave one by one. The records name what has no answer; of records without that (former versions), and of groups learnt from reports, each join counts as unanswered for 15 s. The lists of members that had left and of revived groups are gone: such a group returns to the table and is ended there.

The stand-in engines keep the highest epoch of their life and answer 200 to a join that already holds, as the protocol says.

--- a/packages/fleet/src/adoption.ts
+++ b/packages/fleet/src/adoption.ts
@@ -1,14 +1,17 @@
-import { type GroupMembership, type GroupRecords, MemberState } from "@greengage/protocol";
+import { type GroupMembership, type GroupRecords, type MemberRecord, MemberState } from "@greengage/protocol";
 import type { FleetState } from "./controller.ts";
 import { GroupPhase, type ManagedGroup, servingStates } from "./group.ts";
+import type { GroupRef } from "./orders.ts";
+import { reportsMembership } from "./reassignment.ts";
 import type { BackendServer } from "./registry.ts";
+import { ASSUMED_ORDER_LIFETIME_MS, REPORT_DELAY_MS } from "./timing.ts";
 
 /** Time that an adopted group has to become ready: the longest weight load while other loads run. */
 const ADOPTED_JOIN_TIMEOUT_MS = 20_000;
 
 /** The state of the groups that this leader's successor starts from. */
 export const groupRecordsOf = (
-    { groups, registry }: FleetState,
+    { groups, registry, unansweredJoins }: FleetState,
 ): Omit<GroupRecords, "servers" | "entryDaemonCount"> => ({
     version: groups.version,
     groups: groups.all().map((group) => ({
@@ -19,13 +22,16 @@
         zone: group.zone,
         fabricDomain: group.fabricDomain,
         headAddress: group.headAddress,
-        members: group.memberIds.filter((serverId) => !group.departedIds.has(serverId)).map((serverId) => ({
+        members: group.memberIds.map((serverId) => ({
             serverId,
             bornMs: group.bornMs.get(serverId) ?? 0,
             address: registry.get(serverId)?.report.address ?? "",
             sequence: registry.get(serverId)?.report.sequence ?? 0,
+            hasUnansweredJoin: unansweredJoins.has(serverId, group),
         })),
         phase: group.phase,
+        // An order that is on its way when this leader ends may get no answer either.
+        hasUnansweredOpen: group.hasUnansweredOpen || group.phase === GroupPhase.Opening,
     })),
     endedNames: groups.endedNames(),
 });
@@ -33,10 +39,12 @@
 /** Restores the groups from the previous leader's records. */
 export const restoreGroups = (state: FleetState, records: GroupRecords, nowMs: number): void => {
     records.endedNames.forEach((groupName) => state.groups.markEnded(groupName));
-    for (const { members, phase, ...record } of records.groups) {
+    for (const { members, phase, hasUnansweredOpen = false, ...record } of records.groups) {
         members.forEach((member) => state.registry.addExpected(member));
+        restoreUnansweredJoins(state, record, members, nowMs);
         state.groups.add({
             ...record,
+            hasUnansweredOpen,
             memberIds: members.map(({ serverId }) => serverId),
             bornMs: new Map(members.map(({ serverId, bornMs }) => [serverId, bornMs])),
             phase: phase as GroupPhase,
@@ -45,13 +53,28 @@
             expectedReadyAtMs: nowMs,
             phaseReason: "restored from the previous leader's records",
             mayHaveOpened: true,
-            departedIds: new Set(),
+            leftAtMs: new Map(),
             suspicionCount: 0,
             lastProbedAtMs: 0,
         });
     }
 };
 
+/** Records of former versions don't name the orders without an answer, so each order counts as such. */
+const restoreUnansweredJoins = (
+    { unansweredJoins }: FleetState,
+    { groupName, epoch }: GroupRef,
+    members: readonly MemberRecord[],
+    nowMs: number,
+): void => {
+    for (const { serverId, bornMs, hasUnansweredJoin } of members) {
+        if (hasUnansweredJoin !== false) {
+            const expiresAtMs = hasUnansweredJoin === true ? Infinity : nowMs + ASSUMED_ORDER_LIFETIME_MS;
+            unansweredJoins.assume({ serverId, bornMs, groupName, epoch }, expiresAtMs);
+        }
+    }
+};
+
 interface UnknownGroup {
     groupName: string;
     epoch: number;
@@ -63,7 +86,7 @@
  * zone that was partitioned.
  */
 export const adoptGroups = (state: FleetState, nowMs: number): void => {
-    for (const unknownGroup of findUnknownGroups(state)) {
+    for (const unknownGroup of findUnknownGroups(state, nowMs)) {
         adoptGroup(state, unknownGroup, nowMs);
     }
 };
@@ -75,27 +98,38 @@
 const isUnusable = ({ epochs }: FleetState, { epoch, state }: GroupMembership): boolean =>
     !epochs.mayHaveIssued(epoch) && !servingStates.includes(state);
 
-const findUnknownGroups = (state: FleetState): UnknownGroup[] => {
+/** Whether late orders have made the head of an ended group serve again, by a report that it sent after the end. */
+const isRevived = (
+    { groups }: FleetState,
+    { report: { membership }, receivedAtMs, highestEpoch }: BackendServer,
+): boolean =>
+    membership !== undefined && servingStates.includes(membership.state) && membership.epoch >= highestEpoch
+    && receivedAtMs > (groups.endedAtMs(membership.groupName) ?? Infinity) + REPORT_DELAY_MS;
+
+const findUnknownGroups = (state: FleetState, nowMs: number): UnknownGroup[] => {
     const { registry, groups } = state;
     const unknownGroups = new Map<string, UnknownGroup>();
     for (const server of registry.all()) {
-        const { membership } = server.report;
-        if (
-            membership === undefined || groups.hasEnded(membership.groupName) || isUnusable(state, membership)
-        ) {
-            continue;
-        }
-        if (groups.groupOf(server.report.serverId) !== undefined) {
+        const { serverId, bornMs, membership } = server.report;
+        if (membership === undefined) {
             continue;
         }
         const { groupName, epoch } = membership;
         const known = groups.get(groupName);
+        const isInGroup = groups.groupOf(serverId) !== undefined;
+        if (isInGroup && (known !== undefined || !isRevived(state, server))) {
+            continue;
+        }
         if (known !== undefined) {
-            if (known.epoch === epoch && !known.memberIds.includes(server.report.serverId)) {
-                groups.addMember(known, server.report.serverId, server.report.bornMs);
+            if (reportsMembership(server, known)) {
+                groups.addMember(known, serverId, bornMs);
+                assumeUnansweredJoin(state, server, nowMs);
             }
             continue;
         }
+        if (isUnusable(state, membership) || (groups.hasEnded(groupName) && !isRevived(state, server))) {
+            continue;
+        }
         const group = unknownGroups.get(groupName) ?? { groupName, epoch, members: [] };
         unknownGroups.set(groupName, group);
         if (epoch > group.epoch) {
@@ -131,9 +165,20 @@
     const loadedModel = members.map(({ report }) => report.loadedModels[0]).find((model) =>
         model !== undefined
     );
+    const { groupName, epoch } = unknownGroup;
+    const hasEnded = state.groups.hasEnded(groupName);
+    if (hasEnded) {
+        const { serverId } = lowestRanked.report;
+        state.context.decisions.record("group.revived", { group: groupName, epoch, server: serverId });
+    }
+    const phase = hasEnded
+        ? GroupPhase.Leaving
+        : hasHead
+        ? adoptedPhaseByHeadState[headState]
+        : GroupPhase.Dissolving;
     const group: ManagedGroup = {
-        groupName: unknownGroup.groupName,
-        epoch: unknownGroup.epoch,
+        groupName,
+        epoch,
         service,
         model: loadedModel ?? stagedModels[0] ?? "",
         zone,
@@ -142,17 +187,32 @@
         // A head that doesn't report may still be serving, so rank 0 stays reserved for it.
         memberIds: [...(hasHead ? [] : [""]), ...members.map(({ report }) => report.serverId)],
         bornMs: new Map(members.map(({ report }) => [report.serverId, report.bornMs])),
-        phase: hasHead ? adoptedPhaseByHeadState[headState] : GroupPhase.Dissolving,
+        phase,
         phaseSinceMs: nowMs,
         readyDeadlineMs: nowMs + ADOPTED_JOIN_TIMEOUT_MS,
         expectedReadyAtMs: nowMs,
-        phaseReason: "adopted from member reports",
+        phaseReason: hasEnded ? "late orders opened the ended group again" : "adopted from member reports",
         mayHaveOpened: true,
-        departedIds: new Set(),
+        hasUnansweredOpen: false,
+        leftAtMs: new Map(),
         suspicionCount: 0,
         lastProbedAtMs: 0,
     };
     state.groups.add(group);
+    members.forEach((member) => assumeUnansweredJoin(state, member, nowMs));
+};
+
+/** For a member of a group whose orders this leader doesn't know. */
+const assumeUnansweredJoin = (
+    { unansweredJoins }: FleetState,
+    { report: { serverId, bornMs, membership } }: BackendServer,
+    nowMs: number,
+): void => {
+    if (membership !== undefined) {
+        const { groupName, epoch } = membership;
+        const target = { serverId, bornMs, groupName, epoch };
+        unansweredJoins.assume(target, nowMs + ASSUMED_ORDER_LIFETIME_MS);
+    }
 };
 
 const rankOf = (server: BackendServer): number => server.report.membership?.rank ?? Infinity;
--- a/packages/fleet/src/controller.ts
+++ b/packages/fleet/src/controller.ts
@@ -9,8 +9,8 @@
 import { GroupTable } from "./grouptable.ts";
 import type { EngineOrders, ServerEndpoint } from "./orders.ts";
 import { PlannerInputs } from "./plannerinputs.ts";
+import { recordReportedJoins } from "./reassignment.ts";
 import type { ServerRegistry } from "./registry.ts";
-import { RevivedGroups } from "./revivedgroups.ts";
 import { WeightStaging } from "./staging.ts";
 import { superviseGroup } from "./supervision.ts";
 import { SuspicionHandler } from "./suspicion.ts";
@@ -21,6 +21,7 @@
     RECONCILE_INTERVAL_MS,
     SERVER_EXPIRY_MS,
 } from "./timing.ts";
+import { UnansweredJoins } from "./unansweredjoins.ts";
 import { WeightLoads } from "./weightloads.ts";
 
 export interface GroupControllerOptions {
@@ -46,7 +47,7 @@
     /** Whether any daemon has received requests. */
     hasDemand: boolean;
     epochs: EpochIssuer;
-    revivedGroups: RevivedGroups;
+    unansweredJoins: UnansweredJoins;
     /** Time from which this leader has received enough reports to act; `Infinity` while it is not leading. */
     settledAtMs: () => number;
 }
@@ -74,7 +75,7 @@
             ...options,
             groups,
             lifecycle,
-            revivedGroups: new RevivedGroups({ ...options, groups, lifecycle }),
+            unansweredJoins: new UnansweredJoins(options.registry),
             wakeSignal: new ChangeSignal(),
             lastFaultAtMs: new Map(),
             hasDemand: false,
@@ -111,6 +112,11 @@
         await closed;
     }
 
+    /** Incremented with each change of the records. */
+    get recordsVersion(): number {
+        return this.#state.groups.version + this.#state.unansweredJoins.version;
+    }
+
     /** The state of the groups that a successor starts from. */
     records(): Omit<GroupRecords, "servers" | "entryDaemonCount"> {
         return groupRecordsOf(this.#state);
@@ -221,8 +227,9 @@
             }
         }
         registry.expire(nowMs, SERVER_EXPIRY_MS, (serverId) => groups.groupOf(serverId) !== undefined);
+        recordReportedJoins(this.#state);
+        this.#state.unansweredJoins.expire(nowMs);
         adoptGroups(this.#state, nowMs);
-        this.#state.revivedGroups.update(nowMs);
         for (const group of this.#state.groups.all()) {
             superviseGroup(this.#state, this.#termination, this.#formation, group, nowMs);
         }
--- a/packages/fleet/src/entries.ts
+++ b/packages/fleet/src/entries.ts
@@ -88,6 +88,7 @@
     bornMs: counter,
     address: z.literal("").or(address),
     sequence: counter,
+    hasUnansweredJoin: z.boolean().optional(),
 });
 
 const groupRecordSchema: z.ZodType<GroupRecord> = z.object({
@@ -96,6 +97,7 @@
     headAddress: z.literal("").or(address),
     members: z.array(memberRecordSchema).max(MAX_GROUP_SIZE),
     phase: z.enum(GroupPhase),
+    hasUnansweredOpen: z.boolean().optional(),
 });
 
 const controllerSchema: z.ZodType<FleetView["controllers"][number]> = z.object({
--- a/packages/fleet/src/formation.ts
+++ b/packages/fleet/src/formation.ts
@@ -13,6 +13,7 @@
     type TargetGroupCounts,
 } from "./planner.ts";
 import type { ModelService, PlannerInputs } from "./plannerinputs.ts";
+import { mayReassign } from "./reassignment.ts";
 import { type BackendServer, reportsState } from "./registry.ts";
 import type { GroupTermination } from "./termination.ts";
 import { JOIN_TIMEOUT_FACTOR, JOIN_TIMEOUT_MARGIN_MS, ORDER_RETRY_MS } from "./timing.ts";
@@ -124,7 +125,19 @@
             while (this.#isInPhase(group, GroupPhase.Opening) && this.#state.mayAct()) {
                 const head = registry.get(headIdOf(group));
                 group.mayHaveOpened = true;
-                if (head === undefined || await orders.open(head.report, group) === OrderOutcome.Accepted) {
+                if (head === undefined) {
+                    return;
+                }
+                const { hasUnansweredOpen } = group;
+                group.hasUnansweredOpen = true;
+                const outcome = await orders.open(head.report, group);
+                if (outcome === OrderOutcome.Unknown) {
+                    this.#state.groups.recordUnansweredOpen();
+                }
+                else {
+                    group.hasUnansweredOpen = hasUnansweredOpen;
+                }
+                if (outcome === OrderOutcome.Accepted) {
                     return;
                 }
                 await sleep(ORDER_RETRY_MS, lifecycle.signal);
@@ -155,7 +168,8 @@
             readyDeadlineMs: nowMs + JOIN_TIMEOUT_FACTOR * timeToReadyMs + JOIN_TIMEOUT_MARGIN_MS,
             expectedReadyAtMs: nowMs + timeToReadyMs,
             mayHaveOpened: false,
-            departedIds: new Set(),
+            hasUnansweredOpen: false,
+            leftAtMs: new Map(),
             suspicionCount: 0,
             lastProbedAtMs: 0,
         };
@@ -185,13 +199,20 @@
 
     /** Orders one member to join, retrying until it reports that it does or the group is abandoned. */
     async #orderToJoin(group: ManagedGroup, serverId: string): Promise<void> {
-        const { registry, orders, lifecycle, context } = this.#state;
+        const { registry, orders, unansweredJoins, lifecycle, context } = this.#state;
         while (this.#isInPhase(group, GroupPhase.Joining) && this.#state.mayAct()) {
             const server = registry.get(serverId);
             if (server === undefined || hasJoined(server, group)) {
                 return;
             }
-            const outcome = await orders.join(server.report, group);
+            if (!mayReassign(this.#state, server, group)) {
+                this.#state.wakeSignal.notify();
+                return;
+            }
+            const { report } = server;
+            const { groupName, epoch } = group;
+            const target = { serverId, bornMs: report.bornMs, groupName, epoch };
+            const outcome = await unansweredJoins.track(target, () => orders.join(report, group));
             if (outcome === OrderOutcome.Accepted) {
                 // The member reports the change at once; if no report arrives, the order is sent again.
                 await sleep(JOIN_REPORT_WAIT_MS, lifecycle.signal);
--- a/packages/fleet/src/group.ts
+++ b/packages/fleet/src/group.ts
@@ -36,8 +36,10 @@
     phaseReason?: string;
     /** Whether the head may have been ordered to open; otherwise it can't serve. */
     mayHaveOpened: boolean;
-    /** Members that have carried out an order to leave. */
-    departedIds: Set<string>;
+    /** Whether an order to open has got no answer, so that the head may carry it out later. */
+    hasUnansweredOpen: boolean;
+    /** Monotonic time at which servers answered that they have left. Late orders can bring them back. */
+    leftAtMs: Map<string, number>;
     /** Whether it was preempted so that its VMs serve another model. It is not replaced until it has ended. */
     isPreempted?: boolean;
     /** Number of suspicions with a stalled stream for which the probes found no fault. */
--- a/packages/fleet/src/grouptable.ts
+++ b/packages/fleet/src/grouptable.ts
@@ -69,7 +69,7 @@
 
     /** Releases a member that has left on order, while the other members still belong to the group. */
     releaseMember(group: ManagedGroup, serverId: string): void {
-        group.departedIds.add(serverId);
+        group.memberIds = group.memberIds.filter((memberId) => memberId !== serverId);
         if (this.#groupByMember.get(serverId) === group) {
             this.#groupByMember.delete(serverId);
         }
@@ -79,7 +79,14 @@
     addMember(group: ManagedGroup, serverId: string, bornMs: number): void {
         group.memberIds.push(serverId);
         group.bornMs.set(serverId, bornMs);
+        group.leftAtMs.delete(serverId);
         this.#groupByMember.set(serverId, group);
+        this.#record("group.memberAdded", group, { server: serverId });
+    }
+
+    /** Notes for the records that a head may carry out an order to open later. */
+    recordUnansweredOpen(): void {
+        this.#version += 1;
     }
 
     setPhase(group: ManagedGroup, phase: GroupPhase, reason: string, nowMs: number): void {
--- a/packages/fleet/src/plannerinputs.ts
+++ b/packages/fleet/src/plannerinputs.ts
@@ -2,6 +2,7 @@
 import type { FleetState } from "./controller.ts";
 import { countsAsCapacity, GroupPhase, type ManagedGroup } from "./group.ts";
 import { type CandidateVm, planGroupCounts, type PlanInput, type TargetGroupCounts } from "./planner.ts";
+import { mayReassign } from "./reassignment.ts";
 import type { BackendServer } from "./registry.ts";
 import { FAULT_COOLDOWN_MS, STALE_REPORT_HEARTBEATS } from "./timing.ts";
 import type { WeightLoads } from "./weightloads.ts";
@@ -90,7 +91,7 @@
         const waiting = serviceGroups.filter((group) => isWaitingForLoad(group, minGainMs, nowMs));
         const input = this.input(service, nowMs);
         const heldVms = waiting.flatMap((group) =>
-            this.usableMembers(group, nowMs).map((vm): CandidateVm => ({
+            this.usableMembers(group, nowMs).filter((vm) => this.#mayBeTaken(vm)).map((vm): CandidateVm => ({
                 ...vm,
                 heldByGroup: group.groupName,
             }))
@@ -118,10 +119,15 @@
     }
 
     #isFree(server: BackendServer, service: string, nowMs: number): boolean {
-        const { serverId, service: ownService, fabricDomain, membership } = server.report;
+        const { serverId, service: ownService, fabricDomain } = server.report;
         return ownService === service && fabricDomain !== undefined
-            && !this.#state.revivedGroups.has(membership?.groupName)
-            && this.#state.groups.groupOf(serverId) === undefined && this.#isUsable(server, nowMs);
+            && this.#state.groups.groupOf(serverId) === undefined && mayReassign(this.#state, server)
+            && this.#isUsable(server, nowMs);
+    }
+
+    #mayBeTaken({ serverId }: CandidateVm): boolean {
+        const server = this.#state.registry.get(serverId);
+        return server !== undefined && mayReassign(this.#state, server);
     }
 
     /** Whether a VM is not draining, has reported recently and had no recent fault. */
--- a/packages/fleet/src/registry.ts
+++ b/packages/fleet/src/registry.ts
@@ -13,6 +13,8 @@
      * Model of its last group. A server without a group reports no model but can rejoin one of this model immediately.
      */
     lastModel: string | undefined;
+    /** Highest epoch of a known group that the process has joined, as it answered or reported. It refuses lower ones. */
+    highestEpoch: number;
 }
 
 /** Effect of a report on the registry. */
@@ -80,6 +82,14 @@
         return server?.report.bornMs === bornMs ? server : undefined;
     }
 
+    /** Records that the incarnation has carried out an order to join a group of this epoch. */
+    recordCarriedOut(serverId: string, bornMs: number, epoch: number): void {
+        const server = this.getIncarnation(serverId, bornMs);
+        if (server !== undefined) {
+            server.highestEpoch = Math.max(server.highestEpoch, epoch);
+        }
+    }
+
     /** Whether the incarnation is draining, according to its report or its announcement to any leader. */
     isDraining(serverId: string, bornMs: number): boolean {
         return this.#departures.has({ serverId, bornMs })
@@ -125,7 +135,14 @@
         const isSameIncarnation = known !== undefined && known.report.bornMs === report.bornMs;
         const firstSeenAtMs = isSameIncarnation ? known.firstSeenAtMs : nowMs;
         const lastModel = report.loadedModels[0] ?? (isSameIncarnation ? known.lastModel : undefined);
-        this.#servers.set(report.serverId, { report, receivedAtMs: nowMs, firstSeenAtMs, lastModel });
+        const highestEpoch = isSameIncarnation ? known.highestEpoch : 0;
+        this.#servers.set(report.serverId, {
+            report,
+            receivedAtMs: nowMs,
+            firstSeenAtMs,
+            lastModel,
+            highestEpoch,
+        });
         if (!isSameIncarnation) {
             this.#leaving.delete(report.serverId);
             return ReportEffect.Appeared;
--- a/packages/fleet/src/service.ts
+++ b/packages/fleet/src/service.ts
@@ -200,7 +200,7 @@
     }
 
     get #recordsVersion(): number {
-        return this.#controller.groups.version + this.#quarantine.version;
+        return this.#controller.recordsVersion + this.#quarantine.version;
     }
 
     /**
--- a/packages/fleet/src/supervision.ts
+++ b/packages/fleet/src/supervision.ts
@@ -2,6 +2,7 @@
 import type { FleetState } from "./controller.ts";
 import type { GroupFormation } from "./formation.ts";
 import { GroupPhase, headIdOf, type ManagedGroup } from "./group.ts";
+import { mayReassign } from "./reassignment.ts";
 import { type BackendServer, reportsState } from "./registry.ts";
 import type { GroupTermination } from "./termination.ts";
 import { CLOSE_TIMEOUT_MS, OPEN_TIMEOUT_MS, STALE_REPORT_HEARTBEATS } from "./timing.ts";
@@ -65,6 +66,12 @@
         formation.openHead(group);
         return;
     }
+    const taken = members.filter((member) => member !== undefined)
+        .find((member) => !mayReassign(state, member, group));
+    if (taken !== undefined) {
+        termination.abandon(group, `${taken.report.serverId} may be in a group that serves`, nowMs);
+        return;
+    }
     formation.orderMembersToJoin(group);
     if (nowMs > group.readyDeadlineMs) {
         const late = group.memberIds.filter((_, index) =>
--- a/packages/fleet/src/termination.ts
+++ b/packages/fleet/src/termination.ts
@@ -3,6 +3,7 @@
 import type { FleetState } from "./controller.ts";
 import { GroupPhase, headIdOf, type ManagedGroup } from "./group.ts";
 import { OrderOutcome } from "./orders.ts";
+import { canReopen, reportsMembership } from "./reassignment.ts";
 import { MAX_LEAVE_ATTEMPTS, ORDER_RETRY_MS, SERVER_EXPIRY_MS } from "./timing.ts";
 
 /**
@@ -67,10 +68,7 @@
             for (let attempt = 0; attempt < MAX_LEAVE_ATTEMPTS && head !== undefined; attempt += 1) {
                 const outcome = await this.#orderToLeave(group, head);
                 if (outcome !== undefined && endsMembership[outcome]) {
-                    this.#removeGroup(
-                        group,
-                        outcome === OrderOutcome.Accepted ? "the head has left" : "the head has ended",
-                    );
+                    this.#handleHeadLeft(group, outcome);
                     return;
                 }
                 await sleep(ORDER_RETRY_MS, this.#state.lifecycle.signal);
@@ -82,38 +80,97 @@
         });
     }
 
-    /** Releases each member of a group with an unresponsive head once it has left. */
+    /**
+     * Releases each member of a group whose head may be serving, or may serve again, once it has left and no order can bring it
+     * back.
+     */
     dissolve(group: ManagedGroup, nowMs: number): void {
         const headId = headIdOf(group);
         if (this.#hasEnded(group, headId)) {
             this.#removeGroup(group, "the head has ended");
             return;
         }
-        const head = this.#state.registry.get(headId);
-        if (head !== undefined && head.receivedAtMs > group.phaseSinceMs) {
+        if (group.leftAtMs.has(headId) && !canReopen(this.#state, group)) {
+            this.#removeGroup(group, "the head has left");
+            return;
+        }
+        if (this.#hasHeadReturned(group)) {
+            group.leftAtMs.delete(headId);
             this.beginLeaving(group, "the head reports again", nowMs);
             return;
         }
-        const remaining = group.memberIds.slice(1).filter((serverId) =>
-            !group.departedIds.has(serverId) && !this.#hasEnded(group, serverId)
-        );
+        const members = group.memberIds.slice(1).filter((serverId) => !this.#hasEnded(group, serverId));
+        const remaining = members.filter((serverId) => !this.#hasLeft(group, serverId));
         if (remaining.length === 0 && nowMs - group.phaseSinceMs > SERVER_EXPIRY_MS) {
             this.#removeGroup(group, "the head has not reported since");
             return;
         }
+        members.filter((serverId) => !remaining.includes(serverId)).forEach((serverId) =>
+            this.#releaseUnlessReturning(group, serverId)
+        );
         this.#runExclusively(group, async () => {
             await Promise.all(remaining.map((serverId) => this.#removeMember(group, serverId)));
             await sleep(ORDER_RETRY_MS, this.#state.lifecycle.signal);
         });
     }
 
+    #handleHeadLeft(group: ManagedGroup, outcome: OrderOutcome): void {
+        if (outcome !== OrderOutcome.Accepted) {
+            this.#removeGroup(group, "the head has ended");
+            return;
+        }
+        if (!canReopen(this.#state, group)) {
+            this.#removeGroup(group, "the head has left");
+            return;
+        }
+        const nowMs = monotonicMs();
+        group.leftAtMs.set(headIdOf(group), nowMs);
+        this.beginDissolving(group, "late orders may open the group again after its head has left", nowMs);
+    }
+
+    /** Whether an unresponsive head reports, or one that has left reports this group again. */
+    #hasHeadReturned(group: ManagedGroup): boolean {
+        const headId = headIdOf(group);
+        const head = this.#state.registry.get(headId);
+        if (head === undefined) {
+            return false;
+        }
+        return group.leftAtMs.has(headId)
+            ? reportsMembership(head, group)
+            : head.receivedAtMs > group.phaseSinceMs;
+    }
+
+    /** Whether a member has answered that it has left, and hasn't reported the group since. */
+    #hasLeft(group: ManagedGroup, serverId: string): boolean {
+        const server = this.#state.registry.get(serverId);
+        return group.leftAtMs.has(serverId) && (server === undefined || !reportsMembership(server, group));
+    }
+
+    #releaseUnlessReturning(group: ManagedGroup, serverId: string): void {
+        if (!this.#state.unansweredJoins.has(serverId, group)) {
+            this.#state.groups.releaseMember(group, serverId);
+        }
+    }
+
     async #removeMember(group: ManagedGroup, serverId: string): Promise<void> {
         const report = this.#reportOf(group, serverId);
         const outcome = report === undefined ? undefined : await this.#orderToLeave(group, report);
-        const isMember = this.#isInPhase(group, GroupPhase.Dissolving) && !group.departedIds.has(serverId);
+        const isMember = this.#isInPhase(group, GroupPhase.Dissolving) && group.memberIds.includes(serverId);
         if (isMember && outcome !== undefined && endsMembership[outcome]) {
-            this.#state.groups.releaseMember(group, serverId);
+            group.leftAtMs.set(serverId, monotonicMs());
+            this.#releaseUnlessReturning(group, serverId);
             this.#state.wakeSignal.notify();
+            const isReserved = group.memberIds.includes(serverId);
+            const { groupName, epoch } = group;
+            const event = {
+                group: groupName,
+                epoch,
+                server: serverId,
+                reason: "an order to join has no answer",
+            };
+            if (isReserved) {
+                this.#state.context.decisions.record("group.memberReserved", event);
+            }
         }
     }
 
--- a/packages/fleet/src/timing.ts
+++ b/packages/fleet/src/timing.ts
@@ -31,5 +31,9 @@
 export const SUSPICIONS_BEFORE_RECREATION = 4;
 /** Time after a fault until a server that reports is used again. */
 export const FAULT_COOLDOWN_MS = 1_500;
+/** Reports that a server sent before it answered an order arrive within this time. */
+export const REPORT_DELAY_MS = 500;
+/** Time for which the orders of a former leader count as unanswered if nothing is known of their answers. */
+export const ASSUMED_ORDER_LIFETIME_MS = 15_000;
 /** Time without a report after which a server is removed, by when a partition has healed or the server is gone. */
 export const SERVER_EXPIRY_MS = 60_000;
--- a/packages/protocol/src/fleet.ts
+++ b/packages/protocol/src/fleet.ts
@@ -205,6 +205,11 @@
     /** In rank order. */
     members: MemberRecord[];
     phase: string;
+    /**
+     * Whether an order to open has got no answer, so that the head may carry it out later. Absent in records of daemons that
+     * don't track it.
+     */
+    hasUnansweredOpen?: boolean;
 }
 
 /** Member of a group as of its latest report to the leader. */
@@ -214,6 +219,11 @@
     bornMs: number;
     address: string;
     sequence: number;
+    /**
+     * Whether an order to join the group has got no answer, so that the member may carry it out later, even after it has left.
+     * Absent in records of daemons that don't track it.
+     */
+    hasUnansweredJoin?: boolean;
 }
 
 /** State that lets a new leader manage the groups immediately, before any server has reported to it. */
--- a/test/fleet/controller.test.ts
+++ b/test/fleet/controller.test.ts
@@ -10,7 +10,7 @@
 } from "@greengage/fleet";
 import { MemberState } from "@greengage/protocol";
 import test from "ava";
-import { REPORT_DELAY_MS } from "../../packages/fleet/src/revivedgroups.ts";
+import { REPORT_DELAY_MS } from "../../packages/fleet/src/timing.ts";
 import { startFleet } from "./fixtures.ts";
 
 const waitUntil = (description: string, condition: () => boolean, limitMs?: number): Promise<true> =>
--- a/test/fleet/fixtures.ts
+++ b/test/fleet/fixtures.ts
@@ -34,6 +34,8 @@
     ...fields,
 });
 
+const servingStates: readonly MemberState[] = [MemberState.Open, MemberState.Closing];
+
 /** In-process model engine that accepts orders by epoch like the engines of the users' platform. */
 class FakeEngine {
     readonly report: ServerReport;
@@ -46,6 +48,12 @@
     /** Rosters of the groups that it joined, in chronological order. */
     readonly joinedRosters: GroupRoster[] = [];
     highestEpoch = 0;
+    /** Operations of which the next order gets no answer. */
+    readonly unansweredOperations = new Set<string>();
+    /** Carries out the order of an operation that got no answer. */
+    readonly lateOrders = new Map<string, () => Promise<OrderOutcome>>();
+    /** Called when an order to join arrives, before it is carried out. */
+    beforeJoin: () => void = () => undefined;
 
     constructor(serverId: string, fields: Partial<ServerReport>) {
         this.report = reportOf(serverId, fields);
@@ -176,6 +184,19 @@
         const engine = engines.get(server.serverId);
         return engine === undefined || engine.isUnresponsive || engine.isPartitioned ? undefined : engine;
     };
+    /** Carries an order out, unless it shall get no answer; it may be carried out later then. */
+    const answer = (
+        { serverId }: ServerEndpoint,
+        operation: string,
+        carryOut: () => Promise<OrderOutcome>,
+    ): Promise<OrderOutcome> => {
+        const engine = engines.get(serverId);
+        if (engine === undefined || !engine.unansweredOperations.delete(operation)) {
+            return carryOut();
+        }
+        engine.lateOrders.set(operation, carryOut);
+        return Promise.resolve(OrderOutcome.Unknown);
+    };
     const isMemberOf = (engine: FakeEngine, { groupName, epoch }: GroupRef): boolean =>
         engine.membership?.groupName === groupName && engine.membership.epoch === epoch;
     const schedule = (durationMs: number, task: () => void): void =>
@@ -187,12 +208,13 @@
         }, () => undefined);
     const isWarm = ({ report, lastModel }: FakeEngine, model: string): boolean =>
         lastModel === model || report.loadedModels.includes(model) || report.stagedModels.includes(model);
-    return {
+    const orders: EngineOrders = {
         join: async (server, roster) => {
             const engine = deliver(server, "join");
             if (engine === undefined) {
                 return OrderOutcome.Unknown;
             }
+            engine.beforeJoin();
             if (roster.epoch < engine.highestEpoch) {
                 return OrderOutcome.Refused;
             }
@@ -253,10 +275,15 @@
             deliver(server, "probe") === undefined ? { kind: "silent" } : { kind: "answered", pace: 1 },
         acceptsConnections: async (server) => deliver(server, "connect") !== undefined,
     };
+    return {
+        ...orders,
+        join: (server, roster) => answer(server, "join", () => orders.join(server, roster)),
+        open: (server, group) => answer(server, "open", () => orders.open(server, group)),
+    };
 };
 
 /**
- * Records a violation if a VM joins a group while the head of its previous group is open, so that it is in two groups.
+ * Records a violation if a VM joins a group while the head of its previous group is open or closing, so that it is in two groups.
  */
 const checkNotInOpenGroup = (
     engines: Map<string, FakeEngine>,
@@ -270,7 +297,7 @@
     }
     const isHeadOpen = [...engines.values()].some((other) =>
         other.membership?.groupName === membership.groupName && other.membership.rank === 0
-        && other.membership.state === MemberState.Open
+        && servingStates.includes(other.membership.state)
     );
     if (isHeadOpen) {
         violations.push(`${engine.report.serverId} was taken from ${membership.groupName}, which is open`);
--- a/test/platform/engine.ts
+++ b/test/platform/engine.ts
@@ -83,6 +83,12 @@
     #silentUntilMs = 0;
     /** If above 0, orders get no answer and are executed after this delay. */
     orderDelayMs = 0;
+    /** Operations of which the next order gets no answer, and is carried out only on demand. */
+    readonly unansweredOperations = new Set<string>();
+    /** Orders that got no answer, by operation. */
+    readonly lateOrders = new Map<string, Order>();
+    /** Called when an order to join arrives, before it is carried out. */
+    beforeJoin: () => void = () => undefined;
     /** Whether a plain service resets the connection after a request has run instead of answering. */
     dropsAnswers = false;
     /** Requests per second that the engine takes from all daemons together, named in its answers. */
@@ -284,7 +290,22 @@
         this.#handleRequest(message, response, body);
     }
 
+    /** Carries out the order of an operation that got no answer. */
+    executeLateOrder(operation: string): void {
+        const order = this.lateOrders.get(operation);
+        if (order !== undefined) {
+            this.#executeOrder(order);
+        }
+    }
+
     #handleOrder(order: Order, response: ServerResponse): void {
+        if (this.unansweredOperations.delete(order.operation)) {
+            this.lateOrders.set(order.operation, order);
+            return;
+        }
+        if (order.operation === "join") {
+            this.beforeJoin();
+        }
         if (this.orderDelayMs > 0) {
             setTimeout(() => this.#executeOrder(order), this.orderDelayMs);
             return;
--- a/test/platform/groupmember.ts
+++ b/test/platform/groupmember.ts
@@ -44,6 +44,8 @@
     #stagedModels: string[] = [];
     #loadedModels: string[] = [];
     #incompleteSinceMs: number | undefined;
+    /** Highest epoch of all groups that this engine has joined. */
+    #highestEpoch = 0;
 
     readonly #handlers: Record<string, (order: Order) => number> = {
         join: (order) => this.#join(order),
@@ -149,16 +151,17 @@
 
     #join(order: Order): number {
         const current = this.#group;
-        if (order.epoch < (current?.epoch ?? 0)) {
+        if (order.epoch < this.#highestEpoch) {
             return 412;
         }
         const { fleet, id } = this.#options;
         const members = order.members ?? [];
+        if (current !== undefined && this.#isInGroupOf(order)) {
+            return current.members.join() === members.join() ? 200 : 412;
+        }
+        this.#highestEpoch = order.epoch;
         const headId = current?.members[0] ?? "";
-        if (
-            current !== undefined && !this.#isInGroupOf(order)
-            && fleet?.engines.get(headId)?.member.isHeadOf(current)
-        ) {
+        if (current !== undefined && fleet?.engines.get(headId)?.member.isHeadOf(current)) {
             fleet.onViolation(
                 "TWO",
                 `${id} joins ${order.group} while ${current.name} is served by ${headId}`,
--- a/test/platform/mixedversions.ts
+++ b/test/platform/mixedversions.ts
@@ -6,7 +6,7 @@
 import { join } from "node:path";
 import { type EngineFleet, HEARTBEAT_MS, PlatformEngine, type PlatformEngineOptions } from "./engine.ts";
 import { call, chatHeaders, wireConfiguration } from "./fixtures.ts";
-import { extractFormerVersion } from "./formerversion.ts";
+import { extractFormerVersion, type FormerVersion } from "./formerversion.ts";
 
 const CONTROL_COUNT = 3;
 const ENTRY_COUNT = 2;
@@ -47,7 +47,7 @@
     readonly daemons: VersionedDaemon[] = [];
     readonly outcomes: Outcome[] = [];
     readonly violations: string[] = [];
-    readonly #folders: Record<Version, string> = { former: extractFormerVersion(), present: "." };
+    readonly #folders: Record<Version, string>;
     readonly #dataFolder = mkdtempSync(join(tmpdir(), "greengage-versions-"));
     readonly #t: ExecutionContext;
     readonly #ranIds: string[] = [];
@@ -63,8 +63,9 @@
     #requestCount = 0;
     #isSending = true;
 
-    constructor(t: ExecutionContext) {
+    constructor(t: ExecutionContext, former: FormerVersion) {
         this.#t = t;
+        this.#folders = { former: extractFormerVersion(former), present: "." };
         t.teardown(async () => {
             this.#isSending = false;
             if (!t.passed) {
