Issue epochs above those that members may still join

Cause: the range of a new epoch followed from the epochs in the latest reports. An order to join without an answer isn't in a report, nor is the epoch of a group that the VM has left. If that order was of a higher range, the new group's epoch was below it, so the late order was taken.

Why this works: the epoch lies above the highest that a member has joined, as it answered or reported, and above those of its orders without an answer, so each of them is refused once the member has joined the new group.

Evidence: fleet > lateorders "a group has a higher epoch than those that its members may still join" is red on ("e2 was taken from g1000002, which is open") and passes; lateorders 7 of 7.

--- a/packages/fleet/src/epochs.ts
+++ b/packages/fleet/src/epochs.ts
@@ -1,5 +1,3 @@
-import type { ServerReport } from "@greengage/protocol";
-
 /** Size of the epoch range of one term, so that epochs of a later term exceed those of all earlier terms. */
 const EPOCHS_PER_TERM = 1_000_000;
 /**
@@ -20,11 +18,11 @@
         this.#count = 0;
     }
 
-    /** Returns an epoch that wasn't issued before, and that servers with these reports accept. */
-    next(members: readonly ServerReport[]): number {
+    /** Returns an epoch that wasn't issued before, above those that the members have joined or may still join. */
+    next(memberEpochs: readonly number[]): number {
         this.#count += 1;
         const position = this.#term * EPOCHS_PER_TERM + this.#count;
-        const highestEpoch = Math.max(0, ...members.map(({ membership }) => membership?.epoch ?? 0));
+        const highestEpoch = Math.max(0, ...memberEpochs);
         return position + (RANGE_STARTS.find((start) => position + start > highestEpoch) ?? 0);
     }
 
--- a/packages/fleet/src/formation.ts
+++ b/packages/fleet/src/formation.ts
@@ -149,7 +149,13 @@
         const { model, members, fabricDomain, timeToReadyMs } = plan;
         const servers = members.map(({ serverId }) => this.#state.registry.get(serverId))
             .filter((server) => server !== undefined);
-        const epoch = this.#state.epochs.next(servers.map(({ report }) => report));
+        const epoch = this.#state.epochs.next(
+            servers.flatMap(({ report: { serverId, membership }, highestEpoch }) => [
+                membership?.epoch ?? 0,
+                highestEpoch,
+                this.#state.unansweredJoins.highestEpochOf(serverId),
+            ]),
+        );
         const group: ManagedGroup = {
             groupName: `g${epoch}`,
             epoch,
--- a/packages/fleet/src/unansweredjoins.ts
+++ b/packages/fleet/src/unansweredjoins.ts
@@ -62,6 +62,11 @@
         return this.#of(serverId).map(({ groupName }) => groupName);
     }
 
+    /** Highest epoch that the server has joined or may still join; 0 if there is none. */
+    highestEpochOf(serverId: string): number {
+        return Math.max(0, ...this.#of(serverId).map(({ epoch }) => epoch));
+    }
+
     /** Removes the orders that can't be carried out any more. */
     expire(nowMs: number): void {
         this.#joins = this.#joins.filter((join) => this.#mayBeCarriedOut(join, nowMs));
--- a/test/fleet/lateorders.test.ts
+++ b/test/fleet/lateorders.test.ts
@@ -123,6 +123,39 @@
     t.deepEqual(fleet.violations, []);
 });
 
+// Guards against a VM in two groups: an order to join is carried out after one of a lower epoch, as it is of a higher range.
+test("a group has a higher epoch than those that its members may still join", async (t) => {
+    const isHigh = (serverId: string): boolean => serverId === "e0" || serverId === "e1";
+    const fleet = startFleet(t, engineIds(5), (serverId) => ({
+        fabricDomain: isHigh(serverId) || serverId === "e2" ? "d" : "other",
+        ...(isHigh(serverId)
+            ? {
+                membership: {
+                    groupName: `former-${serverId}`,
+                    epoch: SECOND_RANGE_EPOCH - 1,
+                    rank: 1,
+                    state: MemberState.Ready,
+                },
+            }
+            : {}),
+    }));
+    const late = fleet.engine("e2");
+    late.unansweredOperations.add("join");
+    await waitUntil("an order without an answer", () => late.lateOrders.has("join"));
+    fleet.makeUnresponsive("e0");
+    fleet.makeUnresponsive("e1");
+    const lateEpoch = fleet.engine("e0").highestEpoch;
+    t.true(lateEpoch > SECOND_RANGE_EPOCH);
+    late.isPartitioned = true;
+    await waitUntil("the end of the group", () => fleet.controller.groups.all().length === 0);
+    late.report.fabricDomain = "other";
+    late.isPartitioned = false;
+    const group = await waitForGroup(fleet);
+    t.true(group.memberIds.includes("e2"));
+    await late.lateOrders.get("join")?.();
+    t.deepEqual(fleet.violations, []);
+});
+
 // Guards against a VM in two groups: a member's report of a group with an odd epoch was ignored while its head was serving.
 test("members of a serving group whose epoch no leader has issued aren't reassigned", async (t) => {
     const epoch = SECOND_RANGE_EPOCH - 1;
