Use only VMs that have reported in the leader's term

Cause: a VM was usable if its latest report was younger than 2.5 report intervals, while a new leader settles for 1.25. So a report from before another leader's term could count for the present state.

Why this works: reports of earlier terms no longer count at all. Left open: a report that was sent before the term and arrives in it, unless a newer one of the VM has come first; the members that another leader's records name are reserved all the same.

Evidence: fleet > lateorders "a leader uses only VMs that have reported in its term" is red without the change ("e0 was taken from g1500001, which is open") and passes; test/fleet 163 of 163.

--- a/packages/fleet/src/controller.ts
+++ b/packages/fleet/src/controller.ts
@@ -48,6 +48,8 @@
     hasDemand: boolean;
     epochs: EpochIssuer;
     unansweredJoins: UnansweredJoins;
+    /** Time at which this leader's term began; `Infinity` while it is not leading. */
+    activeSinceMs: () => number;
     /** Time from which this leader has received enough reports to act; `Infinity` while it is not leading. */
     settledAtMs: () => number;
 }
@@ -64,6 +66,7 @@
     readonly #termination: GroupTermination;
     readonly #suspicionHandler: SuspicionHandler;
     #term = 0;
+    #activeSinceMs = Infinity;
     #settledAtMs = Infinity;
     #inheritedEndpoints = new Map<string, ServerEndpoint>();
 
@@ -80,6 +83,7 @@
             lastFaultAtMs: new Map(),
             hasDemand: false,
             epochs: new EpochIssuer(),
+            activeSinceMs: () => this.#activeSinceMs,
             settledAtMs: () => this.#settledAtMs,
         };
         this.#termination = new GroupTermination(this.#state);
@@ -134,7 +138,8 @@
             restoreGroups(this.#state, records, monotonicMs());
             this.#state.hasDemand = true;
         }
-        this.#settledAtMs = monotonicMs() + LEADER_SETTLE_HEARTBEATS * this.#options.timing.heartbeatMs;
+        this.#activeSinceMs = monotonicMs();
+        this.#settledAtMs = this.#activeSinceMs + LEADER_SETTLE_HEARTBEATS * this.#options.timing.heartbeatMs;
         this.#options.context.decisions.record("controller.active", {
             term,
             knownGroups: records?.groups.length,
@@ -142,6 +147,7 @@
     }
 
     deactivate(): void {
+        this.#activeSinceMs = Infinity;
         this.#settledAtMs = Infinity;
         this.#state.groups.clear();
         this.#options.context.decisions.record("controller.inactive", { term: this.#term });
--- a/packages/fleet/src/plannerinputs.ts
+++ b/packages/fleet/src/plannerinputs.ts
@@ -130,11 +130,15 @@
         return server !== undefined && mayReassign(this.#state, server);
     }
 
-    /** Whether a VM is not draining, has reported recently and had no recent fault. */
+    /**
+     * Whether a VM is not draining, has reported recently and had no recent fault. Another leader may have given it orders since a
+     * report of an earlier term.
+     */
     #isUsable({ report, receivedAtMs }: BackendServer, nowMs: number): boolean {
-        const { timing, lastFaultAtMs } = this.#state;
+        const { timing, lastFaultAtMs, activeSinceMs } = this.#state;
         const lastFaultMs = lastFaultAtMs.get(report.serverId);
-        return !report.isDraining && nowMs - receivedAtMs <= STALE_REPORT_HEARTBEATS * timing.heartbeatMs
+        return !report.isDraining && receivedAtMs >= activeSinceMs()
+            && nowMs - receivedAtMs <= STALE_REPORT_HEARTBEATS * timing.heartbeatMs
             && (lastFaultMs === undefined || receivedAtMs > lastFaultMs + FAULT_COOLDOWN_MS);
     }
 
--- a/test/fleet/fixtures.ts
+++ b/test/fleet/fixtures.ts
@@ -41,6 +41,8 @@
     readonly report: ServerReport;
     isUnresponsive = false;
     isPartitioned = false;
+    /** Whether its reports don't arrive, while orders do. */
+    sendsNoReports = false;
     /** Whether it, as a head, never finishes its requests after a close order. */
     neverFinishes = false;
     /** Model of its last group. It reports no model while it is in no group. */
@@ -118,7 +120,7 @@
     const loads = { durationMs: LOAD_MS };
     const lease = { isHeld: true };
     const announce = (engine: FakeEngine): void => {
-        if (!engine.isUnresponsive && !engine.isPartitioned) {
+        if (!engine.isUnresponsive && !engine.isPartitioned && !engine.sendsNoReports) {
             engine.report.sequence += 1;
             registry.accept({ ...engine.report }, performance.now());
         }
--- a/test/fleet/lateorders.test.ts
+++ b/test/fleet/lateorders.test.ts
@@ -156,6 +156,30 @@
     t.deepEqual(fleet.violations, []);
 });
 
+// Guards against a VM in two groups: a daemon that leads again takes reports of its former term for the present state.
+test("a leader uses only VMs that have reported in its term", async (t) => {
+    const fleet = startFleet(t, engineIds(3));
+    fleet.setLease(false);
+    await waitUntil("reports of all VMs", () => fleet.registry.all().length === 3);
+    // Another leader forms a group meanwhile, and this daemon gets no report of it before it leads again.
+    for (const [rank, serverId] of engineIds(3).entries()) {
+        const engine = fleet.engine(serverId);
+        engine.sendsNoReports = true;
+        const state = rank === 0 ? MemberState.Open : MemberState.Ready;
+        engine.report.membership = { groupName: "g1500001", epoch: 1_500_001, rank, state };
+    }
+    fleet.controller.activate(2, recordsOf(fleet));
+    fleet.setLease(true);
+    await sleep(OBSERVATION_MS);
+    t.deepEqual(fleet.violations, []);
+    t.is(fleet.orderCounts.get("join"), undefined);
+    fleet.engines.forEach((engine) => {
+        engine.sendsNoReports = false;
+    });
+    await waitUntil("the group of the other leader", () => fleet.openGroups().join() === "g1500001");
+    t.deepEqual(fleet.violations, []);
+});
+
 // Guards against a VM in two groups: a member's report of a group with an odd epoch was ignored while its head was serving.
 test("members of a serving group whose epoch no leader has issued aren't reassigned", async (t) => {
     const epoch = SECOND_RANGE_EPOCH - 1;
