Hand on the addresses of members that haven't reported, and probe silent heads

Cause: a leader wrote address and sequence of each member from what had been reported to itself. A head that had crashed before it could report was handed on with the address "", so a new process at its address didn't end it at the next leader, and no open group needed any evidence that its head exists.

Why this works: records hand on the former leader's records of a member until it reports, so any later process at the address ends the member. An open group whose head hasn't reported for 2.5 report intervals is probed each second; an answer of another process ends it. Silence ends nothing, as a head may be cut off from the control daemons only.

--- a/packages/fleet/src/adoption.ts
+++ b/packages/fleet/src/adoption.ts
@@ -25,8 +25,8 @@
         members: group.memberIds.map((serverId) => ({
             serverId,
             bornMs: group.bornMs.get(serverId) ?? 0,
-            address: registry.get(serverId)?.report.address ?? "",
-            sequence: registry.get(serverId)?.report.sequence ?? 0,
+            address: registry.endpointOf(serverId)?.address ?? "",
+            sequence: registry.endpointOf(serverId)?.sequence ?? 0,
             hasUnansweredJoin: unansweredJoins.has(serverId, group),
         })),
         phase: group.phase,
--- a/packages/fleet/src/controller.ts
+++ b/packages/fleet/src/controller.ts
@@ -7,6 +7,7 @@
 import { GroupFormation } from "./formation.ts";
 import { GroupPhase, headIdOf } from "./group.ts";
 import { GroupTable } from "./grouptable.ts";
+import { HeadChecks } from "./headchecks.ts";
 import type { EngineOrders, ServerEndpoint } from "./orders.ts";
 import { PlannerInputs } from "./plannerinputs.ts";
 import { recordReportedJoins } from "./reassignment.ts";
@@ -48,6 +49,7 @@
     hasDemand: boolean;
     epochs: EpochIssuer;
     unansweredJoins: UnansweredJoins;
+    headChecks: HeadChecks;
     /** Time at which this leader's term began; `Infinity` while it is not leading. */
     activeSinceMs: () => number;
     /** Time from which this leader has received enough reports to act; `Infinity` while it is not leading. */
@@ -74,16 +76,19 @@
         this.#options = options;
         const groups = new GroupTable(options.context);
         const lifecycle = new Lifecycle();
+        const wakeSignal = new ChangeSignal();
+        const activeSinceMs = (): number => this.#activeSinceMs;
         this.#state = {
             ...options,
             groups,
             lifecycle,
             unansweredJoins: new UnansweredJoins(options.registry),
-            wakeSignal: new ChangeSignal(),
+            headChecks: new HeadChecks({ ...options, lifecycle, wakeSignal, activeSinceMs }),
+            wakeSignal,
             lastFaultAtMs: new Map(),
             hasDemand: false,
             epochs: new EpochIssuer(),
-            activeSinceMs: () => this.#activeSinceMs,
+            activeSinceMs,
             settledAtMs: () => this.#settledAtMs,
         };
         this.#termination = new GroupTermination(this.#state);
--- a/packages/fleet/src/registry.ts
+++ b/packages/fleet/src/registry.ts
@@ -69,6 +69,12 @@
         }
     }
 
+    /** What this daemon knows of a server by its own report, or else by the records of another daemon. */
+    endpointOf(serverId: string): Pick<MemberRecord, "serverId" | "address" | "sequence"> | undefined {
+        return this.#servers.get(serverId)?.report
+            ?? [...this.#expected.values()].find((server) => server.serverId === serverId);
+    }
+
     /** Whether the incarnation is known to have ended. */
     hasEnded(serverId: string, bornMs: number): boolean {
         const endedBornMs = this.#endedIncarnations.get(serverId)?.bornMs ?? -Infinity;
@@ -163,6 +169,13 @@
         return server;
     }
 
+    /** Records the end of an incarnation, whether or not it has reported to this daemon. */
+    recordEnded(serverId: string, bornMs: number, nowMs: number): void {
+        if (this.markEnded(serverId, bornMs, nowMs) === undefined && !this.hasEnded(serverId, bornMs)) {
+            this.#endedIncarnations.set(serverId, { bornMs, endedAtMs: nowMs });
+        }
+    }
+
     /** Whether the previous leader had a later report of this incarnation. */
     #isOlderThanExpected(report: ServerReport): boolean {
         const expected = this.#expected.get(report.address);
--- a/packages/fleet/src/supervision.ts
+++ b/packages/fleet/src/supervision.ts
@@ -109,6 +109,7 @@
         state.groups.remove(group, "the head has ended");
         return;
     }
+    state.headChecks.check(group, nowMs);
     if (group.memberIds.some((serverId) => hasEnded(state, group, serverId))) {
         termination.beginLeaving(group, "a member has ended", nowMs);
         return;
--- a/packages/fleet/src/suspicion.ts
+++ b/packages/fleet/src/suspicion.ts
@@ -173,7 +173,7 @@
 
     #markHeadEnded(group: ManagedGroup, nowMs: number): void {
         const headId = headIdOf(group);
-        this.#state.registry.markEnded(headId, group.bornMs.get(headId), nowMs);
+        this.#state.registry.recordEnded(headId, group.bornMs.get(headId) ?? NaN, nowMs);
         this.#state.wakeSignal.notify();
     }
 
--- a/packages/fleet/src/timing.ts
+++ b/packages/fleet/src/timing.ts
@@ -8,7 +8,7 @@
 export const RECONCILE_INTERVAL_MS = 200;
 /** Report intervals for which a new leader only collects reports before it acts. */
 export const LEADER_SETTLE_HEARTBEATS = 1.25;
-/** Report intervals without a report after which a backend server isn't placed in a new group. */
+/** Report intervals without a report after which a backend server isn't placed in a new group, and an open head is probed. */
 export const STALE_REPORT_HEARTBEATS = 2.5;
 /** Report intervals after which a silent server of a plain service is unlisted; daemons detect its failures sooner. */
 export const SERVICE_EXPIRY_HEARTBEATS = 12;
@@ -25,6 +25,8 @@
 export const JOIN_TIMEOUT_MARGIN_MS = 3_000;
 /** Minimum interval between probes of the same group. */
 export const MIN_PROBE_INTERVAL_MS = 500;
+/** Interval between probes of a head that doesn't report. */
+export const HEAD_CHECK_INTERVAL_MS = 1_000;
 /** Slowdown factor from which a member is replaced. */
 export const SLOW_PACE_THRESHOLD = 1.8;
 /** Suspicions without a fault found by the probes after which the group is recreated. */
--- a/test/fleet/fixtures.ts
+++ b/test/fleet/fixtures.ts
@@ -41,6 +41,8 @@
     readonly report: ServerReport;
     isUnresponsive = false;
     isPartitioned = false;
+    /** Whether another process has its address. */
+    isReplaced = false;
     /** Whether its reports don't arrive, while orders do. */
     sendsNoReports = false;
     /** Whether it, as a head, never finishes its requests after a close order. */
@@ -120,7 +122,8 @@
     const loads = { durationMs: LOAD_MS };
     const lease = { isHeld: true };
     const announce = (engine: FakeEngine): void => {
-        if (!engine.isUnresponsive && !engine.isPartitioned && !engine.sendsNoReports) {
+        const isSilent = engine.isUnresponsive || engine.isPartitioned || engine.sendsNoReports;
+        if (!isSilent && !engine.isReplaced) {
             engine.report.sequence += 1;
             registry.accept({ ...engine.report }, performance.now());
         }
@@ -273,8 +276,13 @@
             });
             return engine === undefined ? OrderOutcome.Unknown : OrderOutcome.Accepted;
         },
-        probe: async (server): Promise<EngineProbeResult> =>
-            deliver(server, "probe") === undefined ? { kind: "silent" } : { kind: "answered", pace: 1 },
+        probe: async (server): Promise<EngineProbeResult> => {
+            const engine = deliver(server, "probe");
+            if (engine === undefined) {
+                return { kind: "silent" };
+            }
+            return engine.isReplaced ? { kind: "ended" } : { kind: "answered", pace: 1 };
+        },
         acceptsConnections: async (server) => deliver(server, "connect") !== undefined,
     };
     return {
