Release reserved members once their silent head must have broken

What callers could see: groups are formed later than they could be, as a member that late orders may bring back stays unused while its head has ended for good.

Cause: such a member was reserved until its head reports, has ended, or 60 s have passed, and each new leader began to wait anew.

Without the setting the 60 s stay.

--- a/packages/fleet/src/adoption.ts
+++ b/packages/fleet/src/adoption.ts
@@ -171,11 +171,7 @@
         const { serverId } = lowestRanked.report;
         state.context.decisions.record("group.revived", { group: groupName, epoch, server: serverId });
     }
-    const phase = hasEnded
-        ? GroupPhase.Leaving
-        : hasHead
-        ? adoptedPhaseByHeadState[headState]
-        : GroupPhase.Dissolving;
+    const headPhase = hasEnded ? GroupPhase.Leaving : adoptedPhaseByHeadState[headState];
     const group: ManagedGroup = {
         groupName,
         epoch,
@@ -187,7 +183,7 @@
         // A head that doesn't report may still be serving, so rank 0 stays reserved for it.
         memberIds: [...(hasHead ? [] : [""]), ...members.map(({ report }) => report.serverId)],
         bornMs: new Map(members.map(({ report }) => [report.serverId, report.bornMs])),
-        phase,
+        phase: hasHead ? headPhase : GroupPhase.Dissolving,
         phaseSinceMs: nowMs,
         readyDeadlineMs: nowMs + ADOPTED_JOIN_TIMEOUT_MS,
         expectedReadyAtMs: nowMs,
--- a/packages/fleet/src/plannerinputs.ts
+++ b/packages/fleet/src/plannerinputs.ts
@@ -91,7 +91,9 @@
         const waiting = serviceGroups.filter((group) => isWaitingForLoad(group, minGainMs, nowMs));
         const input = this.input(service, nowMs);
         const heldVms = waiting.flatMap((group) =>
-            this.usableMembers(group, nowMs).filter((vm) => this.#mayBeTaken(vm)).map((vm): CandidateVm => ({
+            this.usableMembers(group, nowMs).filter((vm) => this.#canLeaveGroup(vm)).map((
+                vm,
+            ): CandidateVm => ({
                 ...vm,
                 heldByGroup: group.groupName,
             }))
@@ -125,7 +127,7 @@
             && this.#isUsable(server, nowMs);
     }
 
-    #mayBeTaken({ serverId }: CandidateVm): boolean {
+    #canLeaveGroup({ serverId }: CandidateVm): boolean {
         const server = this.#state.registry.get(serverId);
         return server !== undefined && mayReassign(this.#state, server);
     }
--- a/packages/fleet/src/reassignment.ts
+++ b/packages/fleet/src/reassignment.ts
@@ -23,8 +23,8 @@
     && receivedAtMs > (leftAtMs.get(serverId) ?? -Infinity) + REPORT_DELAY_MS;
 
 /**
- * Whether a server may carry out an order to join a group other than those that may be serving: it is in none of them, and no
- * earlier order can still put it into one. `target` is the group that it is to join.
+ * Whether a server can be ordered into `target`, or into a new group: it is in no other group that may be serving, and no earlier
+ * order can still put it into one.
  */
 export const mayReassign = (
     { groups, unansweredJoins }: SharedState,
--- a/packages/fleet/src/supervision.ts
+++ b/packages/fleet/src/supervision.ts
@@ -66,10 +66,11 @@
         formation.openHead(group);
         return;
     }
-    const taken = members.filter((member) => member !== undefined)
+    const unavailable = members.filter((member) => member !== undefined)
         .find((member) => !mayReassign(state, member, group));
-    if (taken !== undefined) {
-        termination.abandon(group, `${taken.report.serverId} may be in a group that serves`, nowMs);
+    if (unavailable !== undefined) {
+        const { serverId } = unavailable.report;
+        termination.abandon(group, `${serverId} may be in another group that is serving`, nowMs);
         return;
     }
     formation.orderMembersToJoin(group);
--- a/packages/fleet/src/termination.ts
+++ b/packages/fleet/src/termination.ts
@@ -4,7 +4,7 @@
 import { GroupPhase, headIdOf, type ManagedGroup } from "./group.ts";
 import { OrderOutcome } from "./orders.ts";
 import { canReopen, reportsMembership } from "./reassignment.ts";
-import { MAX_LEAVE_ATTEMPTS, ORDER_RETRY_MS, SERVER_EXPIRY_MS } from "./timing.ts";
+import { HEAD_BREAK_MARGIN_MS, MAX_LEAVE_ATTEMPTS, ORDER_RETRY_MS, SERVER_EXPIRY_MS } from "./timing.ts";
 
 /**
  * Terminates groups without reassigning a VM that the group's head may still be using: either the head leaves, after
@@ -99,6 +99,10 @@
             this.beginLeaving(group, "the head reports again", nowMs);
             return;
         }
+        if (this.#isHeadBroken(group, nowMs)) {
+            this.#removeGroup(group, "the head has been without its members for so long that it is broken");
+            return;
+        }
         const members = group.memberIds.slice(1).filter((serverId) => !this.#hasEnded(group, serverId));
         const remaining = members.filter((serverId) => !this.#hasLeft(group, serverId));
         if (remaining.length === 0 && nowMs - group.phaseSinceMs > SERVER_EXPIRY_MS) {
@@ -106,7 +110,7 @@
             return;
         }
         members.filter((serverId) => !remaining.includes(serverId)).forEach((serverId) =>
-            this.#releaseUnlessReturning(group, serverId)
+            this.#releaseUnlessReserved(group, serverId)
         );
         this.#runExclusively(group, async () => {
             await Promise.all(remaining.map((serverId) => this.#removeMember(group, serverId)));
@@ -140,13 +144,22 @@
             : head.receivedAtMs > group.phaseSinceMs;
     }
 
+    /** Whether an unresponsive head must have broken, as it stands still once a member has left, even if that one joins again. */
+    #isHeadBroken({ leftAtMs, memberIds: [headId = ""] }: ManagedGroup, nowMs: number): boolean {
+        const { groupStallMs } = this.#state.timing;
+        const firstLeftAtMs = Math.min(...leftAtMs.values());
+        return groupStallMs !== undefined && !leftAtMs.has(headId)
+            && nowMs - firstLeftAtMs > groupStallMs + HEAD_BREAK_MARGIN_MS;
+    }
+
     /** Whether a member has answered that it has left, and hasn't reported the group since. */
     #hasLeft(group: ManagedGroup, serverId: string): boolean {
         const server = this.#state.registry.get(serverId);
         return group.leftAtMs.has(serverId) && (server === undefined || !reportsMembership(server, group));
     }
 
-    #releaseUnlessReturning(group: ManagedGroup, serverId: string): void {
+    /** Releases a member that has left, unless an order without an answer can bring it back. */
+    #releaseUnlessReserved(group: ManagedGroup, serverId: string): void {
         if (!this.#state.unansweredJoins.has(serverId, group)) {
             this.#state.groups.releaseMember(group, serverId);
         }
@@ -158,22 +171,23 @@
         const isMember = this.#isInPhase(group, GroupPhase.Dissolving) && group.memberIds.includes(serverId);
         if (isMember && outcome !== undefined && endsMembership[outcome]) {
             group.leftAtMs.set(serverId, monotonicMs());
-            this.#releaseUnlessReturning(group, serverId);
+            this.#releaseUnlessReserved(group, serverId);
             this.#state.wakeSignal.notify();
-            const isReserved = group.memberIds.includes(serverId);
-            const { groupName, epoch } = group;
-            const event = {
-                group: groupName,
-                epoch,
-                server: serverId,
-                reason: "an order to join has no answer",
-            };
-            if (isReserved) {
-                this.#state.context.decisions.record("group.memberReserved", event);
+            if (group.memberIds.includes(serverId)) {
+                this.#recordReservation(group, serverId);
             }
         }
     }
 
+    #recordReservation({ groupName, epoch }: ManagedGroup, serverId: string): void {
+        this.#state.context.decisions.record("group.memberReserved", {
+            group: groupName,
+            epoch,
+            server: serverId,
+            reason: "an order to join has no answer",
+        });
+    }
+
     async #orderToLeave(group: ManagedGroup, report: ServerReport): Promise<OrderOutcome | undefined> {
         return this.#state.mayAct() ? await this.#state.orders.leave(report, group) : undefined;
     }
--- a/packages/fleet/src/timing.ts
+++ b/packages/fleet/src/timing.ts
@@ -2,6 +2,11 @@
 export interface FleetTiming {
     /** Interval between the reports of a backend server. */
     heartbeatMs: number;
+    /**
+     * Time for which a head that has lost a member stands still before it is broken, so that it can't serve any more. Unknown
+     * if undefined.
+     */
+    groupStallMs?: number;
 }
 
 /** Longest interval between reconciliations; reports and suspicions trigger earlier ones. */
@@ -33,6 +38,8 @@
 export const SUSPICIONS_BEFORE_RECREATION = 4;
 /** Time after a fault until a server that reports is used again. */
 export const FAULT_COOLDOWN_MS = 1_500;
+/** Time by which a head may notice late that it has to break, as one that falls silent for a moment. */
+export const HEAD_BREAK_MARGIN_MS = 2_000;
 /** Reports that a server sent before it answered an order arrive within this time. */
 export const REPORT_DELAY_MS = 500;
 /** Time for which the orders of a former leader count as unanswered if nothing is known of their answers. */
--- a/test/fleet/fixtures.ts
+++ b/test/fleet/fixtures.ts
@@ -97,6 +97,8 @@
     fields: (serverId: string) => Partial<ServerReport> = () => ({}),
     /** Duration of a load from the weight store after `slowDownLoads` was called. */
     slowLoadMs = LOAD_MS,
+    /** Default: unknown. */
+    groupStallMs?: number,
 ): FleetFixture => {
     const context = createContext({ daemonId: "c", zone: "z" });
     const departures = new DepartureState();
@@ -133,7 +135,7 @@
         context,
         registry,
         orders,
-        timing: { heartbeatMs: HEARTBEAT_MS },
+        timing: { heartbeatMs: HEARTBEAT_MS, groupStallMs },
         routing: () => routing,
         mayAct: () => lease.isHeld,
         onReconciled: () => undefined,
--- a/test/fleet/lateorders.test.ts
+++ b/test/fleet/lateorders.test.ts
@@ -90,6 +90,20 @@
     });
 }
 
+// Guards against members that stay unused for as long as their head, which has ended, can't say so.
+test("members that may be brought back into their group are reassigned once its silent head must have broken", async (t) => {
+    const stallMs = 200;
+    const fleet = startFleet(t, engineIds(4), () => ({}), undefined, stallMs);
+    const { group, headId } = await startGroupWithLateJoins(fleet);
+    await sleep(stallMs);
+    t.deepEqual(fleet.controller.groups.get(group.groupName)?.memberIds, group.memberIds);
+    const { membership } = fleet.engine(headId);
+    fleet.engine(headId).report.membership = membership && { ...membership, state: MemberState.Broken };
+    const next = await waitForGroup(fleet, group.groupName);
+    t.false(next.memberIds.includes(headId));
+    t.deepEqual(fleet.violations, []);
+});
+
 // Guards against members that stay reserved although each order has got an answer.
 test("members that no order can bring back are reassigned while their head doesn't respond", async (t) => {
     const fleet = startFleet(t, engineIds(4));
