Look up unanswered joins by server, and count a reopened head's stall from its return

A head that late orders have opened again stands still from then on, not from the first leave of a member, so it isn't taken for broken sooner.

--- a/packages/fleet/src/termination.ts
+++ b/packages/fleet/src/termination.ts
@@ -95,7 +95,10 @@
             return;
         }
         if (this.#hasHeadReturned(group)) {
-            group.leftAtMs.delete(headId);
+            if (group.leftAtMs.has(headId)) {
+                // The head has opened the group again, and stands still from then on only.
+                group.leftAtMs.clear();
+            }
             this.beginLeaving(group, "the head reports again", nowMs);
             return;
         }
--- a/packages/fleet/src/unansweredjoins.ts
+++ b/packages/fleet/src/unansweredjoins.ts
@@ -22,7 +22,8 @@
  */
 export class UnansweredJoins {
     readonly #registry: KnownServers;
-    #joins: UnansweredJoin[] = [];
+    /** By server id. */
+    readonly #joins = new Map<string, UnansweredJoin[]>();
     #version = 0;
 
     constructor(registry: KnownServers) {
@@ -40,7 +41,7 @@
         const join = this.#add(target, Infinity);
         const outcome = await send();
         if (outcome !== OrderOutcome.Unknown) {
-            this.#joins = this.#joins.filter((other) => other !== join);
+            this.#retain(target.serverId, (other) => other !== join);
             this.#version += this.has(target.serverId, target) ? 0 : 1;
         }
         if (outcome === OrderOutcome.Accepted) {
@@ -69,18 +70,30 @@
 
     /** Removes the orders that can't be carried out any more. */
     expire(nowMs: number): void {
-        this.#joins = this.#joins.filter((join) => this.#mayBeCarriedOut(join, nowMs));
+        for (const serverId of this.#joins.keys()) {
+            this.#retain(serverId, (join) => this.#mayBeCarriedOut(join, nowMs));
+        }
     }
 
     #add(target: JoinTarget, expiresAtMs: number): UnansweredJoin {
         const join = { ...target, sinceMs: monotonicMs(), expiresAtMs };
-        this.#joins.push(join);
+        this.#joins.set(target.serverId, [...this.#joins.get(target.serverId) ?? [], join]);
         return join;
     }
 
+    #retain(serverId: string, isRetained: (join: UnansweredJoin) => boolean): void {
+        const remaining = this.#joins.get(serverId)?.filter(isRetained) ?? [];
+        if (remaining.length > 0) {
+            this.#joins.set(serverId, remaining);
+        }
+        else {
+            this.#joins.delete(serverId);
+        }
+    }
+
     #of(serverId: string): UnansweredJoin[] {
         const nowMs = monotonicMs();
-        return this.#joins.filter((join) => join.serverId === serverId && this.#mayBeCarriedOut(join, nowMs));
+        return this.#joins.get(serverId)?.filter((join) => this.#mayBeCarriedOut(join, nowMs)) ?? [];
     }
 
     #mayBeCarriedOut(
