--- a/test/fleet/lateorders.test.ts
+++ b/test/fleet/lateorders.test.ts
@@ -1,9 +1,10 @@
-import { sleep } from "@greengage/base";
+import { monotonicMs, sleep } from "@greengage/base";
 import { waitFor } from "@greengage/faults";
 import { type ManagedGroup } from "@greengage/fleet";
 import { type GroupRecords, MemberState } from "@greengage/protocol";
 import test from "ava";
-import { type FleetFixture, startFleet } from "./fixtures.ts";
+import { HEAD_BREAK_MARGIN_MS, REPORT_DELAY_MS } from "../../packages/fleet/src/timing.ts";
+import { type FleetFixture, HEARTBEAT_MS, startFleet } from "./fixtures.ts";
 
 /** Many periods of the reconcile loop, in which VMs would be reassigned. */
 const OBSERVATION_MS = 600;
@@ -104,6 +105,31 @@
     t.deepEqual(fleet.violations, []);
 });
 
+// Guards against members that are reassigned while a head serves that late orders have opened again after it had left.
+test("a head that late orders have opened again is taken for broken only by the time since then", async (t) => {
+    const stallMs = 200;
+    const fleet = startFleet(t, engineIds(4), () => ({}), undefined, stallMs);
+    fleet.engine("e0").unansweredOperations.add("open");
+    const { group: { groupName, epoch }, headId } = await startGroupWithLateJoins(fleet);
+    const leftAtMs = monotonicMs();
+    const head = fleet.engine(headId);
+    head.isPartitioned = false;
+    await waitUntil("a head that has left", () => head.membership === undefined);
+    await sleep(REPORT_DELAY_MS + HEARTBEAT_MS);
+    // Its report arrives, and the orders that follow don't.
+    head.isPartitioned = true;
+    head.report.membership = { groupName, epoch, rank: 0, state: MemberState.Open };
+    head.report.sequence += 1;
+    fleet.registry.accept({ ...head.report }, monotonicMs());
+    const brokenAfterMs = stallMs + HEAD_BREAK_MARGIN_MS;
+    await sleep(brokenAfterMs + OBSERVATION_MS / 2 - (monotonicMs() - leftAtMs));
+    t.true(fleet.controller.groups.get(groupName)?.memberIds.includes(headId));
+    t.deepEqual(fleet.violations, []);
+    head.report.membership = { groupName, epoch, rank: 0, state: MemberState.Broken };
+    await waitForGroup(fleet, groupName);
+    t.deepEqual(fleet.violations, []);
+});
+
 // Guards against members that stay reserved although each order has got an answer.
 test("members that no order can bring back are reassigned while their head doesn't respond", async (t) => {
     const fleet = startFleet(t, engineIds(4));
