--- a/packages/fleet/src/termination.ts
+++ b/packages/fleet/src/termination.ts
@@ -96,7 +96,7 @@
         }
         if (this.#hasHeadReturned(group)) {
             if (group.leftAtMs.has(headId)) {
-                // The head has opened the group again, and stands still from then on only.
+                // The head has opened the group again, and stalls only from then on.
                 group.leftAtMs.clear();
             }
             this.beginLeaving(group, "the head reports again", nowMs);
@@ -147,7 +147,7 @@
             : head.receivedAtMs > group.phaseSinceMs;
     }
 
-    /** Whether an unresponsive head must have broken, as it stands still once a member has left, even if that one joins again. */
+    /** Whether an unresponsive head must have broken, as it stalls once a member has left, even if that one joins again. */
     #isHeadBroken({ leftAtMs, memberIds: [headId = ""] }: ManagedGroup, nowMs: number): boolean {
         const { groupStallMs } = this.#state.timing;
         const firstLeftAtMs = Math.min(...leftAtMs.values());
--- a/packages/fleet/src/timing.ts
+++ b/packages/fleet/src/timing.ts
@@ -3,7 +3,7 @@
     /** Interval between the reports of a backend server. */
     heartbeatMs: number;
     /**
-     * Time for which a head that has lost a member stands still before it is broken, so that it can't serve any more. Unknown
+     * Time for which a head that has lost a member stalls before it is broken, so that it can't serve any more. Unknown
      * if undefined.
      */
     groupStallMs?: number;
