Split the search for unknown groups, and name the head as elsewhere

findUnknownGroups had two questions in one loop: whether a server returns to a known group, and whether its report is evidence of an unknown one. Each has a function now; the conditions are the same. The check of a broken head takes its id from headIdOf.

--- a/packages/fleet/src/adoption.ts
+++ b/packages/fleet/src/adoption.ts
@@ -106,28 +106,43 @@
     membership !== undefined && servingStates.includes(membership.state) && membership.epoch >= highestEpoch
     && receivedAtMs > (groups.endedAtMs(membership.groupName) ?? Infinity) + REPORT_DELAY_MS;
 
+/** Whether a report of an unknown group is evidence of it: it hasn't ended, or late orders have opened it again. */
+const isAdoptable = (state: FleetState, server: BackendServer, membership: GroupMembership): boolean => {
+    const { groups } = state;
+    const isFree = groups.groupOf(server.report.serverId) === undefined;
+    const isCurrent = isFree && !groups.hasEnded(membership.groupName);
+    return !isUnusable(state, membership) && (isCurrent || isRevived(state, server));
+};
+
+/** Adds a server that is in no group to the known group that it reports, as one that late orders have brought back. */
+const addReturnedMember = (
+    state: FleetState,
+    group: ManagedGroup,
+    server: BackendServer,
+    nowMs: number,
+): void => {
+    const { serverId, bornMs } = server.report;
+    if (state.groups.groupOf(serverId) === undefined && reportsMembership(server, group)) {
+        state.groups.addMember(group, serverId, bornMs);
+        assumeUnansweredJoin(state, server, nowMs);
+    }
+};
+
 const findUnknownGroups = (state: FleetState, nowMs: number): UnknownGroup[] => {
     const { registry, groups } = state;
     const unknownGroups = new Map<string, UnknownGroup>();
     for (const server of registry.all()) {
-        const { serverId, bornMs, membership } = server.report;
+        const { membership } = server.report;
         if (membership === undefined) {
             continue;
         }
         const { groupName, epoch } = membership;
         const known = groups.get(groupName);
-        const isInGroup = groups.groupOf(serverId) !== undefined;
-        if (isInGroup && (known !== undefined || !isRevived(state, server))) {
-            continue;
-        }
         if (known !== undefined) {
-            if (reportsMembership(server, known)) {
-                groups.addMember(known, serverId, bornMs);
-                assumeUnansweredJoin(state, server, nowMs);
-            }
+            addReturnedMember(state, known, server, nowMs);
             continue;
         }
-        if (isUnusable(state, membership) || (groups.hasEnded(groupName) && !isRevived(state, server))) {
+        if (!isAdoptable(state, server, membership)) {
             continue;
         }
         const group = unknownGroups.get(groupName) ?? { groupName, epoch, members: [] };
--- a/packages/fleet/src/termination.ts
+++ b/packages/fleet/src/termination.ts
@@ -148,10 +148,10 @@
     }
 
     /** Whether an unresponsive head must have broken, as it stalls once a member has left, even if that one joins again. */
-    #isHeadBroken({ leftAtMs, memberIds: [headId = ""] }: ManagedGroup, nowMs: number): boolean {
+    #isHeadBroken(group: ManagedGroup, nowMs: number): boolean {
         const { groupStallMs } = this.#state.timing;
-        const firstLeftAtMs = Math.min(...leftAtMs.values());
-        return groupStallMs !== undefined && !leftAtMs.has(headId)
+        const firstLeftAtMs = Math.min(...group.leftAtMs.values());
+        return groupStallMs !== undefined && !group.leftAtMs.has(headIdOf(group))
             && nowMs - firstLeftAtMs > groupStallMs + HEAD_BREAK_MARGIN_MS;
     }
 
