--- a/test/gateway/brokenservers.test.ts
+++ b/test/gateway/brokenservers.test.ts
@@ -1,14 +1,7 @@
 import { Verdict } from "@greengage/base";
 import { waitFor } from "@greengage/faults";
 import test from "ava";
-import {
-    eventOf,
-    type GatewayFixture,
-    type RecordedResponse,
-    startServer,
-    streamEvents,
-    writeHead,
-} from "./fixtures.ts";
+import { eventOf, startServer, streamEvents, writeHead } from "./fixtures.ts";
 import {
     type ByteScript,
     Finish,
@@ -431,31 +424,3 @@
         t.is(response.text, EVENTS);
     });
 }
-
-/** Time that a slow caller takes for what it has been sent before. */
-const CALLER_PAUSE_MS = 50;
-/** Events that don't fit into the buffers of a connection at once. */
-const MANY_EVENTS = Array.from({ length: 10_000 }, (_, index) => eventOf(index + 1)).join("");
-
-/** Sends a stream request whose caller pauses after each write. */
-const sendSlowly = async ({ startRequest }: GatewayFixture): Promise<RecordedResponse> => {
-    const { response, done } = startRequest(requestFields[RequestKind.SingleStream]);
-    const write = response.write.bind(response);
-    response.write = (chunk) => !write(chunk);
-    response.onDrained = (listener) => void setTimeout(listener, CALLER_PAUSE_MS);
-    await done;
-    return response;
-};
-
-// Guards against a process that ends when a connection ends while its caller reads slowly.
-for (const close of ["", "connection: close\r\ntransfer-encoding: chunked\r\n"]) {
-    test.serial(`a stream to a slow caller is broken if it is reset (${close === "" ? "no length" : "chunks"})`, async (t) => {
-        const body = close === "" ? MANY_EVENTS : chunkOf(MANY_EVENTS);
-        const text = `${EVENT_STREAM_HEAD}${close}\r\n${body}`;
-        const server = await startRawServer(t, { text, finish: Finish.Reset });
-        const response = await sendSlowly(createFixture(t, [server]));
-        t.false(response.isEnded);
-        t.true(response.text.startsWith(eventOf(1)));
-        t.is(response.error?.verdict, Verdict.MayHaveRun);
-    });
-}
--- a/test/gateway/earlyresponses.test.ts
+++ b/test/gateway/earlyresponses.test.ts
@@ -1,10 +1,8 @@
 import { Verdict } from "@greengage/base";
-import { freePorts } from "@greengage/faults";
-import type { Relays } from "@greengage/routing";
 import test, { type ExecutionContext } from "ava";
-import { startRelay } from "../protocol/relayfixtures.ts";
 import { eventOf, startServer, streamEvents } from "./fixtures.ts";
-import { type ByteScript, Finish, type RawServer, Reading, startRawServer } from "./rawserver.ts";
+import { type ByteScript, Finish, Reading, startRawServer } from "./rawserver.ts";
+import { relayTo } from "./relayedserver.ts";
 import { allKinds, createFixture, repeatableKinds, requestFields, RequestKind } from "./requestkinds.ts";
 
 const MIB = 1024 * 1024;
@@ -40,23 +38,6 @@
     body: Buffer.alloc(uploadBytes, "x"),
 });
 
-/** A peer whose connections lead to `server`, which this daemon doesn't reach directly. */
-const relayTo = async (
-    t: ExecutionContext,
-    server: RawServer,
-): Promise<{ address: string; relays: Relays; }> => {
-    const { requester } = await startRelay(t);
-    const [port = 0] = await freePorts(1);
-    return {
-        address: `127.0.0.1:${port}`,
-        relays: {
-            candidates: () => [{ daemonId: "relay", zone: "z", relayedCount: 0, lostServerIds: [] }],
-            open: (daemonId, request, timeoutMs) =>
-                requester.openRelay(daemonId, { ...request, address: server.address }, timeoutMs),
-        },
-    };
-};
-
 /** Ways in which a server breaks off a response while it has read only the beginning of the request. */
 const breaks: Record<string, Partial<ByteScript>> = {
     "is reset with it": { finish: Finish.Reset, finishDelayMs: 0 },
