Read answers to orders, probes and operators only over connections that tell a reset

What callers saw: nothing by themselves; orders of the project's zone controllers counted as accepted and no longer in flight by the part of an answer, an engine counted as live, and an operator's change as done (exit 0).

Only clients that went through Exchange had a check; the HTTP clients of orders and probes, and of the operators' commands, had none.

The connector that reports only regular ends moves to the package base, and these clients use it. There is no other HTTP client in the programs.

--- a/packages/routing/src/connector.ts
+++ b/packages/base/src/connector.ts
@@ -1,7 +1,7 @@
-import { confirmEnd } from "@greengage/base";
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import { buildConnector } from "undici";
+import { confirmEnd } from "./connectionend.ts";
 
 /** Limit for the bytes of one response, including those that the HTTP parser skips without counting. */
 const MAX_RESPONSE_BYTES = 32 * 1024 * 1024;
--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -2,6 +2,7 @@
 export * from "./clock.ts";
 export * from "./connectionend.ts";
 export * from "./connectionprobe.ts";
+export * from "./connector.ts";
 export * from "./context.ts";
 export * from "./decisions.ts";
 export * from "./errors.ts";
--- a/packages/cli/src/client.ts
+++ b/packages/cli/src/client.ts
@@ -1,11 +1,12 @@
-import { messageOf } from "@greengage/base";
+import { createConnector, messageOf } from "@greengage/base";
 import { readFileSync } from "node:fs";
-import { request } from "undici";
+import { Agent, request } from "undici";
 import { CommandError, ExitCode, usageError } from "./exit.ts";
 
 const DEFAULT_URL = "http://127.0.0.1:8080";
 // Longer than the daemon's time limits for committing an edit and for requests to other daemons.
 const TIMEOUT_MS = 20_000;
+const CONNECT_TIMEOUT_MS = 10_000;
 
 /** Error codes of Node.js and undici for requests that were never sent to the daemon. */
 const NOT_SENT_CODES = [
@@ -32,6 +33,7 @@
 
 /** Client of a daemon's operator API. Errors are thrown as CommandError with the exit code of the command. */
 export class OperatorClient {
+    readonly #agent = new Agent({ connect: createConnector(CONNECT_TIMEOUT_MS) });
     readonly #url: string;
     readonly #key: string;
 
@@ -56,6 +58,7 @@
         let json: unknown;
         try {
             const response = await request(`${this.#url}/operator/v1/${path}`, {
+                dispatcher: this.#agent,
                 method,
                 headers: { authorization: `Bearer ${this.#key}`, "content-type": "application/json" },
                 body: body === undefined ? undefined : JSON.stringify(body),
--- a/packages/membership/src/orders.ts
+++ b/packages/membership/src/orders.ts
@@ -1,4 +1,4 @@
-import { ByteBuffer, type Context, LogPart, messageOf, monotonicMs } from "@greengage/base";
+import { ByteBuffer, type Context, createConnector, LogPart, messageOf, monotonicMs } from "@greengage/base";
 import type { Assignment, VmReport } from "@greengage/protocol";
 import { Agent, type Dispatcher } from "undici";
 import type { ZoneLease } from "./lease.ts";
@@ -42,7 +42,7 @@
 /** Sends orders over HTTP. The lease is checked in the same synchronous step as the write, on the open connection. */
 export class HttpOrderSender implements OrderSender {
     readonly #options: HttpOrderSenderOptions;
-    readonly #agent = new Agent({ pipelining: 1, connect: { timeout: ORDER_TIMEOUT_MS } });
+    readonly #agent = new Agent({ pipelining: 1, connect: createConnector(ORDER_TIMEOUT_MS) });
     /** Orders that may still arrive, and the monotonic time until which each counts as in flight. */
     readonly #inFlight = new Map<number, { fence: number; untilMs: number; }>();
     #nextId = 0;
--- a/packages/routing/src/connectionpools.ts
+++ b/packages/routing/src/connectionpools.ts
@@ -1,6 +1,6 @@
+import { createConnector, createStreamConnector } from "@greengage/base";
 import type { Duplex } from "node:stream";
 import { Client, Pool } from "undici";
-import { createConnector, createStreamConnector } from "./connector.ts";
 
 const CONNECT_TIMEOUT_MS = 2_000;
 const KEEP_ALIVE_TIMEOUT_MS = 10_000;
--- a/test/membership/orders.test.ts
+++ b/test/membership/orders.test.ts
@@ -5,6 +5,7 @@
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
 import { HttpOrderSender, OrderResult } from "../../packages/membership/src/orders.ts";
+import { Finish, startRawServer } from "../gateway/rawserver.ts";
 import { ZONE } from "./fixtures.ts";
 
 const startServer = async (
@@ -81,3 +82,24 @@
     t.is(await sender.release(createReport(refusingServer.url), "group-1"), OrderResult.Refused);
     await waitFor("a raised token", () => lease.raised === 9 || undefined);
 });
+
+// Guards against an order that counts as answered by the part of a response.
+for (const finishDelayMs of [0, 20]) {
+    test(`an order whose response is reset ${finishDelayMs} ms after its part has an unknown outcome`, async (t) => {
+        for (const status of ["200 OK", "409 Conflict"]) {
+            const text = `HTTP/1.1 ${status}\r\n\r\n{"highest`;
+            const { address } = await startRawServer(t, { text, finish: Finish.Reset, finishDelayMs });
+            const sender = createSender(t, { isValid: true, fence: 3 });
+            const report = createReport(`http://${address}`);
+            t.is(await sender.release(report, "group-1"), OrderResult.Unknown, status);
+            t.true(sender.mayHaveInFlight(3), status);
+        }
+    });
+}
+
+test("an order is accepted by a response without a length that ends regularly", async (t) => {
+    const { address } = await startRawServer(t, { text: "HTTP/1.1 200 OK\r\n\r\n{}", finish: Finish.End });
+    const sender = createSender(t, { isValid: true, fence: 3 });
+    t.is(await sender.release(createReport(`http://${address}`), "group-1"), OrderResult.Accepted);
+    t.false(sender.mayHaveInFlight(3));
+});
--- a/test/platform/orders.test.ts
+++ b/test/platform/orders.test.ts
@@ -5,6 +5,7 @@
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import { HttpEngineOrders } from "../../platform/orders.ts";
 import { reportOf } from "../fleet/fixtures.ts";
+import { Finish, startRawServer } from "../gateway/rawserver.ts";
 import { PlatformEngine } from "./engine.ts";
 
 const group = { groupName: "g", epoch: 3 };
@@ -74,3 +75,35 @@
         t.is(await orders.leave(target, { ...group, epoch }), OrderOutcome.Refused);
     }
 });
+
+const HEAD = "HTTP/1.1 200 OK\r\n";
+/** More than the HTTP client buffers of a response, and more than is read of one. */
+const LARGE_REPORT = `{"pace":1,"more":"${"x".repeat(300_000)}"}`;
+
+// Guards against an engine that counts as live by the part of a response that looks whole.
+for (const finishDelayMs of [0, 20]) {
+    test(`a probe whose response is reset ${finishDelayMs} ms after its part isn't answered`, async (t) => {
+        const text = `${HEAD}\r\n{"pace":1}`;
+        const { address } = await startRawServer(t, { text, finish: Finish.Reset, finishDelayMs });
+        t.deepEqual(await createOrders(t).probe(reportOf("e1", { address })), { kind: "silent" });
+    });
+}
+
+test("a probe is answered by a response without a length that ends regularly", async (t) => {
+    const { address } = await startRawServer(t, { text: `${HEAD}\r\n{"pace":0.5}`, finish: Finish.End });
+    t.deepEqual(await createOrders(t).probe(reportOf("e1", { address })), { kind: "answered", pace: 0.5 });
+});
+
+// Guards against a control daemon that ends when a connection does, while a response is paused that is too large.
+for (const finish of [Finish.Reset, Finish.End]) {
+    for (const finishDelayMs of [0, 20]) {
+        test(`a large response to a probe or an order does no harm (${finish} after ${finishDelayMs} ms)`, async (t) => {
+            const text = `${HEAD}\r\n${LARGE_REPORT}`;
+            const { address } = await startRawServer(t, { text, finish, finishDelayMs });
+            const orders = createOrders(t);
+            const server = reportOf("e1", { address });
+            t.deepEqual(await orders.probe(server), { kind: "silent" });
+            t.is(await orders.leave(server, group), OrderOutcome.Accepted);
+        });
+    }
+}
