Test answers with an invalid status or malformed fields wherever answers are read

The builders of service calls, which stood in two test files, move to the fixtures; the tests that use them are unchanged.

--- a/test/cli/client.test.ts
+++ b/test/cli/client.test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import { OperatorClient } from "../../packages/cli/src/client.ts";
 import { CommandError, ExitCode } from "../../packages/cli/src/exit.ts";
+import { responsesWithInvalidFields, responsesWithInvalidStatus } from "../gateway/malformedresponses.ts";
 import { Finish, startRawServer } from "../gateway/rawserver.ts";
 
 process.env["GREENGAGE_KEY"] = "key";
@@ -23,3 +24,18 @@
     const { address } = await startRawServer(t, { text: TEXT, finish: Finish.End });
     t.deepEqual(await new OperatorClient({ url: `http://${address}` }).get("table"), { version: 1 });
 });
+
+const malformedResponses = {
+    ...responsesWithInvalidStatus("", "{}"),
+    ...responsesWithInvalidFields("", "{}"),
+};
+
+// Guards against an edit that counts as done by a malformed response.
+test("an operator's edit has an unknown outcome if its response is malformed", async (t) => {
+    for (const [title, text] of Object.entries(malformedResponses)) {
+        const { address } = await startRawServer(t, { text });
+        const edit = new OperatorClient({ url: `http://${address}` }).post("table/edits", {});
+        const error = await t.throwsAsync(edit, { instanceOf: CommandError }, title);
+        t.is(error?.exitCode, ExitCode.OutcomeUnknown, title);
+    }
+});
--- a/test/gateway/rawserver.ts
+++ b/test/gateway/rawserver.ts
@@ -45,6 +45,8 @@
     reading?: Reading;
     /** Delay of `text` after what is read before it. Default: 0. */
     delayMs?: number;
+    /** Size of the pieces that `text` is sent in, one after the other. Default: in one piece. */
+    pieceBytes?: number;
 }
 
 export interface RawServer {
@@ -168,9 +170,17 @@
 };
 
 const send = (socket: Socket, script: ByteScript): void => {
-    const { text, endless, intervalMs, finish = Finish.Open, finishDelayMs = DEFAULT_FINISH_DELAY_MS } =
-        script;
-    socket.write(text, "latin1");
+    const { text, pieceBytes = text.length } = script;
+    socket.write(text.slice(0, pieceBytes), "latin1");
+    if (pieceBytes < text.length) {
+        setImmediate(() => send(socket, { ...script, text: text.slice(pieceBytes) }));
+        return;
+    }
+    sendAfterText(socket, script);
+};
+
+const sendAfterText = (socket: Socket, script: ByteScript): void => {
+    const { endless, intervalMs, finish = Finish.Open, finishDelayMs = DEFAULT_FINISH_DELAY_MS } = script;
     if (endless !== undefined && intervalMs !== undefined) {
         const timer = setInterval(() => socket.write(endless, "latin1"), intervalMs);
         socket.on("close", () => clearInterval(timer));
--- a/test/membership/orders.test.ts
+++ b/test/membership/orders.test.ts
@@ -5,6 +5,7 @@
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
 import { HttpOrderSender, OrderResult } from "../../packages/membership/src/orders.ts";
+import { responsesWithInvalidFields, responsesWithInvalidStatus } from "../gateway/malformedresponses.ts";
 import { Finish, startRawServer } from "../gateway/rawserver.ts";
 import { ZONE } from "./fixtures.ts";
 
@@ -103,3 +104,18 @@
     t.is(await sender.release(createReport(`http://${address}`), "group-1"), OrderResult.Accepted);
     t.false(sender.mayHaveInFlight(3));
 });
+
+const malformedResponses = {
+    ...responsesWithInvalidStatus("", "{}"),
+    ...responsesWithInvalidFields("", "{}"),
+};
+
+// Guards against an order that counts as answered by a malformed response.
+test("an order whose response is malformed has an unknown outcome", async (t) => {
+    for (const [title, text] of Object.entries(malformedResponses)) {
+        const { address } = await startRawServer(t, { text });
+        const sender = createSender(t, { isValid: true, fence: 3 });
+        t.is(await sender.release(createReport(`http://${address}`), "group-1"), OrderResult.Unknown, title);
+        t.true(sender.mayHaveInFlight(3), title);
+    }
+});
--- a/test/platform/orders.test.ts
+++ b/test/platform/orders.test.ts
@@ -5,6 +5,7 @@
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import { HttpEngineOrders } from "../../platform/orders.ts";
 import { reportOf } from "../fleet/fixtures.ts";
+import { responsesWithInvalidFields, responsesWithInvalidStatus } from "../gateway/malformedresponses.ts";
 import { Finish, startRawServer } from "../gateway/rawserver.ts";
 import { PlatformEngine } from "./engine.ts";
 
@@ -107,3 +108,22 @@
         });
     }
 }
+
+const REPORT = `{"pace":1}`;
+const malformedResponses = {
+    ...responsesWithInvalidStatus("", REPORT),
+    ...responsesWithInvalidFields("", REPORT),
+};
+
+// Guards against an engine that counts as live, or an order that counts as carried out, by a malformed response.
+test("a probe isn't answered by a malformed response, and an order has no outcome by a malformed head", async (t) => {
+    for (const [title, text] of Object.entries(malformedResponses)) {
+        const { address } = await startRawServer(t, { text });
+        const orders = createOrders(t);
+        const server = reportOf("e1", { address });
+        t.deepEqual(await orders.probe(server), { kind: "silent" }, title);
+        // The status of an order is its outcome before a trailer arrives.
+        const outcome = title.endsWith("trailer") ? OrderOutcome.Accepted : OrderOutcome.Unknown;
+        t.is(await orders.leave(server, group), outcome, title);
+    }
+});
--- a/test/routing/brokenheads.test.ts
+++ b/test/routing/brokenheads.test.ts
@@ -1,5 +1,3 @@
-import { monotonicMs, newId } from "@greengage/base";
-import type { ServiceCall } from "@greengage/routing";
 import test from "ava";
 import { brokenOff, Finish, startRawServer } from "../gateway/rawserver.ts";
 import {
@@ -9,6 +7,8 @@
     eventOf,
     groupOf,
     neverAborted,
+    serviceCallOf,
+    serviceViewOf,
     startEngine,
     streamTokens,
 } from "./fixtures.ts";
@@ -55,17 +55,9 @@
                 test.serial(`a call of a service doesn't succeed when a response ${title}`, async (t) => {
                     const { directory, dispatcher } = createDispatcher(t);
                     const server = await startRawServer(t, { firstText, text, finish });
-                    directory.serviceViews = [{
-                        vmId: "ledger-1",
-                        incarnationId: "1",
-                        service: "ledger",
-                        zone: "zone-a",
-                        url: `http://${server.address}`,
-                        maxConcurrent: 8,
-                        available: true,
-                    }];
+                    directory.serviceViews = [serviceViewOf("ledger-1", `http://${server.address}`)];
                     const send = (method: "GET" | "POST"): Promise<string> =>
-                        dispatcher.callService(callOf(method), neverAborted()).then(
+                        dispatcher.callService(serviceCallOf(method), neverAborted()).then(
                             ({ body }) => Buffer.from(body).toString(),
                             (error: { verdict?: string; }) => String(error.verdict),
                         );
@@ -85,15 +77,3 @@
         }
     }
 }
-
-const callOf = (method: "GET" | "POST"): ServiceCall => ({
-    requestId: newId(),
-    organisation: "umbrella-corner",
-    service: "ledger",
-    method,
-    path: "/sales",
-    headers: {},
-    body: new Uint8Array(),
-    deadlineAtMs: monotonicMs() + 10_000,
-    nonIdempotent: method === "POST",
-});
--- a/test/routing/fixtures.ts
+++ b/test/routing/fixtures.ts
@@ -6,6 +6,7 @@
     type BackendDispatcherOptions,
     type EventSink,
     type GenerateRequest,
+    type ServiceCall,
 } from "@greengage/routing";
 import type { ServiceRow } from "@greengage/table";
 import type { ExecutionContext } from "ava";
@@ -216,6 +217,30 @@
     enabled: true,
 };
 
+/** A backend server of the service `ledger`. */
+export const serviceViewOf = (vmId: string, url: string): ServiceView => ({
+    vmId,
+    incarnationId: "1",
+    service: "ledger",
+    zone: "zone-a",
+    url,
+    maxConcurrent: 8,
+    available: true,
+});
+
+/** A call of the service `ledger`; a POST is not idempotent. */
+export const serviceCallOf = (method: "GET" | "POST"): ServiceCall => ({
+    requestId: newId(),
+    organisation: "umbrella-corner",
+    service: "ledger",
+    method,
+    path: "/sales",
+    headers: {},
+    body: new Uint8Array(),
+    deadlineAtMs: monotonicMs() + 10_000,
+    nonIdempotent: method === "POST",
+});
+
 export const neverAborted = (): AbortSignal => new AbortController().signal;
 
 const serviceRow: ServiceRow = {
--- a/test/routing/servicecalls.test.ts
+++ b/test/routing/servicecalls.test.ts
@@ -1,48 +1,23 @@
-import { monotonicMs, newId } from "@greengage/base";
 import { waitFor } from "@greengage/faults";
-import type { ServiceView } from "@greengage/protocol";
-import type { ServiceCall } from "@greengage/routing";
 import test from "ava";
 import { Finish, Reading, startBlockedListener, startRawServer } from "../gateway/rawserver.ts";
-import { createDispatcher, startEngine } from "./fixtures.ts";
+import { createDispatcher, serviceCallOf, serviceViewOf, startEngine } from "./fixtures.ts";
 
 /** More than the kernel's buffers of a connection take at once. */
 const UPLOAD_BYTES = 7 * 1024 * 1024;
 
-const serverOf = (vmId: string, url: string): ServiceView => ({
-    vmId,
-    incarnationId: "1",
-    service: "ledger",
-    zone: "zone-a",
-    url,
-    maxConcurrent: 8,
-    available: true,
-});
-
-const callOf = (method: "GET" | "POST"): ServiceCall => ({
-    requestId: newId(),
-    organisation: "umbrella-corner",
-    service: "ledger",
-    method,
-    path: "/sales",
-    headers: {},
-    body: new Uint8Array(),
-    deadlineAtMs: monotonicMs() + 10_000,
-    nonIdempotent: method === "POST",
-});
-
 const neverAborted = new AbortController().signal;
 
 // Guards against resending an action whose connection broke, and against the verdict notRun for one that may have run.
 test("a non-idempotent call is not retried after a broken connection, but an idempotent one is", async (t) => {
     const { directory, dispatcher } = createDispatcher(t);
     const broken = await startEngine(t, (_, response) => void response.destroy());
-    directory.serviceViews = [serverOf("ledger-1", broken.url), serverOf("ledger-2", broken.url)];
-    t.like(await t.throwsAsync(dispatcher.callService(callOf("POST"), neverAborted)), {
+    directory.serviceViews = [serviceViewOf("ledger-1", broken.url), serviceViewOf("ledger-2", broken.url)];
+    t.like(await t.throwsAsync(dispatcher.callService(serviceCallOf("POST"), neverAborted)), {
         verdict: "mayHaveRun",
     });
     t.is(broken.received.length, 1);
-    t.like(await t.throwsAsync(dispatcher.callService(callOf("GET"), neverAborted)), {
+    t.like(await t.throwsAsync(dispatcher.callService(serviceCallOf("GET"), neverAborted)), {
         verdict: "mayHaveRun",
     });
     t.is(broken.received.length, 4);
@@ -50,15 +25,17 @@
 
 test("a call whose connection is refused counts as not run, and fails over to another backend server", async (t) => {
     const { directory, dispatcher } = createDispatcher(t);
-    directory.serviceViews = [serverOf("ledger-1", "http://127.0.0.1:1")];
-    t.like(await t.throwsAsync(dispatcher.callService(callOf("POST"), neverAborted)), { verdict: "notRun" });
+    directory.serviceViews = [serviceViewOf("ledger-1", "http://127.0.0.1:1")];
+    t.like(await t.throwsAsync(dispatcher.callService(serviceCallOf("POST"), neverAborted)), {
+        verdict: "notRun",
+    });
     const ledger = await startEngine(t, (request, response) => {
         response.writeHead(201, { "x-request-id": request.requestId });
         response.end("booked");
     });
-    directory.serviceViews.push(serverOf("ledger-2", ledger.url));
+    directory.serviceViews.push(serviceViewOf("ledger-2", ledger.url));
     for (const _ of [1, 2]) {
-        const answer = await dispatcher.callService(callOf("POST"), neverAborted);
+        const answer = await dispatcher.callService(serviceCallOf("POST"), neverAborted);
         t.like(answer, { status: 201, verdict: "ran" });
     }
     t.is(ledger.received.length, 2);
@@ -74,12 +51,14 @@
             response.end("booked");
         });
     });
-    directory.serviceViews = [serverOf("ledger-1", ledger.url)];
-    const running = [callOf("POST"), callOf("POST")].map((call) =>
+    directory.serviceViews = [serviceViewOf("ledger-1", ledger.url)];
+    const running = [serviceCallOf("POST"), serviceCallOf("POST")].map((call) =>
         dispatcher.callService(call, neverAborted)
     );
     await waitFor("both calls", () => open.length === 2 ? true : undefined);
-    t.like(await t.throwsAsync(dispatcher.callService(callOf("POST"), neverAborted)), { verdict: "notRun" });
+    t.like(await t.throwsAsync(dispatcher.callService(serviceCallOf("POST"), neverAborted)), {
+        verdict: "notRun",
+    });
     open.forEach((answer) => answer());
     t.is((await Promise.all(running)).length, 2);
     t.is(ledger.received.length, 2);
@@ -91,8 +70,8 @@
         response.writeHead(200, { "x-request-id": request.requestId });
         response.end(Buffer.alloc(16 * 1024 * 1024 + 1));
     });
-    directory.serviceViews = [serverOf("ledger-1", server.url)];
-    t.like(await t.throwsAsync(dispatcher.callService(callOf("POST"), neverAborted)), {
+    directory.serviceViews = [serviceViewOf("ledger-1", server.url)];
+    t.like(await t.throwsAsync(dispatcher.callService(serviceCallOf("POST"), neverAborted)), {
         verdict: "mayHaveRun",
     });
 });
@@ -105,9 +84,9 @@
         response.writeHead(200, { "x-request-id": request.requestId });
         response.end();
     });
-    directory.serviceViews = [serverOf("ledger-1", `http://${address}`)];
-    const running = dispatcher.callService(callOf("POST"), neverAborted);
-    directory.serviceViews.push(serverOf("ledger-2", server.url));
+    directory.serviceViews = [serviceViewOf("ledger-1", `http://${address}`)];
+    const running = dispatcher.callService(serviceCallOf("POST"), neverAborted);
+    directory.serviceViews.push(serviceViewOf("ledger-2", server.url));
     t.like(await running, { status: 200, verdict: "ran" });
 });
 
@@ -121,8 +100,8 @@
             finishDelayMs: 0,
             reading: Reading.Head,
         });
-        directory.serviceViews = [serverOf("ledger-1", `http://${ledger.address}`)];
-        const call = { ...callOf(method), body: new Uint8Array(UPLOAD_BYTES) };
+        directory.serviceViews = [serviceViewOf("ledger-1", `http://${ledger.address}`)];
+        const call = { ...serviceCallOf(method), body: new Uint8Array(UPLOAD_BYTES) };
         t.like(await t.throwsAsync(dispatcher.callService(call, neverAborted)), { verdict: "mayHaveRun" });
         t.true(ledger.receivedIds.length === 1 || method === "GET");
     });
