Reject answers in a transfer coding that isn't decoded

Callers got the encoded bytes of an answer as its body: a 200 with "transfer-encoding: gzip" (or an unknown coding, or "gzip, chunked") was passed on as complete, without that field.

Cause: undici decodes chunks only and passes the bytes under any other coding on.

Exchange now fails a response with another coding than chunked, as broken and "may have run", before anything of it reaches the caller. Requests carry no "te" field, so no server may choose another coding.

--- a/packages/routing/src/exchange.ts
+++ b/packages/routing/src/exchange.ts
@@ -29,6 +29,10 @@
     onFailure: (error: ExchangeError) => void;
 }
 
+/** Whether undici decodes a transfer coding. It passes on the encoded bytes of any other. */
+const isDecoded = (coding: string | string[] | undefined): boolean =>
+    coding === undefined || String(coding).trim().toLowerCase() === "chunked";
+
 /**
  * One HTTP request and its response, with the connection used exclusively for its duration. Checks the request id of the
  * response. A failed or aborted exchange destroys its connection, so that a late response can't reach another request.
@@ -147,6 +151,10 @@
             this.fail(FailureKind.WrongId, "the response carries the id of another request");
             return;
         }
+        if (!isDecoded(headers["transfer-encoding"])) {
+            this.fail(FailureKind.Broken, "the response has an unsupported transfer coding");
+            return;
+        }
         this.#hasMatchingId = true;
         this.#options.onHead(status, headers);
     }
--- a/test/gateway/malformedresponses.test.ts
+++ b/test/gateway/malformedresponses.test.ts
@@ -81,3 +81,46 @@
         }
     });
 }
+
+const chunked = (text: string): string => `${text.length.toString(16)}\r\n${text}\r\n0\r\n\r\n`;
+
+/** Codings under which the bytes of a body aren't the response itself, with the framing that follows. */
+const unsupportedCodings: Record<string, string> = {
+    gzip: `transfer-encoding: gzip\r\n\r\n${EVENTS}`,
+    "an unknown coding": `transfer-encoding: x-rot13\r\n\r\n${EVENTS}`,
+    "gzip and chunks": `transfer-encoding: gzip, chunked\r\n\r\n${chunked(EVENTS)}`,
+    "gzip and chunks on two lines": `transfer-encoding: gzip\r\ntransfer-encoding: chunked\r\n\r\n${
+        chunked(EVENTS)
+    }`,
+    "gzip after chunks": `transfer-encoding: chunked, gzip\r\n\r\n${EVENTS}`,
+    "gzip and a length": `transfer-encoding: gzip\r\ncontent-length: ${EVENTS.length}\r\n\r\n${EVENTS}`,
+};
+
+// Guards against the encoded bytes of a body that a caller gets as the body.
+for (const [title, rest] of Object.entries(unsupportedCodings)) {
+    const script: ByteScript = { text: `HTTP/1.1 200 OK\r\n${FIELDS}${rest}`, finish: Finish.End };
+
+    test.serial(`a response in ${title} is no answer`, async (t) => {
+        for (const kind of allKinds) {
+            const server = await startRawServer(t, script);
+            const response = await createFixture(t, [server]).send(requestFields[kind]);
+            assertBroken(t, response, kind);
+            t.false(response.hasStarted, kind);
+            t.true(server.receivedIds.length === 1 || repeatableKinds.has(kind), kind);
+        }
+    });
+}
+
+// Guards against sound responses that are lost to this check.
+for (const coding of ["chunked", "Chunked", " chunked "]) {
+    test.serial(`a response with the coding "${coding}" is whole`, async (t) => {
+        const text = `HTTP/1.1 200 OK\r\n${FIELDS}transfer-encoding: ${coding}\r\n\r\n${chunked(EVENTS)}`;
+        for (const kind of allKinds) {
+            const response = await createFixture(t, [await startRawServer(t, { text })]).send(
+                requestFields[kind],
+            );
+            t.is(response.text, EVENTS, kind);
+            t.true(response.isEnded, kind);
+        }
+    });
+}
