Ignore the empty pieces that undici passes on when a response is resumed

What callers saw: nothing yet. An exchange whose owner pauses at each piece paused again at the empty piece of each resumption, so a response that ended with its connection ended while it was paused, and the process with undici's "assert(!this.paused)". The gateway pauses only for events, and wasn't hit.

Cause: undici passes an empty piece on with each resumption of such a response.

Exchange drops empty pieces, so nobody pauses for one.

The file also covers responses through a peer with back-pressure in both directions now.

--- a/packages/routing/src/exchange.ts
+++ b/packages/routing/src/exchange.ts
@@ -160,7 +160,8 @@
     }
 
     onResponseData(_: HttpDispatcher.DispatchController, chunk: Buffer): void {
-        if (!this.#hasEnded) {
+        // undici passes on an empty piece when a response is resumed. A pause for it would outlast the end of the connection.
+        if (!this.#hasEnded && chunk.length > 0) {
             this.#options.onBody(chunk);
         }
     }
--- a/test/routing/exchange.test.ts
+++ b/test/routing/exchange.test.ts
@@ -1,10 +1,12 @@
 import { monotonicMs, newId } from "@greengage/base";
 import { ConnectionPools, Exchange, type ExchangeError } from "@greengage/routing";
 import test, { type ExecutionContext } from "ava";
+import type { Dispatcher } from "undici";
 import { type ByteScript, Finish, Reading, startRawServer } from "../gateway/rawserver.ts";
+import { OPEN_TIMEOUT_MS, startRelay } from "../protocol/relayfixtures.ts";
 
-/** More than the kernel's buffers of a connection take at once. */
-const UPLOAD_BYTES = 7 * 1024 * 1024;
+/** More than the buffers of a connection through a peer take at once, and so than those of a direct one. */
+const UPLOAD_BYTES = 20 * 1024 * 1024;
 /** More than the HTTP client buffers of a response. */
 const PART = "0123456789abcdef".repeat(20_000);
 const PAUSE_MS = 5;
@@ -15,11 +17,30 @@
     error: ExchangeError | undefined;
 }
 
+type ConnectClient = (t: ExecutionContext, pools: ConnectionPools, address: string) => Promise<Dispatcher>;
+
+const paths: Record<string, ConnectClient> = {
+    "": (_, pools, address) => Promise.resolve(pools.get(`http://${address}`, monotonicMs())),
+    " through a peer": async (t, pools, address) => {
+        const { requester, request } = await startRelay(t);
+        const stream = await requester.openRelay("relay", { ...request, address }, OPEN_TIMEOUT_MS);
+        const client = pools.createRelayed(`http://${address}`, stream);
+        t.teardown(() => client.destroy());
+        return client;
+    },
+};
+
 /** Sends a request whose caller pauses after each piece of the response. */
-const sendSlowly = async (t: ExecutionContext, script: ByteScript, body?: Buffer): Promise<SlowOutcome> => {
+const sendSlowly = async (
+    t: ExecutionContext,
+    connect: ConnectClient,
+    script: ByteScript,
+    body?: Buffer,
+): Promise<SlowOutcome> => {
     const { address } = await startRawServer(t, script);
     const pools = new ConnectionPools();
     t.teardown(() => pools.close());
+    const client = await connect(t, pools, address);
     return await new Promise((resolve) => {
         let text = "";
         const pauseBriefly = (): void => {
@@ -27,7 +48,7 @@
             setTimeout(() => exchange.resume(), PAUSE_MS);
         };
         const exchange = new Exchange({
-            client: pools.get(`http://${address}`, monotonicMs()),
+            client,
             name: "server",
             method: "POST",
             path: "/",
@@ -60,26 +81,33 @@
     }\r\n${PART}\r\n`,
 };
 
-// Guards against a process that ends, and the part of a response that a slow caller gets as a whole one.
-for (const [title, text] of Object.entries(partialResponses)) {
-    test(`a response ${title} to a slow caller is broken by a reset`, async (t) => {
-        const { error } = await sendSlowly(t, { text, finish: Finish.Reset });
-        t.truthy(error);
-    });
-
-    for (const finish of [Finish.Reset, Finish.Close]) {
-        test(`an early response ${title} to a slow caller is broken by a ${finish} beside the upload`, async (t) => {
-            const script = { text, finish, finishDelayMs: 0, reading: Reading.Head };
-            const { error } = await sendSlowly(t, script, upload);
+for (const [path, connect] of Object.entries(paths)) {
+    // Guards against a process that ends, and the part of a response that a slow caller gets as a whole one.
+    for (const [title, text] of Object.entries(partialResponses)) {
+        test(`a response ${title} to a slow caller${path} is broken by a reset`, async (t) => {
+            const { error } = await sendSlowly(t, connect, { text, finish: Finish.Reset });
             t.truthy(error);
         });
+
+        for (const finish of [Finish.Reset, Finish.Close]) {
+            test(`an early response ${title} to a slow caller${path} is broken by a ${finish} beside the upload`, async (t) => {
+                const script = { text, finish, finishDelayMs: 0, reading: Reading.Head };
+                const { error } = await sendSlowly(t, connect, script, upload);
+                t.truthy(error);
+            });
+        }
     }
-}
 
-// Guards against a response that is lost although all of it can still arrive.
-test("an early response with a length reaches a slow caller as a whole", async (t) => {
-    const script = { text: `${HEAD}content-length: ${PART.length}\r\n\r\n${PART}`, reading: Reading.Head };
-    const { text, error } = await sendSlowly(t, script, upload);
-    t.is(error, undefined);
-    t.is(text, PART);
-});
+    // Guards against a response that is lost although all of it can still arrive.
+    test(`an early response with a length reaches a slow caller${path} as a whole`, async (t) => {
+        const text = `${HEAD}content-length: ${PART.length}\r\n\r\n${PART}`;
+        const outcome = await sendSlowly(t, connect, { text, reading: Reading.Head }, upload);
+        t.deepEqual(outcome, { text: PART, error: undefined });
+    });
+
+    test(`an early response without a length reaches a slow caller${path} as a whole if the upload is read`, async (t) => {
+        const script = { text: `${HEAD}\r\n${PART}`, finish: Finish.End, reading: Reading.HeadFirst };
+        const outcome = await sendSlowly(t, connect, script, upload);
+        t.deepEqual(outcome, { text: PART, error: undefined });
+    });
+}
