--- a/test/gateway/rawserver.ts
+++ b/test/gateway/rawserver.ts
@@ -101,7 +101,7 @@
                 hasRequest = true;
                 const request = received.slice(0, length);
                 received = received.slice(length);
-                const id = headerOf(request, "x-(?:request-)?id") ?? "";
+                const id = headerOf(request, "(?:x|greengageridge)-(?:request-)?id") ?? "";
                 raw.receivedIds.push(id);
                 raw.lastEventIds.push(headerOf(request, "x-last-event"));
                 requestCount += 1;
