--- a/test/gateway/brokenservers.test.ts
+++ b/test/gateway/brokenservers.test.ts
@@ -4,6 +4,7 @@
 import { eventOf, startServer, streamEvents, writeHead } from "./fixtures.ts";
 import {
     type ByteScript,
+    chunkOf,
     Finish,
     type RawServer,
     startBlockedListener,
@@ -37,7 +38,6 @@
 const HEAD = `${STATUS_LINE}x-id: {id}\r\nx-signature: s\r\n`;
 const EVENT_STREAM_HEAD = `${HEAD}content-type: text/event-stream\r\n`;
 const CHUNKED = "transfer-encoding: chunked\r\n\r\n";
-const chunkOf = (text: string): string => `${text.length.toString(16)}\r\n${text}\r\n`;
 
 const waitUntilClosed = (servers: readonly RawServer[]): Promise<true> =>
     waitFor(
--- a/test/gateway/malformedresponses.test.ts
+++ b/test/gateway/malformedresponses.test.ts
@@ -2,7 +2,7 @@
 import test, { type ExecutionContext } from "ava";
 import { eventOf, type RecordedResponse, startServer, streamEvents } from "./fixtures.ts";
 import { responsesWithInvalidFields, responsesWithInvalidStatus } from "./malformedresponses.ts";
-import { type ByteScript, Finish, startRawServer } from "./rawserver.ts";
+import { type ByteScript, chunkOf, Finish, startRawServer } from "./rawserver.ts";
 import { relayTo } from "./relayedserver.ts";
 import { allKinds, createFixture, repeatableKinds, requestFields, RequestKind } from "./requestkinds.ts";
 
@@ -82,7 +82,7 @@
     });
 }
 
-const chunked = (text: string): string => `${text.length.toString(16)}\r\n${text}\r\n0\r\n\r\n`;
+const chunked = (text: string): string => `${chunkOf(text)}0\r\n\r\n`;
 
 /** Codings under which the bytes of a body aren't the response itself, with the framing that follows. */
 const unsupportedCodings: Record<string, string> = {
--- a/test/gateway/malformedresponses.ts
+++ b/test/gateway/malformedresponses.ts
@@ -1,3 +1,5 @@
+import { chunkOf } from "./rawserver.ts";
+
 const lengthOf = (body: string): string => `content-length: ${body.length}\r\n\r\n${body}`;
 
 /** Statuses below those of HTTP. */
@@ -35,8 +37,8 @@
         responses[`status ${status} and a length`] = `${line}${fields}${lengthOf(body)}`;
         responses[`status ${status} without a length`] = `${line}${fields}\r\n${body}`;
         responses[`status ${status} and chunks`] = `${line}${fields}transfer-encoding: chunked\r\n\r\n${
-            body.length.toString(16)
-        }\r\n${body}\r\n0\r\n\r\n`;
+            chunkOf(body)
+        }0\r\n\r\n`;
     }
     return responses;
 };
@@ -79,8 +81,8 @@
         if (!line.includes("content-length") && !line.includes("transfer-encoding")) {
             responses[`${title} in its trailer`] =
                 `HTTP/1.1 200 OK\r\n${fields}transfer-encoding: chunked\r\n\r\n${
-                    body.length.toString(16)
-                }\r\n${body}\r\n0\r\n${line}\r\n\r\n`;
+                    chunkOf(body)
+                }0\r\n${line}\r\n\r\n`;
         }
     }
     return responses;
--- a/test/gateway/rawserver.ts
+++ b/test/gateway/rawserver.ts
@@ -206,6 +206,9 @@
     sendBlock();
 };
 
+/** Frames `text` as one chunk of a body. */
+export const chunkOf = (text: string): string => `${text.length.toString(16)}\r\n${text}\r\n`;
+
 /**
  * Responses that break off in the middle of `head`, which ends with the line end of its last field, or in a short body, by
  * the place where they do.
@@ -232,9 +235,7 @@
             body.slice(0, -1)
         }`,
         "before the first chunk": `${head}transfer-encoding: chunked\r\n\r\n`,
-        "before the last chunk": `${head}transfer-encoding: chunked\r\n\r\n${
-            body.length.toString(16)
-        }\r\n${body}\r\n`,
+        "before the last chunk": `${head}transfer-encoding: chunked\r\n\r\n${chunkOf(body)}`,
     };
 };
 
--- a/test/gateway/slowcallers.test.ts
+++ b/test/gateway/slowcallers.test.ts
@@ -1,13 +1,12 @@
 import { Verdict } from "@greengage/base";
 import test, { type ExecutionContext } from "ava";
 import { eventOf, type GatewayFixture, type RecordedResponse } from "./fixtures.ts";
-import { Finish, startRawServer } from "./rawserver.ts";
+import { chunkOf, Finish, startRawServer } from "./rawserver.ts";
 import { relayTo } from "./relayedserver.ts";
 import { createFixture, requestFields, RequestKind, ROUTE_TIMEOUT_MS } from "./requestkinds.ts";
 
 const EVENT_STREAM_HEAD =
     "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signature: s\r\ncontent-type: text/event-stream\r\n";
-const chunkOf = (text: string): string => `${text.length.toString(16)}\r\n${text}\r\n`;
 
 /** Time that a slow caller takes for what it has been sent before. */
 const CALLER_PAUSE_MS = 50;
--- a/test/routing/exchange.test.ts
+++ b/test/routing/exchange.test.ts
@@ -2,7 +2,7 @@
 import { ConnectionPools, Exchange, type ExchangeError } from "@greengage/routing";
 import test, { type ExecutionContext } from "ava";
 import type { Dispatcher } from "undici";
-import { type ByteScript, Finish, Reading, startRawServer } from "../gateway/rawserver.ts";
+import { type ByteScript, chunkOf, Finish, Reading, startRawServer } from "../gateway/rawserver.ts";
 import { OPEN_TIMEOUT_MS, startRelay } from "../protocol/relayfixtures.ts";
 
 /** More than the buffers of a connection through a peer take at once, and so than those of a direct one. */
@@ -77,8 +77,8 @@
         2 * PART.length
     }\r\n\r\n${PART}`,
     "with a close header and chunks": `${HEAD}connection: close\r\ntransfer-encoding: chunked\r\n\r\n${
-        PART.length.toString(16)
-    }\r\n${PART}\r\n`,
+        chunkOf(PART)
+    }`,
 };
 
 for (const [path, connect] of Object.entries(paths)) {
