--- a/packages/consensus/src/index.ts
+++ b/packages/consensus/src/index.ts
@@ -7,4 +7,5 @@
 export * from "./raft.ts";
 export { RecordCodec } from "./recordcodec.ts";
 export * from "./replicatedlog.ts";
+export type { LogChange, StoredSnapshot } from "./storage.ts";
 export * from "./timing.ts";
--- a/packages/consensus/src/raft.ts
+++ b/packages/consensus/src/raft.ts
@@ -249,6 +249,13 @@
                 sizeBytes: stored.truncatedBytes,
             });
         }
+        if (stored.isLogRepaired) {
+            this.#state.log.warn("the log file did not continue the snapshot; rewriting it", {
+                snapshotIndex: stored.snapshot?.lastIndex,
+                lastLogIndex: stored.log.lastIndex,
+                commitIndex: stored.commitIndex,
+            });
+        }
         this.#state.load(storage, stored);
         this.#applier.restoreFromStorage(stored.snapshot?.data);
     }
--- a/packages/consensus/src/storage.ts
+++ b/packages/consensus/src/storage.ts
@@ -2,7 +2,7 @@
 import type { HighWaterMark, LogEntry } from "@greengage/protocol";
 import { type FileHandle, mkdir, open, readdir } from "node:fs/promises";
 import { join } from "node:path";
-import { EntryList } from "./entrylist.ts";
+import type { EntryList } from "./entrylist.ts";
 import { DiskFullError, StorageError } from "./errors.ts";
 import {
     detectFullDisk,
@@ -15,6 +15,7 @@
     writeFile,
 } from "./files.ts";
 import { RecordCodec } from "./recordcodec.ts";
+import { replayLog } from "./replay.ts";
 
 /** Member that the data folder belongs to. */
 export interface Identity {
@@ -52,6 +53,8 @@
     marks: HighWaterMark[];
     /** Bytes of an incomplete last write that were truncated. */
     truncatedBytes: number;
+    /** Whether the log file did not continue the snapshot, and is being rewritten. */
+    isLogRepaired: boolean;
 }
 
 export interface StorageOptions {
@@ -347,21 +350,21 @@
             | StoredSnapshot
             | undefined;
         const { changes, truncatedBytes } = await this.#loadChanges();
-        const { log, commitIndex } = replay(changes);
-        alignWithSnapshot(log, snapshot, this.#options.folder);
-        const knownCommitIndex = Math.max(commitIndex, snapshot?.lastIndex ?? 0);
-        if (knownCommitIndex > log.lastIndex) {
-            const reason = `commit index ${knownCommitIndex} is past the last entry ${log.lastIndex}`;
-            throw new StorageError(`the log in ${this.#options.folder} is damaged: ${reason}`);
+        const { log, commitIndex, isRepaired } = replayLog(changes, snapshot, this.#options.folder);
+        if (isRepaired) {
+            // Queued before any append: an entry after the snapshot would not continue the records in the file. The storage
+            // reports failures.
+            this.rewriteLog(log, () => commitIndex).catch(() => undefined);
         }
         return {
             identity,
             metadata: metadata ?? { term: 0 },
             snapshot,
             log,
-            commitIndex: knownCommitIndex,
+            commitIndex,
             marks: marks ?? [],
             truncatedBytes,
+            isLogRepaired: isRepaired,
         };
     }
 
@@ -415,35 +418,3 @@
         }
     }
 }
-
-/** Rebuilds the log from the changes in the log file. */
-const replay = (changes: readonly LogChange[]): { log: EntryList; commitIndex: number; } => {
-    const log = new EntryList();
-    let commitIndex = 0;
-    for (const change of changes) {
-        switch (change.kind) {
-            case "base":
-                log.reset(change.index, change.term);
-                break;
-            case "entries":
-                log.truncateAndAppend(change.entries);
-                break;
-            case "commit":
-                commitIndex = Math.max(commitIndex, change.index);
-        }
-    }
-    return { log, commitIndex };
-};
-
-/** Restarts the log after the snapshot if a crash between the two writes left a log that does not reach it. */
-const alignWithSnapshot = (log: EntryList, snapshot: StoredSnapshot | undefined, folder: string): void => {
-    const lastIndex = snapshot?.lastIndex ?? 0;
-    if (log.baseIndex > lastIndex) {
-        throw new StorageError(
-            `the log in ${folder} starts after entry ${log.baseIndex}, which no snapshot covers`,
-        );
-    }
-    if (snapshot !== undefined && log.termAt(lastIndex) !== snapshot.lastTerm) {
-        log.reset(lastIndex, snapshot.lastTerm);
-    }
-};
