consensus: the log file's name is durable before its first entry is acknowledged

What callers would have seen: after a loss of power on all VMs right after the first acknowledged change, and of the leader's disk, no leader and no acknowledged change any more. Cause: a new log file was synced, but not the folder that holds its name; the next replaced file in that folder, within about a second, made up for it. Why it works: an empty log file is opened together with a sync of its folder, and a created folder with a sync of its parents. The latter has no test.

--- a/packages/consensus/src/files.ts
+++ b/packages/consensus/src/files.ts
@@ -1,5 +1,5 @@
-import { type FileHandle, open, readFile, rename, rm } from "node:fs/promises";
-import { basename, dirname } from "node:path";
+import { type FileHandle, mkdir, open, readFile, rename, rm } from "node:fs/promises";
+import { basename, dirname, resolve } from "node:path";
 import { DiskFullError, StorageError } from "./errors.ts";
 import type { RecordCodec } from "./recordcodec.ts";
 
@@ -44,7 +44,7 @@
 };
 
 /** Syncs a directory, so that a created or renamed file in it survives a power failure. */
-const syncFolder = async (path: string, sync: SyncFile): Promise<void> => {
+export const syncFolder = async (path: string, sync: SyncFile): Promise<void> => {
     const folder = await open(path, "r");
     try {
         await sync(folder);
@@ -54,6 +54,20 @@
     }
 };
 
+/** Creates a directory and its missing parents, and syncs the directories that hold new ones. */
+export const createFolder = async (path: string, sync: SyncFile): Promise<void> => {
+    const firstCreated = await detectFullDisk(() => mkdir(path, { recursive: true }));
+    if (firstCreated === undefined) {
+        return;
+    }
+    const lastParent = dirname(resolve(firstCreated));
+    let parent = resolve(path);
+    do {
+        parent = dirname(parent);
+        await syncFolder(parent, sync);
+    } while (parent !== lastParent);
+};
+
 /**
  * Replaces a file atomically: writes and syncs a temporary file, renames it, and syncs the directory. Throws a
  * DiskFullError, with the file unchanged, if there is no room for the temporary file.
--- a/packages/consensus/src/storage.ts
+++ b/packages/consensus/src/storage.ts
@@ -1,16 +1,18 @@
 import { monotonicMs, newId, sleep } from "@greengage/base";
 import type { HighWaterMark, LogEntry } from "@greengage/protocol";
-import { type FileHandle, mkdir, open, readdir } from "node:fs/promises";
+import { type FileHandle, open, readdir } from "node:fs/promises";
 import { join } from "node:path";
 import type { EntryList } from "./entrylist.ts";
 import { DiskFullError, StorageError } from "./errors.ts";
 import {
+    createFolder,
     detectFullDisk,
     readIfPresent,
     readRecordFile,
     replaceFile,
     type SyncFile,
     syncFile,
+    syncFolder,
     type WriteFile,
     writeFile,
 } from "./files.ts";
@@ -238,6 +240,10 @@
             this.#logFile = await detectFullDisk(() => open(this.#path("log"), "a"));
             this.#logLengthBytes = (await this.#logFile.stat()).size;
             this.#hasTornEnd = false;
+            if (this.#logLengthBytes === 0) {
+                // The file may be new, and its name not durable.
+                await syncFolder(this.#options.folder, this.#sync);
+            }
         }
         return this.#logFile;
     }
@@ -341,7 +347,7 @@
 
     async #load(): Promise<StoredState> {
         await this.#runWrite(async () => {
-            await detectFullDisk(() => mkdir(this.#options.folder, { recursive: true }));
+            await createFolder(this.#options.folder, this.#sync);
         });
         const identity = await this.#loadIdentity();
         const metadata = await readRecordFile(this.#path("metadata"), this.#codec) as Metadata | undefined;
