consensus: a voter that stops asks to be replaced until a leader answers

Cause: the voter asked the leader that it knew once. Without a leader, after a failed call or after an answer of a former leader it ended with its vote, 0.7 s into 8 s of grace; a new leader that had not heard of the successor said that there was none. Ruled out: a successor that lagged behind (it served the configuration), the time limit of 2.5 s (it was not used up). Why it works: an attempt is bounded by an election timeout and a call's timeout, so that the next leader is asked while the voter still answers; the end of an attempt is final only if the voter is replaced or a leader that had the time to hear of waiting members has none.

--- a/packages/consensus/src/election.ts
+++ b/packages/consensus/src/election.ts
@@ -95,6 +95,7 @@
             return;
         }
         state.role = LogRole.Leader;
+        state.electedAtMs = monotonicMs();
         state.leaderId = state.daemonId;
         state.log.info(`elected leader of term ${term}`);
         state.context.timeline.record("consensus", "raft.leader", { term, memberId: state.memberId });
--- a/packages/consensus/src/handover.ts
+++ b/packages/consensus/src/handover.ts
@@ -1,5 +1,5 @@
-import { monotonicMs, sleep } from "@greengage/base";
-import type { Member } from "@greengage/protocol";
+import { messageOf, monotonicMs, sleep } from "@greengage/base";
+import type { HandoverResponse, Member } from "@greengage/protocol";
 import { type Configuration, encodeConfiguration } from "./configuration.ts";
 import type { Replication } from "./replication.ts";
 import type { RaftState } from "./state.ts";
@@ -8,12 +8,16 @@
 export const MAX_JOIN_LAG_ENTRIES = 64;
 /** Interval at which a leader checks whether a handover that was begun, maybe by its predecessor, can be completed. */
 const SURPLUS_CHECK_INTERVAL_MS = 250;
+/** Delay before a voter that stops asks the leader again to be replaced. */
+const HANDOVER_RETRY_DELAY_MS = 100;
 
 export interface VoterHandoverOptions {
     state: RaftState;
     replication: Replication;
     /** Members that wait to become voters. */
     joiningMembers: () => Member[];
+    /** Whether the members that wait have had the time to tell this leader so. */
+    hasHeardWaitingMembers: () => boolean;
     /** Number of voters that the cluster grows to. */
     targetCount: number;
     /** Time without a response after which a surplus voter is removed, though it hasn't announced that it stops. */
@@ -33,27 +37,52 @@
     constructor(options: VoterHandoverOptions) {
         this.#options = options;
         this.#state = options.state;
-        this.#state.peers.handle("raft.leave", async ({ memberId, timeoutMs }) => ({
-            isReplaced: this.#state.isLeader && await this.#replace(memberId, timeoutMs),
-        }));
+        this.#state.peers.handle("raft.leave", ({ memberId, timeoutMs }) => this.#replace(memberId, timeoutMs));
     }
 
-    /** Hands over the vote of this member. Resolves to whether another member has replaced it within `timeoutMs`. */
+    /**
+     * Hands over the vote of this member. Asks again, the next leader too, while an attempt may still succeed. Resolves to
+     * whether another member has replaced it within `timeoutMs`.
+     */
     async handOver(timeoutMs: number): Promise<boolean> {
-        const { isVoter, isLeader, leaderId, memberId, peers } = this.#state;
+        const { isVoter, lifecycle } = this.#state;
+        const deadlineMs = monotonicMs() + timeoutMs;
         if (!isVoter) {
             return false;
         }
+        while (monotonicMs() < deadlineMs && !lifecycle.isClosed) {
+            const { isReplaced, mayRetry } = await this.#askLeader(deadlineMs - monotonicMs());
+            if (isReplaced || !mayRetry) {
+                return isReplaced;
+            }
+            await sleep(HANDOVER_RETRY_DELAY_MS, lifecycle.signal);
+        }
+        return false;
+    }
+
+    /** Asks the current leader once to replace this member. A leader that doesn't respond delays the next attempt only briefly. */
+    async #askLeader(remainingMs: number): Promise<HandoverResponse> {
+        const { isLeader, leaderId, log, memberId, peers, timing } = this.#state;
         if (isLeader) {
-            return await this.#replace(memberId, timeoutMs);
+            return await this.#replace(memberId, remainingMs);
         }
         if (leaderId === undefined) {
-            return false;
+            return { isReplaced: false, mayRetry: true };
+        }
+        const timeoutMs = Math.min(timing.electionTimeoutMs, remainingMs);
+        const options = { timeoutMs: Math.min(timeoutMs + timing.callTimeoutMs, remainingMs) };
+        try {
+            const response = await peers.call(leaderId, "raft.leave", { memberId, timeoutMs }, options);
+            return { mayRetry: leaderId !== this.#state.leaderId, ...response };
+        }
+        catch (error) {
+            log.warn("the leader did not respond to a voter that stops", {
+                leaderId,
+                remainingMs: Math.round(remainingMs),
+                reason: messageOf(error),
+            });
+            return { isReplaced: false, mayRetry: true };
         }
-        const { isReplaced } = await peers.call(leaderId, "raft.leave", { memberId, timeoutMs }, {
-            timeoutMs,
-        });
-        return isReplaced;
     }
 
     /** While this member leads, removes surplus voters that an interrupted handover has left, until `signal` aborts. */
@@ -69,34 +98,46 @@
         }
     }
 
-    /** On the leader: resolves to whether the voter has been replaced and the change is committed. */
-    async #replace(memberId: string, timeoutMs: number): Promise<boolean> {
-        const { changed, lifecycle, log } = this.#state;
+    /** On the leader: replaces the voter and waits until the change is committed. */
+    async #replace(memberId: string, timeoutMs: number): Promise<HandoverResponse> {
+        const { lifecycle, log } = this.#state;
         const deadlineMs = monotonicMs() + timeoutMs;
         const isPending = (): boolean =>
             this.#state.isLeader && !lifecycle.isClosed && monotonicMs() < deadlineMs;
         while (isPending() && this.#isVoter(memberId)) {
             if (this.#canChangeVoters) {
-                const successor = this.#hasSurplus ? undefined : this.#successor;
-                if (!this.#hasSurplus && this.#waitingMembers.length === 0) {
+                if (this.#lacksSuccessor) {
                     log.info("a voter stops, and no other member waits to replace it", { memberId });
-                    return false;
+                    return { isReplaced: false, mayRetry: false };
                 }
                 this.#leavingIds.add(memberId);
-                if (successor !== undefined) {
-                    this.#propose([...this.#configuration.members, successor]);
-                }
-                else {
-                    // Does nothing while a waiting member still catches up.
-                    this.#removeSurplusVoter();
-                }
+                this.#changeVoters();
             }
-            await changed.wait(deadlineMs - monotonicMs());
+            await this.#waitForChange(deadlineMs);
         }
         while (isPending() && !this.#canChangeVoters) {
-            await changed.wait(deadlineMs - monotonicMs());
+            await this.#waitForChange(deadlineMs);
+        }
+        return { isReplaced: !this.#isVoter(memberId) && this.#canChangeVoters, mayRetry: true };
+    }
+
+    /** Whether no member waits for the place of a voter that stops. */
+    get #lacksSuccessor(): boolean {
+        return !this.#hasSurplus && this.#waitingMembers.length === 0 && this.#options.hasHeardWaitingMembers();
+    }
+
+    /** Adds a waiting member, or removes a voter that stops once there is one too many. Does nothing while the member catches up. */
+    #changeVoters(): void {
+        const successor = this.#hasSurplus ? undefined : this.#successor;
+        if (successor !== undefined) {
+            this.#propose([...this.#configuration.members, successor]);
+            return;
         }
-        return !this.#isVoter(memberId) && this.#canChangeVoters;
+        this.#removeSurplusVoter();
+    }
+
+    async #waitForChange(deadlineMs: number): Promise<void> {
+        await this.#state.changed.wait(Math.min(deadlineMs - monotonicMs(), SURPLUS_CHECK_INTERVAL_MS));
     }
 
     get #configuration(): Configuration {
--- a/packages/consensus/src/members.ts
+++ b/packages/consensus/src/members.ts
@@ -70,6 +70,15 @@
             .map(({ member }) => member);
     }
 
+    /**
+     * On the leader: whether each waiting member has had the time since the election to ask for a place. It asks the voters one
+     * after the other, and some of them may not respond.
+     */
+    get hasHeardWaitingMembers(): boolean {
+        const { electedAtMs, timing, voters } = this.#state;
+        return monotonicMs() - electedAtMs >= JOIN_RETRY_DELAY_MS + voters.length * timing.callTimeoutMs;
+    }
+
     /** Verifies the member identity, then bootstraps or joins the cluster whenever this daemon is not a voter. */
     async run(signal: AbortSignal): Promise<void> {
         const state = this.#state;
--- a/packages/consensus/src/raft.ts
+++ b/packages/consensus/src/raft.ts
@@ -112,6 +112,7 @@
                 state,
                 replication,
                 joiningMembers: () => this.#membership?.joiningMembers() ?? [],
+                hasHeardWaitingMembers: () => this.#membership?.hasHeardWaitingMembers ?? false,
                 targetCount: options.dynamicVoters.targetCount,
                 removeLostAfterMs: options.dynamicVoters.replaceLostAfterMs,
             });
@@ -168,9 +169,14 @@
      */
     async handOverVote({ timeoutMs }: TimeoutOptions): Promise<boolean> {
         const { log, memberId } = this.#state;
+        const startedAtMs = monotonicMs();
         try {
             const isReplaced = await this.#handover?.handOver(timeoutMs) ?? false;
-            log.info("handed over the vote before the end of the process", { memberId, isReplaced });
+            log.info("handed over the vote before the end of the process", {
+                memberId,
+                isReplaced,
+                durationMs: Math.round(monotonicMs() - startedAtMs),
+            });
             return isReplaced;
         }
         catch (error) {
--- a/packages/consensus/src/state.ts
+++ b/packages/consensus/src/state.ts
@@ -36,6 +36,8 @@
     /** Undefined on daemons without a data folder. */
     storage: RaftStorage | undefined;
     memberId = "";
+    /** Monotonic time of the last election that this member has won. */
+    electedAtMs = -Infinity;
     term = 0;
     votedFor: string | undefined;
     role: LogRole = LogRole.Learner;
--- a/packages/daemon/src/control.ts
+++ b/packages/daemon/src/control.ts
@@ -17,8 +17,6 @@
 
 /** Time until a lost voter is replaced by a waiting daemon, which must join within four seconds. */
 const VOTER_REPLACEMENT_DELAY_MS = 2_500;
-/** Two changes of the voters, on disks that take some hundred milliseconds for a write. */
-const VOTE_HANDOVER_TIMEOUT_MS = 2_500;
 /** Configurations can be large, so the log is compacted often. */
 const SNAPSHOT_INTERVAL_ENTRIES = 64;
 const RETAINED_ENTRIES = 16;
@@ -158,9 +156,11 @@
     }
 
     /** Lets a waiting daemon vote in place of this one, which is about to stop. Requests are still served. */
-    async handOverVote(): Promise<void> {
-        const isReplaced = await this.#log.handOverVote({ timeoutMs: VOTE_HANDOVER_TIMEOUT_MS });
-        this.#options.context.decisions.record("vote.handOver", { isReplaced });
+    async handOverVote(timeoutMs: number): Promise<void> {
+        const startedAtMs = monotonicMs();
+        const isReplaced = await this.#log.handOverVote({ timeoutMs });
+        const durationMs = Math.round(monotonicMs() - startedAtMs);
+        this.#options.context.decisions.record("vote.handOver", { isReplaced, durationMs, timeoutMs });
     }
 
     async close(): Promise<void> {
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -41,6 +41,14 @@
     payload: Uint8Array;
 }
 
+/** Result of the attempt to replace a voter that is about to stop. */
+export interface HandoverResponse {
+    /** Whether another member votes in its place, and this is committed. */
+    isReplaced: boolean;
+    /** Whether another attempt may succeed. Former versions omit it. */
+    mayRetry?: boolean;
+}
+
 /** Voter or learner of the replicated log. A daemon that lost its disk gets a new `memberId`. */
 export interface Member {
     daemonId: string;
@@ -177,7 +185,7 @@
      * A voter that is about to stop asks the leader to replace it. Daemons that don't know the call reject it; the voter is
      * then replaced once it has been silent for a while.
      */
-    "raft.leave": { request: { memberId: string; timeoutMs: number; }; response: { isReplaced: boolean; }; };
+    "raft.leave": { request: { memberId: string; timeoutMs: number; }; response: HandoverResponse; };
     /** A voter that has just started announces the state that its files contain. */
     "raft.status": {
         request: { memberId: string; term: number; lastLogIndex: number; };
--- a/test/consensus/dynamic.test.ts
+++ b/test/consensus/dynamic.test.ts
@@ -1,30 +1,6 @@
 import test from "ava";
 import { noteIds, TestCluster } from "./fixture.ts";
-
-const SEEDS = ["d1", "d2", "d3"];
-
-/** Starts the seeds of a cluster with dynamic voters. `d4` and `d5` are not started. */
-const startSeeded = async (
-    t: { teardown(cleanup: () => Promise<void>): void; },
-    seedIds: () => readonly string[] = () => SEEDS,
-): Promise<TestCluster> => {
-    const cluster = new TestCluster({
-        voters: 5,
-        raft: {
-            daemons: [],
-            dynamicVoters: { seedIds, targetCount: 3, replaceLostAfterMs: 400 },
-        },
-    });
-    t.teardown(() => cluster.stop());
-    await Promise.all(SEEDS.map((id) => cluster.startMember(id)));
-    await cluster.leader();
-    return cluster;
-};
-
-const votersOf = (cluster: TestCluster): string =>
-    [...cluster.members.values()].find(({ log }) => log.role === "leader")?.log.status().voterIds?.slice()
-        .sort().join()
-        ?? "";
+import { SEEDS, startSeeded, startSpare, votersOf } from "./seeded.ts";
 
 // Guards against a cluster that loses its fault tolerance: a lost disk must be replaced without an operator.
 test("a new daemon with an empty folder replaces a lost voter", async (t) => {
@@ -101,22 +77,6 @@
     t.pass();
 });
 
-/** Starts a daemon that waits to replace a voter, and waits until it has caught up. */
-const startSpare = async (cluster: TestCluster, daemonId: string): Promise<void> => {
-    await cluster.startMember(daemonId, { bootstrap: false });
-    await cluster.waitFor(
-        `${daemonId} to wait for a place`,
-        () =>
-            [...cluster.members.values()].some(({ log }) =>
-                    log.role === "leader" && log.status().joiningIds.includes(daemonId)
-                )
-                ? true
-                : undefined,
-    );
-    const { notes } = cluster.member(daemonId);
-    await cluster.waitFor(`the notes of ${daemonId}`, () => notes.ids.length > 0 ? true : undefined);
-};
-
 /** Ids of the voters by the role of the one that stops. */
 const stoppingVoter: Record<string, (leaderId: string) => string> = {
     leader: (leaderId) => leaderId,
--- a/test/consensus/fixture.ts
+++ b/test/consensus/fixture.ts
@@ -46,6 +46,7 @@
     readonly random: Random;
     readonly #handlers = new Map<string, Map<CallType, CallHandler<CallType>>>();
     readonly #cuts = new Set<string>();
+    readonly #frozenIds = new Set<string>();
     maxDelayMs = 1;
     /** Fraction of calls whose response is lost after the call was handled. */
     lostAnswerShare = 0;
@@ -65,8 +66,14 @@
         others.filter((other) => other !== daemonId).forEach((other) => this.cut(daemonId, other));
     }
 
+    /** Stops a member as SIGSTOP does: its calls and those to it get no response until they time out. */
+    freeze(daemonId: string): void {
+        this.#frozenIds.add(daemonId);
+    }
+
     heal(): void {
         this.#cuts.clear();
+        this.#frozenIds.clear();
         this.lostAnswerShare = 0;
     }
 
@@ -111,6 +118,9 @@
             throw new PeerTimeoutError(target, type, timeoutMs);
         });
         timeout.catch(() => undefined);
+        if (this.#frozenIds.has(from) || this.#frozenIds.has(target)) {
+            await timeout;
+        }
         const response = await Promise.race([Promise.resolve(handler(copy, from)), timeout]);
         await sleep(this.random.nextFloat() * this.maxDelayMs);
         const isDisconnected = this.#handlers.get(target) !== handlers || this.#cuts.has(`${target}/${from}`);
