build: a failed assertion doesn't read the bundle

A control daemon whose order got such an answer stood still longer than an election timeout. Cause: the HTTP client asserts on the status without a message, and Node.js reads and parses the file of a failed assertion to word one; in a daemon that is the bundle, 1.3 MB in one line. The exception itself was handled. Ruled out: the parser and the retry of the request (with the same bytes, later failures of the same assertion cost nothing); the operators' client (0.3 s before and after, as its bundle has many lines). Why it works: the bundles hold assertions whose failure has a fixed message, for all libraries and all their assertions. Rejecting statuses below 100 was weighed; it would leave the other assertions as they are.

--- a/scripts/bundle.ts
+++ b/scripts/bundle.ts
@@ -1,5 +1,5 @@
 import { build, type Plugin } from "esbuild";
-import { resolve } from "node:path";
+import { dirname, resolve } from "node:path";
 
 /**
  * Native add-ons that libraries load if they are installed. A failed `require` inside the executable prints a warning,
@@ -27,6 +27,25 @@
     },
 };
 
+const ASSERT_REPLACEMENT = resolve("scripts/replacements/assert.mjs");
+
+/** Replaces `node:assert` in all libraries by assertions that don't read the bundle when they fail. */
+const assertions: Plugin = {
+    name: "assertions",
+    setup: (build) => {
+        build.onResolve({ filter: /^(node:)?assert$/ }, ({ path, importer }) =>
+            importer === ASSERT_REPLACEMENT ? { path, external: true } : { path, namespace: "assertions" });
+        // `require` must return the function itself, not a module with a default export.
+        build.onLoad({ filter: /.*/, namespace: "assertions" }, () => ({
+            contents: `module.exports = require(${JSON.stringify(ASSERT_REPLACEMENT)}).default;`,
+            resolveDir: dirname(ASSERT_REPLACEMENT),
+        }));
+        build.onResolve({ filter: /^(node:)?assert\/strict$/ }, ({ path }) => ({
+            errors: [{ text: `${path} has no replacement that doesn't read the bundle` }],
+        }));
+    },
+};
+
 /** Bundles a program and its libraries into one file for Node.js. */
 export const bundle = async (
     entryPoint: string,
@@ -42,7 +61,7 @@
         target: "node20",
         // esbuild can't resolve the `require` calls in jsonc-parser's default (UMD) entry point.
         mainFields: ["module", "main"],
-        plugins: [optionalAddons, ...(optimizeStartup ? [slimLibraries] : [])],
+        plugins: [optionalAddons, assertions, ...(optimizeStartup ? [slimLibraries] : [])],
         minify: optimizeStartup,
         // Keeps function and class names readable in errors and profiles.
         keepNames: optimizeStartup,
--- a/test/platform/fixtures.ts
+++ b/test/platform/fixtures.ts
@@ -43,10 +43,13 @@
     entries: EntryFixture[];
 }
 
+/** Arguments of Node.js that run the program from its sources. */
+const SOURCE_PROGRAM: readonly string[] = ["--import=tsx", "platform/main.ts"];
+
 /** Starts a control daemon and entry daemons the way the platform does. */
 export const startPlatform = async (
     t: ExecutionContext,
-    { entryCount = 1, hasServerLinks = false, nodeArguments = [] as string[] } = {},
+    { entryCount = 1, hasServerLinks = false, nodeArguments = [] as string[], program = SOURCE_PROGRAM } = {},
 ): Promise<PlatformFixture> => {
     const folder = mkdtempSync(join(tmpdir(), "greengage-platform-"));
     const [peerPort = 0, control = 0, callers = 0, readiness = 0] = await freePorts(4);
@@ -72,10 +75,9 @@
             writeFileSync(path, JSON.stringify({ ...common, node_name: name, ...settings, ...fields }));
         changeSettings({});
         const child = spawn(process.execPath, [
-            "--import=tsx",
             ...nodeArguments,
             ...linkArguments,
-            "platform/main.ts",
+            ...program,
             role,
         ], {
             env: { ...process.env, GREENGAGERIDGE_SETTINGS: path, ...environment },
