--- a/packages/consensus/src/files.ts
+++ b/packages/consensus/src/files.ts
@@ -65,7 +65,8 @@
     do {
         parent = dirname(parent);
         await syncFolder(parent, sync);
-    } while (parent !== lastParent);
+    }
+    while (parent !== lastParent);
 };
 
 /**
--- a/packages/consensus/src/handover.ts
+++ b/packages/consensus/src/handover.ts
@@ -37,7 +37,10 @@
     constructor(options: VoterHandoverOptions) {
         this.#options = options;
         this.#state = options.state;
-        this.#state.peers.handle("raft.leave", ({ memberId, timeoutMs }) => this.#replace(memberId, timeoutMs));
+        this.#state.peers.handle(
+            "raft.leave",
+            ({ memberId, timeoutMs }) => this.#replace(memberId, timeoutMs),
+        );
     }
 
     /**
@@ -73,6 +76,7 @@
         const options = { timeoutMs: Math.min(timeoutMs + timing.callTimeoutMs, remainingMs) };
         try {
             const response = await peers.call(leaderId, "raft.leave", { memberId, timeoutMs }, options);
+            // A former version answers finally, unless it has lost the leadership.
             return { mayRetry: leaderId !== this.#state.leaderId, ...response };
         }
         catch (error) {
@@ -123,7 +127,8 @@
 
     /** Whether no member waits for the place of a voter that stops. */
     get #lacksSuccessor(): boolean {
-        return !this.#hasSurplus && this.#waitingMembers.length === 0 && this.#options.hasHeardWaitingMembers();
+        return !this.#hasSurplus && this.#waitingMembers.length === 0
+            && this.#options.hasHeardWaitingMembers();
     }
 
     /** Adds a waiting member, or removes a voter that stops once there is one too many. Does nothing while the member catches up. */
--- a/packages/consensus/src/replay.ts
+++ b/packages/consensus/src/replay.ts
@@ -33,7 +33,9 @@
     const continuesSnapshot = snapshot === undefined || log.termAt(snapshotIndex) === snapshotTerm;
     if (!continuesSnapshot) {
         // Entries after another one at the snapshot's end can't be committed, unless they were appended after the snapshot.
-        const later = commitIndex > snapshotIndex ? log.slice(snapshotIndex + 1, log.lastIndex, Infinity) : [];
+        const later = commitIndex > snapshotIndex
+            ? log.slice(snapshotIndex + 1, log.lastIndex, Infinity)
+            : [];
         log.reset(snapshotIndex, snapshotTerm);
         log.truncateAndAppend(later);
     }
--- a/scripts/bundle.ts
+++ b/scripts/bundle.ts
@@ -33,8 +33,13 @@
 const assertions: Plugin = {
     name: "assertions",
     setup: (build) => {
-        build.onResolve({ filter: /^(node:)?assert$/ }, ({ path, importer }) =>
-            importer === ASSERT_REPLACEMENT ? { path, external: true } : { path, namespace: "assertions" });
+        build.onResolve(
+            { filter: /^(node:)?assert$/ },
+            ({ path, importer }) =>
+                importer === ASSERT_REPLACEMENT
+                    ? { path, external: true }
+                    : { path, namespace: "assertions" },
+        );
         // `require` must return the function itself, not a module with a default export.
         build.onLoad({ filter: /.*/, namespace: "assertions" }, () => ({
             contents: `module.exports = require(${JSON.stringify(ASSERT_REPLACEMENT)}).default;`,
--- a/test/consensus/formerlog.test.ts
+++ b/test/consensus/formerlog.test.ts
@@ -66,7 +66,9 @@
         await cluster.stopMember("d3");
 
         const codec = await RecordCodec.create();
-        const [logPath = "", snapshotPath = ""] = ["log", "snapshot"].map((name) => join(cluster.folder("d3"), name));
+        const [logPath = "", snapshotPath = ""] = ["log", "snapshot"].map((name) =>
+            join(cluster.folder("d3"), name)
+        );
         const [snapshot] = codec.decode(readFileSync(snapshotPath)).records as [StoredSnapshot];
         const records = codec.decode(readFileSync(logPath)).records as LogChange[][];
         const converted = convert(records, snapshot).filter((changes) => changes.length > 0);
--- a/test/consensus/handover.test.ts
+++ b/test/consensus/handover.test.ts
@@ -26,7 +26,10 @@
 };
 
 /** Loses the leader, with its disk, by the moment at which the hand-over begins. Resolves to the result of the hand-over. */
-const leaderLosses: Record<string, (handover: Handover, handOver: () => Promise<boolean>) => Promise<boolean>> = {
+const leaderLosses: Record<
+    string,
+    (handover: Handover, handOver: () => Promise<boolean>) => Promise<boolean>
+> = {
     "right before": async ({ cluster, leaderId }, handOver) => {
         await loseWithDisk(cluster, leaderId);
         return await handOver();
@@ -64,7 +67,10 @@
         await cluster.startMember(leaderId, { bootstrap: false });
         await cluster.addNote("two", "d4", 10_000);
         await cluster.waitForNotes(["one", "two"]);
-        await cluster.waitFor("three voters", () => votersOf(cluster).split(",").length === 3 ? true : undefined);
+        await cluster.waitFor(
+            "three voters",
+            () => votersOf(cluster).split(",").length === 3 ? true : undefined,
+        );
         t.false(votersOf(cluster).includes(stoppingId));
     });
 }
--- a/test/consensus/killabledisk.ts
+++ b/test/consensus/killabledisk.ts
@@ -124,10 +124,12 @@
         const { folder } = this.#options;
         for (;;) {
             try {
-                return new Map(readdirSync(folder).map((name): [string, StoredFile] => {
-                    const path = join(folder, name);
-                    return [name, { inode: statSync(path).ino, bytes: readFileSync(path) }];
-                }));
+                return new Map(
+                    readdirSync(folder).map((name): [string, StoredFile] => {
+                        const path = join(folder, name);
+                        return [name, { inode: statSync(path).ino, bytes: readFileSync(path) }];
+                    }),
+                );
             }
             catch (error) {
                 if ((error as NodeJS.ErrnoException).code !== "ENOENT") {
--- a/test/consensus/killpoints.test.ts
+++ b/test/consensus/killpoints.test.ts
@@ -85,7 +85,10 @@
             await cluster.stopMember(VICTIM);
         }
         await cluster.startMember(VICTIM);
-        await cluster.waitFor("the victim as a voter", () => cluster.member(VICTIM).log.role !== "learner" || undefined);
+        await cluster.waitFor(
+            "the victim as a voter",
+            () => cluster.member(VICTIM).log.role !== "learner" || undefined,
+        );
         ids.push(...await addNotes(cluster, ["admitted"]));
         await cluster.waitForNotes(ids);
         await cluster.stopMember("d1");
@@ -110,12 +113,14 @@
             let step = 0;
             while (isReached) {
                 const steps = Array.from({ length: BATCH_SIZE }, (_, offset) => step + offset);
-                const results = await Promise.all(steps.map((at) =>
-                    surviveLoss(phase, loss, at).catch((error: unknown) => {
-                        failures.push(`step ${at}: ${String(error)}`);
-                        return true;
-                    })
-                ));
+                const results = await Promise.all(
+                    steps.map((at) =>
+                        surviveLoss(phase, loss, at).catch((error: unknown) => {
+                            failures.push(`step ${at}: ${String(error)}`);
+                            return true;
+                        })
+                    ),
+                );
                 isReached = results.every(Boolean);
                 step += BATCH_SIZE;
             }
--- a/test/platform/assertions.test.ts
+++ b/test/platform/assertions.test.ts
@@ -62,9 +62,15 @@
             let count = 0;
             await waitFor("a request at the faulty server", async () => {
                 const ids = Array.from({ length: CONCURRENT_REQUESTS }, () => `r${count++}`);
-                await Promise.all(ids.map((id) =>
-                    call(`http://${callers}/read/${id}`, { method: "POST", body: "x", headers: chatHeaders(id) })
-                ));
+                await Promise.all(
+                    ids.map((id) =>
+                        call(`http://${callers}/read/${id}`, {
+                            method: "POST",
+                            body: "x",
+                            headers: chatHeaders(id),
+                        })
+                    ),
+                );
                 return receivedCount() > 0 || undefined;
             });
         },
@@ -129,7 +135,9 @@
         const source = join(folder, "program.cjs");
         writeFileSync(source, FAILING_PROGRAM);
         await bundle(source, join(folder, "bundle.cjs"), { optimizeStartup });
-        const { stdout, status } = spawnSync(process.execPath, [join(folder, "bundle.cjs")], { encoding: "utf8" });
+        const { stdout, status } = spawnSync(process.execPath, [join(folder, "bundle.cjs")], {
+            encoding: "utf8",
+        });
         const unnamed = "ERR_ASSERTION an assertion failed\n";
         t.is(stdout, `${unnamed.repeat(4)}ERR_ASSERTION given\n`);
         t.is(status, 0);
