test: daemons from sources load TypeScript before their other modules

Cause: put the loader behind the modules of the simulated links, which are TypeScript. A comment of the hand-over says "ask" for "tell"; the bundle is the same.

--- a/packages/consensus/src/handover.ts
+++ b/packages/consensus/src/handover.ts
@@ -16,7 +16,7 @@
     replication: Replication;
     /** Members that wait to become voters. */
     joiningMembers: () => Member[];
-    /** Whether the members that wait have had the time to tell this leader so. */
+    /** Whether the members that wait have had the time to ask this leader for a place. */
     hasHeardWaitingMembers: () => boolean;
     /** Number of voters that the cluster grows to. */
     targetCount: number;
--- a/test/platform/assertions.test.ts
+++ b/test/platform/assertions.test.ts
@@ -91,7 +91,7 @@
 // the whole file.
 for (const [title, { service, probeUrl, disturb }] of Object.entries(disturbances)) {
     test.serial(`${title} that was built goes on while a server answers with bytes that are no response`, async (t) => {
-        const platform = await startServing(t, { program: [await bundlePlatform(t)] });
+        const platform = await startServing(t, { programPath: await bundlePlatform(t) });
         const faulty = await startRawServer(t, { text: INVALID_RESPONSE });
         const longestMs = await longestAnswerMs(probeUrl(platform), async () => {
             const advertisedAddress = faulty.address;
--- a/test/platform/fixtures.ts
+++ b/test/platform/fixtures.ts
@@ -43,13 +43,15 @@
     entries: EntryFixture[];
 }
 
-/** Arguments of Node.js that run the program from its sources. */
-const SOURCE_PROGRAM: readonly string[] = ["--import=tsx", "platform/main.ts"];
+const SOURCE_PROGRAM = "platform/main.ts";
+/** Loads TypeScript. Precedes other modules to import, which may be written in it. */
+const SOURCE_LOADER = "--import=tsx";
 
 /** Starts a control daemon and entry daemons the way the platform does. */
 export const startPlatform = async (
     t: ExecutionContext,
-    { entryCount = 1, hasServerLinks = false, nodeArguments = [] as string[], program = SOURCE_PROGRAM } = {},
+    { entryCount = 1, hasServerLinks = false, nodeArguments = [] as string[], programPath = SOURCE_PROGRAM } =
+        {},
 ): Promise<PlatformFixture> => {
     const folder = mkdtempSync(join(tmpdir(), "greengage-platform-"));
     const [peerPort = 0, control = 0, callers = 0, readiness = 0] = await freePorts(4);
@@ -75,9 +77,10 @@
             writeFileSync(path, JSON.stringify({ ...common, node_name: name, ...settings, ...fields }));
         changeSettings({});
         const child = spawn(process.execPath, [
+            ...(programPath === SOURCE_PROGRAM ? [SOURCE_LOADER] : []),
             ...nodeArguments,
             ...linkArguments,
-            ...program,
+            programPath,
             role,
         ], {
             env: { ...process.env, GREENGAGERIDGE_SETTINGS: path, ...environment },
--- a/test/platform/serving.ts
+++ b/test/platform/serving.ts
@@ -25,8 +25,11 @@
 /** Starts a platform whose engines serve streams and payments. Two engines form a group. */
 export const startServing = async (
     t: ExecutionContext,
-    { engineCount = 3, ...options }: { engineCount?: number; nodeArguments?: string[]; program?: string[]; } =
-        {},
+    { engineCount = 3, ...options }: {
+        engineCount?: number;
+        nodeArguments?: string[];
+        programPath?: string;
+    } = {},
 ): Promise<ServingFixture> => {
     const platform = await startPlatform(t, options);
     const { control, callers, readiness, entryLog } = platform;
